--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,272 @@
+// Package core drives the decision module. It knows no wire: fronts submit
+// transactions, carriers take flows to pool members, a lister brings the
+// pool, and all of them meet the core through the interfaces declared here.
+//
+// One goroutine, that of Run, owns the Dispatcher, the transactions, the
+// flows and the timers. All else posts events. The core is the single ledger:
+// a transaction gets one final answer and has one live flow at a time, and no
+// end of a flow counts twice.
+package core
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	nt "nettletally"
+
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	eventRoom = 1024                  // events that may wait; posting more waits in turn
+	overdue   = 10 * time.Millisecond // an answer the module still owes so long after the deadline is given for it
+)
+
+// Core is the hub between fronts, decisions and carriers.
+type Core struct {
+	settings nt.Settings
+	stages   Stages
+	lister   Lister
+	log      logrus.FieldLogger
+	events   chan func()
+	stopped  chan struct{}
+
+	// Owned by Run's goroutine.
+	decisions *nt.Dispatcher
+	base      time.Time
+	now       time.Time
+	later     []func() // what the handling of an event leaves to do after it
+	timers    timers
+	open      map[string]*Transaction
+	members   map[string]*Member
+	numbers   map[uint32]*Member
+	load      Load
+
+	unanswered atomic.Int64
+	known      atomic.Bool
+}
+
+// New returns a core that is not running yet. It fails if the module does not
+// accept the settings.
+func New(s nt.Settings, stages Stages, log logrus.FieldLogger) (*Core, error) {
+	c := &Core{
+		settings: s, stages: stages, log: log, base: time.Now(),
+		events: make(chan func(), eventRoom), stopped: make(chan struct{}),
+		open: make(map[string]*Transaction), members: make(map[string]*Member), numbers: make(map[uint32]*Member),
+	}
+	var err error
+	if c.decisions, err = nt.New(s, host{c}); err != nil {
+		return nil, fmt.Errorf("starting the decisions: %w", err)
+	}
+	return c, nil
+}
+
+// Follow names the lister. It must be called before Run.
+func (c *Core) Follow(l Lister) { c.lister = l }
+
+// Run handles events until the context ends.
+func (c *Core) Run(ctx context.Context) {
+	defer close(c.stopped)
+	wake := time.NewTimer(time.Hour)
+	defer wake.Stop()
+	for {
+		wake.Reset(c.timers.wait(time.Now()))
+		select {
+		case <-ctx.Done():
+			return
+		case event := <-c.events:
+			c.handle(event)
+		case <-wake.C:
+		}
+		for due := c.timers.due(time.Now()); due != nil; due = c.timers.due(time.Now()) {
+			c.handle(due)
+		}
+	}
+}
+
+// handle runs one event and what it left to do. The module's methods must not
+// be called from within its host's: those put what follows into later.
+func (c *Core) handle(event func()) {
+	c.now = time.Now()
+	event()
+	for len(c.later) > 0 {
+		next := c.later[0]
+		c.later = c.later[1:]
+		next()
+	}
+}
+
+// post hands an event to Run's goroutine, and waits while too many are there.
+func (c *Core) post(event func()) {
+	select {
+	case c.events <- event:
+	case <-c.stopped:
+	}
+}
+
+// clock turns a time into the module's: nanoseconds since 1970, by the
+// monotonic clock from the start on, so that it never runs backward.
+func (c *Core) clock(t time.Time) time.Duration {
+	return time.Duration(c.base.UnixNano()) + t.Sub(c.base)
+}
+
+// Unanswered is how many transactions were taken and have no final answer.
+func (c *Core) Unanswered() int { return int(c.unanswered.Load()) }
+
+// Ready tells whether the core has a list of members and takes transactions.
+func (c *Core) Ready() bool { return c.known.Load() }
+
+// Submit takes a transaction. Its client is told exactly one final answer.
+func (c *Core) Submit(t *Transaction) {
+	c.unanswered.Add(1)
+	c.post(func() {
+		if c.open[t.ID] != nil { // an id names one transaction: the module would drop the second in silence
+			c.unanswered.Add(-1)
+			t.Client.Answer(Answer{Verdict: Denied, Body: []byte("this id is in hand already\n")})
+			return
+		}
+		c.open[t.ID] = t
+		c.load.Open++
+		c.load.Bytes += len(t.Body)
+		if a := c.stages.Admit(t, c.load, c.now); a != nil {
+			c.answer(t, *a)
+			return
+		}
+		c.timers.add(t.Deadline.Add(overdue), func() { c.expire(t) })
+		c.decisions.Request(c.clock(c.now), c.request(t))
+	})
+}
+
+// request is the stage's view of the transaction, on the module's clock.
+func (c *Core) request(t *Transaction) nt.Request {
+	r := c.stages.Route(t)
+	r.Expires = c.clock(t.Deadline)
+	return r
+}
+
+// Leave tells that the client of a transaction is gone: nothing is owed.
+func (c *Core) Leave(t *Transaction) {
+	c.post(func() { c.leave(t) })
+}
+
+func (c *Core) leave(t *Transaction) {
+	if t.answered || c.open[t.ID] != t {
+		return
+	}
+	c.close(t)
+	c.decisions.Gone(c.clock(c.now), t.ID)
+}
+
+// expire answers for the module what it still owes after the deadline: an
+// answer too late would break the rule, and a lost one would hang the client.
+func (c *Core) expire(t *Transaction) {
+	if t.answered {
+		return
+	}
+	c.log.WithField("transaction", t.ID).Error("no final answer by the deadline")
+	c.answer(t, Answer{Verdict: Failed})
+	c.decisions.Gone(c.clock(c.now), t.ID)
+}
+
+// answer gives a transaction its one final answer.
+func (c *Core) answer(t *Transaction, a Answer) {
+	if t.answered {
+		return
+	}
+	c.close(t)
+	c.stages.Book(t, a, c.now)
+	t.Client.Answer(a)
+}
+
+// close marks a transaction as done with its client.
+func (c *Core) close(t *Transaction) {
+	t.answered = true
+	c.load.Open--
+	c.load.Bytes -= len(t.Body)
+	c.unanswered.Add(-1)
+	c.forget(t)
+}
+
+// forget drops a transaction that is answered and has no live flow.
+func (c *Core) forget(t *Transaction) {
+	if t.answered && t.live == nil && c.open[t.ID] == t {
+		delete(c.open, t.ID)
+	}
+}
+
+// End tells how a flow ended. Only the first end of a flow counts.
+func (c *Core) End(f *Flow, s nt.Status, result []byte) {
+	c.post(func() { c.end(f, s, result) })
+}
+
+func (c *Core) end(f *Flow, s nt.Status, result []byte) {
+	t := f.Transaction
+	if f.ended {
+		return
+	}
+	f.ended = true
+	if t.live == f {
+		t.live = nil
+	}
+	if a := c.stages.Relay(f, s, result); a != nil {
+		c.answer(t, *a)
+	}
+	c.decisions.Outcome(c.clock(c.now), nt.Outcome{
+		Request: t.ID, Attempt: f.Number, Worker: f.Member.number, Status: s, Ended: t.answered,
+		Latency: c.now.Sub(f.SentAt),
+	})
+	c.forget(t)
+}
+
+// Note tells news of a flow that is out.
+func (c *Core) Note(f *Flow, topic nt.NoteTopic, share float64) {
+	c.post(func() { c.note(f, topic, share) })
+}
+
+func (c *Core) note(f *Flow, topic nt.NoteTopic, share float64) {
+	if !f.ended {
+		c.decisions.Note(c.clock(c.now), nt.Note{
+			Request: f.Transaction.ID, Attempt: f.Number, Worker: f.Member.number, Topic: topic, Value: share,
+		})
+	}
+}
+
+// News is what a member reports of a job by its id, outside any flow's own
+// connection.
+type News struct {
+	ID, Member string
+	Started    bool
+	Running    bool
+	Share      float64
+	Ended      bool
+	Status     nt.Status
+	Result     []byte
+}
+
+// Report takes in news. It counts for the live flow of that transaction at
+// that member; news of an ended flow or from another member counts nothing.
+func (c *Core) Report(n News) {
+	c.post(func() {
+		t := c.open[n.ID]
+		if t == nil || t.live == nil || t.live.Member.ID != n.Member {
+			return
+		}
+		switch {
+		case n.Ended:
+			c.end(t.live, n.Status, n.Result)
+		case n.Started:
+			c.note(t.live, nt.NoteStarted, 0)
+		case n.Running:
+			c.note(t.live, nt.NoteProgress, n.Share)
+		}
+	})
+}
+
+// Probed tells how a probe of a member ended.
+func (c *Core) Probed(m *Member, s nt.Status, sentAt time.Time) {
+	c.post(func() {
+		c.decisions.Probed(c.clock(c.now), nt.Probed{Worker: m.number, Status: s, Latency: c.now.Sub(sentAt)})
+	})
+}
--- /dev/null
+++ b/internal/core/host.go
@@ -0,0 +1,97 @@
+package core
+
+import (
+	"time"
+
+	nt "nettletally"
+)
+
+// host is the module's side of the core. The module calls it while it handles
+// an event; nothing here calls back into it before that is done.
+type host struct{ c *Core }
+
+// Send implements nt.Host. The module's spans become points in time here, and
+// nowhere else.
+func (h host) Send(id string, worker uint32, timeout time.Duration) {
+	c := h.c
+	t, m := c.open[id], c.numbers[worker]
+	if t == nil || m == nil || t.answered || t.live != nil {
+		// The ledger's guard on "never two at once": what may not go out is
+		// told as never sent, which is what the simulator does.
+		c.log.WithField("transaction", id).Error("a send that the ledger does not allow")
+		if t != nil {
+			n := t.sends
+			t.sends++
+			c.later = append(c.later, func() {
+				c.decisions.Outcome(c.clock(c.now), nt.Outcome{Request: id, Attempt: n, Worker: worker, Status: nt.Moot, Ended: t.answered})
+			})
+		}
+		return
+	}
+	until := t.Deadline
+	if timeout != 0 {
+		until = c.now.Add(timeout)
+	}
+	f := c.stages.Send(t, m, t.sends, c.now, until)
+	t.sends++
+	t.live = f
+	c.timers.add(f.Deadline, func() {
+		if !f.ended {
+			m.Carrier.Abandon(f)
+			c.end(f, nt.TimedOut, nil)
+		}
+	})
+	m.Carrier.Start(f)
+}
+
+// Refuse implements nt.Host.
+func (h host) Refuse(id string, retryAfter time.Duration) {
+	if t := h.c.open[id]; t != nil {
+		a := Answer{Verdict: Refused}
+		if retryAfter > 0 {
+			a.RetryAt = h.c.now.Add(retryAfter)
+		}
+		h.c.answer(t, a)
+	}
+}
+
+// Fail implements nt.Host.
+func (h host) Fail(id string) {
+	if t := h.c.open[id]; t != nil {
+		h.c.answer(t, Answer{Verdict: Failed})
+	}
+}
+
+// Cancel implements nt.Host.
+func (h host) Cancel(id string, number int) {
+	c := h.c
+	t := c.open[id]
+	if t == nil || t.live == nil || t.live.Number != number {
+		return
+	}
+	f := t.live
+	f.Member.Carrier.Abandon(f)
+	c.later = append(c.later, func() { c.end(f, nt.Cancelled, nil) })
+}
+
+// Probe implements nt.Host.
+func (h host) Probe(worker uint32) {
+	if m := h.c.numbers[worker]; m != nil {
+		m.Carrier.Probe(m)
+	}
+}
+
+// Timer implements nt.Host.
+func (h host) Timer(in time.Duration, token string) {
+	c := h.c
+	c.timers.add(c.now.Add(in), func() { c.decisions.Timer(c.clock(c.now), token) })
+}
+
+// Watch implements nt.Host.
+func (h host) Watch(on bool) { h.c.lister.Watch(on) }
+
+// Fetch implements nt.Host.
+func (h host) Fetch() { h.c.lister.Fetch() }
+
+// Log implements nt.Host.
+func (h host) Log(text string) { h.c.log.Info(text) }
--- /dev/null
+++ b/internal/core/members.go
@@ -0,0 +1,109 @@
+package core
+
+import (
+	"encoding/binary"
+	"hash/fnv"
+	"slices"
+	"strings"
+
+	nt "nettletally"
+)
+
+// List takes in what a source tells of its members. A source's whole list
+// leaves the members of other sources as they are.
+func (c *Core) List(source string, kind nt.ListKind, entries []*Member) {
+	c.post(func() {
+		if kind == nt.ListFailed {
+			c.decisions.Members(c.clock(c.now), kind, nil)
+			return
+		}
+		entries = slices.Clone(entries)
+		// In one order everywhere, so that dispatchers agree on who yields
+		// where two ids hash alike.
+		slices.SortFunc(entries, func(a, b *Member) int { return strings.Compare(a.ID, b.ID) })
+		listed := make([]nt.Member, 0, len(entries))
+		for _, m := range entries {
+			m.source = source
+			listed = append(listed, c.place(m))
+		}
+		if kind != nt.ListChange {
+			listed = c.complete(source, entries, listed)
+		}
+		c.decisions.Members(c.clock(c.now), kind, listed)
+		c.known.Store(true)
+	})
+}
+
+// complete makes a source's whole list the whole list of all sources, since
+// the module takes for gone whatever a whole list leaves out.
+func (c *Core) complete(source string, entries []*Member, listed []nt.Member) []nt.Member {
+	in := make(map[string]bool, len(entries))
+	for _, m := range entries {
+		in[m.ID] = true
+	}
+	for _, id := range sortedIDs(c.members) {
+		switch m := c.members[id]; {
+		case in[id]:
+		case m.source == source:
+			c.drop(m)
+		default:
+			listed = append(listed, c.listing(m))
+		}
+	}
+	return listed
+}
+
+func sortedIDs(members map[string]*Member) []string {
+	ids := make([]string, 0, len(members))
+	for id := range members {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// place puts a member into the tables. Flows keep the entry they were sent
+// with; new ones use the latest.
+func (c *Core) place(m *Member) nt.Member {
+	if old := c.members[m.ID]; old != nil {
+		m.number = old.number
+	} else {
+		m.number = c.number(m.ID)
+	}
+	c.members[m.ID], c.numbers[m.number] = m, m
+	listing := c.listing(m)
+	if m.State == nt.Removed {
+		c.drop(m)
+	}
+	return listing
+}
+
+// drop forgets a member that is gone, unless it may still be sent to.
+func (c *Core) drop(m *Member) {
+	if !c.settings.Rules.OnlyDrainingBinds {
+		delete(c.members, m.ID)
+		delete(c.numbers, m.number)
+	}
+}
+
+func (c *Core) listing(m *Member) nt.Member {
+	l := nt.Member{Worker: m.number, Kind: m.Kind, Cell: m.Cell, Zone: m.Zone, State: m.State, Weight: m.Weight}
+	if !m.Started.IsZero() {
+		l.Since = c.clock(m.Started)
+	}
+	return l
+}
+
+// number derives a member's number from its id alone: the module spreads cold
+// starts over the dispatchers by it, which a counter, different at each of
+// them, would upset. An id that hashes like another is hashed again.
+func (c *Core) number(id string) uint32 {
+	h := fnv.New32a()
+	h.Write([]byte(id))
+	n := h.Sum32()
+	for c.numbers[n] != nil {
+		h.Write(binary.LittleEndian.AppendUint32(nil, n))
+		n = h.Sum32()
+	}
+	return n
+}
--- /dev/null
+++ b/internal/core/transaction.go
@@ -0,0 +1,116 @@
+package core
+
+import (
+	"time"
+
+	nt "nettletally"
+)
+
+// Transaction is one request of a client, whatever wire it came by. What is
+// exported is set before Submit and never changes; the rest is the core's.
+type Transaction struct {
+	ID, Class, Tenant string
+	Target            string // path and raw query, where the client's wire has them
+	Key               string // the idempotency key
+	Body              []byte
+	Deadline          time.Time // the final answer is due before this
+	Hint              time.Duration
+	Slots, Memory     float64
+	Retry             bool
+	Client            Client
+
+	sends    int
+	live     *Flow
+	answered bool
+}
+
+// Client is told the one final answer of its transaction. It must not block.
+type Client interface {
+	Answer(Answer)
+}
+
+// Verdict is the kind of a final answer.
+type Verdict uint8
+
+// Kinds of final answers.
+const (
+	Served  Verdict = iota
+	Refused         // it did not run, or may safely run again
+	Failed          // no promise that it never ran
+	Denied          // bad input: the decisions never saw it
+)
+
+var verdicts = [...]string{"served", "refused", "failed", "denied"}
+
+func (v Verdict) String() string { return verdicts[v] }
+
+// Answer is the one final answer of a transaction.
+type Answer struct {
+	Verdict Verdict
+	Body    []byte
+	RetryAt time.Time // Refused: when to come back; zero: no advice
+}
+
+// Flow is a server-side flow: one attempt of a transaction at a pool member.
+type Flow struct {
+	Transaction *Transaction
+	Member      *Member
+	Number      int
+	SentAt      time.Time
+	Deadline    time.Time // nobody waits for it any longer then
+	Carried     any       // the carrier's own; only its Start and Abandon touch it
+
+	ended bool
+}
+
+// Member is a pool member: something that runs jobs.
+type Member struct {
+	ID, Addr, Kind, Zone string
+	Cell                 int
+	State                nt.MemberState
+	Weight               float64
+	Started              time.Time // its latest start; zero: long ago
+	Carrier              Carrier
+
+	source string
+	number uint32
+}
+
+// Number is what the decisions call the member: the same at every dispatcher.
+func (m *Member) Number() uint32 { return m.number }
+
+// Carrier takes flows to the members of one wire. Its methods are called by
+// the core's goroutine and must not block. Each flow that is started is ended
+// once with Core.End; ending it again does no harm.
+type Carrier interface {
+	Start(*Flow)
+	Abandon(*Flow)
+	Probe(*Member)
+}
+
+// Lister follows the list of members for the decisions. It must not block.
+type Lister interface {
+	Watch(on bool)
+	Fetch()
+}
+
+// Load is what the core holds.
+type Load struct {
+	Open  int // transactions without a final answer
+	Bytes int // of their bodies
+}
+
+// Stages are the steps of a transaction between its taking in and its end.
+type Stages interface {
+	// Admit returns the final answer of a transaction that is not let in.
+	Admit(t *Transaction, load Load, now time.Time) *Answer
+	// Route puts a transaction into the words of the decisions.
+	Route(t *Transaction) nt.Request
+	// Send makes the flow that the decisions asked for.
+	Send(t *Transaction, m *Member, number int, now, until time.Time) *Flow
+	// Relay tells what a flow's end means for its client: an answer, or
+	// nothing yet.
+	Relay(f *Flow, s nt.Status, result []byte) *Answer
+	// Book writes down a final answer.
+	Book(t *Transaction, a Answer, now time.Time)
+}
--- /dev/null
+++ b/internal/poolmember/poolmember.go
@@ -0,0 +1,207 @@
+// Package poolmember carries server-side flows and probes to pool members
+// that speak the platform's HTTP protocol.
+package poolmember
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	nt "nettletally"
+
+	"nettletally/internal/core"
+)
+
+// Ends is told what becomes of flows and probes.
+type Ends interface {
+	End(f *core.Flow, s nt.Status, result []byte)
+	Probed(m *core.Member, s nt.Status, sentAt time.Time)
+}
+
+const (
+	probeFor  = 500 * time.Millisecond // a probe without an answer has failed after this
+	deleteFor = 2 * time.Second        // a runner is told so long that a flow is abandoned
+	mostReply = 64 << 10
+)
+
+// Carrier implements core.Carrier for HTTP pool members.
+type Carrier struct {
+	ends  Ends
+	wire  http.RoundTripper
+	slots chan struct{} // one for each connection that may be in use
+}
+
+// New returns a carrier. Connections are dropped well before members drop
+// them after connIdle: a request written to one that is being closed ends as
+// a reset, and an unsafe one could not be sent again then.
+func New(ends Ends, connIdle, dialWithin time.Duration, most int) *Carrier {
+	return &Carrier{ends: ends, wire: newTransport(connIdle*2/3, dialWithin, most), slots: make(chan struct{}, most)}
+}
+
+// call is the carrier's part of a flow. A flow is abandoned by closing its
+// connection while the member has not answered, and by DELETE afterwards.
+type call struct {
+	mu                  sync.Mutex
+	accepted, abandoned bool
+	cancel              context.CancelFunc
+}
+
+// Start implements core.Carrier.
+func (c *Carrier) Start(f *core.Flow) {
+	ctx, cancel := context.WithDeadline(context.Background(), f.Deadline)
+	k := &call{cancel: cancel}
+	f.Carried = k
+	select {
+	case c.slots <- struct{}{}:
+	default: // no descriptor to spare: it was never sent, and no member is to blame
+		cancel()
+		go c.ends.End(f, nt.Moot, nil)
+		return
+	}
+	go func() {
+		defer cancel()
+		defer func() { <-c.slots }()
+		status, taken := c.send(ctx, f)
+		if !taken {
+			c.ends.End(f, status, nil)
+			return
+		}
+		k.mu.Lock()
+		k.accepted = true
+		late := k.abandoned
+		k.mu.Unlock()
+		if late { // abandoned while the answer was under way: closing the connection told nobody
+			c.delete(f)
+		}
+	}()
+}
+
+// Abandon implements core.Carrier.
+func (c *Carrier) Abandon(f *core.Flow) {
+	k, ok := f.Carried.(*call)
+	if !ok {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.abandoned {
+		return
+	}
+	if k.abandoned = true; k.accepted {
+		go c.delete(f)
+	} else {
+		k.cancel()
+	}
+}
+
+// send submits the job. It returns taken if the member answered 202: then the
+// outcome comes by call-back.
+func (c *Carrier) send(ctx context.Context, f *core.Flow) (status nt.Status, taken bool) {
+	var at *conn
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if at, _ = info.Conn.(*conn); at != nil {
+				at.begin()
+			}
+		},
+	})
+	req, body, err := request(ctx, f)
+	if err != nil {
+		return nt.Moot, false
+	}
+	resp, err := c.wire.RoundTrip(req)
+	if err != nil {
+		if at == nil || !body.handedOver() || !at.mayHaveSent() {
+			return nt.ConnectFailed, false
+		}
+		return nt.Reset, false
+	}
+	io.Copy(io.Discard, io.LimitReader(resp.Body, mostReply))
+	resp.Body.Close()
+	switch rejected := resp.Header.Get("X-Rejected") == "1"; {
+	case resp.StatusCode == http.StatusAccepted:
+		return nt.OK, true
+	case rejected && (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout):
+		return nt.Full, false
+	}
+	return nt.Error, false
+}
+
+// request writes a flow in the platform's form. Path, query, body, id and key
+// are the client's own, to the letter.
+func request(ctx context.Context, f *core.Flow) (*http.Request, *once, error) {
+	t := f.Transaction
+	target := t.Target
+	if target == "" { // it came by a wire without paths
+		target = "/" + url.PathEscape(t.Class)
+	}
+	u, err := url.ParseRequestURI(target)
+	if err != nil {
+		return nil, nil, err
+	}
+	u.Scheme, u.Host = "http", f.Member.Addr
+	body := &once{rest: t.Body}
+	req := (&http.Request{
+		Method: http.MethodPost, URL: u, Host: f.Member.Addr, Header: make(http.Header),
+		Body: body, ContentLength: int64(len(t.Body)),
+	}).WithContext(ctx)
+	req.Header.Set("User-Agent", "")
+	req.Header.Set("X-Call-Id", t.ID)
+	req.Header.Set("X-Call-Class", t.Class)
+	req.Header.Set("X-Budget", strconv.FormatFloat(time.Until(f.Deadline).Seconds(), 'f', 3, 64))
+	if t.Tenant != "" {
+		req.Header.Set("X-Caller", t.Tenant)
+	}
+	if t.Key != "" {
+		req.Header.Set("Idempotency-Key", t.Key)
+	}
+	return req, body, nil
+}
+
+func (c *Carrier) delete(f *core.Flow) {
+	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(deleteFor))
+	defer cancel()
+	u := &url.URL{Scheme: "http", Host: f.Member.Addr, Path: "/jobs/" + f.Transaction.ID}
+	req := (&http.Request{Method: http.MethodDelete, URL: u, Host: u.Host, Header: make(http.Header)}).WithContext(ctx)
+	if resp, err := c.wire.RoundTrip(req); err == nil {
+		resp.Body.Close()
+	}
+}
+
+// Probe implements core.Carrier.
+func (c *Carrier) Probe(m *core.Member) {
+	go func() {
+		sentAt := time.Now()
+		c.ends.Probed(m, c.probe(m, sentAt.Add(probeFor)), sentAt)
+	}()
+}
+
+func (c *Carrier) probe(m *core.Member, until time.Time) nt.Status {
+	ctx, cancel := context.WithDeadline(context.Background(), until)
+	defer cancel()
+	var connected bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }})
+	u := &url.URL{Scheme: "http", Host: m.Addr, Path: "/health/live"}
+	req := (&http.Request{Method: http.MethodGet, URL: u, Host: u.Host, Header: make(http.Header)}).WithContext(ctx)
+	resp, err := c.wire.RoundTrip(req)
+	switch {
+	case err != nil && !connected:
+		return nt.ConnectFailed
+	case errors.Is(err, context.DeadlineExceeded):
+		return nt.TimedOut
+	case err != nil:
+		return nt.Reset
+	}
+	io.Copy(io.Discard, io.LimitReader(resp.Body, mostReply))
+	resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nt.Error
+	}
+	return nt.OK
+}
--- /dev/null
+++ b/internal/poolmember/transport.go
@@ -0,0 +1,99 @@
+package poolmember
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// newTransport returns a transport that does nothing of its own accord: no
+// proxy from the environment, no HTTP/2, no compression, no redirects (they
+// are http.Client's, which is not used).
+func newTransport(idle, dialWithin time.Duration, most int) *http.Transport {
+	dialer := &net.Dialer{KeepAlive: 15 * time.Second}
+	return &http.Transport{
+		Proxy: nil,
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			ctx, cancel := context.WithDeadline(ctx, time.Now().Add(dialWithin))
+			defer cancel()
+			c, err := dialer.DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return &conn{Conn: c}, nil
+		},
+		TLSNextProto:        map[string]func(string, *tls.Conn) http.RoundTripper{},
+		DisableCompression:  true,
+		MaxIdleConns:        most,
+		MaxIdleConnsPerHost: most,
+		IdleConnTimeout:     idle,
+	}
+}
+
+// conn knows whether the request on it may have reached the other side whole.
+// A connection carries one request at a time.
+type conn struct {
+	net.Conn
+	mu            sync.Mutex
+	wrote, failed bool
+}
+
+// begin forgets the request before.
+func (c *conn) begin() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.wrote, c.failed = false, false
+}
+
+func (c *conn) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n, err := c.Conn.Write(b)
+	c.wrote, c.failed = true, c.failed || err != nil
+	return n, err
+}
+
+// mayHaveSent tells whether all that was written since begin was taken by the
+// system. It closes the connection first: a write that is under way would
+// otherwise still go out after the attempt was told never to have run.
+func (c *conn) mayHaveSent() bool {
+	c.Close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.wrote && !c.failed
+}
+
+// once is a request's body that cannot be had a second time. http.Transport
+// sends a request again by itself when an idle connection turns out to be
+// broken, more so one with an Idempotency-Key; without GetBody, and with a
+// body that is never http.NoBody, it must not. A resent attempt would count as
+// a second copy, and a group ticket could be charged twice.
+type once struct {
+	mu   sync.Mutex
+	rest []byte
+	done bool
+}
+
+func (o *once) Read(b []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	n := copy(b, o.rest)
+	if o.rest = o.rest[n:]; len(o.rest) == 0 {
+		o.done = true
+		return n, io.EOF
+	}
+	return n, nil
+}
+
+func (o *once) Close() error { return nil }
+
+// handedOver tells whether the transport has read all of it.
+func (o *once) handedOver() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.done
+}
--- /dev/null
+++ b/internal/settings/config.go
@@ -0,0 +1,137 @@
+package settings
+
+import (
+	"cmp"
+	"fmt"
+	"net"
+	"strconv"
+	"time"
+
+	nt "nettletally"
+
+	"github.com/valyala/fastjson"
+)
+
+// Config is what the program is told at its start.
+type Config struct {
+	Name, Listen, Discovery string
+	Cores                   float64
+	MemoryMB, Sockets       int
+	Known                   List
+	Settings                nt.Settings
+	ConnIdle, DialWithin    time.Duration // how long a runner keeps an idle connection; how long one takes to come up
+}
+
+// List is discovery's list, or the changes to one.
+type List struct {
+	Generation int64
+	Whole      bool
+	Entries    []Entry
+}
+
+// Entry is one runner of a list.
+type Entry struct {
+	ID, Addr, Kind, Zone string
+	Cell                 int
+	State                nt.MemberState
+	Weight               float64
+	Started              time.Time // zero: long ago
+}
+
+// DecodeConfig reads the program's configuration and checks it.
+func DecodeConfig(text []byte) (Config, error) {
+	v, err := fastjson.ParseBytes(text)
+	if err != nil {
+		return Config{}, fmt.Errorf("configuration: %w", err)
+	}
+	r := &reader{at: v}
+	c := Config{
+		Name: r.text("name"), Listen: r.text("listen"), Discovery: r.text("discovery"),
+		Cores: r.number("limits.cores"), MemoryMB: int(r.number("limits.memory_mb")), Sockets: int(r.number("limits.sockets")),
+		ConnIdle: r.span("settings.limits.conn_idle"), DialWithin: r.span("settings.limits.dial_timeout"),
+	}
+	if r.err != nil {
+		return c, fmt.Errorf("configuration: %w", r.err)
+	}
+	c.ConnIdle, c.DialWithin = cmp.Or(c.ConnIdle, 15*time.Second), cmp.Or(c.DialWithin, time.Second)
+	if c.Settings, err = Decode(v.Get("settings")); err != nil {
+		return c, fmt.Errorf("configuration: settings: %w", err)
+	}
+	if known := v.Get("known"); known != nil && known.Type() != fastjson.TypeNull {
+		if c.Known, err = decodeList(known); err != nil {
+			return c, fmt.Errorf("configuration: known: %w", err)
+		}
+	}
+	if c.Settings.Seed, err = seed(v.Get("seed")); err != nil {
+		return c, fmt.Errorf("configuration: seed: %w", err)
+	}
+	return c, nil
+}
+
+// seed accepts hexadecimal text or a number; absent is 0.
+func seed(v *fastjson.Value) (uint64, error) {
+	switch {
+	case v == nil:
+		return 0, nil
+	case v.Type() == fastjson.TypeNumber:
+		return v.Uint64()
+	}
+	return strconv.ParseUint(string(v.GetStringBytes()), 16, 64)
+}
+
+// DecodeList reads discovery's answer. A list that is malformed anywhere is
+// an error as a whole, so that half of it never takes effect.
+func DecodeList(text []byte) (List, error) {
+	v, err := fastjson.ParseBytes(text)
+	if err != nil {
+		return List{}, fmt.Errorf("list: %w", err)
+	}
+	return decodeList(v)
+}
+
+func decodeList(v *fastjson.Value) (List, error) {
+	r := &reader{at: v}
+	l := List{Generation: r.whole("generation"), Whole: r.flag("reset")}
+	if r.err == nil && v.Get("instances") == nil {
+		r.fail("instances", fmt.Errorf("missing"))
+	}
+	for i, at := range r.list("instances") {
+		e, err := entry(at, i)
+		if err != nil {
+			return List{}, fmt.Errorf("list: %w", err)
+		}
+		l.Entries = append(l.Entries, e)
+	}
+	if r.err != nil {
+		return List{}, fmt.Errorf("list: %w", r.err)
+	}
+	return l, nil
+}
+
+func entry(v *fastjson.Value, i int) (Entry, error) {
+	r := &reader{at: v, in: fmt.Sprintf("instances[%d].", i)}
+	e := Entry{
+		ID: r.text("instanceId"), Addr: r.text("hostPort"), Kind: r.text("machineType"), Zone: r.text("zone"),
+		Cell: int(r.whole("cell")), Weight: r.number("weight"),
+	}
+	if ms := r.number("startedAtMs"); ms > 0 {
+		e.Started = time.UnixMicro(int64(ms * 1000))
+	}
+	switch state := r.text("lifecycle"); state {
+	case "active":
+		e.State = nt.Ready
+	case "leaving":
+		e.State = nt.Draining
+	case "left":
+		e.State = nt.Removed
+	default:
+		r.fail("lifecycle", fmt.Errorf("unknown state %q", state))
+	}
+	if e.ID == "" {
+		r.fail("instanceId", fmt.Errorf("missing"))
+	}
+	if _, _, err := net.SplitHostPort(e.Addr); err != nil && e.State != nt.Removed {
+		r.fail("hostPort", err)
+	}
+	return e, r.err
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,120 @@
+// Package settings reads the settings object that an instance is given, and
+// the configuration of the program around it. The simulator's adapter and the
+// program share it, so that both drive the module with the same figures.
+package settings
+
+import (
+	"errors"
+	"fmt"
+
+	nt "nettletally"
+
+	"github.com/valyala/fastjson"
+)
+
+// Parse reads the text of a settings object.
+func Parse(text []byte) (nt.Settings, error) {
+	v, err := fastjson.ParseBytes(text)
+	if err != nil {
+		return nt.Settings{}, err
+	}
+	return Decode(v)
+}
+
+// Decode reads a settings object. Keys that are not known are skipped.
+func Decode(v *fastjson.Value) (nt.Settings, error) {
+	if v == nil || v.Type() != fastjson.TypeObject {
+		return nt.Settings{}, errors.New("not an object")
+	}
+	r := &reader{at: v}
+	s := nt.Settings{
+		Instances:      int(r.whole("balancers")),
+		Rank:           int(r.whole("rank")),
+		Zone:           r.text("zone"),
+		TellsStart:     r.flag("family_info.tells_start"),
+		MarksRetry:     r.flag("clients.marks_retry"),
+		ReportX0:       r.text("family_info.report_x0"),
+		ReportX1:       r.text("family_info.report_x1"),
+		CrossZonePrice: r.number("prices.cross_zone"),
+		Limits: nt.Limits{
+			MaxAttempts:   int(r.whole("limits.most_tries")),
+			Cancel:        r.flag("limits.cancel"),
+			Probes:        r.flag("limits.probes"),
+			SecondCopies:  r.flag("limits.second_copies"),
+			RetryAfter:    r.flag("limits.retry_after"),
+			MaxRetryAfter: r.span("limits.max_retry_after"),
+		},
+		Rules: nt.Rules{
+			AnswerGrace:       r.span("guarantees.grace_to_answer"),
+			AskWithin:         r.span("guarantees.ask_every"),
+			ColdFrom:          r.number("guarantees.start_capacity"),
+			ColdFor:           r.span("guarantees.warm_after"),
+			FallMultiple:      r.number("guarantees.fall_multiple"),
+			FallFor:           r.span("guarantees.tip_after"),
+			FullMayHaveRun:    r.flag("guarantees.late_shedding"),
+			OnlyDrainingBinds: r.flag("guarantees.dropped_stay_open"),
+		},
+	}
+	for _, k := range r.list("shapes") {
+		s.Kinds = append(s.Kinds, string(k.GetStringBytes()))
+	}
+	switch mode := r.text("registry_mode"); mode {
+	case "push":
+	case "ask":
+		s.AskLists = true
+	default:
+		r.fail("registry_mode", fmt.Errorf("unknown mode %q", mode))
+	}
+	switch by := r.text("worth_by"); by {
+	case "request", "":
+	case "work":
+		s.WorthByWork = true
+	default:
+		r.fail("worth_by", fmt.Errorf("unknown word %q", by))
+	}
+	kinds, stretches := r.list("family_info.class_kind"), r.list("family_info.class_stretch")
+	for i, lane := range r.list("lanes") {
+		c, err := class(lane, i)
+		if err != nil {
+			return s, err
+		}
+		if i < len(kinds) {
+			c.Kind = kinds[i].GetInt()
+		}
+		if !lane.Exists("aim_stretch") && i < len(stretches) {
+			c.Stretch = stretches[i].GetFloat64()
+		}
+		s.Classes = append(s.Classes, c)
+	}
+	return s, r.err
+}
+
+// class reads one entry of lanes; its kind is any unless told elsewhere.
+func class(lane *fastjson.Value, i int) (nt.Class, error) {
+	r := &reader{at: lane, in: fmt.Sprintf("lanes[%d].", i)}
+	c := nt.Class{
+		Name: r.text("name"), Window: r.span("repeat_window"), Aim: r.span("promise"),
+		Stretch: r.number("aim_stretch"), GiveUp: r.span("give_up"), Worth: r.number("worth"), Kind: -1,
+	}
+	switch effect := r.text("effect"); effect {
+	case "idempotent":
+		c.Effect = nt.Safe
+	case "deduplicated":
+		c.Effect = nt.Keyed
+	case "at_most_once":
+		c.Effect = nt.Unsafe
+	default:
+		r.fail("effect", fmt.Errorf("unknown effect %q", effect))
+	}
+	switch scope := r.text("key_scope"); scope {
+	case "all", "":
+		c.Group = nt.GroupAll
+	case "zone":
+		c.Group = nt.GroupZone
+	case "cell":
+		c.Group = nt.GroupCell
+	default:
+		r.fail("key_scope", fmt.Errorf("unknown scope %q", scope))
+	}
+	return c, r.err
+}
--- /dev/null
+++ b/internal/stage/stage.go
@@ -0,0 +1,27 @@
+// Package stage has the six stages that a transaction passes, each in a unit
+// of its own: take in, admit, route, send, relay, book. Take in is the fronts'
+// way into the core; the core calls the others. None of them knows a wire.
+package stage
+
+import (
+	nt "nettletally"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Chain is the stages of one dispatcher. It implements core.Stages.
+type Chain struct {
+	limits  Limits
+	classes map[string]nt.Class
+	log     logrus.FieldLogger
+	counts  counts
+}
+
+// New returns the chain for the module's settings.
+func New(s nt.Settings, limits Limits, log logrus.FieldLogger) *Chain {
+	c := &Chain{limits: limits, classes: make(map[string]nt.Class), log: log}
+	for _, class := range s.Classes {
+		c.classes[class.Name] = class
+	}
+	return c
+}
--- /dev/null
+++ b/internal/stage/takein.go
@@ -0,0 +1,71 @@
+package stage
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"time"
+
+	"nettletally/internal/core"
+)
+
+// MaxBody is the most bytes that a job may have on any wire.
+const MaxBody = 64 << 10
+
+// early is kept back from a client's own deadline, so that the final answer
+// is whole at the client before it gives up.
+const early = 25 * time.Millisecond
+
+const maxID = 128
+
+// ErrTooLarge says that a job is larger than MaxBody.
+var ErrTooLarge = errors.New("the job is too large")
+
+// ErrUnknownClass says that the settings have no such class.
+var ErrUnknownClass = errors.New("unknown class")
+
+// Arrival is what a front read of a job, in no wire's terms.
+type Arrival struct {
+	ID, Class, Tenant, Target, Key string
+	Body                           []byte
+	GivesUp                        time.Time // when the client stops waiting; zero: as the class says
+	Hint                           time.Duration
+	Slots, Memory                  float64
+	Retry                          bool
+}
+
+// TakeIn makes a transaction of an arrival, or says what is wrong with it. Bad
+// input goes no further: the decisions never see it.
+func (c *Chain) TakeIn(a Arrival, now time.Time, client core.Client) (*core.Transaction, error) {
+	class, ok := c.classes[a.Class]
+	switch {
+	case a.ID == "" || len(a.ID) > maxID:
+		return nil, fmt.Errorf("the id must have 1 to %d bytes", maxID)
+	case !plain(a.ID):
+		return nil, errors.New("the id must be plain printable characters without spaces")
+	case !ok:
+		return nil, fmt.Errorf("%w %q", ErrUnknownClass, a.Class)
+	case len(a.Body) > MaxBody:
+		return nil, ErrTooLarge
+	case !sane(a.Slots) || !sane(a.Memory) || a.Hint < 0:
+		return nil, errors.New("a figure is negative or no number")
+	}
+	if latest := now.Add(class.GiveUp); a.GivesUp.IsZero() || a.GivesUp.After(latest) {
+		a.GivesUp = latest
+	}
+	return &core.Transaction{
+		ID: a.ID, Class: a.Class, Tenant: a.Tenant, Target: a.Target, Key: a.Key, Body: a.Body,
+		Deadline: a.GivesUp.Add(-early), Hint: a.Hint, Slots: a.Slots, Memory: a.Memory, Retry: a.Retry, Client: client,
+	}, nil
+}
+
+func sane(f float64) bool { return f >= 0 && f < math.MaxInt32 }
+
+func plain(s string) bool {
+	for _, r := range []byte(s) {
+		if r <= ' ' || r > '~' {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/virtualserver/news.go
@@ -0,0 +1,72 @@
+package virtualserver
+
+import (
+	"errors"
+	"io"
+	"net/http"
+
+	nt "nettletally"
+
+	"nettletally/internal/core"
+	"nettletally/internal/stage"
+
+	"github.com/valyala/fastjson"
+)
+
+// news takes a pool member's call-back. It is answered alike whether it
+// counts, was told before or concerns an ended flow: the member has done its
+// part, and would repeat what is not answered.
+func (s *Server) news(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodPost {
+		refuse(w, http.StatusMethodNotAllowed, "news is told with POST")
+		return
+	}
+	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, mostNews))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		refuse(w, http.StatusRequestEntityTooLarge, "the news is too long")
+		return
+	}
+	n, ok := readNews(text)
+	if err != nil || !ok {
+		refuse(w, http.StatusBadRequest, "this is no news of a job")
+		return
+	}
+	s.hub.Report(n)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// mostNews leaves room for a result of the greatest size, escaped in JSON.
+const mostNews = 2*stage.MaxBody + 1024
+
+func readNews(text []byte) (core.News, bool) {
+	v, err := fastjson.ParseBytes(text)
+	if err != nil {
+		return core.News{}, false
+	}
+	n := core.News{ID: string(v.GetStringBytes("id")), Member: string(v.GetStringBytes("from"))}
+	switch string(v.GetStringBytes("state")) {
+	case "started":
+		n.Started = true
+	case "running":
+		n.Running, n.Share = true, v.GetFloat64("share")
+	case "done":
+		n.Ended, n.Status = true, nt.OK
+		switch result := v.Get("result"); {
+		case result == nil:
+		case result.Type() == fastjson.TypeString:
+			n.Result = append([]byte(nil), result.GetStringBytes()...)
+		default:
+			n.Result = result.MarshalTo(nil)
+		}
+	case "failed":
+		n.Ended, n.Status = true, nt.Error
+	case "returned":
+		n.Ended, n.Status = true, nt.Full
+	case "lost":
+		n.Ended, n.Status = true, nt.Reset
+	default:
+		return n, false
+	}
+	return n, n.ID != "" && n.Member != ""
+}
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -13,6 +13,7 @@
 	"time"
 
 	nt "nettletally"
+	"nettletally/internal/settings"
 )
 
 // Kind is the kind of an event on the wire.
@@ -644,3 +645,35 @@
 
 // At names the line of input last read, for errors about its event.
 func (d *Decoder) At() string { return "line " + strconv.Itoa(d.line) }
+
+func (d *Decoder) configure() error {
+	seed, err := d.required("nonce64")
+	if err != nil {
+		return err
+	}
+	text, err := d.required("conf")
+	if err != nil {
+		return err
+	}
+	s, err := settings.Parse(text)
+	if err != nil {
+		return fmt.Errorf("conf: %w", err)
+	}
+	if s.Seed, err = parseSeed(string(seed)); err != nil {
+		return err
+	}
+	d.ev.Settings = s
+	return nil
+}
+
+// parseSeed accepts the whole range of 64 bits, with or without a sign.
+func parseSeed(v string) (uint64, error) {
+	if n, err := strconv.ParseUint(v, 10, 64); err == nil {
+		return n, nil
+	}
+	n, err := strconv.ParseInt(v, 10, 64)
+	if err != nil {
+		return 0, fmt.Errorf("nonce64: bad integer %q", v)
+	}
+	return uint64(n), nil
+}
