--- a/cmd/basaltloft/main.go
+++ b/cmd/basaltloft/main.go
@@ -14,12 +14,12 @@
 	"syscall"
 	"time"
 
-	"nettletally/internal/core"
-	"nettletally/internal/pool"
-	"nettletally/internal/poolmember"
-	"nettletally/internal/settings"
-	"nettletally/internal/stage"
-	"nettletally/internal/virtualserver"
+	"basaltloft/internal/core"
+	"basaltloft/internal/pool"
+	"basaltloft/internal/poolmember"
+	"basaltloft/internal/settings"
+	"basaltloft/internal/stage"
+	"basaltloft/internal/virtualserver"
 
 	"github.com/sirupsen/logrus"
 )
--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -9,8 +9,8 @@
 	"os"
 	"runtime/debug"
 
-	"nettletally"
-	"nettletally/internal/wire"
+	"basaltloft"
+	"basaltloft/internal/wire"
 )
 
 func main() {
@@ -24,7 +24,7 @@
 // run answers batches from in on out until the end of input.
 func run(in io.Reader, out io.Writer) error {
 	dec, enc := wire.NewDecoder(in), wire.NewEncoder(out)
-	instances := make(map[string]*nettletally.Dispatcher)
+	instances := make(map[string]*basaltloft.Dispatcher)
 	for {
 		ev, err := dec.Next()
 		if errors.Is(err, io.EOF) {
@@ -40,7 +40,7 @@
 				return fmt.Errorf("writing a reply: %w", err)
 			}
 		case wire.Configure:
-			d, err := nettletally.New(ev.Settings, enc.Host(ev.Instance))
+			d, err := basaltloft.New(ev.Settings, enc.Host(ev.Instance))
 			if err != nil {
 				return fmt.Errorf("%s: %w", dec.At(), err)
 			}
@@ -61,7 +61,7 @@
 
 // deliver hands an event to its dispatcher. Peers' messages are read and not
 // delivered: dispatchers share nothing.
-func deliver(d *nettletally.Dispatcher, ev *wire.Event) {
+func deliver(d *basaltloft.Dispatcher, ev *wire.Event) {
 	switch ev.Kind {
 	case wire.Members:
 		d.Members(ev.Now, ev.List, ev.Entries)
--- a/cmd/wirehost/main_test.go
+++ b/cmd/wirehost/main_test.go
@@ -116,7 +116,7 @@
 		"no instance":     {"BEGIN_BATCH\tat_time=1\n" + ingress, "line 2: INGRESS before any INSTANCE"},
 		"cut short":       {started, "line 7: input ends inside a batch"},
 		"clock backward":  {"BEGIN_BATCH\tat_time=9\nEOB\nBEGIN_BATCH\tat_time=8\n", "line 3: at_time: the clock runs backward"},
-		"bad settings":    {begin + strings.Replace(configure, `"balancers":1`, `"balancers":0`, 1), "line 3: nettletally: invalid setting Instances"},
+		"bad settings":    {begin + strings.Replace(configure, `"balancers":1`, `"balancers":0`, 1), "line 3: basaltloft: invalid setting Instances"},
 		"bad effect":      {begin + strings.Replace(configure, "idempotent", "magic", 1), `line 3: CONFIGURE: conf: lanes[0].effect: unknown effect "magic"`},
 		"bad json":        {begin + "CONFIGURE\tnonce64=7\tconf={\n", "line 3: CONFIGURE: conf: cannot parse JSON: cannot parse object: missing '}'; unparsed tail: \"\""},
 	} {
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -1,6 +1,6 @@
-package nettletally
+package basaltloft
 
-// Every decision of the library is in this file; its types, events and actions are in nettletally.go.
+// Every decision of the library is in this file; its types, events and actions are in basaltloft.go.
 //
 // Tunables, events, type costs, health, copies, reports, budgets, release, effects, lists, subsets.
 // docs/design.md gives the reasons; state.go keeps the books.
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -1,4 +1,4 @@
-package nettletally_test
+package basaltloft_test
 
 import (
 	"bufio"
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	nt "nettletally"
+	"basaltloft"
 )
 
 const ms = time.Millisecond
@@ -62,45 +62,45 @@
 
 // bench is a dispatcher with a recording host and a clock set by hand.
 type bench struct {
-	*nt.Dispatcher
+	*basaltloft.Dispatcher
 	*recorder
 	t *testing.T
 }
 
-func settings() nt.Settings {
-	return nt.Settings{
+func settings() basaltloft.Settings {
+	return basaltloft.Settings{
 		Seed: 1, Instances: 2, Zone: "a", Kinds: []string{"k"}, WorthByWork: true,
-		ReportX0: nt.FreeSlots, ReportX1: nt.FreeMemory,
-		Classes: []nt.Class{
-			{Name: "safe", Effect: nt.Safe, Aim: 400 * ms, Stretch: 2, GiveUp: 5 * time.Second, Worth: 1, Kind: -1},
-			{Name: "keyed", Effect: nt.Keyed, Group: nt.GroupZone, Window: 3 * time.Second, Aim: 400 * ms,
+		ReportX0: basaltloft.FreeSlots, ReportX1: basaltloft.FreeMemory,
+		Classes: []basaltloft.Class{
+			{Name: "safe", Effect: basaltloft.Safe, Aim: 400 * ms, Stretch: 2, GiveUp: 5 * time.Second, Worth: 1, Kind: -1},
+			{Name: "keyed", Effect: basaltloft.Keyed, Group: basaltloft.GroupZone, Window: 3 * time.Second, Aim: 400 * ms,
 				Stretch: 2, GiveUp: 5 * time.Second, Worth: 8, Kind: -1},
-			{Name: "unsafe", Effect: nt.Unsafe, Aim: 400 * ms, Stretch: 2, GiveUp: 5 * time.Second, Worth: 10, Kind: -1},
+			{Name: "unsafe", Effect: basaltloft.Unsafe, Aim: 400 * ms, Stretch: 2, GiveUp: 5 * time.Second, Worth: 10, Kind: -1},
 		},
-		Limits: nt.Limits{MaxAttempts: 3, Cancel: true, Probes: true, SecondCopies: true},
-		Rules: nt.Rules{AnswerGrace: 20 * ms, ColdFrom: 0.3, ColdFor: 8 * time.Second, FallMultiple: 2.5,
+		Limits: basaltloft.Limits{MaxAttempts: 3, Cancel: true, Probes: true, SecondCopies: true},
+		Rules: basaltloft.Rules{AnswerGrace: 20 * ms, ColdFrom: 0.3, ColdFor: 8 * time.Second, FallMultiple: 2.5,
 			FallFor: 2 * time.Second},
 	}
 }
 
-func member(id uint32, zone string) nt.Member {
-	return nt.Member{Worker: id, Kind: "k", Zone: zone, State: nt.Ready, Weight: 1}
+func member(id uint32, zone string) basaltloft.Member {
+	return basaltloft.Member{Worker: id, Kind: "k", Zone: zone, State: basaltloft.Ready, Weight: 1}
 }
 
 // newBench starts a dispatcher with workers 1 to n in zone a.
-func newBench(t *testing.T, s nt.Settings, n int) *bench {
+func newBench(t *testing.T, s basaltloft.Settings, n int) *bench {
 	t.Helper()
 	r := &recorder{sends: make(map[string]int), after: make(map[string]time.Duration), now: time.Minute}
-	d, err := nt.New(s, r)
+	d, err := basaltloft.New(s, r)
 	if err != nil {
 		t.Fatal(err)
 	}
 	b := &bench{Dispatcher: d, recorder: r, t: t}
-	var list []nt.Member
+	var list []basaltloft.Member
 	for i := range n {
 		list = append(list, member(uint32(i+1), "a"))
 	}
-	b.Members(b.now, nt.ListRestored, list)
+	b.Members(b.now, basaltloft.ListRestored, list)
 	return b
 }
 
@@ -127,7 +127,7 @@
 }
 
 func (b *bench) request(id, class string, hint time.Duration) {
-	b.Request(b.now, nt.Request{ID: id, Class: class, Hint: hint, Expires: b.now + 5*time.Second})
+	b.Request(b.now, basaltloft.Request{ID: id, Class: class, Hint: hint, Expires: b.now + 5*time.Second})
 }
 
 // sentTo is the worker that the request's last send went to.
@@ -143,13 +143,13 @@
 }
 
 // outcome ends the request's last attempt.
-func (b *bench) outcome(id string, s nt.Status) {
-	b.Outcome(b.now, nt.Outcome{Request: id, Attempt: b.sends[id] - 1, Worker: b.sentTo(id), Status: s, Ended: s == nt.OK})
+func (b *bench) outcome(id string, s basaltloft.Status) {
+	b.Outcome(b.now, basaltloft.Outcome{Request: id, Attempt: b.sends[id] - 1, Worker: b.sentTo(id), Status: s, Ended: s == basaltloft.OK})
 }
 
 // full is a probe's answer that tells free slots.
-func full(w uint32, free float64) nt.Probed {
-	return nt.Probed{Worker: w, Report: nt.Report{Has: nt.HasX0, X0: free}}
+func full(w uint32, free float64) basaltloft.Probed {
+	return basaltloft.Probed{Worker: w, Report: basaltloft.Report{Has: basaltloft.HasX0, X0: free}}
 }
 
 func TestHoldsUntilCostFits(t *testing.T) {
@@ -162,7 +162,7 @@
 	}
 	before := b.count("send")
 	b.now += 300 * ms
-	b.outcome("r0", nt.OK)
+	b.outcome("r0", basaltloft.OK)
 	if b.count("send") != before+1 {
 		t.Error("a job that ended did not make room for the next")
 	}
@@ -181,7 +181,7 @@
 	}
 	b.pass(800 * ms) // long has aged by now
 	b.request("late", "safe", 100*ms)
-	b.outcome("first", nt.OK)
+	b.outcome("first", basaltloft.OK)
 	if !b.has("send long 1") || b.has("send late 1") {
 		t.Errorf("an aged job is passed by a shorter one: %v", b.acts)
 	}
@@ -191,7 +191,7 @@
 	b := newBench(t, settings(), 1)
 	for i := range 20 {
 		b.request(fmt.Sprint("r", i), "safe", 50*ms)
-		b.outcome(fmt.Sprint("r", i), nt.OK)
+		b.outcome(fmt.Sprint("r", i), basaltloft.OK)
 	}
 	b.request("huge", "safe", 20*time.Second/10)
 	if !b.has("send huge 1") {
@@ -203,7 +203,7 @@
 	s := settings()
 	s.CrossZonePrice = 0.05
 	b := newBench(t, s, 0)
-	b.Members(b.now, nt.ListWhole, []nt.Member{member(1, "b"), member(2, "a"), member(3, "b")})
+	b.Members(b.now, basaltloft.ListWhole, []basaltloft.Member{member(1, "b"), member(2, "a"), member(3, "b")})
 	b.request("r", "safe", 100*ms)
 	if w := b.sentTo("r"); w != 2 {
 		t.Errorf("sent to worker %d of another zone", w)
@@ -222,7 +222,7 @@
 }
 
 func TestUnsafeIsNeverSentTwice(t *testing.T) {
-	for _, s := range []nt.Status{nt.Error, nt.TimedOut, nt.Reset, nt.Cancelled} {
+	for _, s := range []basaltloft.Status{basaltloft.Error, basaltloft.TimedOut, basaltloft.Reset, basaltloft.Cancelled} {
 		b := newBench(t, settings(), 3)
 		b.request("r", "unsafe", 100*ms)
 		b.outcome("r", s)
@@ -230,7 +230,7 @@
 			t.Errorf("status %d: %v", s, b.acts)
 		}
 	}
-	for _, s := range []nt.Status{nt.Full, nt.ConnectFailed} {
+	for _, s := range []basaltloft.Status{basaltloft.Full, basaltloft.ConnectFailed} {
 		b := newBench(t, settings(), 3)
 		b.request("r", "unsafe", 100*ms)
 		b.outcome("r", s)
@@ -242,10 +242,10 @@
 
 func TestKeyedStaysInItsGroupAndWindow(t *testing.T) {
 	b := newBench(t, settings(), 0)
-	b.Members(b.now, nt.ListWhole, []nt.Member{member(1, "a"), member(2, "b"), member(3, "b"), member(4, "b")})
+	b.Members(b.now, basaltloft.ListWhole, []basaltloft.Member{member(1, "a"), member(2, "b"), member(3, "b"), member(4, "b")})
 	b.request("r", "keyed", 100*ms)
 	first := b.sentTo("r")
-	b.outcome("r", nt.Reset)
+	b.outcome("r", basaltloft.Reset)
 	if b.sends["r"] == 2 && (first == 1) != (b.sentTo("r") == 1) {
 		t.Errorf("resent outside its group: %v", b.acts)
 	}
@@ -258,7 +258,7 @@
 	b = newBench(t, s, 3)
 	b.request("late", "keyed", 100*ms)
 	b.now += 3100 * ms // past the window, inside the aim
-	b.outcome("late", nt.Reset)
+	b.outcome("late", basaltloft.Reset)
 	if b.sends["late"] != 1 {
 		t.Error("resent after the workers have forgotten it")
 	}
@@ -270,21 +270,21 @@
 	s.Rules.FullMayHaveRun = true
 	b := newBench(t, s, 3)
 	b.request("u", "unsafe", 100*ms)
-	b.outcome("u", nt.Full)
+	b.outcome("u", basaltloft.Full)
 	if b.sends["u"] != 1 || b.has("refuse u") || !b.has("fail u") {
 		t.Errorf("an unsafe job that may have run: %v", b.acts)
 	}
 	b = newBench(t, s, 0)
-	b.Members(b.now, nt.ListWhole, []nt.Member{member(1, "a"), member(2, "b"), member(3, "c")})
+	b.Members(b.now, basaltloft.ListWhole, []basaltloft.Member{member(1, "a"), member(2, "b"), member(3, "c")})
 	b.request("k", "keyed", 100*ms)
-	b.outcome("k", nt.Full)
+	b.outcome("k", basaltloft.Full)
 	b.pass(5 * time.Second)
 	if b.sends["k"] != 1 || b.has("refuse k") || !b.has("fail k") {
 		t.Errorf("a keyed job left its group: %v", b.acts)
 	}
 	b = newBench(t, s, 3)
 	b.request("s", "safe", 100*ms)
-	b.outcome("s", nt.Full)
+	b.outcome("s", basaltloft.Full)
 	if b.sends["s"] != 2 {
 		t.Errorf("a safe job goes on freely: %v", b.acts)
 	}
@@ -313,7 +313,7 @@
 	b := newBench(t, settings(), 2)
 	b.request("big", "unsafe", 500*ms) // raises the mean, so that budgets hold nothing back here
 	b.now += 500 * ms
-	b.outcome("big", nt.OK)
+	b.outcome("big", basaltloft.OK)
 	b.Probed(b.now, full(1, 4))
 	b.Probed(b.now, full(2, 0))
 	b.request("a", "unsafe", 20*ms)
@@ -324,7 +324,7 @@
 	if b.sends["n"] > 0 && b.sentTo("n") == 1 {
 		t.Error("a probe's answer clears a worker that ends no job")
 	}
-	b.outcome("a", nt.OK)
+	b.outcome("a", basaltloft.OK)
 	if b.sends["n"] != 1 || b.sentTo("n") != 1 {
 		t.Error("a job that ended does not clear the worker")
 	}
@@ -345,7 +345,7 @@
 			slow++
 		}
 		b.now += took
-		b.outcome(id, nt.OK)
+		b.outcome(id, basaltloft.OK)
 	}
 	if slow > 6 {
 		t.Errorf("%d of 30 jobs went to the slower of two idle workers", slow)
@@ -366,16 +366,16 @@
 	b := newBench(t, settings(), 1)
 	b.request("r", "safe", 0)
 	b.now += 100 * ms
-	b.outcome("r", nt.OK)
+	b.outcome("r", basaltloft.OK)
 	for i := range 30 {
 		id := fmt.Sprint("r", i)
 		b.request(id, "safe", 0)
 		b.now += 100 * ms
-		b.outcome(id, nt.OK)
+		b.outcome(id, basaltloft.OK)
 	}
 	b.request("heavy", "safe", 0)
 	b.now += 430 * ms // far heavier than its class, and no hint tells it
-	b.outcome("heavy", nt.OK)
+	b.outcome("heavy", basaltloft.OK)
 	b.request("n", "safe", 0)
 	if b.sends["n"] != 1 {
 		t.Errorf("one heavy job makes its class look hopeless: %v", b.acts[len(b.acts)-3:])
@@ -384,20 +384,20 @@
 
 func TestCutOffZoneLeavesTheRestServing(t *testing.T) {
 	b := newBench(t, settings(), 0)
-	b.Members(b.now, nt.ListWhole, []nt.Member{member(1, "a"), member(2, "b"), member(3, "b")})
+	b.Members(b.now, basaltloft.ListWhole, []basaltloft.Member{member(1, "a"), member(2, "b"), member(3, "b")})
 	for i := range 6 {
 		id := fmt.Sprint("r", i)
 		b.request(id, "unsafe", 50*ms)
 		for b.sends[id] > 0 && b.sentTo(id) != 1 && !b.has("refuse "+id) {
 			n := b.sends[id]
-			b.outcome(id, nt.ConnectFailed)
+			b.outcome(id, basaltloft.ConnectFailed)
 			if b.sends[id] == n {
 				break
 			}
 		}
 		if b.sends[id] > 0 && b.sentTo(id) == 1 {
 			b.now += 50 * ms
-			b.outcome(id, nt.OK)
+			b.outcome(id, basaltloft.OK)
 		}
 	}
 	b.request("n", "unsafe", 50*ms)
@@ -410,7 +410,7 @@
 	b := newBench(t, settings(), 2)
 	b.request("r", "unsafe", 50*ms)
 	for range 3 {
-		b.outcome("r", nt.ConnectFailed)
+		b.outcome("r", basaltloft.ConnectFailed)
 	}
 	b.pass(40 * ms)
 	b.request("n", "unsafe", 50*ms)
@@ -422,8 +422,8 @@
 func TestDrainStopsAtOnce(t *testing.T) {
 	b := newBench(t, settings(), 1)
 	m := member(1, "a")
-	m.State = nt.Draining
-	b.Members(b.now, nt.ListChange, []nt.Member{m})
+	m.State = basaltloft.Draining
+	b.Members(b.now, basaltloft.ListChange, []basaltloft.Member{m})
 	b.request("r", "safe", 50*ms)
 	b.pass(300 * ms)
 	if b.sends["r"] != 0 {
@@ -442,14 +442,14 @@
 	b := newBench(t, s, 0)
 	m := member(1, "a")
 	m.Since = b.now
-	b.Members(b.now, nt.ListWhole, []nt.Member{m})
+	b.Members(b.now, basaltloft.ListWhole, []basaltloft.Member{m})
 	sent := 0.0
 	for i := range 200 {
 		id := fmt.Sprint("r", i)
 		b.request(id, "safe", 100*ms)
 		if b.sends[id] > 0 {
 			sent += 0.1
-			b.outcome(id, nt.OK)
+			b.outcome(id, basaltloft.OK)
 		}
 		b.now += 5 * ms
 	}
@@ -465,16 +465,16 @@
 	b := newBench(t, s, 1)
 	b.request("down", "unsafe", 100*ms)
 	for range 3 {
-		b.outcome("down", nt.ConnectFailed)
+		b.outcome("down", basaltloft.ConnectFailed)
 	}
-	b.Probed(b.now, nt.Probed{Worker: 1, Status: nt.OK})
+	b.Probed(b.now, basaltloft.Probed{Worker: 1, Status: basaltloft.OK})
 	sent := 0
 	for i := range 100 {
 		id := fmt.Sprint("r", i)
 		b.request(id, "safe", 100*ms)
 		if b.sends[id] > 0 {
 			sent++
-			b.outcome(id, nt.OK)
+			b.outcome(id, basaltloft.OK)
 		}
 	}
 	if sent > 7 { // half of 2.5 x 0.3 x one slot x 2 s, in jobs of 100 ms
@@ -490,7 +490,7 @@
 			return false
 		}
 		b.now += took
-		b.outcome(id, nt.OK)
+		b.outcome(id, basaltloft.OK)
 		return true
 	}
 	for i := range 40 {
@@ -510,7 +510,7 @@
 	b := newBench(t, settings(), 2)
 	b.request("r", "unsafe", 100*ms)
 	w := b.sentTo("r")
-	b.outcome("r", nt.Full)
+	b.outcome("r", basaltloft.Full)
 	b.Probed(b.now, full(w, 2)) // sent before the refusal
 	for i := range 4 {
 		id := fmt.Sprint("n", i)
@@ -524,7 +524,7 @@
 func TestWideHeadLetsNarrowPass(t *testing.T) {
 	b := newBench(t, settings(), 1)
 	b.Probed(b.now, full(1, 1))
-	b.Request(b.now, nt.Request{ID: "wide", Class: "safe", Hint: 10 * ms, Slots: 4, Expires: b.now + 5*time.Second})
+	b.Request(b.now, basaltloft.Request{ID: "wide", Class: "safe", Hint: 10 * ms, Slots: 4, Expires: b.now + 5*time.Second})
 	b.request("narrow", "safe", 200*ms)
 	if b.sends["wide"] != 0 || b.sends["narrow"] != 1 {
 		t.Errorf("the wide head holds the narrow job: %v", b.acts)
@@ -535,7 +535,7 @@
 	b := newBench(t, settings(), 1)
 	for i := range 30 {
 		b.request(fmt.Sprint("r", i), "safe", 100*ms)
-		b.outcome(fmt.Sprint("r", i), nt.OK)
+		b.outcome(fmt.Sprint("r", i), basaltloft.OK)
 	}
 	b.request("heavy", "safe", 5*time.Second)
 	b.now += 200 * ms
@@ -569,7 +569,7 @@
 	if b.count("watch true") != 1 {
 		t.Fatalf("the list is not watched: %v", b.acts)
 	}
-	b.Members(b.now, nt.ListFailed, nil)
+	b.Members(b.now, basaltloft.ListFailed, nil)
 	b.pass(time.Second)
 	if b.count("watch true") != 2 {
 		t.Fatalf("a failed watch is not renewed once: %v", b.acts)
@@ -582,30 +582,30 @@
 
 func TestUnknownEventsDoNoHarm(t *testing.T) {
 	b := newBench(t, settings(), 1)
-	b.Outcome(b.now, nt.Outcome{Request: "nobody", Worker: 99})
-	b.Probed(b.now, nt.Probed{Worker: 99, Status: nt.TimedOut})
-	b.Note(b.now, nt.Note{Request: "nobody", Worker: 99, Topic: nt.NoteStarted})
-	b.First(b.now, nt.First{Request: "nobody"})
+	b.Outcome(b.now, basaltloft.Outcome{Request: "nobody", Worker: 99})
+	b.Probed(b.now, basaltloft.Probed{Worker: 99, Status: basaltloft.TimedOut})
+	b.Note(b.now, basaltloft.Note{Request: "nobody", Worker: 99, Topic: basaltloft.NoteStarted})
+	b.First(b.now, basaltloft.First{Request: "nobody"})
 	b.Gone(b.now, "nobody")
 	b.Dispatcher.Timer(b.now, "other")
-	b.Request(b.now, nt.Request{ID: "odd", Class: "unheard of", Expires: b.now + time.Second})
+	b.Request(b.now, basaltloft.Request{ID: "odd", Class: "unheard of", Expires: b.now + time.Second})
 	if !b.has("refuse odd") {
 		t.Error("a request of an unknown class gets no answer")
 	}
 }
 
 func TestInvalidSettings(t *testing.T) {
-	for field, spoil := range map[string]func(*nt.Settings){
-		"Instances":          func(s *nt.Settings) { s.Instances = 0 },
-		"Rank":               func(s *nt.Settings) { s.Rank = 2 },
-		"Classes":            func(s *nt.Settings) { s.Classes = nil },
-		"Classes[1]":         func(s *nt.Settings) { s.Classes[1].GiveUp = 0 },
-		"Limits.MaxAttempts": func(s *nt.Settings) { s.Limits.MaxAttempts = 0 },
-		"Rules.ColdFrom":     func(s *nt.Settings) { s.Rules.ColdFrom = 2 },
+	for field, spoil := range map[string]func(*basaltloft.Settings){
+		"Instances":          func(s *basaltloft.Settings) { s.Instances = 0 },
+		"Rank":               func(s *basaltloft.Settings) { s.Rank = 2 },
+		"Classes":            func(s *basaltloft.Settings) { s.Classes = nil },
+		"Classes[1]":         func(s *basaltloft.Settings) { s.Classes[1].GiveUp = 0 },
+		"Limits.MaxAttempts": func(s *basaltloft.Settings) { s.Limits.MaxAttempts = 0 },
+		"Rules.ColdFrom":     func(s *basaltloft.Settings) { s.Rules.ColdFrom = 2 },
 	} {
 		s := settings()
 		spoil(&s)
-		if _, err := nt.New(s, &recorder{}); err == nil || !strings.Contains(err.Error(), field) {
+		if _, err := basaltloft.New(s, &recorder{}); err == nil || !strings.Contains(err.Error(), field) {
 			t.Errorf("%s: %v", field, err)
 		}
 	}
--- a/example_test.go
+++ b/example_test.go
@@ -1,10 +1,10 @@
-package nettletally_test
+package basaltloft_test
 
 import (
 	"fmt"
 	"time"
 
-	"nettletally"
+	"basaltloft"
 )
 
 // printer is a host that prints its actions; a real one sends jobs and sets timers.
@@ -21,20 +21,20 @@
 func (printer) Log(string)                                     {}
 
 func Example() {
-	d, err := nettletally.New(nettletally.Settings{
+	d, err := basaltloft.New(basaltloft.Settings{
 		Instances: 1,
-		Classes: []nettletally.Class{{Name: "report", Effect: nettletally.Safe, Aim: time.Second,
+		Classes: []basaltloft.Class{{Name: "report", Effect: basaltloft.Safe, Aim: time.Second,
 			Stretch: 2, GiveUp: 10 * time.Second, Worth: 1, Kind: -1}},
-		Limits: nettletally.Limits{MaxAttempts: 3},
+		Limits: basaltloft.Limits{MaxAttempts: 3},
 	}, printer{})
 	if err != nil {
 		fmt.Println(err)
 		return
 	}
 	now := time.Duration(0) // since a clock of the host's choice
-	d.Members(now, nettletally.ListWhole, []nettletally.Member{{Worker: 7}})
-	d.Request(now, nettletally.Request{ID: "r1", Class: "report", Expires: now + 10*time.Second})
+	d.Members(now, basaltloft.ListWhole, []basaltloft.Member{{Worker: 7}})
+	d.Request(now, basaltloft.Request{ID: "r1", Class: "report", Expires: now + 10*time.Second})
 	now += 300 * time.Millisecond
-	d.Outcome(now, nettletally.Outcome{Request: "r1", Worker: 7, Status: nettletally.OK, Ended: true})
+	d.Outcome(now, basaltloft.Outcome{Request: "r1", Worker: 7, Status: basaltloft.OK, Ended: true})
 	// Output: send r1 to 7
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -14,7 +14,7 @@
 	"sync/atomic"
 	"time"
 
-	nt "nettletally"
+	"basaltloft"
 
 	"github.com/sirupsen/logrus"
 )
@@ -26,7 +26,7 @@
 
 // Core is the hub between fronts, decisions and carriers.
 type Core struct {
-	settings nt.Settings
+	settings basaltloft.Settings
 	stages   Stages
 	lister   Lister
 	log      logrus.FieldLogger
@@ -34,7 +34,7 @@
 	stopped  chan struct{}
 
 	// Owned by Run's goroutine.
-	decisions *nt.Dispatcher
+	decisions *basaltloft.Dispatcher
 	base      time.Time
 	now       time.Time
 	later     []func() // what the handling of an event leaves to do after it
@@ -50,14 +50,14 @@
 
 // New returns a core that is not running yet. It fails if the module does not
 // accept the settings.
-func New(s nt.Settings, stages Stages, log logrus.FieldLogger) (*Core, error) {
+func New(s basaltloft.Settings, stages Stages, log logrus.FieldLogger) (*Core, error) {
 	c := &Core{
 		settings: s, stages: stages, log: log, base: time.Now(),
 		events: make(chan func(), eventRoom), stopped: make(chan struct{}),
 		open: make(map[string]*Transaction), members: make(map[string]*Member), numbers: make(map[uint32]*Member),
 	}
 	var err error
-	if c.decisions, err = nt.New(s, host{c}); err != nil {
+	if c.decisions, err = basaltloft.New(s, host{c}); err != nil {
 		return nil, fmt.Errorf("starting the decisions: %w", err)
 	}
 	return c, nil
@@ -140,7 +140,7 @@
 }
 
 // request is the stage's view of the transaction, on the module's clock.
-func (c *Core) request(t *Transaction) nt.Request {
+func (c *Core) request(t *Transaction) basaltloft.Request {
 	r := c.stages.Route(t)
 	r.Expires = c.clock(t.Deadline)
 	return r
@@ -197,11 +197,11 @@
 }
 
 // End tells how a flow ended. Only the first end of a flow counts.
-func (c *Core) End(f *Flow, s nt.Status, result []byte) {
+func (c *Core) End(f *Flow, s basaltloft.Status, result []byte) {
 	c.post(func() { c.end(f, s, result) })
 }
 
-func (c *Core) end(f *Flow, s nt.Status, result []byte) {
+func (c *Core) end(f *Flow, s basaltloft.Status, result []byte) {
 	t := f.Transaction
 	if f.ended {
 		return
@@ -213,7 +213,7 @@
 	if a := c.stages.Relay(f, s, result); a != nil {
 		c.answer(t, *a)
 	}
-	c.decisions.Outcome(c.clock(c.now), nt.Outcome{
+	c.decisions.Outcome(c.clock(c.now), basaltloft.Outcome{
 		Request: t.ID, Attempt: f.Number, Worker: f.Member.number, Status: s, Ended: t.answered,
 		Latency: c.now.Sub(f.SentAt),
 	})
@@ -221,13 +221,13 @@
 }
 
 // Note tells news of a flow that is out.
-func (c *Core) Note(f *Flow, topic nt.NoteTopic, share float64) {
+func (c *Core) Note(f *Flow, topic basaltloft.NoteTopic, share float64) {
 	c.post(func() { c.note(f, topic, share) })
 }
 
-func (c *Core) note(f *Flow, topic nt.NoteTopic, share float64) {
+func (c *Core) note(f *Flow, topic basaltloft.NoteTopic, share float64) {
 	if !f.ended {
-		c.decisions.Note(c.clock(c.now), nt.Note{
+		c.decisions.Note(c.clock(c.now), basaltloft.Note{
 			Request: f.Transaction.ID, Attempt: f.Number, Worker: f.Member.number, Topic: topic, Value: share,
 		})
 	}
@@ -241,7 +241,7 @@
 	Running    bool
 	Share      float64
 	Ended      bool
-	Status     nt.Status
+	Status     basaltloft.Status
 	Result     []byte
 }
 
@@ -257,16 +257,16 @@
 		case n.Ended:
 			c.end(t.live, n.Status, n.Result)
 		case n.Started:
-			c.note(t.live, nt.NoteStarted, 0)
+			c.note(t.live, basaltloft.NoteStarted, 0)
 		case n.Running:
-			c.note(t.live, nt.NoteProgress, n.Share)
+			c.note(t.live, basaltloft.NoteProgress, n.Share)
 		}
 	})
 }
 
 // Probed tells how a probe of a member ended.
-func (c *Core) Probed(m *Member, s nt.Status, sentAt time.Time) {
+func (c *Core) Probed(m *Member, s basaltloft.Status, sentAt time.Time) {
 	c.post(func() {
-		c.decisions.Probed(c.clock(c.now), nt.Probed{Worker: m.number, Status: s, Latency: c.now.Sub(sentAt)})
+		c.decisions.Probed(c.clock(c.now), basaltloft.Probed{Worker: m.number, Status: s, Latency: c.now.Sub(sentAt)})
 	})
 }
--- a/internal/core/host.go
+++ b/internal/core/host.go
@@ -3,14 +3,14 @@
 import (
 	"time"
 
-	nt "nettletally"
+	"basaltloft"
 )
 
 // host is the module's side of the core. The module calls it while it handles
 // an event; nothing here calls back into it before that is done.
 type host struct{ c *Core }
 
-// Send implements nt.Host. The module's spans become points in time here, and
+// Send implements basaltloft.Host. The module's spans become points in time here, and
 // nowhere else.
 func (h host) Send(id string, worker uint32, timeout time.Duration) {
 	c := h.c
@@ -23,7 +23,7 @@
 			n := t.sends
 			t.sends++
 			c.later = append(c.later, func() {
-				c.decisions.Outcome(c.clock(c.now), nt.Outcome{Request: id, Attempt: n, Worker: worker, Status: nt.Moot, Ended: t.answered})
+				c.decisions.Outcome(c.clock(c.now), basaltloft.Outcome{Request: id, Attempt: n, Worker: worker, Status: basaltloft.Moot, Ended: t.answered})
 			})
 		}
 		return
@@ -38,13 +38,13 @@
 	c.timers.add(f.Deadline, func() {
 		if !f.ended {
 			m.Carrier.Abandon(f)
-			c.end(f, nt.TimedOut, nil)
+			c.end(f, basaltloft.TimedOut, nil)
 		}
 	})
 	m.Carrier.Start(f)
 }
 
-// Refuse implements nt.Host.
+// Refuse implements basaltloft.Host.
 func (h host) Refuse(id string, retryAfter time.Duration) {
 	if t := h.c.open[id]; t != nil {
 		a := Answer{Verdict: Refused}
@@ -55,14 +55,14 @@
 	}
 }
 
-// Fail implements nt.Host.
+// Fail implements basaltloft.Host.
 func (h host) Fail(id string) {
 	if t := h.c.open[id]; t != nil {
 		h.c.answer(t, Answer{Verdict: Failed})
 	}
 }
 
-// Cancel implements nt.Host.
+// Cancel implements basaltloft.Host.
 func (h host) Cancel(id string, number int) {
 	c := h.c
 	t := c.open[id]
@@ -71,27 +71,27 @@
 	}
 	f := t.live
 	f.Member.Carrier.Abandon(f)
-	c.later = append(c.later, func() { c.end(f, nt.Cancelled, nil) })
+	c.later = append(c.later, func() { c.end(f, basaltloft.Cancelled, nil) })
 }
 
-// Probe implements nt.Host.
+// Probe implements basaltloft.Host.
 func (h host) Probe(worker uint32) {
 	if m := h.c.numbers[worker]; m != nil {
 		m.Carrier.Probe(m)
 	}
 }
 
-// Timer implements nt.Host.
+// Timer implements basaltloft.Host.
 func (h host) Timer(in time.Duration, token string) {
 	c := h.c
 	c.timers.add(c.now.Add(in), func() { c.decisions.Timer(c.clock(c.now), token) })
 }
 
-// Watch implements nt.Host.
+// Watch implements basaltloft.Host.
 func (h host) Watch(on bool) { h.c.lister.Watch(on) }
 
-// Fetch implements nt.Host.
+// Fetch implements basaltloft.Host.
 func (h host) Fetch() { h.c.lister.Fetch() }
 
-// Log implements nt.Host.
+// Log implements basaltloft.Host.
 func (h host) Log(text string) { h.c.log.Info(text) }
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -6,14 +6,14 @@
 	"slices"
 	"strings"
 
-	nt "nettletally"
+	"basaltloft"
 )
 
 // List takes in what a source tells of its members. A source's whole list
 // leaves the members of other sources as they are.
-func (c *Core) List(source string, kind nt.ListKind, entries []*Member) {
+func (c *Core) List(source string, kind basaltloft.ListKind, entries []*Member) {
 	c.post(func() {
-		if kind == nt.ListFailed {
+		if kind == basaltloft.ListFailed {
 			c.decisions.Members(c.clock(c.now), kind, nil)
 			return
 		}
@@ -21,12 +21,12 @@
 		// In one order everywhere, so that dispatchers agree on who yields
 		// where two ids hash alike.
 		slices.SortFunc(entries, func(a, b *Member) int { return strings.Compare(a.ID, b.ID) })
-		listed := make([]nt.Member, 0, len(entries))
+		listed := make([]basaltloft.Member, 0, len(entries))
 		for _, m := range entries {
 			m.source = source
 			listed = append(listed, c.place(m))
 		}
-		if kind != nt.ListChange {
+		if kind != basaltloft.ListChange {
 			listed = c.complete(source, entries, listed)
 		}
 		c.decisions.Members(c.clock(c.now), kind, listed)
@@ -36,7 +36,7 @@
 
 // complete makes a source's whole list the whole list of all sources, since
 // the module takes for gone whatever a whole list leaves out.
-func (c *Core) complete(source string, entries []*Member, listed []nt.Member) []nt.Member {
+func (c *Core) complete(source string, entries []*Member, listed []basaltloft.Member) []basaltloft.Member {
 	in := make(map[string]bool, len(entries))
 	for _, m := range entries {
 		in[m.ID] = true
@@ -64,7 +64,7 @@
 
 // place puts a member into the tables. Flows keep the entry they were sent
 // with; new ones use the latest.
-func (c *Core) place(m *Member) nt.Member {
+func (c *Core) place(m *Member) basaltloft.Member {
 	if old := c.members[m.ID]; old != nil {
 		m.number = old.number
 	} else {
@@ -72,7 +72,7 @@
 	}
 	c.members[m.ID], c.numbers[m.number] = m, m
 	listing := c.listing(m)
-	if m.State == nt.Removed {
+	if m.State == basaltloft.Removed {
 		c.drop(m)
 	}
 	return listing
@@ -86,8 +86,8 @@
 	}
 }
 
-func (c *Core) listing(m *Member) nt.Member {
-	l := nt.Member{Worker: m.number, Kind: m.Kind, Cell: m.Cell, Zone: m.Zone, State: m.State, Weight: m.Weight}
+func (c *Core) listing(m *Member) basaltloft.Member {
+	l := basaltloft.Member{Worker: m.number, Kind: m.Kind, Cell: m.Cell, Zone: m.Zone, State: m.State, Weight: m.Weight}
 	if !m.Started.IsZero() {
 		l.Since = c.clock(m.Started)
 	}
--- a/internal/core/transaction.go
+++ b/internal/core/transaction.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	nt "nettletally"
+	"basaltloft"
 )
 
 // Transaction is one request of a client, whatever wire it came by. What is
@@ -67,7 +67,7 @@
 type Member struct {
 	ID, Addr, Kind, Zone string
 	Cell                 int
-	State                nt.MemberState
+	State                basaltloft.MemberState
 	Weight               float64
 	Started              time.Time // its latest start; zero: long ago
 	Carrier              Carrier
@@ -105,12 +105,12 @@
 	// Admit returns the final answer of a transaction that is not let in.
 	Admit(t *Transaction, load Load, now time.Time) *Answer
 	// Route puts a transaction into the words of the decisions.
-	Route(t *Transaction) nt.Request
+	Route(t *Transaction) basaltloft.Request
 	// Send makes the flow that the decisions asked for.
 	Send(t *Transaction, m *Member, number int, now, until time.Time) *Flow
 	// Relay tells what a flow's end means for its client: an answer, or
 	// nothing yet.
-	Relay(f *Flow, s nt.Status, result []byte) *Answer
+	Relay(f *Flow, s basaltloft.Status, result []byte) *Answer
 	// Book writes down a final answer.
 	Book(t *Transaction, a Answer, now time.Time)
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -11,10 +11,9 @@
 	"sync"
 	"time"
 
-	nt "nettletally"
-
-	"nettletally/internal/core"
-	"nettletally/internal/settings"
+	"basaltloft"
+	"basaltloft/internal/core"
+	"basaltloft/internal/settings"
 
 	"github.com/sirupsen/logrus"
 )
@@ -31,7 +30,7 @@
 
 // Lists is told what discovery tells.
 type Lists interface {
-	List(source string, kind nt.ListKind, entries []*core.Member)
+	List(source string, kind basaltloft.ListKind, entries []*core.Member)
 }
 
 // Follower asks discovery. It implements core.Lister.
@@ -59,7 +58,7 @@
 // Restore starts from the list that the dispatcher last had.
 func (f *Follower) Restore(l settings.List) {
 	f.keep(l.Generation)
-	f.lists.List(Source, nt.ListRestored, f.members(l))
+	f.lists.List(Source, basaltloft.ListRestored, f.members(l))
 }
 
 // Watch implements core.Lister. While one watch runs, another is not begun.
@@ -88,7 +87,7 @@
 			return
 		}
 		f.keep(l.Generation)
-		f.lists.List(Source, nt.ListWhole, f.members(l))
+		f.lists.List(Source, basaltloft.ListWhole, f.members(l))
 	}()
 }
 
@@ -112,9 +111,9 @@
 			return
 		}
 		f.keep(l.Generation)
-		kind := nt.ListChange
+		kind := basaltloft.ListChange
 		if l.Whole {
-			kind = nt.ListWhole
+			kind = basaltloft.ListWhole
 		}
 		if first || l.Whole || len(l.Entries) > 0 {
 			f.lists.List(Source, kind, f.members(l))
@@ -129,7 +128,7 @@
 
 func (f *Follower) failed(err error) {
 	f.log.WithError(err).Warn("a call to discovery failed")
-	f.lists.List(Source, nt.ListFailed, nil)
+	f.lists.List(Source, basaltloft.ListFailed, nil)
 }
 
 func (f *Follower) seen() int64 {
--- a/internal/poolmember/poolmember.go
+++ b/internal/poolmember/poolmember.go
@@ -13,15 +13,14 @@
 	"sync"
 	"time"
 
-	nt "nettletally"
-
-	"nettletally/internal/core"
+	"basaltloft"
+	"basaltloft/internal/core"
 )
 
 // Ends is told what becomes of flows and probes.
 type Ends interface {
-	End(f *core.Flow, s nt.Status, result []byte)
-	Probed(m *core.Member, s nt.Status, sentAt time.Time)
+	End(f *core.Flow, s basaltloft.Status, result []byte)
+	Probed(m *core.Member, s basaltloft.Status, sentAt time.Time)
 }
 
 const (
@@ -61,7 +60,7 @@
 	case c.slots <- struct{}{}:
 	default: // no descriptor to spare: it was never sent, and no member is to blame
 		cancel()
-		go c.ends.End(f, nt.Moot, nil)
+		go c.ends.End(f, basaltloft.Moot, nil)
 		return
 	}
 	go func() {
@@ -102,7 +101,7 @@
 
 // send submits the job. It returns taken if the member answered 202: then the
 // outcome comes by call-back.
-func (c *Carrier) send(ctx context.Context, f *core.Flow) (status nt.Status, taken bool) {
+func (c *Carrier) send(ctx context.Context, f *core.Flow) (status basaltloft.Status, taken bool) {
 	var at *conn
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
@@ -113,24 +112,24 @@
 	})
 	req, body, err := request(ctx, f)
 	if err != nil {
-		return nt.Moot, false
+		return basaltloft.Moot, false
 	}
 	resp, err := c.wire.RoundTrip(req)
 	if err != nil {
 		if at == nil || !body.handedOver() || !at.mayHaveSent() {
-			return nt.ConnectFailed, false
+			return basaltloft.ConnectFailed, false
 		}
-		return nt.Reset, false
+		return basaltloft.Reset, false
 	}
 	io.Copy(io.Discard, io.LimitReader(resp.Body, mostReply))
 	resp.Body.Close()
 	switch rejected := resp.Header.Get("X-Rejected") == "1"; {
 	case resp.StatusCode == http.StatusAccepted:
-		return nt.OK, true
+		return basaltloft.OK, true
 	case rejected && (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout):
-		return nt.Full, false
+		return basaltloft.Full, false
 	}
-	return nt.Error, false
+	return basaltloft.Error, false
 }
 
 // request writes a flow in the platform's form. Path, query, body, id and key
@@ -182,7 +181,7 @@
 	}()
 }
 
-func (c *Carrier) probe(m *core.Member, until time.Time) nt.Status {
+func (c *Carrier) probe(m *core.Member, until time.Time) basaltloft.Status {
 	ctx, cancel := context.WithDeadline(context.Background(), until)
 	defer cancel()
 	var connected bool
@@ -192,16 +191,16 @@
 	resp, err := c.wire.RoundTrip(req)
 	switch {
 	case err != nil && !connected:
-		return nt.ConnectFailed
+		return basaltloft.ConnectFailed
 	case errors.Is(err, context.DeadlineExceeded):
-		return nt.TimedOut
+		return basaltloft.TimedOut
 	case err != nil:
-		return nt.Reset
+		return basaltloft.Reset
 	}
 	io.Copy(io.Discard, io.LimitReader(resp.Body, mostReply))
 	resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return nt.Error
+		return basaltloft.Error
 	}
-	return nt.OK
+	return basaltloft.OK
 }
--- a/internal/settings/config.go
+++ b/internal/settings/config.go
@@ -7,7 +7,7 @@
 	"strconv"
 	"time"
 
-	nt "nettletally"
+	"basaltloft"
 
 	"github.com/valyala/fastjson"
 )
@@ -18,7 +18,7 @@
 	Cores                   float64
 	MemoryMB, Sockets       int
 	Known                   List
-	Settings                nt.Settings
+	Settings                basaltloft.Settings
 	ConnIdle, DialWithin    time.Duration // how long a runner keeps an idle connection; how long one takes to come up
 }
 
@@ -33,7 +33,7 @@
 type Entry struct {
 	ID, Addr, Kind, Zone string
 	Cell                 int
-	State                nt.MemberState
+	State                basaltloft.MemberState
 	Weight               float64
 	Started              time.Time // zero: long ago
 }
@@ -119,18 +119,18 @@
 	}
 	switch state := r.text("lifecycle"); state {
 	case "active":
-		e.State = nt.Ready
+		e.State = basaltloft.Ready
 	case "leaving":
-		e.State = nt.Draining
+		e.State = basaltloft.Draining
 	case "left":
-		e.State = nt.Removed
+		e.State = basaltloft.Removed
 	default:
 		r.fail("lifecycle", fmt.Errorf("unknown state %q", state))
 	}
 	if e.ID == "" {
 		r.fail("instanceId", fmt.Errorf("missing"))
 	}
-	if _, _, err := net.SplitHostPort(e.Addr); err != nil && e.State != nt.Removed {
+	if _, _, err := net.SplitHostPort(e.Addr); err != nil && e.State != basaltloft.Removed {
 		r.fail("hostPort", err)
 	}
 	return e, r.err
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -7,27 +7,27 @@
 	"errors"
 	"fmt"
 
-	nt "nettletally"
+	"basaltloft"
 
 	"github.com/valyala/fastjson"
 )
 
 // Parse reads the text of a settings object.
-func Parse(text []byte) (nt.Settings, error) {
+func Parse(text []byte) (basaltloft.Settings, error) {
 	v, err := fastjson.ParseBytes(text)
 	if err != nil {
-		return nt.Settings{}, err
+		return basaltloft.Settings{}, err
 	}
 	return Decode(v)
 }
 
 // Decode reads a settings object. Keys that are not known are skipped.
-func Decode(v *fastjson.Value) (nt.Settings, error) {
+func Decode(v *fastjson.Value) (basaltloft.Settings, error) {
 	if v == nil || v.Type() != fastjson.TypeObject {
-		return nt.Settings{}, errors.New("not an object")
+		return basaltloft.Settings{}, errors.New("not an object")
 	}
 	r := &reader{at: v}
-	s := nt.Settings{
+	s := basaltloft.Settings{
 		Instances:      int(r.whole("balancers")),
 		Rank:           int(r.whole("rank")),
 		Zone:           r.text("zone"),
@@ -36,7 +36,7 @@
 		ReportX0:       r.text("family_info.report_x0"),
 		ReportX1:       r.text("family_info.report_x1"),
 		CrossZonePrice: r.number("prices.cross_zone"),
-		Limits: nt.Limits{
+		Limits: basaltloft.Limits{
 			MaxAttempts:   int(r.whole("limits.most_tries")),
 			Cancel:        r.flag("limits.cancel"),
 			Probes:        r.flag("limits.probes"),
@@ -44,7 +44,7 @@
 			RetryAfter:    r.flag("limits.retry_after"),
 			MaxRetryAfter: r.span("limits.max_retry_after"),
 		},
-		Rules: nt.Rules{
+		Rules: basaltloft.Rules{
 			AnswerGrace:       r.span("guarantees.grace_to_answer"),
 			AskWithin:         r.span("guarantees.ask_every"),
 			ColdFrom:          r.number("guarantees.start_capacity"),
@@ -90,29 +90,29 @@
 }
 
 // class reads one entry of lanes; its kind is any unless told elsewhere.
-func class(lane *fastjson.Value, i int) (nt.Class, error) {
+func class(lane *fastjson.Value, i int) (basaltloft.Class, error) {
 	r := &reader{at: lane, in: fmt.Sprintf("lanes[%d].", i)}
-	c := nt.Class{
+	c := basaltloft.Class{
 		Name: r.text("name"), Window: r.span("repeat_window"), Aim: r.span("promise"),
 		Stretch: r.number("aim_stretch"), GiveUp: r.span("give_up"), Worth: r.number("worth"), Kind: -1,
 	}
 	switch effect := r.text("effect"); effect {
 	case "idempotent":
-		c.Effect = nt.Safe
+		c.Effect = basaltloft.Safe
 	case "deduplicated":
-		c.Effect = nt.Keyed
+		c.Effect = basaltloft.Keyed
 	case "at_most_once":
-		c.Effect = nt.Unsafe
+		c.Effect = basaltloft.Unsafe
 	default:
 		r.fail("effect", fmt.Errorf("unknown effect %q", effect))
 	}
 	switch scope := r.text("key_scope"); scope {
 	case "all", "":
-		c.Group = nt.GroupAll
+		c.Group = basaltloft.GroupAll
 	case "zone":
-		c.Group = nt.GroupZone
+		c.Group = basaltloft.GroupZone
 	case "cell":
-		c.Group = nt.GroupCell
+		c.Group = basaltloft.GroupCell
 	default:
 		r.fail("key_scope", fmt.Errorf("unknown scope %q", scope))
 	}
--- a/internal/stage/admit.go
+++ b/internal/stage/admit.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"nettletally/internal/core"
+	"basaltloft/internal/core"
 )
 
 // Limits bound what is held at a time, to stay within memory and sockets.
--- a/internal/stage/book.go
+++ b/internal/stage/book.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"nettletally/internal/core"
+	"basaltloft/internal/core"
 
 	"github.com/sirupsen/logrus"
 )
--- a/internal/stage/relay.go
+++ b/internal/stage/relay.go
@@ -1,16 +1,15 @@
 package stage
 
 import (
-	nt "nettletally"
-
-	"nettletally/internal/core"
+	"basaltloft"
+	"basaltloft/internal/core"
 )
 
 // Relay implements core.Stages. A result goes to the client at once; whether
 // anything else ends the transaction is for the decisions to say.
-func (c *Chain) Relay(f *core.Flow, s nt.Status, result []byte) *core.Answer {
+func (c *Chain) Relay(f *core.Flow, s basaltloft.Status, result []byte) *core.Answer {
 	c.counts.flows[s]++
-	if s != nt.OK {
+	if s != basaltloft.OK {
 		c.log.WithFields(flowFields(f)).WithField("status", statusNames[s]).Debug("flow ended")
 		return nil
 	}
@@ -18,8 +17,8 @@
 }
 
 var statusNames = [...]string{
-	nt.OK: "ok", nt.Error: "error", nt.Full: "full", nt.TimedOut: "timed out",
-	nt.ConnectFailed: "connect failed", nt.Reset: "reset", nt.Cancelled: "cancelled", nt.Moot: "moot",
+	basaltloft.OK: "ok", basaltloft.Error: "error", basaltloft.Full: "full", basaltloft.TimedOut: "timed out",
+	basaltloft.ConnectFailed: "connect failed", basaltloft.Reset: "reset", basaltloft.Cancelled: "cancelled", basaltloft.Moot: "moot",
 }
 
 func flowFields(f *core.Flow) map[string]any {
--- a/internal/stage/send.go
+++ b/internal/stage/send.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"nettletally/internal/core"
+	"basaltloft/internal/core"
 )
 
 // Send implements core.Stages. No flow outlives its transaction's deadline.
--- a/internal/stage/stage.go
+++ b/internal/stage/stage.go
@@ -4,7 +4,7 @@
 package stage
 
 import (
-	nt "nettletally"
+	"basaltloft"
 
 	"github.com/sirupsen/logrus"
 )
@@ -12,14 +12,14 @@
 // Chain is the stages of one dispatcher. It implements core.Stages.
 type Chain struct {
 	limits  Limits
-	classes map[string]nt.Class
+	classes map[string]basaltloft.Class
 	log     logrus.FieldLogger
 	counts  counts
 }
 
 // New returns the chain for the module's settings.
-func New(s nt.Settings, limits Limits, log logrus.FieldLogger) *Chain {
-	c := &Chain{limits: limits, classes: make(map[string]nt.Class), log: log}
+func New(s basaltloft.Settings, limits Limits, log logrus.FieldLogger) *Chain {
+	c := &Chain{limits: limits, classes: make(map[string]basaltloft.Class), log: log}
 	for _, class := range s.Classes {
 		c.classes[class.Name] = class
 	}
--- a/internal/stage/takein.go
+++ b/internal/stage/takein.go
@@ -6,7 +6,7 @@
 	"math"
 	"time"
 
-	"nettletally/internal/core"
+	"basaltloft/internal/core"
 )
 
 // MaxBody is the most bytes that a job may have on any wire.
--- a/internal/virtualserver/jobs.go
+++ b/internal/virtualserver/jobs.go
@@ -11,8 +11,8 @@
 	"strings"
 	"time"
 
-	"nettletally/internal/core"
-	"nettletally/internal/stage"
+	"basaltloft/internal/core"
+	"basaltloft/internal/stage"
 )
 
 type arrivedKey struct{}
--- a/internal/virtualserver/news.go
+++ b/internal/virtualserver/news.go
@@ -5,10 +5,9 @@
 	"io"
 	"net/http"
 
-	nt "nettletally"
-
-	"nettletally/internal/core"
-	"nettletally/internal/stage"
+	"basaltloft"
+	"basaltloft/internal/core"
+	"basaltloft/internal/stage"
 
 	"github.com/valyala/fastjson"
 )
@@ -51,7 +50,7 @@
 	case "running":
 		n.Running, n.Share = true, v.GetFloat64("share")
 	case "done":
-		n.Ended, n.Status = true, nt.OK
+		n.Ended, n.Status = true, basaltloft.OK
 		switch result := v.Get("result"); {
 		case result == nil:
 		case result.Type() == fastjson.TypeString:
@@ -60,11 +59,11 @@
 			n.Result = result.MarshalTo(nil)
 		}
 	case "failed":
-		n.Ended, n.Status = true, nt.Error
+		n.Ended, n.Status = true, basaltloft.Error
 	case "returned":
-		n.Ended, n.Status = true, nt.Full
+		n.Ended, n.Status = true, basaltloft.Full
 	case "lost":
-		n.Ended, n.Status = true, nt.Reset
+		n.Ended, n.Status = true, basaltloft.Reset
 	default:
 		return n, false
 	}
--- a/internal/virtualserver/virtualserver.go
+++ b/internal/virtualserver/virtualserver.go
@@ -12,8 +12,8 @@
 	"sync/atomic"
 	"time"
 
-	"nettletally/internal/core"
-	"nettletally/internal/stage"
+	"basaltloft/internal/core"
+	"basaltloft/internal/stage"
 
 	"github.com/sirupsen/logrus"
 )
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -1,6 +1,6 @@
 // Package wire reads and writes the line format between a host and its
 // dispatchers. It makes no decisions: it turns words and units into the types
-// of package nettletally and back, and rejects what it cannot read.
+// of package basaltloft and back, and rejects what it cannot read.
 package wire
 
 import (
@@ -12,8 +12,8 @@
 	"strconv"
 	"time"
 
-	nt "nettletally"
-	"nettletally/internal/settings"
+	"basaltloft"
+	"basaltloft/internal/settings"
 )
 
 // Kind is the kind of an event on the wire.
@@ -43,14 +43,14 @@
 	Instance string
 	Now      time.Duration
 
-	Settings nt.Settings
-	List     nt.ListKind
-	Entries  []nt.Member
-	Request  nt.Request
-	Outcome  nt.Outcome
-	Probed   nt.Probed
-	Note     nt.Note
-	First    nt.First
+	Settings basaltloft.Settings
+	List     basaltloft.ListKind
+	Entries  []basaltloft.Member
+	Request  basaltloft.Request
+	Outcome  basaltloft.Outcome
+	Probed   basaltloft.Probed
+	Note     basaltloft.Note
+	First    basaltloft.First
 	ID       string // Lapsed: the request
 	Token    string // Elapsed
 }
@@ -67,7 +67,7 @@
 	inBatch bool
 	ev      Event
 	words   map[string]string // names seen, so that each is allocated once
-	lists   [maxLists][]nt.Member
+	lists   [maxLists][]basaltloft.Member
 	listSet [maxLists]bool
 	fields  []field
 }
@@ -376,28 +376,28 @@
 	return id, int(k), worker, err
 }
 
-func (d *Decoder) status() (nt.Status, error) {
+func (d *Decoder) status() (basaltloft.Status, error) {
 	n, err := d.optionalInt("state_code")
 	if err != nil {
 		return 0, err
 	}
 	switch n {
 	case 0:
-		return nt.OK, nil
+		return basaltloft.OK, nil
 	case 255:
-		return nt.Error, nil
+		return basaltloft.Error, nil
 	case 254:
-		return nt.Full, nil
+		return basaltloft.Full, nil
 	case 253:
-		return nt.TimedOut, nil
+		return basaltloft.TimedOut, nil
 	case 252:
-		return nt.ConnectFailed, nil
+		return basaltloft.ConnectFailed, nil
 	case 251:
-		return nt.Reset, nil
+		return basaltloft.Reset, nil
 	case 250:
-		return nt.Cancelled, nil
+		return basaltloft.Cancelled, nil
 	case 249:
-		return nt.Moot, nil
+		return basaltloft.Moot, nil
 	}
 	return 0, fmt.Errorf("state_code: unknown code %d", n)
 }
@@ -467,10 +467,10 @@
 	return err
 }
 
-func (d *Decoder) latencyAndReport() (time.Duration, nt.Report, error) {
+func (d *Decoder) latencyAndReport() (time.Duration, basaltloft.Report, error) {
 	n, err := d.optionalInt("duration")
 	if err != nil {
-		return 0, nt.Report{}, err
+		return 0, basaltloft.Report{}, err
 	}
 	r, err := d.report()
 	return time.Duration(n), r, err
@@ -487,16 +487,16 @@
 		return err
 	}
 	n.Topic = 0 // topics that are not known say no more than that there is news
-	if topic == int64(nt.NoteStarted) || topic == int64(nt.NoteProgress) {
-		n.Topic = nt.NoteTopic(topic)
+	if topic == int64(basaltloft.NoteStarted) || topic == int64(basaltloft.NoteProgress) {
+		n.Topic = basaltloft.NoteTopic(topic)
 	}
 	n.Value, err = d.optionalFloat("level")
 	return err
 }
 
 // report reads the pairs of a load report; pairs that are not known are skipped.
-func (d *Decoder) report() (nt.Report, error) {
-	var r nt.Report
+func (d *Decoder) report() (basaltloft.Report, error) {
+	var r basaltloft.Report
 	rest, ok := d.get("server_stats")
 	more := ok && len(rest) > 0
 	for more {
@@ -512,21 +512,21 @@
 		}
 		switch string(name) {
 		case "outstanding":
-			r.InFlight, r.Has = f, r.Has|nt.HasInFlight
+			r.InFlight, r.Has = f, r.Has|basaltloft.HasInFlight
 		case "backlog":
-			r.Queue, r.Has = f, r.Has|nt.HasQueue
+			r.Queue, r.Has = f, r.Has|basaltloft.HasQueue
 		case "utilization":
-			r.Util, r.Has = f, r.Has|nt.HasUtil
+			r.Util, r.Has = f, r.Has|basaltloft.HasUtil
 		case "recent_ms":
-			r.LatencyMS, r.Has = f, r.Has|nt.HasLatency
+			r.LatencyMS, r.Has = f, r.Has|basaltloft.HasLatency
 		case "throughput":
-			r.QPS, r.Has = f, r.Has|nt.HasQPS
+			r.QPS, r.Has = f, r.Has|basaltloft.HasQPS
 		case "errors_per_s":
-			r.ErrorsPerS, r.Has = f, r.Has|nt.HasErrors
+			r.ErrorsPerS, r.Has = f, r.Has|basaltloft.HasErrors
 		case "x0":
-			r.X0, r.Has = f, r.Has|nt.HasX0
+			r.X0, r.Has = f, r.Has|basaltloft.HasX0
 		case "x1":
-			r.X1, r.Has = f, r.Has|nt.HasX1
+			r.X1, r.Has = f, r.Has|basaltloft.HasX1
 		}
 	}
 	return r, nil
@@ -542,7 +542,7 @@
 	if err != nil || count < 0 {
 		return fmt.Errorf("ROSTER: bad records: %w", orRange(err))
 	}
-	var entries []nt.Member
+	var entries []basaltloft.Member
 	for range count {
 		if !d.scan() {
 			return errors.New("ROSTER: input ends inside a list")
@@ -575,8 +575,8 @@
 	return int(n), nil
 }
 
-func (d *Decoder) row(line []byte) (nt.Member, error) {
-	var m nt.Member
+func (d *Decoder) row(line []byte) (basaltloft.Member, error) {
+	var m basaltloft.Member
 	name, err := d.split(line)
 	if err != nil {
 		return m, err
@@ -603,11 +603,11 @@
 	}
 	switch state, _ := d.get("stage_state"); string(state) {
 	case "healthy":
-		m.State = nt.Ready
+		m.State = basaltloft.Ready
 	case "cordoned":
-		m.State = nt.Draining
+		m.State = basaltloft.Draining
 	case "deregistered":
-		m.State = nt.Removed
+		m.State = basaltloft.Removed
 	default:
 		return m, fmt.Errorf("ROW: stage_state: unknown state %q", state)
 	}
@@ -621,13 +621,13 @@
 	}
 	switch string(kind) {
 	case "update":
-		d.ev.List = nt.ListChange
+		d.ev.List = basaltloft.ListChange
 	case "replace":
-		d.ev.List = nt.ListWhole
+		d.ev.List = basaltloft.ListWhole
 	case "restored":
-		d.ev.List = nt.ListRestored
+		d.ev.List = basaltloft.ListRestored
 	case "unavailable":
-		d.ev.List, d.ev.Entries = nt.ListFailed, nil
+		d.ev.List, d.ev.Entries = basaltloft.ListFailed, nil
 		return nil
 	default:
 		return fmt.Errorf("kind: unknown kind %q", kind)
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	nt "nettletally"
+	"basaltloft"
 )
 
 // Encoder writes the replies to batches.
@@ -30,7 +30,7 @@
 }
 
 // Host returns a host that writes an instance's actions.
-func (e *Encoder) Host(instance string) nt.Host {
+func (e *Encoder) Host(instance string) basaltloft.Host {
 	return &host{e, instance}
 }
 
@@ -65,7 +65,7 @@
 
 func (h *host) end() { h.e.out.WriteByte('\n') }
 
-// Send implements nettletally.Host.
+// Send implements basaltloft.Host.
 func (h *host) Send(request string, worker uint32, timeout time.Duration) {
 	h.begin("ROUTE")
 	h.text("txn", request)
@@ -76,7 +76,7 @@
 	h.end()
 }
 
-// Refuse implements nettletally.Host.
+// Refuse implements basaltloft.Host.
 func (h *host) Refuse(request string, retryAfter time.Duration) {
 	h.begin("DECLINE")
 	h.text("txn", request)
@@ -86,14 +86,14 @@
 	h.end()
 }
 
-// Fail implements nettletally.Host.
+// Fail implements basaltloft.Host.
 func (h *host) Fail(request string) {
 	h.begin("RESPOND_ERROR")
 	h.text("txn", request)
 	h.end()
 }
 
-// Cancel implements nettletally.Host.
+// Cancel implements basaltloft.Host.
 func (h *host) Cancel(request string, attempt int) {
 	h.begin("CANCEL")
 	h.text("txn", request)
@@ -101,14 +101,14 @@
 	h.end()
 }
 
-// Probe implements nettletally.Host.
+// Probe implements basaltloft.Host.
 func (h *host) Probe(worker uint32) {
 	h.begin("PING")
 	h.number("worker", int64(worker))
 	h.end()
 }
 
-// Timer implements nettletally.Host.
+// Timer implements basaltloft.Host.
 func (h *host) Timer(in time.Duration, token string) {
 	h.begin("SCHEDULE")
 	h.number("in", int64(in))
@@ -116,7 +116,7 @@
 	h.end()
 }
 
-// Watch implements nettletally.Host.
+// Watch implements basaltloft.Host.
 func (h *host) Watch(on bool) {
 	h.begin("OBSERVE")
 	if on {
@@ -127,7 +127,7 @@
 	h.end()
 }
 
-// Fetch implements nettletally.Host.
+// Fetch implements basaltloft.Host.
 func (h *host) Fetch() {
 	h.begin("GET_LIST")
 	h.end()
@@ -135,7 +135,7 @@
 
 var oneLine = strings.NewReplacer("\n", " ", "\r", " ")
 
-// Log implements nettletally.Host.
+// Log implements basaltloft.Host.
 func (h *host) Log(text string) {
 	h.begin("SAY_LOG")
 	h.text("body_text", oneLine.Replace(text))
--- a/internal_test.go
+++ b/internal_test.go
@@ -1,4 +1,4 @@
-package nettletally
+package basaltloft
 
 import (
 	"fmt"
--- a/learning_test.go
+++ b/learning_test.go
@@ -1,11 +1,11 @@
-package nettletally_test
+package basaltloft_test
 
 import (
 	"fmt"
 	"testing"
 	"time"
 
-	nt "nettletally"
+	"basaltloft"
 )
 
 // TestNewWorkerStartsAtThePaceOfItsKind fails where the pace of a kind is not learned: of two new workers,
@@ -18,7 +18,7 @@
 	for round := range uint32(60) {
 		slow := member(2*round+2, "a")
 		slow.Kind = "slow"
-		b.Members(b.now, nt.ListWhole, []nt.Member{member(2*round+1, "a"), slow})
+		b.Members(b.now, basaltloft.ListWhole, []basaltloft.Member{member(2*round+1, "a"), slow})
 		for i := range 2 { // one job for each
 			b.request(fmt.Sprint("r", round, "-", i), "safe", 200*ms)
 		}
@@ -30,7 +30,7 @@
 			b.now += wait
 			for _, id := range []string{first, second} {
 				if b.sends[id] == 1 && (b.sentTo(id) == slow.Worker) == (wait == 250*ms) {
-					b.outcome(id, nt.OK)
+					b.outcome(id, basaltloft.OK)
 				}
 			}
 		}
@@ -51,13 +51,13 @@
 		t.Fatalf("not sent: %v", b.acts)
 	}
 	b.now += 2 * time.Second
-	b.outcome("before", nt.OK)
+	b.outcome("before", basaltloft.OK)
 	for i := range 25 {
 		id := fmt.Sprint("slow", i)
 		b.request(id, "safe", 200*ms)
 		if b.sends[id] == 1 {
 			b.now += 800 * ms
-			b.outcome(id, nt.OK)
+			b.outcome(id, basaltloft.OK)
 		}
 	}
 	b.request("n", "unsafe", 2*time.Second)
--- a/random_test.go
+++ b/random_test.go
@@ -1,4 +1,4 @@
-package nettletally_test
+package basaltloft_test
 
 import (
 	"fmt"
@@ -7,20 +7,20 @@
 	"testing"
 	"time"
 
-	nt "nettletally"
+	"basaltloft"
 )
 
 // world plays random but legal events to a dispatcher and checks the four rules at every action.
 type world struct {
 	t       *testing.T
 	rng     *rand.Rand
-	s       nt.Settings
-	d       *nt.Dispatcher
+	s       basaltloft.Settings
+	d       *basaltloft.Dispatcher
 	now     time.Duration
 	seq     int
-	workers map[uint32]*nt.Member
-	told    map[uint32]nt.Member // what the dispatcher was last told
-	sent    map[uint32][]load    // to workers that are cold and told to be
+	workers map[uint32]*basaltloft.Member
+	told    map[uint32]basaltloft.Member // what the dispatcher was last told
+	sent    map[uint32][]load            // to workers that are cold and told to be
 	reqs    map[string]*req
 	order   []*req
 	due     []due
@@ -33,15 +33,15 @@
 }
 
 type req struct {
-	nt.Request
-	class    nt.Class
+	basaltloft.Request
+	class    basaltloft.Class
 	attempts []*try
 	answered bool
 	at       time.Duration
 }
 
 type try struct {
-	worker nt.Member
+	worker basaltloft.Member
 	at     time.Duration
 	out    bool
 	mayRun bool
@@ -70,7 +70,7 @@
 	case r == nil || r.answered:
 		w.errorf("send for %s, which has its answer", id)
 		return
-	case m.Worker == 0 || m.State == nt.Draining || m.State == nt.Removed && !w.s.Rules.OnlyDrainingBinds:
+	case m.Worker == 0 || m.State == basaltloft.Draining || m.State == basaltloft.Removed && !w.s.Rules.OnlyDrainingBinds:
 		w.errorf("send to worker %d, told to be in state %d", worker, m.State)
 	case len(r.attempts) >= w.s.Limits.MaxAttempts:
 		w.errorf("attempt %d of %s", len(r.attempts), id)
@@ -83,11 +83,11 @@
 			continue
 		}
 		switch r.class.Effect {
-		case nt.Unsafe:
+		case basaltloft.Unsafe:
 			w.errorf("unsafe %s sent again", id)
-		case nt.Keyed:
-			outside := r.class.Group == nt.GroupZone && a.worker.Zone != m.Zone ||
-				r.class.Group == nt.GroupCell && a.worker.Cell != m.Cell
+		case basaltloft.Keyed:
+			outside := r.class.Group == basaltloft.GroupZone && a.worker.Zone != m.Zone ||
+				r.class.Group == basaltloft.GroupCell && a.worker.Cell != m.Cell
 			if outside || w.now-a.at > r.class.Window {
 				w.errorf("keyed %s sent outside its group or window", id)
 			}
@@ -97,23 +97,23 @@
 	a := &try{worker: m, at: w.now, out: true, mayRun: true}
 	n := len(r.attempts)
 	r.attempts = append(r.attempts, a)
-	status := nt.OK
+	status := basaltloft.OK
 	if w.rng.IntN(3) == 0 {
-		status = nt.Status(1 + w.rng.IntN(5))
+		status = basaltloft.Status(1 + w.rng.IntN(5))
 	}
 	wait := time.Duration(w.rng.ExpFloat64()*75) * ms
 	took := wait + time.Duration((0.5+w.rng.Float64())*float64(r.Hint))
 	if w.rng.IntN(20) == 0 { // hangs
-		status, took = nt.TimedOut, r.Expires-w.now
+		status, took = basaltloft.TimedOut, r.Expires-w.now
 	}
 	took = min(took, r.Expires-w.now)
 	if w.now+took >= r.Expires {
-		status = nt.TimedOut
+		status = basaltloft.TimedOut
 	}
 	if w.s.TellsStart && w.rng.IntN(2) == 0 {
 		w.after(wait, func() {
 			if a.out {
-				w.d.Note(w.now, nt.Note{Request: id, Attempt: n, Worker: worker, Topic: nt.NoteStarted})
+				w.d.Note(w.now, basaltloft.Note{Request: id, Attempt: n, Worker: worker, Topic: basaltloft.NoteStarted})
 			}
 		})
 	}
@@ -121,7 +121,7 @@
 }
 
 // checkCold holds this instance to its share of the rule's budget, with one slot at pace 1 as capacity.
-func (w *world) checkCold(r *req, m nt.Member) {
+func (w *world) checkCold(r *req, m basaltloft.Member) {
 	if m.Since == 0 || w.now-m.Since >= w.s.Rules.ColdFor {
 		return
 	}
@@ -141,25 +141,25 @@
 }
 
 // finish ends an attempt, once.
-func (w *world) finish(r *req, n int, status nt.Status) {
+func (w *world) finish(r *req, n int, status basaltloft.Status) {
 	a := r.attempts[n]
 	if !a.out {
 		return
 	}
 	a.out, a.mayRun = false, !w.s.Rules.NeverRan(status)
-	ended := r.answered || status == nt.OK
-	if status == nt.OK {
+	ended := r.answered || status == basaltloft.OK
+	if status == basaltloft.OK {
 		r.answered = true
 	}
-	w.d.Outcome(w.now, nt.Outcome{Request: r.ID, Attempt: n, Worker: a.worker.Worker, Status: status, Ended: ended,
+	w.d.Outcome(w.now, basaltloft.Outcome{Request: r.ID, Attempt: n, Worker: a.worker.Worker, Status: status, Ended: ended,
 		Latency: w.now - a.at, Report: w.report()})
 }
 
-func (w *world) report() nt.Report {
+func (w *world) report() basaltloft.Report {
 	if w.rng.IntN(2) == 0 {
-		return nt.Report{}
+		return basaltloft.Report{}
 	}
-	return nt.Report{Has: nt.HasX0 | nt.HasX1, X0: float64(w.rng.IntN(5)), X1: 4 * w.rng.Float64()}
+	return basaltloft.Report{Has: basaltloft.HasX0 | basaltloft.HasX1, X0: float64(w.rng.IntN(5)), X1: 4 * w.rng.Float64()}
 }
 
 func (w *world) answer(id, how string) *req {
@@ -178,7 +178,7 @@
 
 func (w *world) Refuse(id string, _ time.Duration) {
 	r := w.answer(id, "refuse")
-	if r == nil || r.class.Effect == nt.Safe || r.class.Effect == nt.Keyed && r.class.Group == nt.GroupAll {
+	if r == nil || r.class.Effect == basaltloft.Safe || r.class.Effect == basaltloft.Keyed && r.class.Group == basaltloft.GroupAll {
 		return
 	}
 	for _, a := range r.attempts {
@@ -193,16 +193,16 @@
 func (w *world) Cancel(id string, n int) {
 	w.record("cancel %s %d", id, n)
 	r := w.reqs[id]
-	w.after(ms, func() { w.finish(r, n, nt.Cancelled) })
+	w.after(ms, func() { w.finish(r, n, basaltloft.Cancelled) })
 }
 
 func (w *world) Probe(id uint32) {
 	w.record("probe %d", id)
-	took, status := time.Duration(w.rng.IntN(50))*ms, nt.OK
+	took, status := time.Duration(w.rng.IntN(50))*ms, basaltloft.OK
 	if w.rng.IntN(4) == 0 {
-		took, status = 500*ms, nt.Status(1+w.rng.IntN(4))
+		took, status = 500*ms, basaltloft.Status(1+w.rng.IntN(4))
 	}
-	w.after(took, func() { w.d.Probed(w.now, nt.Probed{Worker: id, Status: status, Report: w.report()}) })
+	w.after(took, func() { w.d.Probed(w.now, basaltloft.Probed{Worker: id, Status: status, Report: w.report()}) })
 }
 
 func (w *world) Timer(in time.Duration, token string) {
@@ -218,16 +218,16 @@
 	w.record("watch")
 	w.after(300*ms, func() {
 		if w.rng.IntN(3) == 0 {
-			w.d.Members(w.now, nt.ListFailed, nil)
+			w.d.Members(w.now, basaltloft.ListFailed, nil)
 			return
 		}
-		w.tell(nt.ListWhole, w.list()...)
+		w.tell(basaltloft.ListWhole, w.list()...)
 	})
 }
 func (w *world) Fetch()     {}
 func (w *world) Log(string) {}
 
-func (w *world) list() (all []nt.Member) {
+func (w *world) list() (all []basaltloft.Member) {
 	for id := uint32(1); id <= 40; id++ {
 		if m := w.workers[id]; m != nil {
 			all = append(all, *m)
@@ -236,13 +236,13 @@
 	return all
 }
 
-func (w *world) tell(kind nt.ListKind, list ...nt.Member) {
-	if kind == nt.ListRestored || kind != nt.ListChange && !w.s.Rules.OnlyDrainingBinds {
+func (w *world) tell(kind basaltloft.ListKind, list ...basaltloft.Member) {
+	if kind == basaltloft.ListRestored || kind != basaltloft.ListChange && !w.s.Rules.OnlyDrainingBinds {
 		clear(w.told)
 	}
 	for _, m := range list {
 		was := w.told[m.Worker]
-		if w.s.Rules.OnlyDrainingBinds && was.State == nt.Draining && m.Since <= was.Since {
+		if w.s.Rules.OnlyDrainingBinds && was.State == basaltloft.Draining && m.Since <= was.Since {
 			m = was // a drain binds until a later start
 		}
 		w.told[m.Worker] = m
@@ -260,18 +260,18 @@
 	}
 	w.due = nil
 	w.d = nil
-	d, err := nt.New(w.s, w)
+	d, err := basaltloft.New(w.s, w)
 	if err != nil {
 		w.t.Fatal(err)
 	}
 	w.d = d
-	w.tell(nt.ListRestored, w.list()...)
+	w.tell(basaltloft.ListRestored, w.list()...)
 }
 
 func (w *world) arrive() {
 	w.seq++
 	c := w.s.Classes[w.rng.IntN(len(w.s.Classes))]
-	r := &req{class: c, at: w.now, Request: nt.Request{ID: fmt.Sprint("r", w.seq), Class: c.Name,
+	r := &req{class: c, at: w.now, Request: basaltloft.Request{ID: fmt.Sprint("r", w.seq), Class: c.Name,
 		Hint:    time.Duration(w.rng.ExpFloat64() * float64(200*ms)),
 		Expires: w.now + time.Duration(w.rng.Int64N(int64(c.GiveUp))), Slots: float64(1 + w.rng.IntN(2))}}
 	if w.rng.IntN(5) == 0 {
@@ -288,24 +288,24 @@
 	m := w.workers[id]
 	switch {
 	case m == nil:
-		m = &nt.Member{Worker: id, Kind: "k", Zone: string(rune('a' + id%3)), Cell: int(id % 5), Since: w.now}
+		m = &basaltloft.Member{Worker: id, Kind: "k", Zone: string(rune('a' + id%3)), Cell: int(id % 5), Since: w.now}
 		w.workers[id] = m
 	case w.s.Rules.OnlyDrainingBinds && w.rng.IntN(3) == 0: // a list that is wrong, for a while
-		w.tell(nt.ListWhole, w.list()[w.rng.IntN(len(w.list())):]...)
-		w.after(2*time.Second, func() { w.tell(nt.ListWhole, w.list()...) })
+		w.tell(basaltloft.ListWhole, w.list()[w.rng.IntN(len(w.list())):]...)
+		w.after(2*time.Second, func() { w.tell(basaltloft.ListWhole, w.list()...) })
 		return
 	case w.rng.IntN(3) == 0:
-		m.State = nt.Draining
+		m.State = basaltloft.Draining
 	case w.rng.IntN(2) == 0:
 		delete(w.workers, id)
 		gone := *m
-		gone.State = nt.Removed
-		w.tell(nt.ListChange, gone)
+		gone.State = basaltloft.Removed
+		w.tell(basaltloft.ListChange, gone)
 		return
 	default:
-		m.State, m.Since = nt.Ready, w.now
+		m.State, m.Since = basaltloft.Ready, w.now
 	}
-	w.tell(nt.ListChange, *m)
+	w.tell(basaltloft.ListChange, *m)
 }
 
 func (w *world) step() {
@@ -343,14 +343,14 @@
 	}
 }
 
-func play(t *testing.T, seed uint64, spoil func(*nt.Settings)) []string {
+func play(t *testing.T, seed uint64, spoil func(*basaltloft.Settings)) []string {
 	s := settings()
 	s.CrossZonePrice = 0.02
 	spoil(&s)
-	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 7)), s: s, now: time.Hour, workers: map[uint32]*nt.Member{},
-		told: map[uint32]nt.Member{}, sent: map[uint32][]load{}, reqs: map[string]*req{}}
+	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 7)), s: s, now: time.Hour, workers: map[uint32]*basaltloft.Member{},
+		told: map[uint32]basaltloft.Member{}, sent: map[uint32][]load{}, reqs: map[string]*req{}}
 	for id := uint32(1); id <= 8; id++ {
-		w.workers[id] = &nt.Member{Worker: id, Kind: "k", Zone: string(rune('a' + id%3)), Cell: int(id % 5)}
+		w.workers[id] = &basaltloft.Member{Worker: id, Kind: "k", Zone: string(rune('a' + id%3)), Cell: int(id % 5)}
 	}
 	w.start()
 	w.arrive()
@@ -364,20 +364,22 @@
 }
 
 func TestRulesUnderRandomEvents(t *testing.T) {
-	worlds := map[string]func(*nt.Settings){
-		"push":          func(*nt.Settings) {},
-		"ask":           func(s *nt.Settings) { s.AskLists = true },
-		"no copies":     func(s *nt.Settings) { s.Limits.SecondCopies, s.TellsStart = false, true },
-		"cell":          func(s *nt.Settings) { s.Classes[1].Group = nt.GroupCell },
-		"long aims":     func(s *nt.Settings) { s.Classes[1].Window, s.Classes[1].Aim = 500*ms, 4*time.Second },
-		"short grace":   func(s *nt.Settings) { s.Rules.AnswerGrace = 5 * ms },
-		"full no proof": func(s *nt.Settings) { s.Rules.FullMayHaveRun = true },
-		"wrong lists":   func(s *nt.Settings) { s.Rules.OnlyDrainingBinds = true },
-		"both": func(s *nt.Settings) {
-			s.Rules.OnlyDrainingBinds, s.Rules.FullMayHaveRun, s.Classes[1].Group = true, true, nt.GroupCell
+	worlds := map[string]func(*basaltloft.Settings){
+		"push":          func(*basaltloft.Settings) {},
+		"ask":           func(s *basaltloft.Settings) { s.AskLists = true },
+		"no copies":     func(s *basaltloft.Settings) { s.Limits.SecondCopies, s.TellsStart = false, true },
+		"cell":          func(s *basaltloft.Settings) { s.Classes[1].Group = basaltloft.GroupCell },
+		"long aims":     func(s *basaltloft.Settings) { s.Classes[1].Window, s.Classes[1].Aim = 500*ms, 4*time.Second },
+		"short grace":   func(s *basaltloft.Settings) { s.Rules.AnswerGrace = 5 * ms },
+		"full no proof": func(s *basaltloft.Settings) { s.Rules.FullMayHaveRun = true },
+		"wrong lists":   func(s *basaltloft.Settings) { s.Rules.OnlyDrainingBinds = true },
+		"both": func(s *basaltloft.Settings) {
+			s.Rules.OnlyDrainingBinds, s.Rules.FullMayHaveRun, s.Classes[1].Group = true, true, basaltloft.GroupCell
 		},
-		"tied":           func(s *nt.Settings) { s.Limits.Probes, s.TellsStart, s.Rules.OnlyDrainingBinds = false, true, true },
-		"all, no probes": func(s *nt.Settings) { s.Classes[1].Group, s.Limits.Probes = nt.GroupAll, false },
+		"tied": func(s *basaltloft.Settings) {
+			s.Limits.Probes, s.TellsStart, s.Rules.OnlyDrainingBinds = false, true, true
+		},
+		"all, no probes": func(s *basaltloft.Settings) { s.Classes[1].Group, s.Limits.Probes = basaltloft.GroupAll, false },
 	}
 	for name, spoil := range worlds {
 		t.Run(name, func(t *testing.T) {
@@ -389,8 +391,8 @@
 }
 
 func TestEqualEventsGiveEqualActions(t *testing.T) {
-	a := play(t, 42, func(*nt.Settings) {})
-	b := play(t, 42, func(*nt.Settings) {})
+	a := play(t, 42, func(*basaltloft.Settings) {})
+	b := play(t, 42, func(*basaltloft.Settings) {})
 	if len(a) < 1000 || !slices.Equal(a, b) {
 		t.Errorf("two runs of the same events differ (%d and %d actions)", len(a), len(b))
 	}
--- a/requests_test.go
+++ b/requests_test.go
@@ -1,11 +1,11 @@
-package nettletally_test
+package basaltloft_test
 
 import (
 	"fmt"
 	"testing"
 	"time"
 
-	nt "nettletally"
+	"basaltloft"
 )
 
 // TestRequestsThatFailAnywhereBlameNoWorker fails where each error holds its worker back, or where such a
@@ -22,17 +22,17 @@
 		}
 		if i%3 == 0 {
 			b.pass(3 * ms)
-			b.outcome(id, nt.Error)
+			b.outcome(id, basaltloft.Error)
 			if i >= 50 && b.sends[id] > 1 {
 				again++
 			}
 			for k := 0; b.sends[id] > 1 && k < 3 && !b.has("refuse "+id); k++ {
-				b.outcome(id, nt.Error)
+				b.outcome(id, basaltloft.Error)
 			}
 			continue
 		}
 		b.pass(50 * ms)
-		b.outcome(id, nt.OK)
+		b.outcome(id, basaltloft.OK)
 	}
 	if held > 0 || again > 8 || len(b.logs) > 25 {
 		t.Errorf("%d held, %d sent round, %d suspicions", held, again, len(b.logs))
@@ -54,12 +54,12 @@
 			if i > 50 {
 				sent++
 			}
-			b.outcome(id, nt.Error)
+			b.outcome(id, basaltloft.Error)
 		case i%4 == 0:
-			b.outcome(id, nt.Error)
+			b.outcome(id, basaltloft.Error)
 		default:
 			b.pass(40 * ms)
-			b.outcome(id, nt.OK)
+			b.outcome(id, basaltloft.OK)
 		}
 	}
 	if sent > 10 { // of 250, where a fair share is 40
@@ -75,12 +75,12 @@
 		s.MarksRetry = marked
 		b := newBench(t, s, 2)
 		b.request("usual", "safe", 100*ms)
-		b.outcome("usual", nt.OK)
-		b.Request(b.now, nt.Request{ID: "hasty", Class: "safe", Hint: 100 * ms, Expires: b.now + 300*ms})
+		b.outcome("usual", basaltloft.OK)
+		b.Request(b.now, basaltloft.Request{ID: "hasty", Class: "safe", Hint: 100 * ms, Expires: b.now + 300*ms})
 		if served := b.sends["hasty"] == 1; served != marked {
 			t.Errorf("marked %v: a client with little time: %v", marked, b.acts)
 		}
-		b.Request(b.now, nt.Request{ID: "late", Class: "safe", Hint: 100 * ms, Retry: marked,
+		b.Request(b.now, basaltloft.Request{ID: "late", Class: "safe", Hint: 100 * ms, Retry: marked,
 			Expires: b.now + 4*time.Second})
 		if b.sends["late"] != 0 || !b.has("refuse late") {
 			t.Errorf("marked %v: a retry a second after its first try is served late", marked)
@@ -102,14 +102,14 @@
 	c := newBench(t, s, 1)
 	c.request("r", "safe", 100*ms)
 	c.pass(600 * ms)
-	c.outcome("r", nt.Reset)
+	c.outcome("r", basaltloft.Reset)
 	if !c.has("refuse r") {
 		t.Errorf("a job given up on in an outcome is not answered in that event: %v", c.acts)
 	}
 }
 
 // crowd are settings under which many dispatchers share each worker, and starts are told.
-func crowd() nt.Settings {
+func crowd() basaltloft.Settings {
 	s := settings()
 	s.TellsStart, s.Limits.SecondCopies, s.Instances = true, false, 40
 	return s
@@ -130,7 +130,7 @@
 		if b.sends["r"] != 1 || (b.sends["n"] == 0) != (instances == 40) {
 			t.Fatalf("%d dispatchers: %v", instances, b.acts)
 		}
-		b.Note(b.now, nt.Note{Request: "r", Worker: 1, Topic: nt.NoteStarted})
+		b.Note(b.now, basaltloft.Note{Request: "r", Worker: 1, Topic: basaltloft.NoteStarted})
 		b.pass(40 * ms)
 		b.Probed(b.now, full(1, 9))
 		if b.sends["n"] != 1 {
@@ -147,7 +147,7 @@
 	b := newBench(t, s, 0)
 	m := member(1, "a")
 	m.Since = b.now
-	b.Members(b.now, nt.ListWhole, []nt.Member{m})
+	b.Members(b.now, basaltloft.ListWhole, []basaltloft.Member{m})
 	b.pass(2500 * ms)
 	b.request("r", "safe", 400*ms) // 0.58 s are left, and it has half its capacity
 	b.request("s", "safe", 40*ms)
@@ -159,7 +159,7 @@
 // TestTrustReturnsStepByStep fails where one good job clears a worker that fails and recovers by turns.
 func TestTrustReturnsStepByStep(t *testing.T) {
 	b := newBench(t, settings(), 2)
-	job := func(id string, s nt.Status) {
+	job := func(id string, s basaltloft.Status) {
 		b.Probed(b.now, full(2, 0)) // so that only worker 1 has room
 		b.request(id, "unsafe", 10*ms)
 		if b.sentTo(id) != 1 {
@@ -167,13 +167,13 @@
 		}
 		b.outcome(id, s)
 	}
-	job("a", nt.Error)
+	job("a", basaltloft.Error)
 	b.pass(320 * ms)
-	job("b", nt.Error)
+	job("b", basaltloft.Error)
 	b.pass(650 * ms)
-	job("c", nt.OK)
+	job("c", basaltloft.OK)
 	for _, id := range []string{"d1", "d2", "d3"} { // one more error than is likely by now
-		job(id, nt.Error)
+		job(id, basaltloft.Error)
 	}
 	b.pass(330 * ms)
 	b.Probed(b.now, full(2, 0))
@@ -193,7 +193,7 @@
 	b.Probed(b.now, full(1, 9))
 	b.request("r", "safe", 300*ms)
 	b.pass(200 * ms)
-	b.Note(b.now, nt.Note{Request: "r", Worker: 1, Topic: nt.NoteStarted})
+	b.Note(b.now, basaltloft.Note{Request: "r", Worker: 1, Topic: basaltloft.NoteStarted})
 	b.request("n", "safe", 300*ms)
 	b.pass(100 * ms)
 	b.Probed(b.now, full(1, 9))
--- a/scale_test.go
+++ b/scale_test.go
@@ -1,4 +1,4 @@
-package nettletally_test
+package basaltloft_test
 
 import (
 	"fmt"
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	nt "nettletally"
+	"basaltloft"
 )
 
 // TestColdWorkerUnderHundredsOfDispatchers plays several hundred dispatchers beside each other against one
@@ -39,7 +39,7 @@
 		for i, b := range benches {
 			b.now = now
 			if now >= told[i] && now-20*ms < told[i] {
-				b.Members(now, nt.ListWhole, []nt.Member{cold})
+				b.Members(now, basaltloft.ListWhole, []basaltloft.Member{cold})
 			}
 			b.Dispatcher.Timer(now, "tick")
 			if rng.Float64() > rate[i]/50 {
@@ -51,7 +51,7 @@
 				b.Gone(now, id)
 				continue
 			}
-			b.outcome(id, nt.OK)
+			b.outcome(id, basaltloft.OK)
 			sent = append(sent, load{now, hint.Seconds()})
 			total += hint.Seconds()
 		}
@@ -88,7 +88,7 @@
 			}
 		}
 		if b.pass(100 * ms); b.sends[id] > 0 {
-			b.outcome(id, nt.OK)
+			b.outcome(id, basaltloft.OK)
 		}
 		b.pass(400 * ms)
 	}
@@ -160,7 +160,7 @@
 	b := newBench(t, settings(), 2)
 	b.request("r", "unsafe", 50*ms)
 	bad := b.sentTo("r")
-	b.outcome("r", nt.Error)
+	b.outcome("r", basaltloft.Error)
 	for i := range 4 {
 		id := fmt.Sprint("n", i)
 		b.request(id, "unsafe", 20*ms)
@@ -173,7 +173,7 @@
 func TestOddFleets(t *testing.T) {
 	s := settings()
 	s.Instances, s.Rank, s.CrossZonePrice = 200, 7, 0.05
-	for name, list := range map[string][]nt.Member{
+	for name, list := range map[string][]basaltloft.Member{
 		"one worker": {member(1, "a")}, "own zone empty": {member(1, "b"), member(2, "c")},
 	} {
 		b := newBench(t, s, 0)
@@ -182,8 +182,8 @@
 		if !b.has("refuse none") {
 			t.Errorf("%s: no answer from an empty fleet", name)
 		}
-		b.Members(b.now, nt.ListWhole, list)
-		b.Members(b.now, nt.ListWhole, []nt.Member{member(8, "b")}) // replaces every worker
+		b.Members(b.now, basaltloft.ListWhole, list)
+		b.Members(b.now, basaltloft.ListWhole, []basaltloft.Member{member(8, "b")}) // replaces every worker
 		b.request("r", "safe", 50*ms)
 		b.pass(200 * ms)
 		if b.sends["r"] != 1 || b.sentTo("r") != 8 {
@@ -199,11 +199,11 @@
 	s.Instances = 400
 	b := newBench(t, s, 40)
 	before := len(b.timers)
-	var more []nt.Member
+	var more []basaltloft.Member
 	for id := range uint32(2000) {
 		more = append(more, member(3000-id, "a"))
 	}
-	b.Members(b.now, nt.ListChange, more)
+	b.Members(b.now, basaltloft.ListChange, more)
 	if n := len(b.timers) - before; n > 20 {
 		t.Errorf("%d timers for 2000 workers that are new", n)
 	}
--- a/state.go
+++ b/state.go
@@ -1,4 +1,4 @@
-package nettletally
+package basaltloft
 
 // What a dispatcher keeps of workers, attempts and jobs, how it is kept, and the events that do no more
 // than that. No decisions: those are in dispatcher.go.
@@ -306,7 +306,7 @@
 func (d *Dispatcher) log(format string, args ...any) { d.host.Log(fmt.Sprintf(format, args...)) }
 
 func (s *Settings) validate() error {
-	bad := func(field string) error { return fmt.Errorf("nettletally: invalid setting %s", field) }
+	bad := func(field string) error { return fmt.Errorf("basaltloft: invalid setting %s", field) }
 	switch {
 	case s.Instances < 1:
 		return bad("Instances")
