Add the Faktory front, the agent check, and scenarios against the program

Saw, by the first scenario on discovery: a failed watch was never told to the module, so that nothing was ever asked again. Lines at fault: internal/pool, watch(): it asked its context whether the call was wanted after it had itself cancelled it. Asked before now.

Saw, by reading: carriers post while they hold a lock that the core's goroutine needs in Start; with a bounded channel of events both could wait for each other. post never waits now, and call-backs wait until they are handled instead.

Added: internal/faktory (HELLO to END, workers as pool members, outcomes by jid), internal/agentcheck, the operator's file, a bound on client connections that evicts the longest idle one, and internal/scenario with scenarios for the HTTP front against the started program.

Ruled out by scenarios: resends by http.Transport, double counting of call-backs, lost call-backs while draining, changed paths and queries.

--- a/cmd/basaltloft/main.go
+++ b/cmd/basaltloft/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"math"
 	"net"
@@ -11,10 +12,13 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"sync/atomic"
 	"syscall"
 	"time"
 
+	"basaltloft/internal/agentcheck"
 	"basaltloft/internal/core"
+	"basaltloft/internal/faktory"
 	"basaltloft/internal/pool"
 	"basaltloft/internal/poolmember"
 	"basaltloft/internal/settings"
@@ -34,7 +38,9 @@
 	if os.Getenv("ROUTER_DEBUG") != "" {
 		log.SetLevel(logrus.DebugLevel)
 	}
-	if err := run(log); err != nil {
+	operator := flag.String("operator", "", "the operator's file, which sets up the Faktory front and the agent check")
+	flag.Parse()
+	if err := run(log, *operator); err != nil {
 		fmt.Fprintln(os.Stderr, "basaltloft:", err)
 		os.Exit(1)
 	}
@@ -77,11 +83,21 @@
 	}
 }
 
-func run(log *logrus.Logger) error {
+func run(log *logrus.Logger, operator string) error {
 	c, err := configure()
 	if err != nil {
 		return err
 	}
+	var extra settings.Operator
+	if operator != "" {
+		text, err := os.ReadFile(operator)
+		if err != nil {
+			return fmt.Errorf("operator's file: %w", err)
+		}
+		if extra, err = settings.DecodeOperator(text); err != nil {
+			return err
+		}
+	}
 	fit(c)
 	told := make(chan os.Signal, 1)
 	signal.Notify(told, syscall.SIGTERM, syscall.SIGINT)
@@ -92,7 +108,8 @@
 	if sockets <= 0 {
 		sockets = 1024
 	}
-	chain := stage.New(c.Settings, stage.Limits{Open: sockets / 2, Bytes: 16 << 20}, log)
+	limits := stage.Limits{Open: sockets / 2, Bytes: 16 << 20}
+	chain := stage.New(c.Settings, limits, log)
 	hub, err := core.New(c.Settings, chain, log)
 	if err != nil {
 		return err
@@ -102,14 +119,40 @@
 	hub.Follow(follower)
 	front := virtualserver.New(hub, chain, log)
 
-	listener, err := net.Listen("tcp", c.Listen)
+	// All sockets are taken before anything is served: an address that can't
+	// be had ends the program with one line.
+	served := make(chan error, 3)
+	listener, err := listen(c.Listen)
 	if err != nil {
-		return fmt.Errorf("listening: %w", err)
+		return err
+	}
+	var second *faktory.Server
+	if f := extra.Faktory; f != nil {
+		l, err := listen(f.Listen)
+		if err != nil {
+			return err
+		}
+		if f.Zone == "" {
+			f.Zone = c.Settings.Zone
+		}
+		second = faktory.New(hub, chain, f, log)
+		go func() { served <- second.Serve(ctx, l) }()
+	}
+	var draining atomic.Bool
+	if extra.AgentCheck != "" {
+		l, err := listen(extra.AgentCheck)
+		if err != nil {
+			return err
+		}
+		go func() {
+			served <- agentcheck.Serve(ctx, l, func() agentcheck.State {
+				return agentcheck.State{Ready: hub.Ready(), Draining: draining.Load(), Open: hub.Unanswered(), Most: limits.Open}
+			})
+		}()
 	}
 	go hub.Run(ctx)
 	follower.Restore(c.Known)
-	served := make(chan error, 1)
-	go func() { served <- front.Serve(listener) }()
+	go func() { served <- front.Serve(listener, sockets/2) }()
 	log.WithFields(logrus.Fields{"name": c.Name, "listen": c.Listen, "members": len(c.Known.Entries)}).Info("serving")
 
 	select {
@@ -118,8 +161,12 @@
 	case <-told:
 	}
 	log.Info("draining")
+	draining.Store(true)
 	front.Drain()
-	drained(front.InHand, time.Now().Add(lingers))
+	if second != nil {
+		second.Drain()
+	}
+	drained(func() int { return front.InHand() + hub.Unanswered() }, time.Now().Add(lingers))
 	if err := front.Shutdown(ctx); err != nil {
 		return err
 	}
@@ -127,6 +174,14 @@
 	return nil
 }
 
+func listen(addr string) (net.Listener, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("listening: %w", err)
+	}
+	return l, nil
+}
+
 // drained waits until the time given and then until nothing is in hand.
 func drained(inHand func() int, from time.Time) {
 	tick := time.NewTicker(10 * time.Millisecond)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -19,10 +20,8 @@
 	"github.com/sirupsen/logrus"
 )
 
-const (
-	eventRoom = 1024                  // events that may wait; posting more waits in turn
-	overdue   = 10 * time.Millisecond // an answer the module still owes so long after the deadline is given for it
-)
+// overdue: an answer that the module still owes so long after the deadline is given for it.
+const overdue = 10 * time.Millisecond
 
 // Core is the hub between fronts, decisions and carriers.
 type Core struct {
@@ -30,9 +29,12 @@
 	stages   Stages
 	lister   Lister
 	log      logrus.FieldLogger
-	events   chan func()
 	stopped  chan struct{}
 
+	mu     sync.Mutex
+	events []func()
+	posted chan struct{} // there are events
+
 	// Owned by Run's goroutine.
 	decisions *basaltloft.Dispatcher
 	base      time.Time
@@ -53,7 +55,7 @@
 func New(s basaltloft.Settings, stages Stages, log logrus.FieldLogger) (*Core, error) {
 	c := &Core{
 		settings: s, stages: stages, log: log, base: time.Now(),
-		events: make(chan func(), eventRoom), stopped: make(chan struct{}),
+		posted: make(chan struct{}, 1), stopped: make(chan struct{}),
 		open: make(map[string]*Transaction), members: make(map[string]*Member), numbers: make(map[uint32]*Member),
 	}
 	var err error
@@ -76,10 +78,12 @@
 		select {
 		case <-ctx.Done():
 			return
-		case event := <-c.events:
-			c.handle(event)
+		case <-c.posted:
 		case <-wake.C:
 		}
+		for _, event := range c.taken() {
+			c.handle(event)
+		}
 		for due := c.timers.due(time.Now()); due != nil; due = c.timers.due(time.Now()) {
 			c.handle(due)
 		}
@@ -98,10 +102,35 @@
 	}
 }
 
-// post hands an event to Run's goroutine, and waits while too many are there.
+// post hands an event to Run's goroutine. It never waits: a carrier posts while
+// it holds a lock that its Start, called by Run's goroutine, needs too. What
+// may be queued is bounded by who posts: each connection, flow and call-back
+// waits for its event before it causes another.
 func (c *Core) post(event func()) {
+	c.mu.Lock()
+	c.events = append(c.events, event)
+	c.mu.Unlock()
+	select {
+	case c.posted <- struct{}{}:
+	default:
+	}
+}
+
+// taken empties the queue of events.
+func (c *Core) taken() []func() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	events := c.events
+	c.events = nil
+	return events
+}
+
+// Sync posts an event and waits until it has been handled.
+func (c *Core) Sync(event func()) {
+	done := make(chan struct{})
+	c.post(func() { event(); close(done) })
 	select {
-	case c.events <- event:
+	case <-done:
 	case <-c.stopped:
 	}
 }
@@ -246,9 +275,10 @@
 }
 
 // Report takes in news. It counts for the live flow of that transaction at
-// that member; news of an ended flow or from another member counts nothing.
+// that member; news of an ended flow or from another member counts nothing. It
+// returns once the news has been handled, so that a flood of it waits outside.
 func (c *Core) Report(n News) {
-	c.post(func() {
+	c.Sync(func() {
 		t := c.open[n.ID]
 		if t == nil || t.live == nil || t.live.Member.ID != n.Member {
 			return
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -101,11 +101,12 @@
 			"index": {strconv.FormatInt(f.seen(), 10)}, "wait": {strconv.FormatInt(watchFor.Milliseconds(), 10)},
 		}, began.Add(watchFor+grace))
 		if err != nil {
+			wanted := ctx.Err() == nil // asked before the watch's own end, which would hide a failure
 			f.mu.Lock()
 			f.stop()
 			f.stop = nil
 			f.mu.Unlock()
-			if ctx.Err() == nil {
+			if wanted {
 				f.failed(err)
 			}
 			return
--- a/internal/poolmember/poolmember.go
+++ b/internal/poolmember/poolmember.go
@@ -60,7 +60,7 @@
 	case c.slots <- struct{}{}:
 	default: // no descriptor to spare: it was never sent, and no member is to blame
 		cancel()
-		go c.ends.End(f, basaltloft.Moot, nil)
+		c.ends.End(f, basaltloft.Moot, nil)
 		return
 	}
 	go func() {
--- /dev/null
+++ b/internal/scenario/program.go
@@ -0,0 +1,143 @@
+package scenario
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// build compiles the program once for all tests of a package.
+var build = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "basaltloft")
+	if err != nil {
+		return "", err
+	}
+	out, err := exec.Command("go", "build", "-o", dir, "basaltloft/cmd/basaltloft").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("%w: %s", err, out)
+	}
+	return filepath.Join(dir, "basaltloft"), nil
+})
+
+// Listen is a peer that accepts: each new actor is the next connection to it.
+func Listen(t testing.TB) (addr string, open func() (End, error)) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	return l.Addr().String(), func() (End, error) {
+		l.(*net.TCPListener).SetDeadline(time.Now().Add(limit))
+		return l.Accept()
+	}
+}
+
+// Dial is a peer that is connected to.
+func Dial(addr string) func() (End, error) {
+	return func() (End, error) {
+		for until := time.Now().Add(limit); ; {
+			c, err := net.Dial("tcp", addr)
+			if err == nil || time.Now().After(until) {
+				return c, err
+			}
+		}
+	}
+}
+
+// free is an address that nothing listens on.
+func free(t testing.TB) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// process is the started program as an actor: it is read from its log, close
+// asks it to end, and wait takes its exit.
+type process struct {
+	*os.File
+	cmd *exec.Cmd
+}
+
+func (p process) Close() error { return p.cmd.Process.Signal(syscall.SIGTERM) }
+func (p process) Wait() error  { return p.cmd.Wait() }
+
+// Settings is the settings object of the tests: a bay's classes as they are in
+// service, with one dispatcher.
+const Settings = `{"balancers":1,"rank":0,"registry_mode":"ask","worth_by":"work","zone":"hall","shapes":["std"],
+"lanes":[{"name":"place-hold","effect":"deduplicated","key_scope":"cell","promise":400000000,"give_up":10000000000,"repeat_window":15000000000,"worth":10},
+{"name":"group-ticket","effect":"at_most_once","key_scope":"all","promise":1000000000,"give_up":25000000000,"worth":2}],
+"family_info":{"class_kind":[-1,-1],"class_stretch":[2.5,2.5],"tells_start":true},
+"limits":{"most_tries":3,"cancel":true,"probes":true,"retry_after":true,"max_retry_after":2000000000,"conn_idle":15000000000,"dial_timeout":250000000},
+"guarantees":{"grace_to_answer":8000000,"ask_every":10000000000,"start_capacity":0.12,"warm_after":24000000000,"fall_multiple":4,"tip_after":3000000000}}`
+
+// Start starts the program with so many pool members, r1, r2 and so on, in one
+// cell. Its cast: client, discovery, the members, and program itself; with an
+// operator's file, in which FAKTORY and AGENT stand for addresses, also
+// faktory and agent.
+func Start(t testing.TB, members int, operator string) Cast {
+	t.Helper()
+	binary, err := build()
+	require.NoError(t, err)
+	dir, cast := t.TempDir(), Cast{}
+	var listed []string
+	for i := 1; i <= members; i++ {
+		addr, open := Listen(t)
+		name := fmt.Sprintf("r%d", i)
+		cast[name] = open
+		listed = append(listed, fmt.Sprintf(`{"instanceId":"s-%s","hostPort":%q,"zone":"hall","machineType":"std","cell":0,"lifecycle":"active","weight":1,"startedAtMs":0}`, name, addr))
+	}
+	discovery, open := Listen(t)
+	cast["discovery"] = open
+	listen := free(t)
+	cast["client"] = Dial(listen)
+	config := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":192,"sockets":1024},"known":{"generation":41,"reset":true,"instances":[%s]},"settings":%s}`,
+		listen, discovery, strings.Join(listed, ","), Settings)
+	require.True(t, json.Valid([]byte(config)))
+	var args []string
+	if operator != "" {
+		faktory, agent := free(t), free(t)
+		cast["faktory"], cast["agent"] = Dial(faktory), Dial(agent)
+		args = []string{"-operator", file(t, dir, "operator.json", strings.NewReplacer("FAKTORY", faktory, "AGENT", agent).Replace(operator))}
+	}
+	cast["program"] = Run(t, binary, file(t, dir, "config.json", config), args...)
+	return cast
+}
+
+// StartWith starts the program with a configuration of any kind.
+func StartWith(t testing.TB, config string) Cast {
+	binary, err := build()
+	require.NoError(t, err)
+	return Cast{"program": Run(t, binary, file(t, t.TempDir(), "config.json", config))}
+}
+
+// Run starts a process and ends it with the test.
+func Run(t testing.TB, binary, config string, args ...string) func() (End, error) {
+	read, write, err := os.Pipe()
+	require.NoError(t, err)
+	cmd := exec.Command(binary, args...)
+	cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+config, "ROUTER_LISTEN=", "ROUTER_DISCOVERY=", "ROUTER_NAME=")
+	cmd.Stdout, cmd.Stderr = write, write
+	require.NoError(t, cmd.Start())
+	write.Close()
+	t.Cleanup(func() {
+		cmd.Process.Kill()
+		cmd.Wait()
+		read.Close()
+	})
+	return func() (End, error) { return process{read, cmd}, nil }
+}
+
+func file(t testing.TB, dir, name, text string) string {
+	path := filepath.Join(dir, name)
+	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
--- a/internal/stage/takein.go
+++ b/internal/stage/takein.go
@@ -28,6 +28,7 @@
 type Arrival struct {
 	ID, Class, Tenant, Target, Key string
 	Body                           []byte
+	Form                           string    // see core.Transaction
 	GivesUp                        time.Time // when the client stops waiting; zero: as the class says
 	Hint                           time.Duration
 	Slots, Memory                  float64
@@ -54,7 +55,7 @@
 		a.GivesUp = latest
 	}
 	return &core.Transaction{
-		ID: a.ID, Class: a.Class, Tenant: a.Tenant, Target: a.Target, Key: a.Key, Body: a.Body,
+		ID: a.ID, Class: a.Class, Tenant: a.Tenant, Target: a.Target, Key: a.Key, Body: a.Body, Form: a.Form,
 		Deadline: a.GivesUp.Add(-early), Hint: a.Hint, Slots: a.Slots, Memory: a.Memory, Retry: a.Retry, Client: client,
 	}, nil
 }
--- /dev/null
+++ b/internal/virtualserver/program_test.go
@@ -0,0 +1,175 @@
+package virtualserver_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"basaltloft/internal/scenario"
+
+	"github.com/stretchr/testify/require"
+)
+
+var words = scenario.Words{
+	"job": func(a ...string) string {
+		return fmt.Sprintf("POST /%s?sid=1 HTTP/1.1\\r\\nHost: app\\r\\nX-Call-Id: %s\\r\\nX-Budget: %s\\r\\nX-Call-Cost: 2000000\\r\\nIdempotency-Key: k-%[2]s\\r\\nContent-Length: 4\\r\\n\\r\\nbody", a[0], a[1], a[2])
+	},
+	"news": func(a ...string) string {
+		text := fmt.Sprintf(`{"id":%q,"from":%q,"state":%q,"result":"%s"}`, a[0], a[1], a[2], strings.Join(a[3:], ","))
+		return fmt.Sprintf("POST /_jobs/news HTTP/1.1\\r\\nHost: app\\r\\nContent-Length: %d\\r\\n\\r\\n%s", len(text), text)
+	},
+	"get": func(a ...string) string { return "GET " + a[0] + " HTTP/1.1\\r\\nHost: app\\r\\n\\r\\n" },
+	"answer": func(a ...string) string {
+		return "HTTP/1.1 " + a[0] + " x\\r\\nContent-Length: 0\\r\\n\\r\\n"
+	},
+	"list": func(a ...string) string {
+		text := strings.Join(a, ",")
+		return fmt.Sprintf("HTTP/1.1 200 OK\\r\\nContent-Length: %d\\r\\n\\r\\n%s", len(text), text)
+	},
+}
+
+func TestProgram(t *testing.T) {
+	for name, c := range map[string]struct {
+		members int
+		script  string
+	}{
+		// The members are owed path, query, body, id and key to the letter.
+		"passes a job on unchanged": {1, `
+			client send POST /place-hold/a%2Fb?sid=7f&x;y=%zz&& HTTP/1.1\r\nHost: app\r\nX-Call-Id: 9b1f\r\nX-Call-Class: place-hold\r\nX-Caller: acme\r\nX-Budget: 9.5\r\nX-Call-Cost: 4000\r\nX-Call-Info: slots=2,new=1\r\nIdempotency-Key: 5c0f\r\nContent-Length: 3\r\n\r\na\x1
+			r1 expect ^POST /place-hold/a%2Fb\?sid=7f&x;y=%zz&& HTTP/1.1\r\n
+			r1 expect Idempotency-Key: 5c0f\r\n
+			r1 expect X-Budget: 9\.4\d+\r\nX-Call-Class: place-hold\r\nX-Call-Id: 9b1f\r\nX-Caller: acme\r\n\r\na\\x
+			client.back send @news(9b1f,s-r1,done,early)
+			client.back expect 204 No Content
+			client expect ^HTTP/1.1 200 OK\r\n.*\r\n\r\nearly$
+			r1 send @answer(202)`},
+		// A call-back may be repeated, or concern another member or an ended flow.
+		"counts a call-back once": {1, `
+			client send @job(group-ticket,t-1,20)
+			r1 expect X-Call-Id: t-1.*body
+			r1 send @answer(202)
+			client.back send @news(t-1,s-r2,done,wrong)
+			client.back expect 204 No Content
+			client.back send @news(t-1,s-r1,started)
+			client.back expect 204 No Content
+			client.back send @news(t-1,s-r1,done,right)
+			client.back expect 204 No Content
+			client.back send @news(t-1,s-r1,failed)
+			client.back expect 204 No Content
+			client.back send @news(t-9,s-r1,done,none)
+			client.back expect 204 No Content
+			client expect ^HTTP/1.1 200 OK\r\n.*\r\n\r\nright$
+			client send @get(/health/ready)
+			client expect ^HTTP/1.1 200 OK`},
+		// http.Transport would send a keyed request again by itself when a kept
+		// connection breaks: the next thing that the member sees is the next job.
+		"never sends a ticket again that may have run": {1, `
+			client send @job(group-ticket,t-1,20)
+			r1 expect X-Call-Id: t-1.*body
+			r1 send @answer(202)
+			client.back send @news(t-1,s-r1,done,one)
+			client expect 200 OK.*one$
+			client send @job(group-ticket,t-2,20)
+			r1 expect X-Call-Id: t-2.*body
+			r1 close
+			client expect ^HTTP/1.1 502
+			client.two send @job(group-ticket,t-3,20)
+			r1.next expect ^POST /group-ticket[^\n]*\n.*X-Call-Id: (?P<id>t-\d).*body
+			client.back send @news($id,s-r1,done,three)
+			client.two expect 200 OK.*three$`},
+		"sends again what never ran": {2, `
+			client send @job(place-hold,h-1,9)
+			r1 expect X-Call-Id: h-1.*body
+			r1 send HTTP/1.1 503 x\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n
+			r2 expect X-Call-Id: h-1.*body
+			client.back send @news(h-1,s-r2,done,second)
+			client expect 200 OK.*second$`},
+		// What failed may have run: it is no refusal.
+		"tells an error": {1, `
+			client send @job(group-ticket,t-1,20)
+			r1 expect X-Call-Id: t-1.*body
+			r1 send @answer(500)
+			client expect ^HTTP/1.1 502`},
+		"answers before the budget ends, and abandons": {1, `
+			client send @job(group-ticket,t-1,2)
+			r1 expect X-Call-Id: t-1.*body
+			r1 send @answer(202)
+			client expect ^HTTP/1.1 502
+			r1 expect DELETE /jobs/t-1 HTTP/1.1`},
+		"abandons for a client that left": {1, `
+			client send @job(group-ticket,t-1,20)
+			r1 expect X-Call-Id: t-1.*body
+			client close
+			r1 wait`},
+		// Given up at once: the answer is not held back, and says when to come back.
+		"refuses what is hopeless": {1, `
+			client send @job(place-hold,h-1,0.05)
+			client expect ^HTTP/1.1 503.*Retry-After: 2\.000|Retry-After: 1\.99`},
+		"turns bad input away": {1, `
+			client send @get(/place-hold)
+			client expect ^HTTP/1.1 405
+			client.1 send @job(no-such,h-1,9)
+			client.1 expect ^HTTP/1.1 404
+			client.2 send @job(place-hold,,9)
+			client.2 expect ^HTTP/1.1 400
+			client.3 send @job(place-hold,h-1,soon)
+			client.3 expect ^HTTP/1.1 400
+			client.4 send POST /place-hold HTTP/1.1\r\nHost: app\r\nX-Call-Id: h-1\r\nContent-Length: 65537\r\n\r\n@large(x)
+			client.4 expect ^HTTP/1.1 413
+			client.5 send POST /_jobs/news HTTP/1.1\r\nHost: app\r\nContent-Length: 2\r\n\r\n{}
+			client.5 expect ^HTTP/1.1 400`},
+		// Shutdown alone would shut out the call-back that the last job waits for.
+		"drains": {1, `
+			client send @job(group-ticket,t-1,20)
+			r1 expect X-Call-Id: t-1.*body
+			r1 send @answer(202)
+			program expect serving
+			program close
+			program expect draining
+			client.new send @get(/health/ready)
+			client.new expect ^HTTP/1.1 503
+			client.told send @news(t-1,s-r1,started)
+			client.told expect 204
+			client.late send @job(group-ticket,t-2,20)
+			r1 expect X-Call-Id: t-2.*body
+			client.back send @news(t-1,s-r1,done,one)
+			client.back expect 204
+			client expect 200 OK.*one$
+			client.back2 send @news(t-2,s-r1,done,two)
+			client.late expect 200 OK.*Connection: close.*two$
+			program wait`},
+		// A malformed list changes nothing and is a failed call; a drain is kept.
+		"follows discovery": {1, `
+			discovery expect GET /registry/instances\?index=41&wait=20000 HTTP
+			discovery send @list({"generation":42,"instances":[{"instanceId":"s-r1","lifecycle":"lost"}]})
+			program expect a call to discovery failed
+			discovery expect GET /registry/instances\?index=41&wait=20000 HTTP
+			discovery send @list({"generation":43,"reset":false,"instances":[{"instanceId":"s-r1","hostPort":"127.0.0.1:9","lifecycle":"leaving"}]})
+			discovery expect GET /registry/instances\?index=43&wait=20000 HTTP
+			client send @job(place-hold,h-1,1)
+			client expect ^HTTP/1.1 503`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			scenario.Play(t, scenario.Start(t, c.members, ""), words, c.script)
+		})
+	}
+}
+
+func TestBadConfiguration(t *testing.T) {
+	for text, want := range map[string]string{
+		"{":                      "config.json: configuration: cannot parse JSON",
+		`{"listen":"nowhere"}`:   "config.json: configuration: settings: not an object",
+		`{"listen":5}`:           "config.json: configuration: listen of type string: got a number",
+		strings.Repeat("[", 400): "config.json: configuration: cannot parse JSON",
+	} {
+		end, err := scenario.StartWith(t, text)["program"]()
+		require.NoError(t, err)
+		scenario.Play(t, scenario.Cast{"program": func() (scenario.End, error) { return end, nil }}, nil, "program expect ^basaltloft: \\S*"+strings.ReplaceAll(want, ".", `\.`)+"[^\\n]*\\n$")
+		require.Error(t, end.(interface{ Wait() error }).Wait())
+	}
+}
+
+func init() {
+	words["large"] = func(...string) string { return strings.Repeat("x", 65537) }
+}
--- a/internal/virtualserver/virtualserver.go
+++ b/internal/virtualserver/virtualserver.go
@@ -67,9 +67,11 @@
 	return s
 }
 
-// Serve serves connections until Shutdown.
-func (s *Server) Serve(l net.Listener) error {
-	if err := s.server.Serve(l); err != http.ErrServerClosed {
+// Serve serves up to so many connections at a time until Shutdown.
+func (s *Server) Serve(l net.Listener, most int) error {
+	limited := newLimited(l, most)
+	s.server.ConnState = limited.state
+	if err := s.server.Serve(limited); err != http.ErrServerClosed {
 		return fmt.Errorf("serving %s: %w", l.Addr(), err)
 	}
 	return nil
