--- a/cmd/basaltloft/main.go
+++ b/cmd/basaltloft/main.go
@@ -122,6 +122,9 @@
 	// All sockets are taken before anything is served: an address that can't
 	// be had ends the program with one line.
 	served := make(chan error, 3)
+	go hub.Run(ctx)
+	follower.Restore(c.Known)
+	hub.Sync(func() {}) // the pool is known before anybody asks
 	listener, err := listen(c.Listen)
 	if err != nil {
 		return err
@@ -150,8 +153,6 @@
 			})
 		}()
 	}
-	go hub.Run(ctx)
-	follower.Restore(c.Known)
 	go func() { served <- front.Serve(listener, sockets/2) }()
 	log.WithFields(logrus.Fields{"name": c.Name, "listen": c.Listen, "members": len(c.Known.Entries)}).Info("serving")
 
@@ -170,7 +171,9 @@
 	if err := front.Shutdown(ctx); err != nil {
 		return err
 	}
-	log.Info("done")
+	var totals logrus.Fields
+	hub.Sync(func() { totals = chain.Totals() })
+	log.WithFields(totals).Info("done")
 	return nil
 }
 
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -112,29 +112,34 @@
 	return a, nil
 }
 
-var marks = regexp.MustCompile(`@(\w+)\(([^)]*)\)|\$(\w+)`)
+var (
+	calls = regexp.MustCompile(`@(\w+)\(([^()]*)\)`)
+	names = regexp.MustCompile(`\$(\w+)`)
+)
 
-// expand puts in what stands for something else. A name that is not known
-// stays: in a pattern, a dollar may be an anchor.
+// expand puts in what stands for something else, names first, then calls from
+// the inside out. What is not known stays: in a pattern, a dollar may be an
+// anchor.
 func (p *player) expand(text string, quote func(string) string) string {
-	return marks.ReplaceAllStringFunc(text, func(mark string) string {
-		m := marks.FindStringSubmatch(mark)
-		if m[3] != "" {
-			if v, ok := p.known[m[3]]; ok {
-				return quote(v)
-			}
-			return mark
+	text = names.ReplaceAllStringFunc(text, func(mark string) string {
+		if v, ok := p.known[mark[1:]]; ok {
+			return quote(v)
 		}
-		word := p.words[m[1]]
-		if word == nil {
+		return mark
+	})
+	for {
+		next := calls.ReplaceAllStringFunc(text, func(mark string) string {
+			m := calls.FindStringSubmatch(mark)
+			if word := p.words[m[1]]; word != nil {
+				return quote(word(strings.Split(m[2], ",")...))
+			}
 			return mark
+		})
+		if next == text {
+			return text
 		}
-		var args []string
-		for _, arg := range strings.Split(m[2], ",") {
-			args = append(args, p.expand(strings.TrimSpace(arg), func(s string) string { return s }))
-		}
-		return quote(word(args...))
-	})
+		text = next
+	}
 }
 
 func (p *player) expect(a *actor, pattern string) error {
