Run the scenarios against a program built with the race detector

Saw: go test -race watched only the test's own process, which is not where the program runs. The scenarios build it with -race now when they are themselves.

--- a/internal/scenario/program.go
+++ b/internal/scenario/program.go
@@ -22,7 +22,7 @@
 	if err != nil {
 		return "", err
 	}
-	out, err := exec.Command("go", "build", "-o", dir, "basaltloft/cmd/basaltloft").CombinedOutput()
+	out, err := exec.Command("go", append(append([]string{"build"}, buildFlags...), "-o", dir, "basaltloft/cmd/basaltloft")...).CombinedOutput()
 	if err != nil {
 		return "", fmt.Errorf("%w: %s", err, out)
 	}
--- /dev/null
+++ b/internal/scenario/race_off.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package scenario
+
+var buildFlags []string
