Never let the transport send a probe again, and test each trap of the wire

Saw, by a scenario: a probe on a kept connection that the member closes was sent a second time by http.Transport (it ended as timed out on a connection nobody read, not as reset). Line at fault: poolmember.go, probe(): a GET without a body is replayable. It has a body now that cannot be read twice, like the jobs.

--- /dev/null
+++ b/internal/core/members_test.go
@@ -0,0 +1,45 @@
+package core
+
+import (
+	"fmt"
+	"hash/fnv"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func hashed(id string) uint32 {
+	h := fnv.New32a()
+	h.Write([]byte(id))
+	return h.Sum32()
+}
+
+// alike finds two ids that hash alike; among 300,000 there are some.
+func alike() (string, string) {
+	seen := make(map[uint32]string)
+	for n := 0; ; n++ {
+		id := fmt.Sprintf("s-%08x", n)
+		if other, ok := seen[hashed(id)]; ok {
+			return other, id
+		}
+		seen[hashed(id)] = id
+	}
+}
+
+// TestNumbers: a number comes from the id alone, the same at every dispatcher
+// whatever it has met before, and no two members share one.
+func TestNumbers(t *testing.T) {
+	first, second := alike()
+	for _, before := range []int{0, 5} {
+		c := &Core{members: make(map[string]*Member), numbers: make(map[uint32]*Member)}
+		for n := range before {
+			c.place(&Member{ID: fmt.Sprint("other-", n)})
+		}
+		one, two := c.place(&Member{ID: first}), c.place(&Member{ID: second})
+		require.Equal(t, hashed(first), one.Worker)
+		require.NotEqual(t, one.Worker, two.Worker)
+		require.Equal(t, two, c.place(&Member{ID: second}), "listed again")
+		require.Equal(t, first, c.numbers[one.Worker].ID)
+		require.Equal(t, second, c.numbers[two.Worker].ID)
+	}
+}
--- a/internal/poolmember/poolmember.go
+++ b/internal/poolmember/poolmember.go
@@ -187,7 +187,11 @@
 	var connected bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }})
 	u := &url.URL{Scheme: "http", Host: m.Addr, Path: "/health/live"}
-	req := (&http.Request{Method: http.MethodGet, URL: u, Host: u.Host, Header: make(http.Header)}).WithContext(ctx)
+	// Without a body the transport would send a probe again by itself when a
+	// kept connection breaks, and each one costs the member work.
+	req := (&http.Request{
+		Method: http.MethodGet, URL: u, Host: u.Host, Header: make(http.Header), Body: &once{},
+	}).WithContext(ctx)
 	resp, err := c.wire.RoundTrip(req)
 	switch {
 	case err != nil && !connected:
--- /dev/null
+++ b/internal/poolmember/poolmember_test.go
@@ -0,0 +1,135 @@
+package poolmember
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"basaltloft"
+	"basaltloft/internal/core"
+	"basaltloft/internal/scenario"
+)
+
+// driver is an actor that starts a flow for each line "ID BYTES" that it is
+// sent, or a probe for "probe", and tells how each ends.
+type driver struct {
+	net.Conn
+	carrier *Carrier
+}
+
+func (d *driver) End(f *core.Flow, s basaltloft.Status, _ []byte) {
+	fmt.Fprintf(d.Conn, "%s %d\n", f.Transaction.ID, s)
+}
+
+func (d *driver) Probed(_ *core.Member, s basaltloft.Status, _ time.Time) {
+	fmt.Fprintf(d.Conn, "probe %d\n", s)
+}
+
+func drive(addr string, connIdle time.Duration, most int) func() (scenario.End, error) {
+	return func() (scenario.End, error) {
+		near, far := net.Pipe()
+		d := &driver{Conn: far}
+		d.carrier = New(d, connIdle, time.Second, most)
+		go func() {
+			for in := bufio.NewScanner(far); in.Scan(); {
+				id, size, _ := strings.Cut(in.Text(), " ")
+				n, _ := strconv.Atoi(size)
+				m := &core.Member{Addr: addr}
+				if id == "probe" {
+					d.carrier.Probe(m)
+					continue
+				}
+				go d.carrier.Start(&core.Flow{
+					Transaction: &core.Transaction{ID: id, Class: "group-ticket", Key: "k", Body: []byte(strings.Repeat("b", n))},
+					Member:      m, Deadline: time.Now().Add(time.Minute),
+				})
+			}
+		}()
+		return near, nil
+	}
+}
+
+// TestOutcomes: whether a broken attempt may have run decides whether a ticket
+// may be sent again, so each way to break must be told right.
+func TestOutcomes(t *testing.T) {
+	const (
+		empty = `\r\nContent-Length: 0\r\n\r\n`
+		idle  = 300 * time.Millisecond
+	)
+	for name, script := range map[string]string{
+		"breaks after the whole request": `
+			flow send t-1 4\n
+			r expect POST /group-ticket HTTP.*\r\n\r\nbbbb
+			r close
+			flow expect ^t-1 5\n`,
+		"breaks before the last byte": `
+			flow send t-1 33554432\n
+			r expect POST /group-ticket HTTP
+			r close
+			flow expect ^t-1 4\n`,
+		"refuses the connection": `
+			nobody send t-1 4\nprobe\n
+			nobody expect ^(t-1 4\nprobe 4\n|probe 4\nt-1 4\n)`,
+		"has no descriptor to spare": `
+			none send t-1 4\n
+			none expect ^t-1 7\n`,
+		"turns away": `
+			flow send t-1 4\n
+			r expect bbbb
+			r send HTTP/1.1 504 x\r\nX-Rejected: 1` + empty + `
+			flow expect ^t-1 2\n`,
+		"is unavailable, and may have run it": `
+			flow send t-1 4\n
+			r expect bbbb
+			r send HTTP/1.1 503 x` + empty + `
+			flow expect ^t-1 1\n`,
+		"points elsewhere, where nobody follows": `
+			flow send t-1 4\n
+			r expect bbbb
+			r send HTTP/1.1 307 x\r\nLocation: /other` + empty + `
+			flow expect ^t-1 1\n`,
+		"answers probes": `
+			flow send probe\n
+			r expect GET /health/live HTTP/1.1
+			r send HTTP/1.1 200 x` + empty + `
+			flow expect ^probe 0\n
+			flow send probe\n
+			r expect GET /health/live HTTP/1.1
+			r close
+			flow expect ^probe 5\n`,
+		// http.Transport would send the second request again: neither the key
+		// nor an empty body may make it. What is sent next is the third.
+		"breaks a kept connection": `
+			flow send t-1 4\n
+			r expect bbbb
+			r send HTTP/1.1 500 x` + empty + `
+			flow expect ^t-1 1\n
+			flow send t-2 0\n
+			r expect X-Call-Id: t-2\r\n.*\r\n\r\n
+			r close
+			flow expect ^t-2 5\n
+			flow send t-3 0\n
+			r.next expect ^POST[^\n]*\n.*X-Call-Id: (?P<id>[^\r]*)\r\n.*\r\n\r\n
+			r.next send HTTP/1.1 500 x` + empty + `
+			flow expect ^$id 1\n$`,
+		// The member would close an idle connection after a time, and a request
+		// written to it then would be lost. It never does here, and sees it end.
+		"keeps a connection too long": `
+			flow send t-1 4\n
+			r expect bbbb
+			r send HTTP/1.1 202 x` + empty + `
+			r wait`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			addr, open := scenario.Listen(t)
+			scenario.Play(t, scenario.Cast{
+				"r": open, "flow": drive(addr, idle, 4), "none": drive(addr, idle, 0), "nobody": drive("127.0.0.1:1", idle, 4),
+			}, nil, script)
+		})
+	}
+}
