Hold the ledger to its rules by a test, and tidy the edges

Saw, by reading: a denied second use of an id was not booked, so the totals did not add up; 405 on a health check allowed POST; what clients do wrong went to the standard logger. Lines: core.go Submit, virtualserver.go refuse and New.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -153,7 +153,9 @@
 	c.post(func() {
 		if c.open[t.ID] != nil { // an id names one transaction: the module would drop the second in silence
 			c.unanswered.Add(-1)
-			t.Client.Answer(Answer{Verdict: Denied, Body: []byte("this id is in hand already\n")})
+			a := Answer{Verdict: Denied, Body: []byte("this id is in hand already\n")}
+			c.stages.Book(t, a, c.now)
+			t.Client.Answer(a)
 			return
 		}
 		c.open[t.ID] = t
@@ -278,20 +280,22 @@
 // that member; news of an ended flow or from another member counts nothing. It
 // returns once the news has been handled, so that a flood of it waits outside.
 func (c *Core) Report(n News) {
-	c.Sync(func() {
-		t := c.open[n.ID]
-		if t == nil || t.live == nil || t.live.Member.ID != n.Member {
-			return
-		}
-		switch {
-		case n.Ended:
-			c.end(t.live, n.Status, n.Result)
-		case n.Started:
-			c.note(t.live, basaltloft.NoteStarted, 0)
-		case n.Running:
-			c.note(t.live, basaltloft.NoteProgress, n.Share)
-		}
-	})
+	c.Sync(func() { c.report(n) })
+}
+
+func (c *Core) report(n News) {
+	t := c.open[n.ID]
+	if t == nil || t.live == nil || t.live.Member.ID != n.Member {
+		return
+	}
+	switch {
+	case n.Ended:
+		c.end(t.live, n.Status, n.Result)
+	case n.Started:
+		c.note(t.live, basaltloft.NoteStarted, 0)
+	case n.Running:
+		c.note(t.live, basaltloft.NoteProgress, n.Share)
+	}
 }
 
 // Probed tells how a probe of a member ended.
--- /dev/null
+++ b/internal/core/ledger_test.go
@@ -0,0 +1,117 @@
+package core
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"basaltloft"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+)
+
+// tape stands in for everything round the core and writes down what it is
+// asked; each entry is a word and an id.
+type tape struct {
+	said  []string
+	flows []*Flow
+}
+
+func (p *tape) say(word, id string)                         { p.said = append(p.said, word+" "+id) }
+func (p *tape) Admit(*Transaction, Load, time.Time) *Answer { return nil }
+func (p *tape) Book(t *Transaction, a Answer, _ time.Time)  { p.say("book", t.ID) }
+func (p *tape) Start(f *Flow)                               { p.flows = append(p.flows, f); p.say("start", f.Transaction.ID) }
+func (p *tape) Abandon(f *Flow)                             { p.say("abandon", f.Transaction.ID) }
+func (p *tape) Probe(*Member)                               {}
+func (p *tape) Watch(bool)                                  {}
+func (p *tape) Fetch()                                      {}
+func (p *tape) Route(t *Transaction) basaltloft.Request {
+	return basaltloft.Request{ID: t.ID, Class: t.Class, Hint: t.Hint}
+}
+func (p *tape) Relay(_ *Flow, s basaltloft.Status, _ []byte) *Answer {
+	if s == basaltloft.OK {
+		return &Answer{Verdict: Served}
+	}
+	return nil
+}
+func (p *tape) Send(t *Transaction, m *Member, n int, _, until time.Time) *Flow {
+	return &Flow{Transaction: t, Member: m, Number: n, Deadline: until}
+}
+
+type told struct {
+	p  *tape
+	id string
+}
+
+func (c told) Answer(a Answer) { c.p.say(a.Verdict.String(), c.id) }
+
+// TestLedger drives the core by hand, without its goroutine: what may happen
+// at most once does, whoever tries to make it happen again.
+func TestLedger(t *testing.T) {
+	begin := func() (*Core, *tape, *Transaction) {
+		p := &tape{}
+		log := logrus.New()
+		log.SetLevel(logrus.PanicLevel)
+		c, err := New(basaltloft.Settings{
+			Instances: 1, TellsStart: true, Limits: basaltloft.Limits{MaxAttempts: 3, Cancel: true},
+			Classes: []basaltloft.Class{{Name: "ticket", Effect: basaltloft.Unsafe, Aim: time.Second, Stretch: 2, GiveUp: time.Minute, Worth: 1, Kind: -1}},
+		}, p, log)
+		require.NoError(t, err)
+		c.Follow(p)
+		c.List("test", basaltloft.ListRestored, []*Member{{ID: "a", Carrier: p}})
+		tx := &Transaction{ID: "t", Class: "ticket", Hint: time.Second, Deadline: time.Now().Add(time.Minute), Client: told{p, "t"}}
+		c.Submit(tx)
+		return c, p, tx
+	}
+	play := func(c *Core) {
+		for events := c.taken(); len(events) > 0; events = c.taken() {
+			for _, e := range events {
+				c.handle(e)
+			}
+		}
+	}
+	for name, step := range map[string]struct {
+		do   func(c *Core, p *tape, tx *Transaction)
+		want string
+	}{
+		"an end counts once": {func(c *Core, p *tape, _ *Transaction) {
+			c.End(p.flows[0], basaltloft.OK, nil)
+			c.End(p.flows[0], basaltloft.Full, nil)
+		}, `["start t","book t","served t"]`},
+		"an id names one transaction": {func(c *Core, p *tape, tx *Transaction) {
+			c.Submit(&Transaction{ID: "t", Class: "ticket", Deadline: tx.Deadline, Client: told{p, "second"}})
+		}, `["start t","book t","denied second"]`},
+		"never two at once": {func(c *Core, p *tape, tx *Transaction) {
+			c.post(func() { host{c}.Send("t", p.flows[0].Member.number, 0) })
+		}, `["start t"]`},
+		"nothing is sent after the answer": {func(c *Core, p *tape, tx *Transaction) {
+			c.post(func() { host{c}.Fail("t"); host{c}.Send("t", p.flows[0].Member.number, 0); host{c}.Refuse("t", 0) })
+		}, `["start t","book t","failed t"]`},
+		"a client that left is owed nothing, and its flow is abandoned": {func(c *Core, p *tape, tx *Transaction) {
+			c.Leave(tx)
+			c.Leave(tx)
+			c.End(p.flows[0], basaltloft.OK, nil)
+		}, `["start t","abandon t"]`},
+		"news counts for the live flow at that member": {func(c *Core, p *tape, tx *Transaction) {
+			for _, from := range []string{"b", "a", "a", "b"} {
+				c.post(func() { c.report(News{ID: "t", Member: from, Ended: true}) })
+			}
+		}, `["start t","book t","served t"]`},
+		"what the module still owes after the deadline is answered": {func(c *Core, p *tape, tx *Transaction) {
+			c.post(func() { c.expire(tx); c.expire(tx) })
+		}, `["start t","book t","failed t","abandon t"]`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, p, tx := begin()
+			play(c)
+			step.do(c, p, tx)
+			play(c)
+			said, err := json.Marshal(p.said)
+			require.NoError(t, err)
+			require.Equal(t, step.want, string(said))
+			require.LessOrEqual(t, c.load.Open, 1, fmt.Sprint(c.open))
+		})
+	}
+}
--- a/internal/poolmember/poolmember.go
+++ b/internal/poolmember/poolmember.go
@@ -36,11 +36,19 @@
 	slots chan struct{} // one for each connection that may be in use
 }
 
+// Figures are what the deployment says of connections to members.
+type Figures struct {
+	ConnIdle   time.Duration // members drop a connection that is idle for so long
+	DialWithin time.Duration // a connection that is not up by then has failed
+	Most       int           // connections in use at a time
+}
+
 // New returns a carrier. Connections are dropped well before members drop
-// them after connIdle: a request written to one that is being closed ends as
-// a reset, and an unsafe one could not be sent again then.
-func New(ends Ends, connIdle, dialWithin time.Duration, most int) *Carrier {
-	return &Carrier{ends: ends, wire: newTransport(connIdle*2/3, dialWithin, most), slots: make(chan struct{}, most)}
+// them: a request written to one that is being closed ends as a reset, and an
+// unsafe one could not be sent again then.
+func New(ends Ends, f Figures) *Carrier {
+	f.ConnIdle = f.ConnIdle * 2 / 3
+	return &Carrier{ends: ends, wire: newTransport(f), slots: make(chan struct{}, f.Most)}
 }
 
 // call is the carrier's part of a flow. A flow is abandoned by closing its
--- a/internal/poolmember/poolmember_test.go
+++ b/internal/poolmember/poolmember_test.go
@@ -33,7 +33,7 @@
 	return func() (scenario.End, error) {
 		near, far := net.Pipe()
 		d := &driver{Conn: far}
-		d.carrier = New(d, connIdle, time.Second, most)
+		d.carrier = New(d, Figures{ConnIdle: connIdle, DialWithin: time.Second, Most: most})
 		go func() {
 			for in := bufio.NewScanner(far); in.Scan(); {
 				id, size, _ := strings.Cut(in.Text(), " ")
--- a/internal/poolmember/transport.go
+++ b/internal/poolmember/transport.go
@@ -13,12 +13,12 @@
 // newTransport returns a transport that does nothing of its own accord: no
 // proxy from the environment, no HTTP/2, no compression, no redirects (they
 // are http.Client's, which is not used).
-func newTransport(idle, dialWithin time.Duration, most int) *http.Transport {
+func newTransport(f Figures) *http.Transport {
 	dialer := &net.Dialer{KeepAlive: 15 * time.Second}
 	return &http.Transport{
 		Proxy: nil,
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			ctx, cancel := context.WithDeadline(ctx, time.Now().Add(dialWithin))
+			ctx, cancel := context.WithDeadline(ctx, time.Now().Add(f.DialWithin))
 			defer cancel()
 			c, err := dialer.DialContext(ctx, network, addr)
 			if err != nil {
@@ -28,9 +28,9 @@
 		},
 		TLSNextProto:        map[string]func(string, *tls.Conn) http.RoundTripper{},
 		DisableCompression:  true,
-		MaxIdleConns:        most,
-		MaxIdleConnsPerHost: most,
-		IdleConnTimeout:     idle,
+		MaxIdleConns:        f.Most,
+		MaxIdleConnsPerHost: f.Most,
+		IdleConnTimeout:     f.ConnIdle,
 	}
 }
 
--- a/internal/virtualserver/virtualserver.go
+++ b/internal/virtualserver/virtualserver.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	stdlog "log"
 	"net"
 	"net/http"
 	"net/http/httputil"
@@ -51,6 +52,7 @@
 // New returns a front that is not serving yet.
 func New(hub Hub, intake Intake, log *logrus.Logger) *Server {
 	s := &Server{hub: hub, intake: intake, log: log}
+	quiet := stdlog.New(log.WriterLevel(logrus.DebugLevel), "", 0) // what clients do wrong is theirs
 	s.proxy = &httputil.ReverseProxy{
 		// The query goes on as it came: ReverseProxy drops from it what it
 		// cannot parse, and the members are owed every byte.
@@ -60,9 +62,10 @@
 		},
 		Transport:    transactions{s},
 		ErrorHandler: s.unanswered,
+		ErrorLog:     quiet,
 	}
 	s.server = &http.Server{
-		Handler: s, ReadHeaderTimeout: headerFor, IdleTimeout: idleFor, MaxHeaderBytes: mostHeader,
+		Handler: s, ReadHeaderTimeout: headerFor, IdleTimeout: idleFor, MaxHeaderBytes: mostHeader, ErrorLog: quiet,
 	}
 	return s
 }
@@ -114,6 +117,7 @@
 func (s *Server) health(w http.ResponseWriter, r *http.Request, well bool) {
 	switch {
 	case r.Method != http.MethodGet && r.Method != http.MethodHead:
+		w.Header().Set("Allow", "GET, HEAD")
 		refuse(w, http.StatusMethodNotAllowed, "health checks are read with GET")
 	case well:
 		fmt.Fprintln(w, "ok")
@@ -123,7 +127,7 @@
 }
 
 func refuse(w http.ResponseWriter, status int, text string) {
-	if status == http.StatusMethodNotAllowed {
+	if status == http.StatusMethodNotAllowed && w.Header().Get("Allow") == "" {
 		w.Header().Set("Allow", http.MethodPost)
 	}
 	http.Error(w, text, status)
