Let budgets grow no faster where starts are told, so that queues stay short

Lines at fault: dispatcher.go, judge(): with told starts a used-up budget grew by half of each good job's cost, 25 times as fast as otherwise, so that budgets soon exceeded what a runner holds and the queue moved from here, where hopeless jobs are given up, to there, where they run late.

Concluded: the holding is done here again, as the design has it.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -23,7 +23,6 @@
 	startBudget = 2.0  // budget of a new worker, in mean costs
 	minBudget   = 0.5  // least budget, in mean costs
 	growth      = 0.02 // share of a good job's cost that a fully used budget grows by
-	growthTold  = 0.5  // the same where starts are told: waits are known then
 	cut         = 0.75 // what remains of a budget after a refusal, time-out or slowing
 	slowing     = 2.0  // slowing: an answer after this many times the run time at the worker's pace
 
@@ -234,17 +233,17 @@
 		w.silent, w.failing, w.trialWait = 0, false, w.trialWait/2 // trust returns step by step
 		d.trust(w)
 		slow := float64(d.now-a.at) > slowing*a.run*w.pace()*d.common+float64(tickEvery)
-		from, grow := a.at, growth
+		from := a.at
 		if a.started != 0 { // what the run took says nothing of the load then
-			from, grow, slow = a.started, growthTold, false
+			from, slow = a.started, false
 		}
 		if !a.overdue && (a.started != 0 || a.clean) { // a hang or a wait is no run time
 			d.learn(a, float64(d.now-from))
 		}
 		if slow {
 			d.cutBudget(w, a.at)
-		} else if w.full {
-			w.budget += grow * a.cost
+		} else if w.full { // slowly, also where starts are told: too large a budget fills a queue
+			w.budget += growth * a.cost
 			w.full = false
 		}
 	case Full:
--- a/learning_test.go
+++ b/learning_test.go
@@ -66,29 +66,37 @@
 	}
 }
 
-// TestGrownBudgetDoesNotDrawAllJobs fails where room is counted in plain cost: a worker that has served more
-// has the larger budget, and would get a job while another is idle.
-func TestGrownBudgetDoesNotDrawAllJobs(t *testing.T) {
+// keepFull lets worker 1 alone serve n jobs, all told to start at once, and returns the most out at a time.
+func keepFull(t *testing.T, n int) (b *bench, most int) {
 	s := settings()
 	s.ReportX0, s.TellsStart = "", true
-	b := newBench(t, s, 2)
+	s.Classes[0].Aim, s.Classes[0].GiveUp = time.Hour, time.Hour // none is given up
+	b = newBench(t, s, 2)
 	b.Members(b.now, basaltloft.ListChange, []basaltloft.Member{{Worker: 2, Kind: "k", Zone: "a", State: basaltloft.Draining}})
-	for i := range 60 { // worker 1 alone is kept full until its budget has grown
-		b.request(fmt.Sprint("r", i), "safe", 100*ms)
+	for i := range n {
+		b.Request(b.now, basaltloft.Request{ID: fmt.Sprint("r", i), Class: "safe", Hint: 100 * ms, Expires: b.now + time.Hour})
 	}
-	for i := 0; i < 60; {
+	for i := 0; i < n; {
 		sent := i
-		for ; sent < 60 && b.sends[fmt.Sprint("r", sent)] > 0; sent++ {
+		for ; sent < n && b.sends[fmt.Sprint("r", sent)] > 0; sent++ {
 			b.Note(b.now, basaltloft.Note{Request: fmt.Sprint("r", sent), Worker: 1, Topic: basaltloft.NoteStarted})
 		}
 		if sent == i {
-			break // given up: the rest was too late
+			t.Fatalf("%d of %d jobs were never sent", n-i, n)
 		}
+		most = max(most, sent-i)
 		b.pass(100 * ms)
 		for ; i < sent; i++ {
 			b.outcome(fmt.Sprint("r", i), basaltloft.OK)
 		}
 	}
+	return b, most
+}
+
+// TestGrownBudgetDoesNotDrawAllJobs fails where room is counted in plain cost: a worker that has served more
+// has the larger budget, and would get a job while another is idle.
+func TestGrownBudgetDoesNotDrawAllJobs(t *testing.T) {
+	b, _ := keepFull(t, 60)
 	b.Members(b.now, basaltloft.ListChange, []basaltloft.Member{member(2, "a")})
 	b.request("one", "safe", 100*ms)
 	b.request("two", "safe", 100*ms)
@@ -96,3 +104,11 @@
 		t.Errorf("two jobs for two idle workers went to worker %d alone", b.sentTo("one"))
 	}
 }
+
+// TestToldStartsDoNotBlowBudgetsUp fails where budgets grow faster because starts are told: in overload a
+// worker's queue would be filled with jobs that all come late.
+func TestToldStartsDoNotBlowBudgetsUp(t *testing.T) {
+	if _, most := keepFull(t, 200); most > 8 {
+		t.Errorf("%d jobs were out at once at a worker that had served 200", most)
+	}
+}
