--- a/internal/faktory/program_test.go
+++ b/internal/faktory/program_test.go
@@ -175,6 +175,32 @@
 			faktory.x send HELLO {"v":2,"pwdhash":"00"}\r\n
 			faktory.x expect -ERR invalid password
 			faktory.x wait`},
+		// Silence past the reservation is a time-out: the ticket may have run.
+		"a reservation ends": {0, client + worker + joins + `
+			faktory.c send @push(job-0001,Sell,tickets)
+			faktory.c expect ^\+OK\r\n
+			faktory.w send FETCH tickets\r\n
+			faktory.w expect job-0001.*}\r\n
+			faktory.w send FETCH tickets\r\nFETCH tickets\r\n@ack(job-0001,late)
+			faktory.w expect ^\$-1\r\n\$-1\r\n\+OK\r\n
+			faktory.c send TRACK GET job-0001\r\n
+			faktory.c expect "outcome":"failed"`},
+		"ends with its workers' jobs done": {0, client + worker + joins + `
+			faktory.c send @push(job-0001,Sell,tickets)
+			faktory.c expect ^\+OK\r\n
+			faktory.w send FETCH tickets\r\n
+			faktory.w expect job-0001.*}\r\n
+			program expect serving
+			program close
+			program expect draining
+			faktory.c send @push(job-0002,Sell,tickets)
+			faktory.c expect ^-ERR refused, retry-after 1\.000\r\n
+			faktory.w send @beat(w1,)
+			faktory.w expect ^\$17\r\n{"state":"quiet"}\r\n
+			faktory.w send @ack(job-0001,paid)
+			faktory.w expect ^\+OK\r\n
+			program expect done.*served=1
+			program wait`},
 		"limits connections": {0, strings.Join([]string{login("faktory.1", ""), login("faktory.2", ""), login("faktory.3", ""),
 			login("faktory.4", ""), login("faktory.5", ""), login("faktory.6", "")}, "") + `
 			faktory.7 expect ^-ERR too many connections
@@ -208,7 +234,11 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			scenario.Play(t, scenario.Start(t, c.members, operator), words, c.script)
+			file := operator
+			if name == "a reservation ends" {
+				file = strings.Replace(file, `"connections":6`, `"connections":6,"reserve_for_s":1`, 1)
+			}
+			scenario.Play(t, scenario.Start(t, c.members, file), words, c.script)
 		})
 	}
 }
