Reload on SIGHUP: follow the discovery service the file names now

At fault: main.go, signal.Notify; pool.Follower had one address, one transport and one version for good, so that a second service would have been asked with the versions of the first.

Ruled out: ROUTER_DISCOVERY winning over the new file (it is set by the bench; the reload reads the file alone); a late answer of the old service (passed on under the lock that names the service followed).

The scenario "reloads" covers override, whole list, dropped watch, job in hand and a broken file; before the change the program ends at its first step. What a tester sends to the program in a scenario is now a reload.

--- a/cmd/basaltloft/main.go
+++ b/cmd/basaltloft/main.go
@@ -48,6 +48,14 @@
 
 // configure reads the configuration; the environment has the last word.
 func configure() (settings.Config, error) {
+	return read(map[string]string{
+		"ROUTER_NAME": os.Getenv("ROUTER_NAME"), "ROUTER_LISTEN": os.Getenv("ROUTER_LISTEN"),
+		"ROUTER_DISCOVERY": os.Getenv("ROUTER_DISCOVERY"),
+	})
+}
+
+// read reads the configuration file, over which what is named goes.
+func read(over map[string]string) (settings.Config, error) {
 	path := os.Getenv("ROUTER_CONFIG")
 	text, err := os.ReadFile(path)
 	if err != nil {
@@ -60,7 +68,7 @@
 	for name, into := range map[string]*string{
 		"ROUTER_NAME": &c.Name, "ROUTER_LISTEN": &c.Listen, "ROUTER_DISCOVERY": &c.Discovery,
 	} {
-		if v := os.Getenv(name); v != "" {
+		if v := over[name]; v != "" {
 			*into = v
 		}
 	}
@@ -72,6 +80,20 @@
 	return c, nil
 }
 
+// reload follows the discovery service that the file names now. The file is
+// newer than the environment, so it has the last word here. All else in it
+// takes a restart. A file that can't be used changes nothing: a dispatcher
+// with jobs in hand goes on as it was.
+func reload(follower *pool.Follower, log logrus.FieldLogger) {
+	c, err := read(nil)
+	if err != nil {
+		log.WithError(err).Error("the configuration can't be reloaded and stays as it was")
+		return
+	}
+	follower.Move(c.Discovery)
+	log.WithField("discovery", c.Discovery).Info("reloaded")
+}
+
 // fit holds the run time to the machine it is told of.
 func fit(c settings.Config) {
 	if c.Cores > 0 {
@@ -99,8 +121,9 @@
 		}
 	}
 	fit(c)
-	told := make(chan os.Signal, 1)
+	told, reloads := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(told, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(reloads, syscall.SIGHUP)
 
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -156,6 +179,11 @@
 	go func() { served <- front.Serve(listener, sockets/2) }()
 	log.WithFields(logrus.Fields{"name": c.Name, "listen": c.Listen, "members": len(c.Known.Entries)}).Info("serving")
 
+	go func() { // also while it drains: jobs in hand may still need the list
+		for range reloads {
+			reload(follower, log)
+		}
+	}()
 	select {
 	case err := <-served:
 		return err
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -36,89 +36,135 @@
 // Follower asks discovery. It implements core.Lister.
 type Follower struct {
 	ctx     context.Context
-	base    url.URL
 	lists   Lists
 	carrier core.Carrier
 	log     logrus.FieldLogger
-	wire    *http.Transport
 
-	mu         sync.Mutex
+	mu sync.Mutex
+	at *service
+}
+
+// service is one discovery service while it is followed. Its versions mean
+// nothing to the next one. What is not constant is under the follower's lock.
+type service struct {
+	ctx  context.Context // ends with the follower, or when another is followed
+	end  context.CancelFunc
+	base url.URL
+	wire *http.Transport
+
 	generation int64
+	known      bool               // generation is this service's own
 	stop       context.CancelFunc // of the watch that runs
 }
 
 // New returns a follower of the discovery service at addr. Calls end with ctx.
 func New(ctx context.Context, addr string, lists Lists, carrier core.Carrier, log logrus.FieldLogger) *Follower {
-	return &Follower{
-		ctx: ctx, base: url.URL{Scheme: "http", Host: addr, Path: "/registry/instances"},
-		lists: lists, carrier: carrier, log: log, wire: &http.Transport{DisableCompression: true},
+	f := &Follower{ctx: ctx, lists: lists, carrier: carrier, log: log}
+	f.at = f.service(addr)
+	return f
+}
+
+func (f *Follower) service(addr string) *service {
+	s := &service{
+		base: url.URL{Scheme: "http", Host: addr, Path: "/registry/instances"},
+		wire: &http.Transport{DisableCompression: true},
 	}
+	s.ctx, s.end = context.WithCancel(f.ctx)
+	return s
 }
 
 // Restore starts from the list that the dispatcher last had.
 func (f *Follower) Restore(l settings.List) {
-	f.keep(l.Generation)
-	f.lists.List(Source, basaltloft.ListRestored, f.members(l))
+	f.tell(f.at, l.Generation, func() { f.lists.List(Source, basaltloft.ListRestored, f.members(l)) })
 }
 
-// Watch implements core.Lister. While one watch runs, another is not begun.
-func (f *Follower) Watch(on bool) {
+// Move follows the service at another address from here on and asks it for its
+// whole list. The old one's watch, connections and late answers are dropped:
+// its versions are not the new one's, and it may be about to end. The members
+// stay until the new list says otherwise.
+func (f *Follower) Move(addr string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !on {
-		if f.stop != nil {
-			f.stop()
-		}
+	old := f.at
+	if old.base.Host == addr {
 		return
 	}
-	if f.stop == nil {
-		ctx, stop := context.WithCancel(f.ctx)
-		f.stop = stop
-		go f.watch(ctx)
+	old.end()
+	old.wire.CloseIdleConnections()
+	f.at = f.service(addr)
+	f.begin(f.at)
+}
+
+// Watch implements core.Lister. While one watch runs, another is not begun.
+func (f *Follower) Watch(on bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch s := f.at; {
+	case on && s.stop == nil:
+		f.begin(s)
+	case !on && s.stop != nil:
+		s.stop()
 	}
 }
 
+// begin starts a watch. The caller holds the lock.
+func (f *Follower) begin(s *service) {
+	ctx, stop := context.WithCancel(s.ctx)
+	s.stop = stop
+	go f.watch(ctx, s)
+}
+
 // Fetch implements core.Lister.
 func (f *Follower) Fetch() {
+	f.mu.Lock()
+	s := f.at
+	f.mu.Unlock()
 	go func() {
-		l, err := f.call(f.ctx, nil, time.Now().Add(grace))
+		l, err := s.call(s.ctx, nil, time.Now().Add(grace))
 		if err != nil {
-			f.failed(err)
+			f.failed(s, err)
 			return
 		}
-		f.keep(l.Generation)
-		f.lists.List(Source, basaltloft.ListWhole, f.members(l))
+		f.tell(s, l.Generation, func() { f.lists.List(Source, basaltloft.ListWhole, f.members(l)) })
 	}()
 }
 
 // watch calls again as soon as it is answered: a gap of over 200 ms would end
 // the watch, and changes in it would count as told. Its end is told to the
-// module, which asks anew.
-func (f *Follower) watch(ctx context.Context) {
+// module, which asks anew. A service of which no version is known is asked for
+// its whole list first.
+func (f *Follower) watch(ctx context.Context, s *service) {
 	for first := true; ; first = false {
-		began := time.Now()
-		l, err := f.call(ctx, url.Values{
-			"index": {strconv.FormatInt(f.seen(), 10)}, "wait": {strconv.FormatInt(watchFor.Milliseconds(), 10)},
-		}, began.Add(watchFor+grace))
+		began, query, until := time.Now(), url.Values(nil), time.Now().Add(grace)
+		if generation, known := f.seen(s); known {
+			query = url.Values{
+				"index": {strconv.FormatInt(generation, 10)}, "wait": {strconv.FormatInt(watchFor.Milliseconds(), 10)},
+			}
+			until = until.Add(watchFor)
+		}
+		l, err := s.call(ctx, query, until)
 		if err != nil {
 			wanted := ctx.Err() == nil // asked before the watch's own end, which would hide a failure
 			f.mu.Lock()
-			f.stop()
-			f.stop = nil
+			s.stop()
+			s.stop = nil
 			f.mu.Unlock()
 			if wanted {
-				f.failed(err)
+				f.failed(s, err)
 			}
 			return
 		}
-		f.keep(l.Generation)
 		kind := basaltloft.ListChange
-		if l.Whole {
+		if l.Whole || query == nil {
 			kind = basaltloft.ListWhole
 		}
-		if first || l.Whole || len(l.Entries) > 0 {
-			f.lists.List(Source, kind, f.members(l))
-		} else if time.Since(began) < breather {
+		quiet := !first && kind == basaltloft.ListChange && len(l.Entries) == 0
+		f.tell(s, l.Generation, func() {
+			if !quiet {
+				f.lists.List(Source, kind, f.members(l))
+			}
+		})
+		if quiet && time.Since(began) < breather {
 			select {
 			case <-ctx.Done():
 			case <-time.After(breather):
@@ -127,34 +173,44 @@
 	}
 }
 
-func (f *Follower) failed(err error) {
-	f.log.WithError(err).Warn("a call to discovery failed")
-	f.lists.List(Source, basaltloft.ListFailed, nil)
+func (f *Follower) failed(s *service, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.at == s {
+		f.log.WithError(err).Warn("a call to discovery failed")
+		f.lists.List(Source, basaltloft.ListFailed, nil)
+	}
 }
 
-func (f *Follower) seen() int64 {
+// tell passes on what a service answered, unless another has been followed
+// since: a list of the old one, under way when it was left, must not undo what
+// the new one has told.
+func (f *Follower) tell(s *service, generation int64, what func()) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.generation
+	if f.at == s {
+		s.generation, s.known = generation, true
+		what()
+	}
 }
 
-func (f *Follower) keep(generation int64) {
+func (f *Follower) seen(s *service) (int64, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.generation = generation
+	return s.generation, s.known
 }
 
 // call asks discovery. A malformed answer is a failed call: it changes nothing.
-func (f *Follower) call(ctx context.Context, query url.Values, until time.Time) (settings.List, error) {
+func (s *service) call(ctx context.Context, query url.Values, until time.Time) (settings.List, error) {
 	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
-	u := f.base
+	u := s.base
 	u.RawQuery = query.Encode()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
 	if err != nil {
 		return settings.List{}, fmt.Errorf("asking discovery: %w", err)
 	}
-	resp, err := f.wire.RoundTrip(req)
+	resp, err := s.wire.RoundTrip(req)
 	if err != nil {
 		return settings.List{}, fmt.Errorf("asking discovery: %w", err)
 	}
--- a/internal/scenario/program.go
+++ b/internal/scenario/program.go
@@ -60,11 +60,22 @@
 	return l.Addr().String()
 }
 
-// process is the started program as an actor: it is read from its log, close
-// asks it to end, and wait takes its exit.
+// process is the started program as an actor: it is read from its log, send
+// asks it to reload its configuration, in place of which a text is put first
+// if there is one, close asks it to end, and wait takes its exit.
 type process struct {
 	*os.File
-	cmd *exec.Cmd
+	cmd    *exec.Cmd
+	config string
+}
+
+func (p process) Write(text []byte) (int, error) {
+	if len(text) > 0 {
+		if err := os.WriteFile(p.config, text, 0o600); err != nil {
+			return 0, err
+		}
+	}
+	return len(text), p.cmd.Process.Signal(syscall.SIGHUP)
 }
 
 func (p process) Close() error { return p.cmd.Process.Signal(syscall.SIGTERM) }
@@ -82,7 +93,8 @@
 // Start starts the program with so many pool members, r1, r2 and so on, in one
 // cell. Its cast: client, discovery, the members, and program itself; with an
 // operator's file, in which FAKTORY and AGENT stand for addresses, also
-// faktory and agent.
+// faktory and agent. What the environment calls discovery is another service
+// than the configuration does: that one, next, is for a reload.
 func Start(t testing.TB, members int, operator string) Cast {
 	t.Helper()
 	binary, err := build()
@@ -97,10 +109,12 @@
 	}
 	discovery, open := Listen(t)
 	cast["discovery"] = open
+	next, open := Listen(t)
+	cast["next"] = open
 	listen := free(t)
 	cast["client"] = Dial(listen)
 	config := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":192,"sockets":1024},"known":{"generation":41,"reset":true,"instances":[%s]},"settings":%s}`,
-		listen, discovery, strings.Join(listed, ","), Settings)
+		listen, next, strings.Join(listed, ","), Settings)
 	require.True(t, json.Valid([]byte(config)))
 	var args []string
 	if operator != "" {
@@ -108,7 +122,7 @@
 		cast["faktory"], cast["agent"] = Dial(faktory), Dial(agent)
 		args = []string{"-operator", file(t, dir, "operator.json", strings.NewReplacer("FAKTORY", faktory, "AGENT", agent).Replace(operator))}
 	}
-	cast["program"] = Run(t, binary, file(t, dir, "config.json", config), args...)
+	cast["program"] = Run(t, binary, file(t, dir, "config.json", config), discovery, args...)
 	return cast
 }
 
@@ -116,15 +130,15 @@
 func StartWith(t testing.TB, config string) Cast {
 	binary, err := build()
 	require.NoError(t, err)
-	return Cast{"program": Run(t, binary, file(t, t.TempDir(), "config.json", config))}
+	return Cast{"program": Run(t, binary, file(t, t.TempDir(), "config.json", config), "")}
 }
 
 // Run starts a process and ends it with the test.
-func Run(t testing.TB, binary, config string, args ...string) func() (End, error) {
+func Run(t testing.TB, binary, config, discovery string, args ...string) func() (End, error) {
 	read, write, err := os.Pipe()
 	require.NoError(t, err)
 	cmd := exec.Command(binary, args...)
-	cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+config, "ROUTER_LISTEN=", "ROUTER_DISCOVERY=", "ROUTER_NAME=")
+	cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+config, "ROUTER_LISTEN=", "ROUTER_DISCOVERY="+discovery, "ROUTER_NAME=")
 	cmd.Stdout, cmd.Stderr = write, write
 	require.NoError(t, cmd.Start())
 	write.Close()
@@ -133,7 +147,7 @@
 		cmd.Wait()
 		read.Close()
 	})
-	return func() (End, error) { return process{read, cmd}, nil }
+	return func() (End, error) { return process{read, cmd, config}, nil }
 }
 
 func file(t testing.TB, dir, name, text string) string {
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -78,7 +78,7 @@
 	text = strings.TrimSpace(text)
 	switch verb {
 	case "send":
-		_, err = io.WriteString(a.end, strings.NewReplacer(`\r`, "\r", `\n`, "\n").Replace(p.expand(text, func(s string) string { return s })))
+		_, err = a.end.Write([]byte(strings.NewReplacer(`\r`, "\r", `\n`, "\n").Replace(p.expand(text, func(s string) string { return s }))))
 	case "expect":
 		err = p.expect(a, p.expand(text, regexp.QuoteMeta))
 	case "close":
--- a/internal/virtualserver/program_test.go
+++ b/internal/virtualserver/program_test.go
@@ -148,6 +148,32 @@
 			discovery expect GET /registry/instances\?index=43&wait=20000 HTTP
 			client send @job(place-hold,h-1,1)
 			client expect ^HTTP/1.1 503`},
+		// A reload asks the service that the file names for its whole list, since
+		// versions differ, and drops the old watch and its late answer. Members and
+		// the job in hand stay. A broken file changes nothing.
+		"reloads": {1, `
+			discovery expect GET /registry/instances\?index=41&wait=20000 HTTP
+			client send @job(group-ticket,t-1,20)
+			r1 expect X-Call-Id: t-1.*body
+			r1 send @answer(202)
+			program send
+			program expect reloaded
+			discovery wait
+			next expect GET /registry/instances HTTP
+			client.two send @job(group-ticket,t-2,20)
+			client.news send @news(t-1,s-r1,started)
+			client.news expect 204
+			r1 expect X-Call-Id: t-2.*body
+			next send @list({"generation":7,"reset":true,"instances":[{"instanceId":"s-r1","hostPort":"127.0.0.1:9","lifecycle":"leaving"}]})
+			next expect GET /registry/instances\?index=7&wait=20000 HTTP
+			program send {
+			program expect can't be reloaded
+			next send @list({"generation":8,"reset":false,"instances":[]})
+			next expect GET /registry/instances\?index=8&wait=20000 HTTP
+			client.back send @news(t-1,s-r1,done,one)
+			client expect 200 OK.*one$
+			client.three send @job(place-hold,h-1,1)
+			client.three expect ^HTTP/1.1 503`},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
