Hold a request that a member calls bad against the request, not the member

The probe shows 59 requests of bad clients, well formed but with an empty body, that members answer with 400.

At fault: poolmember.go, send, which told 400 as an error; dispatcher.go, failed, for which the first error of all is the worker's own (0 to the power of 1 is less than "unlikely"), so that one client's bad input shut one worker after the other until a trial ended well.

Ruled out: refusing an empty body at the door, which a usual client may send.

Now: 400, 411, 413, 414, 415, 422 and 431 end a flow as unfit, which ends the request with 400 and says nothing of the worker. Other answers count as before: a member that answers 404 to all is set up wrong and must not draw all jobs.

--- a/basaltloft.go
+++ b/basaltloft.go
@@ -189,6 +189,7 @@
 	Reset                // the connection broke; it may have run
 	Cancelled            // called off; it may have run
 	Moot                 // never sent
+	Unfit                // the worker can't use the request, and no other could; it may have run
 )
 
 // Outcome ends an attempt. Each send gets exactly one.
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -137,7 +137,7 @@
 	case o.Ended:
 		d.finish(a.job)
 	case a.job.done || a.job.outs > 0:
-	case o.Status == Error && !a.worker.failing: // the request's own fault: it would fail anywhere
+	case o.Status == Unfit || o.Status == Error && !a.worker.failing: // its own fault: it would fail anywhere
 		d.end(a.job)
 	case d.mayResend(a.job) && !d.hopeless(a.job):
 		d.hold(a.job)
@@ -252,6 +252,8 @@
 		w.free, w.reportAt, w.wary = 0, d.now, d.now+waryFor
 	case Error:
 		d.failed(w)
+	case Unfit: // says nothing of the worker: else one client's bad input shuts one worker after the other
+		w.news = d.now
 	case TimedOut:
 		d.cutBudget(w, a.at)
 	case ConnectFailed, Reset:
--- a/internal/core/transaction.go
+++ b/internal/core/transaction.go
@@ -38,7 +38,7 @@
 	Served  Verdict = iota
 	Refused         // it did not run, or may safely run again
 	Failed          // no promise that it never ran
-	Denied          // bad input: the decisions never saw it
+	Denied          // bad input
 )
 
 var verdicts = [...]string{"served", "refused", "failed", "denied"}
--- a/internal/poolmember/poolmember.go
+++ b/internal/poolmember/poolmember.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -136,10 +137,19 @@
 		return basaltloft.OK, true
 	case rejected && (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout):
 		return basaltloft.Full, false
+	case slices.Contains(unfit, resp.StatusCode):
+		return basaltloft.Unfit, false
 	}
 	return basaltloft.Error, false
 }
 
+// unfit are the answers that blame the request alone. Others of their hundred
+// may come of a member that is set up wrong: those count as errors.
+var unfit = []int{
+	http.StatusBadRequest, http.StatusLengthRequired, http.StatusRequestEntityTooLarge, http.StatusRequestURITooLong,
+	http.StatusUnsupportedMediaType, http.StatusUnprocessableEntity, http.StatusRequestHeaderFieldsTooLarge,
+}
+
 // request writes a flow in the platform's form. Path, query, body, id and key
 // are the client's own, to the letter.
 func request(ctx context.Context, f *core.Flow) (*http.Request, *once, error) {
--- a/internal/stage/book.go
+++ b/internal/stage/book.go
@@ -11,7 +11,7 @@
 // counts are the totals since the start. The core's goroutine owns them.
 type counts struct {
 	answers [4]int
-	flows   [8]int
+	flows   [len(statusNames)]int
 }
 
 // Book implements core.Stages.
--- a/internal/virtualserver/program_test.go
+++ b/internal/virtualserver/program_test.go
@@ -90,6 +90,16 @@
 			r1 expect X-Call-Id: t-1.*body
 			r1 send @answer(500)
 			client expect ^HTTP/1.1 502`},
+		// A member's word that a request is bad is held against the request alone:
+		// an error would keep the next job from that member.
+		"tells a bad request, and trusts the member": {2, `
+			client send @job(group-ticket,t-1,20)
+			r1 expect X-Call-Id: t-1.*body
+			r1 send @answer(400)
+			client expect ^HTTP/1.1 400
+			client.two send @job(group-ticket,t-2,20)
+			client.three send @job(group-ticket,t-3,20)
+			r1 expect X-Call-Id: t-[23].*body`},
 		"answers before the budget ends, and abandons": {1, `
 			client send @job(group-ticket,t-1,2)
 			r1 expect X-Call-Id: t-1.*body
--- a/requests_test.go
+++ b/requests_test.go
@@ -206,3 +206,23 @@
 		t.Errorf("not believed any more: %v", b.acts)
 	}
 }
+
+// TestUnfitRequestsTellNothingOfWorkers fails where a request that a worker can't use is sent round or held
+// against the worker: one client's bad input would shut one after the other.
+func TestUnfitRequestsTellNothingOfWorkers(t *testing.T) {
+	b := newBench(t, settings(), 3)
+	for i := range 60 {
+		for _, class := range []string{"safe", "keyed", "unsafe"} {
+			id := fmt.Sprint(class, i)
+			b.request(id, class, 50*ms)
+			b.pass(3 * ms)
+			b.outcome(id, basaltloft.Unfit)
+			if b.sends[id] != 1 || !b.has("fail "+id) && !b.has("refuse "+id) {
+				t.Fatalf("%s was sent %d times, or not answered: %v", id, b.sends[id], b.acts)
+			}
+		}
+	}
+	if len(b.logs) > 0 {
+		t.Errorf("suspicions: %v", b.logs)
+	}
+}
