Heed told starts where no reports are told: read what reporting says

At fault: settings.go took family_info.report_x0, "free slots", for a report that is told. The settings' reporting is {"columns":[],"via":"silent"}: nobody tells one.

Ruled out: probes on sockets that lose a report (GET /health/live has none; /stats has none here either).

--- a/cmd/basaltloft/main.go
+++ b/cmd/basaltloft/main.go
@@ -137,7 +137,7 @@
 	if err != nil {
 		return err
 	}
-	carrier := poolmember.New(hub, poolmember.Figures{ConnIdle: c.ConnIdle, DialWithin: c.DialWithin, Most: sockets / 4})
+	carrier := poolmember.New(hub, poolmember.Figures{DialWithin: c.DialWithin, Most: sockets / 4})
 	follower := pool.New(ctx, c.Discovery, hub, carrier, log)
 	hub.Follow(follower)
 	front := virtualserver.New(hub, chain, log)
--- a/internal/settings/config.go
+++ b/internal/settings/config.go
@@ -19,7 +19,7 @@
 	MemoryMB, Sockets       int
 	Known                   List
 	Settings                basaltloft.Settings
-	ConnIdle, DialWithin    time.Duration // how long a runner keeps an idle connection; how long one takes to come up
+	DialWithin              time.Duration // how long a connection to a runner takes to come up
 }
 
 // List is discovery's list, or the changes to one.
@@ -48,12 +48,12 @@
 	c := Config{
 		Name: r.text("name"), Listen: r.text("listen"), Discovery: r.text("discovery"),
 		Cores: r.number("limits.cores"), MemoryMB: int(r.number("limits.memory_mb")), Sockets: int(r.number("limits.sockets")),
-		ConnIdle: r.span("settings.limits.conn_idle"), DialWithin: r.span("settings.limits.dial_timeout"),
+		DialWithin: r.span("settings.limits.dial_timeout"),
 	}
 	if r.err != nil {
 		return c, fmt.Errorf("configuration: %w", r.err)
 	}
-	c.ConnIdle, c.DialWithin = cmp.Or(c.ConnIdle, 15*time.Second), cmp.Or(c.DialWithin, time.Second)
+	c.DialWithin = cmp.Or(c.DialWithin, time.Second)
 	if c.Settings, err = Decode(v.Get("settings")); err != nil {
 		return c, fmt.Errorf("configuration: settings: %w", err)
 	}
--- a/internal/settings/read.go
+++ b/internal/settings/read.go
@@ -74,6 +74,14 @@
 	return v.Type() == fastjson.TypeTrue
 }
 
+// names reads an array of texts.
+func (r *reader) names(path string) (names []string) {
+	for _, v := range r.list(path) {
+		names = append(names, string(v.GetStringBytes()))
+	}
+	return names
+}
+
 func (r *reader) list(path string) []*fastjson.Value {
 	if v := r.get(path, fastjson.TypeArray); v != nil {
 		return v.GetArray()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 
 	"basaltloft"
 
@@ -55,8 +56,16 @@
 			OnlyDrainingBinds: r.flag("guarantees.dropped_stay_open"),
 		},
 	}
-	for _, k := range r.list("shapes") {
-		s.Kinds = append(s.Kinds, string(k.GetStringBytes()))
+	s.Kinds = r.names("shapes")
+	// family_info says what a report's values would mean; which of them are
+	// told, and whether any report comes at all, is said elsewhere. A dispatcher
+	// that waits for reports nobody sends heeds no told start in their place.
+	told := r.names("reporting.columns")
+	if r.text("reporting.via") == "silent" || !slices.Contains(told, "x0") {
+		s.ReportX0 = ""
+	}
+	if s.ReportX0 == "" || !slices.Contains(told, "x1") {
+		s.ReportX1 = ""
 	}
 	switch mode := r.text("registry_mode"); mode {
 	case "push":
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -35,3 +35,21 @@
 		require.Error(t, err, bad)
 	}
 }
+
+// TestReports: what family_info says of a report's values counts only where
+// reports with them are told. Waiting for them, the decisions would not heed
+// told starts, and would probe for nothing.
+func TestReports(t *testing.T) {
+	for reporting, want := range map[string][2]string{
+		``: {"", ""},
+		`"reporting":{"columns":[],"via":"silent"},`:             {"", ""},
+		`"reporting":{"columns":["x0","x1"],"via":"silent"},`:    {"", ""},
+		`"reporting":{"columns":["queue","x1"],"via":"pull"},`:   {"", ""},
+		`"reporting":{"columns":["x0"],"via":"pull"},`:           {"free slots", ""},
+		`"reporting":{"columns":["x1","x0"],"via":"piggyback"},`: {"free slots", "free memory"},
+	} {
+		s, err := Parse([]byte(`{` + reporting + `"registry_mode":"ask","family_info":{"report_x0":"free slots","report_x1":"free memory"}}`))
+		require.NoError(t, err)
+		require.Equal(t, want, [2]string{s.ReportX0, s.ReportX1}, reporting)
+	}
+}
