Put a worker that fails many of its jobs on probation, and send its errors on

It is trusted again and again: idle and fast, it draws the next job, and holds that fail there are answered as failed though any other member would have served them.

At fault: dispatcher.go, judge: one good job set failing to false. failed: errors in a row at the worker were held against the share everywhere, into which its own errors had gone by then. Outcome: an error at a worker not known to fail ended the request as its own fault.

Ruled out: the member's start (not cold), its load (errors at one job out), single requests (sent elsewhere they are served).

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -8,7 +8,6 @@
 import (
 	"cmp"
 	"container/heap"
-	"math"
 	"slices"
 	"time"
 )
@@ -17,7 +16,9 @@
 const (
 	costWindow = 40.0 // jobs in the moving average of a type's run time and of a kind's pace
 	paceWindow = 12.0 // jobs in the moving averages of a worker's pace and of how slow all are
-	unlikely   = 0.02 // errors in a row that are less likely elsewhere are the worker's
+	badWindow  = 20.0 // jobs in the moving share of a worker's jobs that end in error
+	badShare   = 0.04 // a smaller share is the jobs' own
+	badBeside  = 3.0  // and so is one under this multiple of the share at the other workers
 	outlier    = 3.0  // a run this many times off the expected one counts as this much
 
 	startBudget = 2.0  // budget of a new worker, in mean costs
@@ -49,6 +50,7 @@
 	startMeans   = 3.0                    // where starts are told, one not started after so many mean costs
 	trialFirst   = 250 * time.Millisecond // first wait between trials of a suspect worker
 	trialLast    = 4 * time.Second        // longest wait
+	unsafeTrial  = 8 * time.Second        // left alone so long, it is tried with any job
 	evidenceFor  = 2 * time.Second        // a sign of life counts against a list for this long
 	keepGone     = time.Minute            // a worker called gone is remembered for this long
 	turnMeans    = 2.5                    // mean costs that each of those who share a turn may send
@@ -137,7 +139,7 @@
 	case o.Ended:
 		d.finish(a.job)
 	case a.job.done || a.job.outs > 0:
-	case o.Status == Unfit || o.Status == Error && !a.worker.failing: // its own fault: it would fail anywhere
+	case o.Status == Unfit || o.Status == Error && d.ownFault(a): // it would fail anywhere
 		d.end(a.job)
 	case d.mayResend(a.job) && !d.hopeless(a.job):
 		d.hold(a.job)
@@ -229,8 +231,9 @@
 	w := a.worker
 	switch o.Status {
 	case OK:
-		d.countErrors(w)
-		w.silent, w.failing, w.trialWait = 0, false, w.trialWait/2 // trust returns step by step
+		w.countEnd(0)
+		w.silent, w.trialWait = 0, w.trialWait/2 // trust returns step by step
+		w.failing = w.failing && d.worse(w)
 		d.trust(w)
 		slow := float64(d.now-a.at) > slowing*a.run*w.pace()*d.common+float64(tickEvery)
 		from := a.at
@@ -251,6 +254,7 @@
 		d.cutBudget(w, a.at)
 		w.free, w.reportAt, w.wary = 0, d.now, d.now+waryFor
 	case Error:
+		a.failed = true
 		d.failed(w)
 	case Unfit: // says nothing of the worker: else one client's bad input shuts one worker after the other
 		w.news = d.now
@@ -265,16 +269,37 @@
 	}
 }
 
-// failed takes in an error. A worker that fails all looks idle and fast, and would draw all work; errors as
-// likely at workers that serve are the requests' own. It is slower to find one that fails part of its jobs.
+// failed takes in an error. A worker that fails all, or many, looks idle and fast, and would draw all work:
+// it is on probation then, whatever single jobs end well between.
 func (d *Dispatcher) failed(w *worker) {
 	w.news = d.now
-	w.errors++
-	if w.failing = math.Pow(d.errors, float64(w.errors)) < unlikely; w.failing {
+	w.countEnd(1)
+	if w.failing = d.worse(w); w.failing {
 		d.doubt(w, false)
 	}
 }
 
+// worse tells whether a worker fails a larger share of its jobs than the others do. Errors as likely at all
+// are the requests' own.
+func (d *Dispatcher) worse(w *worker) bool {
+	return w.bad/w.ends > max(badShare, badBeside*d.badElsewhere(w))
+}
+
+// probation tells whether a worker that fails many of its jobs is no place for this one: it gets one at a
+// time, of those that may be sent again elsewhere, until its share has fallen.
+func (d *Dispatcher) probation(w *worker, j *job) bool {
+	return w.failing && (len(w.attempts) > 0 || j.class.Effect == Unsafe && d.now < w.sentAt+unsafeTrial)
+}
+
+// ownFault tells whether an error is the request's: it failed at another worker too, or many do everywhere.
+func (d *Dispatcher) ownFault(a *attempt) bool {
+	fails := 0
+	for _, b := range a.job.attempts {
+		fails += one(b.failed)
+	}
+	return fails > 1 || !a.worker.failing && d.badElsewhere(a.worker) > badShare
+}
+
 // cutBudget shrinks a budget, at most once for all the jobs of one round trip.
 func (d *Dispatcher) cutBudget(w *worker, sentAt time.Duration) {
 	if sentAt >= w.lastCut {
@@ -497,7 +522,7 @@
 		if !d.suits(j, w) || j.waitsAt(w) {
 			continue
 		}
-		of := one(w.suspect)
+		of := one(w.suspect || d.probation(w, j) || j.failedAt(w))
 		serving = min(serving, of)
 		late := float64(d.now)+hope*j.run*w.pace()*d.common/d.share(w, d.now-w.coldFrom) > float64(j.aim)
 		if late || j.ran != nil && j.class.Effect == Keyed && !j.class.Group.same(j.ran.worker, w) {
--- /dev/null
+++ b/health_test.go
@@ -0,0 +1,61 @@
+package basaltloft_test
+
+import (
+	"fmt"
+	"testing"
+
+	"basaltloft"
+)
+
+// unreported is a fleet that tells starts and progress, and reports no load.
+func unreported() basaltloft.Settings {
+	s := settings()
+	s.ReportX0, s.ReportX1, s.TellsStart, s.Limits.SecondCopies = "", "", true, false
+	return s
+}
+
+func (b *bench) note(id string, topic basaltloft.NoteTopic) {
+	b.Note(b.now, basaltloft.Note{Request: id, Attempt: b.sends[id] - 1, Worker: b.sentTo(id), Topic: topic})
+}
+
+// TestWorkerThatFailsManyIsOnProbation fails where one good job restores all trust in a worker that fails
+// every other one: it looks idle and fast, and would go on drawing jobs that can't be sent again.
+func TestWorkerThatFailsManyIsOnProbation(t *testing.T) {
+	b := newBench(t, unreported(), 4)
+	seen, lost, unserved := 0, 0, 0
+	for i := range 300 {
+		id, class := fmt.Sprint("r", i), "keyed"
+		if i%3 == 0 {
+			class = "unsafe"
+		}
+		b.request(id, class, 100*ms)
+		for range 3 {
+			if b.sends[id] == 0 || b.has("fail "+id) {
+				break
+			}
+			b.note(id, basaltloft.NoteStarted)
+			if b.sentTo(id) == 1 {
+				if seen++; seen%2 == 1 {
+					b.pass(10 * ms)
+					b.outcome(id, basaltloft.Error)
+					continue
+				}
+			}
+			b.pass(100 * ms)
+			b.outcome(id, basaltloft.OK)
+			break
+		}
+		if b.has("fail " + id) {
+			unserved++
+			if class == "unsafe" {
+				lost++
+			}
+		}
+	}
+	if lost > 6 || unserved > lost {
+		t.Errorf("%d unsafe jobs lost, %d of all not served", lost, unserved)
+	}
+	if seen < 5 {
+		t.Errorf("the worker got only %d jobs: it is never tried", seen)
+	}
+}
--- a/state.go
+++ b/state.go
@@ -41,8 +41,9 @@
 	wary          time.Duration // until then reports may be older than a refusal
 	probing       bool
 	probedAt      time.Duration
-	errors        int           // since a job last ended well there
-	failing       bool          // they are its own
+	ends, bad     float64       // jobs that ended there, and of them in error, both fading
+	sentAt        time.Duration // the last attempt
+	failing       bool          // it has more of them than the others
 	closed        bool          // seen draining, or forgotten: it gets no new work until a later start
 	shutTill      time.Duration // its reports are not believed until then
 	goneAt        time.Duration // since then it is listed as gone, or not at all
@@ -107,6 +108,7 @@
 	clean            bool // it found a free slot: its time to the end is run time
 	out              bool
 	overdue, called  bool // found overdue; cancelled
+	failed           bool // ended in error
 }
 
 // job is a request that has no final answer yet.
@@ -171,7 +173,6 @@
 	queues   []*queue // by kind; the last is for any kind
 	known    float64  // mean run time of the types learned
 	mean     float64  // mean cost of the jobs that came in
-	errors   float64  // share of the jobs that fail at workers that serve
 	prompt   float64  // share of the jobs that start soon
 	common   float64  // how slow all are beside their paces, of late
 	kinds    map[string]*kind
@@ -396,7 +397,7 @@
 	if len(w.attempts) == 0 {
 		d.busy = append(d.busy, w)
 	}
-	w.attempts = append(w.attempts, a)
+	w.attempts, w.sentAt = append(w.attempts, a), d.now
 	w.out += a.cost
 	w.free -= a.slots
 	w.memory -= j.Memory
@@ -523,13 +524,31 @@
 	return g == GroupAll || a.Zone == b.Zone && (g == GroupZone || a.Cell == b.Cell)
 }
 
-// countErrors takes a job that ended well, and the errors before it at the same worker, into the share of
-// jobs that fail at workers that serve.
-func (d *Dispatcher) countErrors(w *worker) {
-	for ; w.errors > 0; w.errors-- {
-		d.errors += (1 - d.errors) / paceWindow
+// failedAt tells whether a job ended in error at a worker.
+func (j *job) failedAt(w *worker) bool {
+	return slices.ContainsFunc(j.attempts, func(a *attempt) bool { return a.failed && a.worker == w })
+}
+
+// countEnd takes a job's end into the share of those that end in error; bad is 1 for one that does.
+func (w *worker) countEnd(bad float64) {
+	w.ends += 1 - w.ends/badWindow
+	w.bad += bad - w.bad/badWindow
+}
+
+// badElsewhere is the share of jobs that end in error at the other workers in use, of which those on probation
+// say nothing unless they are the most. Few ends say little.
+func (d *Dispatcher) badElsewhere(w *worker) float64 {
+	ends, bad, failing := [2]float64{badWindow / 4, badWindow / 4}, [2]float64{}, 0
+	for _, o := range d.subset {
+		of := one(o.failing)
+		if failing += of; o != w {
+			ends[of], bad[of] = ends[of]+o.ends, bad[of]+o.bad
+		}
+	}
+	if 2*failing > len(d.subset) {
+		return (bad[0] + bad[1]) / (ends[0] + ends[1])
 	}
-	d.errors -= d.errors / paceWindow
+	return bad[0] / ends[0]
 }
 
 // sweep drops the workers that are forgotten, and members that are not usable any more.
