Serve held connections on through a planned end, and answer what comes late

Dispatcher n0 is told to end at 12.8 s, ends at 13.9 s and is back at 17.2 s; n1 is told at 15.8 s. From 16.2 s on new connections go to neither, and n1 had closed the held ones.

At fault: virtualserver.go, Drain, which turned keep-alive off at once; main.go, lingers: the end came 0.8 s after the signal, though nothing asks for that.

Ruled out: serving longer yet. What comes later than 0.7 s and is unanswered when the end by force may come, 3.7 s after the signal, counts as lost; so late jobs are answered by 3.3 s, and refused at once when their hint goes beyond it.

--- a/cmd/basaltloft/main.go
+++ b/cmd/basaltloft/main.go
@@ -28,9 +28,17 @@
 	"github.com/sirupsen/logrus"
 )
 
-// lingers is how long a planned end keeps the listener open at least: clients
-// learn of it late, and go on opening connections.
-const lingers = 800 * time.Millisecond
+// A planned end. Clients learn of it late and go on opening connections for a
+// while; those that hold one are served on it for longer, since the dispatcher
+// that they would turn to may be on its way back. The end by force comes no
+// sooner than 3.7 s after the signal, and finds nothing unanswered that came later
+// than 0.7 s after it.
+const (
+	late    = 600 * time.Millisecond  // what comes from here on must be answered by dismiss
+	stays   = 2400 * time.Millisecond // connections between requests are closed then
+	parts   = 2500 * time.Millisecond // the listener stays open until here at least
+	dismiss = 3300 * time.Millisecond
+)
 
 func main() {
 	log := logrus.New()
@@ -190,12 +198,16 @@
 	case <-told:
 	}
 	log.Info("draining")
+	began := time.Now()
 	draining.Store(true)
+	hub.Leaving(began.Add(late), began.Add(dismiss))
 	front.Drain()
 	if second != nil {
 		second.Drain()
 	}
-	drained(func() int { return front.InHand() + hub.Unanswered() }, time.Now().Add(lingers))
+	time.Sleep(time.Until(began.Add(stays)))
+	front.Part()
+	drained(func() int { return front.InHand() + hub.Unanswered() }, began.Add(parts))
 	if err := front.Shutdown(ctx); err != nil {
 		return err
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -36,15 +36,16 @@
 	posted chan struct{} // there are events
 
 	// Owned by Run's goroutine.
-	decisions *basaltloft.Dispatcher
-	base      time.Time
-	now       time.Time
-	later     []func() // what the handling of an event leaves to do after it
-	timers    timers
-	open      map[string]*Transaction
-	members   map[string]*Member
-	numbers   map[uint32]*Member
-	load      Load
+	decisions    *basaltloft.Dispatcher
+	base         time.Time
+	now          time.Time
+	later        []func() // what the handling of an event leaves to do after it
+	timers       timers
+	open         map[string]*Transaction
+	members      map[string]*Member
+	numbers      map[uint32]*Member
+	load         Load
+	late, leaves time.Time // see Leaving
 
 	unanswered atomic.Int64
 	known      atomic.Bool
@@ -165,11 +166,39 @@
 			c.answer(t, *a)
 			return
 		}
+		if c.comesLate(t) && c.now.Add(t.Hint).After(c.leaves) {
+			c.answer(t, Answer{Verdict: Refused, RetryAt: c.now})
+			return
+		}
 		c.timers.add(t.Deadline.Add(overdue), func() { c.expire(t) })
 		c.decisions.Request(c.clock(c.now), c.request(t))
 	})
 }
 
+// Leaving tells that the program ends. What arrived late is answered by the end:
+// what can't be done by then is refused at once, and what is not done then is
+// answered, since nothing can be after that. What came before keeps its deadline.
+func (c *Core) Leaving(late, end time.Time) {
+	c.post(func() {
+		c.late, c.leaves = late, end
+		c.timers.add(end, func() {
+			for _, t := range c.open {
+				if t.answered || !c.comesLate(t) {
+					continue
+				}
+				a := Answer{Verdict: Failed}
+				if t.sends == 0 {
+					a = Answer{Verdict: Refused, RetryAt: c.now}
+				}
+				c.answer(t, a)
+				c.decisions.Gone(c.clock(c.now), t.ID)
+			}
+		})
+	})
+}
+
+func (c *Core) comesLate(t *Transaction) bool { return !c.late.IsZero() && t.Arrived.After(c.late) }
+
 // request is the stage's view of the transaction, on the module's clock.
 func (c *Core) request(t *Transaction) basaltloft.Request {
 	r := c.stages.Route(t)
--- a/internal/core/ledger_test.go
+++ b/internal/core/ledger_test.go
@@ -99,6 +99,19 @@
 				c.post(func() { c.report(News{ID: "t", Member: from, Ended: true}) })
 			}
 		}, `["start t","book t","served t"]`},
+		"what comes late to a program that ends is answered by its end": {func(c *Core, p *tape, tx *Transaction) {
+			now := time.Now()
+			c.Leaving(now, now.Add(time.Second))
+			for _, id := range []string{"long", "short"} {
+				hint := map[string]time.Duration{"short": time.Millisecond, "long": time.Minute}[id]
+				c.Submit(&Transaction{ID: id, Class: "ticket", Hint: hint, Arrived: now.Add(1), Deadline: tx.Deadline, Client: told{p, id}})
+			}
+			c.post(func() {
+				for due := c.timers.due(now.Add(time.Second)); due != nil; due = c.timers.due(now.Add(time.Second)) {
+					c.handle(due)
+				}
+			})
+		}, `["start t","book long","refused long","start short","book short","failed short","abandon short"]`},
 		"what the module still owes after the deadline is answered": {func(c *Core, p *tape, tx *Transaction) {
 			c.post(func() { c.expire(tx); c.expire(tx) })
 		}, `["start t","book t","failed t","abandon t"]`},
--- a/internal/core/transaction.go
+++ b/internal/core/transaction.go
@@ -13,7 +13,8 @@
 	Target            string // path and raw query, where the client's wire has them
 	Key               string // the idempotency key
 	Body              []byte
-	Form              string    // what the body is, in the words of the front that took it; empty: opaque bytes
+	Form              string // what the body is, in the words of the front that took it; empty: opaque bytes
+	Arrived           time.Time
 	Deadline          time.Time // the final answer is due before this
 	Hint              time.Duration
 	Slots, Memory     float64
--- a/internal/stage/takein.go
+++ b/internal/stage/takein.go
@@ -56,7 +56,7 @@
 	}
 	return &core.Transaction{
 		ID: a.ID, Class: a.Class, Tenant: a.Tenant, Target: a.Target, Key: a.Key, Body: a.Body, Form: a.Form,
-		Deadline: a.GivesUp.Add(-early), Hint: a.Hint, Slots: a.Slots, Memory: a.Memory, Retry: a.Retry, Client: client,
+		Arrived: now, Deadline: a.GivesUp.Add(-early), Hint: a.Hint, Slots: a.Slots, Memory: a.Memory, Retry: a.Retry, Client: client,
 	}, nil
 }
 
--- a/internal/virtualserver/virtualserver.go
+++ b/internal/virtualserver/virtualserver.go
@@ -87,13 +87,13 @@
 	return nil
 }
 
-// Drain turns the ready check off and asks clients to leave: connections are
-// closed between requests from here on. The listener stays open, for clients
-// that have not heard yet and for the call-backs that still bring results.
-func (s *Server) Drain() {
-	s.draining.Store(true)
-	s.server.SetKeepAlivesEnabled(false)
-}
+// Drain turns the ready check off. Clients that have not heard yet, or hold a
+// connection, are served on.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// Part closes connections between requests from here on. The listener stays
+// open for the call-backs that still bring results.
+func (s *Server) Part() { s.server.SetKeepAlivesEnabled(false) }
 
 // InHand is how many jobs are being taken in or wait for their answer.
 func (s *Server) InHand() int { return int(s.inHand.Load()) }
