Ask back a hold that does not start, for an idle worker that can have it in time

At fault: dispatcher.go, look, which only keeps further jobs from such a worker. core/host.go, Cancel, ended a called-off flow at once, while the DELETE was still under way: a second attempt would have run beside the first.

Moving started jobs is left out: on sockets a silent machine can't be told, so its flow may not be sent again.

Now: Carrier.Recall ends a flow once the member has heard; where it can't, the flow stays.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -48,6 +48,7 @@
 	overdueFloor = 400 * time.Millisecond // and this much
 	startSoon    = 25 * time.Millisecond  // a job starts this soon at a worker that has room
 	startMeans   = 3.0                    // where starts are told, one not started after so many mean costs
+	rescueRuns   = 1.4                    // a job moves while so many expected runs elsewhere are in time
 	trialFirst   = 250 * time.Millisecond // first wait between trials of a suspect worker
 	trialLast    = 4 * time.Second        // longest wait
 	unsafeTrial  = 8 * time.Second        // left alone so long, it is tried with any job
@@ -336,6 +337,7 @@
 			d.countWait(a) // there is no room, whatever the worker reports
 		}
 		d.tie(a.job)
+		d.rescue(a)
 		if d.now < a.due {
 			continue
 		}
@@ -351,6 +353,29 @@
 	}
 }
 
+// rescue asks back a job that still waits for its start, at the last moment at which an idle worker of the
+// group can have it in time. Later it is late for sure; sooner, the first worker may yet start it, and what
+// is asked back runs on there.
+func (d *Dispatcher) rescue(a *attempt) {
+	j := a.job
+	if a.called || a.started != 0 || j.done || !d.watches() || !d.Limits.Cancel || j.class.Effect == Unsafe ||
+		d.tied(j) || len(j.attempts) >= d.Limits.MaxAttempts {
+		return
+	}
+	ran := j.ran
+	j.ran = cmp.Or(ran, a)
+	to := d.place(j)
+	j.ran = ran
+	if to == nil || to.suspect || to.failing || len(to.attempts) > 0 {
+		return
+	}
+	left := time.Duration(rescueRuns * j.run * to.pace() * d.common / d.share(to, d.now-to.coldFrom))
+	if d.now+left+tickEvery >= j.aim {
+		a.worker.shutTill = d.now + d.now - a.at
+		d.callOff(a)
+	}
+}
+
 // watches tells whether a missing start shuts a worker: where own sums and reports say little of its room.
 func (d *Dispatcher) watches() bool { return d.TellsStart && (d.crowded || !d.asks) }
 
@@ -512,17 +537,22 @@
 // choose finds the roomiest worker that the job fits, of the own zone where crossing has a price. If all
 // look bad, the cause is common, or on this side, and the suspects go on being used.
 func (d *Dispatcher) choose(j *job) *worker {
-	chosen, most := [2]*worker{}, [2]float64{} // of those that serve, of the suspects
 	if len(j.attempts) > 0 && !d.mayResend(j) {
 		return nil
 	}
+	return d.place(j)
+}
+
+// place is choose without a look at whether the job may be sent.
+func (d *Dispatcher) place(j *job) *worker {
+	chosen, most := [2]*worker{}, [2]float64{} // of those that serve, of the suspects
 	serving, from := 1, d.rng.IntN(len(d.subset)+1)
 	for i := range d.subset {
 		w := d.subset[(from+i)%len(d.subset)]
 		if !d.suits(j, w) || j.waitsAt(w) {
 			continue
 		}
-		of := one(w.suspect || d.probation(w, j) || j.failedAt(w))
+		of := one(w.suspect || d.probation(w, j) || j.triedAt(w))
 		serving = min(serving, of)
 		late := float64(d.now)+hope*j.run*w.pace()*d.common/d.share(w, d.now-w.coldFrom) > float64(j.aim)
 		if late || j.ran != nil && j.class.Effect == Keyed && !j.class.Group.same(j.ran.worker, w) {
--- a/health_test.go
+++ b/health_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"basaltloft"
 )
@@ -18,6 +19,40 @@
 	b.Note(b.now, basaltloft.Note{Request: id, Attempt: b.sends[id] - 1, Worker: b.sentTo(id), Topic: topic})
 }
 
+// TestJobThatDoesNotStartIsMovedInTime fails where a job waits at a busy worker until it is late,
+// while another could have it in time. One that started stays, and one that must not run twice.
+func TestJobThatDoesNotStartIsMovedInTime(t *testing.T) {
+	for class, want := range map[string]int{"keyed": 1, "unsafe": 0} {
+		b := newBench(t, unreported(), 2)
+		b.request("r", class, time.Second) // wanted within 2.4 s
+		first := b.sentTo("r")
+		b.pass(900 * ms)
+		if b.count("cancel") > 0 {
+			t.Fatalf("%s: moved too soon: %v", class, b.acts)
+		}
+		b.pass(140 * ms)
+		if b.count("cancel") != want {
+			t.Fatalf("%s: called off %d times, not %d: %v", class, b.count("cancel"), want, b.acts)
+		}
+		if want == 0 {
+			continue
+		}
+		b.outcome("r", basaltloft.Cancelled)
+		if b.sends["r"] != 2 || b.sentTo("r") == first {
+			t.Errorf("not sent to the other worker: %v", b.acts)
+		}
+		b.request("next", class, 200*ms)
+		if b.sends["next"] > 0 && b.sentTo("next") == first {
+			t.Error("the next job goes where the last one did not start")
+		}
+		b.note("r", basaltloft.NoteStarted)
+		b.pass(900 * ms)
+		if b.count("cancel r") != want {
+			t.Error("called off after it had started")
+		}
+	}
+}
+
 // TestWorkerThatFailsManyIsOnProbation fails where one good job restores all trust in a worker that fails
 // every other one: it looks idle and fast, and would go on drawing jobs that can't be sent again.
 func TestWorkerThatFailsManyIsOnProbation(t *testing.T) {
--- a/internal/core/host.go
+++ b/internal/core/host.go
@@ -70,6 +70,10 @@
 		return
 	}
 	f := t.live
+	if !t.answered {
+		f.Member.Carrier.Recall(f)
+		return
+	}
 	f.Member.Carrier.Abandon(f)
 	c.later = append(c.later, func() { c.end(f, basaltloft.Cancelled, nil) })
 }
--- a/internal/core/ledger_test.go
+++ b/internal/core/ledger_test.go
@@ -15,6 +15,7 @@
 // tape stands in for everything round the core and writes down what it is
 // asked; each entry is a word and an id.
 type tape struct {
+	t     *testing.T
 	said  []string
 	flows []*Flow
 }
@@ -24,6 +25,7 @@
 func (p *tape) Book(t *Transaction, a Answer, _ time.Time)  { p.say("book", t.ID) }
 func (p *tape) Start(f *Flow)                               { p.flows = append(p.flows, f); p.say("start", f.Transaction.ID) }
 func (p *tape) Abandon(f *Flow)                             { p.say("abandon", f.Transaction.ID) }
+func (p *tape) Recall(f *Flow)                              { p.say("recall", f.Transaction.ID) }
 func (p *tape) Probe(*Member)                               {}
 func (p *tape) Watch(bool)                                  {}
 func (p *tape) Fetch()                                      {}
@@ -51,7 +53,7 @@
 // at most once does, whoever tries to make it happen again.
 func TestLedger(t *testing.T) {
 	begin := func() (*Core, *tape, *Transaction) {
-		p := &tape{}
+		p := &tape{t: t}
 		log := logrus.New()
 		log.SetLevel(logrus.PanicLevel)
 		c, err := New(basaltloft.Settings{
@@ -94,6 +96,13 @@
 			c.Leave(tx)
 			c.End(p.flows[0], basaltloft.OK, nil)
 		}, `["start t","abandon t"]`},
+		// A second attempt would run beside the first until the member has heard.
+		"what is asked back goes elsewhere once the member has heard": {func(c *Core, p *tape, tx *Transaction) {
+			c.post(func() { host{c}.Cancel("t", 0); host{c}.Send("t", p.flows[0].Member.number, 0) })
+			c.post(func() { require.Same(p.t, p.flows[0], tx.live) })
+			c.End(p.flows[0], basaltloft.Cancelled, nil)
+			c.post(func() { require.Nil(p.t, tx.live) })
+		}, `["start t","recall t","book t","failed t"]`},
 		"news counts for the live flow at that member": {func(c *Core, p *tape, tx *Transaction) {
 			for _, from := range []string{"b", "a", "a", "b"} {
 				c.post(func() { c.report(News{ID: "t", Member: from, Ended: true}) })
--- a/internal/core/transaction.go
+++ b/internal/core/transaction.go
@@ -86,7 +86,12 @@
 // once with Core.End; ending it again does no harm.
 type Carrier interface {
 	Start(*Flow)
+	// Abandon drops a flow for which nobody waits any more.
 	Abandon(*Flow)
+	// Recall asks a flow back whose transaction is to go elsewhere, and ends it
+	// once the member has heard: until then a second attempt would run beside
+	// it. Where the member can't be told the flow stays.
+	Recall(*Flow)
 	Probe(*Member)
 }
 
--- a/internal/faktory/workers.go
+++ b/internal/faktory/workers.go
@@ -237,6 +237,17 @@
 	}
 }
 
+// Recall implements core.Carrier. What was not fetched has not run and comes
+// back at once; a worker can't be told to stop, and its ACK counts.
+func (ws *workers) Recall(f *core.Flow) {
+	ws.mu.Lock()
+	defer ws.mu.Unlock()
+	if e, ok := f.Carried.(*errand); ok && !e.fetched && ws.over(e) && e.worker != nil {
+		e.worker.mailbox = without(e.worker.mailbox, e)
+		ws.hub.End(f, basaltloft.Moot, nil)
+	}
+}
+
 // Probe implements core.Carrier: a worker with a connection is there.
 func (ws *workers) Probe(m *core.Member) {
 	ws.mu.Lock()
--- a/internal/poolmember/poolmember.go
+++ b/internal/poolmember/poolmember.go
@@ -51,9 +51,9 @@
 // call is the carrier's part of a flow. A flow is abandoned by closing its
 // connection while the member has not answered, and by DELETE afterwards.
 type call struct {
-	mu                  sync.Mutex
-	accepted, abandoned bool
-	cancel              context.CancelFunc
+	mu                            sync.Mutex
+	accepted, abandoned, recalled bool
+	cancel                        context.CancelFunc
 }
 
 // Start implements core.Carrier.
@@ -72,22 +72,29 @@
 		defer cancel()
 		defer func() { <-c.slots }()
 		status, taken := c.send(ctx, f)
-		if !taken {
-			c.ends.End(f, status, nil)
-			return
-		}
 		k.mu.Lock()
-		k.accepted = true
-		late := k.abandoned
+		k.accepted = taken
+		abandoned, recalled := k.abandoned, k.recalled
 		k.mu.Unlock()
-		if late { // abandoned while the answer was under way: closing the connection told nobody
-			c.delete(f)
+		switch {
+		case !taken && recalled && status == basaltloft.Reset: // by closing the connection, which says nothing of the member
+			c.ends.End(f, basaltloft.Cancelled, nil)
+		case !taken:
+			c.ends.End(f, status, nil)
+		case abandoned: // while the answer was under way: closing the connection told nobody
+			c.drop(f, recalled)
 		}
 	}()
 }
 
 // Abandon implements core.Carrier.
-func (c *Carrier) Abandon(f *core.Flow) {
+func (c *Carrier) Abandon(f *core.Flow) { c.abandon(f, false) }
+
+// Recall implements core.Carrier. A member that can't be reached keeps the
+// flow: it may run, or report, yet.
+func (c *Carrier) Recall(f *core.Flow) { c.abandon(f, true) }
+
+func (c *Carrier) abandon(f *core.Flow, recall bool) {
 	k, ok := f.Carried.(*call)
 	if !ok {
 		return
@@ -97,8 +104,8 @@
 	if k.abandoned {
 		return
 	}
-	if k.abandoned = true; k.accepted {
-		go c.delete(f)
+	if k.abandoned, k.recalled = true, recall; k.accepted {
+		go c.drop(f, recall)
 	} else {
 		k.cancel()
 	}
@@ -177,14 +184,25 @@
 	return req, body, nil
 }
 
-func (c *Carrier) delete(f *core.Flow) {
+// drop tells a member to forget a flow, and ends one that was asked back.
+func (c *Carrier) drop(f *core.Flow, recalled bool) {
+	if c.delete(f) && recalled {
+		c.ends.End(f, basaltloft.Cancelled, nil)
+	}
+}
+
+// delete reports whether the member has heard.
+func (c *Carrier) delete(f *core.Flow) bool {
 	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(deleteFor))
 	defer cancel()
 	u := &url.URL{Scheme: "http", Host: f.Member.Addr, Path: "/jobs/" + f.Transaction.ID}
 	req := (&http.Request{Method: http.MethodDelete, URL: u, Host: u.Host, Header: make(http.Header)}).WithContext(ctx)
-	if resp, err := c.wire.RoundTrip(req); err == nil {
-		resp.Body.Close()
+	resp, err := c.wire.RoundTrip(req)
+	if err != nil {
+		return false
 	}
+	resp.Body.Close()
+	return true
 }
 
 // Probe implements core.Carrier.
--- a/internal/virtualserver/program_test.go
+++ b/internal/virtualserver/program_test.go
@@ -84,6 +84,21 @@
 			r2 expect X-Call-Id: h-1.*body
 			client.back send @news(h-1,s-r2,done,second)
 			client expect 200 OK.*second$`},
+		// What does not start is asked back while another member can have it in
+		// time, and goes there once the first one has heard: never two at once.
+		"asks back what does not start": {2, `
+			client send POST /place-hold HTTP/1.1\r\nHost: app\r\nX-Call-Id: h-1\r\nX-Budget: 9\r\nX-Call-Cost: 400000\r\nContent-Length: 0\r\n\r\n
+			r1 expect X-Call-Id: h-1
+			r1 send @answer(202)
+			r1.next expect DELETE /jobs/h-1 HTTP/1.1
+			client.early send @news(h-1,s-r1,started)
+			client.early expect 204
+			r1.next send @answer(200)
+			r2 expect X-Call-Id: h-1
+			client.late send @news(h-1,s-r1,done,first)
+			client.late expect 204
+			client.back send @news(h-1,s-r2,done,second)
+			client expect 200 OK.*second$`},
 		// What failed may have run: it is no refusal.
 		"tells an error": {1, `
 			client send @job(group-ticket,t-1,20)
--- a/state.go
+++ b/state.go
@@ -524,9 +524,9 @@
 	return g == GroupAll || a.Zone == b.Zone && (g == GroupZone || a.Cell == b.Cell)
 }
 
-// failedAt tells whether a job ended in error at a worker.
-func (j *job) failedAt(w *worker) bool {
-	return slices.ContainsFunc(j.attempts, func(a *attempt) bool { return a.failed && a.worker == w })
+// triedAt tells whether a job ended in error at a worker, or was asked back from it.
+func (j *job) triedAt(w *worker) bool {
+	return slices.ContainsFunc(j.attempts, func(a *attempt) bool { return (a.failed || a.called) && a.worker == w })
 }
 
 // countEnd takes a job's end into the share of those that end in error; bad is 1 for one that does.
