Guard the Faktory front as the first one: silent connections make room

Saw, reading the code beside the guarded HTTP front and confirmed by the new test on the old code: a connection that says nothing held one of 64 places for 10 s, a command that trickles for 5 minutes, and with all places held each worker and client was turned away.

At fault: faktory/protocol.go, helloFor and idleFor; server.go, Serve, which has no way to close one of those that hold the places.

Ruled out: sharing the HTTP front's listener. It closes idle connections, which HTTP clients meet between requests; a Faktory worker's may not be closed.

--- /dev/null
+++ b/internal/faktory/guard_test.go
@@ -0,0 +1,42 @@
+package faktory
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"basaltloft/internal/scenario"
+	"basaltloft/internal/settings"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+)
+
+// TestSilentConnections: those that say nothing, or not all of it, are closed
+// in time, and before that the oldest of them makes room for another.
+func TestSilentConnections(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := New(nil, nil, &settings.Faktory{Connections: 3}, logrus.New())
+	go s.Serve(t.Context(), l)
+	began := time.Now()
+	scenario.Play(t, scenario.Cast{"c": scenario.Dial(l.Addr().String()), "room": func() (scenario.End, error) {
+		require.False(t, s.makeRoom(began), "they have just come")
+		require.True(t, s.makeRoom(began.Add(time.Minute)))
+		near, far := net.Pipe()
+		far.Close()
+		return near, nil
+	}}, nil, `
+		c.member expect HI
+		c.member send HELLO {"v":2}\r\n
+		c.member expect OK
+		c.first expect HI
+		c.second expect HI
+		room wait
+		c.first wait
+		c.second send HELLO
+		c.second wait
+		c.member send IN
+		c.member wait`)
+	require.Less(t, time.Since(began), 2*(helloFor+lineFor), "each is closed in its time")
+}
--- a/internal/faktory/protocol.go
+++ b/internal/faktory/protocol.go
@@ -24,8 +24,9 @@
 const (
 	iterations = 4000
 	mostLine   = 256 << 10        // of a command: a bulk push has several jobs
-	helloFor   = 10 * time.Second // a connection says who it is within this
-	idleFor    = 5 * time.Minute  // and is closed after so long without a command
+	helloFor   = 2 * time.Second  // a connection says who it is within this
+	lineFor    = 2 * time.Second  // a command is whole so long after its first byte
+	idleFor    = 5 * time.Minute  // a connection is closed after so long without a command
 	writeFor   = 10 * time.Second // a reply is taken within this
 )
 
@@ -49,7 +50,12 @@
 func (w *wire) read() {
 	defer close(w.gone)
 	in := bufio.NewReaderSize(w.conn, 4096)
-	for {
+	for wait := helloFor; ; wait = idleFor {
+		w.conn.SetReadDeadline(time.Now().Add(wait))
+		if wait == idleFor { // HELLO has to be whole by then; another command is due from its first byte on
+			in.Peek(1)
+			w.conn.SetReadDeadline(time.Now().Add(lineFor))
+		}
 		line, err := readLine(in)
 		if err != nil {
 			w.err = err
--- a/internal/faktory/server.go
+++ b/internal/faktory/server.go
@@ -20,8 +20,9 @@
 )
 
 const (
-	fetchFor = 2 * time.Second // a FETCH waits so long for a job
-	comeBack = time.Second     // advice with a refusal that has none
+	fetchFor = 2 * time.Second        // a FETCH waits so long for a job
+	patience = 250 * time.Millisecond // a connection is left to say HELLO at least
+	comeBack = time.Second            // advice with a refusal that has none
 )
 
 // Intake makes transactions of arrivals.
@@ -47,7 +48,7 @@
 	failures  atomic.Int64
 
 	mu    sync.Mutex
-	conns map[net.Conn]bool
+	conns map[net.Conn]time.Time // until HELLO since when, then zero
 	all   sync.WaitGroup
 }
 
@@ -55,7 +56,7 @@
 func New(hub Hub, intake Intake, set *settings.Faktory, log logrus.FieldLogger) *Server {
 	return &Server{
 		hub: hub, intake: intake, set: set, log: log, workers: newWorkers(hub, set), outcomes: newOutcomes(set.Jobs),
-		started: time.Now(), slots: make(chan struct{}, set.Connections), conns: make(map[net.Conn]bool),
+		started: time.Now(), slots: make(chan struct{}, set.Connections), conns: make(map[net.Conn]time.Time),
 	}
 }
 
@@ -82,13 +83,17 @@
 		select {
 		case s.slots <- struct{}{}:
 		default:
+			if s.makeRoom(time.Now()) {
+				s.slots <- struct{}{}
+				break
+			}
 			c.SetWriteDeadline(time.Now().Add(writeFor))
 			fmt.Fprint(c, fault("too many connections, come back in %v", comeBack))
 			c.Close()
 			continue
 		}
 		s.mu.Lock()
-		s.conns[c] = true
+		s.conns[c] = time.Now()
 		s.mu.Unlock()
 		s.all.Go(func() {
 			defer func() {
@@ -102,6 +107,26 @@
 	}
 }
 
+// makeRoom closes the connection that has been longest without saying who it
+// is, if a usual client would have by now: those that only connect must not
+// shut out the others. It reports whether there was one.
+func (s *Server) makeRoom(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var silent net.Conn
+	for c, since := range s.conns {
+		if !since.IsZero() && now.Sub(since) >= patience && (silent == nil || since.Before(s.conns[silent])) {
+			silent = c
+		}
+	}
+	if silent == nil {
+		return false
+	}
+	s.conns[silent] = time.Time{} // it makes room once
+	silent.Close()
+	return true
+}
+
 // Drain takes no more pushes. Workers go on fetching what was taken.
 func (s *Server) Drain() { s.draining.Store(true) }
 
@@ -119,7 +144,6 @@
 	if w.reply(greeting(s.set.Password, salt)) != nil {
 		return
 	}
-	c.SetReadDeadline(time.Now().Add(helloFor))
 	var first string
 	select {
 	case first = <-w.lines:
@@ -135,6 +159,9 @@
 		w.reply(fault("%v", err))
 		return
 	}
+	s.mu.Lock()
+	s.conns[c] = time.Time{}
+	s.mu.Unlock()
 	at := &session{Server: s, wire: w}
 	if h.worker != "" {
 		at.worker = s.workers.connect(h.worker)
@@ -148,7 +175,6 @@
 // loop serves one command after the other until the connection ends.
 func (s *session) loop(ctx context.Context) {
 	for {
-		s.wire.conn.SetReadDeadline(time.Now().Add(idleFor))
 		select {
 		case <-ctx.Done():
 			return
