Bound probes, DELETEs and bodies in hand by what the configuration allows

Saw: at 256 descriptors the two sides could take 192 by count, and each DELETE and probe one more, without any bound; bodies in hand could take 16 MB, also where the limit is 32 MB. With members silent a DELETE waits 2 s.

At fault: poolmember.go, delete and probe, which took no slot; main.go, Bytes: a constant; and the Faktory front's connections were not counted in.

--- a/cmd/basaltloft/main.go
+++ b/cmd/basaltloft/main.go
@@ -139,7 +139,13 @@
 	if sockets <= 0 {
 		sockets = 1024
 	}
+	if extra.Faktory != nil { // its connections are held beside the others
+		sockets = max(sockets/2, sockets-extra.Faktory.Connections)
+	}
 	limits := stage.Limits{Open: sockets / 2, Bytes: 16 << 20}
+	if c.MemoryMB > 0 { // a body is held twice for a moment, and connections have buffers
+		limits.Bytes = min(limits.Bytes, c.MemoryMB<<20/8)
+	}
 	chain := stage.New(c.Settings, limits, log)
 	hub, err := core.New(c.Settings, chain, log)
 	if err != nil {
--- a/internal/poolmember/poolmember.go
+++ b/internal/poolmember/poolmember.go
@@ -34,18 +34,19 @@
 type Carrier struct {
 	ends  Ends
 	wire  http.RoundTripper
-	slots chan struct{} // one for each connection that may be in use
+	slots chan struct{} // one for each connection that may be in use by a flow
+	asks  chan struct{} // and by a probe or the end of a flow, which flows must not shut out
 }
 
 // Figures are what the deployment says of connections to members.
 type Figures struct {
 	DialWithin time.Duration // a connection that is not up by then has failed
-	Most       int           // connections in use at a time
+	Most       int           // flows that are being submitted at a time; half as many probes and ends beside them
 }
 
 // New returns a carrier.
 func New(ends Ends, f Figures) *Carrier {
-	return &Carrier{ends: ends, wire: newTransport(f), slots: make(chan struct{}, f.Most)}
+	return &Carrier{ends: ends, wire: newTransport(f), slots: make(chan struct{}, f.Most), asks: make(chan struct{}, max(1, f.Most/2))}
 }
 
 // call is the carrier's part of a flow. A flow is abandoned by closing its
@@ -195,6 +196,10 @@
 func (c *Carrier) delete(f *core.Flow) bool {
 	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(deleteFor))
 	defer cancel()
+	if !c.ask(ctx) {
+		return false
+	}
+	defer func() { <-c.asks }()
 	u := &url.URL{Scheme: "http", Host: f.Member.Addr, Path: "/jobs/" + f.Transaction.ID}
 	req := (&http.Request{Method: http.MethodDelete, URL: u, Host: u.Host, Header: make(http.Header)}).WithContext(ctx)
 	resp, err := c.wire.RoundTrip(req)
@@ -205,6 +210,16 @@
 	return true
 }
 
+// ask waits for a descriptor that may be used beside the flows'.
+func (c *Carrier) ask(ctx context.Context) bool {
+	select {
+	case c.asks <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // Probe implements core.Carrier.
 func (c *Carrier) Probe(m *core.Member) {
 	go func() {
@@ -216,6 +231,10 @@
 func (c *Carrier) probe(m *core.Member, until time.Time) basaltloft.Status {
 	ctx, cancel := context.WithDeadline(context.Background(), until)
 	defer cancel()
+	if !c.ask(ctx) {
+		return basaltloft.TimedOut
+	}
+	defer func() { <-c.asks }()
 	var connected bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }})
 	u := &url.URL{Scheme: "http", Host: m.Addr, Path: "/health/live"}
--- a/internal/poolmember/poolmember_test.go
+++ b/internal/poolmember/poolmember_test.go
@@ -12,6 +12,8 @@
 	"basaltloft"
 	"basaltloft/internal/core"
 	"basaltloft/internal/scenario"
+
+	"github.com/stretchr/testify/require"
 )
 
 // driver is an actor that starts a flow for each line "ID BYTES" that it is
@@ -125,3 +127,20 @@
 		})
 	}
 }
+
+// TestProbesAreBounded: without a descriptor to spare a probe never reaches its
+// member. The first connection that the member sees is the second probe's.
+func TestProbesAreBounded(t *testing.T) {
+	addr, open := scenario.Listen(t)
+	c := New(nil, Figures{DialWithin: time.Second, Most: 2})
+	c.asks <- struct{}{}
+	require.Equal(t, basaltloft.TimedOut, c.probe(&core.Member{Addr: addr}, time.Now().Add(20*time.Millisecond)))
+	require.False(t, c.delete(&core.Flow{Member: &core.Member{Addr: addr}, Transaction: &core.Transaction{ID: "t-1"}}))
+	<-c.asks
+	done := make(chan basaltloft.Status)
+	go func() { done <- c.probe(&core.Member{Addr: addr}, time.Now().Add(time.Minute)) }()
+	scenario.Play(t, scenario.Cast{"r": open}, nil, `
+		r expect ^GET /health/live
+		r send HTTP/1.1 200 x\r\nContent-Length: 0\r\n\r\n`)
+	require.Equal(t, basaltloft.OK, <-done)
+}
