Keep a request's last byte back 3 ms, so that a reset before it proves it never ran

At fault: transport.go, which writes a request in one piece: the system has taken the last byte before the reset comes, so the flow may have run and a ticket is lost. poolmember.go told a break before the last byte as no connection, which makes the member down and, once it answers, cold.

Ruled out: Expect: 100-continue, which does nothing for a job without a body and hangs on whether members know it.

Now: conn.Write keeps the last byte back while the connection is watched. A break then ends the flow as moot: it never ran, the member is not down, others come first.

--- a/cmd/basaltloft/main.go
+++ b/cmd/basaltloft/main.go
@@ -28,6 +28,10 @@
 	"github.com/sirupsen/logrus"
 )
 
+// settle is a little more than what a member takes to break a connection on
+// which a request comes, and nothing beside the run time of a job.
+const settle = 3 * time.Millisecond
+
 // A planned end. Clients learn of it late and go on opening connections for a
 // while; those that hold one are served on it for longer, since the dispatcher
 // that they would turn to may be on its way back. The end by force comes no
@@ -151,7 +155,7 @@
 	if err != nil {
 		return err
 	}
-	carrier := poolmember.New(hub, poolmember.Figures{DialWithin: c.DialWithin, Most: sockets / 4})
+	carrier := poolmember.New(hub, poolmember.Figures{DialWithin: c.DialWithin, Settle: settle, Most: sockets / 4})
 	follower := pool.New(ctx, c.Discovery, hub, carrier, log)
 	hub.Follow(follower)
 	front := virtualserver.New(hub, chain, log)
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -261,6 +261,8 @@
 		w.news = d.now
 	case TimedOut:
 		d.cutBudget(w, a.at)
+	case Moot:
+		a.called = true // it never arrived, which proves little, but others are tried first
 	case ConnectFailed:
 		d.cutBudget(w, a.at)
 		d.doubt(w, true)
--- a/internal/poolmember/poolmember.go
+++ b/internal/poolmember/poolmember.go
@@ -41,7 +41,12 @@
 // Figures are what the deployment says of connections to members.
 type Figures struct {
 	DialWithin time.Duration // a connection that is not up by then has failed
-	Most       int           // flows that are being submitted at a time; half as many probes and ends beside them
+	// Settle is how long the last byte of a request is kept back. A member starts
+	// a request once it is whole; one that breaks the connection while a request
+	// comes does so in that time, and the request, a ticket too, has then never
+	// run. Sent in one piece it may have run.
+	Settle time.Duration
+	Most   int // flows that are being submitted at a time; half as many probes and ends beside them
 }
 
 // New returns a carrier.
@@ -129,8 +134,11 @@
 	}
 	resp, err := c.wire.RoundTrip(req)
 	if err != nil {
-		if at == nil || !body.handedOver() || !at.mayHaveSent() {
+		switch {
+		case at == nil:
 			return basaltloft.ConnectFailed, false
+		case !body.handedOver() || !at.mayHaveSent(): // it came up, so the member is there
+			return basaltloft.Moot, false
 		}
 		return basaltloft.Reset, false
 	}
--- a/internal/poolmember/transport.go
+++ b/internal/poolmember/transport.go
@@ -24,7 +24,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &conn{Conn: c}, nil
+			return &conn{Conn: c, settle: f.Settle, closed: make(chan struct{})}, nil
 		},
 		TLSNextProto:       map[string]func(string, *tls.Conn) http.RoundTripper{},
 		DisableCompression: true,
@@ -40,6 +40,9 @@
 // A connection carries one request at a time.
 type conn struct {
 	net.Conn
+	settle        time.Duration
+	closed        chan struct{}
+	once          sync.Once
 	mu            sync.Mutex
 	wrote, failed bool
 }
@@ -54,11 +57,29 @@
 func (c *conn) Write(b []byte) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	n, err := c.Conn.Write(b)
+	last := max(0, len(b)-1)
+	n, err := c.Conn.Write(b[:last])
+	if err == nil {
+		settled := time.NewTimer(c.settle)
+		select {
+		case <-settled.C:
+		case <-c.closed: // by the transport, whose read has found it broken
+		}
+		settled.Stop()
+		var more int
+		more, err = c.Conn.Write(b[last:])
+		n += more
+	}
 	c.wrote, c.failed = true, c.failed || err != nil
 	return n, err
 }
 
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
 // mayHaveSent tells whether all that was written since begin was taken by the
 // system. It closes the connection first: a write that is under way would
 // otherwise still go out after the attempt was told never to have run.
