Watch discovery for 2 s at a time, so that a silent connection is noticed

Three members drain from 9.8 s on and three come from 8.1 s on; both dispatchers hear of all six at once, at 22.5 s.

At fault: pool.go, watchFor 20 s. Both watches were on connections that fell silent early. Such a one looks just like one on which nothing changes until the wait and its grace are over, 22 s.

Ruled out: discovery's own delay (under 4 s by the settings), a failed call (none in the log), the backoff of the module (nothing had failed), keep-alive probes of TCP (they are answered for a silent machine here, as the protocol says).

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -22,7 +22,10 @@
 const Source = "discovery"
 
 const (
-	watchFor = 20 * time.Second       // discovery holds a watch so long when nothing changes
+	// Discovery holds a watch so long when nothing changes. A connection that has
+	// fallen silent looks just like one on which nothing changes, so this is also
+	// how long the pool may be followed blindly.
+	watchFor = 2 * time.Second
 	grace    = 2 * time.Second        // a call fails so long after its answer was due
 	mostList = 8 << 20                // bytes of a list
 	breather = 100 * time.Millisecond // between watches that come back at once with nothing; 200 ms would end the watch
--- a/internal/virtualserver/program_test.go
+++ b/internal/virtualserver/program_test.go
@@ -198,21 +198,27 @@
 			client.back send @news(t-1,s-r1,done,one)
 			client expect 200 OK.*one$
 			program wait`},
+		// A connection to discovery that falls silent looks like one on which nothing
+		// changes: it is given up soon, and the watch goes on where it was.
+		"notices a silent discovery": {1, `
+			discovery expect GET /registry/instances\?index=41&wait=2000 HTTP
+			program expect a call to discovery failed
+			discovery.next expect GET /registry/instances\?index=41&wait=2000 HTTP`},
 		// A malformed list changes nothing and is a failed call; a drain is kept.
 		"follows discovery": {1, `
-			discovery expect GET /registry/instances\?index=41&wait=20000 HTTP
+			discovery expect GET /registry/instances\?index=41&wait=2000 HTTP
 			discovery send @list({"generation":42,"instances":[{"instanceId":"s-r1","lifecycle":"lost"}]})
 			program expect a call to discovery failed
-			discovery expect GET /registry/instances\?index=41&wait=20000 HTTP
+			discovery expect GET /registry/instances\?index=41&wait=2000 HTTP
 			discovery send @list({"generation":43,"reset":false,"instances":[{"instanceId":"s-r1","hostPort":"127.0.0.1:9","lifecycle":"leaving"}]})
-			discovery expect GET /registry/instances\?index=43&wait=20000 HTTP
+			discovery expect GET /registry/instances\?index=43&wait=2000 HTTP
 			client send @job(place-hold,h-1,1)
 			client expect ^HTTP/1.1 503`},
 		// A reload asks the service that the file names for its whole list, since
 		// versions differ, and drops the old watch and its late answer. Members and
 		// the job in hand stay. A broken file changes nothing.
 		"reloads": {1, `
-			discovery expect GET /registry/instances\?index=41&wait=20000 HTTP
+			discovery expect GET /registry/instances\?index=41&wait=2000 HTTP
 			client send @job(group-ticket,t-1,20)
 			r1 expect X-Call-Id: t-1.*body
 			r1 send @answer(202)
@@ -225,11 +231,11 @@
 			client.news expect 204
 			r1.next expect X-Call-Id: t-2.*body
 			next send @list({"generation":7,"reset":true,"instances":[{"instanceId":"s-r1","hostPort":"127.0.0.1:9","lifecycle":"leaving"}]})
-			next expect GET /registry/instances\?index=7&wait=20000 HTTP
+			next expect GET /registry/instances\?index=7&wait=2000 HTTP
 			program send {
 			program expect can't be reloaded
 			next send @list({"generation":8,"reset":false,"instances":[]})
-			next expect GET /registry/instances\?index=8&wait=20000 HTTP
+			next expect GET /registry/instances\?index=8&wait=2000 HTTP
 			client.back send @news(t-1,s-r1,done,one)
 			client expect 200 OK.*one$
 			client.three send @job(place-hold,h-1,1)
