Bound the guards' tests in seconds, and say what is open

Saw: with helloFor set back to 10 s the new Faktory test still passed; its bound was a multiple of the constant under test, as was the HTTP guard's. Both bounds are in seconds now, and the first fails at 10 s.

--- a/internal/faktory/guard_test.go
+++ b/internal/faktory/guard_test.go
@@ -38,5 +38,5 @@
 		c.second wait
 		c.member send IN
 		c.member wait`)
-	require.Less(t, time.Since(began), 2*(helloFor+lineFor), "each is closed in its time")
+	require.Less(t, time.Since(began), 8*time.Second, "each is closed in its time")
 }
--- a/internal/virtualserver/limited_test.go
+++ b/internal/virtualserver/limited_test.go
@@ -52,7 +52,7 @@
 			scenario.Play(t, scenario.Cast{"c": scenario.Dial(l.Addr().String())}, scenario.Words{
 				"live": func(...string) string { return `GET /health/live HTTP/1.1\r\nHost: app\r\n\r\n` },
 			}, script)
-			require.Less(t, time.Since(began), 4*requestFor+2*time.Second, "each is closed in its time")
+			require.Less(t, time.Since(began), 12*time.Second, "each is closed in its time")
 		})
 	}
 }
