--- /dev/null
+++ b/internal/account/windows.go
@@ -0,0 +1,101 @@
+package account
+
+import "time"
+
+// Span counts one stretch of time.
+type Span struct {
+	Taken uint32           `json:"taken"`
+	Ends  [Outcomes]uint32 `json:"ends"` // served, refused, failed
+}
+
+func (s *Span) add(o Span) {
+	s.Taken += o.Taken
+	for i := range s.Ends {
+		s.Ends[i] += o.Ends[i]
+	}
+}
+
+const (
+	minutes = 60
+	hours   = 24
+	days    = 8
+)
+
+// Windows are a line's counts by the minute, the hour and the day (UTC), the
+// latest of each. Time that runs backward counts into the latest stretch.
+type Windows struct {
+	minutes [minutes]Span
+	hours   [hours]Span
+	days    [days]Span
+	at      [3]int64 // the latest minute, hour and day since 1970
+}
+
+var units = [3]int64{60, 3600, 86400}
+
+func (w *Windows) ring(i int) []Span {
+	switch i {
+	case 0:
+		return w.minutes[:]
+	case 1:
+		return w.hours[:]
+	}
+	return w.days[:]
+}
+
+// roll clears what a ring holds of a time that is over.
+func (w *Windows) roll(now time.Time) {
+	s := now.Unix()
+	if s < (w.at[0]+1)*units[0] { // the usual case: still the same minute
+		return
+	}
+	for i, unit := range units {
+		ring, to := w.ring(i), s/unit
+		for n := max(w.at[i]+1, to-int64(len(ring))+1); n <= to; n++ {
+			ring[n%int64(len(ring))] = Span{}
+		}
+		w.at[i] = to
+	}
+}
+
+func (w *Windows) taken(now time.Time) {
+	w.roll(now)
+	for i := range units {
+		ring := w.ring(i)
+		ring[w.at[i]%int64(len(ring))].Taken++
+	}
+}
+
+func (w *Windows) ended(now time.Time, o Outcome) {
+	w.roll(now)
+	for i := range units {
+		ring := w.ring(i)
+		ring[w.at[i]%int64(len(ring))].Ends[o]++
+	}
+}
+
+// Window names a length of time.
+type Window uint8
+
+// Windows of an account: the minute, hour and day that run, each with those
+// before it that are kept.
+const (
+	Minute Window = iota
+	Hour
+	Day
+)
+
+// Latest is the stretch that runs at a time.
+func (w *Windows) Latest(of Window, now time.Time) Span {
+	w.roll(now)
+	ring := w.ring(int(of))
+	return ring[w.at[of]%int64(len(ring))]
+}
+
+// Kept sums all stretches that are kept: 60 minutes, 24 hours or 8 days.
+func (w *Windows) Kept(of Window, now time.Time) (sum Span) {
+	w.roll(now)
+	for _, s := range w.ring(int(of)) {
+		sum.add(s)
+	}
+	return sum
+}
--- a/internal/agentcheck/agentcheck.go
+++ b/internal/agentcheck/agentcheck.go
@@ -1,5 +1,6 @@
 // Package agentcheck answers the agent checks of load balancers: a connection
-// gets one line, `ready up N%`, `drain` or `down`, and is closed.
+// gets one line, `ready up N%`, `drain` or `down`, perhaps with
+// a note after #, and is closed.
 package agentcheck
 
 import (
@@ -14,20 +15,25 @@
 // State is what a balancer is told.
 type State struct {
 	Ready, Draining bool
-	Open, Most      int // transactions in hand, and how many there may be
+	Open, Most      int    // transactions in hand, and how many there may be
+	Note            string // for the operators: balancers show it and do nothing about it
 }
 
 // Line is the state in the words of the protocol. `ready` takes back the drain
 // that a balancer remembers from before a restart. The weight falls with the
 // room that is left, and never to 0: that would mean drain.
 func (s State) Line() string {
+	word := fmt.Sprintf("ready up %d%%", max(1, 100-100*min(s.Open, s.Most)/max(1, s.Most)))
 	switch {
 	case s.Draining:
-		return "drain\n"
+		word = "drain"
 	case !s.Ready:
-		return "down\n"
+		word = "down"
 	}
-	return fmt.Sprintf("ready up %d%%\n", max(1, 100-100*min(s.Open, s.Most)/max(1, s.Most)))
+	if s.Note != "" {
+		word += " #" + s.Note
+	}
+	return word + "\n"
 }
 
 // Serve answers checks until the context ends or the listener fails.
--- /dev/null
+++ b/internal/cli/figures.go
@@ -0,0 +1,283 @@
+package cli
+
+import (
+	"encoding/csv"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"basaltloft/internal/account"
+	"basaltloft/internal/figures"
+	"basaltloft/internal/journal"
+
+	"github.com/spf13/cobra"
+)
+
+func figuresCommand(sh *shared) *cobra.Command {
+	c := &cobra.Command{Use: "figures", Short: "read the account, now and of the past", Args: none, RunE: help}
+	c.AddCommand(showCommand(sh), reportCommand(sh), verifyCommand(sh), plotCommand(sh), soakCommand(sh))
+	return c
+}
+
+func showCommand(sh *shared) *cobra.Command {
+	var at, format string
+	var audit bool
+	c := &cobra.Command{
+		Use: "show", Short: "show the account of a running dispatcher", Args: none,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if format != "table" && format != "json" {
+				return misuse{fmt.Errorf("--format is table or json, not %q", format)}
+			}
+			if audit {
+				var ignored json.RawMessage
+				if err := fetch(c, at, "/audit", &ignored); err != nil {
+					return err
+				}
+			}
+			var r figures.Report
+			if err := fetch(c, at, "/figures", &r); err != nil {
+				return err
+			}
+			if format == "json" {
+				return writeJSON(sh.out, r)
+			}
+			return figures.Table(sh.out, r)
+		},
+	}
+	c.Flags().StringVar(&at, "at", "127.0.0.1:7421", "`address` that figures.listen names")
+	c.Flags().StringVar(&format, "format", "table", "table or json")
+	c.Flags().BoolVar(&audit, "audit", false, "audit the account first")
+	return c
+}
+
+func fetch(c *cobra.Command, at, path string, into any) error {
+	req, err := http.NewRequestWithContext(c.Context(), http.MethodGet, "http://"+at+path, nil)
+	if err != nil {
+		return misuse{fmt.Errorf("--at: %w", err)}
+	}
+	client := http.Client{Timeout: 5 * time.Second}
+	resp, err := client.Do(req)
+	if err != nil {
+		return fmt.Errorf("no dispatcher tells its figures there: %w", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s%s: %s", at, path, resp.Status)
+	}
+	if err := json.NewDecoder(resp.Body).Decode(into); err != nil {
+		return fmt.Errorf("%s%s: %w", at, path, err)
+	}
+	return nil
+}
+
+func writeJSON(w io.Writer, v any) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
+
+// asked is what a report or a plot is of.
+type asked struct {
+	folder   string
+	from, to string
+	by       string
+}
+
+func (a *asked) flags(c *cobra.Command, by string) {
+	c.Flags().StringVar(&a.folder, "folder", "", "the journal's `folder`")
+	c.Flags().StringVar(&a.from, "from", "", "`time` (RFC 3339, or a date) from which jobs count")
+	c.Flags().StringVar(&a.to, "to", "", "`time` before which jobs count")
+	c.Flags().StringVar(&a.by, "by", by, "what to count by: any of "+strings.Join(journal.Dimensions, ", "))
+}
+
+func (a *asked) query() (journal.Folder, journal.Query, error) {
+	var q journal.Query
+	if a.folder == "" {
+		return nil, q, misuse{fmt.Errorf("--folder is needed")}
+	}
+	for name, at := range map[string]struct {
+		text string
+		into *time.Time
+	}{"--from": {a.from, &q.From}, "--to": {a.to, &q.To}} {
+		if at.text == "" {
+			continue
+		}
+		t, err := time.Parse(time.RFC3339, at.text)
+		if err != nil {
+			if t, err = time.Parse(time.DateOnly, at.text); err != nil {
+				return nil, q, misuse{fmt.Errorf("%s: %q is neither a date nor a time in RFC 3339", name, at.text)}
+			}
+		}
+		*at.into = t
+	}
+	if a.by != "" {
+		q.By = strings.Split(a.by, ",")
+	}
+	if err := q.Check(); err != nil {
+		return nil, q, misuse{err}
+	}
+	f, err := journal.ReadFolder(a.folder)
+	return f, q, err
+}
+
+func reportCommand(sh *shared) *cobra.Command {
+	var a asked
+	var format string
+	c := &cobra.Command{
+		Use: "report", Short: "report what a journal has counted", Args: none,
+		RunE: func(*cobra.Command, []string) error {
+			write := map[string]func(io.Writer, journal.Query, []*journal.Figures) error{"table": reportTable, "csv": reportCSV, "json": reportJSON}[format]
+			if write == nil {
+				return misuse{fmt.Errorf("--format is table, csv or json, not %q", format)}
+			}
+			folder, q, err := a.query()
+			if err != nil {
+				return err
+			}
+			rows, complaints, err := journal.Report(folder, q)
+			if err != nil {
+				return err
+			}
+			for _, text := range complaints {
+				fmt.Fprintln(sh.err, "basaltloft: not all could be counted:", text)
+			}
+			return write(sh.out, q, rows)
+		},
+	}
+	a.flags(c, "tenant,class")
+	c.Flags().StringVar(&format, "format", "table", "table, csv or json")
+	return c
+}
+
+var reportColumns = []string{"opened", "taken", "served", "refused", "failed", "open", "asks", "p50_ms", "p95_ms", "p99_ms", "longest_ms"}
+
+func reportRow(f *journal.Figures) []string {
+	row := append([]string(nil), f.By...)
+	for _, n := range []int64{f.Opened, f.Taken, f.Outcome(account.Served), f.Outcome(account.Refused), f.Outcome(account.Failed), f.Open, f.Asks} {
+		row = append(row, strconv.FormatInt(n, 10))
+	}
+	for _, d := range []time.Duration{f.P50, f.P95, f.P99, f.Longest} {
+		row = append(row, strconv.FormatFloat(float64(d.Microseconds())/1000, 'f', 1, 64))
+	}
+	return row
+}
+
+func reportTable(out io.Writer, q journal.Query, rows []*journal.Figures) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, strings.Join(append(append([]string(nil), q.By...), reportColumns...), "\t")+"\t")
+	for _, r := range rows {
+		fmt.Fprintln(w, strings.Join(reportRow(r), "\t")+"\t")
+	}
+	return w.Flush()
+}
+
+func reportCSV(out io.Writer, q journal.Query, rows []*journal.Figures) error {
+	w := csv.NewWriter(out)
+	w.Write(append(append([]string(nil), q.By...), reportColumns...))
+	for _, r := range rows {
+		w.Write(reportRow(r))
+	}
+	w.Flush()
+	return w.Error()
+}
+
+func reportJSON(out io.Writer, q journal.Query, rows []*journal.Figures) error {
+	type row struct {
+		By                      map[string]string
+		Opened, Taken           int64
+		Reasons                 map[string]int64
+		Served, Refused, Failed int64
+		Open, Asks              int64
+		P50, P95, P99, Longest  float64 // milliseconds
+	}
+	all := []row{}
+	for _, f := range rows {
+		r := row{By: map[string]string{}, Opened: f.Opened, Taken: f.Taken, Reasons: map[string]int64{}, Open: f.Open, Asks: f.Asks,
+			Served: f.Outcome(account.Served), Refused: f.Outcome(account.Refused), Failed: f.Outcome(account.Failed)}
+		for i, by := range q.By {
+			r.By[by] = f.By[i]
+		}
+		for i, n := range f.Ends {
+			if n > 0 {
+				r.Reasons[account.Reason(i).String()] = n
+			}
+		}
+		ms := func(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+		r.P50, r.P95, r.P99, r.Longest = ms(f.P50), ms(f.P95), ms(f.P99), ms(f.Longest)
+		all = append(all, r)
+	}
+	return writeJSON(out, all)
+}
+
+func verifyCommand(sh *shared) *cobra.Command {
+	return &cobra.Command{
+		Use: "verify FOLDER", Short: "recount a journal and name every entry that does not add up", Args: exactly("FOLDER"),
+		RunE: func(_ *cobra.Command, args []string) error {
+			f, err := journal.ReadFolder(args[0])
+			if err != nil {
+				return err
+			}
+			v, err := journal.Verify(f)
+			if err != nil {
+				return err
+			}
+			t := &v.Totals
+			fmt.Fprintf(sh.out, "%d segments, %d epochs, %d records, %d jobs, %d marks of the account\n", v.Segments, v.Epochs, v.Records, v.Jobs, v.Marks)
+			fmt.Fprintf(sh.out, "%d taken = %d served + %d refused + %d failed + %d open\n", t.Taken, t.By(account.Served), t.By(account.Refused), t.By(account.Failed), t.Open)
+			if v.Torn > 0 {
+				fmt.Fprintf(sh.out, "%d torn bytes at the very end: the next start cuts them\n", v.Torn)
+			}
+			if !v.LastEpochInOrder {
+				fmt.Fprintln(sh.out, "the last epoch has not ended in order: it runs, or was cut off")
+			}
+			for _, wrong := range v.Wrong {
+				fmt.Fprintln(sh.out, "WRONG:", wrong)
+			}
+			if len(v.Wrong) > 0 {
+				return silent
+			}
+			return nil
+		},
+	}
+}
+
+// plotCommand starts the program that plots: its library weighs more than a
+// dispatcher should carry.
+func plotCommand(sh *shared) *cobra.Command {
+	var a asked
+	var out string
+	c := &cobra.Command{
+		Use: "plot", Short: "plot what a journal has counted, as SVG or PNG", Args: none,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if ext := filepath.Ext(out); ext != ".svg" && ext != ".png" {
+				return misuse{fmt.Errorf("--out must end in .svg or .png")}
+			}
+			if _, _, err := a.query(); err != nil {
+				return err
+			}
+			self, err := os.Executable()
+			if err != nil {
+				return err
+			}
+			plot := exec.CommandContext(c.Context(), filepath.Join(filepath.Dir(self), "basaltloft-plot"),
+				"-folder", a.folder, "-from", a.from, "-to", a.to, "-out", out)
+			plot.Stdout, plot.Stderr = sh.out, sh.err
+			if err := plot.Run(); err != nil {
+				return fmt.Errorf("basaltloft-plot, which is installed beside this program: %w", err)
+			}
+			return nil
+		},
+	}
+	a.flags(c, "")
+	c.Flags().MarkHidden("by")
+	c.Flags().StringVar(&out, "out", "figures.svg", "`file` to write, .svg or .png; the latency by class goes to one with -latency in its name")
+	return c
+}
--- /dev/null
+++ b/internal/cli/serve.go
@@ -0,0 +1,134 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"basaltloft/internal/service"
+	"basaltloft/internal/settings"
+
+	"github.com/spf13/cobra"
+)
+
+func serveCommand(sh *shared) *cobra.Command {
+	var operator string
+	c := &cobra.Command{
+		Use: "serve", Short: "serve jobs, as without a sub-command", Args: none,
+		RunE: func(c *cobra.Command, _ []string) error { return serve(c.Context(), sh, operator) },
+	}
+	c.Flags().StringVar(&operator, "operator", "", "the operator's `file`, which sets up what the platform does not ask for")
+	return c
+}
+
+func serve(ctx context.Context, sh *shared, operator string) error {
+	over := map[string]string{}
+	for _, name := range []string{"ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY"} {
+		over[name] = os.Getenv(name)
+	}
+	c, err := configure(over)
+	if err != nil {
+		return err
+	}
+	extra, err := settings.DecodeOperator([]byte(`{}`)) // its usual values
+	if operator != "" {
+		var text []byte
+		if text, err = os.ReadFile(operator); err != nil {
+			return fmt.Errorf("operator's file: %w", err)
+		}
+		extra, err = settings.DecodeOperator(text)
+	}
+	if err != nil {
+		return err
+	}
+	told, reloads := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(told, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(reloads, syscall.SIGHUP)
+	service.Fit(c)
+	return service.Run(ctx, service.Options{
+		Config: c, Operator: extra, Log: sh.logger(),
+		Reread: func() (settings.Config, error) { return configure(nil) },
+	}, told, reloads)
+}
+
+// configure reads the configuration file, over which what is named goes.
+func configure(over map[string]string) (settings.Config, error) {
+	path := os.Getenv("ROUTER_CONFIG")
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return settings.Config{}, fmt.Errorf("ROUTER_CONFIG: %w", err)
+	}
+	c, err := settings.DecodeConfig(text)
+	if err != nil {
+		return c, fmt.Errorf("%s: %w", path, err)
+	}
+	for name, into := range map[string]*string{
+		"ROUTER_NAME": &c.Name, "ROUTER_LISTEN": &c.Listen, "ROUTER_DISCOVERY": &c.Discovery,
+	} {
+		if v := over[name]; v != "" {
+			*into = v
+		}
+	}
+	for name, addr := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
+		if _, _, err := net.SplitHostPort(addr); err != nil {
+			return c, fmt.Errorf("%s: %s: %w", path, name, err)
+		}
+	}
+	return c, nil
+}
+
+func versionCommand(sh *shared) *cobra.Command {
+	return &cobra.Command{
+		Use: "version", Short: "say which version this is", Args: none,
+		RunE: func(*cobra.Command, []string) error {
+			info, ok := debug.ReadBuildInfo()
+			if !ok {
+				return fmt.Errorf("this binary does not know its version")
+			}
+			revision, changed := "unknown revision", ""
+			for _, s := range info.Settings {
+				switch {
+				case s.Key == "vcs.revision":
+					revision = s.Value
+				case s.Key == "vcs.modified" && s.Value == "true":
+					changed = " with changes"
+				}
+			}
+			fmt.Fprintf(sh.out, "basaltloft %s, %s%s, %s\n", info.Main.Version, revision, changed, info.GoVersion)
+			return nil
+		},
+	}
+}
+
+func checkCommand(sh *shared) *cobra.Command {
+	config := &cobra.Command{Use: "config", Short: "look after configuration files", Args: none, RunE: help}
+	config.AddCommand(&cobra.Command{
+		Use: "check FILE", Short: "name everything that is wrong in a configuration or an operator's file",
+		Args: exactly("FILE"),
+		RunE: func(_ *cobra.Command, args []string) error {
+			text, err := os.ReadFile(args[0])
+			if err != nil {
+				return err
+			}
+			r := settings.Check(text)
+			for _, p := range r.Problems {
+				fmt.Fprintf(sh.out, "%s: error: %s\n", args[0], p)
+			}
+			for _, key := range r.Unknown {
+				fmt.Fprintf(sh.out, "%s: warning: %s: nothing reads this key\n", args[0], key)
+			}
+			if len(r.Problems) > 0 {
+				return silent
+			}
+			fmt.Fprintf(sh.out, "%s: ok, a %s\n", args[0], r.Kind)
+			return nil
+		},
+	})
+	return config
+}
+
+func help(c *cobra.Command, _ []string) error { return c.Help() }
--- /dev/null
+++ b/internal/cli/tools.go
@@ -0,0 +1,72 @@
+package cli
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"basaltloft/internal/demo"
+	"basaltloft/internal/soak"
+
+	"github.com/spf13/cobra"
+)
+
+func demoCommand(sh *shared) *cobra.Command {
+	var span time.Duration
+	c := &cobra.Command{
+		Use: "demo", Short: "serve stand-in clients and members in one process, and show the account", Args: none,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if span <= 0 {
+				return misuse{errors.New("--for must be more than nothing")}
+			}
+			if !c.Flags().Changed("log-level") && sh.level == "info" {
+				sh.level = "warn" // the progress is shown in its place
+			}
+			ctx, stop := signal.NotifyContext(c.Context(), syscall.SIGINT, syscall.SIGTERM)
+			defer stop()
+			return demo.Run(ctx, time.Now().Add(span), sh.logger(), sh.out, sh.err)
+		},
+	}
+	c.Flags().DurationVar(&span, "for", 10*time.Second, "how `long` to serve")
+	return c
+}
+
+func soakCommand(sh *shared) *cobra.Command {
+	var span time.Duration
+	s := soak.Settings{}
+	c := &cobra.Command{
+		Use: "soak", Short: "load a dispatcher, kill it at random, and check every sum", Args: none,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if span <= 0 || s.Kills < 0 || s.Rate <= 0 {
+				return misuse{errors.New("--for, --kills and --rate must be more than nothing")}
+			}
+			ctx, stop := signal.NotifyContext(c.Context(), syscall.SIGINT, syscall.SIGTERM)
+			defer stop()
+			var err error
+			if s.Program, err = os.Executable(); err != nil {
+				return err
+			}
+			if s.Folder == "" {
+				if s.Folder, err = os.MkdirTemp("", "basaltloft-figures"); err != nil {
+					return err
+				}
+				defer os.RemoveAll(s.Folder)
+			}
+			s.Until = time.Now().Add(span)
+			r, err := soak.Run(ctx, s, sh.err)
+			if err != nil {
+				return fmt.Errorf("soaking: %w", err)
+			}
+			return r.Write(sh.out)
+		},
+	}
+	c.Flags().DurationVar(&span, "for", time.Minute, "how `long`")
+	c.Flags().IntVar(&s.Kills, "kills", 10, "how often the dispatcher is killed")
+	c.Flags().Float64Var(&s.Rate, "rate", 60, "asks a second by each front")
+	c.Flags().StringVar(&s.Folder, "folder", "", "keep the journal in this `folder`")
+	c.Flags().Uint64Var(&s.Seed, "seed", 1, "of the random numbers")
+	return c
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"basaltloft"
+	"basaltloft/internal/account"
 
 	"github.com/sirupsen/logrus"
 )
@@ -45,6 +46,7 @@
 	members      map[string]*Member
 	numbers      map[uint32]*Member
 	load         Load
+	flowing      int64     // flows that are out
 	late, leaves time.Time // see Leaving
 
 	unanswered atomic.Int64
@@ -148,13 +150,27 @@
 // Ready tells whether the core has a list of members and takes transactions.
 func (c *Core) Ready() bool { return c.known.Load() }
 
+// Census counts what is open, by front and class, from the table of open
+// transactions alone, and the flows that are out. It may be called by Run's
+// goroutine only, such as in a Sync.
+func (c *Core) Census() (open account.Census, flows int64) {
+	open = make(account.Census)
+	for _, t := range c.open {
+		if !t.answered {
+			open[[2]string{t.Front, t.Class}]++
+		}
+	}
+	return open, c.flowing
+}
+
 // Submit takes a transaction. Its client is told exactly one final answer.
 func (c *Core) Submit(t *Transaction) {
 	c.unanswered.Add(1)
 	c.post(func() {
+		c.stages.Enter(t, c.now)
 		if c.open[t.ID] != nil { // an id names one transaction: the module would drop the second in silence
 			c.unanswered.Add(-1)
-			a := Answer{Verdict: Denied, Body: []byte("this id is in hand already\n")}
+			a := Answer{Verdict: Denied, Reason: account.IDInHand, Body: []byte("this id is in hand already\n")}
 			c.stages.Book(t, a, c.now)
 			t.Client.Answer(a)
 			return
@@ -167,7 +183,7 @@
 			return
 		}
 		if c.comesLate(t) && c.now.Add(t.Hint).After(c.leaves) {
-			c.answer(t, Answer{Verdict: Refused, RetryAt: c.now})
+			c.answer(t, Answer{Verdict: Refused, Reason: account.GoingAway, RetryAt: c.now})
 			return
 		}
 		c.timers.add(t.Deadline.Add(overdue), func() { c.expire(t) })
@@ -186,9 +202,9 @@
 				if t.answered || !c.comesLate(t) {
 					continue
 				}
-				a := Answer{Verdict: Failed}
+				a := Answer{Verdict: Failed, Reason: account.Stopped}
 				if t.sends == 0 {
-					a = Answer{Verdict: Refused, RetryAt: c.now}
+					a = Answer{Verdict: Refused, Reason: account.GoingAway, RetryAt: c.now}
 				}
 				c.answer(t, a)
 				c.decisions.Gone(c.clock(c.now), t.ID)
@@ -216,6 +232,7 @@
 		return
 	}
 	c.close(t)
+	c.stages.Book(t, Answer{Verdict: Failed, Reason: account.ClientLeft}, c.now)
 	c.decisions.Gone(c.clock(c.now), t.ID)
 }
 
@@ -226,7 +243,7 @@
 		return
 	}
 	c.log.WithField("transaction", t.ID).Error("no final answer by the deadline")
-	c.answer(t, Answer{Verdict: Failed})
+	c.answer(t, Answer{Verdict: Failed, Reason: account.OverTime})
 	c.decisions.Gone(c.clock(c.now), t.ID)
 }
 
@@ -267,10 +284,12 @@
 		return
 	}
 	f.ended = true
+	t.last = s
+	c.flowing--
 	if t.live == f {
 		t.live = nil
 	}
-	if a := c.stages.Relay(f, s, result); a != nil {
+	if a := c.stages.Relay(f, s, result, c.now); a != nil {
 		c.answer(t, *a)
 	}
 	c.decisions.Outcome(c.clock(c.now), basaltloft.Outcome{
--- a/internal/core/host.go
+++ b/internal/core/host.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"basaltloft"
+	"basaltloft/internal/account"
 )
 
 // host is the module's side of the core. The module calls it while it handles
@@ -35,6 +36,7 @@
 	f := c.stages.Send(t, m, t.sends, c.now, until)
 	t.sends++
 	t.live = f
+	c.flowing++
 	c.timers.add(f.Deadline, func() {
 		if !f.ended {
 			m.Carrier.Abandon(f)
@@ -47,7 +49,7 @@
 // Refuse implements basaltloft.Host.
 func (h host) Refuse(id string, retryAfter time.Duration) {
 	if t := h.c.open[id]; t != nil {
-		a := Answer{Verdict: Refused}
+		a := Answer{Verdict: Refused, Reason: account.Declined}
 		if retryAfter > 0 {
 			a.RetryAt = h.c.now.Add(retryAfter)
 		}
@@ -58,7 +60,14 @@
 // Fail implements basaltloft.Host.
 func (h host) Fail(id string) {
 	if t := h.c.open[id]; t != nil {
-		h.c.answer(t, Answer{Verdict: Failed})
+		a := Answer{Verdict: Failed, Reason: account.GivenUp}
+		switch {
+		case !h.c.now.Before(t.Deadline):
+			a.Reason = account.OverTime
+		case t.sends > 0 && t.last == basaltloft.Error:
+			a.Reason = account.MemberError
+		}
+		h.c.answer(t, a)
 	}
 }
 
--- a/internal/core/ledger_test.go
+++ b/internal/core/ledger_test.go
@@ -22,6 +22,7 @@
 
 func (p *tape) say(word, id string)                         { p.said = append(p.said, word+" "+id) }
 func (p *tape) Admit(*Transaction, Load, time.Time) *Answer { return nil }
+func (p *tape) Enter(*Transaction, time.Time)               {}
 func (p *tape) Book(t *Transaction, a Answer, _ time.Time)  { p.say("book", t.ID) }
 func (p *tape) Start(f *Flow)                               { p.flows = append(p.flows, f); p.say("start", f.Transaction.ID) }
 func (p *tape) Abandon(f *Flow)                             { p.say("abandon", f.Transaction.ID) }
@@ -32,7 +33,7 @@
 func (p *tape) Route(t *Transaction) basaltloft.Request {
 	return basaltloft.Request{ID: t.ID, Class: t.Class, Hint: t.Hint}
 }
-func (p *tape) Relay(_ *Flow, s basaltloft.Status, _ []byte) *Answer {
+func (p *tape) Relay(_ *Flow, s basaltloft.Status, _ []byte, _ time.Time) *Answer {
 	if s == basaltloft.OK {
 		return &Answer{Verdict: Served}
 	}
@@ -95,7 +96,7 @@
 			c.Leave(tx)
 			c.Leave(tx)
 			c.End(p.flows[0], basaltloft.OK, nil)
-		}, `["start t","abandon t"]`},
+		}, `["start t","book t","abandon t"]`},
 		// A second attempt would run beside the first until the member has heard.
 		"what is asked back goes elsewhere once the member has heard": {func(c *Core, p *tape, tx *Transaction) {
 			c.post(func() { host{c}.Cancel("t", 0); host{c}.Send("t", p.flows[0].Member.number, 0) })
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"encoding/binary"
 	"hash/fnv"
 	"slices"
@@ -24,6 +25,7 @@
 		listed := make([]basaltloft.Member, 0, len(entries))
 		for _, m := range entries {
 			m.source = source
+			m.Group = cmp.Or(m.Group, source)
 			listed = append(listed, c.place(m))
 		}
 		if kind != basaltloft.ListChange {
--- a/internal/core/transaction.go
+++ b/internal/core/transaction.go
@@ -4,12 +4,14 @@
 	"time"
 
 	"basaltloft"
+	"basaltloft/internal/account"
 )
 
 // Transaction is one request of a client, whatever wire it came by. What is
 // exported is set before Submit and never changes; the rest is the core's.
 type Transaction struct {
 	ID, Class, Tenant string
+	Front             string // the front that took it
 	Target            string // path and raw query, where the client's wire has them
 	Key               string // the idempotency key
 	Body              []byte
@@ -20,10 +22,12 @@
 	Slots, Memory     float64
 	Retry             bool
 	Client            Client
+	Booked            any // the books' own
 
 	sends    int
 	live     *Flow
 	answered bool
+	last     basaltloft.Status // how the last flow ended
 }
 
 // Client is told the one final answer of its transaction. It must not block.
@@ -46,11 +50,18 @@
 
 func (v Verdict) String() string { return verdicts[v] }
 
+// Outcome is what a verdict counts as. What is denied failed: nobody promises
+// that a request which a member calls bad did not run.
+func (v Verdict) Outcome() account.Outcome {
+	return [...]account.Outcome{Served: account.Served, Refused: account.Refused, Failed: account.Failed, Denied: account.Failed}[v]
+}
+
 // Answer is the one final answer of a transaction.
 type Answer struct {
 	Verdict Verdict
 	Body    []byte
 	RetryAt time.Time // Refused: when to come back; zero: no advice
+	Reason  account.Reason
 }
 
 // Flow is a server-side flow: one attempt of a transaction at a pool member.
@@ -68,6 +79,7 @@
 // Member is a pool member: something that runs jobs.
 type Member struct {
 	ID, Addr, Kind, Zone string
+	Group                string // what its jobs are counted under; empty: its source
 	Cell                 int
 	State                basaltloft.MemberState
 	Weight               float64
@@ -109,6 +121,8 @@
 
 // Stages are the steps of a transaction between its taking in and its end.
 type Stages interface {
+	// Enter books a transaction that is taken.
+	Enter(t *Transaction, now time.Time)
 	// Admit returns the final answer of a transaction that is not let in.
 	Admit(t *Transaction, load Load, now time.Time) *Answer
 	// Route puts a transaction into the words of the decisions.
@@ -117,7 +131,7 @@
 	Send(t *Transaction, m *Member, number int, now, until time.Time) *Flow
 	// Relay tells what a flow's end means for its client: an answer, or
 	// nothing yet.
-	Relay(f *Flow, s basaltloft.Status, result []byte) *Answer
-	// Book writes down a final answer.
+	Relay(f *Flow, s basaltloft.Status, result []byte, now time.Time) *Answer
+	// Book writes down a final answer, or that the client is owed none any more.
 	Book(t *Transaction, a Answer, now time.Time)
 }
--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,177 @@
+// Package demo runs a dispatcher with both fronts and the world around it in
+// one process, on loopback, with nothing set up: discovery, pool members,
+// clients and Faktory workers as stand-ins.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"basaltloft/internal/settings"
+	"basaltloft/internal/standin"
+)
+
+// Tenants are those of the demo.
+var Tenants = []string{"hrad-kamenec", "jaskyna-dolina", "hrad-vysoka"}
+
+// settingsText is what the platform tells a dispatcher of the demo: the two
+// classes of the guided tours, with running times made short.
+const settingsText = `{"balancers":1,"rank":0,"registry_mode":"ask","worth_by":"work","zone":"hall","shapes":["std"],
+"tenants":[{"name":"hrad-kamenec"},{"name":"jaskyna-dolina"},{"name":"hrad-vysoka"}],
+"lanes":[{"name":"place-hold","effect":"deduplicated","key_scope":"cell","promise":400000000,"give_up":10000000000,"repeat_window":15000000000,"worth":10},
+{"name":"group-ticket","effect":"at_most_once","key_scope":"all","promise":1000000000,"give_up":25000000000,"worth":2}],
+"family_info":{"class_kind":[-1,-1],"class_stretch":[2.5,2.5],"tells_start":true},
+"limits":{"most_tries":3,"cancel":true,"probes":true,"retry_after":true,"max_retry_after":2000000000,"conn_idle":15000000000,"dial_timeout":250000000},
+"guarantees":{"grace_to_answer":8000000,"ask_every":10000000000,"start_capacity":0.12,"warm_after":24000000000,"fall_multiple":4,"tip_after":3000000000}}`
+
+// Configuration is the configuration file of the demo's dispatcher.
+func Configuration(listen, discovery string) string {
+	return fmt.Sprintf(`{"name":"demo","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":192,"sockets":1024},`+
+		`"known":{"generation":0,"reset":true,"instances":[]},"settings":%s}`, listen, discovery, settingsText)
+}
+
+// OperatorFile is the operator's file of the demo. An empty folder leaves the
+// journal off, which is also the way to run without any figures but the sums.
+func OperatorFile(faktory, agent, figures, folder string) string {
+	return fmt.Sprintf(`{"agent_check":{"listen":%q},
+"figures":{"listen":%q,"audit_every_ms":500,"journal":{"folder":%q,"segment_mb":1}},
+"faktory":{"listen":%q,"connections":128,"default":{"class":"place-hold","deadline_ms":10000},
+"workers":{"cell":7},
+"queues":{"holds":{"class":"place-hold","deadline_ms":10000,"cost_us":20000},"tickets":{"class":"group-ticket","deadline_ms":25000,"cost_us":60000}},
+"jobtypes":{"IssueTicket":{"class":"group-ticket","deadline_ms":25000,"cost_us":60000}}}}`, agent, figures, folder, faktory)
+}
+
+// World is the outside of one dispatcher.
+type World struct {
+	Addr, Faktory, Agent, Figures string
+	Discovery                     *standin.Discovery
+	Till                          *standin.Till
+	HTTP, Pushed                  standin.Answers
+	members                       []*standin.Member
+	all                           sync.WaitGroup
+	stopClients, stopWorkers      context.CancelFunc
+}
+
+// Load is how busy the world is.
+type Load struct {
+	Rate     float64 // asks a second by each front
+	Members  int
+	Workers  int
+	Troubles standin.Troubles
+	Seed     uint64
+}
+
+// NewWorld starts discovery and members. Nobody asks anything yet.
+func NewWorld(l Load) (*World, error) {
+	w := &World{Till: standin.NewTill()}
+	for _, at := range []*string{&w.Addr, &w.Faktory, &w.Agent, &w.Figures} {
+		var err error
+		if *at, err = free(); err != nil {
+			return nil, err
+		}
+	}
+	var listed []standin.Listed
+	for i := range l.Members {
+		m, err := standin.NewMember(standin.MemberSettings{
+			ID: fmt.Sprintf("s-%d", i+1), Cell: i / 4, Slots: 4, Run: running(l.Seed + uint64(i)), Troubles: l.Troubles,
+			Reports: func() string { return w.Addr }, Till: w.Till, Once: once, Seed: l.Seed + uint64(i),
+		})
+		if err != nil {
+			w.Close()
+			return nil, err
+		}
+		w.members = append(w.members, m)
+		listed = append(listed, m.Listed())
+	}
+	var err error
+	if w.Discovery, err = standin.NewDiscovery(listed...); err != nil {
+		w.Close()
+		return nil, err
+	}
+	return w, nil
+}
+
+func once(class string) bool { return class == "group-ticket" || class == "IssueTicket" }
+
+// running is how long jobs run: holds for 10 to 30 ms, tickets for three times
+// as long.
+func running(seed uint64) func(string) time.Duration {
+	random := rand.New(rand.NewPCG(seed, 3))
+	var mu sync.Mutex
+	return func(class string) time.Duration {
+		mu.Lock()
+		defer mu.Unlock()
+		d := 10*time.Millisecond + time.Duration(random.Int64N(int64(20*time.Millisecond)))
+		if once(class) {
+			d *= 3
+		}
+		return d
+	}
+}
+
+// Begin lets workers fetch and clients ask.
+func (w *World) Begin(l Load) {
+	clients, stop := context.WithCancel(context.Background())
+	w.stopClients = stop
+	workers, stop := context.WithCancel(context.Background())
+	w.stopWorkers = stop
+	mix := standin.Mix{Rate: l.Rate, Tickets: 0.28, Tenants: Tenants, Retries: 2, Impatient: 0.02, Seed: l.Seed}
+	http, faktory := func() string { return w.Addr }, func() string { return w.Faktory }
+	for i := range l.Workers {
+		w.all.Go(func() {
+			standin.FaktoryWorker(workers, faktory, standin.WorkerSettings{
+				WID: fmt.Sprintf("worker-%d", i+1), Queues: []string{"tickets", "holds"}, Run: running(l.Seed + 100 + uint64(i)),
+				Troubles: l.Troubles, Till: w.Till, Once: once, Seed: l.Seed + 100 + uint64(i),
+			})
+		})
+	}
+	w.all.Go(func() { standin.HTTPClients(clients, http, "h", mix, &w.HTTP) })
+	if l.Workers > 0 {
+		w.all.Go(func() { standin.FaktoryClients(clients, faktory, "f", mix, &w.Pushed) })
+	}
+}
+
+// EndClients asks nothing more.
+func (w *World) EndClients() { w.stopClients() }
+
+// Close ends everything and waits for it.
+func (w *World) Close() {
+	if w.stopClients != nil {
+		w.stopClients()
+		w.stopWorkers()
+	}
+	w.all.Wait()
+	for _, m := range w.members {
+		m.Close()
+	}
+	if w.Discovery != nil {
+		w.Discovery.Close()
+	}
+}
+
+// Decoded are the configuration and operator's file for this world.
+func (w *World) Decoded(folder string) (c settings.Config, o settings.Operator, err error) {
+	if c, err = settings.DecodeConfig([]byte(Configuration(w.Addr, w.Discovery.Addr()))); err != nil {
+		return c, o, err
+	}
+	o, err = settings.DecodeOperator([]byte(OperatorFile(w.Faktory, w.Agent, w.Figures, folder)))
+	return c, o, err
+}
+
+// Ended is the signal that ends a dispatcher in the same process.
+var Ended os.Signal = syscall.SIGTERM
+
+func free() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
--- a/internal/faktory/job.go
+++ b/internal/faktory/job.go
@@ -70,7 +70,7 @@
 		return j, fmt.Errorf("neither jobtype %q nor queue %q is set up here", j.kind, j.queue)
 	}
 	j.arrival = stage.Arrival{
-		ID: j.id, Class: as.Class, Tenant: as.Tenant, Key: j.id, Form: form, Body: v.MarshalTo(nil), Hint: as.Cost, Slots: 1,
+		ID: j.id, Class: as.Class, Tenant: as.Tenant, Front: Front, Key: j.id, Form: form, Body: v.MarshalTo(nil), Hint: as.Cost, Slots: 1,
 	}
 	if as.Deadline > 0 {
 		j.arrival.GivesUp = now.Add(as.Deadline)
--- a/internal/faktory/outcomes.go
+++ b/internal/faktory/outcomes.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"basaltloft/internal/account"
 	"basaltloft/internal/core"
 
 	"github.com/valyala/fastjson"
@@ -15,6 +16,7 @@
 // latest, so that a jid pushed again joins its first push, and its one final
 // outcome can be asked for. It is lost with the process.
 type outcomes struct {
+	desk  *account.Desk
 	mu    sync.Mutex
 	most  int
 	bytes int
@@ -31,8 +33,8 @@
 	at     time.Time
 }
 
-func newOutcomes(most int) *outcomes {
-	return &outcomes{most: most, jobs: make(map[string]*outcome)}
+func newOutcomes(most int, desk *account.Desk) *outcomes {
+	return &outcomes{desk: desk, most: most, jobs: make(map[string]*outcome)}
 }
 
 // begin enters a job. joined says that it is known already and must not be
@@ -53,6 +55,12 @@
 
 // Answer implements core.Client.
 func (c *outcome) Answer(a core.Answer) {
+	c.of.desk.Answered(a.Verdict.Outcome())
+	c.settle(a)
+}
+
+// settle keeps what became of a job, whether or not the core was asked.
+func (c *outcome) settle(a core.Answer) {
 	o := c.of
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/faktory/server.go
+++ b/internal/faktory/server.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"basaltloft"
+	"basaltloft/internal/account"
 	"basaltloft/internal/core"
 	"basaltloft/internal/settings"
 	"basaltloft/internal/stage"
@@ -25,6 +26,9 @@
 	comeBack = time.Second            // advice with a refusal that has none
 )
 
+// Front is what this front's jobs are counted under.
+const Front = "faktory"
+
 // Intake makes transactions of arrivals.
 type Intake interface {
 	TakeIn(a stage.Arrival, now time.Time, client core.Client) (*core.Transaction, error)
@@ -32,6 +36,7 @@
 
 // Server is the Faktory front.
 type Server struct {
+	Desk     account.Desk // its own book
 	hub      Hub
 	intake   Intake
 	set      *settings.Faktory
@@ -54,10 +59,12 @@
 
 // New returns a front that is not serving yet.
 func New(hub Hub, intake Intake, set *settings.Faktory, log logrus.FieldLogger) *Server {
-	return &Server{
-		hub: hub, intake: intake, set: set, log: log, workers: newWorkers(hub, set), outcomes: newOutcomes(set.Jobs),
+	s := &Server{
+		Desk: account.Desk{Front: Front}, hub: hub, intake: intake, set: set, log: log, workers: newWorkers(hub, set),
 		started: time.Now(), slots: make(chan struct{}, set.Connections), conns: make(map[net.Conn]time.Time),
 	}
+	s.outcomes = newOutcomes(set.Jobs, &s.Desk)
+	return s
 }
 
 // Serve serves connections until the context ends or the listener fails.
@@ -270,11 +277,13 @@
 	}
 	t, err := s.intake.TakeIn(j.arrival, now, mine)
 	if err != nil {
-		mine.Answer(core.Answer{Verdict: core.Denied})
+		mine.settle(core.Answer{Verdict: core.Denied}) // the core never saw it
 		return err.Error()
 	}
 	s.pushed.Add(1)
+	s.Desk.Begin()
 	s.hub.Submit(t)
+	s.Desk.Handed()
 	s.hub.Sync(func() {})
 	switch a, final := mine.state(); {
 	case !final || a.Verdict == core.Served:
--- /dev/null
+++ b/internal/journal/folder.go
@@ -0,0 +1,109 @@
+package journal
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+)
+
+// Folder is where segments are kept. Its methods fail as those of os do.
+type Folder interface {
+	Names() ([]string, error)
+	Read(name string) ([]byte, error)
+	Create(name string) (File, error) // which must not exist
+	Truncate(name string, size int64) error
+	Remove(name string) error
+	Sync() error // of the names
+	Close() error
+}
+
+// File is a segment that is being written.
+type File interface {
+	io.Writer
+	Sync() error
+	Close() error
+}
+
+// ErrInUse says that another process writes to a folder.
+var ErrInUse = errors.New("in use by another process")
+
+type folder struct {
+	path string
+	lock *os.File // nil: read only
+}
+
+// OpenFolder opens a folder for writing, makes it if there is none, and keeps
+// other processes out until it is closed.
+func OpenFolder(path string) (Folder, error) {
+	if err := os.MkdirAll(path, 0o750); err != nil {
+		return nil, err
+	}
+	lock, err := os.OpenFile(filepath.Join(path, "lock"), os.O_CREATE|os.O_RDWR, 0o640)
+	if err != nil {
+		return nil, err
+	}
+	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		lock.Close()
+		return nil, fmt.Errorf("%s: %w", path, ErrInUse)
+	}
+	return &folder{path, lock}, nil
+}
+
+// ReadFolder opens a folder for reading, also while a process writes to it.
+func ReadFolder(path string) (Folder, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, err
+	}
+	if !info.IsDir() {
+		return nil, fmt.Errorf("%s is no folder", path)
+	}
+	return &folder{path: path}, nil
+}
+
+func (f *folder) at(name string) string { return filepath.Join(f.path, name) }
+
+func (f *folder) Names() ([]string, error) {
+	entries, err := os.ReadDir(f.path)
+	if err != nil {
+		return nil, err
+	}
+	var names []string
+	for _, e := range entries {
+		if strings.HasSuffix(e.Name(), ".seg") {
+			names = append(names, e.Name())
+		}
+	}
+	slices.Sort(names)
+	return names, nil
+}
+
+func (f *folder) Read(name string) ([]byte, error) { return os.ReadFile(f.at(name)) }
+
+func (f *folder) Create(name string) (File, error) {
+	return os.OpenFile(f.at(name), os.O_CREATE|os.O_EXCL|os.O_WRONLY, 0o640)
+}
+
+func (f *folder) Truncate(name string, size int64) error { return os.Truncate(f.at(name), size) }
+func (f *folder) Remove(name string) error               { return os.Remove(f.at(name)) }
+
+func (f *folder) Sync() error {
+	d, err := os.Open(f.path)
+	if err != nil {
+		return err
+	}
+	defer d.Close()
+	return d.Sync()
+}
+
+func (f *folder) Close() error {
+	if f.lock == nil {
+		return nil
+	}
+	return f.lock.Close()
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -233,7 +233,7 @@
 	for _, e := range l.Entries {
 		members = append(members, &core.Member{
 			ID: e.ID, Addr: e.Addr, Kind: e.Kind, Zone: e.Zone, Cell: e.Cell, State: e.State, Weight: e.Weight,
-			Started: e.Started, Carrier: f.carrier,
+			Started: e.Started, Carrier: f.carrier, Group: "cell " + strconv.Itoa(e.Cell),
 		})
 	}
 	return members
--- /dev/null
+++ b/internal/service/assembly.go
@@ -0,0 +1,133 @@
+package service
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"basaltloft/internal/account"
+	"basaltloft/internal/agentcheck"
+	"basaltloft/internal/core"
+	"basaltloft/internal/faktory"
+	"basaltloft/internal/figures"
+	"basaltloft/internal/journal"
+	"basaltloft/internal/pool"
+	"basaltloft/internal/poolmember"
+	"basaltloft/internal/stage"
+	"basaltloft/internal/virtualserver"
+)
+
+// settle is a little more than what a member takes to break a connection on
+// which a request comes, and nothing beside the run time of a job.
+const settle = 3 * time.Millisecond
+
+// assemble makes the parts and joins them. Nothing is served yet.
+func assemble(ctx context.Context, o Options) (*Service, error) {
+	s := &Service{options: o, log: o.Log, draining: make(chan struct{}), began: time.Now()}
+	c := o.Config
+	if s.sockets = c.Sockets; s.sockets <= 0 {
+		s.sockets = 1024
+	}
+	if o.Operator.Faktory != nil { // its connections are held beside the others
+		s.sockets = max(s.sockets/2, s.sockets-o.Operator.Faktory.Connections)
+	}
+	s.limits = stage.Limits{Open: s.sockets / 2, Bytes: 16 << 20}
+	if c.MemoryMB > 0 { // a body is held twice for a moment, and connections have buffers
+		s.limits.Bytes = min(s.limits.Bytes, c.MemoryMB<<20/8)
+	}
+	counted := account.DefaultLimits()
+	counted.Tenants, counted.Asks = c.Tenants, o.Operator.Figures.Asks
+	s.keeper = figures.NewKeeper(counted)
+	s.chain = stage.New(c.Settings, s.limits, s.keeper, s.log)
+	var err error
+	if s.hub, err = core.New(c.Settings, s.chain, s.log); err != nil {
+		return nil, err
+	}
+	carrier := poolmember.New(s.hub, poolmember.Figures{DialWithin: c.DialWithin, Settle: settle, Most: s.sockets / 4})
+	s.follower = pool.New(ctx, c.Discovery, s.hub, carrier, s.log)
+	s.hub.Follow(s.follower)
+
+	http := virtualserver.New(s.hub, s.chain, s.log)
+	desks := []*account.Desk{&http.Desk}
+	s.components = append(s.components, &component{
+		name: "virtual server", listen: c.Listen,
+		serve: func(_ context.Context, l net.Listener) error { return http.Serve(l, s.sockets/2) },
+		drain: func(End) { http.Drain() }, part: http.Part, inHand: http.InHand, stop: http.Shutdown,
+	})
+	if f := o.Operator.Faktory; f != nil {
+		if f.Zone == "" {
+			f.Zone = c.Settings.Zone
+		}
+		second := faktory.New(s.hub, s.chain, f, s.log)
+		desks = append(desks, &second.Desk)
+		s.components = append(s.components, &component{
+			name: "faktory", listen: f.Listen, serve: second.Serve, drain: func(End) { second.Drain() },
+		})
+	}
+	s.auditor = figures.NewAuditor(s.keeper, s.hub, desks, s.log)
+	s.components = append(s.components, &component{
+		name: "audit",
+		serve: func(ctx context.Context, _ net.Listener) error {
+			return s.auditor.Run(ctx, o.Operator.Figures.AuditEvery)
+		},
+	})
+	if at := o.Operator.AgentCheck; at != "" {
+		s.components = append(s.components, &component{
+			name: "agent check", listen: at,
+			serve: func(ctx context.Context, l net.Listener) error { return agentcheck.Serve(ctx, l, s.state) },
+		})
+	}
+	s.openJournal()
+	if at := o.Operator.Figures.Listen; at != "" {
+		x := &figures.Exporter{Name: c.Name, Started: s.began, Keeper: s.keeper, Hub: s.hub, Auditor: s.auditor, Journal: s.journal}
+		s.components = append(s.components, &component{name: "figures", listen: at, serve: x.Serve})
+	}
+	return s, nil
+}
+
+// openJournal begins an epoch where the operator names a folder. A folder that
+// can't be used is complained of; jobs are served without it.
+func (s *Service) openJournal() {
+	f := s.options.Operator.Figures
+	if f.Folder == "" {
+		return
+	}
+	log := s.log.WithField("folder", f.Folder)
+	folder, err := journal.OpenFolder(f.Folder)
+	if err != nil {
+		log.WithError(err).Error("the journal of figures is off: its folder can't be used")
+		return
+	}
+	j, err := journal.Open(folder, journal.Settings{
+		SegmentBytes: int64(f.SegmentMB) << 20, KeepBytes: int64(f.KeepMB) << 20, KeepFor: time.Duration(f.KeepDays) * 24 * time.Hour,
+		WriteWithin: f.WriteWithin, SyncWithin: f.SyncWithin,
+	}, time.Now(), log, s.auditor.Differ)
+	if err != nil {
+		folder.Close()
+		log.WithError(err).Error("the journal of figures is off: what it has can't be gone on from")
+		return
+	}
+	found := j.Found()
+	for _, damage := range found.Complain {
+		log.Error("the journal of figures is damaged: " + damage)
+	}
+	log.Info("journal of figures: " + found.String())
+	s.journal = j
+	s.keeper.With(j)
+}
+
+// state is what balancers are told.
+func (s *Service) state() agentcheck.State {
+	st := agentcheck.State{Ready: s.hub.Ready(), Draining: s.isDraining(), Open: s.hub.Unanswered(), Most: s.limits.Open}
+	stopped := false
+	if s.journal != nil {
+		stopped, _ = s.journal.Stopped()
+	}
+	switch {
+	case !s.auditor.AddsUp():
+		st.Note = "the account does not add up"
+	case stopped || s.journal == nil && s.options.Operator.Figures.Folder != "":
+		st.Note = "the journal of figures has stopped"
+	}
+	return st
+}
--- /dev/null
+++ b/internal/service/component.go
@@ -0,0 +1,56 @@
+package service
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+)
+
+// End is a planned end: what happens when, in absolute times.
+type End struct {
+	Began   time.Time
+	Late    time.Time // what comes from here on must be answered by Dismiss
+	Stays   time.Time // connections between requests are closed then
+	Parts   time.Time // listeners stay open until here at least
+	Dismiss time.Time
+}
+
+// Clients learn of a planned end late and go on opening connections for a
+// while; those that hold one are served on it for longer, since the dispatcher
+// that they would turn to may be on its way back. The end by force comes no
+// sooner than 3.7 s after the signal, and finds nothing unanswered that came
+// later than 0.7 s after it.
+func plannedEnd(began time.Time) End {
+	return End{
+		Began: began, Late: began.Add(600 * time.Millisecond), Stays: began.Add(2400 * time.Millisecond),
+		Parts: began.Add(2500 * time.Millisecond), Dismiss: began.Add(3300 * time.Millisecond),
+	}
+}
+
+// component is one part of the program that is started, drained and stopped.
+// What it does not have is nil. A new front is one entry in the assembly.
+type component struct {
+	name   string
+	listen string                                          // an address; empty: none
+	serve  func(ctx context.Context, l net.Listener) error // until the context ends; l is nil without an address
+	drain  func(End)                                       // a planned end has begun
+	part   func()                                          // at its Stays
+	inHand func() int                                      // what the end still waits for
+	stop   func(ctx context.Context) error                 // once nothing is in hand
+
+	listener net.Listener
+}
+
+// open takes the component's socket.
+func (c *component) open() error {
+	if c.listen == "" {
+		return nil
+	}
+	l, err := net.Listen("tcp", c.listen)
+	if err != nil {
+		return fmt.Errorf("%s: listening: %w", c.name, err)
+	}
+	c.listener = l
+	return nil
+}
--- /dev/null
+++ b/internal/service/service.go
@@ -0,0 +1,210 @@
+// Package service assembles the dispatcher of its parts and owns its life:
+// start, reload and planned end. Nothing here decides about jobs.
+package service
+
+import (
+	"context"
+	"math"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"basaltloft/internal/account"
+	"basaltloft/internal/core"
+	"basaltloft/internal/figures"
+	"basaltloft/internal/journal"
+	"basaltloft/internal/pool"
+	"basaltloft/internal/settings"
+	"basaltloft/internal/stage"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Options are what a service is made of.
+type Options struct {
+	Config   settings.Config
+	Operator settings.Operator
+	Reread   func() (settings.Config, error) // reads the configuration file again, for a reload
+	Log      *logrus.Logger
+}
+
+// Service is one dispatcher.
+type Service struct {
+	options    Options
+	log        *logrus.Logger
+	limits     stage.Limits
+	sockets    int
+	keeper     *figures.Keeper
+	auditor    *figures.Auditor
+	journal    *journal.Journal // nil: off
+	hub        *core.Core
+	chain      *stage.Chain
+	follower   *pool.Follower
+	components []*component
+	draining   chan struct{} // closed when a planned end begins
+	began      time.Time
+}
+
+// Fit holds the run time of this process to the machine that it is told of.
+func Fit(c settings.Config) {
+	if c.Cores > 0 {
+		runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Cores))))
+	}
+	if c.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(c.MemoryMB) << 20 * 3 / 4)
+		debug.SetGCPercent(400)
+	}
+}
+
+// Run serves until told to end, then until everything taken is answered. It
+// returns an error if it can't start or a part of it fails.
+func Run(ctx context.Context, o Options, told, reloads <-chan os.Signal) error {
+	ctx, cancel := context.WithCancel(ctx)
+	var all sync.WaitGroup
+	defer all.Wait()
+	defer cancel()
+	s, err := assemble(ctx, o)
+	if err != nil {
+		return err
+	}
+	defer s.closeJournal()
+	all.Go(func() { s.hub.Run(ctx) })
+	s.follower.Restore(o.Config.Known)
+	s.hub.Sync(func() {}) // the pool is known before anybody asks
+
+	// All sockets are taken before anything is served: an address that can't
+	// be had ends the program with one line.
+	for i, c := range s.components {
+		if err := c.open(); err != nil {
+			for _, opened := range s.components[:i] {
+				if opened.listener != nil {
+					opened.listener.Close()
+				}
+			}
+			return err
+		}
+	}
+	failed := make(chan error, len(s.components))
+	for _, c := range s.components {
+		if c.serve != nil {
+			all.Go(func() {
+				if err := c.serve(ctx, c.listener); err != nil && ctx.Err() == nil {
+					failed <- err
+				}
+			})
+		}
+	}
+	s.log.WithFields(logrus.Fields{"name": o.Config.Name, "listen": o.Config.Listen, "members": len(o.Config.Known.Entries)}).Info("serving")
+	all.Go(func() { // also while it drains: jobs in hand may still need the list
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-reloads:
+				s.reload()
+			}
+		}
+	})
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+		return nil
+	case <-told:
+	}
+	return s.end(ctx)
+}
+
+// reload follows the discovery service that the file names now. The file is
+// newer than the environment, so it has the last word here. All else in it
+// takes a restart. A file that can't be used changes nothing: a dispatcher
+// with jobs in hand goes on as it was.
+func (s *Service) reload() {
+	c, err := s.options.Reread()
+	if err != nil {
+		s.log.WithError(err).Error("the configuration can't be reloaded and stays as it was")
+		return
+	}
+	s.follower.Move(c.Discovery)
+	s.log.WithField("discovery", c.Discovery).Info("reloaded")
+}
+
+// end is the planned end.
+func (s *Service) end(ctx context.Context) error {
+	s.log.Info("draining")
+	e := plannedEnd(time.Now())
+	close(s.draining)
+	s.hub.Leaving(e.Late, e.Dismiss)
+	for _, c := range s.components {
+		if c.drain != nil {
+			c.drain(e)
+		}
+	}
+	time.Sleep(time.Until(e.Stays))
+	for _, c := range s.components {
+		if c.part != nil {
+			c.part()
+		}
+	}
+	s.drained(e.Parts)
+	for _, c := range s.components {
+		if c.stop != nil {
+			if err := c.stop(ctx); err != nil {
+				return err
+			}
+		}
+	}
+	s.auditor.Audit()
+	s.log.WithFields(s.totals()).Info("done")
+	return nil
+}
+
+// drained waits until the time given and then until nothing is in hand.
+func (s *Service) drained(from time.Time) {
+	tick := time.NewTicker(10 * time.Millisecond)
+	defer tick.Stop()
+	for now := range tick.C {
+		inHand := s.hub.Unanswered()
+		for _, c := range s.components {
+			if c.inHand != nil {
+				inHand += c.inHand()
+			}
+		}
+		if now.After(from) && inHand == 0 {
+			return
+		}
+	}
+}
+
+// totals is a line on what has been booked, for the log at the end.
+func (s *Service) totals() logrus.Fields {
+	f := logrus.Fields{}
+	s.hub.Sync(func() {
+		t := s.keeper.Book.Totals()
+		f["taken"], f["open"] = t.Taken, t.Open
+		for o := range account.Outcomes {
+			f[o.String()] = t.By(o)
+		}
+	})
+	return f
+}
+
+func (s *Service) closeJournal() {
+	if s.journal == nil {
+		return
+	}
+	if err := s.journal.Close(); err != nil {
+		s.log.WithError(err).Error("the journal of figures is not whole")
+	}
+}
+
+func (s *Service) isDraining() bool {
+	select {
+	case <-s.draining:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/settings/check.go
@@ -0,0 +1,36 @@
+package settings
+
+import (
+	"github.com/valyala/fastjson"
+)
+
+// Report is what is to be said of a file before it is used.
+type Report struct {
+	Kind     string // "configuration" or "operator's file"
+	Problems Problems
+	Unknown  []string // keys that nothing here reads
+}
+
+// Check reads a file of either kind and names all that is wrong with it. A
+// file with settings is a configuration.
+func Check(text []byte) Report {
+	v, err := fastjson.ParseBytes(text)
+	if err != nil {
+		return Report{Kind: "file", Problems: Problems{{"", err.Error()}}}
+	}
+	if v.Type() != fastjson.TypeObject {
+		return Report{Kind: "file", Problems: Problems{{"", "must be a JSON object"}}}
+	}
+	if v.Exists("settings") || v.Exists("discovery") {
+		c, r := decodeConfig(v)
+		if c.Listen != "" {
+			r.address("listen", c.Listen)
+		}
+		if c.Discovery != "" {
+			r.address("discovery", c.Discovery)
+		}
+		return Report{"configuration", r.problems, r.unknown("settings", "known")}
+	}
+	_, r := decodeOperator(v)
+	return Report{"operator's file", r.problems, r.unknown()}
+}
--- a/internal/settings/config.go
+++ b/internal/settings/config.go
@@ -19,6 +19,7 @@
 	MemoryMB, Sockets       int
 	Known                   List
 	Settings                basaltloft.Settings
+	Tenants                 []string      // those that the settings know
 	DialWithin              time.Duration // how long a connection to a runner takes to come up
 }
 
@@ -44,28 +45,38 @@
 	if err != nil {
 		return Config{}, fmt.Errorf("configuration: %w", err)
 	}
-	r := &reader{at: v}
+	c, r := decodeConfig(v)
+	if err := r.err(); err != nil {
+		return c, fmt.Errorf("configuration: %w", err)
+	}
+	return c, nil
+}
+
+func decodeConfig(v *fastjson.Value) (Config, *reader) {
+	r := newReader(v, "")
 	c := Config{
 		Name: r.text("name"), Listen: r.text("listen"), Discovery: r.text("discovery"),
 		Cores: r.number("limits.cores"), MemoryMB: int(r.number("limits.memory_mb")), Sockets: int(r.number("limits.sockets")),
-		DialWithin: r.span("settings.limits.dial_timeout"),
+		DialWithin: cmp.Or(r.span("settings.limits.dial_timeout"), time.Second),
 	}
-	if r.err != nil {
-		return c, fmt.Errorf("configuration: %w", r.err)
+	for _, t := range v.GetArray("settings", "tenants") {
+		if name := string(t.GetStringBytes("name")); name != "" {
+			c.Tenants = append(c.Tenants, name)
+		}
 	}
-	c.DialWithin = cmp.Or(c.DialWithin, time.Second)
-	if c.Settings, err = Decode(v.Get("settings")); err != nil {
-		return c, fmt.Errorf("configuration: settings: %w", err)
+	var err error
+	if c.Settings, err = Decode(r.find("settings")); err != nil {
+		r.take("settings", err)
 	}
-	if known := v.Get("known"); known != nil && known.Type() != fastjson.TypeNull {
+	if known := r.find("known"); known != nil {
 		if c.Known, err = decodeList(known); err != nil {
-			return c, fmt.Errorf("configuration: known: %w", err)
+			r.take("known", err)
 		}
 	}
-	if c.Settings.Seed, err = seed(v.Get("seed")); err != nil {
-		return c, fmt.Errorf("configuration: seed: %w", err)
+	if c.Settings.Seed, err = seed(r.find("seed")); err != nil {
+		r.fail("seed", err)
 	}
-	return c, nil
+	return c, r
 }
 
 // seed accepts hexadecimal text or a number; absent is 0.
@@ -90,9 +101,9 @@
 }
 
 func decodeList(v *fastjson.Value) (List, error) {
-	r := &reader{at: v}
+	r := newReader(v, "")
 	l := List{Generation: r.whole("generation"), Whole: r.flag("reset")}
-	if r.err == nil && v.Get("instances") == nil {
+	if len(r.problems) == 0 && v.Get("instances") == nil {
 		r.fail("instances", fmt.Errorf("missing"))
 	}
 	for i, at := range r.list("instances") {
@@ -102,14 +113,14 @@
 		}
 		l.Entries = append(l.Entries, e)
 	}
-	if r.err != nil {
-		return List{}, fmt.Errorf("list: %w", r.err)
+	if err := r.err(); err != nil {
+		return List{}, fmt.Errorf("list: %w", err)
 	}
 	return l, nil
 }
 
 func entry(v *fastjson.Value, i int) (Entry, error) {
-	r := &reader{at: v, in: fmt.Sprintf("instances[%d].", i)}
+	r := &reader{at: v, in: fmt.Sprintf("instances[%d].", i)} // a list is read often: what it asks for is not kept
 	e := Entry{
 		ID: r.text("instanceId"), Addr: r.text("hostPort"), Kind: r.text("machineType"), Zone: r.text("zone"),
 		Cell: int(r.whole("cell")), Weight: r.number("weight"),
@@ -133,5 +144,5 @@
 	if _, _, err := net.SplitHostPort(e.Addr); err != nil && e.State != basaltloft.Removed {
 		r.fail("hostPort", err)
 	}
-	return e, r.err
+	return e, r.err()
 }
--- a/internal/settings/operator.go
+++ b/internal/settings/operator.go
@@ -1,9 +1,10 @@
 package settings
 
 import (
-	"cmp"
+	"errors"
 	"fmt"
 	"net"
+	"strings"
 	"time"
 
 	"github.com/valyala/fastjson"
@@ -12,7 +13,8 @@
 // Operator is the operator's file: what the platform does not ask for.
 type Operator struct {
 	Faktory    *Faktory // nil: off
-	AgentCheck string   // where the agent check listens; empty: off
+	Figures    Figures
+	AgentCheck string // where the agent check listens; empty: off
 }
 
 // Faktory sets up the front for the Faktory work protocol.
@@ -34,6 +36,21 @@
 	Cost          time.Duration // 0: not told
 }
 
+// Figures sets up what is told of the account, and the journal beside it.
+type Figures struct {
+	Listen      string // metrics and figures; empty: off
+	Folder      string // the journal's; empty: off
+	SegmentMB   int    // a segment is closed at about this size
+	KeepMB      int    // segments beyond this go, the oldest first
+	KeepDays    int
+	WriteWithin time.Duration // what a kill of the process may cost
+	SyncWithin  time.Duration // what a power loss may cost, and a write beside it
+	AuditEvery  time.Duration
+	Asks        int // that are remembered
+}
+
+const auditEvery = 10 * time.Second
+
 // DecodeOperator reads the operator's file. Each front listens on loopback or
 // wherever the operator says; a front that is not named stays off.
 func DecodeOperator(text []byte) (Operator, error) {
@@ -41,28 +58,56 @@
 	if err != nil {
 		return Operator{}, fmt.Errorf("operator's file: %w", err)
 	}
-	r := &reader{at: v, in: "operator's file: "}
-	o := Operator{AgentCheck: r.text("agent_check.listen")}
+	o, r := decodeOperator(v)
+	if err := r.err(); err != nil {
+		return o, fmt.Errorf("operator's file: %w", err)
+	}
+	return o, nil
+}
+
+func decodeOperator(v *fastjson.Value) (Operator, *reader) {
+	r := newReader(v, "")
+	o := Operator{AgentCheck: r.text("agent_check.listen"), Figures: r.figures()}
 	if o.AgentCheck != "" {
 		r.address("agent_check.listen", o.AgentCheck)
 	}
 	if r.get("faktory", fastjson.TypeObject) != nil {
-		f := &Faktory{
-			Listen: r.text("faktory.listen"), Password: r.text("faktory.password"),
-			Default:  r.job("faktory.default"),
-			JobTypes: r.jobs("faktory.jobtypes"), Queues: r.jobs("faktory.queues"),
-			Zone: r.text("faktory.workers.zone"), Kind: r.text("faktory.workers.kind"), Cell: int(r.whole("faktory.workers.cell")),
-			Connections: cmp.Or(int(r.whole("faktory.connections")), 64), Jobs: cmp.Or(int(r.whole("faktory.outcomes")), 10000),
-			ReserveFor: cmp.Or(time.Duration(r.whole("faktory.reserve_for_s"))*time.Second, 30*time.Minute),
-			FetchIn:    cmp.Or(time.Duration(r.whole("faktory.fetch_within_ms"))*time.Millisecond, 5*time.Second),
-		}
-		r.address("faktory.listen", f.Listen)
-		if f.Connections < 0 || f.Jobs < 0 || f.ReserveFor < 0 || f.FetchIn < 0 {
-			r.fail("faktory", fmt.Errorf("a figure is negative"))
-		}
-		o.Faktory = f
+		o.Faktory = r.faktory()
+	}
+	return o, r
+}
+
+func (r *reader) faktory() *Faktory {
+	f := &Faktory{
+		Listen: r.text("faktory.listen"), Password: r.text("faktory.password"),
+		Default:  r.job("faktory.default."),
+		JobTypes: r.jobs("faktory.jobtypes"), Queues: r.jobs("faktory.queues"),
+		Zone: r.text("faktory.workers.zone"), Kind: r.text("faktory.workers.kind"), Cell: int(r.whole("faktory.workers.cell")),
+		Connections: int(r.count("faktory.connections", 64)), Jobs: int(r.count("faktory.outcomes", 10000)),
+		ReserveFor: time.Duration(r.count("faktory.reserve_for_s", 1800)) * time.Second,
+		FetchIn:    time.Duration(r.count("faktory.fetch_within_ms", 5000)) * time.Millisecond,
+	}
+	r.address("faktory.listen", f.Listen)
+	return f
+}
+
+func (r *reader) figures() Figures {
+	f := Figures{
+		Listen: r.text("figures.listen"), Folder: r.text("figures.journal.folder"),
+		SegmentMB: int(r.count("figures.journal.segment_mb", 8)), KeepMB: int(r.count("figures.journal.keep_mb", 1024)),
+		KeepDays:    int(r.count("figures.journal.keep_days", 90)),
+		WriteWithin: time.Duration(r.count("figures.journal.write_within_ms", 10)) * time.Millisecond,
+		SyncWithin:  time.Duration(r.count("figures.journal.sync_within_ms", 1000)) * time.Millisecond,
+		AuditEvery:  time.Duration(r.count("figures.audit_every_ms", auditEvery.Milliseconds())) * time.Millisecond,
+		Asks:        int(r.count("figures.asks", 8192)),
 	}
-	return o, r.err
+	if f.Listen != "" {
+		r.address("figures.listen", f.Listen)
+	}
+	if f.KeepMB < 2*f.SegmentMB {
+		r.fail("figures.journal.keep_mb", errors.New("must hold two segments at least"))
+	}
+	return f
 }
 
 func (r *reader) address(path, addr string) {
@@ -71,15 +116,11 @@
 	}
 }
 
-func (r *reader) job(path string) FaktoryJob {
-	ms := r.whole(path + ".deadline_ms")
-	us := r.whole(path + ".cost_us")
-	if ms < 0 || us < 0 {
-		r.fail(path, fmt.Errorf("a figure is negative"))
-	}
+func (r *reader) job(in string) FaktoryJob {
 	return FaktoryJob{
-		Class: r.text(path + ".class"), Tenant: r.text(path + ".tenant"),
-		Deadline: time.Duration(ms) * time.Millisecond, Cost: time.Duration(us) * time.Microsecond,
+		Class: r.text(in + "class"), Tenant: r.text(in + "tenant"),
+		Deadline: time.Duration(r.count(in+"deadline_ms", 0)) * time.Millisecond,
+		Cost:     time.Duration(r.count(in+"cost_us", 0)) * time.Microsecond,
 	}
 }
 
@@ -89,12 +130,17 @@
 	jobs := make(map[string]FaktoryJob)
 	if v := r.get(path, fastjson.TypeObject); v != nil {
 		v.GetObject().Visit(func(name []byte, at *fastjson.Value) {
-			inner := &reader{at: fastjson.MustParse(`{}`), in: r.in + path + "." + string(name) + "."}
-			inner.at.Set("job", at)
-			jobs[string(name)] = inner.job("job")
-			if r.err == nil {
-				r.err = inner.err
+			if strings.HasPrefix(string(name), "#") {
+				return
+			}
+			r.asked[r.in+path+"."+string(name)] = true
+			inner := r.inner(at, path+"."+string(name)+".")
+			if at.Type() != fastjson.TypeObject {
+				r.fail(path+"."+string(name), errors.New("must be an object"))
+				return
 			}
+			jobs[string(name)] = inner.job("")
+			r.join(inner)
 		})
 	}
 	return jobs
--- a/internal/settings/read.go
+++ b/internal/settings/read.go
@@ -1,24 +1,68 @@
 package settings
 
 import (
+	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/valyala/fastjson"
 )
 
+// Problem is one mistake in a file: the key it is at, and what is wrong.
+type Problem struct{ Key, Reason string }
+
+func (p Problem) String() string {
+	if p.Key == "" {
+		return p.Reason
+	}
+	return p.Key + ": " + p.Reason
+}
+
+// Problems are all mistakes of a file.
+type Problems []Problem
+
+func (p Problems) Error() string {
+	lines := make([]string, len(p))
+	for i, one := range p {
+		lines[i] = one.String()
+	}
+	return strings.Join(lines, "; ")
+}
+
 // reader takes values out of a JSON object. An absent key or null leaves the
-// zero value; a value of another type is an error, and the first one is kept.
+// zero value; a value of another type is a problem. All problems are kept, and
+// the keys that were asked for, so that those nobody asked for can be named.
 type reader struct {
-	at  *fastjson.Value
-	in  string
-	err error
+	at       *fastjson.Value
+	in       string
+	problems Problems
+	asked    map[string]bool
+}
+
+func newReader(at *fastjson.Value, in string) *reader {
+	return &reader{at: at, in: in, asked: make(map[string]bool)}
+}
+
+// inner reads another value whose problems and keys belong to this reader's.
+func (r *reader) inner(at *fastjson.Value, in string) *reader {
+	return &reader{at: at, in: r.in + in, asked: r.asked}
+}
+
+// join takes over what an inner reader found.
+func (r *reader) join(o *reader) { r.problems = append(r.problems, o.problems...) }
+
+func (r *reader) err() error {
+	if len(r.problems) == 0 {
+		return nil
+	}
+	return r.problems
 }
 
 func (r *reader) get(path string, want fastjson.Type) *fastjson.Value {
-	v := r.at.Get(strings.Split(path, ".")...)
-	if v == nil || v.Type() == fastjson.TypeNull {
+	v := r.find(path)
+	if v == nil {
 		return nil
 	}
 	if v.Type() != want {
@@ -28,9 +72,35 @@
 	return v
 }
 
+// find returns what is at a path, or nil for nothing and null.
+func (r *reader) find(path string) *fastjson.Value {
+	if r.asked != nil {
+		for i := range path {
+			if path[i] == '.' {
+				r.asked[r.in+path[:i]] = true
+			}
+		}
+		r.asked[r.in+path] = true
+	}
+	v := r.at.Get(strings.Split(path, ".")...)
+	if v == nil || v.Type() == fastjson.TypeNull {
+		return nil
+	}
+	return v
+}
+
 func (r *reader) fail(path string, err error) {
-	if r.err == nil {
-		r.err = fmt.Errorf("%s%s: %w", r.in, path, err)
+	r.problems = append(r.problems, Problem{r.in + path, err.Error()})
+}
+
+// take keeps an error of a part that was read on its own.
+func (r *reader) take(path string, err error) {
+	var inner Problems
+	if !errors.As(err, &inner) {
+		r.fail(path, err)
+	}
+	for _, p := range inner {
+		r.problems = append(r.problems, Problem{r.in + path + "." + p.Key, p.Reason})
 	}
 }
 
@@ -61,11 +131,23 @@
 	return n
 }
 
+// count reads an integer that is not negative; absent or 0 is the usual one.
+func (r *reader) count(path string, usual int64) int64 {
+	n := r.whole(path)
+	if n < 0 {
+		r.fail(path, errors.New("must not be negative"))
+	}
+	if n <= 0 {
+		return usual
+	}
+	return n
+}
+
 func (r *reader) span(path string) time.Duration { return time.Duration(r.whole(path)) }
 
 func (r *reader) flag(path string) bool {
-	v := r.at.Get(strings.Split(path, ".")...)
-	if v == nil || v.Type() == fastjson.TypeNull || v.Type() == fastjson.TypeFalse {
+	v := r.find(path)
+	if v == nil || v.Type() == fastjson.TypeFalse {
 		return false
 	}
 	if v.Type() != fastjson.TypeTrue {
@@ -88,3 +170,29 @@
 	}
 	return nil
 }
+
+// unknown names the keys of an object that were never asked for. A key that
+// begins with # is a comment. Below the paths that are skipped nothing is
+// looked at.
+func (r *reader) unknown(skip ...string) (keys []string) {
+	var walk func(v *fastjson.Value, in string)
+	walk = func(v *fastjson.Value, in string) {
+		o, err := v.Object()
+		if err != nil {
+			return
+		}
+		o.Visit(func(name []byte, at *fastjson.Value) {
+			key := in + string(name)
+			switch {
+			case strings.HasPrefix(string(name), "#") || slices.Contains(skip, key):
+			case !r.asked[r.in+key]:
+				keys = append(keys, key)
+			default:
+				walk(at, key+".")
+			}
+		})
+	}
+	walk(r.at, "")
+	slices.Sort(keys)
+	return keys
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -27,7 +27,7 @@
 	if v == nil || v.Type() != fastjson.TypeObject {
 		return basaltloft.Settings{}, errors.New("not an object")
 	}
-	r := &reader{at: v}
+	r := newReader(v, "")
 	s := basaltloft.Settings{
 		Instances:      int(r.whole("balancers")),
 		Rank:           int(r.whole("rank")),
@@ -85,7 +85,8 @@
 	for i, lane := range r.list("lanes") {
 		c, err := class(lane, i)
 		if err != nil {
-			return s, err
+			r.problems = append(r.problems, err...)
+			continue
 		}
 		if i < len(kinds) {
 			c.Kind = kinds[i].GetInt()
@@ -95,11 +96,11 @@
 		}
 		s.Classes = append(s.Classes, c)
 	}
-	return s, r.err
+	return s, r.err()
 }
 
 // class reads one entry of lanes; its kind is any unless told elsewhere.
-func class(lane *fastjson.Value, i int) (basaltloft.Class, error) {
+func class(lane *fastjson.Value, i int) (basaltloft.Class, Problems) {
 	r := &reader{at: lane, in: fmt.Sprintf("lanes[%d].", i)}
 	c := basaltloft.Class{
 		Name: r.text("name"), Window: r.span("repeat_window"), Aim: r.span("promise"),
@@ -125,5 +126,5 @@
 	default:
 		r.fail("key_scope", fmt.Errorf("unknown scope %q", scope))
 	}
-	return c, r.err
+	return c, r.problems
 }
--- a/internal/stage/admit.go
+++ b/internal/stage/admit.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"basaltloft/internal/account"
 	"basaltloft/internal/core"
 )
 
@@ -20,7 +21,7 @@
 // seen by the decisions, so that trying again is harmless.
 func (c *Chain) Admit(t *core.Transaction, load core.Load, now time.Time) *core.Answer {
 	if load.Open > c.limits.Open || load.Bytes > c.limits.Bytes || !t.Deadline.After(now) {
-		return &core.Answer{Verdict: core.Refused, RetryAt: now.Add(comeBack)}
+		return &core.Answer{Verdict: core.Refused, Reason: account.NoRoom, RetryAt: now.Add(comeBack)}
 	}
 	return nil
 }
--- a/internal/stage/book.go
+++ b/internal/stage/book.go
@@ -3,35 +3,29 @@
 import (
 	"time"
 
+	"basaltloft"
 	"basaltloft/internal/core"
 
 	"github.com/sirupsen/logrus"
 )
 
-// counts are the totals since the start. The core's goroutine owns them.
-type counts struct {
-	answers [4]int
-	flows   [len(statusNames)]int
+// Books keep the account. The core's goroutine calls them.
+type Books interface {
+	Enter(t *core.Transaction, now time.Time)
+	Sent(f *core.Flow, now time.Time)
+	FlowEnded(f *core.Flow, s basaltloft.Status, now time.Time)
+	End(t *core.Transaction, a core.Answer, now time.Time)
 }
 
+// Enter implements core.Stages.
+func (c *Chain) Enter(t *core.Transaction, now time.Time) { c.books.Enter(t, now) }
+
 // Book implements core.Stages.
 func (c *Chain) Book(t *core.Transaction, a core.Answer, now time.Time) {
-	c.counts.answers[a.Verdict]++
-	if a.Verdict != core.Served {
+	c.books.End(t, a, now)
+	if a.Verdict != core.Served && c.log.IsLevelEnabled(logrus.DebugLevel) {
 		c.log.WithFields(logrus.Fields{
-			"transaction": t.ID, "class": t.Class, "tenant": t.Tenant, "left": t.Deadline.Sub(now).String(),
+			"transaction": t.ID, "class": t.Class, "tenant": t.Tenant, "left": t.Deadline.Sub(now).String(), "reason": a.Reason.String(),
 		}).Debug(a.Verdict.String())
 	}
 }
-
-// Totals is a line on what has been booked, for the log at the end.
-func (c *Chain) Totals() logrus.Fields {
-	f := logrus.Fields{}
-	for v, n := range c.counts.answers {
-		f[core.Verdict(v).String()] = n
-	}
-	for s, n := range c.counts.flows {
-		f["flows "+statusNames[s]] = n
-	}
-	return f
-}
--- a/internal/stage/send.go
+++ b/internal/stage/send.go
@@ -11,5 +11,7 @@
 	if until.After(t.Deadline) {
 		until = t.Deadline
 	}
-	return &core.Flow{Transaction: t, Member: m, Number: number, SentAt: now, Deadline: until}
+	f := &core.Flow{Transaction: t, Member: m, Number: number, SentAt: now, Deadline: until}
+	c.books.Sent(f, now)
+	return f
 }
--- a/internal/stage/stage.go
+++ b/internal/stage/stage.go
@@ -13,13 +13,13 @@
 type Chain struct {
 	limits  Limits
 	classes map[string]basaltloft.Class
-	log     logrus.FieldLogger
-	counts  counts
+	books   Books
+	log     *logrus.Logger
 }
 
 // New returns the chain for the module's settings.
-func New(s basaltloft.Settings, limits Limits, log logrus.FieldLogger) *Chain {
-	c := &Chain{limits: limits, classes: make(map[string]basaltloft.Class), log: log}
+func New(s basaltloft.Settings, limits Limits, books Books, log *logrus.Logger) *Chain {
+	c := &Chain{limits: limits, classes: make(map[string]basaltloft.Class), books: books, log: log}
 	for _, class := range s.Classes {
 		c.classes[class.Name] = class
 	}
--- a/internal/stage/takein.go
+++ b/internal/stage/takein.go
@@ -27,6 +27,7 @@
 // Arrival is what a front read of a job, in no wire's terms.
 type Arrival struct {
 	ID, Class, Tenant, Target, Key string
+	Front                          string // the front that read it
 	Body                           []byte
 	Form                           string    // see core.Transaction
 	GivesUp                        time.Time // when the client stops waiting; zero: as the class says
@@ -55,7 +56,7 @@
 		a.GivesUp = latest
 	}
 	return &core.Transaction{
-		ID: a.ID, Class: a.Class, Tenant: a.Tenant, Target: a.Target, Key: a.Key, Body: a.Body, Form: a.Form,
+		ID: a.ID, Class: a.Class, Tenant: a.Tenant, Front: a.Front, Target: a.Target, Key: a.Key, Body: a.Body, Form: a.Form,
 		Arrived: now, Deadline: a.GivesUp.Add(-early), Hint: a.Hint, Slots: a.Slots, Memory: a.Memory, Retry: a.Retry, Client: client,
 	}, nil
 }
--- /dev/null
+++ b/internal/standin/clients.go
@@ -0,0 +1,128 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Mix is what clients ask for.
+type Mix struct {
+	Rate      float64 // asks a second, by a Poisson process
+	Tickets   float64 // share of group tickets; the rest are holds
+	Tenants   []string
+	Retries   int     // further tries after a refusal, or of a hold after any failure
+	Impatient float64 // share of asks that leave before their answer
+	Seed      uint64
+}
+
+// Answers are what clients have been told. Asked counts tries.
+type Answers struct {
+	Asks, Tries, Served, Refused, Failed, Broken, Left atomic.Int64
+}
+
+func (a *Answers) String() string {
+	return fmt.Sprintf("%d asks, %d tries: %d served, %d refused, %d failed, %d left, %d broken off",
+		a.Asks.Load(), a.Tries.Load(), a.Served.Load(), a.Refused.Load(), a.Failed.Load(), a.Left.Load(), a.Broken.Load())
+}
+
+const (
+	holdBudget   = 10 * time.Second
+	ticketBudget = 25 * time.Second
+)
+
+// HTTPClients ask a dispatcher over HTTP until the context ends, then wait for
+// the answers that are due. prefix keeps their ids apart from others'.
+func HTTPClients(ctx context.Context, addr func() string, prefix string, m Mix, a *Answers) {
+	random := rand.New(rand.NewPCG(m.Seed, 11))
+	transport := &http.Transport{MaxIdleConnsPerHost: 64}
+	defer transport.CloseIdleConnections()
+	client := &http.Client{Transport: transport}
+	var all sync.WaitGroup
+	defer all.Wait()
+	for n := 0; ; n++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Duration(random.ExpFloat64() / m.Rate * float64(time.Second))):
+		}
+		ask := httpAsk{
+			class: "place-hold", key: fmt.Sprintf("%s-k%d", prefix, n), id: fmt.Sprintf("%s-%d", prefix, n),
+			tenant: m.Tenants[random.IntN(len(m.Tenants))], budget: holdBudget, retries: m.Retries, leaves: random.Float64() < m.Impatient,
+		}
+		if random.Float64() < m.Tickets {
+			ask.class, ask.budget = "group-ticket", ticketBudget
+		}
+		a.Asks.Add(1)
+		all.Go(func() { ask.run(client, addr, a) })
+	}
+}
+
+type httpAsk struct {
+	class, id, key, tenant string
+	budget                 time.Duration
+	retries                int
+	leaves                 bool
+}
+
+// run tries until the ask is served, may not be tried again, or was tried
+// often enough.
+func (q httpAsk) run(client *http.Client, addr func() string, a *Answers) {
+	for try := 0; try <= q.retries; try++ {
+		wait, again := q.try(client, addr(), try, a)
+		if !again {
+			return
+		}
+		time.Sleep(min(wait, time.Second))
+	}
+}
+
+func (q httpAsk) try(client *http.Client, addr string, try int, a *Answers) (wait time.Duration, again bool) {
+	patience := q.budget
+	if q.leaves {
+		patience = 30 * time.Millisecond
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(patience))
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/"+q.class+"?sid="+q.key, strings.NewReader("body"))
+	if err != nil {
+		return 0, false
+	}
+	req.Header.Set("X-Call-Id", q.id+"-"+strconv.Itoa(try))
+	req.Header.Set("X-Caller", q.tenant)
+	req.Header.Set("X-Budget", strconv.FormatFloat(q.budget.Seconds(), 'f', 3, 64))
+	req.Header.Set("X-Call-Cost", "20000")
+	if q.class == "place-hold" {
+		req.Header.Set("Idempotency-Key", q.key)
+	}
+	a.Tries.Add(1)
+	resp, err := client.Do(req)
+	if err != nil {
+		if q.leaves && ctx.Err() != nil {
+			a.Left.Add(1)
+			return 0, false
+		}
+		a.Broken.Add(1) // a dispatcher that was killed: a ticket may have run
+		return 50 * time.Millisecond, q.class == "place-hold"
+	}
+	io.Copy(io.Discard, resp.Body)
+	resp.Body.Close()
+	switch resp.StatusCode {
+	case http.StatusOK:
+		a.Served.Add(1)
+		return 0, false
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		a.Refused.Add(1)
+		seconds, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+		return time.Duration(seconds * float64(time.Second)), true
+	}
+	a.Failed.Add(1)
+	return 20 * time.Millisecond, q.class == "place-hold"
+}
--- a/internal/virtualserver/jobs.go
+++ b/internal/virtualserver/jobs.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"basaltloft/internal/account"
 	"basaltloft/internal/core"
 	"basaltloft/internal/stage"
 )
@@ -30,10 +31,16 @@
 type transactions struct{ s *Server }
 
 // client waits for the answer of one transaction.
-type client chan core.Answer
+type client struct {
+	desk   *account.Desk
+	answer chan core.Answer // has room for the one answer
+}
 
-// Answer implements core.Client. The channel has room for the one answer.
-func (c client) Answer(a core.Answer) { c <- a }
+// Answer implements core.Client.
+func (c client) Answer(a core.Answer) {
+	c.desk.Answered(a.Verdict.Outcome())
+	c.answer <- a
+}
 
 // RoundTrip implements http.RoundTripper.
 func (t transactions) RoundTrip(r *http.Request) (*http.Response, error) {
@@ -49,19 +56,22 @@
 	if err != nil {
 		return reply(r, http.StatusBadRequest, []byte(err.Error()+"\n")), nil
 	}
-	answer := make(client, 1)
-	tx, err := t.s.intake.TakeIn(arrival, arrived, answer)
+	mine := client{&t.s.Desk, make(chan core.Answer, 1)}
+	tx, err := t.s.intake.TakeIn(arrival, arrived, mine)
 	switch {
 	case errors.Is(err, stage.ErrUnknownClass):
 		return reply(r, http.StatusNotFound, []byte(err.Error()+"\n")), nil
 	case err != nil:
 		return reply(r, http.StatusBadRequest, []byte(err.Error()+"\n")), nil
 	}
+	t.s.Desk.Begin()
 	t.s.hub.Submit(tx)
+	t.s.Desk.Handed()
 	select {
-	case a := <-answer:
+	case a := <-mine.answer:
 		return respond(r, a), nil
 	case <-r.Context().Done():
+		t.s.Desk.Left()
 		t.s.hub.Leave(tx)
 		return nil, r.Context().Err()
 	}
@@ -72,7 +82,7 @@
 func read(r *http.Request, arrived time.Time, body []byte) (stage.Arrival, error) {
 	h := r.Header
 	a := stage.Arrival{
-		ID: h.Get("X-Call-Id"), Class: h.Get("X-Call-Class"), Tenant: h.Get("X-Caller"), Target: r.URL.RequestURI(),
+		ID: h.Get("X-Call-Id"), Class: h.Get("X-Call-Class"), Tenant: h.Get("X-Caller"), Target: r.URL.RequestURI(), Front: Front,
 		Key: h.Get("Idempotency-Key"), Body: body, Retry: h.Get("X-Again") == "1",
 	}
 	first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
--- a/internal/virtualserver/virtualserver.go
+++ b/internal/virtualserver/virtualserver.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"basaltloft/internal/account"
 	"basaltloft/internal/core"
 	"basaltloft/internal/stage"
 
@@ -42,8 +43,12 @@
 	mostHeader = 16 << 10
 )
 
+// Front is what this front's jobs are counted under.
+const Front = "http"
+
 // Server is the HTTP front.
 type Server struct {
+	Desk     account.Desk // its own book
 	hub      Hub
 	intake   Intake
 	log      logrus.FieldLogger
@@ -55,7 +60,7 @@
 
 // New returns a front that is not serving yet.
 func New(hub Hub, intake Intake, log *logrus.Logger) *Server {
-	s := &Server{hub: hub, intake: intake, log: log}
+	s := &Server{Desk: account.Desk{Front: Front}, hub: hub, intake: intake, log: log}
 	quiet := stdlog.New(log.WriterLevel(logrus.DebugLevel), "", 0) // what clients do wrong is theirs
 	s.proxy = &httputil.ReverseProxy{
 		// The query goes on as it came: ReverseProxy drops from it what it
