--- /dev/null
+++ b/internal/account/account_test.go
@@ -0,0 +1,259 @@
+package account
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"basaltloft"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 7, 4, 11, 59, 30, 0, time.UTC)
+
+func small() Limits { return Limits{Names: 3, Rows: 12, Asks: 8, AskFor: time.Minute} }
+
+// TestSums drives a book with random events: after each of them every sum
+// holds, and the book agrees with a table of open jobs that the test keeps.
+func TestSums(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b, now := New(small()), start
+		type job struct {
+			entry *Entry
+			front string
+		}
+		var open []job
+		out := map[[2]string]int{}
+		var ended, flows int64
+		pick := func(names ...string) string { return rapid.SampledFrom(names).Draw(t, "name") }
+		t.Repeat(map[string]func(*rapid.T){
+			"enter": func(t *rapid.T) {
+				j := Job{
+					Front: pick("http", "faktory"), Class: pick("hold", "ticket"), Tenant: pick("a", "b", "c", "d", "e"),
+					Key: pick("", "", "k1", "k2", "k3", "k4", "k5", "k6"), Retry: rapid.Bool().Draw(t, "retry"),
+				}
+				open = append(open, job{b.Enter(j, now), j.Front})
+			},
+			"send": func(t *rapid.T) {
+				if len(open) == 0 {
+					t.Skip()
+				}
+				j := rapid.SampledFrom(open).Draw(t, "job")
+				group := pick("cell 0", "cell 1", "faktory")
+				b.Sent(j.entry, group, now)
+				out[[2]string{j.entry.Job.Class, group}]++
+				flows++
+			},
+			"flow ends": func(t *rapid.T) { // also of a job that has ended
+				for at, n := range out {
+					if n > 0 {
+						out[at]--
+						flows--
+						b.FlowEnded(at[0], at[1], basaltloft.Status(rapid.IntRange(0, flowStatuses-1).Draw(t, "status")))
+						return
+					}
+				}
+			},
+			"end": func(t *rapid.T) {
+				if len(open) == 0 {
+					t.Skip()
+				}
+				i := rapid.IntRange(0, len(open)-1).Draw(t, "job")
+				b.End(open[i].entry, Reason(rapid.IntRange(0, int(Reasons)-1).Draw(t, "reason")), now)
+				open = append(open[:i], open[i+1:]...)
+				ended++
+			},
+			"time": func(t *rapid.T) { // also backward
+				now = now.Add(time.Duration(rapid.IntRange(-90, 4000).Draw(t, "seconds")) * time.Second)
+			},
+			"": func(t *rapid.T) {
+				require.Empty(t, b.Sums())
+				census := Census{}
+				for _, j := range open {
+					census[[2]string{j.front, j.entry.Job.Class}]++
+				}
+				require.Empty(t, b.Core(census, flows))
+				require.EqualValues(t, len(open), b.Totals().Open)
+				require.EqualValues(t, int64(len(open))+ended, b.Totals().Taken)
+				require.LessOrEqual(t, len(b.rows), 12+2*2*4, "rows are bounded, but for the shared ones")
+				require.LessOrEqual(t, len(b.asks.known), 8+len(open)+1)
+			},
+		})
+	})
+}
+
+// TestAsks: the tries of one ask are told from asks by their key, on either
+// front and also after the first was answered.
+func TestAsks(t *testing.T) {
+	try := func(b *Book, front, key string, retry bool, r Reason) {
+		b.End(b.Enter(Job{Front: front, Class: "hold", Key: key, Retry: retry}, start), r, start)
+	}
+	for name, c := range map[string]struct {
+		do   func(b *Book)
+		want Asks
+	}{
+		"a refused try, then a served one on the other front": {func(b *Book) {
+			try(b, "http", "k", false, Declined)
+			try(b, "faktory", "k", false, Answered)
+		}, Asks{Asked: 1, Retries: 1, Reopened: [Outcomes]int64{Refused: 1}, Ends: [Outcomes]int64{Served: 1, Refused: 1}}},
+		"a retry after the first try was served": {func(b *Book) {
+			try(b, "http", "k", false, Answered)
+			try(b, "http", "k", true, GivenUp)
+		}, Asks{Asked: 1, Retries: 1, Echoes: 1, Ends: [Outcomes]int64{Served: 1}}},
+		"two tries at once, of which the first is served": {func(b *Book) {
+			one := b.Enter(Job{Class: "hold", Key: "k"}, start)
+			two := b.Enter(Job{Class: "hold", Key: "k"}, start)
+			b.End(one, Answered, start)
+			b.End(two, GivenUp, start)
+		}, Asks{Asked: 1, Retries: 1, Ends: [Outcomes]int64{Served: 1}}},
+		"without a key each is its own": {func(b *Book) {
+			try(b, "http", "", false, Answered)
+			try(b, "http", "", false, GivenUp)
+		}, Asks{Asked: 2, Ends: [Outcomes]int64{Served: 1, Failed: 1}}},
+		"a marked retry without a key belongs to an ask that is not known": {func(b *Book) {
+			try(b, "http", "", true, Answered)
+		}, Asks{Strays: 1}},
+		"other classes have other keys": {func(b *Book) {
+			try(b, "http", "k", false, Answered)
+			b.End(b.Enter(Job{Class: "ticket", Key: "k"}, start), Answered, start)
+		}, Asks{Asked: 2, Ends: [Outcomes]int64{Served: 2}}},
+		"an old one is forgotten": {func(b *Book) {
+			try(b, "http", "k", false, Declined)
+			b.End(b.Enter(Job{Class: "hold", Key: "other"}, start.Add(2*time.Minute)), Answered, start)
+			try(b, "http", "k", false, Answered)
+		}, Asks{Asked: 3, Ends: [Outcomes]int64{Served: 2, Refused: 1}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := New(small())
+			c.do(b)
+			require.Equal(t, c.want, b.asks.Asks)
+			require.Empty(t, b.Sums())
+		})
+	}
+}
+
+// TestWindows: what is counted in a minute, hour or day goes with it, and time
+// that runs backward loses nothing.
+func TestWindows(t *testing.T) {
+	b := New(small())
+	one := func(at time.Time) { b.End(b.Enter(Job{Front: "http", Class: "hold"}, at), Answered, at) }
+	latest := func(at time.Time) (minute, hour, day uint32) {
+		l := b.Snapshot(at).Lines[0]
+		return l.Minute.Taken, l.Hour.Taken, l.Day.Taken
+	}
+	one(start)
+	one(start.Add(time.Minute))     // another hour
+	one(start.Add(-24 * time.Hour)) // the clock was set back
+	m, h, d := latest(start.Add(time.Minute))
+	require.Equal(t, []uint32{2, 2, 3}, []uint32{m, h, d})
+	l := b.Snapshot(start.Add(59 * time.Minute)).Lines[0]
+	require.EqualValues(t, 0, l.Minute.Taken)
+	require.EqualValues(t, 3, l.Hour60.Taken)
+	require.EqualValues(t, 3, l.Hour60.Ends[Served])
+	require.EqualValues(t, 2, b.Snapshot(start.Add(60 * time.Minute)).Lines[0].Hour60.Taken)
+	require.EqualValues(t, 0, b.Snapshot(start.Add(240 * time.Hour)).Lines[0].Day24.Taken)
+	require.Empty(t, b.Sums())
+}
+
+// TestBroken breaks one count after the other: the audit whose it is finds it.
+func TestBroken(t *testing.T) {
+	begin := func() (*Book, *Entry, Census) {
+		b := New(small())
+		b.End(b.Enter(Job{Front: "http", Class: "hold", Key: "a"}, start), Answered, start)
+		e := b.Enter(Job{Front: "http", Class: "hold"}, start)
+		b.Sent(e, "cell 0", start)
+		return b, e, Census{{"http", "hold"}: 1}
+	}
+	sums := func(b *Book, _ *Entry) []Difference { return b.Sums() }
+	for name, c := range map[string]struct {
+		fault func(b *Book, e *Entry)
+		audit func(b *Book, e *Entry) []Difference
+	}{
+		"a row's open":      {func(b *Book, e *Entry) { e.row.Open++ }, sums},
+		"a row's end":       {func(b *Book, e *Entry) { e.row.Ends[GivenUp]++ }, sums},
+		"a row's way in":    {func(b *Book, e *Entry) { e.row.Came--; e.row.Open-- }, sums},
+		"the total":         {func(b *Book, e *Entry) { b.totals.Taken++ }, sums},
+		"a whole job twice": {func(b *Book, e *Entry) { e.row.Entered++; e.row.Ends[Answered]++ }, sums},
+		"a job ended twice": {func(b *Book, e *Entry) { b.End(e, GivenUp, start); b.End(e, GivenUp, start) }, sums},
+		"a flow":            {func(b *Book, e *Entry) { b.flow("hold", "cell 0").Ends[basaltloft.Full]++ }, sums},
+		"a flow, whole":     {func(b *Book, e *Entry) { f := b.flow("hold", "cell 0"); f.Sent++; f.Out++ }, sums},
+		"an ask":            {func(b *Book, e *Entry) { b.asks.Ends[Served]++ }, sums},
+		"a job the core lost": {func(b *Book, e *Entry) {}, func(b *Book, _ *Entry) []Difference {
+			return b.Core(Census{}, 1)
+		}},
+		"a flow the core lost": {func(b *Book, e *Entry) {}, func(b *Book, _ *Entry) []Difference {
+			return b.Core(Census{{"http", "hold"}: 1}, 0)
+		}},
+		"a job of a front": {func(b *Book, e *Entry) {}, func(b *Book, _ *Entry) []Difference {
+			r := DeskReading{Begun: 3, Handed: 3, Answers: [Outcomes]int64{Served: 1}}
+			return b.Front("http", r, r)
+		}},
+		"an answer of a front": {func(b *Book, e *Entry) {}, func(b *Book, _ *Entry) []Difference {
+			r := DeskReading{Begun: 2, Handed: 2, Answers: [Outcomes]int64{Served: 2}}
+			return b.Front("http", r, r)
+		}},
+		"a client that never left": {func(b *Book, e *Entry) { b.End(e, ClientLeft, start) }, func(b *Book, _ *Entry) []Difference {
+			r := DeskReading{Begun: 2, Handed: 2, Answers: [Outcomes]int64{Served: 1}}
+			return b.Front("http", r, r)
+		}},
+		"the journal": {func(b *Book, e *Entry) {}, func(b *Book, _ *Entry) []Difference {
+			return b.Totals().Against(AuditJournal, Totals{Taken: 2, Open: 2})
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b, e, census := begin()
+			good := DeskReading{Begun: 2, Handed: 2, Answers: [Outcomes]int64{Served: 1}}
+			require.Empty(t, b.Sums())
+			require.Empty(t, b.Core(census, 1))
+			require.Empty(t, b.Front("http", good, good))
+			require.Empty(t, b.Totals().Against(AuditJournal, b.Totals()))
+			c.fault(b, e)
+			d := c.audit(b, e)
+			require.NotEmpty(t, d)
+			require.NotEmpty(t, d[0].String())
+		})
+	}
+}
+
+// TestBounds: names that clients choose do not make the book grow.
+func TestBounds(t *testing.T) {
+	b := New(Limits{Tenants: []string{"known"}, Rows: 64, Asks: 16, AskFor: time.Hour})
+	for n := range 10000 {
+		j := Job{Front: "http", Class: "hold", Tenant: fmt.Sprint("t", n), Key: fmt.Sprint("k", n)}
+		e := b.Enter(j, start)
+		b.Sent(e, fmt.Sprint("cell ", n), start)
+		b.FlowEnded("hold", fmt.Sprint("cell ", n), basaltloft.OK)
+		b.End(e, Answered, start)
+	}
+	require.Empty(t, b.Sums())
+	require.LessOrEqual(t, len(b.rows), 66)
+	require.LessOrEqual(t, len(b.flows), 65)
+	require.Len(t, b.lines, 1)
+	require.LessOrEqual(t, len(b.asks.known), 16)
+}
+
+// BenchmarkJob is what the account costs a job: entry, one flow, and end.
+func BenchmarkJob(b *testing.B) {
+	book := New(DefaultLimits())
+	keys := make([]string, 4096)
+	for i := range keys {
+		keys[i] = fmt.Sprintf("5c0f6e1a2b3d4c59a8b7c6d5e4f3%04x", i)
+	}
+	now := start
+	one := func(n int) {
+		e := book.Enter(Job{Front: "http", Class: "place-hold", Tenant: "hrad-kamenec", Key: keys[n%len(keys)]}, now)
+		book.Sent(e, "cell 0", now)
+		book.FlowEnded("place-hold", "cell 0", basaltloft.OK)
+		book.End(e, Answered, now.Add(time.Second))
+		now = now.Add(time.Millisecond)
+	}
+	for n := range 20000 { // warm
+		one(n)
+	}
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		one(n)
+	}
+}
--- a/internal/cli/figures.go
+++ b/internal/cli/figures.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"text/tabwriter"
@@ -28,7 +29,7 @@
 }
 
 func showCommand(sh *shared) *cobra.Command {
-	var at, format string
+	var at, by, format string
 	var audit bool
 	c := &cobra.Command{
 		Use: "show", Short: "show the account of a running dispatcher", Args: none,
@@ -36,6 +37,15 @@
 			if format != "table" && format != "json" {
 				return misuse{fmt.Errorf("--format is table or json, not %q", format)}
 			}
+			var dims []string
+			if by != "" {
+				dims = strings.Split(by, ",")
+			}
+			for _, d := range dims {
+				if !slices.Contains(figures.Dimensions, d) {
+					return misuse{fmt.Errorf("--by takes any of %s, not %q", strings.Join(figures.Dimensions, ", "), d)}
+				}
+			}
 			if audit {
 				var ignored json.RawMessage
 				if err := fetch(c, at, "/audit", &ignored); err != nil {
@@ -49,11 +59,12 @@
 			if format == "json" {
 				return writeJSON(sh.out, r)
 			}
-			return figures.Table(sh.out, r)
+			return figures.Table(sh.out, r, dims)
 		},
 	}
 	c.Flags().StringVar(&at, "at", "127.0.0.1:7421", "`address` that figures.listen names")
 	c.Flags().StringVar(&format, "format", "table", "table or json")
+	c.Flags().StringVar(&by, "by", "front,class,tenant", "what to show by: any of "+strings.Join(figures.Dimensions, ", "))
 	c.Flags().BoolVar(&audit, "audit", false, "audit the account first")
 	return c
 }
@@ -110,11 +121,9 @@
 		if at.text == "" {
 			continue
 		}
-		t, err := time.Parse(time.RFC3339, at.text)
+		t, err := journal.ParseTime(at.text)
 		if err != nil {
-			if t, err = time.Parse(time.DateOnly, at.text); err != nil {
-				return nil, q, misuse{fmt.Errorf("%s: %q is neither a date nor a time in RFC 3339", name, at.text)}
-			}
+			return nil, q, misuse{fmt.Errorf("%s: %w", name, err)}
 		}
 		*at.into = t
 	}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -30,21 +31,26 @@
 "limits":{"most_tries":3,"cancel":true,"probes":true,"retry_after":true,"max_retry_after":2000000000,"conn_idle":15000000000,"dial_timeout":250000000},
 "guarantees":{"grace_to_answer":8000000,"ask_every":10000000000,"start_capacity":0.12,"warm_after":24000000000,"fall_multiple":4,"tip_after":3000000000}}`
 
-// Configuration is the configuration file of the demo's dispatcher.
-func Configuration(listen, discovery string) string {
+// Configuration is the configuration file of this world's dispatcher. It knows
+// the members from the start.
+func (w *World) Configuration() string {
+	var listed []standin.Listed
+	for _, m := range w.members {
+		listed = append(listed, m.Listed())
+	}
+	known, _ := json.Marshal(listed)
 	return fmt.Sprintf(`{"name":"demo","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":192,"sockets":1024},`+
-		`"known":{"generation":0,"reset":true,"instances":[]},"settings":%s}`, listen, discovery, settingsText)
+		`"known":{"generation":0,"reset":true,"instances":%s},"settings":%s}`, w.Addr, w.Discovery.Addr(), known, settingsText)
 }
 
-// OperatorFile is the operator's file of the demo. An empty folder leaves the
-// journal off, which is also the way to run without any figures but the sums.
-func OperatorFile(faktory, agent, figures, folder string) string {
+// OperatorFile is its operator's file. An empty folder leaves the journal off.
+func (w *World) OperatorFile(folder string) string {
 	return fmt.Sprintf(`{"agent_check":{"listen":%q},
 "figures":{"listen":%q,"audit_every_ms":500,"journal":{"folder":%q,"segment_mb":1}},
 "faktory":{"listen":%q,"connections":128,"default":{"class":"place-hold","deadline_ms":10000},
 "workers":{"cell":7},
 "queues":{"holds":{"class":"place-hold","deadline_ms":10000,"cost_us":20000},"tickets":{"class":"group-ticket","deadline_ms":25000,"cost_us":60000}},
-"jobtypes":{"IssueTicket":{"class":"group-ticket","deadline_ms":25000,"cost_us":60000}}}}`, agent, figures, folder, faktory)
+"jobtypes":{"IssueTicket":{"class":"group-ticket","deadline_ms":25000,"cost_us":60000}}}}`, w.Agent, w.Figures, folder, w.Faktory)
 }
 
 // World is the outside of one dispatcher.
@@ -63,6 +69,7 @@
 	Rate     float64 // asks a second by each front
 	Members  int
 	Workers  int
+	Run      time.Duration // how long each job runs; 0: short, by chance
 	Troubles standin.Troubles
 	Seed     uint64
 }
@@ -79,7 +86,7 @@
 	var listed []standin.Listed
 	for i := range l.Members {
 		m, err := standin.NewMember(standin.MemberSettings{
-			ID: fmt.Sprintf("s-%d", i+1), Cell: i / 4, Slots: 4, Run: running(l.Seed + uint64(i)), Troubles: l.Troubles,
+			ID: fmt.Sprintf("s-%d", i+1), Cell: i / 4, Slots: 4, Run: l.running(uint64(i)), Troubles: l.Troubles,
 			Reports: func() string { return w.Addr }, Till: w.Till, Once: once, Seed: l.Seed + uint64(i),
 		})
 		if err != nil {
@@ -101,8 +108,11 @@
 
 // running is how long jobs run: holds for 10 to 30 ms, tickets for three times
 // as long.
-func running(seed uint64) func(string) time.Duration {
-	random := rand.New(rand.NewPCG(seed, 3))
+func (l Load) running(n uint64) func(string) time.Duration {
+	if l.Run > 0 {
+		return func(string) time.Duration { return l.Run }
+	}
+	random := rand.New(rand.NewPCG(l.Seed+n, 3))
 	var mu sync.Mutex
 	return func(class string) time.Duration {
 		mu.Lock()
@@ -126,7 +136,7 @@
 	for i := range l.Workers {
 		w.all.Go(func() {
 			standin.FaktoryWorker(workers, faktory, standin.WorkerSettings{
-				WID: fmt.Sprintf("worker-%d", i+1), Queues: []string{"tickets", "holds"}, Run: running(l.Seed + 100 + uint64(i)),
+				WID: fmt.Sprintf("worker-%d", i+1), Queues: []string{"tickets", "holds"}, Run: l.running(100 + uint64(i)),
 				Troubles: l.Troubles, Till: w.Till, Once: once, Seed: l.Seed + 100 + uint64(i),
 			})
 		})
@@ -157,10 +167,10 @@
 
 // Decoded are the configuration and operator's file for this world.
 func (w *World) Decoded(folder string) (c settings.Config, o settings.Operator, err error) {
-	if c, err = settings.DecodeConfig([]byte(Configuration(w.Addr, w.Discovery.Addr()))); err != nil {
+	if c, err = settings.DecodeConfig([]byte(w.Configuration())); err != nil {
 		return c, o, err
 	}
-	o, err = settings.DecodeOperator([]byte(OperatorFile(w.Faktory, w.Agent, w.Figures, folder)))
+	o, err = settings.DecodeOperator([]byte(w.OperatorFile(folder)))
 	return c, o, err
 }
 
--- a/internal/demo/run.go
+++ b/internal/demo/run.go
@@ -78,7 +78,7 @@
 	if err := <-ended; err != nil {
 		return err
 	}
-	if err := figures.Table(out, r); err != nil {
+	if err := figures.Table(out, r, []string{"front", "class", "tenant"}); err != nil {
 		return err
 	}
 	f, err := journal.ReadFolder(folder)
--- a/internal/faktory/program_test.go
+++ b/internal/faktory/program_test.go
@@ -10,7 +10,7 @@
 	"basaltloft/internal/scenario"
 )
 
-const operator = `{"agent_check":{"listen":"AGENT"},"faktory":{"listen":"FAKTORY","password":"tajomstvo","connections":6,
+const operator = `{"agent_check":{"listen":"AGENT"},"figures":{"listen":"FIGURES"},"faktory":{"listen":"FAKTORY","password":"tajomstvo","connections":6,
 "default":{},"queues":{"tickets":{"class":"group-ticket","tenant":"hrad-orlie","cost_us":2000000}},
 "jobtypes":{"Hold":{"class":"place-hold","cost_us":2000000},"Brief":{"class":"group-ticket","deadline_ms":1500,"cost_us":500000},"Late":{"class":"place-hold","deadline_ms":30,"cost_us":2000000}}}}`
 
--- /dev/null
+++ b/internal/figures/figures_test.go
@@ -0,0 +1,352 @@
+package figures
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"basaltloft"
+	"basaltloft/internal/account"
+	"basaltloft/internal/core"
+	"basaltloft/internal/journal"
+	"basaltloft/internal/stage"
+
+	"github.com/sirupsen/logrus"
+	"github.com/sirupsen/logrus/hooks/test"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// rig is a core with the real stages and keeper; the test is the fronts, the
+// members and the list.
+type rig struct {
+	hub     *core.Core
+	keeper  *Keeper
+	auditor *Auditor
+	journal *journal.Journal
+	folder  string
+	books   *faulty
+	desks   []*account.Desk
+	log     *test.Hook
+	end     func()
+
+	mu    sync.Mutex
+	flows []*core.Flow
+}
+
+// faulty passes on to the keeper, but for what it is told to lose.
+type faulty struct {
+	*Keeper
+	losesEnter, losesSent, losesEnd bool
+}
+
+func (f *faulty) Enter(t *core.Transaction, now time.Time) {
+	if !f.losesEnter {
+		f.Keeper.Enter(t, now)
+	}
+}
+
+func (f *faulty) Sent(flow *core.Flow, now time.Time) {
+	if !f.losesSent {
+		f.Keeper.Sent(flow, now)
+	}
+}
+
+func (f *faulty) End(t *core.Transaction, a core.Answer, now time.Time) {
+	if !f.losesEnd {
+		f.Keeper.End(t, a, now)
+	}
+}
+
+// lossy is a second count that loses what it is told to.
+type lossy struct {
+	Second
+	loses bool
+}
+
+func (l *lossy) Enter(n uint64, j account.Job, at time.Time) {
+	if !l.loses {
+		l.Second.Enter(n, j, at)
+	}
+}
+
+func (l *lossy) End(n uint64, group string, r account.Reason, at time.Time) {
+	if !l.loses {
+		l.Second.End(n, group, r, at)
+	}
+}
+
+func (r *rig) Start(f *core.Flow) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.flows = append(r.flows, f)
+}
+func (r *rig) Abandon(*core.Flow) {}
+func (r *rig) Recall(*core.Flow)  {}
+func (r *rig) Probe(*core.Member) {}
+func (r *rig) Watch(bool)         {}
+func (r *rig) Fetch()             {}
+
+// take takes a flow out that was started.
+func (r *rig) take(n int) *core.Flow {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.flows) == 0 {
+		return nil
+	}
+	i := n % len(r.flows)
+	f := r.flows[i]
+	r.flows = append(r.flows[:i], r.flows[i+1:]...)
+	return f
+}
+
+func newRig(t require.TestingT, dir string) *rig {
+	settings := basaltloft.Settings{
+		Instances: 1, TellsStart: true, Limits: basaltloft.Limits{MaxAttempts: 3, Cancel: true, RetryAfter: true, MaxRetryAfter: time.Second},
+		Classes: []basaltloft.Class{
+			{Name: "hold", Effect: basaltloft.Keyed, Group: basaltloft.GroupCell, Window: 15 * time.Second, Aim: time.Second, Stretch: 2, GiveUp: 10 * time.Second, Worth: 10, Kind: -1},
+			{Name: "ticket", Effect: basaltloft.Unsafe, Aim: time.Second, Stretch: 2, GiveUp: 25 * time.Second, Worth: 2, Kind: -1},
+		},
+	}
+	log, hook := test.NewNullLogger()
+	r := &rig{keeper: NewKeeper(account.DefaultLimits()), log: hook}
+	r.books = &faulty{Keeper: r.keeper}
+	chain := stage.New(settings, stage.Limits{Open: 20, Bytes: 1 << 20}, r.books, log)
+	var err error
+	r.hub, err = core.New(settings, chain, log)
+	require.NoError(t, err)
+	r.hub.Follow(r)
+	for _, front := range []string{"http", "faktory"} {
+		r.desks = append(r.desks, &account.Desk{Front: front})
+	}
+	r.auditor = NewAuditor(r.keeper, r.hub, r.desks, log)
+	if dir != "" {
+		r.folder = dir
+		f, err := journal.OpenFolder(dir)
+		require.NoError(t, err)
+		r.journal, err = journal.Open(f, journal.Settings{SegmentBytes: 4096, KeepBytes: 1 << 30, KeepFor: time.Hour}, time.Now(), log, r.auditor.Differ)
+		require.NoError(t, err)
+		r.keeper.With(r.journal)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); r.hub.Run(ctx) }()
+	r.end = func() {
+		cancel()
+		<-done
+		if r.journal != nil {
+			r.journal.Close()
+		}
+	}
+	var members []*core.Member
+	for i := range 4 {
+		members = append(members, &core.Member{ID: fmt.Sprint("m", i), Cell: i / 2, Group: fmt.Sprint("cell ", i/2), Carrier: r})
+	}
+	r.hub.List("test", basaltloft.ListRestored, members)
+	return r
+}
+
+// client is told its answer.
+type client struct{ desk *account.Desk }
+
+func (c client) Answer(a core.Answer) { c.desk.Answered(a.Verdict.Outcome()) }
+
+func (r *rig) submit(desk int, id, class, key string) *core.Transaction {
+	d := r.desks[desk]
+	now := time.Now()
+	t := &core.Transaction{
+		ID: id, Front: d.Front, Class: class, Tenant: "a", Key: key, Arrived: now, Deadline: now.Add(10 * time.Second),
+		Hint: 50 * time.Millisecond, Slots: 1, Client: client{d},
+	}
+	d.Begin()
+	r.hub.Submit(t)
+	d.Handed()
+	return t
+}
+
+// TestCoreAndAccount drives the core with random events of clients and
+// members; after each one every audit agrees, and in the end the journal does.
+func TestCoreAndAccount(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		dir, err := os.MkdirTemp("", "figures")
+		require.NoError(t, err)
+		defer os.RemoveAll(dir)
+		r := newRig(t, dir)
+		ended := false
+		defer func() {
+			if !ended {
+				r.end()
+			}
+		}()
+		var all []*core.Transaction
+		var over []*core.Flow
+		n := 0
+		t.Repeat(map[string]func(*rapid.T){
+			"submit": func(t *rapid.T) {
+				n++
+				id := fmt.Sprint("t", n)
+				if len(all) > 0 && rapid.IntRange(0, 5).Draw(t, "same id") == 0 { // also by the other front
+					id = rapid.SampledFrom(all).Draw(t, "other").ID
+				}
+				all = append(all, r.submit(rapid.IntRange(0, 1).Draw(t, "front"), id, rapid.SampledFrom([]string{"hold", "ticket"}).Draw(t, "class"),
+					rapid.SampledFrom([]string{"", "k1", "k2"}).Draw(t, "key")))
+			},
+			"leave": func(t *rapid.T) { // also after the answer
+				if len(all) == 0 {
+					t.Skip()
+				}
+				tx := rapid.SampledFrom(all).Draw(t, "transaction")
+				for _, d := range r.desks {
+					if d.Front == tx.Front {
+						d.Left()
+					}
+				}
+				r.hub.Leave(tx)
+			},
+			"flow ends": func(t *rapid.T) {
+				f := r.take(rapid.IntRange(0, 100).Draw(t, "flow"))
+				if f == nil {
+					t.Skip()
+				}
+				r.hub.End(f, basaltloft.Status(rapid.IntRange(0, int(basaltloft.Unfit)).Draw(t, "status")), nil)
+				over = append(over, f)
+			},
+			"an ended flow ends again": func(t *rapid.T) {
+				if len(over) == 0 {
+					t.Skip()
+				}
+				r.hub.End(rapid.SampledFrom(over).Draw(t, "flow"), basaltloft.OK, nil)
+			},
+			"": func(t *rapid.T) { require.Empty(t, r.auditor.Audit()) },
+		})
+		var totals account.Totals
+		r.hub.Sync(func() { totals = r.keeper.Book.Totals() })
+		r.end()
+		ended = true
+		require.True(t, r.auditor.AddsUp(), "%v", r.auditor.State())
+		f, err := journal.ReadFolder(dir)
+		require.NoError(t, err)
+		v, err := journal.Verify(f)
+		require.NoError(t, err)
+		require.Empty(t, v.Wrong)
+		require.Empty(t, totals.Against(account.AuditJournal, v.Totals))
+	})
+}
+
+// TestEachAudit breaks one count at a time in a running dispatcher: the audit
+// that is meant to find it does, all by itself, and complains aloud.
+func TestEachAudit(t *testing.T) {
+	for name, c := range map[string]struct {
+		fault func(r *rig)
+		want  string
+	}{
+		"the account loses an entry": {func(r *rig) {
+			r.books.losesEnter = true
+			r.submit(0, "x", "hold", "")
+		}, account.AuditCore},
+		"the account loses an end": {func(r *rig) {
+			r.books.losesEnd = true
+			r.hub.Sync(func() {})
+			f := r.take(0)
+			r.hub.End(f, basaltloft.OK, nil)
+		}, account.AuditCore},
+		"the account loses a flow": {func(r *rig) {
+			r.books.losesSent = true
+			r.submit(0, "x", "hold", "")
+		}, account.AuditCore},
+		"a front loses an answer": {func(r *rig) { r.desks[0].Answered(account.Served) }, account.AuditFronts},
+		"a front hands over what never comes": {func(r *rig) {
+			r.desks[1].Begin()
+			r.desks[1].Handed()
+		}, account.AuditFronts},
+		"the journal loses a job": {func(r *rig) {
+			r.hub.Sync(func() { r.keeper.second = &lossy{r.journal, true} })
+			r.submit(0, "x", "hold", "")
+		}, account.AuditJournal},
+		"a row counts what never was": {func(r *rig) {
+			r.hub.Sync(func() {
+				e := r.keeper.Book.Enter(account.Job{Front: "nowhere", Class: "hold"}, time.Now())
+				r.keeper.Book.End(e, account.Answered, time.Now())
+				r.keeper.Book.End(e, account.Answered, time.Now())
+			})
+		}, account.AuditSums},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, filepath.Join(t.TempDir(), "figures"))
+			for n := range 4 {
+				r.submit(n%2, fmt.Sprint("t", n), "hold", "")
+			}
+			require.Empty(t, r.auditor.Audit())
+			require.True(t, r.auditor.AddsUp())
+			c.fault(r)
+			r.auditor.Audit()
+			r.end() // the journal has read the mark
+			s := r.auditor.State()
+			require.NotZero(t, s.Found[c.want], "%v", s)
+			require.False(t, r.auditor.AddsUp())
+			require.Equal(t, logrus.ErrorLevel, r.log.LastEntry().Level)
+		})
+	}
+}
+
+// TestExport: what is told to Prometheus is in balance, and so is the table.
+func TestExport(t *testing.T) {
+	r := newRig(t, filepath.Join(t.TempDir(), "figures"))
+	defer r.end()
+	r.submit(0, "t1", "hold", "k")
+	r.submit(1, "t2", "hold", "k")
+	r.hub.Sync(func() {})
+	r.hub.End(r.take(0), basaltloft.OK, nil)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error)
+	x := &Exporter{Name: "n0", Keeper: r.keeper, Hub: r.hub, Auditor: r.auditor, Journal: r.journal}
+	go func() { done <- x.Serve(ctx, l) }()
+	defer func() {
+		http.DefaultClient.CloseIdleConnections()
+		cancel()
+		require.NoError(t, <-done)
+	}()
+	get := func(path string) string {
+		resp, err := http.Get("http://" + l.Addr().String() + path)
+		require.NoError(t, err)
+		defer resp.Body.Close()
+		text, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		return string(text)
+	}
+	metrics := get("/metrics")
+	for _, line := range []string{
+		`basaltloft_jobs_taken_total{class="hold",front="http",group="-",tenant="a"} 1`,
+		`basaltloft_jobs_ended_total{class="hold",front="`, `outcome="served",reason="answered",tenant="a"} 1`,
+		`basaltloft_asks_total 1`, `basaltloft_retries_total{kind="known"} 1`, `basaltloft_account_adds_up 1`,
+		`basaltloft_job_seconds_count{class="hold",span="whole"} 1`, `basaltloft_audit_differences_total{audit="journal"} 0`,
+	} {
+		require.Contains(t, metrics, line)
+	}
+	require.Contains(t, get("/audit"), `"differences":[]`)
+	var report Report
+	require.NoError(t, json.Unmarshal([]byte(get("/figures")), &report))
+	require.EqualValues(t, 2, report.Account.Totals.Taken)
+	require.EqualValues(t, 1, report.Account.Totals.Open)
+	var table strings.Builder
+	require.NoError(t, Table(&table, report, []string{"front", "class", "group"}))
+	require.Contains(t, table.String(), "2 taken = 1 served + 0 refused + 0 failed + 1 open; 1 audits found nothing")
+	report.Audit.Differences = []account.Difference{{Audit: "sums", What: "taken", Here: 1, There: 2}}
+	table.Reset()
+	require.NoError(t, Table(&table, report, nil))
+	require.Contains(t, table.String(), "DOES NOT ADD UP:\n  sums: taken: 1 in the account, 2 on the other side")
+}
--- a/internal/figures/table.go
+++ b/internal/figures/table.go
@@ -3,40 +3,81 @@
 import (
 	"fmt"
 	"io"
+	"slices"
+	"strings"
 	"text/tabwriter"
 	"time"
 
 	"basaltloft/internal/account"
 )
 
-// Table writes an account for people to read.
-func Table(out io.Writer, r Report) error {
+// Dimensions are what a table can be by.
+var Dimensions = []string{"front", "class", "tenant", "group"}
+
+func dimension(p *account.Place, by string) string {
+	return map[string]string{"front": p.Front, "class": p.Class, "tenant": p.Tenant, "group": p.Group}[by]
+}
+
+// Table writes an account for people to read, by some of the dimensions. Jobs
+// that come and go are shown where groups are.
+func Table(out io.Writer, r Report, by []string) error {
+	moves := slices.Contains(by, "group")
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(w, "front\tclass\ttenant\tgroup\ttaken\tcame\twent\tserved\trefused\tfailed\topen\t")
-	var sum account.Row
-	line := func(place account.Place, row *account.Row) {
-		var by [account.Outcomes]int64
-		for i, n := range row.Ends {
-			by[account.Reason(i).Outcome()] += n
-		}
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t\n", place.Front, place.Class, place.Tenant, place.Group,
-			row.Entered, row.Came, row.Went, by[account.Served], by[account.Refused], by[account.Failed], row.Open)
+	head := append(slices.Clone(by), "taken")
+	if moves {
+		head = append(head, "came", "went")
 	}
+	fmt.Fprintln(w, strings.Join(append(head, "served", "refused", "failed", "open"), "\t")+"\t")
+	sums := make(map[string]*account.Row)
+	var order []string
+	var all account.Row
 	for i := range r.Account.Rows {
 		row := &r.Account.Rows[i]
-		line(row.Place, row)
-		sum.Entered += row.Entered
-		sum.Came += row.Came
-		sum.Went += row.Went
-		sum.Open += row.Open
-		for k, n := range row.Ends {
-			sum.Ends[k] += n
+		var cells []string
+		for _, d := range by {
+			cells = append(cells, dimension(&row.Place, d))
+		}
+		key := strings.Join(cells, "\t")
+		if sums[key] == nil {
+			sums[key] = new(account.Row)
+			order = append(order, key)
 		}
+		for _, sum := range []*account.Row{sums[key], &all} {
+			sum.Entered += row.Entered
+			sum.Came += row.Came
+			sum.Went += row.Went
+			sum.Open += row.Open
+			for k, n := range row.Ends {
+				sum.Ends[k] += n
+			}
+		}
+	}
+	line := func(key string, row *account.Row) {
+		var ends [account.Outcomes]int64
+		for i, n := range row.Ends {
+			ends[account.Reason(i).Outcome()] += n
+		}
+		if key != "" {
+			key += "\t"
+		}
+		fmt.Fprintf(w, "%s%d\t", key, row.Entered)
+		if moves {
+			fmt.Fprintf(w, "%d\t%d\t", row.Came, row.Went)
+		}
+		fmt.Fprintf(w, "%d\t%d\t%d\t%d\t\n", ends[account.Served], ends[account.Refused], ends[account.Failed], row.Open)
+	}
+	slices.Sort(order)
+	for _, key := range order {
+		line(key, sums[key])
+	}
+	if len(by) > 0 {
+		line("all"+strings.Repeat("\t", len(by)-1), &all)
+	}
+	if err := w.Flush(); err != nil {
+		return err
 	}
-	line(account.Place{Front: "all"}, &sum)
-	w.Flush()
 	fmt.Fprintln(out)
-	for reason, n := range sum.Ends {
+	for reason, n := range all.Ends {
 		if n > 0 {
 			fmt.Fprintf(out, "%8d  %s (%s)\n", n, account.Reason(reason), account.Reason(reason).Outcome())
 		}
--- /dev/null
+++ b/internal/journal/journal_test.go
@@ -0,0 +1,552 @@
+package journal
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io/fs"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"basaltloft/internal/account"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// memory is a folder that can run full, and that can be taken as a crash would
+// leave it: after any of its steps, with any part of a write done.
+type memory struct {
+	mu    sync.Mutex
+	files map[string][]byte
+	room  int // bytes that may still be written; below 0: no bound
+	steps []map[string][]byte
+	keep  bool // the state after each step
+}
+
+func newMemory() *memory { return &memory{files: make(map[string][]byte), room: -1} }
+
+func (m *memory) step() {
+	if !m.keep {
+		return
+	}
+	state := make(map[string][]byte)
+	for name, text := range m.files {
+		state[name] = bytes.Clone(text)
+	}
+	m.steps = append(m.steps, state)
+}
+
+// of is a folder with what another had at a step.
+func of(files map[string][]byte) *memory {
+	m := newMemory()
+	for name, text := range files {
+		m.files[name] = bytes.Clone(text)
+	}
+	return m
+}
+
+func (m *memory) Names() ([]string, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Sorted(maps.Keys(m.files)), nil
+}
+
+func (m *memory) Read(name string) ([]byte, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	text, ok := m.files[name]
+	if !ok {
+		return nil, fs.ErrNotExist
+	}
+	return bytes.Clone(text), nil
+}
+
+func (m *memory) Create(name string) (File, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, ok := m.files[name]; ok {
+		return nil, fs.ErrExist
+	}
+	m.files[name] = nil
+	m.step()
+	return memoryFile{m, name}, nil
+}
+
+func (m *memory) Truncate(name string, size int64) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.files[name] = m.files[name][:size]
+	return nil
+}
+
+func (m *memory) Remove(name string) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.files, name)
+	m.step()
+	return nil
+}
+
+func (m *memory) Sync() error  { return nil }
+func (m *memory) Close() error { return nil }
+
+type memoryFile struct {
+	m    *memory
+	name string
+}
+
+func (f memoryFile) Write(b []byte) (int, error) {
+	f.m.mu.Lock()
+	defer f.m.mu.Unlock()
+	n := len(b)
+	if f.m.room >= 0 && n > f.m.room {
+		n = f.m.room
+	}
+	f.m.files[f.name] = append(f.m.files[f.name], b[:n]...)
+	if f.m.room >= 0 {
+		f.m.room -= n
+	}
+	f.m.step()
+	if n < len(b) {
+		return n, syscall.ENOSPC
+	}
+	return n, nil
+}
+func (f memoryFile) Sync() error  { return nil }
+func (f memoryFile) Close() error { return nil }
+
+var (
+	start = time.Date(2026, 7, 4, 12, 0, 0, 0, time.UTC)
+	quiet = func() *logrus.Logger { l := logrus.New(); l.SetLevel(logrus.PanicLevel); return l }()
+	tight = Settings{SegmentBytes: 1 << 20, KeepBytes: 1 << 30, KeepFor: time.Hour, WriteWithin: 0, SyncWithin: 0}
+	hold  = account.Job{Front: "http", Class: "place-hold", Tenant: "hrad-kamenec", Key: "k"}
+)
+
+func begin(t require.TestingT, f Folder, s Settings) *Journal {
+	j, err := Open(f, s, start, quiet, func(d []account.Difference) { require.Fail(t, "differs", "%v", d) })
+	require.NoError(t, err)
+	return j
+}
+
+func verify(t require.TestingT, f Folder) *Verdict {
+	v, err := Verify(f)
+	require.NoError(t, err)
+	return v
+}
+
+// written waits until the journal has written so many records.
+func written(t require.TestingT, j *Journal, n int64) {
+	for until := time.Now().Add(10 * time.Second); j.Written() < n; {
+		if stopped, why := j.Stopped(); stopped || time.Now().After(until) {
+			require.Fail(t, "not written", why)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// fill writes jobs into a folder, of which one in three stays open.
+func fill(t require.TestingT, f Folder, s Settings, jobs int) (ended int64) {
+	j := begin(t, f, s)
+	for n := range jobs {
+		at := start.Add(time.Duration(n) * time.Second)
+		job := hold
+		job.Tenant, job.Key = fmt.Sprint("t", n%3), fmt.Sprint("k", n)
+		j.Enter(uint64(n+1), job, at)
+		if n%3 != 0 {
+			j.End(uint64(n+1), "cell 0", account.Reason(n%int(account.CutOff)), at.Add(time.Second))
+			ended++
+		}
+		written(t, j, int64(n+1)+ended) // so that each is a batch or two of its own
+	}
+	require.NoError(t, j.Close())
+	return ended
+}
+
+// TestRestart: what the last epoch left open is closed as cut off, once, and
+// the next epochs count on.
+func TestRestart(t *testing.T) {
+	m := newMemory()
+	for epoch := int64(1); epoch <= 4; epoch++ {
+		ended := fill(t, m, tight, 30)
+		v := verify(t, m)
+		require.Empty(t, v.Wrong)
+		require.EqualValues(t, epoch, v.Epochs)
+		require.EqualValues(t, 30*epoch, v.Totals.Taken)
+		require.EqualValues(t, 30-ended, v.Totals.Open)
+		require.EqualValues(t, (30-ended)*(epoch-1), v.Totals.Ends[account.CutOff])
+		require.False(t, v.LastEpochInOrder, "jobs were open at its end")
+	}
+	j := begin(t, m, tight)
+	require.False(t, j.Found().InOrder)
+	require.Equal(t, 10, j.Found().CutOff)
+	require.NoError(t, j.Close())
+	j = begin(t, m, tight)
+	require.True(t, j.Found().InOrder)
+	require.NoError(t, j.Close())
+	v := verify(t, m)
+	require.Empty(t, v.Wrong)
+	require.True(t, v.LastEpochInOrder)
+	require.Zero(t, v.Totals.Open)
+}
+
+// TestCut cuts a journal at every byte of what follows its first batch: a
+// start cuts what is torn and counts on from there.
+func TestCut(t *testing.T) {
+	whole := newMemory()
+	fill(t, whole, tight, 6)
+	name := "00000001-00000001.seg"
+	text := whole.files[name]
+	last := -1
+	for size := len(text); size >= 0; size-- {
+		m := of(map[string][]byte{name: text[:size]})
+		v := verify(t, m)
+		require.Empty(t, v.Wrong, "cut at %d", size)
+		j := begin(t, m, tight)
+		if v.Records == 0 { // it never began: all of it goes
+			require.Equal(t, size, j.Found().Cut, "cut at %d", size)
+		} else {
+			require.Equal(t, v.Torn, j.Found().Cut, "cut at %d", size)
+		}
+		require.NoError(t, j.Close())
+		after := verify(t, m)
+		require.Empty(t, after.Wrong, "cut at %d", size)
+		require.Zero(t, after.Torn)
+		require.Equal(t, v.Totals.Taken, after.Totals.Taken)
+		require.Equal(t, v.Totals.Open, after.Totals.Ends[account.CutOff])
+		if last >= 0 {
+			require.LessOrEqual(t, int(v.Totals.Taken), last, "less of it has fewer jobs")
+		}
+		last = int(v.Totals.Taken)
+	}
+	require.Zero(t, last)
+}
+
+// TestFlippedBits flips each bit of a journal: the recount names every one, and
+// a start says so and goes on with what is sound.
+func TestFlippedBits(t *testing.T) {
+	whole := newMemory()
+	fill(t, whole, tight, 4)
+	name := "00000001-00000001.seg"
+	text := whole.files[name]
+	for i := range text {
+		for bit := range 8 {
+			m := of(whole.files)
+			m.files[name][i] ^= 1 << bit
+			v := verify(t, m)
+			require.NotEmpty(t, v.Wrong, "bit %d of byte %d", bit, i)
+			if bit == i%8 { // a start for each would take long
+				j, err := Open(m, tight, start, quiet, func([]account.Difference) {})
+				if errors.Is(err, ErrNewer) { // can't be: the header's checksum goes before its version
+					require.Fail(t, "newer")
+				}
+				require.NoError(t, err)
+				require.NotEmpty(t, j.Found().Complain, "bit %d of byte %d", bit, i)
+				require.NoError(t, j.Close())
+			}
+		}
+	}
+}
+
+// TestCrash takes the folder as it is after every single step of a run with
+// many segments, some of them gone already, and after every part of a write: a
+// start finds jobs that were whole, and nothing ever fails to add up.
+func TestCrash(t *testing.T) {
+	m := newMemory()
+	m.keep = true
+	s := tight
+	s.SegmentBytes, s.KeepBytes = 600, 2500
+	fill(t, m, s, 60)
+	require.Greater(t, len(m.files), 2)
+	require.NotContains(t, m.files, "00000001-00000001.seg", "the oldest has gone")
+	before := map[string][]byte{}
+	for n, state := range m.steps {
+		for _, name := range slices.Sorted(maps.Keys(state)) {
+			grown := len(state[name]) - len(before[name])
+			for _, part := range []int{1, grown / 3, grown / 2, grown - 1, grown} {
+				if part <= 0 || part > grown {
+					continue
+				}
+				f := of(state)
+				f.files[name] = f.files[name][:len(before[name])+part]
+				j := begin(t, f, s)
+				require.Empty(t, j.Found().Complain)
+				require.NoError(t, j.Close())
+				v := verify(t, f)
+				require.Empty(t, v.Wrong, "step %d, %d of %d bytes of %s", n, part, grown, name)
+				require.Zero(t, v.Totals.Open)
+			}
+		}
+		before = state
+	}
+}
+
+// TestFull: a disk that is full at any byte stops the journal, loudly, and what
+// was written before still adds up.
+func TestFull(t *testing.T) {
+	whole := newMemory()
+	fill(t, whole, tight, 4)
+	size := len(whole.files["00000001-00000001.seg"])
+	for room := 0; room < size; room += 3 {
+		m := newMemory()
+		m.room = room
+		var said bytes.Buffer
+		log := logrus.New()
+		log.SetOutput(&said)
+		j, err := Open(m, tight, start, log, func([]account.Difference) {})
+		if err != nil {
+			require.ErrorIs(t, err, syscall.ENOSPC)
+		} else {
+			for n := uint64(1); n <= 100; n++ { // adding never fails and never waits
+				j.Enter(n, hold, start)
+				j.End(n, "cell 0", account.Answered, start)
+			}
+			require.Error(t, j.Close())
+			stopped, why := j.Stopped()
+			require.True(t, stopped)
+			require.Contains(t, why, "no space left")
+			require.Contains(t, said.String(), "level=error")
+		}
+		m.room = -1
+		require.Empty(t, verify(t, m).Wrong)
+		j = begin(t, m, tight)
+		require.NoError(t, j.Close())
+		require.Empty(t, verify(t, m).Wrong)
+	}
+}
+
+// TestSlow: a disk that does not keep up stops the journal and not the jobs.
+func TestSlow(t *testing.T) {
+	m := newMemory()
+	j := begin(t, m, tight)
+	m.mu.Lock() // every write waits
+	for n := uint64(1); n <= 2*mostWaiting; n++ {
+		j.Enter(n, hold, start)
+	}
+	stopped, why := j.Stopped()
+	m.mu.Unlock()
+	require.True(t, stopped)
+	require.Contains(t, why, "does not keep up")
+	require.Error(t, j.Close())
+}
+
+// TestMarks: a count that is off is found at the next mark, by the running
+// journal and by the recount, each on its own.
+func TestMarks(t *testing.T) {
+	m := newMemory()
+	found := make(chan []account.Difference, 10)
+	j, err := Open(m, tight, start, quiet, func(d []account.Difference) { found <- d })
+	require.NoError(t, err)
+	book := account.New(account.DefaultLimits())
+	one := func(journalled bool) {
+		e := book.Enter(hold, start)
+		if journalled {
+			j.Enter(e.Number, e.Job, start)
+		}
+		number := e.Number
+		book.End(e, account.Answered, start)
+		if journalled {
+			j.End(number, "cell 0", account.Answered, start)
+		}
+	}
+	one(true)
+	j.Mark(book.Totals(), start)
+	written(t, j, 3)
+	require.Empty(t, found)
+	require.Empty(t, verify(t, m).Wrong)
+	one(false) // the fault
+	j.Mark(book.Totals(), start)
+	require.NoError(t, j.Close())
+	require.NotEmpty(t, <-found)
+	require.NotEmpty(t, verify(t, m).Wrong)
+}
+
+// TestClockSetBack: times that run backward are written and read as they were.
+func TestClockSetBack(t *testing.T) {
+	m := newMemory()
+	j := begin(t, m, tight)
+	j.Enter(1, hold, start.Add(time.Hour))
+	j.End(1, "cell 0", account.Answered, start.Add(-24*time.Hour))
+	require.NoError(t, j.Close())
+	require.NoError(t, begin(t, m, tight).Close()) // an hour before the last record
+	v := verify(t, m)
+	require.Empty(t, v.Wrong)
+	require.True(t, v.Latest.Equal(start.Add(time.Hour)))
+	rows, _, err := Report(m, Query{})
+	require.NoError(t, err)
+	require.EqualValues(t, 1, rows[0].Taken)
+	require.EqualValues(t, 1, rows[0].Outcome(account.Served))
+}
+
+// TestOlder reads a journal that version 1 wrote, and counts on from it.
+func TestOlder(t *testing.T) {
+	text, err := os.ReadFile(filepath.Join("testdata", "version1.seg"))
+	require.NoError(t, err)
+	m := of(map[string][]byte{"00000001-00000001.seg": text})
+	j := begin(t, m, tight)
+	require.Equal(t, 1, j.Found().CutOff)
+	j.Enter(1, hold, start)
+	require.NoError(t, j.Close())
+	v := verify(t, m)
+	require.Empty(t, v.Wrong)
+	require.EqualValues(t, 3, v.Totals.Taken)
+	require.EqualValues(t, 1, v.Totals.Ends[account.Answered])
+	require.EqualValues(t, 1, v.Totals.Ends[account.CutOff])
+	// One of a version to come is left as it is.
+	h := Header{Version: Version + 1, Epoch: 9, Index: 1}
+	m.files["00000009-00000001.seg"] = append(h.encode(), "whatever"...)
+	_, err = Open(m, tight, start, quiet, nil)
+	require.ErrorIs(t, err, ErrNewer)
+	require.Contains(t, m.files, "00000009-00000001.seg")
+}
+
+// TestReport: each row of a report is in balance, whatever it is by, and the
+// rows together have every job of its time once.
+func TestReport(t *testing.T) {
+	m := newMemory()
+	s := tight
+	s.SegmentBytes = 700
+	fill(t, m, s, 40)
+	fill(t, m, s, 40)
+	for _, by := range [][]string{nil, {"tenant"}, {"front", "class", "tenant", "group"}, {"minute", "tenant"}, {"hour"}, {"day"}} {
+		for _, span := range [][2]time.Time{{}, {start.Add(5 * time.Second)}, {start.Add(5 * time.Second), start.Add(20 * time.Second)}} {
+			rows, complaints, err := Report(m, Query{From: span[0], To: span[1], By: by})
+			require.NoError(t, err)
+			require.Empty(t, complaints)
+			var taken int64
+			for _, r := range rows {
+				require.Equal(t, r.Opened+r.Taken, r.Outcome(account.Served)+r.Outcome(account.Refused)+r.Outcome(account.Failed)+r.Open)
+				taken += r.Taken
+			}
+			switch {
+			case span[0].IsZero():
+				require.EqualValues(t, 80, taken)
+			case !span[1].IsZero():
+				require.EqualValues(t, 30, taken)
+			}
+		}
+	}
+	require.Error(t, Query{By: []string{"moon"}}.Check())
+	require.Error(t, Query{From: start, To: start}.Check())
+}
+
+// TestFolder is the real folder: one writer at a time, readers beside it.
+func TestFolder(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "figures")
+	f, err := OpenFolder(path)
+	require.NoError(t, err)
+	_, err = OpenFolder(path)
+	require.ErrorIs(t, err, ErrInUse)
+	j := begin(t, f, tight)
+	j.Enter(1, hold, start)
+	written(t, j, 1)
+	r, err := ReadFolder(path)
+	require.NoError(t, err)
+	require.Empty(t, verify(t, r).Wrong)
+	require.NoError(t, j.Close())
+	f, err = OpenFolder(path)
+	require.NoError(t, err)
+	require.NoError(t, begin(t, f, tight).Close())
+	require.Empty(t, verify(t, r).Wrong)
+}
+
+// TestRandom drives a journal with random jobs, marks, crashes and restarts.
+func TestRandom(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMemory()
+		s := tight
+		s.SegmentBytes = int64(rapid.IntRange(200, 3000).Draw(t, "segment"))
+		j, now, total := begin(t, m, s), start, int64(0)
+		var open []uint64
+		var sum account.Totals
+		var last uint64
+		var added int64
+		t.Repeat(map[string]func(*rapid.T){
+			"enter": func(t *rapid.T) {
+				last++
+				added++
+				total++
+				j.Enter(last, hold, now)
+				open = append(open, last)
+				sum.Taken++
+				sum.Open++
+			},
+			"end": func(t *rapid.T) {
+				if len(open) == 0 {
+					t.Skip()
+				}
+				i := rapid.IntRange(0, len(open)-1).Draw(t, "job")
+				r := account.Reason(rapid.IntRange(0, int(account.CutOff)-1).Draw(t, "reason"))
+				j.End(open[i], "cell 0", r, now)
+				open = slices.Delete(open, i, i+1)
+				sum.Open--
+				sum.Ends[r]++
+				added++
+			},
+			"mark": func(t *rapid.T) { j.Mark(sum, now); added++ },
+			"time": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(-1000, 1000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"crash": func(t *rapid.T) {
+				written(t, j, added)
+				m.mu.Lock()
+				left := of(m.files)
+				m.mu.Unlock()
+				j.Close()
+				m = left
+				j = begin(t, m, s)
+				require.Equal(t, len(open), j.Found().CutOff)
+				open, sum, last, added = nil, account.Totals{}, 0, 0
+			},
+		})
+		require.NoError(t, j.Close())
+		v := verify(t, m)
+		require.Empty(t, v.Wrong)
+		require.Equal(t, total, v.Totals.Taken)
+		require.EqualValues(t, len(open), v.Totals.Open)
+	})
+}
+
+// FuzzScan: no bytes, however wrong, make the reader fail or go on for ever.
+func FuzzScan(f *testing.F) {
+	m := newMemory()
+	fill(f, m, tight, 3)
+	f.Add(m.files["00000001-00000001.seg"])
+	f.Fuzz(func(t *testing.T, text []byte) {
+		n := 0
+		s, err := Scan(text, func(*Record) error { n++; return nil })
+		require.NoError(t, err)
+		require.LessOrEqual(t, s.Valid, len(text))
+		d := &decoder{version: Version}
+		d.records(text, func(*Record) error { return nil }) // as if its checksum were right
+	})
+}
+
+// BenchmarkAdd is what the journal costs the core's goroutine a job.
+func BenchmarkAdd(b *testing.B) {
+	f, err := OpenFolder(b.TempDir())
+	require.NoError(b, err)
+	s := tight
+	s.SegmentBytes, s.WriteWithin, s.SyncWithin = 8<<20, 10*time.Millisecond, time.Second
+	j := begin(b, f, s)
+	b.ReportAllocs()
+	n := uint64(0)
+	for b.Loop() {
+		n++
+		j.Enter(n, hold, start)
+		j.End(n, "cell 0", account.Answered, start)
+		if n%8192 == 0 { // never more than a disk takes
+			b.StopTimer()
+			written(b, j, int64(2*n))
+			b.StartTimer()
+		}
+	}
+	require.NoError(b, j.Close())
+}
--- a/internal/journal/report.go
+++ b/internal/journal/report.go
@@ -21,6 +21,16 @@
 	By       []string
 }
 
+// ParseTime reads a time in RFC 3339, or a date.
+func ParseTime(text string) (time.Time, error) {
+	for _, layout := range []string{time.RFC3339, time.DateOnly} {
+		if t, err := time.Parse(layout, text); err == nil {
+			return t, nil
+		}
+	}
+	return time.Time{}, fmt.Errorf("%q is neither a date nor a time in RFC 3339", text)
+}
+
 // Dimensions are what a report can be by.
 var Dimensions = []string{"front", "class", "tenant", "group", "minute", "hour", "day"}
 
--- /dev/null
+++ b/internal/plots/plots_test.go
@@ -0,0 +1,47 @@
+package plots
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"basaltloft/internal/account"
+	"basaltloft/internal/journal"
+
+	"github.com/sirupsen/logrus/hooks/test"
+	"github.com/stretchr/testify/require"
+)
+
+// TestDraw draws a journal of half an hour as SVG and PNG.
+func TestDraw(t *testing.T) {
+	dir := t.TempDir()
+	f, err := journal.OpenFolder(dir)
+	require.NoError(t, err)
+	log, _ := test.NewNullLogger()
+	start := time.Date(2026, 7, 4, 12, 0, 0, 0, time.UTC)
+	j, err := journal.Open(f, journal.Settings{SegmentBytes: 1 << 20, KeepBytes: 1 << 30, KeepFor: time.Hour}, start, log, nil)
+	require.NoError(t, err)
+	for n := uint64(1); n <= 300; n++ {
+		at := start.Add(time.Duration(n) * 6 * time.Second)
+		j.Enter(n, account.Job{Front: "http", Class: []string{"place-hold", "group-ticket"}[n%2]}, at)
+		j.End(n, "cell 0", []account.Reason{account.Answered, account.Answered, account.Declined, account.GivenUp}[n%4], at.Add(time.Duration(n)*time.Millisecond))
+	}
+	require.NoError(t, j.Close())
+	for ending, begins := range map[string]string{".svg": "<?xml", ".png": "\x89PNG"} {
+		names, err := Draw(f, journal.Query{}, filepath.Join(dir, "out"+ending))
+		require.NoError(t, err)
+		require.Len(t, names, 2)
+		for _, name := range names {
+			text, err := os.ReadFile(name)
+			require.NoError(t, err)
+			require.True(t, bytes.HasPrefix(text, []byte(begins)))
+			if ending == ".svg" {
+				require.Contains(t, string(text), "<path")
+			}
+		}
+	}
+	_, err = Draw(f, journal.Query{To: start}, filepath.Join(dir, "none.svg"))
+	require.ErrorIs(t, err, ErrNothing)
+}
--- a/internal/scenario/program.go
+++ b/internal/scenario/program.go
@@ -16,8 +16,8 @@
 	"github.com/stretchr/testify/require"
 )
 
-// build compiles the program once for all tests of a package.
-var build = sync.OnceValues(func() (string, error) {
+// Build compiles the program once for all tests of a package, and returns its path.
+var Build = sync.OnceValues(func() (string, error) {
 	dir, err := os.MkdirTemp("", "basaltloft")
 	if err != nil {
 		return "", err
@@ -92,12 +92,12 @@
 
 // Start starts the program with so many pool members, r1, r2 and so on, in one
 // cell. Its cast: client, discovery, the members, and program itself; with an
-// operator's file, in which FAKTORY and AGENT stand for addresses, also
-// faktory and agent. What the environment calls discovery is another service
+// operator's file, in which FAKTORY, AGENT and FIGURES stand for addresses, also
+// faktory, agent and figures. What the environment calls discovery is another service
 // than the configuration does: that one, next, is for a reload.
 func Start(t testing.TB, members int, operator string) Cast {
 	t.Helper()
-	binary, err := build()
+	binary, err := Build()
 	require.NoError(t, err)
 	dir, cast := t.TempDir(), Cast{}
 	var listed []string
@@ -118,9 +118,13 @@
 	require.True(t, json.Valid([]byte(config)))
 	var args []string
 	if operator != "" {
-		faktory, agent := free(t), free(t)
-		cast["faktory"], cast["agent"] = Dial(faktory), Dial(agent)
-		args = []string{"-operator", file(t, dir, "operator.json", strings.NewReplacer("FAKTORY", faktory, "AGENT", agent).Replace(operator))}
+		var addresses []string
+		for _, peer := range []string{"faktory", "agent", "figures"} {
+			at := free(t)
+			cast[peer] = Dial(at)
+			addresses = append(addresses, strings.ToUpper(peer), at)
+		}
+		args = []string{"-operator", file(t, dir, "operator.json", strings.NewReplacer(addresses...).Replace(operator))}
 	}
 	cast["program"] = Run(t, binary, file(t, dir, "config.json", config), discovery, args...)
 	return cast
@@ -128,7 +132,7 @@
 
 // StartWith starts the program with a configuration of any kind.
 func StartWith(t testing.TB, config string) Cast {
-	binary, err := build()
+	binary, err := Build()
 	require.NoError(t, err)
 	return Cast{"program": Run(t, binary, file(t, t.TempDir(), "config.json", config), "")}
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -64,10 +64,10 @@
 	}
 	defer os.RemoveAll(dir)
 	config, operator := filepath.Join(dir, "config.json"), filepath.Join(dir, "operator.json")
-	if err := os.WriteFile(config, []byte(demo.Configuration(w.Addr, w.Discovery.Addr())), 0o600); err != nil {
+	if err := os.WriteFile(config, []byte(w.Configuration()), 0o600); err != nil {
 		return nil, err
 	}
-	if err := os.WriteFile(operator, []byte(demo.OperatorFile(w.Faktory, w.Agent, w.Figures, s.Folder)), 0o600); err != nil {
+	if err := os.WriteFile(operator, []byte(w.OperatorFile(s.Folder)), 0o600); err != nil {
 		return nil, err
 	}
 	start := func() (*exec.Cmd, error) {
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,81 @@
+package soak
+
+import (
+	"context"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"basaltloft/internal/account"
+	"basaltloft/internal/demo"
+	"basaltloft/internal/journal"
+	"basaltloft/internal/scenario"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestSoak is the short form of the soak: both fronts under load, the program
+// killed at random, every sum checked after each kill.
+func TestSoak(t *testing.T) {
+	binary, err := scenario.Build()
+	require.NoError(t, err)
+	r, err := Run(context.Background(), Settings{
+		Program: binary, Until: time.Now().Add(20 * time.Second), Kills: 6, Rate: 25, Folder: t.TempDir(), Seed: 5,
+	}, io.Discard)
+	require.NoError(t, err)
+	require.Empty(t, r.Broken)
+	require.Equal(t, 6, r.Kills)
+	require.Equal(t, 7, r.Journal.Epochs)
+	require.NotZero(t, r.Audits)
+	require.NotZero(t, r.Journal.Marks)
+	require.NotZero(t, r.Journal.Totals.Ends[account.Answered])
+	require.NoError(t, r.Write(io.Discard))
+}
+
+// TestKill kills the program with jobs in hand: the next start closes exactly
+// those, before it takes anything.
+func TestKill(t *testing.T) {
+	binary, err := scenario.Build()
+	require.NoError(t, err)
+	dir := t.TempDir()
+	folder := filepath.Join(dir, "figures")
+	w, err := demo.NewWorld(demo.Load{Members: 2, Run: time.Hour})
+	require.NoError(t, err)
+	defer w.Close()
+	config, operator := filepath.Join(dir, "config.json"), filepath.Join(dir, "operator.json")
+	require.NoError(t, os.WriteFile(config, []byte(w.Configuration()), 0o600))
+	require.NoError(t, os.WriteFile(operator, []byte(w.OperatorFile(folder)), 0o600))
+	verdict := func() *journal.Verdict {
+		f, err := journal.ReadFolder(folder)
+		require.NoError(t, err)
+		v, err := journal.Verify(f)
+		require.NoError(t, err)
+		require.Empty(t, v.Wrong)
+		return v
+	}
+	const held = 5
+	for epoch := 1; epoch <= 3; epoch++ {
+		cmd := exec.Command(binary, "--operator", operator)
+		cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+config, "ROUTER_LISTEN=", "ROUTER_DISCOVERY=", "ROUTER_NAME=")
+		require.NoError(t, cmd.Start())
+		defer cmd.Process.Kill()
+		client := scenario.Dial(w.Addr)
+		for n := range held {
+			c, err := client()
+			require.NoError(t, err)
+			defer c.Close()
+			_, err = io.WriteString(c, "POST /group-ticket HTTP/1.1\r\nHost: a\r\nX-Call-Id: t-"+string(rune('a'+n))+"\r\nContent-Length: 0\r\n\r\n")
+			require.NoError(t, err)
+		}
+		require.Eventually(t, func() bool { return verdict().Totals.Open == held }, 20*time.Second, 10*time.Millisecond)
+		require.NoError(t, cmd.Process.Kill())
+		cmd.Wait()
+		v := verdict()
+		require.EqualValues(t, held*epoch, v.Totals.Taken)
+		require.EqualValues(t, held*(epoch-1), v.Totals.Ends[account.CutOff])
+		require.EqualValues(t, held, v.Totals.Open)
+	}
+}
--- a/internal/virtualserver/virtualserver.go
+++ b/internal/virtualserver/virtualserver.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"net/http/httputil"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -61,7 +62,7 @@
 // New returns a front that is not serving yet.
 func New(hub Hub, intake Intake, log *logrus.Logger) *Server {
 	s := &Server{Desk: account.Desk{Front: Front}, hub: hub, intake: intake, log: log}
-	quiet := stdlog.New(log.WriterLevel(logrus.DebugLevel), "", 0) // what clients do wrong is theirs
+	quiet := stdlog.New(debug{log}, "", 0) // what clients do wrong is theirs
 	s.proxy = &httputil.ReverseProxy{
 		// The query goes on as it came: ReverseProxy drops from it what it
 		// cannot parse, and the members are owed every byte.
@@ -82,6 +83,14 @@
 	return s
 }
 
+// debug is a writer to the log: logrus's own has a goroutine that never ends.
+type debug struct{ log logrus.FieldLogger }
+
+func (d debug) Write(text []byte) (int, error) {
+	d.log.Debug(strings.TrimSpace(string(text)))
+	return len(text), nil
+}
+
 // Serve serves up to so many connections at a time until Shutdown.
 func (s *Server) Serve(l net.Listener, most int) error {
 	limited := newLimited(l, most)
