--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -4,6 +4,7 @@
 package demo
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -69,6 +70,7 @@
 	Rate     float64 // asks a second by each front
 	Members  int
 	Workers  int
+	Slots    int           // of a member; 0: 4
 	Run      time.Duration // how long each job runs; 0: short, by chance
 	Troubles standin.Troubles
 	Seed     uint64
@@ -86,7 +88,7 @@
 	var listed []standin.Listed
 	for i := range l.Members {
 		m, err := standin.NewMember(standin.MemberSettings{
-			ID: fmt.Sprintf("s-%d", i+1), Cell: i / 4, Slots: 4, Run: l.running(uint64(i)), Troubles: l.Troubles,
+			ID: fmt.Sprintf("s-%d", i+1), Cell: i / 4, Slots: cmp.Or(l.Slots, 4), Run: l.running(uint64(i)), Troubles: l.Troubles,
 			Reports: func() string { return w.Addr }, Till: w.Till, Once: once, Seed: l.Seed + uint64(i),
 		})
 		if err != nil {
--- a/internal/demo/run.go
+++ b/internal/demo/run.go
@@ -42,7 +42,7 @@
 	go func() {
 		ended <- service.Run(ctx, service.Options{Config: c, Operator: o, Log: log}, told, nil)
 	}()
-	if err := ready(ctx, w.Addr, ended); err != nil {
+	if err := Ready(ctx, w.Addr, ended); err != nil {
 		return err
 	}
 	fmt.Fprintf(errs, "HTTP front %s, Faktory front %s, agent check %s, figures http://%s/metrics\n", w.Addr, w.Faktory, w.Agent, w.Figures)
@@ -123,7 +123,8 @@
 	}
 }
 
-func ready(ctx context.Context, addr string, ended <-chan error) error {
+// Ready waits until a dispatcher is ready, or has ended.
+func Ready(ctx context.Context, addr string, ended <-chan error) error {
 	for until := time.Now().Add(patience); ; {
 		resp, err := http.Get("http://" + addr + "/health/ready")
 		if err == nil {
