--- a/basaltloft.go
+++ b/basaltloft.go
@@ -163,6 +163,7 @@
 	State  MemberState
 	Since  time.Duration // its latest start; 0: long past
 	Weight float64       // size beside other workers; 0: not told
+	Offers []string      // the needs that it serves; nil: all
 }
 
 // Request is a client's request.
@@ -173,7 +174,9 @@
 	Expires time.Duration // when the client gives up
 	Slots   float64       // slots it takes; 0 counts as 1
 	Memory  float64
-	Retry   bool // the client repeats it; see Settings.MarksRetry
+	Retry   bool   // the client repeats it; see Settings.MarksRetry
+	Once    bool   // an error ends it: whoever sent it tries again by rules of its own
+	Needs   string // only workers that offer this may get it; empty: any
 }
 
 // Status is how an attempt or probe ended.
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -140,7 +140,7 @@
 	case o.Ended:
 		d.finish(a.job)
 	case a.job.done || a.job.outs > 0:
-	case o.Status == Unfit || o.Status == Error && d.ownFault(a): // it would fail anywhere
+	case o.Status == Unfit || o.Status == Error && (a.job.Once || d.ownFault(a)): // it would fail anywhere
 		d.end(a.job)
 	case d.mayResend(a.job) && !d.hopeless(a.job):
 		d.hold(a.job)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -32,9 +32,10 @@
 	log      logrus.FieldLogger
 	stopped  chan struct{}
 
-	mu     sync.Mutex
-	events []func()
-	posted chan struct{} // there are events
+	mu      sync.Mutex
+	events  []func()
+	sources map[string]int // how many members each has
+	posted  chan struct{}  // there are events
 
 	// Owned by Run's goroutine.
 	decisions    *basaltloft.Dispatcher
@@ -60,6 +61,7 @@
 		settings: s, stages: stages, log: log, base: time.Now(),
 		posted: make(chan struct{}, 1), stopped: make(chan struct{}),
 		open: make(map[string]*Transaction), members: make(map[string]*Member), numbers: make(map[uint32]*Member),
+		sources: make(map[string]int),
 	}
 	var err error
 	if c.decisions, err = basaltloft.New(s, host{c}); err != nil {
@@ -186,7 +188,7 @@
 			c.answer(t, Answer{Verdict: Refused, Reason: account.GoingAway, RetryAt: c.now})
 			return
 		}
-		c.timers.add(t.Deadline.Add(overdue), func() { c.expire(t) })
+		t.due = c.timers.add(t.Deadline.Add(overdue), func() { c.expire(t) })
 		c.decisions.Request(c.clock(c.now), c.request(t))
 	})
 }
@@ -260,6 +262,7 @@
 // close marks a transaction as done with its client.
 func (c *Core) close(t *Transaction) {
 	t.answered = true
+	c.timers.drop(t.due)
 	c.load.Open--
 	c.load.Bytes -= len(t.Body)
 	c.unanswered.Add(-1)
@@ -284,6 +287,7 @@
 		return
 	}
 	f.ended = true
+	c.timers.drop(f.due)
 	t.last = s
 	c.flowing--
 	if t.live == f {
--- a/internal/core/host.go
+++ b/internal/core/host.go
@@ -37,7 +37,7 @@
 	t.sends++
 	t.live = f
 	c.flowing++
-	c.timers.add(f.Deadline, func() {
+	f.due = c.timers.add(f.Deadline, func() {
 		if !f.ended {
 			m.Carrier.Abandon(f)
 			c.end(f, basaltloft.TimedOut, nil)
@@ -49,7 +49,7 @@
 // Refuse implements basaltloft.Host.
 func (h host) Refuse(id string, retryAfter time.Duration) {
 	if t := h.c.open[id]; t != nil {
-		a := Answer{Verdict: Refused, Reason: account.Declined}
+		a := Answer{Verdict: Refused, Reason: account.Declined, Ran: t.sends > 0 && t.last == basaltloft.Error}
 		if retryAfter > 0 {
 			a.RetryAt = h.c.now.Add(retryAfter)
 		}
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -55,6 +55,24 @@
 	return listed
 }
 
+func (c *Core) count(source string, by int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sources[source] += by
+}
+
+// Others tells whether members of other sources than this one are known.
+func (c *Core) Others(source string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for name, n := range c.sources {
+		if name != source && n > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 func sortedIDs(members map[string]*Member) []string {
 	ids := make([]string, 0, len(members))
 	for id := range members {
@@ -71,6 +89,7 @@
 		m.number = old.number
 	} else {
 		m.number = c.number(m.ID)
+		c.count(m.source, 1)
 	}
 	c.members[m.ID], c.numbers[m.number] = m, m
 	listing := c.listing(m)
@@ -82,14 +101,15 @@
 
 // drop forgets a member that is gone, unless it may still be sent to.
 func (c *Core) drop(m *Member) {
-	if !c.settings.Rules.OnlyDrainingBinds {
+	if !c.settings.Rules.OnlyDrainingBinds && c.members[m.ID] != nil {
+		c.count(m.source, -1)
 		delete(c.members, m.ID)
 		delete(c.numbers, m.number)
 	}
 }
 
 func (c *Core) listing(m *Member) basaltloft.Member {
-	l := basaltloft.Member{Worker: m.number, Kind: m.Kind, Cell: m.Cell, Zone: m.Zone, State: m.State, Weight: m.Weight}
+	l := basaltloft.Member{Worker: m.number, Kind: m.Kind, Cell: m.Cell, Zone: m.Zone, State: m.State, Weight: m.Weight, Offers: m.Offers}
 	if !m.Started.IsZero() {
 		l.Since = c.clock(m.Started)
 	}
--- a/internal/core/transaction.go
+++ b/internal/core/transaction.go
@@ -20,6 +20,8 @@
 	Deadline          time.Time // the final answer is due before this
 	Hint              time.Duration
 	Slots, Memory     float64
+	Once              bool   // an error ends it; see basaltloft.Request
+	Needs             string // only members that offer it may have this one; empty: any
 	Retry             bool
 	Client            Client
 	Booked            any // the books' own
@@ -28,6 +30,7 @@
 	live     *Flow
 	answered bool
 	last     basaltloft.Status // how the last flow ended
+	due      *timer            // its deadline
 }
 
 // Client is told the one final answer of its transaction. It must not block.
@@ -62,6 +65,7 @@
 	Body    []byte
 	RetryAt time.Time // Refused: when to come back; zero: no advice
 	Reason  account.Reason
+	Ran     bool // Refused: a member has run it and called it failed, which its class lets be repeated
 }
 
 // Flow is a server-side flow: one attempt of a transaction at a pool member.
@@ -74,6 +78,7 @@
 	Carried     any       // the carrier's own; only its Start and Abandon touch it
 
 	ended bool
+	due   *timer // its deadline
 }
 
 // Member is a pool member: something that runs jobs.
@@ -83,6 +88,7 @@
 	Cell                 int
 	State                basaltloft.MemberState
 	Weight               float64
+	Offers               []string  // the needs that it serves; nil: all
 	Started              time.Time // its latest start; zero: long ago
 	Carrier              Carrier
 
--- /dev/null
+++ b/internal/faktory/backlog.go
@@ -0,0 +1,554 @@
+package faktory
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"math"
+	"strings"
+	"sync"
+	"time"
+
+	"basaltloft"
+	"basaltloft/internal/account"
+	"basaltloft/internal/core"
+	"basaltloft/internal/faktory/batch"
+	"basaltloft/internal/faktory/sets"
+	"basaltloft/internal/settings"
+
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fastjson"
+)
+
+const (
+	mostResults = 8 << 20 // bytes of results that are remembered
+	dueAtOnce   = 500     // jobs that come due while the lock is held
+	others      = 64      // jobs that are with the decisions beside those that a FETCH waits for
+)
+
+// backlog joins the sets and batches to the core. A job that was pushed waits
+// here until a FETCH waits for its queue, or members of other fronts may have
+// it; then it becomes a transaction like any other. What becomes of that comes
+// back here: success, another try, or the dead.
+//
+// Its lock is the workers' too: what a FETCH finds and what is pushed must not
+// miss each other. The core's goroutine takes it to tell answers and to start
+// flows; posting to the core never waits, so it is done under the lock.
+type backlog struct {
+	hub    Hub
+	intake Intake
+	set    *settings.Faktory
+	log    logrus.FieldLogger
+	desk   *account.Desk
+
+	mu      sync.Mutex
+	workers *workers
+	book    *sets.Book
+	batches *batch.Book
+	tasks   map[string]*task // all jobs that are known, the final ones among them
+	done    []*task          // final ones, the oldest first
+	bytes   int              // of their results
+	waiting map[string]int   // by queue: with the decisions and not fetched
+	out     int              // with the decisions
+	timer   *time.Timer
+	owed    []batch.Callback
+	ending  bool
+
+	pushed, processed, failures int64
+}
+
+// task is what is known of a job that was pushed. It is its transaction's
+// client.
+type task struct {
+	of      *backlog
+	job     *sets.Job // nil: final
+	id      string
+	batch   string
+	effect  basaltloft.Effect
+	state   taskState
+	fetched bool // of this try
+	counted bool // its end was counted when its worker told it
+	pushing bool // its PUSH has not been answered: if it is refused now, it is not taken
+	failed  *failure
+	answer  core.Answer
+	at      time.Time
+	percent int
+	desc    string
+}
+
+type taskState uint8
+
+const (
+	waits taskState = iota // here
+	isOut                  // with the decisions, or a worker
+	final
+)
+
+// failure is what a worker said of a job that failed.
+type failure struct {
+	kind, message string
+	backtrace     []string
+}
+
+func newBacklog(hub Hub, intake Intake, set *settings.Faktory, desk *account.Desk, log logrus.FieldLogger) *backlog {
+	b := &backlog{
+		hub: hub, intake: intake, set: set, log: log, desk: desk,
+		book: sets.NewBook(sets.Limits{
+			Jobs: set.Waiting.Jobs, Bytes: set.Waiting.Bytes, QueueJobs: set.Waiting.QueueJobs, QueueBytes: set.Waiting.QueueBytes,
+			Queues: mostQueues, Dead: set.Waiting.Dead, DeadBytes: set.Waiting.DeadBytes, DeadFor: set.Waiting.DeadFor,
+		}, uint64(time.Now().UnixNano())), batches: batch.NewBook(mostBatches),
+		tasks: make(map[string]*task), waiting: make(map[string]int),
+	}
+	b.workers = newWorkers(hub, set, b)
+	return b
+}
+
+const (
+	mostBatches = 10000
+	mostQueues  = 1000
+)
+
+// run moves jobs whose time has come until the context ends.
+func (b *backlog) run(ctx context.Context) {
+	b.mu.Lock()
+	b.timer = time.NewTimer(time.Hour)
+	timer := b.timer
+	b.mu.Unlock()
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			b.due()
+		}
+	}
+}
+
+// due moves what is due into the queues, some at a time, so that nobody waits
+// long for the lock.
+func (b *backlog) due() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for {
+		now := time.Now()
+		queues, again := b.book.Due(now, dueAtOnce)
+		for _, q := range queues {
+			b.feed(q)
+		}
+		if again.IsZero() || again.After(now) {
+			b.wakeAt(again)
+			return
+		}
+		b.mu.Unlock()
+		b.mu.Lock()
+	}
+}
+
+// wakeAt sets the timer; zero is never.
+func (b *backlog) wakeAt(at time.Time) {
+	if b.timer == nil {
+		return
+	}
+	if at.IsZero() {
+		b.timer.Reset(time.Hour)
+		return
+	}
+	b.timer.Reset(max(0, time.Until(at)))
+}
+
+// wake sets the timer for the next job that comes due.
+func (b *backlog) wake() {
+	var at time.Time
+	for _, s := range []*sets.Set{b.book.Scheduled, b.book.Retries} {
+		if j := s.First(); j != nil && (at.IsZero() || j.When().Before(at)) {
+			at = j.When()
+		}
+	}
+	b.wakeAt(at)
+}
+
+// notTaken says why a PUSH was not taken, in the protocol's words.
+type notTaken string
+
+func (n notTaken) Error() string { return string(n) }
+
+func refused(a core.Answer) notTaken {
+	wait := comeBack
+	if !a.RetryAt.IsZero() {
+		wait = max(0, time.Until(a.RetryAt))
+	}
+	return notTaken(fmt.Sprintf("ERR refused, retry-after %.3f", wait.Seconds()))
+}
+
+func broken(err error) notTaken { return notTaken("ERR " + err.Error()) }
+
+// push takes a job. Where the decisions see it at once and refuse it there and
+// then, it is not taken, and its client is told when to come back. A jid that is
+// known joins its first push.
+func (b *backlog) push(v *fastjson.Value, now time.Time) error {
+	j, err := readJob(v, b.set, now)
+	if err != nil {
+		return broken(err)
+	}
+	effect, ok := b.intake.Effect(j.arrival.Class)
+	if !ok {
+		return broken(fmt.Errorf("unknown class %q", j.arrival.Class))
+	}
+	t, err := b.enter(j, effect, now)
+	if err != nil || t == nil {
+		return err
+	}
+	b.hub.Sync(func() {}) // the decisions have seen it, if it went there
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t.pushing = false
+	if t.state != final || t.answer.Verdict == core.Served {
+		return nil
+	}
+	if t.answer.Verdict == core.Refused {
+		return refused(t.answer)
+	}
+	return notTaken("ERR the job failed: " + strings.TrimSpace(string(t.answer.Body)))
+}
+
+// enter puts a job into its queue or set, and feeds the queue. It returns no
+// task if nothing is to be waited for.
+func (b *backlog) enter(j job, effect basaltloft.Effect, now time.Time) (*task, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.ending {
+		return nil, refused(core.Answer{})
+	}
+	if known := b.tasks[j.id]; known != nil && !(known.state == final && retryable(known.answer.Verdict)) {
+		return nil, nil
+	}
+	waiting := j.waiting(now)
+	if waiting.Batch != "" {
+		if err := b.batches.MayAdd(waiting.Batch); err != nil {
+			return nil, broken(fmt.Errorf("batch %s: %w", waiting.Batch, err))
+		}
+	}
+	switch err := b.book.Push(now, waiting); {
+	case errors.Is(err, sets.ErrNotUnique):
+		return nil, notTaken("NOTUNIQUE Job not unique")
+	case errors.Is(err, sets.ErrFull):
+		b.log.WithError(err).Debug("a push found no room")
+		return nil, refused(core.Answer{})
+	case err != nil:
+		return nil, broken(err)
+	}
+	t := &task{of: b, job: waiting, id: j.id, batch: waiting.Batch, effect: effect, at: now}
+	waiting.Data = t
+	b.tasks[j.id] = t
+	b.pushed++
+	if waiting.Batch != "" {
+		b.batches.Add(waiting.Batch, j.id)
+	}
+	if waiting.Where() == sets.Queued {
+		t.pushing = true
+		b.feed(j.queue)
+		if t.state == isOut {
+			return t, nil
+		}
+		t.pushing = false
+	} else {
+		b.wake()
+	}
+	return nil, nil
+}
+
+// feed hands jobs of a queue to the core while somebody waits for them: a FETCH
+// for each, or members of other fronts.
+func (b *backlog) feed(queue string) {
+	for b.mayFeed(queue) && b.feedOne(queue) != "" {
+	}
+}
+
+func (b *backlog) mayFeed(queue string) bool {
+	return b.waiting[queue] < b.workers.wanting(queue) || b.hub.Others(Source) && b.out < others
+}
+
+// feedOne hands the first job of a queue to the core, and returns its jid.
+func (b *backlog) feedOne(queue string) string {
+	now := time.Now()
+	for {
+		w, expired := b.book.Take(now, queue)
+		for _, gone := range expired {
+			b.conclude(gone.Data.(*task), core.Answer{Verdict: core.Refused, Body: []byte("the job has expired\n")})
+		}
+		if w == nil {
+			return ""
+		}
+		t := w.Data.(*task)
+		v, err := fastjson.ParseBytes(w.Body)
+		if err == nil {
+			var j job
+			if j, err = readJob(v, b.set, now); err == nil {
+				j.arrival.Retry = w.Again
+				var tx *core.Transaction
+				if tx, err = b.intake.TakeIn(j.arrival, now, t); err == nil {
+					t.state, t.failed, t.fetched, t.counted = isOut, nil, false, false
+					b.waiting[queue]++
+					b.out++
+					b.desk.Begin()
+					b.hub.Submit(tx)
+					b.desk.Handed()
+					return w.ID
+				}
+			}
+		}
+		// It was readable when it was pushed: its time may be over.
+		b.conclude(t, core.Answer{Verdict: core.Denied, Body: []byte(err.Error() + "\n")})
+	}
+}
+
+// fetched tells that a job of a queue is not to be fetched any more: it was, or
+// it has its answer.
+func (b *backlog) fetched(queue string) {
+	if b.waiting[queue]--; b.waiting[queue] <= 0 {
+		delete(b.waiting, queue)
+	}
+}
+
+// Answer implements core.Client: a try of the job has its final answer.
+func (t *task) Answer(a core.Answer) {
+	b := t.of
+	b.desk.Answered(a.Verdict.Outcome())
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if t.state != isOut {
+		return
+	}
+	queue := t.job.Queue
+	b.out--
+	if !t.fetched {
+		b.fetched(queue)
+	}
+	b.workers.ended(t)
+	now := time.Now()
+	t.at = now
+	if !t.counted && (a.Verdict == core.Served || a.Ran) { // by a member of another front
+		b.processed++
+	}
+	if !t.counted && (a.Verdict == core.Failed || a.Ran) {
+		b.failures++
+	}
+	fate := sets.Gone
+	switch f := t.failed; {
+	case a.Verdict == core.Served:
+	case t.pushing:
+	case f != nil || a.Ran: // it was run, and somebody said that it failed
+		if f == nil {
+			f = &failure{kind: "Error", message: "a pool member called it failed"}
+			t.failed = f
+		}
+		mayRepeat := t.effect == basaltloft.Safe
+		t.job.MayHaveRun = !mayRepeat
+		fate = b.book.Failed(now, t.job, mayRepeat, f.kind, f.message, f.backtrace)
+	case a.Verdict == core.Refused:
+		fate = b.book.Refused(now, t.job, a.RetryAt)
+	default:
+		t.job.MayHaveRun = a.Verdict == core.Failed
+		fate = b.book.Failed(now, t.job, false, a.Verdict.String(), a.Reason.String(), nil)
+	}
+	if fate == sets.Retried {
+		t.state = waits
+		b.ran(t, false)
+		b.wake()
+	} else {
+		b.conclude(t, a)
+	}
+	b.feed(queue)
+}
+
+// ran tells a task's batch how a try went.
+func (b *backlog) ran(t *task, well bool) {
+	if t.batch != "" && (well || t.failed != nil || t.state == final) {
+		b.owe(b.batches.Ran(t.batch, t.id, well))
+	}
+}
+
+// conclude keeps what became of a job for good.
+func (b *backlog) conclude(t *task, a core.Answer) {
+	j := t.job
+	t.state, t.answer, t.at = final, a, time.Now()
+	if j != nil {
+		if a.Verdict == core.Served || j.Where() == "" {
+			b.book.Unlock(j)
+		}
+		switch {
+		case t.pushing && t.batch != "":
+			b.batches.Withdraw(t.batch, t.id)
+		case j.CallbackOf != "" && a.Verdict == core.Served:
+			b.owe(b.batches.CallbackRan(j.CallbackOf, batch.Kind(j.Callback)))
+		}
+		if !t.pushing {
+			b.ran(t, a.Verdict == core.Served)
+		}
+		if j.Where() == "" {
+			t.job = nil
+		}
+	}
+	b.done = append(b.done, t)
+	b.bytes += len(a.Body)
+	for len(b.done) > 0 && (len(b.done) > b.set.Jobs || b.bytes > mostResults) {
+		oldest := b.done[0]
+		b.done[0] = nil
+		b.done = b.done[1:]
+		b.bytes -= len(oldest.answer.Body)
+		if b.tasks[oldest.id] == oldest && oldest.state == final { // a later push of the same jid has its own
+			delete(b.tasks, oldest.id)
+		}
+	}
+}
+
+// owe pushes the call-backs that batches owe.
+func (b *backlog) owe(due []batch.Callback) {
+	b.owed = append(b.owed, due...)
+	for len(b.owed) > 0 {
+		c := b.owed[0]
+		b.owed = b.owed[1:]
+		if err := b.callBack(c); err != nil {
+			b.log.WithError(err).WithFields(logrus.Fields{"batch": c.Batch, "callback": c.Kind}).Error("a batch's call-back can't be queued")
+		}
+	}
+}
+
+func (b *backlog) callBack(c batch.Callback) error {
+	v, err := fastjson.ParseBytes(c.Job)
+	if err != nil {
+		return err
+	}
+	var a fastjson.Arena
+	if v.Get("custom") == nil {
+		v.Set("custom", a.NewObject())
+	}
+	v.Get("custom").Set("_bid", a.NewString(c.Batch))
+	v.Get("custom").Set("_cb", a.NewString(string(c.Kind)))
+	now := time.Now()
+	j, err := readJob(v, b.set, now)
+	if err != nil {
+		return err
+	}
+	effect, _ := b.intake.Effect(j.arrival.Class)
+	w := j.waiting(now)
+	w.CallbackOf, w.Callback = c.Batch, string(c.Kind)
+	if err := b.book.Push(now, w); err != nil {
+		return err
+	}
+	t := &task{of: b, job: w, id: j.id, batch: w.Batch, effect: effect, at: now}
+	w.Data = t
+	b.tasks[j.id] = t
+	b.pushed++
+	if w.Where() == sets.Queued {
+		b.feed(w.Queue)
+	} else {
+		b.wake()
+	}
+	return nil
+}
+
+// mutate does something to a set, and to what is known of its jobs.
+func (b *backlog) mutate(c sets.Command, target string, f sets.Filter, voucher string) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	picked, err := b.book.Mutate(time.Now(), c, target, f, voucher != "")
+	queues := make(map[string]bool)
+	for _, j := range picked {
+		t := j.Data.(*task)
+		switch c {
+		case sets.Requeue:
+			if t.state == final { // it was dead, and lives again
+				b.revive(t, j)
+			}
+			queues[j.Queue] = true
+			if voucher != "" {
+				b.log.WithFields(logrus.Fields{"job": j.ID, "by": voucher}).Warn("a job is queued again on somebody's word that it has not run")
+			}
+		case sets.Kill:
+			if t.state != final {
+				b.conclude(t, core.Answer{Verdict: core.Failed, Body: []byte("killed\n")})
+			}
+		default:
+			if t.state != final {
+				b.conclude(t, core.Answer{Verdict: core.Failed, Body: []byte("discarded\n")})
+			}
+			t.job = nil
+		}
+	}
+	for q := range queues {
+		b.feed(q)
+	}
+	b.wake()
+	return err
+}
+
+// revive makes a task whose job was dead one that waits again.
+func (b *backlog) revive(dead *task, j *sets.Job) {
+	t := &task{of: b, job: j, id: dead.id, batch: dead.batch, effect: dead.effect, at: time.Now()}
+	j.Data = t
+	b.tasks[t.id] = t
+	if t.batch != "" {
+		b.batches.Add(t.batch, t.id)
+	}
+}
+
+// drop forgets jobs that were thrown away where they waited.
+func (b *backlog) drop(gone []*sets.Job, why string) {
+	for _, j := range gone {
+		if t := j.Data.(*task); t.state != final {
+			b.conclude(t, core.Answer{Verdict: core.Failed, Body: []byte(why)})
+		}
+	}
+	b.wake()
+}
+
+// finish takes an ACK or a FAIL of a worker.
+func (b *backlog) finish(w *worker, jid string, s basaltloft.Status, result []byte, f *failure) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e := b.workers.held[jid]
+	if e == nil || e.worker != w || e.over {
+		return false
+	}
+	if t, ok := e.flow.Transaction.Client.(*task); ok {
+		t.failed, t.counted = f, true
+	}
+	b.processed++
+	if f != nil {
+		b.failures++
+	}
+	return b.workers.finish(w, jid, s, result)
+}
+
+// drain takes no more, and says what the end of the process will lose.
+func (b *backlog) drain() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ending = true
+	if n := b.book.Len(); n > 0 {
+		b.log.WithFields(logrus.Fields{
+			"queued": n - b.book.Scheduled.Len() - b.book.Retries.Len(), "scheduled": b.book.Scheduled.Len(), "retries": b.book.Retries.Len(),
+		}).Warn("Faktory jobs that wait end with this process")
+	}
+}
+
+// newID is an id that nobody else has.
+func newID() string {
+	text := make([]byte, 12)
+	rand.Read(text)
+	return hex.EncodeToString(text)
+}
+
+// seconds reads a span in seconds; it is never longer than a century.
+func seconds(n float64) time.Duration {
+	return time.Duration(min(max(n, 0), 100*365*86400) * float64(time.Second))
+}
+
+// whole is a number without a fraction, as an int that it fits.
+func wholeNumber(f float64) int { return int(min(max(math.Trunc(f), -1), math.MaxInt32)) }
+
+func retryable(v core.Verdict) bool { return v == core.Refused || v == core.Denied }
--- a/internal/faktory/job.go
+++ b/internal/faktory/job.go
@@ -1,15 +1,18 @@
 package faktory
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"strings"
 	"time"
 
 	"basaltloft/internal/core"
+	"basaltloft/internal/faktory/sets"
 	"basaltloft/internal/settings"
 	"basaltloft/internal/stage"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fastjson"
 )
 
@@ -27,16 +30,27 @@
 // job is the part of a Faktory job that the front reads.
 type job struct {
 	id, kind, queue string
+	at, expires     time.Time
+	retries         int
 	reserveFor      time.Duration // 0: not told
+	batch           string
+	unique          uint64
+	uniqueFor       time.Duration
+	uniqueUntil     sets.Until
 	arrival         stage.Arrival
 }
 
+const (
+	usualRetries = 25 // where a job does not say
+	mostRetries  = 1000
+)
+
 // readJob reads a pushed job into an arrival.
 func readJob(v *fastjson.Value, set *settings.Faktory, now time.Time) (job, error) {
 	if v.Type() != fastjson.TypeObject {
 		return job{}, errors.New("a job is a JSON object")
 	}
-	j := job{id: string(v.GetStringBytes("jid")), kind: string(v.GetStringBytes("jobtype")), queue: string(v.GetStringBytes("queue"))}
+	j := job{id: string(v.GetStringBytes("jid")), kind: string(v.GetStringBytes("jobtype")), queue: string(v.GetStringBytes("queue")), retries: usualRetries}
 	if j.queue == "" {
 		j.queue = workQueue
 	}
@@ -45,21 +59,25 @@
 		return j, fmt.Errorf("a jid has at least %d characters", leastID)
 	case j.kind == "":
 		return j, errors.New("a job has a jobtype")
-	case len(j.kind) > maxName || len(j.queue) > maxName:
+	case len(j.kind) > maxName || len(j.queue) > maxName || len(j.id) > maxName:
 		return j, errors.New("a name is too long")
+	case !nameable(j.queue):
+		return j, errors.New("a queue's name has letters, digits, and . _ - only")
 	case v.Get("args") == nil || v.Get("args").Type() != fastjson.TypeArray:
 		return j, errors.New("a job has a list of args")
 	}
-	if at := string(v.GetStringBytes("at")); at != "" {
-		t, err := time.Parse(time.RFC3339Nano, at)
-		if err != nil {
-			return j, errors.New("at is no time in RFC 3339")
-		}
-		if t.After(now) {
-			return j, errors.New("scheduled jobs are not offered")
-		}
+	var err error
+	if j.at, err = timeOf(v, "at"); err != nil {
+		return j, err
 	}
-	j.reserveFor = time.Duration(v.GetInt64("reserve_for")) * time.Second
+	switch r := v.Get("retry"); {
+	case r == nil || r.Type() == fastjson.TypeNull:
+	case r.Type() != fastjson.TypeNumber:
+		return j, errors.New("retry is a number")
+	default:
+		j.retries = min(wholeNumber(r.GetFloat64()), mostRetries)
+	}
+	j.reserveFor = seconds(v.GetFloat64("reserve_for"))
 	as, ok := set.JobTypes[j.kind]
 	if !ok {
 		if as, ok = set.Queues[j.queue]; !ok {
@@ -71,18 +89,56 @@
 	}
 	j.arrival = stage.Arrival{
 		ID: j.id, Class: as.Class, Tenant: as.Tenant, Front: Front, Key: j.id, Form: form, Body: v.MarshalTo(nil), Hint: as.Cost, Slots: 1,
+		Needs: j.queue, Once: true,
+	}
+	if len(j.arrival.Body) > stage.MaxBody {
+		return j, stage.ErrTooLarge
 	}
 	if as.Deadline > 0 {
 		j.arrival.GivesUp = now.Add(as.Deadline)
 	}
-	return j, j.custom(v.Get("custom"))
+	return j, j.custom(v)
+}
+
+// waiting is the job as the sets keep it.
+func (j job) waiting(now time.Time) *sets.Job {
+	return &sets.Job{
+		ID: j.id, Type: j.kind, Queue: j.queue, Body: j.arrival.Body, At: j.at, Pushed: now, Retries: j.retries, ReserveFor: j.reserveFor,
+		ExpiresAt: j.expires, Unique: j.unique, UniqueFor: j.uniqueFor, UniqueUntil: j.uniqueUntil, Batch: j.batch,
+	}
+}
+
+// nameable tells whether a queue can be named in a command.
+func nameable(name string) bool {
+	for _, c := range []byte(name) {
+		if !(c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || c == '.' || c == '_' || c == '-') {
+			return false
+		}
+	}
+	return name != ""
+}
+
+func timeOf(v *fastjson.Value, key string) (time.Time, error) {
+	at := v.Get(key)
+	if at == nil || at.Type() == fastjson.TypeNull || len(at.GetStringBytes()) == 0 && at.Type() == fastjson.TypeString {
+		return time.Time{}, nil
+	}
+	t, err := time.Parse(time.RFC3339Nano, string(at.GetStringBytes()))
+	if err != nil {
+		return t, fmt.Errorf("%s is no time in RFC 3339", key)
+	}
+	return t, nil
 }
 
 // custom reads what a client says of one job beyond the operator's defaults.
-func (j *job) custom(v *fastjson.Value) error {
-	if v == nil {
+func (j *job) custom(whole *fastjson.Value) error {
+	v := whole.Get("custom")
+	if v == nil || v.Type() == fastjson.TypeNull {
 		return nil
 	}
+	if v.Type() != fastjson.TypeObject {
+		return errors.New("custom is an object")
+	}
 	if n := v.GetInt64("cost_us"); n > 0 {
 		j.arrival.Hint = time.Duration(n) * time.Microsecond
 	}
@@ -92,13 +148,30 @@
 	if tenant := string(v.GetStringBytes("tenant")); tenant != "" {
 		j.arrival.Tenant = tenant
 	}
-	if text := string(v.GetStringBytes("expires_at")); text != "" {
-		t, err := time.Parse(time.RFC3339Nano, text)
-		if err != nil {
-			return errors.New("custom.expires_at is no time in RFC 3339")
-		}
-		j.arrival.GivesUp = t
+	var err error
+	if j.expires, err = timeOf(v, "expires_at"); err != nil {
+		return err
+	}
+	if !j.expires.IsZero() && (j.arrival.GivesUp.IsZero() || j.expires.Before(j.arrival.GivesUp)) {
+		j.arrival.GivesUp = j.expires
 	}
+	j.batch = string(v.GetStringBytes("bid"))
+	if j.uniqueFor = seconds(v.GetFloat64("unique_for")); j.uniqueFor <= 0 {
+		return nil
+	}
+	switch until := string(v.GetStringBytes("unique_until")); until {
+	case "", "success":
+	case "start":
+		j.uniqueUntil = sets.UntilStart
+	default:
+		return errors.New("custom.unique_until is start or success")
+	}
+	// What makes two jobs the same: type, queue and arguments.
+	var d xxhash.Digest
+	d.Reset()
+	d.WriteString(j.kind + "\x00" + j.queue + "\x00")
+	d.Write(whole.Get("args").MarshalTo(nil))
+	j.unique = max(1, d.Sum64())
 	return nil
 }
 
@@ -106,7 +179,7 @@
 // another front in Faktory's form, with its body as the only argument.
 func forWorker(t *core.Transaction, queue string) []byte {
 	if t.Form == form {
-		return t.Body
+		return withFailure(t)
 	}
 	var a fastjson.Arena
 	custom, args, v := a.NewObject(), a.NewArray(), a.NewObject()
@@ -122,27 +195,48 @@
 	return v.MarshalTo(nil)
 }
 
-// queueOf is the queue that a transaction waits in: its own, or the one that
-// the operator set up for its class, or one by the name of its class.
-func queueOf(t *core.Transaction, set *settings.Faktory) string {
-	if t.Form == form {
-		if v, err := fastjson.ParseBytes(t.Body); err == nil {
-			if q := string(v.GetStringBytes("queue")); q != "" {
-				return q
-			}
-		}
-		return workQueue
+// withFailure is a pushed job with what is known of how it failed last.
+func withFailure(t *core.Transaction) []byte {
+	tried, ok := t.Client.(*task)
+	if !ok || tried.job == nil || tried.job.Failure == nil {
+		return t.Body
 	}
+	v, err := fastjson.ParseBytes(t.Body)
+	if err != nil {
+		return t.Body
+	}
+	var a fastjson.Arena
+	v.Set("failure", failureJSON(&a, tried.job.Failure))
+	return v.MarshalTo(nil)
+}
+
+func failureJSON(a *fastjson.Arena, f *sets.Failure) *fastjson.Value {
+	v, trace := a.NewObject(), a.NewArray()
+	v.Set("retry_count", a.NewNumberInt(f.Count))
+	v.Set("remaining", a.NewNumberInt(f.Remaining))
+	v.Set("failed_at", a.NewString(f.At.UTC().Format(time.RFC3339Nano)))
+	if !f.Next.IsZero() {
+		v.Set("next_at", a.NewString(f.Next.UTC().Format(time.RFC3339Nano)))
+	}
+	v.Set("message", a.NewString(f.Message))
+	v.Set("errtype", a.NewString(f.Type))
+	for i, line := range f.Backtrace {
+		trace.SetArrayItem(i, a.NewString(line))
+	}
+	v.Set("backtrace", trace)
+	return v
+}
+
+// QueueOf names the queue that jobs of other fronts wait in at workers: the one
+// that the operator set up for their class, or one by the name of the class.
+func QueueOf(class string, set *settings.Faktory) string {
 	first := ""
 	for name, as := range set.Queues {
-		if as.Class == t.Class && (first == "" || name < first) {
+		if as.Class == class && (first == "" || name < first) {
 			first = name
 		}
 	}
-	if first == "" {
-		return t.Class
-	}
-	return first
+	return cmp.Or(first, class)
 }
 
 // reservation is how long a worker may keep a job. What a job asks for counts
@@ -150,8 +244,8 @@
 func reservation(t *core.Transaction, set *settings.Faktory) time.Duration {
 	if t.Form == form {
 		if v, err := fastjson.ParseBytes(t.Body); err == nil {
-			if s := v.GetInt64("reserve_for"); s > 0 {
-				return max(time.Duration(s)*time.Second, min(soonest, set.ReserveFor))
+			if s := v.GetFloat64("reserve_for"); s > 0 {
+				return max(seconds(s), min(soonest, set.ReserveFor))
 			}
 		}
 	}
--- a/internal/faktory/protocol.go
+++ b/internal/faktory/protocol.go
@@ -142,7 +142,19 @@
 }
 
 // hello is who a connection is: a worker has an id.
-type hello struct{ worker string }
+type hello struct {
+	worker, host string
+	pid          int
+	labels       []string
+}
+
+// who names a connection for the log.
+func (h hello) who() string {
+	if h.worker != "" {
+		return fmt.Sprintf("%s on %s, pid %d", h.worker, h.host, h.pid)
+	}
+	return fmt.Sprintf("a client on %s, pid %d", h.host, h.pid)
+}
 
 func readHello(text, password, salt string) (hello, error) {
 	v, err := fastjson.Parse(text)
@@ -156,9 +168,12 @@
 	if password != "" && subtle.ConstantTimeCompare([]byte(want), []byte(got)) != 1 {
 		return hello{}, errors.New("invalid password")
 	}
-	h := hello{worker: string(v.GetStringBytes("wid"))}
-	if len(h.worker) > maxName {
-		return hello{}, errors.New("the wid is too long")
+	h := hello{worker: string(v.GetStringBytes("wid")), host: string(v.GetStringBytes("hostname")), pid: v.GetInt("pid")}
+	for _, l := range v.GetArray("labels") {
+		h.labels = append(h.labels, string(l.GetStringBytes()))
+	}
+	if len(h.worker) > maxName || len(h.host) > 2*maxName || len(h.labels) > maxName {
+		return hello{}, errors.New("the wid, the hostname or the labels are too long")
 	}
 	return h, nil
 }
--- /dev/null
+++ b/internal/faktory/sets/set.go
@@ -0,0 +1,148 @@
+package sets
+
+import (
+	"container/heap"
+	"errors"
+	"slices"
+	"time"
+)
+
+// ErrFull says that there is no room for a job.
+var ErrFull = errors.New("no room")
+
+// Set holds jobs by a time, each once. A durable store may stand in its place:
+// the Book uses nothing but its methods.
+type Set struct {
+	Name  string
+	jobs  jobHeap
+	bytes int
+}
+
+// Len is how many jobs it holds.
+func (s *Set) Len() int { return len(s.jobs) }
+
+// Add takes a job in.
+func (s *Set) Add(j *Job, when time.Time) {
+	j.in, j.when = s, when
+	s.bytes += j.size()
+	heap.Push(&s.jobs, j)
+}
+
+// Remove takes a job out that it holds.
+func (s *Set) Remove(j *Job) {
+	heap.Remove(&s.jobs, j.index)
+	s.bytes -= j.size()
+	j.in = nil
+}
+
+// First is the job with the earliest time, or nil.
+func (s *Set) First() *Job {
+	if len(s.jobs) == 0 {
+		return nil
+	}
+	return s.jobs[0]
+}
+
+// Sorted lists the jobs by time.
+func (s *Set) Sorted() []*Job {
+	all := slices.Clone(s.jobs)
+	slices.SortFunc(all, func(a, b *Job) int {
+		if c := a.when.Compare(b.when); c != 0 {
+			return c
+		}
+		return compare(a.ID, b.ID)
+	})
+	return all
+}
+
+func compare(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+type jobHeap []*Job
+
+func (h jobHeap) Len() int { return len(h) }
+func (h jobHeap) Less(i, k int) bool {
+	if !h[i].when.Equal(h[k].when) {
+		return h[i].when.Before(h[k].when)
+	}
+	return h[i].ID < h[k].ID
+}
+func (h jobHeap) Swap(i, k int) {
+	h[i], h[k] = h[k], h[i]
+	h[i].index, h[k].index = i, k
+}
+func (h *jobHeap) Push(x any) {
+	j := x.(*Job)
+	j.index = len(*h)
+	*h = append(*h, j)
+}
+func (h *jobHeap) Pop() any {
+	last := len(*h) - 1
+	j := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	return j
+}
+
+// Queue holds the jobs of one name in the order of their coming.
+type Queue struct {
+	Name        string
+	Paused      bool
+	first, last *Job
+	count       int
+	bytes       int
+}
+
+// Len is how many jobs wait.
+func (q *Queue) Len() int { return q.count }
+
+// First is the job that has waited longest, or nil.
+func (q *Queue) First() *Job { return q.first }
+
+// push puts a job at the end, or the front.
+func (q *Queue) push(j *Job, front bool) {
+	j.at, j.prev, j.next = q, nil, nil
+	switch {
+	case q.first == nil:
+		q.first, q.last = j, j
+	case front:
+		j.next, q.first.prev = q.first, j
+		q.first = j
+	default:
+		j.prev, q.last.next = q.last, j
+		q.last = j
+	}
+	q.count++
+	q.bytes += j.size()
+}
+
+func (q *Queue) remove(j *Job) {
+	if j.prev != nil {
+		j.prev.next = j.next
+	} else {
+		q.first = j.next
+	}
+	if j.next != nil {
+		j.next.prev = j.prev
+	} else {
+		q.last = j.prev
+	}
+	j.prev, j.next, j.at = nil, nil, nil
+	q.count--
+	q.bytes -= j.size()
+}
+
+// latency is how long the first job has waited.
+func (q *Queue) latency(now time.Time) time.Duration {
+	if q.first == nil {
+		return 0
+	}
+	return max(0, now.Sub(q.first.queued))
+}
--- a/internal/faktory/workers.go
+++ b/internal/faktory/workers.go
@@ -23,6 +23,7 @@
 type Hub interface {
 	Submit(*core.Transaction)
 	Sync(func())
+	Others(source string) bool
 	End(f *core.Flow, s basaltloft.Status, result []byte)
 	Note(f *core.Flow, topic basaltloft.NoteTopic, share float64)
 	Probed(m *core.Member, s basaltloft.Status, sentAt time.Time)
@@ -31,12 +32,15 @@
 
 // workers are the Faktory workers as pool members. It implements core.Carrier.
 type workers struct {
-	hub Hub
-	set *settings.Faktory
-
-	mu   sync.Mutex
-	byID map[string]*worker
-	held map[string]*errand // fetched and not ended, by jid
+	hub  Hub
+	set  *settings.Faktory
+	back *backlog
+	mu   *sync.Mutex // the backlog's
+
+	byID     map[string]*worker
+	held     map[string]*errand // fetched and not ended, by jid
+	wants    map[string]int     // FETCHes that wait, by queue
+	promised map[string]*fetch  // that a job was handed to the core for, by jid
 }
 
 // worker is one wid, over all of its connections.
@@ -48,6 +52,11 @@
 	quiet       bool // it takes nothing new
 	mailbox     []*errand
 	fetches     []*fetch // that wait
+	holding     int      // jobs that it has fetched
+	since       time.Time
+	beat        time.Time
+	rssKB       int64
+	hello       hello
 }
 
 // errand is a flow at a worker.
@@ -55,6 +64,7 @@
 	flow    *core.Flow
 	worker  *worker
 	queue   string
+	job     []byte // as it is written to the worker
 	fetched bool
 	over    bool
 	timer   *time.Timer // hands it back unfetched, or ends its reservation
@@ -62,24 +72,29 @@
 
 // fetch is a FETCH that waits for a job.
 type fetch struct {
+	worker *worker
 	queues []string
 	got    chan *errand // room for one
 }
 
-func newWorkers(hub Hub, set *settings.Faktory) *workers {
-	return &workers{hub: hub, set: set, byID: make(map[string]*worker), held: make(map[string]*errand)}
+func newWorkers(hub Hub, set *settings.Faktory, back *backlog) *workers {
+	return &workers{
+		hub: hub, set: set, back: back, mu: &back.mu, byID: make(map[string]*worker), held: make(map[string]*errand),
+		wants: make(map[string]int), promised: make(map[string]*fetch),
+	}
 }
 
 // connect counts a connection of a worker. What the worker held before it
 // lost its last one is still its own.
-func (ws *workers) connect(id string) *worker {
+func (ws *workers) connect(h hello) *worker {
 	ws.mu.Lock()
 	defer ws.mu.Unlock()
-	w := ws.byID[id]
+	w := ws.byID[h.worker]
 	if w == nil {
-		w = &worker{id: id, queues: make(map[string]bool)}
-		ws.byID[id] = w
+		w = &worker{id: h.worker, queues: make(map[string]bool), since: time.Now(), hello: h}
+		ws.byID[h.worker] = w
 	}
+	w.beat = time.Now()
 	if w.connections++; w.connections == 1 && !w.quiet {
 		w.listed = false // it is listed again by its next fetch
 	}
@@ -105,14 +120,9 @@
 
 // forget drops a worker that is not connected and holds nothing.
 func (ws *workers) forget(w *worker) {
-	if w.connections > 0 {
+	if w.connections > 0 || w.holding > 0 {
 		return
 	}
-	for _, e := range ws.held {
-		if e.worker == w {
-			return
-		}
-	}
 	if ws.byID[w.id] == w {
 		delete(ws.byID, w.id)
 	}
@@ -144,9 +154,40 @@
 func (ws *workers) list(w *worker, state basaltloft.MemberState) {
 	ws.hub.List(Source, basaltloft.ListChange, []*core.Member{{
 		ID: prefix + w.id, Kind: ws.set.Kind, Zone: ws.set.Zone, Cell: ws.cell(w), State: state, Weight: 1, Carrier: ws,
+		Offers: ws.offers(w),
 	}})
 }
 
+// offers are the queues that a worker may have jobs of: those that it fetches
+// from and that are not paused.
+func (ws *workers) offers(w *worker) []string {
+	offers := []string{}
+	for q := range w.queues {
+		if !ws.paused(q) {
+			offers = append(offers, q)
+		}
+	}
+	slices.Sort(offers)
+	return offers
+}
+
+func (ws *workers) paused(queue string) bool {
+	q := ws.back.book.Known(queue)
+	return q != nil && q.Paused
+}
+
+// offer tells the decisions anew what all workers may have, after a pause.
+func (ws *workers) offer() {
+	for _, w := range ws.byID {
+		if w.listed && !w.quiet {
+			ws.list(w, basaltloft.Ready)
+		}
+	}
+}
+
+// wanting counts the FETCHes that wait for a queue.
+func (ws *workers) wanting(queue string) int { return ws.wants[queue] }
+
 // cell is the group that drops repeats of a keyed job. Unless the operator
 // names one that the workers really share, each is a group of its own: a job
 // that may have run must not be sent to another, which would run it again.
@@ -171,28 +212,36 @@
 	id := e.flow.Transaction.ID
 	if ws.held[id] == e {
 		delete(ws.held, id)
+		e.worker.holding--
 		ws.forget(e.worker)
 	}
 	return true
 }
 
+// ended tells that a job that was handed to the core has its answer. It reports
+// whether it was fetched; if not, who waited for it is served otherwise.
+func (ws *workers) ended(t *task) {
+	if f := ws.promised[t.id]; f != nil {
+		delete(ws.promised, t.id)
+		ws.serve(f)
+	}
+}
+
 // Start implements core.Carrier: the flow waits to be fetched.
 func (ws *workers) Start(f *core.Flow) {
 	ws.mu.Lock()
 	defer ws.mu.Unlock()
-	e := &errand{flow: f, queue: queueOf(f.Transaction, ws.set)}
+	e := &errand{flow: f, queue: f.Transaction.Needs}
 	f.Carried = e
 	w := ws.byID[strings.TrimPrefix(f.Member.ID, prefix)]
-	if e.worker = w; w == nil || w.quiet || w.connections == 0 || !w.queues[e.queue] {
+	if e.worker = w; w == nil || w.quiet || w.connections == 0 || !w.queues[e.queue] || ws.paused(e.queue) {
 		e.over = true
 		ws.hub.End(f, basaltloft.Full, nil) // it never reached the worker
 		return
 	}
-	for i, waiting := range w.fetches {
+	for _, waiting := range w.fetches {
 		if slices.Contains(waiting.queues, e.queue) {
-			w.fetches = slices.Delete(w.fetches, i, i+1)
-			ws.hand(e)
-			waiting.got <- e
+			ws.give(waiting, e)
 			return
 		}
 	}
@@ -202,13 +251,78 @@
 	e.timer = time.AfterFunc(ws.set.FetchIn, func() { ws.drop(e, false, basaltloft.Full) })
 }
 
+// give gives a job to a FETCH that waits. Whoever else waited for this job is
+// served otherwise.
+func (ws *workers) give(f *fetch, e *errand) {
+	ws.unwait(f)
+	ws.hand(e)
+	f.got <- e
+	id := e.flow.Transaction.ID
+	other := ws.promised[id]
+	delete(ws.promised, id)
+	if other != nil && other != f {
+		ws.serve(other)
+	}
+}
+
+// unwait takes a FETCH out of those that wait.
+func (ws *workers) unwait(f *fetch) {
+	i := slices.Index(f.worker.fetches, f)
+	if i < 0 {
+		return
+	}
+	f.worker.fetches = slices.Delete(f.worker.fetches, i, i+1)
+	for _, q := range f.queues {
+		if ws.wants[q]--; ws.wants[q] <= 0 {
+			delete(ws.wants, q)
+		}
+	}
+}
+
+// serve looks for a job for a FETCH that waits, by the order of its queues: what
+// the worker has in its mailbox, or what waits in the backlog, which goes to the
+// core and may come from there to this worker.
+func (ws *workers) serve(f *fetch) {
+	w := f.worker
+	if !slices.Contains(w.fetches, f) {
+		return
+	}
+	for _, q := range f.queues {
+		if ws.paused(q) {
+			continue
+		}
+		for i, e := range w.mailbox {
+			if e.queue == q {
+				w.mailbox = slices.Delete(w.mailbox, i, i+1)
+				ws.give(f, e)
+				return
+			}
+		}
+		if ws.back.waiting[q] < ws.wants[q] {
+			if id := ws.back.feedOne(q); id != "" {
+				ws.promised[id] = f
+				return
+			}
+		}
+	}
+}
+
 // hand marks an errand as fetched: its reservation runs from here.
 func (ws *workers) hand(e *errand) {
 	if e.timer != nil {
 		e.timer.Stop()
 	}
 	e.fetched = true
+	e.job = forWorker(e.flow.Transaction, e.queue)
 	ws.held[e.flow.Transaction.ID] = e
+	e.worker.holding++
+	if t, ok := e.flow.Transaction.Client.(*task); ok {
+		if !t.fetched {
+			t.fetched = true
+			ws.back.fetched(e.queue)
+		}
+		ws.back.book.Started(t.job)
+	}
 	e.timer = time.AfterFunc(reservation(e.flow.Transaction, ws.set), func() { ws.drop(e, true, basaltloft.TimedOut) })
 }
 
@@ -264,26 +378,25 @@
 func (ws *workers) fetch(w *worker, queues []string) *fetch {
 	ws.mu.Lock()
 	defer ws.mu.Unlock()
-	f := &fetch{queues: queues, got: make(chan *errand, 1)}
+	f := &fetch{worker: w, queues: queues, got: make(chan *errand, 1)}
 	if w.quiet {
 		return f
 	}
+	news := !w.listed
 	for _, q := range queues {
-		w.queues[q] = true
+		if !w.queues[q] {
+			w.queues[q], news = true, true
+		}
 	}
-	if !w.listed {
+	if news {
 		w.listed = true
 		ws.list(w, basaltloft.Ready)
 	}
-	for i, e := range w.mailbox {
-		if slices.Contains(queues, e.queue) {
-			w.mailbox = slices.Delete(w.mailbox, i, i+1)
-			ws.hand(e)
-			f.got <- e
-			return f
-		}
-	}
 	w.fetches = append(w.fetches, f)
+	for _, q := range queues {
+		ws.wants[q]++
+	}
+	ws.serve(f)
 	return f
 }
 
@@ -291,7 +404,7 @@
 func (ws *workers) unfetch(w *worker, f *fetch) *errand {
 	ws.mu.Lock()
 	defer ws.mu.Unlock()
-	w.fetches = slices.DeleteFunc(w.fetches, func(o *fetch) bool { return o == f })
+	ws.unwait(f)
 	select {
 	case e := <-f.got:
 		return e
@@ -309,10 +422,8 @@
 // finish ends the errand of a worker that holds a jid. The first ACK or FAIL
 // counts; it may come by any of the worker's connections, since one that lost
 // its connection in the middle of a job acknowledges on another. Another
-// worker, whose reservation has ended, can't end it.
+// worker, whose reservation has ended, can't end it. The lock is held.
 func (ws *workers) finish(w *worker, jid string, s basaltloft.Status, result []byte) bool {
-	ws.mu.Lock()
-	defer ws.mu.Unlock()
 	e := ws.held[jid]
 	if e == nil || e.worker != w || !ws.over(e) {
 		return false
@@ -321,17 +432,51 @@
 	return true
 }
 
-// working tells whether a worker holds a jid.
-func (ws *workers) working(jid string) bool {
+// extend makes the reservation of a job that a worker holds last until a time.
+func (ws *workers) extend(w *worker, jid string, until time.Time) bool {
+	e := ws.held[jid]
+	if e == nil || e.worker != w || e.over {
+		return false
+	}
+	e.timer.Stop()
+	e.timer = time.AfterFunc(max(0, time.Until(until)), func() { ws.drop(e, true, basaltloft.TimedOut) })
+	return true
+}
+
+// serveAll looks for jobs for all FETCHes that wait for a queue.
+func (ws *workers) serveAll(queue string) {
+	for _, w := range ws.byID {
+		for _, f := range slices.Clone(w.fetches) {
+			if slices.Contains(f.queues, queue) {
+				ws.serve(f)
+			}
+		}
+	}
+}
+
+// beat takes in a worker's heartbeat.
+func (ws *workers) beat(w *worker, calm bool, rssKB int64) {
 	ws.mu.Lock()
-	defer ws.mu.Unlock()
-	return ws.held[jid] != nil
+	w.beat, w.rssKB = time.Now(), rssKB
+	ws.mu.Unlock()
+	if calm {
+		ws.calm(w)
+	}
 }
 
-// tally counts workers, waiting and held jobs.
-func (ws *workers) tally() (there, waiting, held int) {
+// left tells what is still to be done for a worker that is to end: jobs that it
+// may yet fetch, and those that it holds.
+func (ws *workers) left(w *worker) (waiting, held int) {
 	ws.mu.Lock()
 	defer ws.mu.Unlock()
+	for _, o := range ws.byID {
+		waiting += len(o.mailbox)
+	}
+	return waiting, w.holding
+}
+
+// tally counts workers, waiting and held jobs. The lock is held.
+func (ws *workers) tally() (there, waiting, held int) {
 	for _, w := range ws.byID {
 		waiting += len(w.mailbox)
 	}
--- a/internal/service/assembly.go
+++ b/internal/service/assembly.go
@@ -58,6 +58,7 @@
 		if f.Zone == "" {
 			f.Zone = c.Settings.Zone
 		}
+		s.chain.Need(func(class string) string { return faktory.QueueOf(class, f) })
 		second := faktory.New(s.hub, s.chain, f, s.log)
 		desks = append(desks, &second.Desk)
 		s.components = append(s.components, &component{
--- a/internal/settings/operator.go
+++ b/internal/settings/operator.go
@@ -27,6 +27,16 @@
 	Connections         int // at a time
 	Jobs                int // outcomes that are remembered
 	ReserveFor, FetchIn time.Duration
+	Waiting             FaktoryWaiting
+	PerAddress          int // connections of one client address; 0: no bound of their own
+}
+
+// FaktoryWaiting bounds what waits in the Faktory front.
+type FaktoryWaiting struct {
+	Jobs, Bytes           int // over all queues and sets, the dead apart
+	QueueJobs, QueueBytes int // of one queue
+	Dead, DeadBytes       int
+	DeadFor               time.Duration
 }
 
 // FaktoryJob is what a Faktory job counts as in the settings' words.
@@ -87,6 +97,15 @@
 		ReserveFor: time.Duration(r.count("faktory.reserve_for_s", 1800)) * time.Second,
 		FetchIn:    time.Duration(r.count("faktory.fetch_within_ms", 5000)) * time.Millisecond,
 	}
+	w := "faktory.waiting."
+	f.Waiting = FaktoryWaiting{
+		Jobs: int(r.count(w+"jobs", 20000)), Bytes: int(r.count(w+"megabytes", 16)) << 20,
+		Dead: int(r.count(w+"dead", 1000)), DeadBytes: int(r.count(w+"dead_megabytes", 2)) << 20,
+		DeadFor: time.Duration(r.count(w+"dead_days", 180)) * 24 * time.Hour,
+	}
+	f.Waiting.QueueJobs = int(r.count(w+"queue_jobs", int64(f.Waiting.Jobs)*3/4))
+	f.Waiting.QueueBytes = int(r.count(w+"queue_megabytes", int64(f.Waiting.Bytes>>20)*3/4)) << 20
+	f.PerAddress = int(r.count("faktory.connections_per_address", 0))
 	r.address("faktory.listen", f.Listen)
 	return f
 }
--- a/internal/stage/takein.go
+++ b/internal/stage/takein.go
@@ -6,6 +6,7 @@
 	"math"
 	"time"
 
+	"basaltloft"
 	"basaltloft/internal/core"
 )
 
@@ -34,6 +35,8 @@
 	Hint                           time.Duration
 	Slots, Memory                  float64
 	Retry                          bool
+	Once                           bool
+	Needs                          string // see core.Transaction
 }
 
 // TakeIn makes a transaction of an arrival, or says what is wrong with it. Bad
@@ -52,15 +55,25 @@
 	case !sane(a.Slots) || !sane(a.Memory) || a.Hint < 0:
 		return nil, errors.New("a figure is negative or no number")
 	}
+	if a.Needs == "" && c.needs != nil {
+		a.Needs = c.needs(a.Class)
+	}
 	if latest := now.Add(class.GiveUp); a.GivesUp.IsZero() || a.GivesUp.After(latest) {
 		a.GivesUp = latest
 	}
 	return &core.Transaction{
 		ID: a.ID, Class: a.Class, Tenant: a.Tenant, Front: a.Front, Target: a.Target, Key: a.Key, Body: a.Body, Form: a.Form,
-		Arrived: now, Deadline: a.GivesUp.Add(-early), Hint: a.Hint, Slots: a.Slots, Memory: a.Memory, Retry: a.Retry, Client: client,
+		Arrived: now, Deadline: a.GivesUp.Add(-early), Hint: a.Hint, Slots: a.Slots, Memory: a.Memory, Retry: a.Retry, Needs: a.Needs, Once: a.Once, Client: client,
 	}, nil
 }
 
+// Effect tells how often a job of a class may run. It reports false for a class
+// that is not known.
+func (c *Chain) Effect(class string) (basaltloft.Effect, bool) {
+	known, ok := c.classes[class]
+	return known.Effect, ok
+}
+
 func sane(f float64) bool { return f >= 0 && f < math.MaxInt32 }
 
 func plain(s string) bool {
--- a/state.go
+++ b/state.go
@@ -140,6 +140,7 @@
 type queue struct {
 	jobs     []*job
 	overload bool
+	need     need // the one that it is for, if any
 }
 
 func (q *queue) Len() int { return len(q.jobs) }
@@ -170,11 +171,12 @@
 	workers  []*worker // in the order of their ids
 	byID     map[uint32]*worker
 	jobs     map[string]*job
-	queues   []*queue // by kind; the last is for any kind
-	known    float64  // mean run time of the types learned
-	mean     float64  // mean cost of the jobs that came in
-	prompt   float64  // share of the jobs that start soon
-	common   float64  // how slow all are beside their paces, of late
+	queues   []*queue // by kind, the last is for any kind; behind them those of needs
+	needed   map[need]*queue
+	known    float64 // mean run time of the types learned
+	mean     float64 // mean cost of the jobs that came in
+	prompt   float64 // share of the jobs that start soon
+	common   float64 // how slow all are beside their paces, of late
 	kinds    map[string]*kind
 	busy     []*worker // with attempts out
 	subset   []*worker // those it works with
@@ -204,7 +206,7 @@
 	d := &Dispatcher{
 		Settings: s, host: h, rng: rand.New(rand.NewPCG(s.Seed, s.Seed^0x9e3779b97f4a7c15)),
 		classes: make(map[string]*typeCost), byID: make(map[uint32]*worker), jobs: make(map[string]*job),
-		kinds: make(map[string]*kind), common: 1, best: 1, prompt: 1,
+		kinds: make(map[string]*kind), needed: make(map[need]*queue), common: 1, best: 1, prompt: 1,
 		slotsX0: s.ReportX0 == FreeSlots, memX1: s.ReportX1 == FreeMemory,
 	}
 	d.known = float64(s.Classes[0].Aim) / 2
@@ -260,7 +262,7 @@
 
 func (d *Dispatcher) suits(j *job, w *worker) bool {
 	k := j.class.Kind
-	return d.usable(w) && (k < 0 || d.Kinds[k] == w.Kind)
+	return d.usable(w) && (k < 0 || d.Kinds[k] == w.Kind) && (w.Offers == nil || j.Needs == "" || slices.Contains(w.Offers, j.Needs))
 }
 
 func (d *Dispatcher) free(a *attempt) {
@@ -288,11 +290,17 @@
 }
 
 // hold puts a job in the queue of its kind and width: four free slots are rare, and narrower jobs must not
-// wait for them.
+// wait for them. Nor must other jobs wait for one whose need no worker serves just now: each need has queues
+// of its own, while jobs wait there.
 func (d *Dispatcher) hold(j *job) {
-	q := d.queues[2*(j.class.Kind+1)]
-	if j.Slots > 1 {
-		q = d.queues[2*(j.class.Kind+1)+1]
+	at := 2*(j.class.Kind+1) + one(j.Slots > 1)
+	q := d.queues[at]
+	if j.Needs != "" {
+		key := need{j.Needs, at}
+		if q = d.needed[key]; q == nil {
+			q = &queue{need: key}
+			d.needed[key], d.queues = q, append(d.queues, q)
+		}
 	}
 	j.heldAt = d.now
 	heap.Push(q, j)
@@ -304,6 +312,29 @@
 	}
 }
 
+// prune drops the queues of needs for which no job waits, once there are many.
+func (d *Dispatcher) prune() {
+	if len(d.needed) < mostNeeds {
+		return
+	}
+	d.queues = slices.DeleteFunc(d.queues, func(q *queue) bool {
+		idle := q.need.name != "" && len(q.jobs) == 0
+		if idle {
+			delete(d.needed, q.need)
+		}
+		return idle
+	})
+}
+
+// mostNeeds is how many queues of needs are kept though no job waits there.
+const mostNeeds = 32
+
+// need names a queue that is kept for one need.
+type need struct {
+	name string
+	at   int // the kind and width
+}
+
 func (d *Dispatcher) log(format string, args ...any) { d.host.Log(fmt.Sprintf(format, args...)) }
 
 func (s *Settings) validate() error {
@@ -405,6 +436,7 @@
 
 // start begins the handling of an event.
 func (d *Dispatcher) start(now time.Duration) {
+	d.prune()
 	if d.born == 0 {
 		d.born = now
 	}
