Hold the Faktory front to its protocol by 45 clauses, with operator commands and top

Need: partner offices must be able to point their clients here and lose nothing, and operators must see and change queues and sets. Change: a conformance suite in the scenario language; sets held against a plain model by rapid, batches by random driving; SHOW as this server's own command; basaltloft faktory info, queues, workers, pause, resume, remove, scheduled, retries, dead; basaltloft top, a program of its own. An ACK is answered once the core has booked it: TRACK and INFO after it told the state before.

--- a/internal/cli/figures.go
+++ b/internal/cli/figures.go
@@ -6,8 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
-	"os/exec"
 	"path/filepath"
 	"slices"
 	"strconv"
@@ -272,17 +270,7 @@
 			if _, _, err := a.query(); err != nil {
 				return err
 			}
-			self, err := os.Executable()
-			if err != nil {
-				return err
-			}
-			plot := exec.CommandContext(c.Context(), filepath.Join(filepath.Dir(self), "basaltloft-plot"),
-				"-folder", a.folder, "-from", a.from, "-to", a.to, "-out", out)
-			plot.Stdout, plot.Stderr = sh.out, sh.err
-			if err := plot.Run(); err != nil {
-				return fmt.Errorf("basaltloft-plot, which is installed beside this program: %w", err)
-			}
-			return nil
+			return beside(c, sh, "basaltloft-plot", "-folder", a.folder, "-from", a.from, "-to", a.to, "-out", out)
 		},
 	}
 	a.flags(c, "")
--- a/internal/cli/tools.go
+++ b/internal/cli/tools.go
@@ -4,7 +4,9 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/exec"
 	"os/signal"
+	"path/filepath"
 	"syscall"
 	"time"
 
@@ -70,3 +72,44 @@
 	c.Flags().Uint64Var(&s.Seed, "seed", 1, "of the random numbers")
 	return c
 }
+
+// topCommand starts the live view, a program of its own: its libraries are for a
+// tool alone.
+func topCommand(sh *shared) *cobra.Command {
+	var figures, faktory, password string
+	var every time.Duration
+	var once bool
+	c := &cobra.Command{
+		Use: "top", Short: "a live view of a running dispatcher", Args: none,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if every < 100*time.Millisecond {
+				return misuse{errors.New("--every must be 100ms or more")}
+			}
+			args := []string{"-figures", figures, "-faktory", faktory, "-password-file", password, "-every", every.String()}
+			if once {
+				args = append(args, "-once")
+			}
+			return beside(c, sh, "basaltloft-top", args...)
+		},
+	}
+	c.Flags().StringVar(&figures, "at", "127.0.0.1:7421", "`address` that figures.listen names; empty: not read")
+	c.Flags().StringVar(&faktory, "faktory", "", "`address` that faktory.listen names; empty: not read")
+	c.Flags().StringVar(&password, "password-file", "", "`file` with the Faktory password")
+	c.Flags().DurationVar(&every, "every", time.Second, "how `often` it is read")
+	c.Flags().BoolVar(&once, "once", false, "read once, and write that to standard output")
+	return c
+}
+
+// beside runs a program that is installed beside this one.
+func beside(c *cobra.Command, sh *shared, name string, args ...string) error {
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	cmd := exec.CommandContext(c.Context(), filepath.Join(filepath.Dir(self), name), args...)
+	cmd.Stdin, cmd.Stdout, cmd.Stderr = os.Stdin, sh.out, sh.err
+	if err := cmd.Run(); err != nil {
+		return fmt.Errorf("%s, which is installed beside this program: %w", name, err)
+	}
+	return nil
+}
--- a/internal/faktory/backlog.go
+++ b/internal/faktory/backlog.go
@@ -97,7 +97,7 @@
 		hub: hub, intake: intake, set: set, log: log, desk: desk,
 		book: sets.NewBook(sets.Limits{
 			Jobs: set.Waiting.Jobs, Bytes: set.Waiting.Bytes, QueueJobs: set.Waiting.QueueJobs, QueueBytes: set.Waiting.QueueBytes,
-			Queues: mostQueues, Dead: set.Waiting.Dead, DeadBytes: set.Waiting.DeadBytes, DeadFor: set.Waiting.DeadFor,
+			Queues: mostQueues, Dead: set.Waiting.Dead, DeadBytes: set.Waiting.DeadBytes, DeadFor: set.Waiting.DeadFor, Unit: set.BackoffUnit,
 		}, uint64(time.Now().UnixNano())), batches: batch.NewBook(mostBatches),
 		tasks: make(map[string]*task), waiting: make(map[string]int),
 	}
--- /dev/null
+++ b/internal/faktory/batch/batch_test.go
@@ -0,0 +1,187 @@
+package batch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 7, 4, 12, 0, 0, 0, time.UTC)
+
+func both() map[Kind][]byte { return map[Kind][]byte{Complete: []byte("c"), Success: []byte("s")} }
+
+func kinds(due []Callback) (names []string) {
+	for _, c := range due {
+		names = append(names, c.Batch+" "+string(c.Kind))
+	}
+	return names
+}
+
+// TestCallbacks: complete once each job has run, success once each has
+// succeeded, each once, and none before the batch is committed.
+func TestCallbacks(t *testing.T) {
+	b := NewBook(10)
+	require.NoError(t, b.New(start, "b", Definition{Callbacks: both()}))
+	b.Add("b", "1")
+	b.Add("b", "2")
+	b.Add("b", "2")
+	require.Empty(t, b.Ran("b", "1", true), "the last job may end while the batch is being committed")
+	require.Empty(t, b.Ran("b", "2", false))
+	due, err := b.Commit("b")
+	require.NoError(t, err)
+	require.Equal(t, []string{"b complete"}, kinds(due))
+	require.Empty(t, b.Ran("b", "2", false), "failed again")
+	at := b.Find("b")
+	require.Equal(t, []int{2, 1, 1}, []int{at.Total, at.Pending, at.Failed()})
+	require.Equal(t, []string{"b success"}, kinds(b.Ran("b", "2", true)))
+	require.Empty(t, b.Ran("b", "2", true), "a job succeeds once")
+	b.CallbackRan("b", Complete)
+	b.CallbackRan("b", Complete)
+	require.NotNil(t, b.Find("b"))
+	b.CallbackRan("b", Success)
+	require.Nil(t, b.Find("b"))
+}
+
+func TestCommands(t *testing.T) {
+	b := NewBook(2)
+	require.ErrorIs(t, b.New(start, "b", Definition{}), ErrEmpty)
+	require.ErrorIs(t, b.New(start, "b", Definition{Parent: "p", Callbacks: both()}), ErrUnknown)
+	require.NoError(t, b.New(start, "b", Definition{Callbacks: map[Kind][]byte{Success: []byte("s")}}))
+	require.Error(t, b.New(start, "b", Definition{Callbacks: both()}))
+	require.NoError(t, b.MayAdd("b"))
+	require.ErrorIs(t, b.MayAdd("x"), ErrUnknown)
+	require.ErrorIs(t, b.Open("x"), ErrUnknown)
+	b.Add("b", "1")
+	b.Withdraw("b", "1")
+	due, err := b.Commit("b")
+	require.NoError(t, err)
+	require.Equal(t, []string{"b success"}, kinds(due), "an empty one is done at once")
+	_, err = b.Commit("b")
+	require.ErrorIs(t, err, ErrCommitted)
+	require.ErrorIs(t, b.MayAdd("b"), ErrCommitted)
+	require.ErrorIs(t, b.Open("b"), ErrOver)
+	require.NoError(t, b.New(start, "c", Definition{Callbacks: both()}))
+	require.ErrorIs(t, b.New(start, "d", Definition{Callbacks: both()}), ErrFull)
+	_, err = b.Commit("x")
+	require.ErrorIs(t, err, ErrUnknown)
+	b.Add("c", "1")
+	_, err = b.Commit("c")
+	require.NoError(t, err)
+	require.NoError(t, b.Open("c"), "a job of it may add to it")
+	require.NoError(t, b.MayAdd("c"))
+	require.Empty(t, b.Ran("c", "1", true), "it has to be committed again")
+}
+
+// TestNested: a parent waits for its children, and they do not wait for it.
+func TestNested(t *testing.T) {
+	b := NewBook(10)
+	require.NoError(t, b.New(start, "p", Definition{Callbacks: both()}))
+	require.NoError(t, b.New(start, "c", Definition{Parent: "p", Callbacks: both()}))
+	b.Add("p", "1")
+	b.Add("c", "2")
+	for _, id := range []string{"p", "c"} {
+		due, err := b.Commit(id)
+		require.NoError(t, err)
+		require.Empty(t, due)
+	}
+	require.Empty(t, b.Ran("p", "1", true))
+	require.Equal(t, []string{"c complete", "p complete"}, kinds(b.Ran("c", "2", false)))
+	require.Equal(t, []string{"c success"}, kinds(b.Ran("c", "2", true)))
+	require.Empty(t, b.CallbackRan("c", Complete))
+	require.Equal(t, []string{"p success"}, kinds(b.CallbackRan("c", Success)), "a child is over with its call-backs")
+	b.CallbackRan("p", Complete)
+	b.CallbackRan("p", Success)
+	require.Zero(t, b.Len())
+}
+
+// TestOnce drives batches at random: no call-back comes twice, complete comes
+// before success, and in the end each batch has had both.
+func TestOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b, n := NewBook(100), 0
+		type running struct{ batch, job string }
+		var open []string
+		var jobs []running
+		var owed []Callback
+		had := map[string]int{}
+		take := func(due []Callback) {
+			for _, c := range due {
+				had[c.Batch+" "+string(c.Kind)]++
+				require.Equal(t, 1, had[c.Batch+" "+string(c.Kind)], "%v", c)
+				require.True(t, c.Kind == Complete || had[c.Batch+" complete"] == 1)
+			}
+			owed = append(owed, due...)
+		}
+		all := []string{}
+		t.Repeat(map[string]func(*rapid.T){
+			"new": func(t *rapid.T) {
+				n++
+				d := Definition{Callbacks: both()}
+				if len(open) > 0 && rapid.Bool().Draw(t, "nested") {
+					d.Parent = rapid.SampledFrom(open).Draw(t, "parent")
+				}
+				id := fmt.Sprint("b", n)
+				require.NoError(t, b.New(start, id, d))
+				open, all = append(open, id), append(all, id)
+			},
+			"add": func(t *rapid.T) {
+				if len(open) == 0 {
+					t.Skip()
+				}
+				n++
+				at := rapid.SampledFrom(open).Draw(t, "batch")
+				b.Add(at, fmt.Sprint("j", n))
+				jobs = append(jobs, running{at, fmt.Sprint("j", n)})
+			},
+			"commit": func(t *rapid.T) {
+				if len(open) == 0 {
+					t.Skip()
+				}
+				due, err := b.Commit(open[0])
+				require.NoError(t, err)
+				open = open[1:]
+				take(due)
+			},
+			"ran": func(t *rapid.T) {
+				if len(jobs) == 0 {
+					t.Skip()
+				}
+				i := rapid.IntRange(0, len(jobs)-1).Draw(t, "job")
+				well := rapid.Bool().Draw(t, "well")
+				j := jobs[i]
+				if well {
+					jobs = append(jobs[:i], jobs[i+1:]...)
+				}
+				take(b.Ran(j.batch, j.job, well))
+			},
+			"call-back": func(t *rapid.T) {
+				if len(owed) == 0 {
+					t.Skip()
+				}
+				c := owed[0]
+				owed = owed[1:]
+				take(b.CallbackRan(c.Batch, c.Kind))
+			},
+		})
+		for _, id := range open {
+			due, err := b.Commit(id)
+			require.NoError(t, err)
+			take(due)
+		}
+		for _, j := range jobs {
+			take(b.Ran(j.batch, j.job, true))
+		}
+		for len(owed) > 0 {
+			c := owed[0]
+			owed = owed[1:]
+			take(b.CallbackRan(c.Batch, c.Kind))
+		}
+		require.Zero(t, b.Len(), "all are over")
+		for _, id := range all {
+			require.Equal(t, 2, had[id+" complete"]+had[id+" success"], id)
+		}
+	})
+}
--- /dev/null
+++ b/internal/faktory/client/client.go
@@ -0,0 +1,186 @@
+// Package client is an operator's connection to a server of the Faktory work
+// protocol, such as this project's front.
+package client
+
+import (
+	"bufio"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const mostReply = 64 << 20
+
+// Conn is a connection. It is not safe for concurrent use.
+type Conn struct {
+	conn net.Conn
+	in   *bufio.Reader
+}
+
+// Error is what a server answered to a command that it did not take.
+type Error string
+
+func (e Error) Error() string { return string(e) }
+
+// Dial connects, and says HELLO with what the password proves. All of it is
+// done by the deadline.
+func Dial(addr, password string, deadline time.Time) (*Conn, error) {
+	d := net.Dialer{Deadline: deadline}
+	c, err := d.Dial("tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("no Faktory server there: %w", err)
+	}
+	f := &Conn{c, bufio.NewReader(c)}
+	if err := f.hello(password, deadline); err != nil {
+		c.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (c *Conn) hello(password string, deadline time.Time) error {
+	c.conn.SetDeadline(deadline)
+	greeting, err := c.reply()
+	if err != nil {
+		return err
+	}
+	text, ok := strings.CutPrefix(string(greeting), "HI ")
+	var hi struct {
+		V int    `json:"v"`
+		I int    `json:"i"`
+		S string `json:"s"`
+	}
+	if !ok || json.Unmarshal([]byte(text), &hi) != nil {
+		return fmt.Errorf("this is no Faktory server: it greets with %q", greeting)
+	}
+	host, _ := os.Hostname()
+	hello := map[string]any{"v": 2, "hostname": host, "pid": os.Getpid(), "labels": []string{"basaltloft"}}
+	if hi.S != "" {
+		sum := sha256.Sum256([]byte(password + hi.S))
+		for range hi.I - 1 {
+			sum = sha256.Sum256(sum[:])
+		}
+		hello["pwdhash"] = hex.EncodeToString(sum[:])
+	}
+	said, err := json.Marshal(hello)
+	if err != nil {
+		return err
+	}
+	_, err = c.Do("HELLO "+string(said), deadline)
+	return err
+}
+
+// Do sends a command and returns its reply, nil for none.
+func (c *Conn) Do(command string, deadline time.Time) ([]byte, error) {
+	c.conn.SetDeadline(deadline)
+	if _, err := io.WriteString(c.conn, command+"\r\n"); err != nil {
+		return nil, err
+	}
+	return c.reply()
+}
+
+// Ask sends a command and decodes its reply.
+func (c *Conn) Ask(command string, into any, deadline time.Time) error {
+	text, err := c.Do(command, deadline)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(text, into); err != nil {
+		return fmt.Errorf("%s: %w", strings.Fields(command)[0], err)
+	}
+	return nil
+}
+
+func (c *Conn) reply() ([]byte, error) {
+	line, err := c.in.ReadString('\n')
+	if err != nil {
+		return nil, fmt.Errorf("reading a reply: %w", err)
+	}
+	line = strings.TrimRight(line, "\r\n")
+	if line == "" {
+		return nil, errors.New("a reply is empty")
+	}
+	switch rest := line[1:]; line[0] {
+	case '+':
+		return []byte(rest), nil
+	case '-':
+		return nil, Error(strings.TrimPrefix(rest, "ERR "))
+	case '$':
+		n, err := strconv.Atoi(rest)
+		if err != nil || n > mostReply {
+			return nil, fmt.Errorf("a reply of %q bytes", rest)
+		}
+		if n < 0 {
+			return nil, nil
+		}
+		text := make([]byte, n+2)
+		if _, err := io.ReadFull(c.in, text); err != nil {
+			return nil, fmt.Errorf("reading a reply: %w", err)
+		}
+		return text[:n], nil
+	}
+	return nil, fmt.Errorf("a reply that makes no sense: %q", line)
+}
+
+// Close says END and closes the connection.
+func (c *Conn) Close() error {
+	c.conn.SetDeadline(time.Now().Add(time.Second))
+	io.WriteString(c.conn, "END\r\n")
+	return c.conn.Close()
+}
+
+// Info is what INFO tells, as far as it is used here.
+type Info struct {
+	Faktory struct {
+		Queues map[string]int `json:"queues"`
+		Paused []string       `json:"paused"`
+		Tasks  map[string]struct {
+			Size int `json:"size"`
+		} `json:"tasks"`
+		Processed    int `json:"total_processed"`
+		Failures     int `json:"total_failures"`
+		Enqueued     int `json:"total_enqueued"`
+		Working      int `json:"total_working"`
+		Pushed       int `json:"total_pushed"`
+		WaitingBytes int `json:"waiting_bytes"`
+		Batches      int `json:"batches"`
+	} `json:"faktory"`
+	Server struct {
+		Uptime      int `json:"uptime"`
+		Connections int `json:"connections"`
+		Workers     int `json:"workers"`
+		Commands    int `json:"command_count"`
+		MemoryMB    int `json:"used_memory_mb"`
+	} `json:"server"`
+}
+
+// Listed is one job of a set, as SHOW tells it.
+type Listed struct {
+	ID      string          `json:"jid"`
+	Type    string          `json:"jobtype"`
+	Queue   string          `json:"queue"`
+	When    time.Time       `json:"when"`
+	MayRun  bool            `json:"may_have_run"`
+	Failure json.RawMessage `json:"failure,omitempty"`
+}
+
+// Worker is one worker, as SHOW tells it.
+type Worker struct {
+	ID          string    `json:"wid"`
+	Host        string    `json:"hostname"`
+	PID         int       `json:"pid"`
+	Connections int       `json:"connections"`
+	Holding     int       `json:"holding"`
+	Quiet       bool      `json:"quiet"`
+	Beat        time.Time `json:"beat"`
+	RSSKB       int64     `json:"rss_kb"`
+	Queues      []string  `json:"queues"`
+}
--- a/internal/faktory/commands.go
+++ b/internal/faktory/commands.go
@@ -24,7 +24,7 @@
 	"ACK": (*session).ack, "FAIL": (*session).fail, "BEAT": (*session).beat,
 	"INFO": (*session).info, "FLUSH": (*session).flush,
 	"QUEUE": (*session).queue, "MUTATE": (*session).mutate,
-	"TRACK": (*session).track, "BATCH": (*session).batch,
+	"TRACK": (*session).track, "BATCH": (*session).batch, "SHOW": (*session).show,
 }
 
 // command serves one command and reports whether the connection goes on.
@@ -161,7 +161,9 @@
 			f.backtrace = append(f.backtrace, cut(string(line.GetStringBytes())))
 		}
 	}
-	s.back.finish(s.worker, string(v.GetStringBytes("jid")), status, result, f)
+	if s.back.finish(s.worker, string(v.GetStringBytes("jid")), status, result, f) {
+		s.hub.Sync(func() {}) // what is asked after the reply is told with it
+	}
 	return ok
 }
 
--- a/internal/faktory/sets/book.go
+++ b/internal/faktory/sets/book.go
@@ -1,6 +1,7 @@
 package sets
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -15,6 +16,7 @@
 	Queues                int
 	Dead, DeadBytes       int           // beyond these the oldest go
 	DeadFor               time.Duration // and after this
+	Unit                  time.Duration // what a second of the backoff lasts; 0: a second
 }
 
 // Errors of a push.
@@ -303,7 +305,7 @@
 		b.Bury(now, j)
 		return Died
 	}
-	f.Next = now.Add(Backoff(f.Count, b.random))
+	f.Next = now.Add(time.Duration(float64(Backoff(f.Count, b.random)) * cmp.Or(b.limits.Unit, time.Second).Seconds()))
 	j.Again = true
 	b.enter(j)
 	b.Retries.Add(j, f.Next)
@@ -317,7 +319,7 @@
 	if j.Refusals++; j.Refusals > mostRefusals {
 		return b.Failed(now, j, true, "Refused", "the decisions refused it each time", nil)
 	}
-	wait := time.Second << min(j.Refusals-1, 6)
+	wait := cmp.Or(b.limits.Unit, time.Second) << min(j.Refusals-1, 6)
 	if comeBack.Before(now.Add(wait)) {
 		comeBack = now.Add(wait)
 	}
--- a/internal/settings/operator.go
+++ b/internal/settings/operator.go
@@ -28,7 +28,8 @@
 	Jobs                int // outcomes that are remembered
 	ReserveFor, FetchIn time.Duration
 	Waiting             FaktoryWaiting
-	PerAddress          int // connections of one client address; 0: no bound of their own
+	BackoffUnit         time.Duration // what the protocol's second of a backoff lasts
+	PerAddress          int           // connections of one client address; 0: no bound of their own
 }
 
 // FaktoryWaiting bounds what waits in the Faktory front.
@@ -106,6 +107,7 @@
 	f.Waiting.QueueJobs = int(r.count(w+"queue_jobs", int64(f.Waiting.Jobs)*3/4))
 	f.Waiting.QueueBytes = int(r.count(w+"queue_megabytes", int64(f.Waiting.Bytes>>20)*3/4)) << 20
 	f.PerAddress = int(r.count("faktory.connections_per_address", 0))
+	f.BackoffUnit = time.Duration(r.count("faktory.backoff_unit_ms", 1000)) * time.Millisecond
 	r.address("faktory.listen", f.Listen)
 	return f
 }
--- /dev/null
+++ b/internal/top/top_test.go
@@ -0,0 +1,66 @@
+package top
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"basaltloft/internal/account"
+	"basaltloft/internal/faktory/client"
+	"basaltloft/internal/figures"
+
+	tea "github.com/charmbracelet/bubbletea"
+	"github.com/stretchr/testify/require"
+)
+
+func reading(at time.Time, served int64) Reading {
+	r := Reading{At: at, Figures: &figures.Report{Name: "n0", Started: at.Add(-time.Minute)}, Faktory: &client.Info{}}
+	row := account.Row{Place: account.Place{Front: "http", Class: "place-hold", Tenant: "a", Group: "cell 0"}, Entered: served + 1, Open: 1}
+	row.Ends[account.Answered] = served
+	a := &r.Figures.Account
+	a.At, a.Rows = at, []account.Row{row}
+	a.Totals = account.Totals{Taken: served + 1, Open: 1, Ends: row.Ends}
+	a.Times = map[string]account.Spans{"place-hold": {}}
+	a.Flows = []account.FlowRow{{Class: "place-hold", Group: "cell 0", Sent: 2, Out: 1}}
+	r.Faktory.Faktory.Queues = map[string]int{"holds": 3}
+	r.Faktory.Faktory.Paused = []string{"holds"}
+	r.Faktory.Faktory.Pushed = int(2 * served)
+	r.Workers = []client.Worker{{ID: "w1", Host: "till", Holding: 2, Quiet: true, Queues: []string{"holds"}}}
+	return r
+}
+
+// TestView shows two readings: sums, rates between them, and all tables.
+func TestView(t *testing.T) {
+	m := New(Source{}, time.Second)
+	require.Equal(t, "reading ...\n", m.View())
+	at := time.Date(2026, 7, 4, 12, 0, 0, 0, time.UTC)
+	m.Update(reading(at, 10))
+	_, next := m.Update(reading(at.Add(2*time.Second), 30))
+	require.NotNil(t, next, "it goes on reading")
+	for _, want := range []string{
+		"taken 31 = served 30 + refused 0 + failed 0 + open 1", "taken 10.0, served 10.0", "pushed 20.0",
+		"cell 0 1", "paused", "w1 (quiet)", "place-hold",
+	} {
+		require.Contains(t, m.View(), want)
+	}
+	m.Update(reading(at.Add(4*time.Second), 0)) // a new start: no rate below nothing
+	require.Contains(t, m.View(), "taken 0.0, served 0.0")
+	m.Update(tea.KeyMsg{Type: tea.KeyTab})
+	require.Contains(t, m.View(), "class  taken")
+	m.Update(tea.KeyMsg{Type: tea.KeyRunes, Runes: []rune("p")})
+	_, next = m.Update(tick{})
+	require.Nil(t, next, "stopped")
+	require.Contains(t, m.View(), "(stopped)")
+	m.Update(tea.WindowSizeMsg{Width: 80, Height: 5})
+	require.Equal(t, 4, strings.Count(m.View(), "\n"))
+	_, end := m.Update(tea.KeyMsg{Type: tea.KeyRunes, Runes: []rune("q")})
+	require.Equal(t, tea.Quit(), end())
+}
+
+// TestNobody: what can't be read is said, and the view goes on.
+func TestNobody(t *testing.T) {
+	m := New(Source{Figures: "127.0.0.1:1", Faktory: "127.0.0.1:1"}, time.Second)
+	m.Update(m.Init()())
+	require.Contains(t, m.View(), "! figures: ")
+	require.Contains(t, m.View(), "! faktory: no Faktory server there")
+}
