--- a/internal/cli/tools.go
+++ b/internal/cli/tools.go
@@ -42,7 +42,7 @@
 	c := &cobra.Command{
 		Use: "soak", Short: "load a dispatcher, kill it at random, and check every sum", Args: none,
 		RunE: func(c *cobra.Command, _ []string) error {
-			if span <= 0 || s.Kills < 0 || s.Rate <= 0 {
+			if span <= 0 || s.Kills < 0 || s.Workers < 0 || s.Rate <= 0 {
 				return misuse{errors.New("--for, --kills and --rate must be more than nothing")}
 			}
 			ctx, stop := signal.NotifyContext(c.Context(), syscall.SIGINT, syscall.SIGTERM)
@@ -67,6 +67,7 @@
 	}
 	c.Flags().DurationVar(&span, "for", time.Minute, "how `long`")
 	c.Flags().IntVar(&s.Kills, "kills", 10, "how often the dispatcher is killed")
+	c.Flags().IntVar(&s.Workers, "worker-kills", 0, "how often a Faktory worker is killed")
 	c.Flags().Float64Var(&s.Rate, "rate", 60, "asks a second by each front")
 	c.Flags().StringVar(&s.Folder, "folder", "", "keep the journal in this `folder`")
 	c.Flags().Uint64Var(&s.Seed, "seed", 1, "of the random numbers")
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -64,6 +64,12 @@
 	members                       []*standin.Member
 	all                           sync.WaitGroup
 	stopClients, stopWorkers      context.CancelFunc
+
+	mu      sync.Mutex
+	load    Load
+	ctx     context.Context // of the workers
+	workers []context.CancelFunc
+	begun   int // workers so far
 }
 
 // Load is how busy the world is.
@@ -135,14 +141,10 @@
 	workers, stop := context.WithCancel(context.Background())
 	w.stopWorkers = stop
 	mix := standin.Mix{Rate: l.Rate, Tickets: 0.28, Tenants: Tenants, Retries: 2, Impatient: 0.02, Seed: l.Seed}
-	http, faktory := func() string { return w.Addr }, func() string { return w.Faktory }
-	for i := range l.Workers {
-		w.all.Go(func() {
-			standin.FaktoryWorker(workers, faktory, standin.WorkerSettings{
-				WID: fmt.Sprintf("worker-%d", i+1), Queues: []string{"tickets", "holds"}, Run: l.running(100 + uint64(i)),
-				Troubles: l.Troubles, Till: w.Till, Once: once, Seed: l.Seed + 100 + uint64(i),
-			})
-		})
+	http, faktory := func() string { return w.Addr }, w.faktory
+	w.load, w.ctx = l, workers
+	for range l.Workers {
+		w.workers = append(w.workers, w.worker())
 	}
 	w.all.Go(func() { standin.HTTPClients(clients, http, "h", mix, &w.HTTP) })
 	if l.Workers > 0 {
@@ -150,6 +152,32 @@
 	}
 }
 
+func (w *World) faktory() string { return w.Faktory }
+
+// worker starts a Faktory worker with a wid of its own.
+func (w *World) worker() context.CancelFunc {
+	ctx, kill := context.WithCancel(w.ctx)
+	w.begun++
+	n := uint64(w.begun)
+	w.all.Go(func() {
+		standin.FaktoryWorker(ctx, w.faktory, standin.WorkerSettings{
+			WID: fmt.Sprintf("worker-%d", n), Queues: []string{"tickets", "holds"}, Run: w.load.running(100 + n),
+			Troubles: w.load.Troubles, Till: w.Till, Once: once, Seed: w.load.Seed + 100 + n,
+		})
+	})
+	return kill
+}
+
+// KillWorker ends one of the Faktory workers, with what it runs and without a
+// word, and starts another in its place.
+func (w *World) KillWorker(n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n %= len(w.workers)
+	w.workers[n]()
+	w.workers[n] = w.worker()
+}
+
 // EndClients asks nothing more.
 func (w *World) EndClients() { w.stopClients() }
 
--- a/internal/faktory/backlog.go
+++ b/internal/faktory/backlog.go
@@ -72,8 +72,13 @@
 	counted bool // its end was counted when its worker told it
 	pushing bool // its PUSH has not been answered: if it is refused now, it is not taken
 	failed  *failure
-	answer  core.Answer
+	answer  *core.Answer // final
+	said    *said        // by its worker
 	at      time.Time
+}
+
+// said is what a worker says of a job that runs.
+type said struct {
 	percent int
 	desc    string
 }
@@ -209,7 +214,7 @@
 		return nil
 	}
 	if t.answer.Verdict == core.Refused {
-		return refused(t.answer)
+		return refused(*t.answer)
 	}
 	return notTaken("ERR the job failed: " + strings.TrimSpace(string(t.answer.Body)))
 }
@@ -225,10 +230,10 @@
 	if known := b.tasks[j.id]; known != nil && !(known.state == final && retryable(known.answer.Verdict)) {
 		return nil, nil
 	}
-	waiting := j.waiting(now)
-	if waiting.Batch != "" {
-		if err := b.batches.MayAdd(waiting.Batch); err != nil {
-			return nil, broken(fmt.Errorf("batch %s: %w", waiting.Batch, err))
+	waiting := j.waiting()
+	if j.batch != "" {
+		if err := b.batches.MayAdd(j.batch); err != nil {
+			return nil, broken(fmt.Errorf("batch %s: %w", j.batch, err))
 		}
 	}
 	switch err := b.book.Push(now, waiting); {
@@ -240,12 +245,12 @@
 	case err != nil:
 		return nil, broken(err)
 	}
-	t := &task{of: b, job: waiting, id: j.id, batch: waiting.Batch, effect: effect, at: now}
+	t := &task{of: b, job: waiting, id: j.id, batch: j.batch, effect: effect, at: now}
 	waiting.Data = t
 	b.tasks[j.id] = t
 	b.pushed++
-	if waiting.Batch != "" {
-		b.batches.Add(waiting.Batch, j.id)
+	if j.batch != "" {
+		b.batches.Add(j.batch, j.id)
 	}
 	if waiting.Where() == sets.Queued {
 		t.pushing = true
@@ -374,7 +379,7 @@
 // conclude keeps what became of a job for good.
 func (b *backlog) conclude(t *task, a core.Answer) {
 	j := t.job
-	t.state, t.answer, t.at = final, a, time.Now()
+	t.state, t.answer, t.at = final, &a, time.Now()
 	if j != nil {
 		if a.Verdict == core.Served || j.Where() == "" {
 			b.book.Unlock(j)
@@ -382,7 +387,7 @@
 		switch {
 		case t.pushing && t.batch != "":
 			b.batches.Withdraw(t.batch, t.id)
-		case j.CallbackOf != "" && a.Verdict == core.Served:
+		case j.Rare != nil && j.CallbackOf != "" && a.Verdict == core.Served:
 			b.owe(b.batches.CallbackRan(j.CallbackOf, batch.Kind(j.Callback)))
 		}
 		if !t.pushing {
@@ -434,12 +439,15 @@
 		return err
 	}
 	effect, _ := b.intake.Effect(j.arrival.Class)
-	w := j.waiting(now)
+	w := j.waiting()
+	if w.Rare == nil {
+		w.Rare = new(sets.Rare)
+	}
 	w.CallbackOf, w.Callback = c.Batch, string(c.Kind)
 	if err := b.book.Push(now, w); err != nil {
 		return err
 	}
-	t := &task{of: b, job: w, id: j.id, batch: w.Batch, effect: effect, at: now}
+	t := &task{of: b, job: w, id: j.id, batch: j.batch, effect: effect, at: now}
 	w.Data = t
 	b.tasks[j.id] = t
 	b.pushed++
--- a/internal/faktory/commands.go
+++ b/internal/faktory/commands.go
@@ -303,8 +303,11 @@
 	if t == nil {
 		return fault("no such job")
 	}
-	if t.percent = min(max(v.GetInt("percent"), 0), 100); v.Exists("desc") {
-		t.desc = short(v, "desc")
+	if t.said == nil {
+		t.said = new(said)
+	}
+	if t.said.percent = min(max(v.GetInt("percent"), 0), 100); v.Exists("desc") {
+		t.said.desc = short(v, "desc")
 	}
 	t.at = time.Now()
 	if until.IsZero() {
@@ -348,9 +351,9 @@
 			v.Set("result", a.NewString(string(t.answer.Body)))
 		}
 	}
-	if t.percent > 0 || t.desc != "" {
-		v.Set("percent", a.NewNumberInt(t.percent))
-		v.Set("desc", a.NewString(t.desc))
+	if t.said != nil {
+		v.Set("percent", a.NewNumberInt(t.said.percent))
+		v.Set("desc", a.NewString(t.said.desc))
 	}
 	v.Set("state", a.NewString(state))
 	when("updated_at", t.at)
--- a/internal/faktory/hard_test.go
+++ b/internal/faktory/hard_test.go
@@ -45,7 +45,7 @@
 	t.Cleanup(w.Close)
 	dir := t.TempDir()
 	config, operator := filepath.Join(dir, "config.json"), filepath.Join(dir, "operator.json")
-	settings := strings.Replace(w.Configuration(), `"sockets":1024`, `"sockets":4096`, 1)
+	settings := strings.Replace(w.Configuration(), `"memory_mb":192,"sockets":1024`, `"memory_mb":128,"sockets":4096`, 1)
 	require.NoError(t, os.WriteFile(config, []byte(settings), 0o600))
 	require.NoError(t, os.WriteFile(operator, []byte(fmt.Sprintf(roomy, w.Figures, w.Faktory)), 0o600))
 	p := &program{w: w, cmd: exec.Command(binary, "--log-level", "error", "--operator", operator)}
--- a/internal/faktory/job.go
+++ b/internal/faktory/job.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strings"
 	"time"
+	"unique"
 
 	"basaltloft/internal/core"
 	"basaltloft/internal/faktory/sets"
@@ -101,11 +102,12 @@
 }
 
 // waiting is the job as the sets keep it.
-func (j job) waiting(now time.Time) *sets.Job {
-	return &sets.Job{
-		ID: j.id, Type: j.kind, Queue: j.queue, Body: j.arrival.Body, At: j.at, Pushed: now, Retries: j.retries, ReserveFor: j.reserveFor,
-		ExpiresAt: j.expires, Unique: j.unique, UniqueFor: j.uniqueFor, UniqueUntil: j.uniqueUntil, Batch: j.batch,
+func (j job) waiting() *sets.Job {
+	w := &sets.Job{ID: j.id, Type: unique.Make(j.kind).Value(), Queue: unique.Make(j.queue).Value(), Body: j.arrival.Body, Retries: int32(j.retries)}
+	if !j.at.IsZero() || !j.expires.IsZero() || j.unique != 0 || j.batch != "" {
+		w.Rare = &sets.Rare{At: j.at, ExpiresAt: j.expires, Unique: j.unique, UniqueFor: j.uniqueFor, UniqueUntil: j.uniqueUntil, Batch: j.batch}
 	}
+	return w
 }
 
 // nameable tells whether a queue can be named in a command.
--- a/internal/faktory/sets/book.go
+++ b/internal/faktory/sets/book.go
@@ -89,7 +89,7 @@
 	if known := b.jobs[j.ID]; known != nil && known.in != b.Dead {
 		return ErrKnown
 	}
-	if !j.ExpiresAt.IsZero() && !j.ExpiresAt.After(now) {
+	if at := j.rare().ExpiresAt; !at.IsZero() && !at.After(now) {
 		return ErrExpired
 	}
 	if err := b.room(j); err != nil {
@@ -101,12 +101,9 @@
 	if dead := b.jobs[j.ID]; dead != nil {
 		b.forget(dead)
 	}
-	if j.Pushed.IsZero() {
-		j.Pushed = now
-	}
-	if j.At.After(now) {
+	if at := j.rare().At; at.After(now) {
 		b.enter(j)
-		b.Scheduled.Add(j, j.At)
+		b.Scheduled.Add(j, at)
 		return nil
 	}
 	b.enqueue(now, j, false)
@@ -117,10 +114,11 @@
 // goes straight on.
 func (b *Book) Lock(now time.Time, j *Job) error {
 	now = b.moment(now)
-	if j.Unique == 0 {
+	key := j.rare().Unique
+	if key == 0 {
 		return nil
 	}
-	if held, ok := b.locks[j.Unique]; ok && held.job != j.ID && now.Before(held.until) {
+	if held, ok := b.locks[key]; ok && held.job != j.ID && now.Before(held.until) {
 		return ErrNotUnique
 	}
 	if len(b.locks) >= b.limits.Jobs {
@@ -128,7 +126,7 @@
 			return Full{"locks of unique jobs"}
 		}
 	}
-	b.locks[j.Unique] = lock{j.ID, now.Add(j.UniqueFor)}
+	b.locks[key] = lock{j.ID, now.Add(j.UniqueFor)}
 	return nil
 }
 
@@ -146,14 +144,15 @@
 
 // Unlock gives the lock of a job back.
 func (b *Book) Unlock(j *Job) {
-	if held, ok := b.locks[j.Unique]; ok && held.job == j.ID {
-		delete(b.locks, j.Unique)
+	key := j.rare().Unique
+	if held, ok := b.locks[key]; ok && held.job == j.ID {
+		delete(b.locks, key)
 	}
 }
 
 // Started tells that a job has begun to run.
 func (b *Book) Started(j *Job) {
-	if j.UniqueUntil == UntilStart {
+	if j.rare().UniqueUntil == UntilStart {
 		b.Unlock(j)
 	}
 }
@@ -184,7 +183,7 @@
 
 func (b *Book) enqueue(now time.Time, j *Job, front bool) {
 	b.enter(j)
-	j.queued = now
+	j.queued = stampOf(now)
 	b.Queue(j.Queue).push(j, front)
 }
 
@@ -231,7 +230,7 @@
 	for q.first != nil {
 		j = q.first
 		b.forget(j)
-		if j.ExpiresAt.IsZero() || j.ExpiresAt.After(now) {
+		if at := j.rare().ExpiresAt; at.IsZero() || at.After(now) {
 			return j, expired
 		}
 		b.Expired++
@@ -250,7 +249,7 @@
 func (b *Book) Due(now time.Time, most int) (queues []string, again time.Time) {
 	now = b.moment(now)
 	for i, s := range []*Set{b.Scheduled, b.Retries} {
-		for j := s.First(); j != nil && !j.when.After(now); j = s.First() {
+		for j := s.First(); j != nil && !j.when.after(stampOf(now)); j = s.First() {
 			if most--; most < 0 {
 				return queues, now
 			}
@@ -261,11 +260,11 @@
 				queues = append(queues, j.Queue)
 			}
 		}
-		if j := s.First(); j != nil && (again.IsZero() || j.when.Before(again)) {
-			again = j.when
+		if j := s.First(); j != nil && (again.IsZero() || j.When().Before(again)) {
+			again = j.When()
 		}
 	}
-	for j := b.Dead.First(); j != nil && now.Sub(j.when) > b.limits.DeadFor; j = b.Dead.First() {
+	for j := b.Dead.First(); j != nil && now.Sub(j.When()) > b.limits.DeadFor; j = b.Dead.First() {
 		b.forget(j)
 		b.DeadGone++
 	}
@@ -295,7 +294,7 @@
 	}
 	f := j.Failure
 	f.At, f.Type, f.Message, f.Backtrace = now, kind, message, backtrace
-	f.Remaining = max(0, j.Retries-f.Count)
+	f.Remaining = max(0, int(j.Retries)-f.Count)
 	j.Refusals = 0
 	switch {
 	case j.Retries < 0:
--- a/internal/faktory/sets/set.go
+++ b/internal/faktory/sets/set.go
@@ -1,6 +1,7 @@
 package sets
 
 import (
+	"cmp"
 	"container/heap"
 	"errors"
 	"slices"
@@ -23,7 +24,7 @@
 
 // Add takes a job in.
 func (s *Set) Add(j *Job, when time.Time) {
-	j.in, j.when = s, when
+	j.in, j.when = s, stampOf(when)
 	s.bytes += j.size()
 	heap.Push(&s.jobs, j)
 }
@@ -47,30 +48,17 @@
 func (s *Set) Sorted() []*Job {
 	all := slices.Clone(s.jobs)
 	slices.SortFunc(all, func(a, b *Job) int {
-		if c := a.when.Compare(b.when); c != 0 {
-			return c
-		}
-		return compare(a.ID, b.ID)
+		return cmp.Or(cmp.Compare(a.when, b.when), cmp.Compare(a.ID, b.ID))
 	})
 	return all
 }
 
-func compare(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 type jobHeap []*Job
 
 func (h jobHeap) Len() int { return len(h) }
 func (h jobHeap) Less(i, k int) bool {
-	if !h[i].when.Equal(h[k].when) {
-		return h[i].when.Before(h[k].when)
+	if h[i].when != h[k].when {
+		return h[i].when < h[k].when
 	}
 	return h[i].ID < h[k].ID
 }
@@ -144,5 +132,5 @@
 	if q.first == nil {
 		return 0
 	}
-	return max(0, now.Sub(q.first.queued))
+	return max(0, now.Sub(q.first.queued.time()))
 }
--- a/internal/faktory/sets/sets_test.go
+++ b/internal/faktory/sets/sets_test.go
@@ -1,6 +1,7 @@
 package sets
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -45,9 +46,9 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"push": func(t *rapid.T) {
 				j := job(ids.Draw(t, "id"), rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "queue"))
-				j.Retries = rapid.IntRange(-1, 2).Draw(t, "retries")
+				j.Retries = rapid.Int32Range(-1, 2).Draw(t, "retries")
 				if rapid.Bool().Draw(t, "later") {
-					j.At = now.Add(time.Duration(rapid.IntRange(1, 60).Draw(t, "in")) * time.Second)
+					j.Rare = &Rare{At: now.Add(time.Duration(rapid.IntRange(1, 60).Draw(t, "in")) * time.Second)}
 				}
 				if slices.ContainsFunc(out, func(o *Job) bool { return o.ID == j.ID }) {
 					t.Skip() // the front never does that
@@ -64,8 +65,8 @@
 				}
 				seq++
 				model[j.ID] = &entry{j, "queue", now, seq}
-				if j.At.After(b.moment(now)) {
-					model[j.ID] = &entry{j, "scheduled", j.At, seq}
+				if at := j.rare().At; at.After(b.moment(now)) {
+					model[j.ID] = &entry{j, "scheduled", at, seq}
 				}
 			},
 			"take": func(t *rapid.T) {
@@ -97,10 +98,10 @@
 				case Gone:
 					require.Negative(t, j.Retries)
 				case Died:
-					require.True(t, !may || j.Failure.Count >= j.Retries || !roomLeft)
+					require.True(t, !may || j.Failure.Count >= int(j.Retries) || !roomLeft)
 					model[j.ID] = &entry{j, "dead", now, seq}
 				case Retried:
-					require.True(t, may && j.Failure.Count < j.Retries)
+					require.True(t, may && j.Failure.Count < int(j.Retries))
 					model[j.ID] = &entry{j, "retries", j.Failure.Next, seq}
 				}
 			},
@@ -121,12 +122,12 @@
 				}
 				slices.SortFunc(due, func(a, b *entry) int { // scheduled ones first, each by time
 					if a.where != b.where {
-						return -compare(a.where, b.where)
+						return -cmp.Compare(a.where, b.where)
 					}
 					if c := a.when.Compare(b.when); c != 0 {
 						return c
 					}
-					return compare(a.job.ID, b.job.ID)
+					return cmp.Compare(a.job.ID, b.job.ID)
 				})
 				for _, e := range due {
 					seq++
@@ -206,7 +207,7 @@
 
 // TestRetries: n tries more, then the dead; 0 is dead at once, -1 is gone.
 func TestRetries(t *testing.T) {
-	for retries, want := range map[int][]Fate{0: {Died}, -1: {Gone}, 1: {Retried, Died}, 3: {Retried, Retried, Retried, Died}} {
+	for retries, want := range map[int32][]Fate{0: {Died}, -1: {Gone}, 1: {Retried, Died}, 3: {Retried, Retried, Retried, Died}} {
 		b, j := NewBook(roomy, 1), job("job", "a")
 		j.Retries = retries
 		var got []Fate
@@ -246,7 +247,7 @@
 func TestUnique(t *testing.T) {
 	unique := func(id string, until Until) *Job {
 		j := job(id, "a")
-		j.Unique, j.UniqueFor, j.UniqueUntil = 7, time.Minute, until
+		j.Rare = &Rare{Unique: 7, UniqueFor: time.Minute, UniqueUntil: until}
 		return j
 	}
 	for name, c := range map[string]struct {
@@ -325,7 +326,7 @@
 			if n == 2 {
 				j.Type = "U"
 			}
-			j.At = start.Add(time.Duration(n+1) * time.Minute)
+			j.Rare = &Rare{At: start.Add(time.Duration(n+1) * time.Minute)}
 			require.NoError(t, b.Push(start, j))
 		}
 		picked, err := b.Mutate(start, Kill, "scheduled", c.filter, false)
@@ -348,7 +349,7 @@
 func TestExpiry(t *testing.T) {
 	b := NewBook(roomy, 1)
 	late, soon := job("late", "a"), job("soon", "a")
-	late.ExpiresAt, soon.ExpiresAt = start, start.Add(time.Second)
+	late.Rare, soon.Rare = &Rare{ExpiresAt: start}, &Rare{ExpiresAt: start.Add(time.Second)}
 	require.ErrorIs(t, b.Push(start, late), ErrExpired)
 	require.NoError(t, b.Push(start, soon))
 	require.NoError(t, b.Push(start, job("good", "a")))
@@ -365,7 +366,7 @@
 			l := Limits{Jobs: 1 << 20, Bytes: 1 << 30, QueueJobs: 1 << 20, QueueBytes: 1 << 30, Queues: 10, Dead: 10, DeadBytes: 1 << 20, DeadFor: time.Hour}
 			book, body := NewBook(l, 1), make([]byte, 200)
 			push := func(n int, at time.Time) {
-				if err := book.Push(start, &Job{ID: fmt.Sprint("job-", n), Type: "T", Queue: "a", Body: body, At: at}); err != nil {
+				if err := book.Push(start, &Job{ID: fmt.Sprint("job-", n), Type: "T", Queue: "a", Body: body, Rare: &Rare{At: at}}); err != nil {
 					b.Fatal(err)
 				}
 			}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -27,7 +27,8 @@
 type Settings struct {
 	Program string // the dispatcher
 	Until   time.Time
-	Kills   int
+	Kills   int     // of the dispatcher
+	Workers int     // Faktory workers that are killed
 	Rate    float64 // asks a second by each front
 	Folder  string  // where the journal is kept; it must be empty
 	Seed    uint64
@@ -36,6 +37,7 @@
 // Result is what a soak saw.
 type Result struct {
 	Kills, Starts   int
+	WorkerKills     int
 	Audits          int64
 	Differences     int64
 	HTTP, Pushed    string
@@ -82,6 +84,9 @@
 	every := s.Until.Sub(began) / time.Duration(s.Kills+1)
 	bar := progressbar.NewOptions(s.Kills, progressbar.OptionSetWriter(out), progressbar.OptionSetDescription("kills"), progressbar.OptionShowCount())
 	w.Begin(load)
+	stop := make(chan struct{})
+	killed := make(chan int, 1)
+	go func() { killed <- killWorkers(w, s, stop) }()
 	for ctx.Err() == nil {
 		cmd, err := start()
 		if err != nil {
@@ -104,6 +109,8 @@
 			continue
 		}
 		r.watch(w.Figures, end)
+		close(stop)
+		r.WorkerKills = <-killed
 		w.EndClients()
 		if err := demo.Settled(w.Figures); err != nil {
 			r.Broken = append(r.Broken, err.Error())
@@ -151,6 +158,23 @@
 // mostLost is how long a record may wait to be written, with what a write takes.
 const mostLost = 50 * time.Millisecond
 
+// killWorkers kills workers at random times until it has killed enough.
+func killWorkers(w *demo.World, s Settings, stop <-chan struct{}) (n int) {
+	random := rand.New(rand.NewPCG(s.Seed, 29))
+	for left := s.Workers; left > 0; left-- {
+		wait := time.Until(s.Until) / time.Duration(left) * time.Duration(random.IntN(2000)) / 1000
+		select {
+		case <-stop:
+			return n
+		case <-time.After(wait):
+			w.KillWorker(random.IntN(1 << 20))
+			n++
+		}
+	}
+	<-stop
+	return n
+}
+
 // watch audits the running dispatcher until a time.
 func (r *Result) watch(at string, until time.Time) {
 	for time.Now().Before(until) {
@@ -204,7 +228,7 @@
 
 // Write tells the result, and fails if anything was broken.
 func (r *Result) Write(out io.Writer) error {
-	fmt.Fprintf(out, "%d kills, %d starts, %d audits with %d differences\n", r.Kills, r.Starts, r.Audits, r.Differences)
+	fmt.Fprintf(out, "%d kills, %d starts, %d workers killed, %d audits with %d differences\n", r.Kills, r.Starts, r.WorkerKills, r.Audits, r.Differences)
 	fmt.Fprintf(out, "HTTP clients: %s\nFaktory clients: %s\n", r.HTTP, r.Pushed)
 	if v := r.Journal; v != nil {
 		t := &v.Totals
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -23,12 +23,13 @@
 	binary, err := scenario.Build()
 	require.NoError(t, err)
 	r, err := Run(context.Background(), Settings{
-		Program: binary, Until: time.Now().Add(20 * time.Second), Kills: 6, Rate: 25, Folder: t.TempDir(), Seed: 5,
+		Program: binary, Until: time.Now().Add(20 * time.Second), Kills: 6, Workers: 10, Rate: 25, Folder: t.TempDir(), Seed: 5,
 	}, io.Discard)
 	require.NoError(t, err)
 	require.Empty(t, r.Broken)
 	require.Equal(t, 6, r.Kills)
 	require.Equal(t, 7, r.Journal.Epochs)
+	require.NotZero(t, r.WorkerKills)
 	require.NotZero(t, r.Audits)
 	require.NotZero(t, r.Journal.Marks)
 	require.NotZero(t, r.Journal.Totals.Ends[account.Answered])
