--- a/internal/faktory/commands.go
+++ b/internal/faktory/commands.go
@@ -11,6 +11,7 @@
 	"basaltloft/internal/core"
 	"basaltloft/internal/faktory/batch"
 	"basaltloft/internal/faktory/sets"
+	"basaltloft/internal/jsontext"
 	"basaltloft/internal/stage"
 
 	"github.com/valyala/fastjson"
@@ -73,7 +74,7 @@
 			problems.Set(string(job.GetStringBytes("jid")), a.NewString(strings.TrimPrefix(err.Error(), "ERR ")))
 		}
 	}
-	return bulk(problems.MarshalTo(nil))
+	return bulk(jsontext.Append(nil, problems))
 }
 
 // fetch gives a worker its next job, or nothing after a while. It reports
@@ -146,7 +147,7 @@
 	case at.Type() == fastjson.TypeString:
 		result = append(result, at.GetStringBytes()...)
 	default:
-		result = at.MarshalTo(nil)
+		result = jsontext.Append(nil, at)
 	}
 	if len(result) > stage.MaxBody {
 		return fault("the result is too large")
@@ -240,7 +241,7 @@
 		for _, q := range b.book.Info(time.Now(), names...) {
 			v.Set(q.Name, a.NewNumberFloat64(q.Latency.Seconds()))
 		}
-		return bulk(v.MarshalTo(nil))
+		return bulk(jsontext.Append(nil, v))
 	default:
 		return fault("QUEUE takes PAUSE, RESUME, REMOVE or LATENCY, not %q", verb)
 	}
@@ -357,7 +358,7 @@
 	}
 	v.Set("state", a.NewString(state))
 	when("updated_at", t.at)
-	return v.MarshalTo(nil)
+	return jsontext.Append(nil, v)
 }
 
 // batch begins, opens, commits batches, and tells how they are.
@@ -410,7 +411,7 @@
 		if _, err := readJob(at, s.set, time.Now()); err != nil {
 			return fault("%s: %v", kind, err)
 		}
-		d.Callbacks[kind] = at.MarshalTo(nil)
+		d.Callbacks[kind] = jsontext.Append(nil, at)
 	}
 	id := "b-" + newID()
 	if err := s.back.batches.New(time.Now(), id, d); err != nil {
@@ -434,7 +435,7 @@
 	v.Set("failed", a.NewNumberInt(at.Failed()))
 	v.Set("complete_st", a.NewString(string(at.States[batch.Complete])))
 	v.Set("success_st", a.NewString(string(at.States[batch.Success])))
-	return v.MarshalTo(nil)
+	return jsontext.Append(nil, v)
 }
 
 // info tells of the server in the shape that clients decode.
@@ -493,7 +494,7 @@
 	v.Set("server_utc_time", a.NewString(now.UTC().Format("15:04:05 UTC")))
 	v.Set("faktory", jobs)
 	v.Set("server", server)
-	return bulk(v.MarshalTo(nil))
+	return bulk(jsontext.Append(nil, v))
 }
 
 func simple(text string) string { return "+" + plainLine(text) + "\r\n" }
--- a/internal/faktory/conformance_test.go
+++ b/internal/faktory/conformance_test.go
@@ -90,6 +90,11 @@
 			faktory.c expect ^\+OK\r\n
 			faktory.w send FETCH q\r\n
 			faktory.w expect ^\$\d+\r\n{"jid":"job-000001","jobtype":"Mail","queue":"q","args":\[{"a":\[1.5,null,"č"\]}\],"created_at":"2026-07-04T12:00:00Z","backtrace":3,"custom":{"k":"v"},"of_mine":1}\r\n`,
+		"2.11 control characters in a job reach the worker as JSON": c + w + `
+			faktory.c send PUSH {"jid":"job-000001","jobtype":"Mail","queue":"q","args":["\u0007\u0011 é"],"custom":{"\u0001":1}}\r\nPUSH {"jid":"job 000002","jobtype":"Mail","args":[]}\r\n
+			faktory.c expect ^\+OK\r\n-ERR a jid has plain printable characters without spaces\r\n
+			faktory.w send FETCH q\r\n
+			faktory.w expect ^\$\d+\r\n{"jid":"job-000001","jobtype":"Mail","queue":"q","args":\["\\u0007\\u0011 é"\],"custom":{"\\u0001":1}}\r\n`,
 		"2.2 a job has a jid, a jobtype and args": c + `
 			faktory.c send PUSH {"jobtype":"Mail","args":[]}\r\nPUSH {"jid":"job-000001","args":[]}\r\nPUSH {"jid":"job-000001","jobtype":"Mail"}\r\nPUSH [1]\r\nPUSH {"jid":"job-000001","jobtype":"Mail","args":[],"queue":"a b"}\r\nPUSH {"jid":"job-000001","jobtype":"Mail","args":[],"retry":"often"}\r\n
 			faktory.c expect ^-ERR a jid has at least 8 characters\r\n-ERR a job has a jobtype\r\n-ERR a job has a list of args\r\n-ERR a job is a JSON object\r\n-ERR a queue's name[^\n]*\n-ERR retry is a number\r\n`,
--- a/internal/faktory/job.go
+++ b/internal/faktory/job.go
@@ -10,6 +10,7 @@
 
 	"basaltloft/internal/core"
 	"basaltloft/internal/faktory/sets"
+	"basaltloft/internal/jsontext"
 	"basaltloft/internal/settings"
 	"basaltloft/internal/stage"
 
@@ -58,6 +59,8 @@
 	switch {
 	case len(j.id) < leastID:
 		return j, fmt.Errorf("a jid has at least %d characters", leastID)
+	case strings.ContainsFunc(j.id, func(r rune) bool { return r <= ' ' || r > '~' }):
+		return j, errors.New("a jid has plain printable characters without spaces")
 	case j.kind == "":
 		return j, errors.New("a job has a jobtype")
 	case len(j.kind) > maxName || len(j.queue) > maxName || len(j.id) > maxName:
@@ -89,7 +92,7 @@
 		return j, fmt.Errorf("neither jobtype %q nor queue %q is set up here", j.kind, j.queue)
 	}
 	j.arrival = stage.Arrival{
-		ID: j.id, Class: as.Class, Tenant: as.Tenant, Front: Front, Key: j.id, Form: form, Body: v.MarshalTo(nil), Hint: as.Cost, Slots: 1,
+		ID: j.id, Class: as.Class, Tenant: as.Tenant, Front: Front, Key: j.id, Form: form, Body: jsontext.Append(nil, v), Hint: as.Cost, Slots: 1,
 		Needs: j.queue, Once: true,
 	}
 	if len(j.arrival.Body) > stage.MaxBody {
@@ -172,7 +175,7 @@
 	var d xxhash.Digest
 	d.Reset()
 	d.WriteString(j.kind + "\x00" + j.queue + "\x00")
-	d.Write(whole.Get("args").MarshalTo(nil))
+	d.Write(jsontext.Append(nil, whole.Get("args")))
 	j.unique = max(1, d.Sum64())
 	return nil
 }
@@ -194,7 +197,7 @@
 	v.Set("jobtype", a.NewString(t.Class))
 	v.Set("args", args)
 	v.Set("custom", custom)
-	return v.MarshalTo(nil)
+	return jsontext.Append(nil, v)
 }
 
 // withFailure is a pushed job with what is known of how it failed last.
@@ -209,7 +212,7 @@
 	}
 	var a fastjson.Arena
 	v.Set("failure", failureJSON(&a, tried.job.Failure))
-	return v.MarshalTo(nil)
+	return jsontext.Append(nil, v)
 }
 
 func failureJSON(a *fastjson.Arena, f *sets.Failure) *fastjson.Value {
--- a/internal/faktory/show.go
+++ b/internal/faktory/show.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"basaltloft/internal/faktory/sets"
+	"basaltloft/internal/jsontext"
 
 	"github.com/valyala/fastjson"
 )
@@ -36,7 +37,7 @@
 		for i, id := range ids[min(first, len(ids)):min(first+mostShown, len(ids))] {
 			list.SetArrayItem(i, workerJSON(&a, b.workers.byID[id]))
 		}
-		return bulk(list.MarshalTo(nil))
+		return bulk(jsontext.Append(nil, list))
 	}
 	for _, set := range []*sets.Set{b.book.Scheduled, b.book.Retries, b.book.Dead} {
 		if set.Name != what {
@@ -57,7 +58,7 @@
 			}
 			list.SetArrayItem(i, v)
 		}
-		return bulk(list.MarshalTo(nil))
+		return bulk(jsontext.Append(nil, list))
 	}
 	return fault("SHOW takes scheduled, retries, dead or workers, not %q", what)
 }
--- a/internal/scenario/race_off.go
+++ b/internal/scenario/race_off.go
@@ -3,3 +3,6 @@
 package scenario
 
 var buildFlags []string
+
+// Race tells whether the program is built under the race detector.
+const Race = false
--- a/internal/virtualserver/news.go
+++ b/internal/virtualserver/news.go
@@ -6,6 +6,7 @@
 
 	"basaltloft"
 	"basaltloft/internal/core"
+	"basaltloft/internal/jsontext"
 	"basaltloft/internal/stage"
 
 	"github.com/valyala/fastjson"
@@ -50,7 +51,7 @@
 		case result.Type() == fastjson.TypeString:
 			n.Result = append([]byte(nil), result.GetStringBytes()...)
 		default:
-			n.Result = result.MarshalTo(nil)
+			n.Result = jsontext.Append(nil, result)
 		}
 	case "failed":
 		n.Ended, n.Status = true, basaltloft.Error
