--- a/internal/cli/figures.go
+++ b/internal/cli/figures.go
@@ -27,7 +27,7 @@
 }
 
 func showCommand(sh *shared) *cobra.Command {
-	var at, by, format string
+	var at, by, window, format string
 	var audit bool
 	c := &cobra.Command{
 		Use: "show", Short: "show the account of a running dispatcher", Args: none,
@@ -44,6 +44,9 @@
 					return misuse{fmt.Errorf("--by takes any of %s, not %q", strings.Join(figures.Dimensions, ", "), d)}
 				}
 			}
+			if window != "" && !slices.Contains(figures.Windows, window) {
+				return misuse{fmt.Errorf("--window takes one of %s, not %q", strings.Join(figures.Windows, ", "), window)}
+			}
 			if audit {
 				var ignored json.RawMessage
 				if err := fetch(c, at, "/audit", &ignored); err != nil {
@@ -57,12 +60,16 @@
 			if format == "json" {
 				return writeJSON(sh.out, r)
 			}
+			if window != "" {
+				return figures.WindowTable(sh.out, r, window)
+			}
 			return figures.Table(sh.out, r, dims)
 		},
 	}
 	c.Flags().StringVar(&at, "at", "127.0.0.1:7421", "`address` that figures.listen names")
 	c.Flags().StringVar(&format, "format", "table", "table or json")
 	c.Flags().StringVar(&by, "by", "front,class,tenant", "what to show by: any of "+strings.Join(figures.Dimensions, ", "))
+	c.Flags().StringVar(&window, "window", "", "show a stretch of time in place of all since the start: one of "+strings.Join(figures.Windows, ", "))
 	c.Flags().BoolVar(&audit, "audit", false, "audit the account first")
 	return c
 }
--- a/internal/faktory/backlog.go
+++ b/internal/faktory/backlog.go
@@ -102,7 +102,7 @@
 		hub: hub, intake: intake, set: set, log: log, desk: desk,
 		book: sets.NewBook(sets.Limits{
 			Jobs: set.Waiting.Jobs, Bytes: set.Waiting.Bytes, QueueJobs: set.Waiting.QueueJobs, QueueBytes: set.Waiting.QueueBytes,
-			Queues: mostQueues, Dead: set.Waiting.Dead, DeadBytes: set.Waiting.DeadBytes, DeadFor: set.Waiting.DeadFor, Unit: set.BackoffUnit,
+			OwnerJobs: set.Waiting.OwnerJobs, OwnerBytes: set.Waiting.OwnerBytes, Queues: mostQueues, Dead: set.Waiting.Dead, DeadBytes: set.Waiting.DeadBytes, DeadFor: set.Waiting.DeadFor, Unit: set.BackoffUnit,
 		}, uint64(time.Now().UnixNano())), batches: batch.NewBook(mostBatches),
 		tasks: make(map[string]*task), waiting: make(map[string]int),
 	}
@@ -193,7 +193,7 @@
 // push takes a job. Where the decisions see it at once and refuse it there and
 // then, it is not taken, and its client is told when to come back. A jid that is
 // known joins its first push.
-func (b *backlog) push(v *fastjson.Value, now time.Time) error {
+func (b *backlog) push(v *fastjson.Value, owner string, now time.Time) error {
 	j, err := readJob(v, b.set, now)
 	if err != nil {
 		return broken(err)
@@ -202,7 +202,7 @@
 	if !ok {
 		return broken(fmt.Errorf("unknown class %q", j.arrival.Class))
 	}
-	t, err := b.enter(j, effect, now)
+	t, err := b.enter(j, effect, owner, now)
 	if err != nil || t == nil {
 		return err
 	}
@@ -221,7 +221,7 @@
 
 // enter puts a job into its queue or set, and feeds the queue. It returns no
 // task if nothing is to be waited for.
-func (b *backlog) enter(j job, effect basaltloft.Effect, now time.Time) (*task, error) {
+func (b *backlog) enter(j job, effect basaltloft.Effect, owner string, now time.Time) (*task, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.ending {
@@ -231,6 +231,7 @@
 		return nil, nil
 	}
 	waiting := j.waiting()
+	waiting.Owner = owner
 	if j.batch != "" {
 		if err := b.batches.MayAdd(j.batch); err != nil {
 			return nil, broken(fmt.Errorf("batch %s: %w", j.batch, err))
--- a/internal/faktory/commands.go
+++ b/internal/faktory/commands.go
@@ -51,7 +51,7 @@
 	if err != nil {
 		return fault("the job is no JSON")
 	}
-	if err := s.back.push(v, time.Now()); err != nil {
+	if err := s.back.push(v, s.from, time.Now()); err != nil {
 		return "-" + plainLine(err.Error()) + "\r\n"
 	}
 	return ok
@@ -70,7 +70,7 @@
 	var a fastjson.Arena
 	problems := a.NewObject()
 	for _, job := range jobs {
-		if err := s.back.push(job, time.Now()); err != nil {
+		if err := s.back.push(job, s.from, time.Now()); err != nil {
 			problems.Set(string(job.GetStringBytes("jid")), a.NewString(strings.TrimPrefix(err.Error(), "ERR ")))
 		}
 	}
--- a/internal/faktory/server.go
+++ b/internal/faktory/server.go
@@ -161,6 +161,7 @@
 	wire   *wire
 	worker *worker // nil: a client that only pushes
 	hello  hello
+	from   string // the client's address, without its port
 }
 
 func (s *Server) serve(ctx context.Context, c net.Conn) {
@@ -189,6 +190,7 @@
 	s.conns[c] = time.Time{}
 	s.mu.Unlock()
 	at := &session{Server: s, wire: w, hello: h}
+	at.from, _, _ = net.SplitHostPort(c.RemoteAddr().String())
 	if h.worker != "" {
 		at.worker = s.workers.connect(h)
 		defer s.workers.disconnect(at.worker)
--- a/internal/faktory/sets/book.go
+++ b/internal/faktory/sets/book.go
@@ -13,6 +13,7 @@
 type Limits struct {
 	Jobs, Bytes           int // over all queues and sets, the dead apart
 	QueueJobs, QueueBytes int // of one queue
+	OwnerJobs, OwnerBytes int // of one client; 0: no bound of its own
 	Queues                int
 	Dead, DeadBytes       int           // beyond these the oldest go
 	DeadFor               time.Duration // and after this
@@ -49,6 +50,7 @@
 	Scheduled  *Set
 	Retries    *Set
 	Dead       *Set
+	owners     map[string]*tally
 	bytes      int // of what waits, the dead apart
 	count      int
 	DeadGone   int    // of the dead, those that went for want of room or time
@@ -57,11 +59,14 @@
 	lastMoment time.Time
 }
 
+// tally is what waits of one client.
+type tally struct{ jobs, bytes int }
+
 // NewBook returns an empty one. Seed is that of the jitter.
 func NewBook(l Limits, seed uint64) *Book {
 	return &Book{
 		limits: l, random: rand.New(rand.NewPCG(seed, 23)), queues: make(map[string]*Queue), jobs: make(map[string]*Job),
-		locks: make(map[uint64]lock), Scheduled: &Set{Name: "scheduled"}, Retries: &Set{Name: "retries"}, Dead: &Set{Name: "dead"},
+		locks: make(map[uint64]lock), owners: make(map[string]*tally), Scheduled: &Set{Name: "scheduled"}, Retries: &Set{Name: "retries"}, Dead: &Set{Name: "dead"},
 	}
 }
 
@@ -160,7 +165,15 @@
 // room says whether a job fits.
 func (b *Book) room(j *Job) error {
 	q, size := b.queues[j.Queue], j.size()
+	var mine tally
+	if o := b.owners[j.Owner]; o != nil {
+		mine = *o
+	}
 	switch {
+	case b.limits.OwnerJobs > 0 && mine.jobs >= b.limits.OwnerJobs:
+		return Full{fmt.Sprintf("%d jobs of this client wait", mine.jobs)}
+	case b.limits.OwnerBytes > 0 && mine.bytes+size > b.limits.OwnerBytes:
+		return Full{fmt.Sprintf("%d bytes of this client wait", mine.bytes)}
 	case b.count >= b.limits.Jobs:
 		return Full{fmt.Sprintf("%d jobs wait", b.count)}
 	case b.bytes+size > b.limits.Bytes:
@@ -177,8 +190,23 @@
 
 func (b *Book) enter(j *Job) {
 	b.jobs[j.ID] = j
-	b.count++
-	b.bytes += j.size()
+	b.tally(j, 1)
+}
+
+// tally counts a job in or out.
+func (b *Book) tally(j *Job, by int) {
+	size := by * j.size()
+	b.count += by
+	b.bytes += size
+	o := b.owners[j.Owner]
+	if o == nil {
+		o = new(tally)
+		b.owners[j.Owner] = o
+	}
+	o.jobs += by
+	if o.bytes += size; o.jobs == 0 {
+		delete(b.owners, j.Owner)
+	}
 }
 
 func (b *Book) enqueue(now time.Time, j *Job, front bool) {
@@ -210,8 +238,7 @@
 		b.Dead.Remove(j)
 		return
 	}
-	b.count--
-	b.bytes -= j.size()
+	b.tally(j, -1)
 	if j.in != nil {
 		j.in.Remove(j)
 	} else if j.at != nil {
--- a/internal/faktory/sets/job.go
+++ b/internal/faktory/sets/job.go
@@ -14,6 +14,7 @@
 // them may wait: what few jobs have is in Rare.
 type Job struct {
 	ID, Type, Queue string // the latter two should be shared by the jobs of one name
+	Owner           string // the client that pushed it, shared likewise
 	Body            []byte // as it was pushed
 	*Rare                  // nil: nothing of it
 	Failure         *Failure
--- a/internal/faktory/sets/sets_test.go
+++ b/internal/faktory/sets/sets_test.go
@@ -345,6 +345,27 @@
 	require.Error(t, err)
 }
 
+// TestOwners: one client's jobs do not take another's room.
+func TestOwners(t *testing.T) {
+	l := roomy
+	l.OwnerJobs, l.OwnerBytes = 2, 2000
+	b := NewBook(l, 1)
+	push := func(id, owner string, size int) error {
+		j := job(id, "a")
+		j.Owner, j.Body = owner, make([]byte, size)
+		return b.Push(start, j)
+	}
+	require.NoError(t, push("1", "x", 10))
+	require.NoError(t, push("2", "x", 10))
+	require.ErrorIs(t, push("3", "x", 10), ErrFull)
+	require.ErrorIs(t, push("4", "y", 2000), ErrFull)
+	require.NoError(t, push("5", "y", 10))
+	b.Take(start, "a")
+	require.NoError(t, push("3", "x", 10))
+	b.Flush()
+	require.Empty(t, b.owners)
+}
+
 // TestExpiry: what has expired is not taken in, and not taken out.
 func TestExpiry(t *testing.T) {
 	b := NewBook(roomy, 1)
--- a/internal/figures/figures_test.go
+++ b/internal/figures/figures_test.go
@@ -345,6 +345,9 @@
 	var table strings.Builder
 	require.NoError(t, Table(&table, report, []string{"front", "class", "group"}))
 	require.Contains(t, table.String(), "2 taken = 1 served + 0 refused + 0 failed + 1 open; 1 audits found nothing")
+	table.Reset()
+	require.NoError(t, WindowTable(&table, report, "hour"))
+	require.Regexp(t, `http +hold +a +0 +1 +`, table.String())
 	report.Audit.Differences = []account.Difference{{Audit: "sums", What: "taken", Here: 1, There: 2}}
 	table.Reset()
 	require.NoError(t, Table(&table, report, nil))
--- a/internal/figures/table.go
+++ b/internal/figures/table.go
@@ -108,3 +108,30 @@
 	}
 	return nil
 }
+
+// Windows are what a table of windows can be of.
+var Windows = []string{"minute", "hour", "day", "last60m", "last24h"}
+
+// WindowTable writes what was counted in a stretch of time, by front, class and
+// tenant. Opened is what was open at its begin: opened + taken = ended + open.
+func WindowTable(out io.Writer, r Report, window string) error {
+	open := make(map[[3]string]int64)
+	for i := range r.Account.Rows {
+		row := &r.Account.Rows[i]
+		open[[3]string{row.Front, row.Class, row.Tenant}] += row.Open
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "front\tclass\ttenant\topened\ttaken\tserved\trefused\tfailed\topen\t")
+	for i := range r.Account.Lines {
+		l := &r.Account.Lines[i]
+		s := map[string]account.Span{"minute": l.Minute, "hour": l.Hour, "day": l.Day, "last60m": l.Hour60, "last24h": l.Day24}[window]
+		now := open[[3]string{l.Front, l.Class, l.Tenant}]
+		var ended int64
+		for _, n := range s.Ends {
+			ended += int64(n)
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t\n", l.Front, l.Class, l.Tenant, now+ended-int64(s.Taken), s.Taken,
+			s.Ends[account.Served], s.Ends[account.Refused], s.Ends[account.Failed], now)
+	}
+	return w.Flush()
+}
--- /dev/null
+++ b/internal/service/program_test.go
@@ -0,0 +1,83 @@
+package service_test
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"basaltloft/internal/scenario"
+
+	"github.com/stretchr/testify/require"
+)
+
+const served = `
+			client send POST /place-hold HTTP/1.1\r\nHost: app\r\nX-Call-Id: h-1\r\nX-Budget: 9\r\nContent-Length: 0\r\n\r\n
+			r1 expect X-Call-Id: h-1
+			r1 send HTTP/1.1 202 x\r\nContent-Length: 0\r\n\r\n
+			client.back send POST /_jobs/news HTTP/1.1\r\nHost: app\r\nContent-Length: 41\r\n\r\n{"id":"h-1","from":"s-r1","state":"done"}
+			client.back expect 204
+			client expect ^HTTP/1.1 200 OK`
+
+func operator(folder string) string {
+	return fmt.Sprintf(`{"agent_check":{"listen":"AGENT"},"figures":{"listen":"FIGURES","journal":{"folder":%q}}}`, folder)
+}
+
+// TestFailingFolder: a folder that can't be used is complained of, in the log,
+// on the agent check and in the figures, and no job waits for it.
+func TestFailingFolder(t *testing.T) {
+	dir := t.TempDir()
+	file := filepath.Join(dir, "file")
+	require.NoError(t, os.WriteFile(file, nil, 0o600))
+	scenario.Play(t, scenario.Start(t, 1, operator(filepath.Join(file, "figures"))), nil, `
+			program expect level=error msg="the journal of figures is off
+			program expect serving`+served+`
+			agent expect ^ready up \d+% #the journal of figures has stopped\n$
+			program close
+			program wait`)
+}
+
+// TestSegmentOfTheFuture: a folder of a newer program is left as it is.
+func TestSegmentOfTheFuture(t *testing.T) {
+	dir := t.TempDir()
+	text, err := os.ReadFile(filepath.Join("testdata", "newer.seg"))
+	require.NoError(t, err)
+	name := filepath.Join(dir, "00000009-00000001.seg")
+	require.NoError(t, os.WriteFile(name, text, 0o600))
+	scenario.Play(t, scenario.Start(t, 1, operator(dir)), nil, `
+			program expect level=error msg="the journal of figures is off[^\n]*version 3: written by a newer version of the program
+			program expect serving`+served+`
+			program close
+			program wait`)
+	after, err := os.ReadFile(name)
+	require.NoError(t, err)
+	require.Equal(t, text, after)
+}
+
+// TestOneFolder: a second dispatcher does not write where the first one does.
+func TestOneFolder(t *testing.T) {
+	dir := t.TempDir()
+	first := scenario.Start(t, 1, operator(dir))
+	scenario.Play(t, scenario.Cast{"one": first["program"]}, nil, "one expect serving")
+	second := scenario.Start(t, 1, operator(dir))
+	scenario.Play(t, second, nil, `
+			program expect level=error msg="the journal of figures is off[^\n]*in use by another process
+			program expect serving`+served)
+}
+
+// TestEpochs: a planned end closes its epoch in order, and figures tell the one
+// that runs.
+func TestEpochs(t *testing.T) {
+	dir := t.TempDir()
+	for _, said := range []string{"epoch 1", "epoch 2", "epoch 3"} {
+		scenario.Play(t, scenario.Start(t, 1, operator(dir)), nil, `
+			program expect journal of figures: `+said+`"
+			program expect serving`+served+`
+			figures send GET /audit HTTP/1.1\r\nHost: a\r\n\r\nGET /figures HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n
+			figures expect "differences":\[\].*"Stopped":false
+			agent expect ^ready up \d+%\n$
+			program close
+			program expect msg=done failed=0 open=0 refused=0 served=1 taken=1
+			program wait`)
+	}
+}
--- a/internal/settings/operator.go
+++ b/internal/settings/operator.go
@@ -36,6 +36,7 @@
 type FaktoryWaiting struct {
 	Jobs, Bytes           int // over all queues and sets, the dead apart
 	QueueJobs, QueueBytes int // of one queue
+	OwnerJobs, OwnerBytes int // of one client address; 0: no bound of its own
 	Dead, DeadBytes       int
 	DeadFor               time.Duration
 }
@@ -106,6 +107,8 @@
 	}
 	f.Waiting.QueueJobs = int(r.count(w+"queue_jobs", int64(f.Waiting.Jobs)*3/4))
 	f.Waiting.QueueBytes = int(r.count(w+"queue_megabytes", int64(f.Waiting.Bytes>>20)*3/4)) << 20
+	f.Waiting.OwnerJobs = int(r.count(w+"client_jobs", 0))
+	f.Waiting.OwnerBytes = int(r.count(w+"client_megabytes", 0)) << 20
 	f.PerAddress = int(r.count("faktory.connections_per_address", 0))
 	f.BackoffUnit = time.Duration(r.count("faktory.backoff_unit_ms", 1000)) * time.Millisecond
 	r.address("faktory.listen", f.Listen)
