Add the lab: a model of the fleet that hosts the decisions, checked by formulas

Need: nothing could try a design at sizes that sockets don't reach. Change: internal/lab plays members, clients, discovery and troubles in virtual time with the real module or yardstick policies; a checker of its own catches policies that break each rule; lab run and compare on an experiment's file, which config check reads too. It is a program of its own.

--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -124,7 +124,7 @@
 			if len(r.Problems) > 0 {
 				return silent
 			}
-			fmt.Fprintf(sh.out, "%s: ok, a %s\n", args[0], r.Kind)
+			fmt.Fprintf(sh.out, "%s: ok (%s)\n", args[0], r.Kind)
 			return nil
 		},
 	})
--- a/internal/cli/tools.go
+++ b/internal/cli/tools.go
@@ -114,3 +114,18 @@
 	}
 	return nil
 }
+
+// labCommand starts the model of the fleet, a program of its own: its statistics
+// are for a tool alone. What it takes is its own to check.
+func labCommand(sh *shared) *cobra.Command {
+	return &cobra.Command{
+		Use: "lab run|compare FILE [-seeds N] [-policies A,B] [-base POLICY] [-format table|csv|json]", Short: "play experiments in a model of the fleet",
+		DisableFlagParsing: true,
+		RunE: func(c *cobra.Command, args []string) error {
+			if len(args) == 0 || args[0] == "--help" || args[0] == "-h" {
+				return c.Help()
+			}
+			return beside(c, sh, "basaltloft-lab", args...)
+		},
+	}
+}
--- /dev/null
+++ b/internal/lab/file.go
@@ -0,0 +1,31 @@
+package lab
+
+import (
+	"basaltloft/internal/settings"
+)
+
+// FromFile makes a run's experiment of a file's, at a multiple of its rates.
+func FromFile(f settings.Experiment, load float64) *Experiment {
+	x := &Experiment{
+		Length: f.Length, Dispatchers: f.Dispatchers, Net: f.Net, NetCV: f.NetCV, ListLate: f.ListLate, Retries: f.Retries, Backoff: f.Backoff, Settings: f.Settings,
+	}
+	for _, k := range f.Members {
+		x.Kinds = append(x.Kinds, MemberKind{
+			Name: k.Kind, Count: k.Count, Cores: k.Cores, Slots: k.Slots, Queue: k.Queue, Speed: k.Speed, SpeedCV: k.SpeedCV, Cells: k.Cells,
+			ColdFrom: k.ColdFrom, ColdFor: k.ColdFor, Crowding: k.Crowding,
+		})
+	}
+	for _, c := range f.Classes {
+		for _, of := range f.Settings.Classes {
+			if of.Name == c.Name {
+				x.Classes = append(x.Classes, Class{
+					Class: of, Rate: c.Rate * load, Work: c.Work, Shape: c.Shape, CV: c.CV, HintError: c.HintError, Slots: c.Slots,
+				})
+			}
+		}
+	}
+	for _, t := range f.Troubles {
+		x.Troubles = append(x.Troubles, Trouble(t))
+	}
+	return x
+}
--- /dev/null
+++ b/internal/lab/lab_test.go
@@ -0,0 +1,283 @@
+package lab
+
+import (
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	"basaltloft"
+
+	"github.com/stretchr/testify/require"
+)
+
+// bayRules are those of a bay, for so many dispatchers.
+func bayRules(dispatchers int, classes ...Class) basaltloft.Settings {
+	s := basaltloft.Settings{
+		Instances: dispatchers, WorthByWork: true, TellsStart: true, Kinds: []string{"std"},
+		Limits: basaltloft.Limits{MaxAttempts: 3, Cancel: true, Probes: true, RetryAfter: true, MaxRetryAfter: 2 * time.Second},
+		Rules: basaltloft.Rules{
+			AnswerGrace: 8 * time.Millisecond, AskWithin: 10 * time.Second, ColdFrom: 0.12, ColdFor: 24 * time.Second, FallMultiple: 4, FallFor: 3 * time.Second,
+		},
+	}
+	for _, c := range classes {
+		s.Classes = append(s.Classes, c.Class)
+	}
+	return s
+}
+
+func class(name string, effect basaltloft.Effect, rate float64, work time.Duration, shape string) Class {
+	return Class{
+		Class: basaltloft.Class{Name: name, Effect: effect, Window: 15 * time.Second, Group: basaltloft.GroupCell, Aim: 400 * time.Millisecond,
+			Stretch: 2.5, GiveUp: 10 * time.Second, Worth: 10, Kind: -1},
+		Rate: rate, Work: work, Shape: shape, CV: 2,
+	}
+}
+
+func play(t testing.TB, x *Experiment, policy string, seed uint64) *Result {
+	m, err := PolicyOf(policy)
+	require.NoError(t, err)
+	w, err := New(x, m, seed)
+	require.NoError(t, err)
+	return w.Run()
+}
+
+// queueing is one dispatcher in front of one member, with nothing between them:
+// the classic queues. Its waits are told by formula.
+func queueing(cores int, shape string, load float64) *Experiment {
+	c := class("job", basaltloft.Safe, load*float64(cores)*100, 10*time.Millisecond, shape)
+	c.GiveUp, c.Aim = time.Hour, time.Hour
+	x := &Experiment{
+		Length: formulaSpan * time.Second, Dispatchers: 1, Classes: []Class{c},
+		Kinds: []MemberKind{{Name: "std", Count: 1, Cores: cores, Slots: cores, Queue: 1 << 20, Speed: 1}},
+	}
+	x.Settings = bayRules(1, c)
+	x.Settings.Limits.MaxAttempts = 1
+	return x
+}
+
+// TestFormulas holds the model to M/M/1, M/M/c and M/D/1: the mean wait within 2%
+// of what the formulas say, over the mean of some seeds (8% of shorter runs under the
+// race detector).
+func TestFormulas(t *testing.T) {
+	erlangC := func(c int, load float64) float64 {
+		a := load * float64(c)
+		sum, term := 0.0, 1.0
+		for k := 0; k < c; k++ {
+			if k > 0 {
+				term *= a / float64(k)
+			}
+			sum += term
+		}
+		last := term * a / float64(c) / (1 - load)
+		return last / (sum + last)
+	}
+	const service = 0.010
+	for name, q := range map[string]struct {
+		cores int
+		shape string
+		load  float64
+		wait  float64 // seconds
+	}{
+		"M/M/1 at 0.5": {1, "exp", 0.5, service * 0.5 / (1 - 0.5)},
+		"M/M/1 at 0.7": {1, "exp", 0.7, service * 0.7 / (1 - 0.7)},
+		"M/M/4 at 0.7": {4, "exp", 0.7, erlangC(4, 0.7) * service / (4 * (1 - 0.7))},
+		"M/D/1 at 0.7": {1, "fixed", 0.7, 0.7 * service / (2 * (1 - 0.7))},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			sum := 0.0
+			const seeds = 4
+			for seed := range uint64(seeds) {
+				r := play(t, queueing(q.cores, q.shape, q.load), "random", seed)
+				require.Empty(t, r.Broken)
+				require.InDelta(t, q.load, r.Busy, 0.02)
+				sum += r.Wait.Mean() / 1e6
+			}
+			require.InEpsilon(t, q.wait, sum/seeds, formulaWithin)
+		})
+	}
+}
+
+// bay is a fleet as in service, with all that may go wrong.
+func bay(troubles ...Trouble) *Experiment {
+	hold := class("place-hold", basaltloft.Keyed, 18, 700*time.Millisecond, "lognormal")
+	ticket := class("group-ticket", basaltloft.Unsafe, 3, 3*time.Second, "lognormal")
+	ticket.Aim, ticket.GiveUp, ticket.Worth = time.Second, 25*time.Second, 2
+	hold.HintError, ticket.HintError = 0.5, 0.5
+	x := &Experiment{
+		Length: 60 * time.Second, Dispatchers: 4, Classes: []Class{hold, ticket}, Net: 200 * time.Microsecond, NetCV: 0.2,
+		Kinds:    []MemberKind{{Name: "std", Count: 12, Cores: 4, Slots: 4, Queue: 28, Speed: 1, SpeedCV: 0.2, Cells: 2, ColdFrom: 0.15, ColdFor: 20 * time.Second}},
+		ListLate: time.Second, Retries: 2, Backoff: 100 * time.Millisecond, Troubles: troubles,
+	}
+	x.Settings = bayRules(4, hold, ticket)
+	return x
+}
+
+// TestModuleKeepsRules plays the module through each trouble: it breaks no rule.
+func TestModuleKeepsRules(t *testing.T) {
+	for name, troubles := range map[string][]Trouble{
+		"calm": nil, "crash": {{Kind: "crash", At: 20 * time.Second, For: 10 * time.Second, Part: 0.25}},
+		"pause":   {{Kind: "pause", At: 20 * time.Second, For: 300 * time.Millisecond, Part: 0.4}},
+		"deploy":  {{Kind: "deploy", At: 10 * time.Second, For: 30 * time.Second, Part: 0.9}},
+		"restart": {{Kind: "restart", At: 10 * time.Second, For: 10 * time.Second, Part: 0.9}},
+		"slow":    {{Kind: "slow", At: 10 * time.Second, For: 20 * time.Second, Part: 0.2, Size: 0.1}},
+		"all": {{Kind: "deploy", At: 10 * time.Second, For: 30 * time.Second, Part: 0.9}, {Kind: "restart", At: 12 * time.Second, For: 10 * time.Second, Part: 0.9},
+			{Kind: "crash", At: 20 * time.Second, For: 10 * time.Second, Part: 0.25}, {Kind: "pause", At: 25 * time.Second, For: 300 * time.Millisecond, Part: 0.4}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(3) {
+				r := play(t, bay(troubles...), "module", seed)
+				require.Empty(t, r.Broken)
+				require.NotZero(t, r.InTime)
+				require.Equal(t, r.Asked, r.InTime+r.Late+r.Refused+r.Failed, "every ask ends once")
+			}
+		})
+	}
+}
+
+// TestSeeds: the same seed gives the same run.
+func TestSeeds(t *testing.T) {
+	x := bay(Trouble{Kind: "deploy", At: 10 * time.Second, For: 30 * time.Second, Part: 0.9})
+	for _, policy := range PolicyNames() {
+		a, b := play(t, x, policy, 3), play(t, x, policy, 3)
+		require.Equal(t, a.Events, b.Events, policy)
+		require.Equal(t, a.Goodput(), b.Goodput(), policy)
+		require.NotEqual(t, a.Events, play(t, x, policy, 4).Events, policy)
+	}
+}
+
+// TestYardsticks: who sees more does no worse, on a calm day.
+func TestYardsticks(t *testing.T) {
+	mean := func(policy string) float64 {
+		sum := 0.0
+		for seed := range uint64(4) {
+			x := bay()
+			for i := range x.Classes {
+				x.Classes[i].Rate *= 1.6
+			}
+			r := play(t, x, policy, seed)
+			require.Empty(t, r.Broken, policy)
+			sum += r.Goodput() / 4
+		}
+		return sum
+	}
+	random, two, truth, module := mean("random"), mean("best of two"), mean("true state"), mean("module")
+	t.Logf("random %.3f, best of two %.3f, module %.3f, true state %.3f", random, two, module, truth)
+	require.Greater(t, two, random)
+	require.Greater(t, module, random)
+	require.GreaterOrEqual(t, truth, module-0.02)
+}
+
+// breaker is a policy that breaks one rule on purpose.
+type breaker struct {
+	Policy
+	host  basaltloft.Host
+	fault func(b *breaker, r basaltloft.Request)
+	list  []basaltloft.Member
+	gone  uint32
+}
+
+func (b *breaker) Request(now time.Duration, r basaltloft.Request) { b.fault(b, r) }
+func (b *breaker) Outcome(time.Duration, basaltloft.Outcome)       {}
+func (b *breaker) Members(now time.Duration, k basaltloft.ListKind, all []basaltloft.Member) {
+	if k != basaltloft.ListChange {
+		b.list = all
+	}
+	for _, m := range all {
+		if m.State != basaltloft.Ready {
+			b.gone = m.Worker
+		}
+	}
+}
+
+// TestChecker: a policy that breaks a rule is caught, each rule by its words.
+func TestChecker(t *testing.T) {
+	any := func(b *breaker) uint32 { return b.list[0].Worker }
+	for want, c := range map[string]struct {
+		x  *Experiment
+		do func(b *breaker, r basaltloft.Request)
+	}{
+		"no final answer": {bay(), func(*breaker, basaltloft.Request) {}},
+		"second final answer": {bay(), func(b *breaker, r basaltloft.Request) {
+			b.host.Send(r.ID, any(b), 0)
+			b.host.Fail(r.ID)
+			b.host.Refuse(r.ID, 0)
+		}},
+		"two attempts at once": {bay(), func(b *breaker, r basaltloft.Request) { b.host.Send(r.ID, any(b), 0); b.host.Send(r.ID, any(b), 0) }},
+		"must not run twice":   {bay(), func(b *breaker, r basaltloft.Request) { b.host.Send(r.ID, any(b), 0); b.host.Send(r.ID, any(b), 0) }},
+		"outside of its group": {bay(), func(b *breaker, r basaltloft.Request) {
+			for _, m := range b.list[:6] {
+				b.host.Send(r.ID, m.Worker, 0)
+			}
+		}},
+		"for the 4th time": {bay(), func(b *breaker, r basaltloft.Request) {
+			for range 4 {
+				b.host.Send(r.ID, any(b), 0)
+			}
+		}},
+		"sent after its final": {bay(), func(b *breaker, r basaltloft.Request) {
+			b.host.Send(r.ID, any(b), 0)
+			b.host.Fail(r.ID)
+			b.host.Send(r.ID, any(b), 0)
+		}},
+		"though it may have": {bay(), func(b *breaker, r basaltloft.Request) { b.host.Send(r.ID, any(b), 0); b.host.Refuse(r.ID, 0) }},
+		"draining or gone": {bay(Trouble{Kind: "crash", At: time.Second, For: 50 * time.Second, Part: 0.3}), func(b *breaker, r basaltloft.Request) {
+			if b.gone != 0 {
+				b.host.Send(r.ID, b.gone, 0)
+			}
+		}},
+		"what it can do": {bay(Trouble{Kind: "crash", At: time.Second, For: time.Second, Part: 0.01}), func(b *breaker, r basaltloft.Request) {
+			if b.gone != 0 {
+				b.host.Send(r.ID, b.gone, 0)
+			}
+		}},
+		"after its deadline": {bay(), func(b *breaker, r basaltloft.Request) {
+			b.host.(*dispatcher).w.in(30*time.Second, func() { b.host.Fail(r.ID) })
+		}},
+	} {
+		w, err := New(c.x, func(_ *World, h basaltloft.Host, _ int, _ uint64) (Policy, error) {
+			return &breaker{host: h, Policy: &plain{}, fault: c.do}, nil
+		}, 1)
+		require.NoError(t, err, want)
+		r := w.Run()
+		found := false
+		for _, b := range r.Broken {
+			found = found || strings.Contains(b, want)
+		}
+		require.True(t, found, "%s: %v", want, r.Broken)
+	}
+}
+
+// TestCold: a member that has just started does what its warm-up lets it.
+func TestCold(t *testing.T) {
+	x := bay()
+	w, err := New(x, Yardsticks["random"], 1)
+	require.NoError(t, err)
+	m := w.members[0]
+	m.boot()
+	require.InDelta(t, 0.15, m.warm(), 1e-9)
+	w.run(w.now + 10*time.Second)
+	require.InDelta(t, 0.575, m.warm(), 1e-6)
+	w.run(w.now + 10*time.Second)
+	require.Equal(t, 1.0, m.warm())
+	require.False(t, math.IsNaN(m.load()))
+}
+
+// BenchmarkSize plays a second of a fleet of 10,000 members and 1,000
+// dispatchers.
+func BenchmarkSize(b *testing.B) {
+	for range b.N {
+		hold := class("place-hold", basaltloft.Keyed, 20000, 500*time.Millisecond, "lognormal")
+		x := &Experiment{
+			Length: time.Second, Dispatchers: 1000, Classes: []Class{hold}, Net: 200 * time.Microsecond, NetCV: 0.2,
+			Kinds: []MemberKind{{Name: "std", Count: 10000, Cores: 4, Slots: 4, Queue: 28, Speed: 1, SpeedCV: 0.2, Cells: 1000}}, ListLate: time.Second,
+		}
+		x.Settings = bayRules(1000, hold)
+		began := time.Now()
+		r := play(b, x, "module", 1)
+		b.ReportMetric(float64(r.Events)/time.Since(began).Seconds(), "events/s")
+		b.ReportMetric(r.Goodput(), "goodput")
+	}
+}
--- /dev/null
+++ b/internal/lab/world.go
@@ -0,0 +1,570 @@
+package lab
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"basaltloft"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"gonum.org/v1/gonum/stat/distuv"
+)
+
+// Class is one class of requests of an experiment.
+type Class struct {
+	basaltloft.Class
+	Rate      float64 // asks a second, over all clients
+	Work      time.Duration
+	Shape     string    // of the work: fixed, exp, pareto or lognormal
+	CV        float64   // of a lognormal work
+	HintError float64   // hints are off by so much, up and down; below 0: no hints
+	Slots     []float64 // shares of jobs with 1, 2, 4, 8 slots; none: all 1
+}
+
+// Trouble is something that goes wrong at a time.
+type Trouble struct {
+	Kind string // crash, pause, slow, deploy, restart
+	At   time.Duration
+	For  time.Duration
+	Part float64 // of the members, or the dispatchers
+	Size float64 // slow: the factor on their speed
+}
+
+// Experiment is all that a run depends on, beside its seed and policy.
+type Experiment struct {
+	Length      time.Duration
+	Dispatchers int
+	Kinds       []MemberKind
+	Classes     []Class
+	Net         time.Duration // one way
+	NetCV       float64       // jitter, as a share
+	ListLate    time.Duration // discovery tells so late, on average
+	Retries     int           // of a client, after a refusal or where that is harmless
+	Backoff     time.Duration // before a retry
+	Settings    basaltloft.Settings
+	Troubles    []Trouble
+}
+
+// Policy decides for one dispatcher. *basaltloft.Dispatcher is one.
+type Policy interface {
+	Request(now time.Duration, r basaltloft.Request)
+	Outcome(now time.Duration, o basaltloft.Outcome)
+	Probed(now time.Duration, p basaltloft.Probed)
+	Timer(now time.Duration, token string)
+	Note(now time.Duration, n basaltloft.Note)
+	Members(now time.Duration, kind basaltloft.ListKind, entries []basaltloft.Member)
+	Gone(now time.Duration, id string)
+}
+
+// request is one try of a client.
+type request struct {
+	id       string
+	class    *Class
+	work     float64 // nanoseconds at speed 1
+	slots    float64
+	born     time.Duration // of the ask's first try
+	expires  time.Duration
+	aim      time.Duration
+	try      int
+	at       *dispatcher
+	attempts []*attempt
+	answered bool
+}
+
+// dispatcher hosts a policy. It implements basaltloft.Host.
+type dispatcher struct {
+	w      *World
+	rank   int
+	policy Policy
+	epoch  int // a restart begins a new one: what was asked before is void
+	open   map[string]*request
+	known  map[uint32]basaltloft.Member // its list
+	later  []func()
+	inside bool
+}
+
+// World is one run.
+type World struct {
+	timeline
+	x       *Experiment
+	random  *rand.Rand
+	members []*member
+	byID    map[uint32]*member
+	nodes   []*dispatcher
+	check   *checker
+	works   []func() float64
+	make    Maker
+	asks    int
+	Result  Result
+}
+
+// Result is what a run came to.
+type Result struct {
+	Asked, InTime, Late, Refused, Failed int // asks
+	Tries, Sends                         int
+	Worth, Worked                        float64                 // asked for and done in time, by work
+	Latency                              *hdrhistogram.Histogram // of served asks, in microseconds
+	Wait                                 *hdrhistogram.Histogram // of sends, until they begin to run
+	Events                               int
+	Broken                               []string // rules, by the checker
+	Busy                                 float64  // share of the cores' time
+	Seconds                              []Second
+}
+
+// Second is one second of a run.
+type Second struct{ Asked, InTime int }
+
+// Goodput is the share of the asks' work that was done in time.
+func (r *Result) Goodput() float64 { return r.Worked / max(r.Worth, 1e-9) }
+
+// Maker makes the policy of one dispatcher.
+type Maker func(w *World, d basaltloft.Host, rank int, seed uint64) (Policy, error)
+
+// Module makes the decision module.
+func Module(w *World, h basaltloft.Host, rank int, seed uint64) (Policy, error) {
+	s := w.x.Settings
+	s.Rank, s.Seed = rank, seed
+	return basaltloft.New(s, h)
+}
+
+// New sets a run up.
+func New(x *Experiment, make Maker, seed uint64) (*World, error) {
+	w := &World{x: x, random: rand.New(rand.NewPCG(seed, 31)), byID: map[uint32]*member{}, make: make}
+	w.now = time.Hour // so that "long ago" is never 0
+	w.Result.Latency, w.Result.Wait = hdrhistogram.New(1, 600e6, 3), hdrhistogram.New(1, 600e6, 3)
+	w.check = newChecker(w)
+	for i := range x.Kinds {
+		k := &x.Kinds[i]
+		for n := range k.Count {
+			m := &member{
+				w: w, number: w.random.Uint32(), kind: k, cell: n % max(1, k.Cells), speed: k.Speed, slow: 1, up: true, moved: w.now,
+			}
+			for w.byID[m.number] != nil {
+				m.number = w.random.Uint32()
+			}
+			if k.SpeedCV > 0 {
+				m.speed *= math.Exp(k.SpeedCV * w.random.NormFloat64())
+			}
+			w.members = append(w.members, m)
+			w.byID[m.number] = m
+		}
+	}
+	for i := range x.Classes {
+		w.works = append(w.works, w.workOf(&x.Classes[i]))
+	}
+	for rank := range x.Dispatchers {
+		d := &dispatcher{w: w, rank: rank}
+		w.nodes = append(w.nodes, d)
+		if err := d.boot(); err != nil {
+			return nil, err
+		}
+	}
+	return w, nil
+}
+
+// workOf draws the work of a class's jobs.
+func (w *World) workOf(c *Class) func() float64 {
+	mean := float64(c.Work)
+	switch c.Shape {
+	case "exp":
+		d := distuv.Exponential{Rate: 1 / mean, Src: w.random}
+		return d.Rand
+	case "pareto":
+		d := distuv.Pareto{Xm: mean * 0.5, Alpha: 2, Src: w.random}
+		return func() float64 { return min(d.Rand(), 50*mean) }
+	case "lognormal":
+		s2 := math.Log(1 + c.CV*c.CV)
+		d := distuv.LogNormal{Mu: math.Log(mean) - s2/2, Sigma: math.Sqrt(s2), Src: w.random}
+		return d.Rand
+	}
+	return func() float64 { return mean }
+}
+
+// hop is one way through the net.
+func (w *World) hop() time.Duration {
+	return time.Duration(float64(w.x.Net) * max(0.2, 1+w.x.NetCV*w.random.NormFloat64()))
+}
+
+// Run plays the experiment and what is left in hand after it.
+func (w *World) Run() *Result {
+	begin := w.now
+	for i := range w.x.Classes {
+		w.arrive(i, begin, begin+w.x.Length)
+	}
+	for _, t := range w.x.Troubles {
+		w.at(begin+t.At, func() { w.strike(t) })
+	}
+	w.run(begin + w.x.Length)
+	w.run(begin + w.x.Length + 2*time.Minute) // what is in hand ends
+	r := &w.Result
+	r.Events = w.done
+	w.check.end()
+	r.Broken = w.check.broken
+	var cores float64
+	for _, m := range w.members {
+		m.advance()
+		r.Busy += float64(m.ran)
+		cores += float64(m.kind.Cores)
+	}
+	r.Busy /= cores * float64(w.x.Length)
+	return r
+}
+
+func (w *World) arrive(class int, begin, end time.Duration) {
+	c := &w.x.Classes[class]
+	if c.Rate <= 0 {
+		return
+	}
+	w.in(time.Duration(w.random.ExpFloat64()/c.Rate*float64(time.Second)), func() {
+		if w.now >= end {
+			return
+		}
+		w.arrive(class, begin, end)
+		r := &request{class: c, work: max(1000, w.works[class]()), slots: 1, born: w.now}
+		pick := w.random.Float64()
+		for i, share := range c.Slots {
+			if pick -= share; pick < 0 {
+				r.slots = float64(int(1) << i)
+				break
+			}
+		}
+		w.Result.Asked++
+		w.Result.Worth += r.work * r.slots
+		w.second(begin).Asked++
+		w.ask(r, begin)
+	})
+}
+
+func (w *World) second(begin time.Duration) *Second {
+	n := int((w.now - begin) / time.Second)
+	for len(w.Result.Seconds) <= n {
+		w.Result.Seconds = append(w.Result.Seconds, Second{})
+	}
+	return &w.Result.Seconds[n]
+}
+
+// ask sends one try to a dispatcher.
+func (w *World) ask(r *request, begin time.Duration) {
+	w.asks++
+	w.Result.Tries++
+	r.id = fmt.Sprint("r", w.asks)
+	r.expires = w.now + r.class.GiveUp
+	r.aim = min(r.born+r.class.Aim+time.Duration(r.class.Stretch*r.work), r.expires)
+	r.at = w.nodes[w.random.IntN(len(w.nodes))]
+	w.in(w.hop(), func() {
+		d := r.at
+		d.open[r.id] = r
+		w.check.taken(r)
+		hint := time.Duration(0)
+		if e := r.class.HintError; e >= 0 {
+			hint = time.Duration(r.work * max(0.1, 1+e*(2*w.random.Float64()-1)))
+		}
+		w.at(r.expires-time.Millisecond, func() { w.expire(r) })
+		d.event(func() {
+			d.policy.Request(w.now, basaltloft.Request{ID: r.id, Class: r.class.Name, Hint: hint, Expires: r.expires, Slots: r.slots, Retry: r.try > 0})
+		})
+	})
+}
+
+// expire ends the attempts of a request whose time is over, as the wire does.
+func (w *World) expire(r *request) {
+	for _, a := range r.attempts {
+		if a.out {
+			w.outcome(a, basaltloft.TimedOut)
+		}
+	}
+}
+
+// answer ends a try.
+func (w *World) answer(r *request, s basaltloft.Status, refused bool) {
+	if r.answered {
+		w.check.twice(r)
+		return
+	}
+	r.answered = true
+	w.check.answered(r, refused)
+	w.in(w.hop(), func() {
+		res := &w.Result
+		switch {
+		case s == basaltloft.OK && w.now <= r.aim:
+			res.InTime++
+			res.Worked += r.work * r.slots
+			w.second(time.Hour).InTime++
+			res.Latency.RecordValue(int64((w.now - r.born) / time.Microsecond))
+		case s == basaltloft.OK:
+			res.Late++
+			res.Latency.RecordValue(int64((w.now - r.born) / time.Microsecond))
+		case r.try < w.x.Retries && (refused || r.class.Effect == basaltloft.Safe):
+			again := &request{class: r.class, work: r.work, slots: r.slots, born: r.born, try: r.try + 1}
+			w.in(w.x.Backoff, func() { w.ask(again, 0) })
+		case refused:
+			res.Refused++
+		default:
+			res.Failed++
+		}
+	})
+}
+
+// told tells the start of an attempt.
+func (w *World) told(a *attempt) {
+	w.Result.Wait.RecordValue(max(1, int64((w.now-a.sentAt)/time.Microsecond)))
+	if !w.x.Settings.TellsStart {
+		return
+	}
+	epoch := a.from.epoch
+	w.in(w.hop(), func() {
+		if a.from.epoch == epoch && a.out {
+			a.from.event(func() {
+				a.from.policy.Note(w.now, basaltloft.Note{Request: a.req.id, Attempt: a.n, Worker: a.to.number, Topic: basaltloft.NoteStarted})
+			})
+		}
+	})
+}
+
+// reply brings an attempt's end back to its dispatcher.
+func (w *World) reply(a *attempt, s basaltloft.Status) {
+	w.in(w.hop(), func() { w.outcome(a, s) })
+}
+
+func (w *World) outcome(a *attempt, s basaltloft.Status) {
+	if !a.out {
+		return
+	}
+	a.out = false
+	d, r := a.from, a.req
+	w.check.ended(a, s)
+	if d.open[r.id] != r { // it restarted, or has answered
+		if !r.answered {
+			return
+		}
+	}
+	if s == basaltloft.OK && !r.answered {
+		w.answer(r, s, false)
+	}
+	d.event(func() {
+		d.policy.Outcome(w.now, basaltloft.Outcome{
+			Request: r.id, Attempt: a.n, Worker: a.to.number, Status: s, Ended: r.answered, Latency: w.now - a.sentAt,
+		})
+	})
+	d.forget(r)
+}
+
+func (d *dispatcher) forget(r *request) {
+	if r.answered && !slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.out }) {
+		delete(d.open, r.id)
+	}
+}
+
+// boot starts a dispatcher with nothing but its last list.
+func (d *dispatcher) boot() error {
+	d.epoch++
+	old := d.open
+	d.open = make(map[string]*request)
+	p, err := d.w.make(d.w, d, d.rank, d.w.random.Uint64())
+	if err != nil {
+		return err
+	}
+	d.policy = p
+	if d.known == nil {
+		d.known = make(map[uint32]basaltloft.Member)
+		for _, m := range d.w.members {
+			d.known[m.number] = d.w.listing(m)
+		}
+	}
+	d.event(func() { d.policy.Members(d.w.now, basaltloft.ListRestored, d.list()) })
+	for _, r := range old { // their clients learn by the break
+		for _, a := range r.attempts {
+			a.out = false
+		}
+		if !r.answered {
+			d.w.check.cut(r)
+			d.w.answer(r, basaltloft.Reset, false)
+		}
+	}
+	return nil
+}
+
+func (d *dispatcher) list() []basaltloft.Member {
+	all := make([]basaltloft.Member, 0, len(d.known))
+	for _, m := range d.known {
+		all = append(all, m)
+	}
+	slices.SortFunc(all, func(a, b basaltloft.Member) int { return int(int64(a.Worker) - int64(b.Worker)) })
+	return all
+}
+
+func (w *World) listing(m *member) basaltloft.Member {
+	state := m.state
+	if !m.up {
+		state = basaltloft.Removed
+	}
+	return basaltloft.Member{Worker: m.number, Kind: m.kind.Name, Cell: m.cell, State: state, Since: m.started, Weight: 1}
+}
+
+// news tells all dispatchers of a change, each late in its own way.
+func (w *World) news(m *member) {
+	l := w.listing(m)
+	for _, d := range w.nodes {
+		late := time.Duration(w.random.ExpFloat64() * float64(w.x.ListLate))
+		w.in(min(late, 4*w.x.ListLate), func() {
+			if old := d.known[l.Worker]; old.Since > l.Since || old.Since == l.Since && old.State != basaltloft.Ready && l.State == basaltloft.Ready {
+				return // overtaken by newer news
+			}
+			d.known[l.Worker] = l
+			w.check.listed(d, l)
+			d.event(func() { d.policy.Members(w.now, basaltloft.ListChange, []basaltloft.Member{l}) })
+		})
+	}
+}
+
+// event runs one event of the policy, and what it left to do.
+func (d *dispatcher) event(do func()) {
+	if d.inside {
+		d.later = append(d.later, do)
+		return
+	}
+	d.inside = true
+	do()
+	for len(d.later) > 0 {
+		next := d.later[0]
+		d.later = d.later[1:]
+		next()
+	}
+	d.inside = false
+}
+
+// Send implements basaltloft.Host.
+func (d *dispatcher) Send(id string, worker uint32, timeout time.Duration) {
+	w, r, m := d.w, d.open[id], d.w.byID[worker]
+	if r == nil || m == nil {
+		w.check.say("a send of %s, which is not open, or to nobody", id)
+		return
+	}
+	a := &attempt{req: r, n: len(r.attempts), from: d, to: m, sentAt: w.now, work: r.work, out: true}
+	w.check.sends(d, a)
+	r.attempts = append(r.attempts, a)
+	w.Result.Sends++
+	if timeout > 0 {
+		w.in(timeout, func() { w.outcome(a, basaltloft.TimedOut) })
+	}
+	w.in(w.hop(), func() { m.take(a) })
+}
+
+// Refuse implements basaltloft.Host.
+func (d *dispatcher) Refuse(id string, _ time.Duration) { d.final(id, true) }
+
+// Fail implements basaltloft.Host.
+func (d *dispatcher) Fail(id string) { d.final(id, false) }
+
+func (d *dispatcher) final(id string, refused bool) {
+	if r := d.open[id]; r != nil {
+		d.w.answer(r, basaltloft.Error, refused)
+		d.forget(r)
+	}
+}
+
+// Cancel implements basaltloft.Host: nobody waits any more, and nothing stops.
+func (d *dispatcher) Cancel(id string, n int) {
+	if r := d.open[id]; r != nil && n < len(r.attempts) && r.attempts[n].out {
+		a := r.attempts[n]
+		d.w.in(2*d.w.hop(), func() { d.w.outcome(a, basaltloft.Cancelled) })
+	}
+}
+
+// Probe implements basaltloft.Host.
+func (d *dispatcher) Probe(worker uint32) {
+	w, m, sent, epoch := d.w, d.w.byID[worker], d.w.now, d.epoch
+	w.in(w.hop()+w.hop(), func() {
+		s := basaltloft.ConnectFailed
+		if m != nil && m.up {
+			s = basaltloft.OK
+		}
+		if d.epoch == epoch {
+			d.event(func() { d.policy.Probed(w.now, basaltloft.Probed{Worker: worker, Status: s, Latency: w.now - sent}) })
+		}
+	})
+}
+
+// Timer implements basaltloft.Host.
+func (d *dispatcher) Timer(in time.Duration, token string) {
+	epoch := d.epoch
+	d.w.in(in, func() {
+		if d.epoch == epoch {
+			d.event(func() { d.policy.Timer(d.w.now, token) })
+		}
+	})
+}
+
+// Watch implements basaltloft.Host: discovery is always followed.
+func (d *dispatcher) Watch(bool) {}
+
+// Fetch implements basaltloft.Host.
+func (d *dispatcher) Fetch() {}
+
+// Log implements basaltloft.Host.
+func (d *dispatcher) Log(string) {}
+
+// strike lets a trouble happen.
+func (w *World) strike(t Trouble) {
+	some := func(n int, part float64) []int {
+		order := w.random.Perm(n)
+		return order[:int(math.Ceil(part*float64(n)))]
+	}
+	switch t.Kind {
+	case "crash":
+		for _, i := range some(len(w.members), t.Part) {
+			w.replace(w.members[i], 0, t.For)
+		}
+	case "pause":
+		for _, i := range some(len(w.members), t.Part) {
+			m := w.members[i]
+			m.advance()
+			m.paused = true
+			w.in(t.For, func() { m.advance(); m.paused = false; m.step() })
+		}
+	case "slow":
+		for _, i := range some(len(w.members), t.Part) {
+			m := w.members[i]
+			m.advance()
+			m.slow = t.Size
+			m.plan()
+			w.in(t.For, func() { m.advance(); m.slow = 1; m.plan() })
+		}
+	case "deploy":
+		chosen := some(len(w.members), t.Part)
+		for n, i := range chosen {
+			w.in(t.For*time.Duration(n)/time.Duration(len(chosen)), func() { w.replace(w.members[i], 4*time.Second, time.Second) })
+		}
+	case "restart":
+		chosen := some(len(w.nodes), t.Part)
+		for n, i := range chosen {
+			w.in(t.For*time.Duration(n)/time.Duration(len(chosen)), func() {
+				if err := w.nodes[i].boot(); err != nil {
+					w.check.say("a dispatcher does not start again: %v", err)
+				}
+			})
+		}
+	}
+}
+
+// replace lets a member drain for a while, if it is told to, ends it, and lets it
+// come back cold.
+func (w *World) replace(m *member, drain, away time.Duration) {
+	if !m.up {
+		return
+	}
+	if drain > 0 {
+		m.drain()
+		w.news(m)
+	}
+	w.in(drain, func() {
+		if m.up {
+			m.crash()
+			w.news(m)
+			w.in(away, func() { m.boot(); w.news(m) })
+		}
+	})
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -6,13 +6,13 @@
 
 // Report is what is to be said of a file before it is used.
 type Report struct {
-	Kind     string // "configuration" or "operator's file"
+	Kind     string // "configuration", "operator's file" or "experiment"
 	Problems Problems
 	Unknown  []string // keys that nothing here reads
 }
 
-// Check reads a file of either kind and names all that is wrong with it. A
-// file with settings is a configuration.
+// Check reads a file of any kind and names all that is wrong with it. A file
+// with an experiment is one for the lab; one with settings is a configuration.
 func Check(text []byte) Report {
 	v, err := fastjson.ParseBytes(text)
 	if err != nil {
@@ -21,6 +21,10 @@
 	if v.Type() != fastjson.TypeObject {
 		return Report{Kind: "file", Problems: Problems{{"", "must be a JSON object"}}}
 	}
+	if v.Exists("experiment") {
+		_, r := decodeExperiment(v)
+		return Report{"experiment", r.problems, r.unknown("settings")}
+	}
 	if v.Exists("settings") || v.Exists("discovery") {
 		c, r := decodeConfig(v)
 		if c.Listen != "" {
--- /dev/null
+++ b/internal/settings/experiment.go
@@ -0,0 +1,168 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"basaltloft"
+
+	"github.com/valyala/fastjson"
+)
+
+// Experiment is a file for the lab: a fleet, what is asked of it, and what goes
+// wrong.
+type Experiment struct {
+	Length      time.Duration
+	Dispatchers int
+	Members     []ExperimentMembers
+	Classes     []ExperimentClass // what the settings have is read from there
+	Net         time.Duration
+	NetCV       float64
+	ListLate    time.Duration
+	Retries     int
+	Backoff     time.Duration
+	Settings    basaltloft.Settings
+	Troubles    []ExperimentTrouble
+	Policies    []string
+	Seeds       int
+	Loads       []float64 // the rates are played at these multiples; none: as they are
+}
+
+// ExperimentMembers are the members of one kind.
+type ExperimentMembers struct {
+	Kind                       string
+	Count, Cores, Slots, Queue int
+	Cells                      int
+	Speed, SpeedCV             float64
+	ColdFrom                   float64
+	ColdFor                    time.Duration
+	Crowding                   float64
+}
+
+// ExperimentClass is what is asked of one class of the settings.
+type ExperimentClass struct {
+	Name      string
+	Rate      float64 // a second
+	Work      time.Duration
+	Shape     string
+	CV        float64
+	HintError float64 // below 0: no hints
+	Slots     []float64
+}
+
+// ExperimentTrouble is something that goes wrong.
+type ExperimentTrouble struct {
+	Kind       string
+	At, For    time.Duration
+	Part, Size float64
+}
+
+// Shapes and Troubles are the words that an experiment may use.
+var (
+	Shapes   = []string{"fixed", "exp", "pareto", "lognormal"}
+	Troubles = []string{"crash", "pause", "slow", "deploy", "restart"}
+)
+
+// DecodeExperiment reads an experiment and checks it.
+func DecodeExperiment(text []byte) (Experiment, error) {
+	v, err := fastjson.ParseBytes(text)
+	if err != nil {
+		return Experiment{}, fmt.Errorf("experiment: %w", err)
+	}
+	x, r := decodeExperiment(v)
+	if err := r.err(); err != nil {
+		return x, fmt.Errorf("experiment: %w", err)
+	}
+	return x, nil
+}
+
+func decodeExperiment(v *fastjson.Value) (Experiment, *reader) {
+	r := newReader(v, "")
+	ms := func(r *reader, key string) time.Duration {
+		return time.Duration(r.number(key) * float64(time.Millisecond))
+	}
+	x := Experiment{
+		Length: time.Duration(r.number("experiment.length_s") * float64(time.Second)), Dispatchers: int(r.count("experiment.dispatchers", 1)),
+		Net: time.Duration(r.number("experiment.net_us") * float64(time.Microsecond)), NetCV: r.number("experiment.net_cv"),
+		ListLate: ms(r, "experiment.list_late_ms"), Retries: int(r.count("experiment.retries", 0)), Backoff: ms(r, "experiment.backoff_ms"),
+		Policies: r.names("experiment.policies"), Seeds: int(r.count("experiment.seeds", 5)),
+	}
+	if len(x.Policies) == 0 {
+		x.Policies = []string{"module"}
+	}
+	for _, n := range r.list("experiment.loads") {
+		x.Loads = append(x.Loads, n.GetFloat64())
+	}
+	if x.Length <= 0 {
+		r.fail("experiment.length_s", errors.New("must be more than nothing"))
+	}
+	var err error
+	if x.Settings, err = Decode(r.find("settings")); err != nil {
+		r.take("settings", err)
+	}
+	x.Settings.Instances = x.Dispatchers
+	each := func(path string, do func(r *reader)) {
+		for i, at := range r.list(path) {
+			inner := r.inner(at, fmt.Sprintf("%s[%d].", path, i))
+			do(inner)
+			r.join(inner)
+		}
+	}
+	each("experiment.members", func(r *reader) {
+		k := ExperimentMembers{
+			Kind: r.text("kind"), Count: int(r.count("count", 1)), Cores: int(r.count("cores", 1)), Queue: int(r.count("queue", 0)), Cells: int(r.count("cells", 1)),
+			Speed: r.number("speed"), SpeedCV: r.number("speed_cv"), ColdFrom: r.number("cold_from"), Crowding: r.number("crowding"),
+			ColdFor: time.Duration(r.number("cold_s") * float64(time.Second)),
+		}
+		if k.Slots = int(r.count("slots", int64(k.Cores))); k.Speed == 0 {
+			k.Speed = 1
+		}
+		if k.Speed < 0 || k.SpeedCV < 0 || k.ColdFrom < 0 || k.ColdFrom > 1 || k.Crowding < 0 {
+			r.fail("kind", errors.New("a figure is out of its range"))
+		}
+		x.Members = append(x.Members, k)
+	})
+	if len(x.Members) == 0 {
+		r.fail("experiment.members", errors.New("there are none"))
+	}
+	each("experiment.classes", func(r *reader) {
+		c := ExperimentClass{
+			Name: r.text("name"), Rate: r.number("rate"), Work: ms(r, "work_ms"), Shape: r.text("shape"), CV: r.number("cv"), HintError: r.number("hint_error"),
+		}
+		if c.Shape == "" {
+			c.Shape = "exp"
+		}
+		for _, n := range r.list("slots") {
+			c.Slots = append(c.Slots, n.GetFloat64())
+		}
+		switch {
+		case !slices.ContainsFunc(x.Settings.Classes, func(o basaltloft.Class) bool { return o.Name == c.Name }):
+			r.fail("name", fmt.Errorf("the settings have no class %q", c.Name))
+		case c.Rate <= 0 || c.Work <= 0:
+			r.fail("rate", errors.New("rate and work_ms must be more than nothing"))
+		case !slices.Contains(Shapes, c.Shape):
+			r.fail("shape", fmt.Errorf("is one of %q, not %q", Shapes, c.Shape))
+		}
+		x.Classes = append(x.Classes, c)
+	})
+	if len(x.Classes) == 0 {
+		r.fail("experiment.classes", errors.New("there are none"))
+	}
+	each("experiment.troubles", func(r *reader) {
+		t := ExperimentTrouble{
+			Kind: r.text("kind"), At: time.Duration(r.number("at_s") * float64(time.Second)), For: ms(r, "for_ms"), Part: r.number("part"), Size: r.number("size"),
+		}
+		switch {
+		case !slices.Contains(Troubles, t.Kind):
+			r.fail("kind", fmt.Errorf("is one of %q, not %q", Troubles, t.Kind))
+		case t.Part <= 0 || t.Part > 1:
+			r.fail("part", errors.New("is a share above 0, up to 1"))
+		case t.Kind == "slow" && t.Size <= 0:
+			r.fail("size", errors.New("is the factor on the speed, above 0"))
+		}
+		x.Troubles = append(x.Troubles, t)
+	})
+	return x, r
+}
