--- a/internal/core/host.go
+++ b/internal/core/host.go
@@ -94,12 +94,21 @@
 	}
 }
 
-// Timer implements basaltloft.Host. Timers of one token that are due within the
-// same millisecond are told once: each makes the module look at all that is out,
-// and there are several for each send, so that told one by one they took all the
-// time there was with some hundred members.
+// together is how many flows are out when the module's timers begin to be told
+// together.
+const together = 64
+
+// Timer implements basaltloft.Host. Where many flows are out, timers of one token
+// that are due within the same millisecond are told once: each makes the module
+// look at all that is out, and there are several for each send, so that told one
+// by one they took all the time there was with some hundred members. With few out
+// each is told at its own time.
 func (h host) Timer(in time.Duration, token string) {
 	c := h.c
+	if c.flowing < together {
+		c.timers.add(c.now.Add(in), func() { c.decisions.Timer(c.clock(c.now), token) })
+		return
+	}
 	due := moment{c.now.Add(in+time.Millisecond-1).Sub(c.base) / time.Millisecond, token}
 	if c.asked[due] {
 		return
