Do not take an id again whose client left until its member has heard

Cause: a flow whose client left ends in the ledger at once, and its member hears by a DELETE under way. A client that sends the same id on a new connection, as it does when a close crosses its request, could have two attempts at once. Change: the id is denied for 2 s, with a ledger test that fails without it.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -45,6 +45,7 @@
 	timers       timers
 	asked        map[moment]bool // timers of the module's that are set
 	open         map[string]*Transaction
+	left         map[string]time.Time // ids whose client left while a flow was out: until then the member may not have heard
 	members      map[string]*Member
 	numbers      map[uint32]*Member
 	load         Load
@@ -61,7 +62,7 @@
 	c := &Core{
 		settings: s, stages: stages, log: log, base: time.Now(),
 		posted: make(chan struct{}, 1), stopped: make(chan struct{}),
-		open: make(map[string]*Transaction), members: make(map[string]*Member), numbers: make(map[uint32]*Member),
+		open: make(map[string]*Transaction), left: make(map[string]time.Time), members: make(map[string]*Member), numbers: make(map[uint32]*Member),
 		sources: make(map[string]int), asked: make(map[moment]bool),
 	}
 	var err error
@@ -171,7 +172,7 @@
 	c.unanswered.Add(1)
 	c.post(func() {
 		c.stages.Enter(t, c.now)
-		if c.open[t.ID] != nil { // an id names one transaction: the module would drop the second in silence
+		if c.open[t.ID] != nil || c.now.Before(c.left[t.ID]) { // an id names one transaction: the module would drop the second in silence
 			c.unanswered.Add(-1)
 			a := Answer{Verdict: Denied, Reason: account.IDInHand, Body: []byte("this id is in hand already\n")}
 			c.stages.Book(t, a, c.now)
@@ -234,11 +235,31 @@
 	if t.answered || c.open[t.ID] != t {
 		return
 	}
+	if t.live != nil {
+		c.remember(t.ID)
+	}
 	c.close(t)
 	c.stages.Book(t, Answer{Verdict: Failed, Reason: account.ClientLeft}, c.now)
 	c.decisions.Gone(c.clock(c.now), t.ID)
 }
 
+// hearing is how long a member may take to hear that a flow is abandoned.
+const hearing = 2 * time.Second
+
+// remember keeps the id of a transaction whose client left while a flow was out.
+// The flow ends here at once, and its member hears of it later: a client that
+// sends the same id again on another connection meanwhile, as one does whose
+// connection was closed on it, would have two attempts at once.
+func (c *Core) remember(id string) {
+	until := c.now.Add(hearing)
+	c.left[id] = until
+	c.timers.add(until, func() {
+		if !c.now.Before(c.left[id]) {
+			delete(c.left, id)
+		}
+	})
+}
+
 // expire answers for the module what it still owes after the deadline: an
 // answer too late would break the rule, and a lost one would hang the client.
 func (c *Core) expire(t *Transaction) {
--- a/internal/core/ledger_test.go
+++ b/internal/core/ledger_test.go
@@ -97,6 +97,20 @@
 			c.Leave(tx)
 			c.End(p.flows[0], basaltloft.OK, nil)
 		}, `["start t","book t","abandon t"]`},
+		"an id whose client left is not taken again until its member has heard": {func(c *Core, p *tape, tx *Transaction) {
+			c.Leave(tx)
+			again := func() {
+				c.Submit(&Transaction{ID: "t", Class: "ticket", Hint: time.Second, Deadline: tx.Deadline, Client: told{p, "again"}})
+			}
+			again()
+			c.post(func() {
+				for due := c.timers.due(time.Now().Add(hearing)); due != nil; due = c.timers.due(time.Now().Add(hearing)) {
+					c.now = time.Now().Add(hearing)
+					due()
+				}
+				again()
+			})
+		}, `["start t","book t","abandon t","book t","denied again","start t"]`},
 		// A second attempt would run beside the first until the member has heard.
 		"what is asked back goes elsewhere once the member has heard": {func(c *Core, p *tape, tx *Transaction) {
 			c.post(func() { host{c}.Cancel("t", 0); host{c}.Send("t", p.flows[0].Member.number, 0) })
