--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -9,7 +9,6 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"os"
 	"sync"
 	"syscall"
@@ -88,7 +87,7 @@
 	w := &World{Till: standin.NewTill()}
 	for _, at := range []*string{&w.Addr, &w.Faktory, &w.Agent, &w.Figures} {
 		var err error
-		if *at, err = free(); err != nil {
+		if *at, err = standin.Free(); err != nil {
 			return nil, err
 		}
 	}
@@ -207,12 +206,3 @@
 
 // Ended is the signal that ends a dispatcher in the same process.
 var Ended os.Signal = syscall.SIGTERM
-
-func free() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
--- a/internal/scenario/program.go
+++ b/internal/scenario/program.go
@@ -13,6 +13,8 @@
 	"testing"
 	"time"
 
+	"basaltloft/internal/standin"
+
 	"github.com/stretchr/testify/require"
 )
 
@@ -54,10 +56,9 @@
 
 // free is an address that nothing listens on.
 func free(t testing.TB) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	addr, err := standin.Free()
 	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	return addr
 }
 
 // process is the started program as an actor: it is read from its log, send
