Send an empty body whole, finish no broken write, tell a crossed 202 by DELETE

Looking at the other ways found two more: a held last byte was still written after the transport had found the connection broken, and a 202 that crossed the closing of a connection left the job running there while the flow was told called off.

Change: an empty body is http.NoBody, with Content-Length 0 and one write; a connection closed while the last byte is kept back takes it no more; a flow asked back before its 202 ends after the member has been told by DELETE too (300 ms at most). Each has its scenario.

Ruled out: sends with a time-out of their own (there are none), other writes after the last.

--- /dev/null
+++ b/decision_bench_test.go
@@ -0,0 +1,136 @@
+package basaltloft_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"basaltloft"
+)
+
+// farm is a host whose members take each job at once, run it and answer: it
+// costs next to nothing beside the decisions that it plays to.
+type farm struct {
+	d       *basaltloft.Dispatcher
+	rng     *rand.Rand
+	now     time.Duration
+	due     moments
+	seq     int
+	open    map[string]*struct{ n int }
+	decided int
+	lost    int
+}
+
+type moment struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+type moments []moment
+
+func (m moments) Len() int { return len(m) }
+func (m moments) Less(i, k int) bool {
+	return m[i].at < m[k].at || m[i].at == m[k].at && m[i].seq < m[k].seq
+}
+func (m moments) Swap(i, k int) { m[i], m[k] = m[k], m[i] }
+func (m *moments) Push(x any)   { *m = append(*m, x.(moment)) }
+func (m *moments) Pop() any {
+	old := *m
+	x := old[len(old)-1]
+	*m = old[:len(old)-1]
+	return x
+}
+
+func (f *farm) after(in time.Duration, do func()) {
+	f.seq++
+	heap.Push(&f.due, moment{f.now + in, f.seq, do})
+}
+
+func (f *farm) step() {
+	m := heap.Pop(&f.due).(moment)
+	f.now = m.at
+	m.do()
+}
+
+func (f *farm) Send(id string, worker uint32, _ time.Duration) {
+	o := f.open[id]
+	n := o.n
+	o.n++
+	run := time.Duration(10+f.rng.IntN(20)) * time.Millisecond
+	f.after(time.Millisecond, func() {
+		f.d.Note(f.now, basaltloft.Note{Request: id, Attempt: n, Worker: worker, Topic: basaltloft.NoteStarted})
+	})
+	f.after(time.Millisecond+run, func() {
+		delete(f.open, id)
+		f.decided++
+		f.d.Outcome(f.now, basaltloft.Outcome{Request: id, Attempt: n, Worker: worker, Status: basaltloft.OK, Latency: run, Ended: true})
+	})
+}
+func (f *farm) Refuse(id string, _ time.Duration) { delete(f.open, id); f.lost++; f.decided++ }
+func (f *farm) Fail(id string)                    { delete(f.open, id); f.lost++; f.decided++ }
+func (f *farm) Cancel(string, int)                {}
+func (f *farm) Probe(uint32)                      {}
+func (f *farm) Timer(in time.Duration, token string) {
+	f.after(in, func() { f.d.Timer(f.now, token) })
+}
+func (f *farm) Watch(bool) {}
+func (f *farm) Fetch()     {}
+func (f *farm) Log(string) {}
+
+// newFarm is one dispatcher with members that hold one job each, so that the
+// load keeps that share of them busy.
+func newFarm(b testing.TB, members int, load float64) *farm {
+	f := &farm{rng: rand.New(rand.NewPCG(1, 2)), now: time.Second, open: make(map[string]*struct{ n int })}
+	s := basaltloft.Settings{
+		Seed: 7, Instances: 1, Zone: "hall", Kinds: []string{"std"}, TellsStart: true,
+		Classes: []basaltloft.Class{{Name: "place-hold", Effect: basaltloft.Safe, GiveUp: 10 * time.Second, Aim: 400 * time.Millisecond, Stretch: 2.5, Worth: 10, Kind: -1}},
+		Limits:  basaltloft.Limits{MaxAttempts: 3, Cancel: true, RetryAfter: true, MaxRetryAfter: 2 * time.Second},
+		Rules:   basaltloft.Rules{ColdFrom: 0.12, ColdFor: 24 * time.Second, FallMultiple: 4, FallFor: 3 * time.Second},
+	}
+	d, err := basaltloft.New(s, f)
+	if err != nil {
+		b.Fatal(err)
+	}
+	f.d = d
+	list := make([]basaltloft.Member, members)
+	for i := range list {
+		list[i] = basaltloft.Member{Worker: uint32(i + 1), State: basaltloft.Ready, Kind: "std", Zone: "hall", Cell: i / 100, Weight: 1}
+	}
+	d.Members(f.now, basaltloft.ListWhole, list)
+	every := time.Duration(float64(21*time.Millisecond) / (load * float64(members)))
+	var arrive func()
+	n := 0
+	arrive = func() {
+		f.after(time.Duration(f.rng.ExpFloat64()*float64(every)), arrive)
+		n++
+		id := fmt.Sprint("r", n)
+		f.open[id] = &struct{ n int }{}
+		d.Request(f.now, basaltloft.Request{
+			ID: id, Class: "place-hold", Hint: 20 * time.Millisecond, Slots: 1, Expires: f.now + 10*time.Second,
+		})
+	}
+	arrive()
+	return f
+}
+
+// BenchmarkDecision is what the decisions of one job cost, by the size of the
+// fleet: a send, a told start, an outcome, and the timers between.
+func BenchmarkDecision(b *testing.B) {
+	for _, members := range []int{10, 64, 512, 1000, 5000, 10000} {
+		b.Run(fmt.Sprint(members), func(b *testing.B) {
+			f := newFarm(b, members, 0.6)
+			for until := f.now + time.Second; f.now < until; { // budgets are learned
+				f.step()
+			}
+			f.lost = 0
+			b.ResetTimer()
+			for from := f.decided; f.decided-from < b.N; {
+				f.step()
+			}
+			b.ReportMetric(float64(f.lost)/float64(b.N), "lost/op")
+		})
+	}
+}
--- a/internal/poolmember/poolmember.go
+++ b/internal/poolmember/poolmember.go
@@ -27,7 +27,10 @@
 const (
 	probeFor  = 500 * time.Millisecond // a probe without an answer has failed after this
 	deleteFor = 2 * time.Second        // a runner is told so long that a flow is abandoned
-	mostReply = 64 << 10
+	// crossedFor is how long a runner is told so whose 202 may have crossed the
+	// closing of its connection: the job waits for it.
+	crossedFor = 300 * time.Millisecond
+	mostReply  = 64 << 10
 )
 
 // Carrier implements core.Carrier for HTTP pool members.
@@ -84,6 +87,10 @@
 		k.mu.Unlock()
 		switch {
 		case !taken && recalled && status == basaltloft.Reset: // by closing the connection, which says nothing of the member
+			// A 202 that crossed the close means that the job runs on there: the
+			// member is told by DELETE as well, before the job may go elsewhere. One
+			// that can't be told has not taken it, as far as the protocol goes.
+			c.delete(f, time.Now().Add(crossedFor))
 			c.ends.End(f, basaltloft.Cancelled, nil)
 		case !taken:
 			c.ends.End(f, status, nil)
@@ -175,11 +182,18 @@
 		return nil, nil, err
 	}
 	u.Scheme, u.Host = "http", f.Member.Addr
-	body := &once{rest: t.Body}
+	body := &once{rest: t.Body, done: len(t.Body) == 0}
 	req := (&http.Request{
 		Method: http.MethodPost, URL: u, Host: f.Member.Addr, Header: make(http.Header),
 		Body: body, ContentLength: int64(len(t.Body)),
 	}).WithContext(ctx)
+	if len(t.Body) == 0 {
+		// Any other empty body is sent in chunks: its end follows the header in a
+		// second write, and a member that takes the header for all there is, and
+		// breaks off between the two, would be told never to have had the request.
+		// The transport sends no request again on a connection that is not kept.
+		req.Body = http.NoBody
+	}
 	req.Header.Set("User-Agent", "")
 	req.Header.Set("X-Call-Id", t.ID)
 	req.Header.Set("X-Call-Class", t.Class)
@@ -195,14 +209,14 @@
 
 // drop tells a member to forget a flow, and ends one that was asked back.
 func (c *Carrier) drop(f *core.Flow, recalled bool) {
-	if c.delete(f) && recalled {
+	if c.delete(f, time.Now().Add(deleteFor)) && recalled {
 		c.ends.End(f, basaltloft.Cancelled, nil)
 	}
 }
 
-// delete reports whether the member has heard.
-func (c *Carrier) delete(f *core.Flow) bool {
-	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(deleteFor))
+// delete reports whether the member has heard by then.
+func (c *Carrier) delete(f *core.Flow, until time.Time) bool {
+	ctx, cancel := context.WithDeadline(context.Background(), until)
 	defer cancel()
 	if !c.ask(ctx) {
 		return false
--- a/internal/poolmember/poolmember_test.go
+++ b/internal/poolmember/poolmember_test.go
@@ -17,7 +17,8 @@
 )
 
 // driver is an actor that starts a flow for each line "ID BYTES" that it is
-// sent, or a probe for "probe", and tells how each ends.
+// sent, or a probe for "probe", asks one back for "recall ID", and tells how each
+// ends.
 type driver struct {
 	net.Conn
 	carrier *Carrier
@@ -37,18 +38,28 @@
 		d := &driver{Conn: far}
 		d.carrier = New(d, Figures{DialWithin: time.Second, Most: most, Settle: append(settle, 0)[0]})
 		go func() {
+			flows := make(map[string]*core.Flow)
 			for in := bufio.NewScanner(far); in.Scan(); {
 				id, size, _ := strings.Cut(in.Text(), " ")
 				n, _ := strconv.Atoi(size)
 				m := &core.Member{Addr: addr}
-				if id == "probe" {
+				switch id {
+				case "probe":
 					d.carrier.Probe(m)
 					continue
+				case "recall":
+					d.carrier.Recall(flows[size])
+					continue
 				}
-				go d.carrier.Start(&core.Flow{
+				f := &core.Flow{
 					Transaction: &core.Transaction{ID: id, Class: "group-ticket", Key: "k", Body: []byte(strings.Repeat("b", n))},
 					Member:      m, Deadline: time.Now().Add(time.Minute),
-				})
+				}
+				if flows[id] = f; most == 0 {
+					go d.carrier.Start(f) // ends before it returns
+					continue
+				}
+				d.carrier.Start(f)
 			}
 		}()
 		return near, nil
@@ -77,9 +88,25 @@
 			r close
 			slow expect ^t-1 7\n
 			slow send t-2 0\n
-			r.next expect ^POST /group-ticket HTTP.*\r\n\r$
+			r.next expect ^POST /group-ticket HTTP.*\r\nContent-Length: 0\r\n.*\r\n\r$
 			r.next close
 			slow expect ^t-2 7\n`,
+		// Its 202 may be on the way when the connection is closed: the job goes
+		// elsewhere only once the member has heard the DELETE too.
+		"is asked back before it answers": `
+			flow send t-1 4\n
+			r expect bbbb
+			flow send recall t-1\n
+			r send HTTP/1.1 202 x` + empty + `
+			r wait
+			r.next expect ^DELETE /jobs/t-1 HTTP
+			r.next send HTTP/1.1 204 x\r\n\r\n
+			flow expect ^t-1 6\n`,
+		"is asked back before it has all": `
+			slow send t-1 4\n
+			r expect bbb$
+			slow send recall t-1\n
+			slow expect ^t-1 7\n`,
 		"refuses the connection": `
 			nobody send t-1 4\nprobe\n
 			nobody expect ^(t-1 4\nprobe 4\n|probe 4\nt-1 4\n)`,
@@ -120,11 +147,11 @@
 			flow expect ^t-1 1\n
 			r wait
 			flow send t-2 0\n
-			r.next expect X-Call-Id: t-2\r\n.*\r\n\r\n
+			r.next expect Content-Length: 0\r\n.*X-Call-Id: t-2\r\n.*\r\n\r\n
 			r.next close
 			flow expect ^t-2 5\n
 			flow send t-3 0\n
-			r.third expect ^POST[^\n]*\n.*X-Call-Id: (?P<id>[^\r]*)\r\n.*\r\n\r\n
+			r.third expect ^POST[^\n]*\n.*Content-Length: 0\r\n.*X-Call-Id: (?P<id>[^\r]*)\r\n.*\r\n\r\n
 			r.third send HTTP/1.1 500 x` + empty + `
 			flow expect ^$id 1\n$`,
 	} {
@@ -145,7 +172,7 @@
 	c := New(nil, Figures{DialWithin: time.Second, Most: 2})
 	c.asks <- struct{}{}
 	require.Equal(t, basaltloft.TimedOut, c.probe(&core.Member{Addr: addr}, time.Now().Add(20*time.Millisecond)))
-	require.False(t, c.delete(&core.Flow{Member: &core.Member{Addr: addr}, Transaction: &core.Transaction{ID: "t-1"}}))
+	require.False(t, c.delete(&core.Flow{Member: &core.Member{Addr: addr}, Transaction: &core.Transaction{ID: "t-1"}}, time.Now().Add(20*time.Millisecond)))
 	<-c.asks
 	done := make(chan basaltloft.Status)
 	go func() { done <- c.probe(&core.Member{Addr: addr}, time.Now().Add(time.Minute)) }()
--- a/internal/poolmember/transport.go
+++ b/internal/poolmember/transport.go
@@ -60,20 +60,35 @@
 	last := max(0, len(b)-1)
 	n, err := c.Conn.Write(b[:last])
 	if err == nil {
-		settled := time.NewTimer(c.settle)
-		select {
-		case <-settled.C:
-		case <-c.closed: // by the transport, whose read has found it broken
+		if err = c.settled(); err == nil {
+			var more int
+			more, err = c.Conn.Write(b[last:])
+			n += more
 		}
-		settled.Stop()
-		var more int
-		more, err = c.Conn.Write(b[last:])
-		n += more
 	}
 	c.wrote, c.failed = true, c.failed || err != nil
 	return n, err
 }
 
+// settled waits for the last byte's time. It fails if the connection is closed
+// before: by the transport, whose read has found it broken, or since the flow was
+// called off. The byte then stays here, though the system might still take it,
+// and the attempt is known never to have run.
+func (c *conn) settled() error {
+	t := time.NewTimer(c.settle)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-c.closed:
+	}
+	select {
+	case <-c.closed:
+		return net.ErrClosed
+	default:
+		return nil
+	}
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.once.Do(func() { close(c.closed) })
