--- a/internal/soak/throughput_test.go
+++ b/internal/soak/throughput_test.go
@@ -21,18 +21,34 @@
 
 // BenchmarkThroughput measures the started program with the journal off and on,
 // in turn: jobs a second with 64 clients in a closed loop, and the program's own
-// CPU a job. Members are in this process and run a job for 1 ms.
+// CPU a job. Members are in this process and run a job for 1 ms. What
+// BASALTLOFT_BINARY names is measured in place of this tree's program.
 func BenchmarkThroughput(b *testing.B) {
 	binary, err := scenario.Build()
 	require.NoError(b, err)
 	for _, journal := range []bool{false, true} {
-		b.Run(fmt.Sprintf("journal=%v", journal), func(b *testing.B) { throughput(b, binary, journal) })
+		b.Run(fmt.Sprintf("journal=%v", journal), func(b *testing.B) {
+			throughput(b, binary, journal, 64, demo.Load{Members: 8, Slots: 32, Run: time.Millisecond})
+		})
 	}
 }
 
-func throughput(b *testing.B, binary string, journal bool) {
+// BenchmarkFleet measures what a job costs by the size of the fleet: 128 clients in
+// a closed loop, members that take 20 ms, and one core for the program.
+func BenchmarkFleet(b *testing.B) {
+	binary, err := scenario.Build()
+	require.NoError(b, err)
+	b.Setenv("GOMAXPROCS", "1")
+	for _, members := range []int{8, 64, 512} {
+		b.Run(fmt.Sprint(members), func(b *testing.B) {
+			throughput(b, binary, false, 128, demo.Load{Members: members, Slots: max(2, 256/members), Run: 20 * time.Millisecond})
+		})
+	}
+}
+
+func throughput(b *testing.B, binary string, journal bool, clients int, load demo.Load) {
 	dir := b.TempDir()
-	w, err := demo.NewWorld(demo.Load{Members: 8, Slots: 32, Run: time.Millisecond})
+	w, err := demo.NewWorld(load)
 	require.NoError(b, err)
 	defer w.Close()
 	config, operator, folder := filepath.Join(dir, "config.json"), filepath.Join(dir, "operator.json"), ""
@@ -48,7 +64,7 @@
 	defer cmd.Wait()
 	defer cmd.Process.Kill()
 	require.NoError(b, demo.Ready(context.Background(), w.Addr, nil))
-	transport := &http.Transport{MaxIdleConnsPerHost: 64}
+	transport := &http.Transport{MaxIdleConnsPerHost: clients}
 	defer transport.CloseIdleConnections()
 	client := &http.Client{Transport: transport}
 	var mu sync.Mutex
@@ -56,7 +72,7 @@
 	run := func(jobs int) {
 		var all sync.WaitGroup
 		last := next + jobs
-		for range 64 {
+		for range clients {
 			all.Go(func() {
 				for {
 					mu.Lock()
@@ -87,13 +103,14 @@
 		all.Wait()
 		next = last
 	}
-	run(1000) // budgets grow
+	run(2000) // budgets grow
 	served = 0
 	before, began := cpu(cmd.Process.Pid), time.Now()
 	b.ResetTimer()
 	run(b.N)
 	b.StopTimer()
 	b.ReportMetric(float64(served)/time.Since(began).Seconds(), "served/s")
+	b.ReportMetric(float64(served)/float64(b.N), "served/op")
 	b.ReportMetric(float64((cpu(cmd.Process.Pid)-before).Microseconds())/float64(b.N), "cpu-us/job")
 }
 
--- /dev/null
+++ b/search_test.go
@@ -0,0 +1,285 @@
+package basaltloft
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// plainSearch is the search through the whole subset, which the sampled one is held
+// against: whether any worker of a sort serves, the best room of those that fit, and
+// how many near ones fit.
+func (d *Dispatcher) plainSearch(j *job) (best *worker, most float64, near int) {
+	chosen, top := [2]*worker{}, [2]float64{}
+	serving := 1
+	for _, w := range d.subset {
+		if !d.suits(j, w) || j.waitsAt(w) {
+			continue
+		}
+		of := one(d.dubious(w, j))
+		serving = min(serving, of)
+		late := float64(d.now)+hope*j.run*w.pace()*d.common/d.share(w, d.now-w.coldFrom) > float64(j.aim)
+		if late || j.ran != nil && j.class.Effect == Keyed && !j.class.Group.same(j.ran.worker, w) {
+			continue
+		}
+		room, fits := d.room(w, j)
+		if d.near(w) {
+			room += nearFirst
+			near += one(fits && of == 0)
+		}
+		if fits && (chosen[of] == nil || room > top[of]) {
+			chosen[of], top[of] = w, room
+		}
+	}
+	return chosen[serving], top[serving], near
+}
+
+// searched is a host that keeps what is out, so that random ends can be told.
+type searched struct {
+	mute
+	out []Outcome
+}
+
+func (s *searched) Send(id string, w uint32, _ time.Duration) {
+	s.out = append(s.out, Outcome{Request: id, Worker: w})
+}
+
+// TestSampledSearch holds the sampled search to the plain one after every event of
+// random ones: it finds a worker exactly if the plain one does, one that the job
+// fits, and the very best where no more fit than are weighed.
+func TestSampledSearch(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := &searched{}
+		s := Settings{
+			Instances: 1, Kinds: []string{"a", "b"}, Zone: "x", TellsStart: true, CrossZonePrice: float64(rapid.IntRange(0, 1).Draw(t, "price")),
+			Limits: Limits{MaxAttempts: 3, Cancel: true, RetryAfter: true},
+			Classes: []Class{
+				{Name: "safe", Effect: Safe, Aim: time.Second, Stretch: 2, GiveUp: 5 * time.Second, Kind: -1},
+				{Name: "keyed", Effect: Keyed, Group: GroupCell, Window: 5 * time.Second, Aim: time.Second, Stretch: 2, GiveUp: 5 * time.Second, Kind: -1},
+				{Name: "unsafe", Effect: Unsafe, Aim: time.Second, Stretch: 2, GiveUp: 5 * time.Second, Kind: 1},
+			},
+			Rules: Rules{ColdFrom: 0.2, ColdFor: 10 * time.Second, FallMultiple: 4, FallFor: time.Second},
+		}
+		d, err := New(s, h)
+		require.NoError(t, err)
+		now := time.Minute
+		n := rapid.IntRange(many, 3*many).Draw(t, "workers")
+		member := func(i int) Member {
+			m := Member{Worker: uint32(i), Kind: s.Kinds[i%2], Zone: []string{"x", "y"}[i/2%2], Cell: i % 5}
+			if rapid.IntRange(0, 9).Draw(t, "cold") == 0 {
+				m.Since = now
+			}
+			m.State = MemberState(max(0, rapid.IntRange(-7, 2).Draw(t, "state")))
+			return m
+		}
+		var list []Member
+		for i := range n {
+			list = append(list, member(i))
+		}
+		d.Members(now, ListWhole, list)
+		d.peak = float64(n) // as with as many jobs in hand: all are in the subset
+		d.fill()
+		d.Request(now, Request{ID: "first", Class: "safe", Hint: 50 * time.Millisecond, Slots: 1, Expires: now + 5*time.Second})
+		for step := range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond
+			switch rapid.IntRange(0, 5).Draw(t, "event") {
+			case 0, 1:
+				for k := range rapid.IntRange(1, n).Draw(t, "burst") {
+					class := s.Classes[rapid.IntRange(0, 2).Draw(t, "class")].Name
+					hint := time.Duration(rapid.IntRange(0, 400).Draw(t, "hint")) * time.Millisecond
+					d.Request(now, Request{ID: fmt.Sprint(step, "-", k), Class: class, Hint: hint, Slots: 1, Expires: now + 5*time.Second})
+				}
+			case 2, 3:
+				status := Status(rapid.IntRange(0, int(Unfit)).Draw(t, "status"))
+				for range min(len(h.out), rapid.IntRange(1, n).Draw(t, "ends")) {
+					i := rapid.IntRange(0, len(h.out)-1).Draw(t, "which")
+					o := h.out[i]
+					h.out = append(h.out[:i:i], h.out[i+1:]...)
+					for k := range 3 {
+						o.Attempt, o.Status, o.Ended = k, status, status == OK
+						d.Outcome(now, o)
+					}
+				}
+			case 4:
+				d.Members(now, ListChange, []Member{member(rapid.IntRange(0, n-1).Draw(t, "changed"))})
+			case 5:
+				d.Timer(now, rapid.SampledFrom([]string{tickToken, trialToken, "due", "start"}).Draw(t, "token"))
+			}
+			if len(d.subset) < many {
+				continue
+			}
+			class := d.classes[s.Classes[rapid.IntRange(0, 2).Draw(t, "asked")].Name]
+			j := &job{Request: Request{ID: "probe", Slots: 1}, class: class, aim: d.now + time.Second}
+			j.run = float64(rapid.IntRange(1, 800).Draw(t, "run")) * float64(time.Millisecond)
+			j.cost = j.run
+			want, most, near := d.plainSearch(j)
+			got := d.place(j)
+			require.Equal(t, want == nil, got == nil, "plain %v, sampled %v", want, got)
+			if got == nil {
+				continue
+			}
+			room, fits := d.room(got, j)
+			if d.near(got) {
+				room += nearFirst
+			}
+			require.True(t, fits && d.usable(got))
+			require.False(t, math.IsNaN(room))
+			if near <= sample {
+				require.Equal(t, most, room, "of %d that fit", near)
+			}
+		}
+	})
+}
+
+// TestEqualRoomIsShared: where all have the same room, jobs of many dispatchers do
+// not meet at one worker.
+func TestEqualRoomIsShared(t *testing.T) {
+	const workers, dispatchers = 500, 200
+	got := make(map[uint32]int)
+	for rank := range dispatchers {
+		h := &searched{}
+		d, err := New(Settings{
+			Seed: uint64(rank), Instances: 1, Kinds: []string{"k"}, Limits: Limits{MaxAttempts: 2},
+			Classes: []Class{{Name: "c", Aim: time.Second, GiveUp: 5 * time.Second, Worth: 1, Kind: -1}},
+		}, h)
+		require.NoError(t, err)
+		var list []Member
+		for i := range uint32(workers) {
+			list = append(list, Member{Worker: i + 1, Kind: "k"})
+		}
+		d.Members(time.Minute, ListWhole, list)
+		d.peak = workers
+		d.Request(time.Minute, Request{ID: "r", Class: "c", Hint: time.Millisecond, Expires: time.Minute + time.Second})
+		require.Len(t, h.out, 1)
+		got[h.out[0].Worker]++
+	}
+	for w, n := range got {
+		require.LessOrEqual(t, n, 5, "worker %d", w)
+	}
+	require.Greater(t, len(got), dispatchers/2)
+}
+
+// whole plays jobs to a dispatcher with a list of 10,000 for a while and returns
+// how many were sent to each worker.
+func whole(t *testing.T, d *Dispatcher, h *searched, now *time.Duration, jobs int, name string) map[uint32]int {
+	sent := make(map[uint32]int)
+	for n := range jobs {
+		*now += 100 * time.Microsecond
+		d.Request(*now, Request{ID: fmt.Sprint(name, n), Class: "c", Hint: 20 * time.Millisecond, Expires: *now + 5*time.Second})
+		for len(h.out) > 200 {
+			o := h.out[0]
+			h.out = h.out[1:]
+			o.Ended = true
+			d.Outcome(*now, o)
+		}
+		if n%200 == 0 {
+			d.Timer(*now, tickToken)
+		}
+	}
+	for _, o := range h.out {
+		sent[o.Worker]++
+	}
+	return sent
+}
+
+// TestListsOfTenThousand: a list that changes wholly in one call, one that drains
+// wholly and comes back cold, and one worker a hundred times slower. Each of these
+// is answered at once, and what goes out afterwards goes where the list says.
+func TestListsOfTenThousand(t *testing.T) {
+	const n = 10000
+	h := &searched{}
+	d, err := New(Settings{
+		Instances: 1, Kinds: []string{"k"}, Limits: Limits{MaxAttempts: 2}, TellsStart: true,
+		Classes: []Class{{Name: "c", Aim: time.Second, GiveUp: 5 * time.Second, Worth: 1, Kind: -1}},
+		Rules:   Rules{ColdFrom: 0.2, ColdFor: 10 * time.Second, FallMultiple: 4, FallFor: time.Second},
+	}, h)
+	require.NoError(t, err)
+	now := time.Hour
+	list := func(from uint32, state MemberState, since time.Duration) (all []Member) {
+		for i := range uint32(n) {
+			all = append(all, Member{Worker: from + i, Kind: "k", State: state, Since: since})
+		}
+		return all
+	}
+	d.Members(now, ListWhole, list(1, Ready, 0))
+	require.NotEmpty(t, whole(t, d, h, &now, 2000, "a"))
+
+	d.Members(now, ListWhole, list(1+n, Ready, 0)) // all others
+	h.out = nil
+	for w := range whole(t, d, h, &now, 2000, "b") {
+		require.Greater(t, w, uint32(n))
+	}
+
+	d.Members(now, ListWhole, list(1+n, Draining, 0))
+	h.out = nil
+	require.Empty(t, whole(t, d, h, &now, 500, "c"), "nothing goes to those that drain")
+
+	now += 6 * time.Second
+	d.Timer(now, tickToken)
+	d.Members(now, ListWhole, list(1+n, Ready, now)) // all come back, all cold
+	h.out = nil
+	for w, jobs := range whole(t, d, h, &now, 2000, "d") {
+		require.LessOrEqual(t, jobs, 4, "cold worker %d", w)
+	}
+	require.Less(t, len(d.vacant.All()), n+1)
+	for _, w := range d.vacant.All() {
+		require.True(t, w.member)
+	}
+}
+
+// TestSlowOneAmongMany: one worker a hundred times slower draws next to no work.
+func TestSlowOneAmongMany(t *testing.T) {
+	const n, slow = 300, 7
+	h := &searched{}
+	d, err := New(Settings{
+		Instances: 1, Kinds: []string{"k"}, Limits: Limits{MaxAttempts: 2},
+		Classes: []Class{{Name: "c", Aim: 10 * time.Second, GiveUp: 20 * time.Second, Worth: 1, Kind: -1}},
+	}, h)
+	require.NoError(t, err)
+	now := time.Hour
+	var list []Member
+	for i := range uint32(n) {
+		list = append(list, Member{Worker: i, Kind: "k"})
+	}
+	d.Members(now, ListWhole, list)
+	d.peak = n
+	type due struct {
+		at time.Duration
+		o  Outcome
+	}
+	var out []due
+	total, there := 0, 0
+	for k := range 20000 {
+		now += 200 * time.Microsecond
+		d.Request(now, Request{ID: fmt.Sprint(k), Class: "c", Hint: 20 * time.Millisecond, Expires: now + 20*time.Second})
+		for _, o := range h.out {
+			total++
+			run := 20 * time.Millisecond
+			if o.Worker == slow {
+				run *= 100
+				there++
+			}
+			out = append(out, due{now + run, o})
+		}
+		h.out = nil
+		kept := out[:0]
+		for _, x := range out {
+			if x.at > now {
+				kept = append(kept, x)
+				continue
+			}
+			x.o.Ended = true
+			d.Outcome(now, x.o)
+		}
+		out = kept
+		if k%100 == 0 {
+			d.Timer(now, tickToken)
+		}
+	}
+	require.Greater(t, total, 19000)
+	require.Less(t, there, total/n/4, "of %d", total)
+}
--- a/state.go
+++ b/state.go
@@ -274,7 +274,7 @@
 // job, so that a search among them finds what one through the subset would. A search while it was not there
 // would have found its budget too small.
 func (d *Dispatcher) index(w *worker) {
-	vacant := w.member && (len(w.attempts) == 0 || w.budget == 0 || w.out < w.budget)
+	vacant := w.member && (len(w.attempts) == 0 || w.budget == 0 || w.out <= w.budget)
 	if !d.vacant.Put(w, vacant) {
 		return
 	}
