Let a lone dispatcher's budgets grow sooner, until they are cut for the first time

Budgets start at two mean jobs a member and grew by 2% a job: what members had room for was held here until it was hopeless.

Change: where this dispatcher is the only one, so that its sums are all that a member holds, a budget grows by half a job for each that ends well, until its first cut.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -24,6 +24,7 @@
 	startBudget = 2.0  // budget of a new worker, in mean costs
 	minBudget   = 0.5  // least budget, in mean costs
 	growth      = 0.02 // share of a good job's cost that a fully used budget grows by
+	firstGrowth = 0.5  // and, where nobody shares the worker, until it is cut for the first time
 	cut         = 0.75 // what remains of a budget after a refusal, time-out or slowing
 	slowing     = 2.0  // slowing: an answer after this many times the run time at the worker's pace
 
@@ -251,7 +252,9 @@
 		if slow {
 			d.cutBudget(w, a.at)
 		} else if w.full { // slowly, also where starts are told: too large a budget fills a queue
-			w.budget += growth * a.cost
+			if w.budget += growth * a.cost; w.lastCut == 0 && d.Instances == 1 {
+				w.budget += (firstGrowth - growth) * a.cost
+			}
 			w.full = false
 			d.index(w)
 		}
--- a/search_test.go
+++ b/search_test.go
@@ -283,3 +283,43 @@
 	require.Greater(t, total, 19000)
 	require.Less(t, there, total/n/4, "of %d", total)
 }
+
+// TestLoneDispatcherLearnsSoon: whom nobody shares its worker with finds out in a few
+// round trips how much the worker takes, until the first sign that it is too much; who
+// shares it goes on slowly.
+func TestLoneDispatcherLearnsSoon(t *testing.T) {
+	most := func(instances int, cutAt int) (out int) {
+		h := &searched{}
+		d, err := New(Settings{
+			Instances: instances, Kinds: []string{"k"}, Limits: Limits{MaxAttempts: 2}, TellsStart: true,
+			Classes: []Class{{Name: "c", Aim: time.Minute, GiveUp: 2 * time.Minute, Worth: 1, Kind: -1}},
+		}, h)
+		require.NoError(t, err)
+		now := time.Hour
+		d.Members(now, ListWhole, []Member{{Worker: 1, Kind: "k"}})
+		for n := range 200 {
+			d.Request(now, Request{ID: fmt.Sprint(n), Class: "c", Hint: 20 * time.Millisecond, Expires: now + 2*time.Minute})
+		}
+		for round := range 6 {
+			ends := h.out
+			h.out = nil
+			now += time.Millisecond
+			for _, o := range ends {
+				d.Note(now, Note{Request: o.Request, Worker: o.Worker, Topic: NoteStarted})
+			}
+			now += 20 * time.Millisecond
+			for i, o := range ends {
+				o.Ended = true
+				if round == cutAt && i == 0 {
+					o.Ended, o.Status = false, Full
+				}
+				d.Outcome(now, o)
+			}
+			out = max(out, len(d.byID[1].attempts))
+		}
+		return out
+	}
+	require.Greater(t, most(1, -1), 12)
+	require.LessOrEqual(t, most(2, -1), 4)
+	require.LessOrEqual(t, most(1, 1), 6, "it was cut once")
+}
