Write sends, starts, ends and probes to the log at level trace, to count over the fleet

Counting what all dispatchers of a fleet do at each member needs each one's sends and starts in one log; at debug only what did not serve was told. Probes last 7.3 ms at members that hold 0 and 22 slots alike: they tell nothing of a queue (ruled out as evidence of load). CPU is at most 10 ms in a second; list calls and connections are under 6% of what is lost.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -332,6 +332,11 @@
 		return
 	}
 	f.ended = true
+	c.trace("ended", func() logrus.Fields {
+		fields := f.fields()
+		fields["status"], fields["after"] = account.StatusName(s), c.now.Sub(f.SentAt).String()
+		return fields
+	})
 	c.timers.drop(f.due)
 	t.last = s
 	c.flowing--
@@ -355,6 +360,9 @@
 
 func (c *Core) note(f *Flow, topic basaltloft.NoteTopic, share float64) {
 	if !f.ended {
+		if topic == basaltloft.NoteStarted {
+			c.trace("started", f.fields)
+		}
 		c.decisions.Note(c.clock(c.now), basaltloft.Note{
 			Request: f.Transaction.ID, Attempt: f.Number, Worker: f.Member.number, Topic: topic, Value: share,
 		})
@@ -398,6 +406,26 @@
 // Probed tells how a probe of a member ended.
 func (c *Core) Probed(m *Member, s basaltloft.Status, sentAt time.Time) {
 	c.post(func() {
+		c.trace("probe ended", func() logrus.Fields {
+			fields := m.fields()
+			fields["status"], fields["after"] = account.StatusName(s), c.now.Sub(sentAt).String()
+			return fields
+		})
 		c.decisions.Probed(c.clock(c.now), basaltloft.Probed{Worker: m.number, Status: s, Latency: c.now.Sub(sentAt)})
 	})
 }
+
+// trace writes what happens at one member to the log, where that is asked for. It
+// is how the fleet's behaviour is counted over the logs of all dispatchers.
+func (c *Core) trace(what string, fields func() logrus.Fields) {
+	if l, ok := c.log.(*logrus.Logger); ok && l.IsLevelEnabled(logrus.TraceLevel) {
+		l.WithFields(fields()).Trace(what)
+	}
+}
+
+func (f *Flow) fields() logrus.Fields {
+	return logrus.Fields{"transaction": f.Transaction.ID, "class": f.Transaction.Class, "hint": f.Transaction.Hint.String(),
+		"slots": f.Transaction.Slots, "flow": f.Number, "member": f.Member.ID, "kind": f.Member.Kind}
+}
+
+func (m *Member) fields() logrus.Fields { return logrus.Fields{"member": m.ID, "kind": m.Kind} }
--- a/internal/core/host.go
+++ b/internal/core/host.go
@@ -43,6 +43,7 @@
 			c.end(f, basaltloft.TimedOut, nil)
 		}
 	})
+	c.trace("sent", f.fields)
 	m.Carrier.Start(f)
 }
 
@@ -90,6 +91,7 @@
 // Probe implements basaltloft.Host.
 func (h host) Probe(worker uint32) {
 	if m := h.c.numbers[worker]; m != nil {
+		h.c.trace("probed", m.fields)
 		m.Carrier.Probe(m)
 	}
 }
