Stay with members that start jobs at once; cold ones take jobs by chance, not in turns

Cause, counted over the logs of 80 dispatchers: each sees about one job a second, so its own sums (room, place) call nearly all members idle, and its choice is the fastest by its paces, which is the same one everywhere: 27% of the sends waited over 100 ms with room at 37 of 60 members.

Change: where many share each member and nobody reports, room is weighed by odds: the share of jobs that start soon, apart for warm and cold members, and five times as much where an own job started at once just now, until one waits there. A job may go to a cold member by chance, so that all together send 0.3 of the safe budget on average however many jobs each has; one dispatcher sends at most half.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -2,12 +2,12 @@
 
 // Every decision of the library is in this file; its types, events and actions are in basaltloft.go.
 //
-// Tunables, events, type costs, health, copies, reports, budgets, release, effects, lists, subsets.
 // docs/design.md gives the reasons; state.go keeps the books.
 
 import (
 	"cmp"
 	"container/heap"
+	"math"
 	"slices"
 	"time"
 )
@@ -39,6 +39,9 @@
 	many        = 64          // with so many members searches are sampled, and looks are a tick apart
 	sample      = 24          // that many members with room are weighed for a job
 	crowd       = 8           // where so many dispatchers share a worker, own sums say little of it
+	promptGain  = 4.0         // a worker at which an own job just started at once counts so much more
+	promptMeans = 2.0         // and that fades in so many mean costs
+	dither      = 0.1         // spread of the chance that keeps dispatchers which know the same apart
 
 	reportLag  = 100 * time.Millisecond  // sends this recent are not in a report yet
 	reportLife = 1200 * time.Millisecond // a report older than this says nothing
@@ -59,6 +62,8 @@
 	keepGone     = time.Minute            // a worker called gone is remembered for this long
 	turnMeans    = 2.5                    // mean costs that each of those who share a turn may send
 	coldSafety   = 0.6                    // share of the cold rule's budget that is used
+	coldFair     = 0.3                    // without turns, the part of that which all send on average
+	coldOwn      = 0.5                    // and what one may send at most
 	overloadFor  = time.Second            // how long a job lost for want of room means overload
 
 	tickEvery = 20 * time.Millisecond
@@ -267,16 +272,12 @@
 		d.failed(w)
 	case Unfit: // says nothing of the worker: else one client's bad input shuts one worker after the other
 		w.news = d.now
-	case TimedOut:
-		d.cutBudget(w, a.at)
 	case Moot:
 		a.called = true // it never arrived, which proves little, but others are tried first
-	case ConnectFailed:
-		d.cutBudget(w, a.at)
-		d.doubt(w, true)
-	case Reset: // one connection broke: whether the process died shows when the next one fails
-		d.cutBudget(w, a.at)
-		d.doubt(w, false)
+	case TimedOut, ConnectFailed, Reset: // one broke: whether the process died shows when the next one fails
+		if d.cutBudget(w, a.at); o.Status != TimedOut {
+			d.doubt(w, o.Status == ConnectFailed)
+		}
 	}
 }
 
@@ -400,9 +401,7 @@
 
 // started keeps the first copy that starts, and calls off the others.
 func (d *Dispatcher) started(a *attempt) {
-	if a.job.running == nil {
-		a.job.running = a
-	}
+	a.job.running = cmp.Or(a.job.running, a)
 	d.callOffBut(a.job, a.job.running)
 }
 
@@ -457,10 +456,10 @@
 	return w.coldFrom != 0 && d.now-w.coldFrom < d.Rules.ColdFor
 }
 
-// turn counts the turns of a cold worker from its start, and those until the last one of this instance.
+// turn counts the turns of a cold worker from its start, and those until the next one of this instance.
 func (d *Dispatcher) turn(w *worker) (now, wait int) {
 	now = int(max(0, d.now-w.coldFrom) / max(1, d.Rules.FallFor))
-	return now, (d.Rank + d.Instances - (now+int(w.Worker>>1))%d.Instances) % d.Instances
+	return now, one(!d.blind()) * ((d.Rank + d.Instances - (now+int(w.Worker>>1))%d.Instances) % d.Instances)
 }
 
 // share is the part of its capacity that a worker has at least, at an age.
@@ -473,13 +472,20 @@
 
 // coldRoom is the cost that a cold worker may still get from this instance. By rank and the told start, n
 // share a turn as long as the rule's window, and each turn changes one: any window meets n+1, and as many
-// parts, of some jobs each, keep the sum. Slots seen at its kind, at its pace, stand for the capacity.
-func (d *Dispatcher) coldRoom(w *worker) float64 {
+// parts, of some jobs each, keep the sum. Slots seen at its kind, at its pace, stand for the capacity. In a
+// crowd most turns would pass unused: there jobs go by chance, so that all send their part on average.
+func (d *Dispatcher) coldRoom(w *worker, j *job) float64 {
 	turn, wait := d.turn(w)
 	start := time.Duration(turn) * d.Rules.FallFor
 	capacity := max(1, 0.8*w.kind.slots) / w.pace() * float64(d.Rules.FallFor)
 	whole := coldSafety * d.Rules.FallMultiple * d.share(w, start) * capacity
-	if d.Instances > 1 {
+	switch {
+	case d.blind():
+		if j.chance(w)*d.mine(w) > coldFair*whole/float64(d.Instances) {
+			return 0
+		}
+		whole *= coldOwn
+	case d.Instances > 1:
 		n := max(1, min(int(whole/(turnMeans*d.mean))-1, d.Instances-1))
 		if wait >= n || w.coldFrom < d.born && w.coldFrom+start-d.Rules.FallFor < d.born {
 			return 0 // others' turn, or one that this instance may have used before it restarted
@@ -502,7 +508,7 @@
 	room, fits := w.budget-w.out, w.out+d.load(j) <= w.budget || len(w.attempts) == 0
 	w.full, fits = w.full || !fits, fits && w.waiting == 0 && d.now >= w.shutTill
 	if d.crowded && d.asks && !d.fresh(w, time.Duration(d.mean)) { // first hear what it holds of others
-		wait := float64(askWait) / max(0.03, d.prompt*d.prompt) // longer, the fewer jobs start soon
+		wait := float64(askWait) / max(0.03, d.prompt[0]*d.prompt[0]) // longer, the fewer jobs start soon
 		fits = fits && d.now >= j.heldAt+time.Duration(wait)
 	}
 	if d.fresh(w, reportLife) {
@@ -512,16 +518,36 @@
 		}
 	}
 	if d.cold(w) {
-		left := d.coldRoom(w)
+		left := d.coldRoom(w, j)
 		inTurn := j.cost <= left && w.out+j.cost <= max(w.budget, j.cost)
-		if d.crowded { // a turn is better evidence of room than a report that many see
+		if d.crowded && d.asks { // a turn is better evidence of room than a report that many see
 			return turnFirst + left/w.pace(), inTurn
 		}
 		room, fits = min(room, left), fits && inTurn
 	}
+	if d.blind() {
+		room = d.odds(w) * (w.budget - w.out)
+	}
 	return room / w.budget / w.pace(), fits
 }
 
+// blind tells whether only the starts of own jobs show room: many share each worker, and nobody reports.
+func (d *Dispatcher) blind() bool { return d.crowded && !d.asks }
+
+// odds weigh a worker by how likely a job starts there at once, as own ones did of late, there or at all warm
+// or cold ones. Who stays with one until a job waits keeps off the others (Gibbens, Kelly and Key, Dynamic
+// Alternative Routing, 1988); the roomiest by own sums, which say little, is the same one for all.
+func (d *Dispatcher) odds(w *worker) float64 {
+	odds := d.prompt[one(d.cold(w))] * math.Pow(d.rng.ExpFloat64(), -dither)
+	if d.cold(w) { // as much as it can do at least: the sum of all is under the rule's budget then
+		return odds * d.share(w, d.now-w.coldFrom)
+	}
+	if w.promptAt != 0 {
+		odds *= 1 + promptGain*math.Exp(-float64(d.now-w.promptAt)/(promptMeans*d.mean))
+	}
+	return odds
+}
+
 // release sends held jobs while the head of a queue fits a worker; it holds the rest.
 func (d *Dispatcher) release() {
 	over := d.lostAt != 0 && d.now-d.lostAt < overloadFor
@@ -744,7 +770,7 @@
 		near := d.pick(kind, true, want)
 		d.pick(kind, false, want*5/4-near) // some of other zones, for what the own one has no room for
 	}
-	d.best = d.fastest()
+	d.best, d.warmth = d.fastest(), d.warm()
 	d.crowded = d.Instances*len(d.subset) >= crowd*len(d.workers)
 }
 
@@ -754,9 +780,7 @@
 func (d *Dispatcher) pick(kind int, near bool, want int) (have int) {
 	fits := func(w *worker) bool { return d.near(w) == near && (kind < 0 || d.Kinds[kind] == w.Kind) }
 	for _, w := range d.subset {
-		if fits(w) && !w.suspect && !d.cold(w) {
-			have++
-		}
+		have += one(fits(w) && !w.suspect && !d.cold(w))
 	}
 	if have >= want {
 		return have
@@ -769,12 +793,9 @@
 	}
 	at, stride := spread(d.Rank, len(ring))
 	for i := 0; i < len(ring) && have < want; i++ {
-		w := ring[(at+i*stride)%len(ring)]
-		if w.member {
-			continue
-		}
-		if d.join(w); !w.suspect && !d.cold(w) {
-			have++
+		if w := ring[(at+i*stride)%len(ring)]; !w.member {
+			d.join(w)
+			have += one(!w.suspect && !d.cold(w))
 		}
 	}
 	return have
--- a/scale_test.go
+++ b/scale_test.go
@@ -34,8 +34,13 @@
 		cost float64
 	}
 	var sent []load
+	due := make(map[time.Duration][]func())
 	total := 0.0
 	for now := start; now < start+s.Rules.ColdFor; now += 20 * ms {
+		for len(due[now]) > 0 { // runs as long as it was said to: else jobs would be learned to be short
+			due[now][0]()
+			due[now] = due[now][1:]
+		}
 		for i, b := range benches {
 			b.now = now
 			if now >= told[i] && now-20*ms < told[i] {
@@ -51,7 +56,8 @@
 				b.Gone(now, id)
 				continue
 			}
-			b.outcome(id, basaltloft.OK)
+			end := now + hint.Round(20*ms)
+			due[end] = append(due[end], func() { b.now = end; b.outcome(id, basaltloft.OK) })
 			sent = append(sent, load{now, hint.Seconds()})
 			total += hint.Seconds()
 		}
@@ -219,3 +225,86 @@
 		t.Error("no new worker is tried, however many jobs come")
 	}
 }
+
+// blindFleet is a dispatcher of 80 before 20 workers that report nothing but starts.
+func blindFleet(t *testing.T, rank int) *bench {
+	s := settings()
+	s.Instances, s.Rank, s.Seed, s.TellsStart, s.ReportX0 = 80, rank, uint64(rank), true, ""
+	s.Limits.SecondCopies = false
+	return newBench(t, s, 20)
+}
+
+// play sends a job, tells its start after the wait, and its end.
+func (b *bench) play(id string, wait time.Duration) uint32 {
+	b.request(id, "unsafe", 100*ms)
+	w := b.sentTo(id)
+	b.pass(wait)
+	b.Note(b.now, basaltloft.Note{Request: id, Worker: w, Topic: basaltloft.NoteStarted})
+	b.pass(100 * ms)
+	b.outcome(id, basaltloft.OK)
+	return w
+}
+
+// TestStaysWithAWorkerThatHasRoom: where only starts show room, a dispatcher stays with a worker at which jobs
+// start at once and leaves one at which a job waits. By own sums alone all dispatchers of a fleet agreed on
+// the same workers: a quarter of the jobs waited, with room at 37 of 60 workers.
+func TestStaysWithAWorkerThatHasRoom(t *testing.T) {
+	used := make(map[uint32]int)
+	for rank := range 80 {
+		b := blindFleet(t, rank)
+		first := b.play("r0", 5*ms)
+		used[first]++
+		same := 0
+		for i := range 20 {
+			if b.play(fmt.Sprint("s", i), 5*ms) == first {
+				same++
+			}
+		}
+		if same < 15 {
+			t.Errorf("rank %d: %d of 20 jobs at the worker that started the first one at once", rank, same)
+		}
+		for left, i := b.play("w", 150*ms), 0; i < 2; i++ {
+			if b.play(fmt.Sprint("l", i), 5*ms) == left {
+				t.Errorf("rank %d: a job goes where one has just waited", rank)
+			}
+		}
+	}
+	for w, n := range used {
+		if n > 16 {
+			t.Errorf("%d of 80 dispatchers begin at worker %d of 20", n, w)
+		}
+	}
+}
+
+// TestColdWorkersAreNotLeftIdle: half of the fleet is replaced at once, and at the rest jobs wait. What the
+// dispatchers send to the new ones together grows as those warm up. By turns alone, which the few jobs of a
+// dispatcher seldom met, they stood idle for all the time in which they were called cold.
+func TestColdWorkersAreNotLeftIdle(t *testing.T) {
+	cold, all := 0, 0
+	for rank := range 80 {
+		b := blindFleet(t, rank)
+		var list []basaltloft.Member
+		for id := range uint32(20) {
+			m := member(id+1, "a")
+			if id < 10 {
+				m.Since = b.now
+			}
+			list = append(list, m)
+		}
+		b.Members(b.now, basaltloft.ListWhole, list)
+		for i := range 12 {
+			id := fmt.Sprint("r", i)
+			b.request(id, "unsafe", 100*ms)
+			w := b.sentTo(id)
+			if all++; w <= 10 {
+				cold++
+				b.Note(b.now, basaltloft.Note{Request: id, Worker: w, Topic: basaltloft.NoteStarted})
+			}
+			b.pass(500 * ms)
+			b.outcome(id, basaltloft.OK)
+		}
+	}
+	if cold < all/4 || cold > all*3/4 {
+		t.Errorf("%d of %d jobs go to the cold half", cold, all)
+	}
+}
--- a/state.go
+++ b/state.go
@@ -40,6 +40,7 @@
 	coldSent []sent        // what it got while cold, within the rule's window
 
 	news          time.Duration // last sign of life
+	promptAt      time.Duration // an own job started at once, or left its slot, then; 0: never
 	reportAt      time.Duration // last report with free slots, 0: none
 	free, memory  float64       // reported free slots and memory, less own sends since
 	hasMem        bool
@@ -178,10 +179,10 @@
 	jobs     map[string]*job
 	queues   []*queue // by kind, the last is for any kind; behind them those of needs
 	needed   map[need]*queue
-	known    float64 // mean run time of the types learned
-	mean     float64 // mean cost of the jobs that came in
-	prompt   float64 // share of the jobs that start soon
-	common   float64 // how slow all are beside their paces, of late
+	known    float64    // mean run time of the types learned
+	mean     float64    // mean cost of the jobs that came in
+	prompt   [2]float64 // share of the jobs that start soon, at warm and at cold workers
+	common   float64    // how slow all are beside their paces, of late
 	kinds    map[string]*kind
 	busy     []*worker // with attempts out
 	lookedAt time.Duration
@@ -196,9 +197,12 @@
 	born     time.Duration
 	ticking  bool    // a tick is set
 	needs    []int   // the kinds that classes require, -1 for any
+	warmth   float64 // see warm
 	best     float64 // pace of the fastest worker in use
 	out      int
 	seq      uint64
+	came     float64 // jobs that came, fading, as of cameAt
+	cameAt   time.Duration
 	probes   float64       // probes that may be sent
 	lostAt   time.Duration // when a job was last given up for want of room
 	slotsX0  bool
@@ -214,7 +218,7 @@
 	d := &Dispatcher{
 		Settings: s, host: h, rng: rand.New(rand.NewPCG(s.Seed, s.Seed^0x9e3779b97f4a7c15)),
 		classes: make(map[string]*typeCost), byID: make(map[uint32]*worker), jobs: make(map[string]*job),
-		kinds: make(map[string]*kind), needed: make(map[need]*queue), common: 1, best: 1, prompt: 1,
+		kinds: make(map[string]*kind), needed: make(map[need]*queue), common: 1, best: 1, prompt: [2]float64{1, 1},
 		slotsX0: s.ReportX0 == FreeSlots, memX1: s.ReportX1 == FreeMemory,
 		vacant: vacancy.New(func(w *worker) *vacancy.Place { return &w.place }),
 	}
@@ -330,6 +334,9 @@
 	if a.waits {
 		w.waiting--
 	}
+	if w.promptAt != 0 {
+		w.promptAt = d.now
+	}
 	if a.job.running == a {
 		a.job.running = nil
 	}
@@ -678,6 +685,37 @@
 	}
 }
 
+// rate is how many jobs come a second, by the last ones.
+func (d *Dispatcher) rate() float64 {
+	over := math.Min(rateWindow, (d.now - d.born).Seconds())
+	return d.came * math.Exp((d.cameAt-d.now).Seconds()/rateWindow) / max(1, over)
+}
+
+// mine is the work that this dispatcher would send to a cold worker in the rule's window if its jobs went to
+// all workers evenly, by the shares of their capacity that they have.
+func (d *Dispatcher) mine(w *worker) float64 {
+	return d.rate() * d.Rules.FallFor.Seconds() * d.mean * d.share(w, d.now-w.coldFrom) / max(1, d.warmth)
+}
+
+// warm is how many warm workers those of the subset are worth.
+func (d *Dispatcher) warm() (all float64) {
+	for _, w := range d.subset {
+		all += d.share(w, d.now-w.coldFrom)
+	}
+	return all
+}
+
+// rateWindow is how long a job counts in the rate, in seconds.
+const rateWindow = 10.0
+
+// chance is a number from 0 to 1, even over jobs and workers, and the same however often a held job asks.
+func (j *job) chance(w *worker) float64 {
+	x := (j.seq<<32 | uint64(w.Worker)) * 0x9e3779b97f4a7c15 // mixed as splitmix64 does
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return float64((x^x>>31)>>11) / (1 << 53)
+}
+
 // newJob takes a request into the table of jobs and the mean cost.
 func (d *Dispatcher) newJob(c *typeCost, r Request) *job {
 	d.seq++
@@ -686,6 +724,8 @@
 	j.cost = j.run * r.Slots
 	d.mean += (j.cost - d.mean) / min(float64(d.seq), costWindow)
 	d.jobs[r.ID] = j
+	d.came = d.came*math.Exp((d.cameAt-d.now).Seconds()/rateWindow) + 1
+	d.cameAt = d.now
 	return j
 }
 
@@ -694,7 +734,8 @@
 	if !a.waits {
 		a.waits = true
 		a.worker.waiting++
-		d.prompt -= d.prompt / paceWindow
+		a.worker.promptAt = 0
+		d.prompt[one(d.cold(a.worker))] *= 1 - 1/paceWindow
 	}
 }
 
@@ -706,8 +747,9 @@
 		a.worker.shutTill = d.now + d.now - a.at
 		return
 	}
-	a.worker.shutTill = 0
-	d.prompt += (1 - d.prompt) / paceWindow
+	a.worker.shutTill, a.worker.promptAt = 0, d.now
+	p := &d.prompt[one(d.cold(a.worker))]
+	*p += (1 - *p) / paceWindow
 }
 
 // one is 1 for true.
