Keep to half as many members where only own starts show room

Cause: each member that a dispatcher finds jammed costs it a job that waits there, or runs on there after it was asked back; a jam of ten members is found by 80 dispatchers, one by one. With a subset of 10 and more, a dispatcher with a job a second meets each member every ten seconds, when what it knew is stale.

Change: a subset of half the size where nobody reports and at least 8 dispatchers share the members; whether they do no longer depends on the subset's own size.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -532,8 +532,8 @@
 	return room / w.budget / w.pace(), fits
 }
 
-// blind tells whether only the starts of own jobs show room: many share each worker, and nobody reports.
-func (d *Dispatcher) blind() bool { return d.crowded && !d.asks }
+// blind tells whether only the starts of own jobs show room: many share the workers, and nobody reports.
+func (d *Dispatcher) blind() bool { return d.Instances >= crowd && !d.asks }
 
 // odds weigh a worker by how likely a job starts there at once, as own ones did of late, there or at all warm
 // or cold ones. Who stays with one until a job waits keeps off the others (Gibbens, Kelly and Key, Dynamic
@@ -750,8 +750,8 @@
 	}
 }
 
-// want is the size of the subset.
-func (d *Dispatcher) want() int { return int(max(subsetLeast, subsetEach*d.peak)) }
+// want is the size of the subset: half where each worker is learned by jobs that wait there, not by reports.
+func (d *Dispatcher) want() int { return int(max(subsetLeast, subsetEach*d.peak)) >> one(d.blind()) }
 
 // joinCold takes a cold worker into the subset if this instance has a turn there soon.
 func (d *Dispatcher) joinCold(w *worker) {
--- a/scale_test.go
+++ b/scale_test.go
@@ -226,12 +226,12 @@
 	}
 }
 
-// blindFleet is a dispatcher of 80 before 20 workers that report nothing but starts.
-func blindFleet(t *testing.T, rank int) *bench {
+// blindFleet is a dispatcher of 80 before workers that report nothing but starts.
+func blindFleet(t *testing.T, rank, workers int) *bench {
 	s := settings()
 	s.Instances, s.Rank, s.Seed, s.TellsStart, s.ReportX0 = 80, rank, uint64(rank), true, ""
 	s.Limits.SecondCopies = false
-	return newBench(t, s, 20)
+	return newBench(t, s, workers)
 }
 
 // play sends a job, tells its start after the wait, and its end.
@@ -251,7 +251,7 @@
 func TestStaysWithAWorkerThatHasRoom(t *testing.T) {
 	used := make(map[uint32]int)
 	for rank := range 80 {
-		b := blindFleet(t, rank)
+		b := blindFleet(t, rank, 20)
 		first := b.play("r0", 5*ms)
 		used[first]++
 		same := 0
@@ -282,7 +282,7 @@
 func TestColdWorkersAreNotLeftIdle(t *testing.T) {
 	cold, all := 0, 0
 	for rank := range 80 {
-		b := blindFleet(t, rank)
+		b := blindFleet(t, rank, 20)
 		var list []basaltloft.Member
 		for id := range uint32(20) {
 			m := member(id+1, "a")
@@ -308,3 +308,22 @@
 		t.Errorf("%d of %d jobs go to the cold half", cold, all)
 	}
 }
+
+// TestFewWorkersWhereOnlyStartsShowRoom: each worker that a dispatcher learns to be jammed costs it a job, so one
+// with little traffic keeps to a few. Its ten of before were as many as it sent jobs to in ten seconds.
+func TestFewWorkersWhereOnlyStartsShowRoom(t *testing.T) {
+	all := make(map[uint32]bool)
+	for rank := range 80 {
+		b, used := blindFleet(t, rank, 60), make(map[uint32]bool)
+		for i := range 40 {
+			w := b.play(fmt.Sprint("r", i), 150*ms)
+			used[w], all[w] = true, true
+		}
+		if len(used) > 6 {
+			t.Errorf("rank %d uses %d workers of 60 for a job at a time", rank, len(used))
+		}
+	}
+	if len(all) != 60 {
+		t.Errorf("the fleet uses %d workers of 60", len(all))
+	}
+}
