Send wide jobs to a part of the members first, and narrow ones to the others

Tickets of several slots are half of all work, and may wait for seconds, which holds may not.

Change: two fifths of the members, by a hash of the id that is the same at all dispatchers, take wide jobs first; the others take narrow ones first; a member of the other part counts a tenth. Cold members take both. A member's own pace is learned from the first runs at once, since a dispatcher sees few of them.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -1,8 +1,6 @@
 package basaltloft
 
-// Every decision of the library is in this file; its types, events and actions are in basaltloft.go.
-//
-// docs/design.md gives the reasons; state.go keeps the books.
+// Every decision of the library: basaltloft.go has its interface, state.go its books, docs/design.md why.
 
 import (
 	"cmp"
@@ -41,6 +39,8 @@
 	crowd       = 8           // where so many dispatchers share a worker, own sums say little of it
 	promptGain  = 4.0         // a worker at which an own job just started at once counts so much more
 	promptMeans = 2.0         // and that fades in so many mean costs
+	widePart    = 0.4         // the part of the workers that wide jobs go to first, and others last
+	astray      = 0.1         // a worker of the other part counts so much less
 	dither      = 0.1         // spread of the chance that keeps dispatchers which know the same apart
 
 	reportLag  = 100 * time.Millisecond  // sends this recent are not in a report yet
@@ -235,7 +235,7 @@
 		d.warmer(w, ratio, weight)
 	} else {
 		w.kind.pace *= 1 + (ratio-1)*weight/costWindow
-		w.own *= 1 + (ratio-1)*weight/paceWindow
+		w.own *= 1 + (ratio-1)*weight/w.countRun()
 	}
 }
 
@@ -481,10 +481,9 @@
 	capacity := max(1, 0.8*w.kind.slots) / w.pace() * float64(d.Rules.FallFor)
 	whole := coldSafety * d.Rules.FallMultiple * d.share(w, start) * capacity
 	switch {
+	case d.blind() && w.chance(j.seq)*d.mine(j) > coldFair*whole/float64(d.Instances):
+		return 0
 	case d.blind():
-		if j.chance(w)*d.mine(j) > coldFair*whole/float64(d.Instances) {
-			return 0
-		}
 		whole *= coldOwn
 	case d.Instances > 1:
 		n := max(1, min(int(whole/(turnMeans*d.mean))-1, d.Instances-1))
@@ -502,8 +501,7 @@
 
 // room is the share of its budget that a worker can still take, by its pace, and whether the job fits. In
 // plain cost the budget that has grown most would draw all jobs, at every dispatcher, past idle workers. An
-// idle worker takes any job; where an own one waits for its start nothing fits, whatever is reported: that
-// may be stale, false or shared by many.
+// idle worker takes any job; where an own one waits for its start nothing fits, whatever is reported.
 func (d *Dispatcher) room(w *worker, j *job) (float64, bool) {
 	w.budget = cmp.Or(w.budget, startBudget*d.mean)
 	room, fits := w.budget-w.out, w.out+d.load(j) <= w.budget || len(w.attempts) == 0
@@ -527,7 +525,7 @@
 		room, fits = min(room, left), fits && inTurn
 	}
 	if d.blind() {
-		room = d.odds(w) * (w.budget - w.out)
+		room = d.odds(w, j) * (w.budget - w.out)
 	}
 	return room / w.budget / w.pace(), fits
 }
@@ -538,14 +536,14 @@
 // odds weigh a worker by how likely a job starts there at once, as own ones did of late, there or at all warm
 // or cold ones. Who stays with one until a job waits keeps off the others (Gibbens, Kelly and Key, Dynamic
 // Alternative Routing, 1988); the roomiest by own sums, which say little, is the same one for all.
-func (d *Dispatcher) odds(w *worker) float64 {
-	odds := d.prompt[one(d.cold(w))] * math.Pow(d.rng.ExpFloat64(), -dither)
-	if d.cold(w) { // as much as it can do at least: the sum of all is under the rule's budget then
-		return odds / d.chilled(w)
-	}
-	if w.promptAt != 0 {
+func (d *Dispatcher) odds(w *worker, j *job) float64 {
+	odds := d.prompt[one(d.cold(w))] * math.Pow(d.rng.ExpFloat64(), -dither) / d.chilled(w)
+	if !d.cold(w) && w.promptAt != 0 {
 		odds *= 1 + promptGain*math.Exp(-float64(d.now-w.promptAt)/(promptMeans*d.mean))
 	}
+	if !d.cold(w) && (j.Slots > 1) != (w.chance(0) < widePart) { // a wide one that waits holds up others
+		odds *= astray
+	}
 	return odds
 }
 
--- a/state.go
+++ b/state.go
@@ -27,6 +27,7 @@
 	Member
 	kind     *kind
 	own      float64    // its run times beside its kind's mean
+	runs     float64    // how many of them were seen, up to paceWindow
 	member   bool       // of the subset
 	attempts []*attempt // out, in the order of their sends
 	out      float64    // the sum of their estimated costs
@@ -638,6 +639,13 @@
 	return slices.ContainsFunc(j.attempts, func(a *attempt) bool { return (a.failed || a.called) && a.worker == w })
 }
 
+// countRun counts a run, and tells how many its own pace is the mean of: the first ones say much to a dispatcher
+// that sends few jobs there, beside two that were as long as expected.
+func (w *worker) countRun() float64 {
+	w.runs = min(w.runs+1, paceWindow)
+	return min(w.runs+2, paceWindow)
+}
+
 // countEnd takes a job's end into the share of those that end in error; bad is 1 for one that does.
 func (w *worker) countEnd(bad float64) {
 	w.ends += 1 - w.ends/badWindow
@@ -713,9 +721,10 @@
 // rateWindow is how long a job counts in the rate, in seconds.
 const rateWindow = 10.0
 
-// chance is a number from 0 to 1, even over jobs and workers, and the same however often a held job asks.
-func (j *job) chance(w *worker) float64 {
-	x := (j.seq<<32 | uint64(w.Worker)) * 0x9e3779b97f4a7c15 // mixed as splitmix64 does
+// chance is a number from 0 to 1, even over numbers and workers. By that of a job it is the same however often
+// the job asks while it is held, by 0 it is the same at all instances.
+func (w *worker) chance(of uint64) float64 {
+	x := (of<<32 | uint64(w.Worker)) * 0x9e3779b97f4a7c15 // mixed as splitmix64 does
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
 	x = (x ^ x>>27) * 0x94d049bb133111eb
 	return float64((x^x>>31)>>11) / (1 << 53)
