Let odds, parts and small subsets begin at 16 dispatchers that share the members

Change: from 16 dispatchers on, by a constant of its own; cold members of a smaller crowd have their turns first again, as before.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -37,6 +37,7 @@
 	many        = 64          // with so many members searches are sampled, and looks are a tick apart
 	sample      = 24          // that many members with room are weighed for a job
 	crowd       = 8           // where so many dispatchers share a worker, own sums say little of it
+	throng      = 16          // where so many share the workers, own sums say nothing of them
 	promptGain  = 4.0         // a worker at which an own job just started at once counts so much more
 	promptMeans = 2.0         // and that fades in so many mean costs
 	widePart    = 0.4         // the part of the workers that wide jobs go to first, and others last
@@ -519,7 +520,7 @@
 	if d.cold(w) {
 		left := d.coldRoom(w, j)
 		inTurn := j.cost <= left && w.out+j.cost <= max(w.budget, j.cost)
-		if d.crowded && d.asks { // a turn is better evidence of room than a report that many see
+		if d.crowded && !d.blind() { // a turn is better evidence of room than a report that many see
 			return turnFirst + left/w.pace(), inTurn
 		}
 		room, fits = min(room, left), fits && inTurn
@@ -531,7 +532,7 @@
 }
 
 // blind tells whether only the starts of own jobs show room: many share the workers, and nobody reports.
-func (d *Dispatcher) blind() bool { return d.Instances >= crowd && !d.asks }
+func (d *Dispatcher) blind() bool { return d.Instances >= throng && !d.asks }
 
 // odds weigh a worker by how likely a job starts there at once, as own ones did of late, there or at all warm
 // or cold ones. Who stays with one until a job waits keeps off the others (Gibbens, Kelly and Key, Dynamic
