Keep learned warming a number where cold members start with nothing or all

Cause, found on reading: chilled and warmer divide by the share that a cold member has and lacks. ColdFrom may be 0 or 1; chill was then no number, and with it every average that learn keeps, for good.

Change: both divisors are kept from 0. The test fails without it at 0 and at 1.

--- a/internal_test.go
+++ b/internal_test.go
@@ -61,3 +61,16 @@
 		t.Errorf("%d things kept after 5000 jobs on 2500 workers", kept)
 	}
 }
+
+// TestChillStaysANumber: a worker that starts with all of its capacity, or with none, must not make the learned
+// warming, and all averages with it, no number.
+func TestChillStaysANumber(t *testing.T) {
+	for _, from := range []float64{0, 1} {
+		d := &Dispatcher{Settings: Settings{Rules: Rules{ColdFrom: from, ColdFor: time.Second}}, now: time.Minute, chill: 0.25}
+		w := &worker{coldFrom: time.Minute}
+		d.warmer(w, 1, 1)
+		if d.chill != d.chill || d.chilled(w) != d.chilled(w) {
+			t.Errorf("from %v: chill %v, chilled %v", from, d.chill, d.chilled(w))
+		}
+	}
+}
--- a/state.go
+++ b/state.go
@@ -71,15 +71,18 @@
 // pace is a worker's run times beside the fleet's mean.
 func (w *worker) pace() float64 { return w.kind.pace * w.own }
 
+// least keeps what is divided by from 0: the rule's figures may let a worker start with nothing, or with all.
+const least = 1e-6
+
 // chilled is how much longer a job runs at a worker that may be cold: at most as the rule's figures allow,
 // of which chill is the part that cold workers were found to take.
 func (d *Dispatcher) chilled(w *worker) float64 {
-	return 1 + d.chill*(1/d.share(w, d.now-w.coldFrom)-1)
+	return 1 + d.chill*(1/max(least, d.share(w, d.now-w.coldFrom))-1)
 }
 
 // warmer takes a run at a cold worker into chill: the less it lacks of its capacity, the less it shows.
 func (d *Dispatcher) warmer(w *worker, ratio, weight float64) {
-	lack := 1 - d.share(w, d.now-w.coldFrom)
+	lack := max(least, 1-d.share(w, d.now-w.coldFrom))
 	chill := min(1, max(0, (ratio*d.chilled(w)-1)*(1-lack)/lack))
 	d.chill += (chill - d.chill) * lack * weight / paceWindow
 }
