Serve on the handed-over socket, and open the operators' door

Seen in the node log: "bind: address already in use" at 0.2 s.

Change: - $ROUTER_ACCEPT_FD names a listening descriptor; the virtual server serves on it instead of binding; the old process closes its copy at SIGTERM. - internal/door: HTTP/1.1, one call a connection, 400 ms to be whole and 32 connections at most, so silent and half callers make room; GET /healthcheck, POST /runners/ID/maint|ready, /healthcheck/fail|ok. It never waits for the core: an unknown id is told from a table kept under a lock. - internal/hand (no I/O): runners out by hand, twice out and once back; written to $TMPDIR atomically and taken over by a new process; a cut, foreign or older file is ignored with a log line. - The core lists a held runner as draining whatever discovery says, and as started when put back, so that it is warmed as a cold one. - Call-backs that reach the process that does not hold the job (both accept on one socket) are handed to the other's door.

Ruled out: SO_REUSEPORT (spreads by hash, drops the old queue at exit); syncing with the core for the door (waits behind the backlog of jobs).

--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strconv"
 	"syscall"
 
 	"basaltloft/internal/service"
@@ -27,7 +28,7 @@
 
 func serve(ctx context.Context, sh *shared, operator string) error {
 	over := map[string]string{}
-	for _, name := range []string{"ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY"} {
+	for _, name := range []string{"ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY", "ROUTER_ADMIN"} {
 		over[name] = os.Getenv(name)
 	}
 	c, err := configure(over)
@@ -67,20 +68,40 @@
 		return c, fmt.Errorf("%s: %w", path, err)
 	}
 	for name, into := range map[string]*string{
-		"ROUTER_NAME": &c.Name, "ROUTER_LISTEN": &c.Listen, "ROUTER_DISCOVERY": &c.Discovery,
+		"ROUTER_NAME": &c.Name, "ROUTER_LISTEN": &c.Listen, "ROUTER_DISCOVERY": &c.Discovery, "ROUTER_ADMIN": &c.Admin,
 	} {
 		if v := over[name]; v != "" {
 			*into = v
 		}
 	}
-	for name, addr := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
-		if _, _, err := net.SplitHostPort(addr); err != nil {
+	for name, addr := range map[string]string{"listen": c.Listen, "discovery": c.Discovery, "admin": c.Admin} {
+		if _, _, err := net.SplitHostPort(addr); err != nil && (name != "admin" || addr != "") {
 			return c, fmt.Errorf("%s: %s: %w", path, name, err)
 		}
 	}
+	if over != nil {
+		fd, err := acceptFD(os.Getenv("ROUTER_ACCEPT_FD"))
+		if err != nil {
+			return c, err
+		}
+		c.AcceptFD = fd
+	}
 	return c, nil
 }
 
+// acceptFD reads the number of a descriptor handed over for the clients'
+// socket; empty is none (0). Anything but a number above 2 is an error.
+func acceptFD(text string) (int, error) {
+	if text == "" {
+		return 0, nil
+	}
+	fd, err := strconv.Atoi(text)
+	if err != nil || fd < 3 {
+		return 0, fmt.Errorf("ROUTER_ACCEPT_FD: %q is no descriptor above 2", text)
+	}
+	return fd, nil
+}
+
 func versionCommand(sh *shared) *cobra.Command {
 	return &cobra.Command{
 		Use: "version", Short: "say which version this is", Args: none,
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -40,7 +40,8 @@
 	mu      sync.Mutex
 	events  []posted
 	sources map[string]int // how many members each has
-	posted  chan struct{}  // there are events
+	listed  map[string]bool
+	posted  chan struct{} // there are events
 
 	// Owned by Run's goroutine.
 	decisions    *basaltloft.Dispatcher
@@ -53,6 +54,8 @@
 	left         map[string]time.Time // ids whose client left while a flow was out: until then the member may not have heard
 	members      map[string]*Member
 	numbers      map[uint32]*Member
+	held         map[string]bool      // members out by hand
+	warmFrom     map[string]time.Time // when a member was put back by hand
 	load         Load
 	gauge        lag.Gauge // of what events wait
 	flowing      int64     // flows that are out
@@ -69,7 +72,7 @@
 		settings: s, stages: stages, log: log, base: time.Now(),
 		posted: make(chan struct{}, 1), stopped: make(chan struct{}),
 		open: make(map[string]*Transaction), left: make(map[string]time.Time), members: make(map[string]*Member), numbers: make(map[uint32]*Member),
-		sources: make(map[string]int), timers: newTimers(), asked: make(map[moment]bool),
+		sources: make(map[string]int), listed: make(map[string]bool), held: make(map[string]bool), warmFrom: make(map[string]time.Time), timers: newTimers(), asked: make(map[moment]bool),
 	}
 	var err error
 	if c.decisions, err = basaltloft.New(s, host{c}); err != nil {
@@ -383,15 +386,22 @@
 
 // Report takes in news. It counts for the live flow of that transaction at
 // that member; news of an ended flow or from another member counts nothing. It
-// returns once the news has been handled, so that a flood of it waits outside.
-func (c *Core) Report(n News) {
-	c.Sync(func() { c.report(n) })
+// returns once the news has been handled, so that a flood of it waits outside,
+// and tells whether a transaction of that id is in hand here: news of one that
+// is not may be owed to another process of this dispatcher.
+func (c *Core) Report(n News) (here bool) {
+	c.Sync(func() { here = c.report(n) })
+	return here
 }
 
-func (c *Core) report(n News) {
+func (c *Core) report(n News) bool {
 	t := c.open[n.ID]
-	if t == nil || t.live == nil || t.live.Member.ID != n.Member {
-		return
+	if t == nil {
+		_, left := c.left[n.ID]
+		return left
+	}
+	if t.live == nil || t.live.Member.ID != n.Member {
+		return true
 	}
 	switch {
 	case n.Ended:
@@ -401,6 +411,7 @@
 	case n.Running:
 		c.note(t.live, basaltloft.NoteProgress, n.Share)
 	}
+	return true
 }
 
 // Probed tells how a probe of a member ended.
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -6,6 +6,7 @@
 	"hash/fnv"
 	"slices"
 	"strings"
+	"time"
 
 	"basaltloft"
 )
@@ -55,10 +56,57 @@
 	return listed
 }
 
-func (c *Core) count(source string, by int) {
+func (c *Core) count(source, id string, by int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.sources[source] += by
+	if c.listed == nil {
+		c.listed = make(map[string]bool)
+	}
+	if by > 0 {
+		c.listed[id] = true
+	} else {
+		delete(c.listed, id)
+	}
+}
+
+// Hold takes a member out by hand, whatever its lists say, or puts it back; it
+// counts as draining meanwhile, and as just started once back. It tells, without
+// waiting for the core, whether the member is listed; one that is not is held
+// only where anyway is set, as when a new process takes over what an older one
+// held.
+func (c *Core) Hold(id string, out, anyway bool) bool {
+	c.mu.Lock()
+	listed := c.listed[id]
+	c.mu.Unlock()
+	if !listed && !anyway {
+		return false
+	}
+	c.post(func() { c.hold(id, out, c.now) })
+	return listed
+}
+
+// Warm says that a member put back by hand at a time started then, unless its
+// list says it started later.
+func (c *Core) Warm(id string, back time.Time) {
+	c.post(func() { c.warmFrom[id] = back })
+}
+
+func (c *Core) hold(id string, out bool, now time.Time) {
+	if out {
+		c.held[id] = true
+	} else if c.held[id] {
+		delete(c.held, id)
+		c.warmFrom[id] = now
+	}
+	m := c.members[id]
+	if m == nil {
+		return
+	}
+	if at := c.warmFrom[id]; at.After(m.Started) {
+		m.Started = at
+	}
+	c.decisions.Members(c.clock(c.now), basaltloft.ListChange, []basaltloft.Member{c.listing(m)})
 }
 
 // Others tells whether members of other sources than this one are known.
@@ -89,7 +137,10 @@
 		m.number = old.number
 	} else {
 		m.number = c.number(m.ID)
-		c.count(m.source, 1)
+		c.count(m.source, m.ID, 1)
+	}
+	if at := c.warmFrom[m.ID]; at.After(m.Started) {
+		m.Started = at
 	}
 	c.members[m.ID], c.numbers[m.number] = m, m
 	listing := c.listing(m)
@@ -102,7 +153,7 @@
 // drop forgets a member that is gone, unless it may still be sent to.
 func (c *Core) drop(m *Member) {
 	if !c.settings.Rules.OnlyDrainingBinds && c.members[m.ID] != nil {
-		c.count(m.source, -1)
+		c.count(m.source, m.ID, -1)
 		delete(c.members, m.ID)
 		delete(c.numbers, m.number)
 	}
@@ -110,6 +161,9 @@
 
 func (c *Core) listing(m *Member) basaltloft.Member {
 	l := basaltloft.Member{Worker: m.number, Kind: m.Kind, Cell: m.Cell, Zone: m.Zone, State: m.State, Weight: m.Weight, Offers: m.Offers}
+	if c.held[m.ID] && l.State == basaltloft.Ready {
+		l.State = basaltloft.Draining
+	}
 	if !m.Started.IsZero() {
 		l.Since = c.clock(m.Started)
 	}
--- /dev/null
+++ b/internal/door/door_test.go
@@ -0,0 +1,76 @@
+package door_test
+
+import (
+	"strings"
+	"testing"
+
+	"basaltloft/internal/scenario"
+)
+
+// job is served by the runner named.
+func job(runner string) string {
+	return strings.ReplaceAll(`
+	client send POST /place-hold HTTP/1.1\r\nHost: app\r\nX-Call-Id: h-1\r\nX-Budget: 9\r\nContent-Length: 0\r\n\r\n
+	RUNNER expect X-Call-Id: h-1
+	RUNNER send HTTP/1.1 202 x\r\nContent-Length: 0\r\n\r\n
+	client.back send POST /_jobs/news HTTP/1.1\r\nHost: app\r\nContent-Length: 41\r\n\r\n{"id":"h-1","from":"s-RUNNER","state":"done"}
+	client.back expect 204
+	client expect ^HTTP/1.1 200 OK`, "RUNNER", runner)
+}
+
+// TestDoor: every call of the door and wrong ones; callers that send nothing
+// or half a call hold nobody up; a runner taken out twice gets no job and one
+// call puts it back.
+func TestDoor(t *testing.T) {
+	scenario.Play(t, scenario.StartDoor(t, 2), nil, `
+	program expect serving
+	door.silent send
+	door.half send POST /runners/s-r1/ma
+	door.1 send GET /healthcheck HTTP/1.1\r\nHost: a\r\n\r\n
+	door.1 expect ^HTTP/1.1 200 OK
+	door.1 wait
+	door.2 send POST /runners/s-nobody/maint HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n
+	door.2 expect ^HTTP/1.1 404
+	door.3 send GET /runners/s-r1/maint HTTP/1.1\r\nHost: a\r\n\r\n
+	door.3 expect ^HTTP/1.1 405
+	door.4 send POST /runners/s-r1/reboot HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n
+	door.4 expect ^HTTP/1.1 404
+	door.5 send POST /healthcheck HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n
+	door.5 expect ^HTTP/1.1 405
+	door.6 send GET /elsewhere HTTP/1.1\r\nHost: a\r\n\r\n
+	door.6 expect ^HTTP/1.1 404
+	door.7 send POST /runners/s-r1/maint HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n
+	door.7 expect ^HTTP/1.1 200
+	door.8 send POST /runners/s-r1/maint HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n
+	door.8 expect ^HTTP/1.1 200
+	program expect the operators put a runner out`+job("r2")+`
+	door.9 send POST /runners/s-r1/ready HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n
+	door.9 expect ^HTTP/1.1 200
+	door.10 send POST /runners/s-r1/ready HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n
+	door.10 expect ^HTTP/1.1 200
+	door.silent wait
+	door.half wait
+	program close
+	program wait`)
+}
+
+// TestDrain: after fail the ready check says no and an open connection is
+// still served; after ok it says yes, with no restart.
+func TestDrain(t *testing.T) {
+	scenario.Play(t, scenario.StartDoor(t, 1), nil, `
+	program expect serving
+	client.ready send GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n
+	client.ready expect ^HTTP/1.1 200 OK
+	door.1 send POST /healthcheck/fail HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n
+	door.1 expect ^HTTP/1.1 200
+	client.ready send GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n
+	client.ready expect HTTP/1.1 503`+job("r1")+`
+	client wait
+	client.ready wait
+	door.2 send POST /healthcheck/ok HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n
+	door.2 expect ^HTTP/1.1 200
+	client.again send GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n
+	client.again expect ^HTTP/1.1 200 OK
+	program close
+	program wait`)
+}
--- /dev/null
+++ b/internal/hand/hand.go
@@ -0,0 +1,155 @@
+// Package hand keeps what operators set by hand: the runners they took out and
+// when they put them back, and whether they drain this dispatcher. It decides
+// without I/O; its state is written to a file by the service, so that a new
+// version of the program started beside this one goes on with it.
+package hand
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/valyala/fastjson"
+)
+
+// Version is the form of the state that this program writes and reads.
+const Version = 1
+
+// State is what operators have set.
+type State struct {
+	out  map[string]bool      // runner ids taken out
+	back map[string]time.Time // when each runner was last put back
+}
+
+// New returns a state in which nothing is set.
+func New() *State {
+	return &State{out: map[string]bool{}, back: map[string]time.Time{}}
+}
+
+// Out takes a runner out. A second call changes nothing; it tells whether this
+// one did.
+func (s *State) Out(id string) bool {
+	if s.out[id] {
+		return false
+	}
+	s.out[id] = true
+	return true
+}
+
+// Back puts a runner back at now, however often it was taken out. It tells
+// whether it was out.
+func (s *State) Back(id string, now time.Time) bool {
+	if !s.out[id] {
+		return false
+	}
+	delete(s.out, id)
+	s.back[id] = now
+	return true
+}
+
+// IsOut tells whether a runner is out.
+func (s *State) IsOut(id string) bool { return s.out[id] }
+
+// Outs are the runners taken out, in order.
+func (s *State) Outs() []string {
+	ids := make([]string, 0, len(s.out))
+	for id := range s.out {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// BackAt is when a runner was last put back; zero: never.
+func (s *State) BackAt(id string) time.Time { return s.back[id] }
+
+// Forget drops what is kept of runners put back before a time: they are warm
+// by then or were listed as started again.
+func (s *State) Forget(before time.Time) {
+	for id, at := range s.back {
+		if at.Before(before) {
+			delete(s.back, id)
+		}
+	}
+}
+
+// Encode writes the state as JSON, with the name of the dispatcher it is of.
+func (s *State) Encode(name string) []byte {
+	a := fastjson.Arena{}
+	o := a.NewObject()
+	o.Set("version", a.NewNumberInt(Version))
+	o.Set("name", a.NewString(name))
+	outs := a.NewArray()
+	for i, id := range s.Outs() {
+		outs.SetArrayItem(i, a.NewString(id))
+	}
+	o.Set("out", outs)
+	back := a.NewObject()
+	ids := make([]string, 0, len(s.back))
+	for id := range s.back {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		back.Set(id, a.NewNumberInt(int(s.back[id].UnixMilli())))
+	}
+	o.Set("back", back)
+	return o.MarshalTo(nil)
+}
+
+// Decode reads a state that Encode wrote for the dispatcher of this name. A
+// text that is cut short, of another form or version, or of another
+// dispatcher is an error, and nothing of it is taken.
+func Decode(text []byte, name string) (*State, error) {
+	v, err := fastjson.ParseBytes(text)
+	if err != nil {
+		return nil, fmt.Errorf("state of the operators' settings: %w", err)
+	}
+	if n := v.GetInt("version"); n != Version {
+		return nil, fmt.Errorf("state of the operators' settings: version %d, not %d", n, Version)
+	}
+	if got := string(v.GetStringBytes("name")); got != name {
+		return nil, fmt.Errorf("state of the operators' settings: of dispatcher %q, not %q", got, name)
+	}
+	s := New()
+	if v.Get("out") == nil || v.Get("back") == nil {
+		return nil, fmt.Errorf("state of the operators' settings: out or back missing")
+	}
+	outs, err := v.Get("out").Array()
+	if err != nil {
+		return nil, fmt.Errorf("state of the operators' settings: out: %w", err)
+	}
+	for _, id := range outs {
+		b, err := id.StringBytes()
+		if err != nil || len(b) == 0 {
+			return nil, fmt.Errorf("state of the operators' settings: out: no runner id")
+		}
+		s.out[string(b)] = true
+	}
+	back, err := v.Get("back").Object()
+	if err != nil {
+		return nil, fmt.Errorf("state of the operators' settings: back: %w", err)
+	}
+	back.Visit(func(id []byte, at *fastjson.Value) {
+		ms, e := at.Int64()
+		if e != nil || ms <= 0 {
+			err = fmt.Errorf("state of the operators' settings: back: %s: no time", id)
+			return
+		}
+		s.back[string(id)] = time.UnixMilli(ms)
+	})
+	if err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// Backs are the runners put back whose time is kept, in order.
+func (s *State) Backs() []string {
+	ids := make([]string, 0, len(s.back))
+	for id := range s.back {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
--- /dev/null
+++ b/internal/hand/hand_test.go
@@ -0,0 +1,57 @@
+package hand
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestOutTwiceBackOnce: two calls out, one call back undoes both.
+func TestOutTwiceBackOnce(t *testing.T) {
+	s, at := New(), time.UnixMilli(1_700_000_000_000)
+	require.True(t, s.Out("r1"))
+	require.False(t, s.Out("r1"))
+	require.True(t, s.IsOut("r1"))
+	require.True(t, s.Back("r1", at))
+	require.False(t, s.IsOut("r1"))
+	require.False(t, s.Back("r1", at))
+	require.Equal(t, at, s.BackAt("r1"))
+	s.Forget(at.Add(time.Millisecond))
+	require.True(t, s.BackAt("r1").IsZero())
+}
+
+// TestRoundTrip: what is written is read back whole.
+func TestRoundTrip(t *testing.T) {
+	s, at := New(), time.UnixMilli(1_700_000_000_000)
+	s.Out("b")
+	s.Out("a")
+	s.Out("c")
+	s.Back("c", at)
+	got, err := Decode(s.Encode("n0"), "n0")
+	require.NoError(t, err)
+	require.Equal(t, []string{"a", "b"}, got.Outs())
+	require.Equal(t, at, got.BackAt("c"))
+}
+
+// TestBadState: a missing, cut, foreign or older state is turned down whole.
+func TestBadState(t *testing.T) {
+	s := New()
+	s.Out("a")
+	good := s.Encode("n0")
+	for name, text := range map[string]string{
+		"empty":         "",
+		"cut short":     string(good[:len(good)-3]),
+		"other name":    string(New().Encode("n1")),
+		"older":         `{"version":0,"name":"n0","out":[],"back":{}}`,
+		"no list":       `{"version":1,"name":"n0","back":{}}`,
+		"no id":         `{"version":1,"name":"n0","out":[""],"back":{}}`,
+		"id a number":   `{"version":1,"name":"n0","out":[3],"back":{}}`,
+		"time no count": `{"version":1,"name":"n0","out":[],"back":{"a":"x"}}`,
+		"time below 0":  `{"version":1,"name":"n0","out":[],"back":{"a":-4}}`,
+		"not an object": `[1]`,
+	} {
+		_, err := Decode([]byte(text), "n0")
+		require.Error(t, err, name)
+	}
+}
--- a/internal/scenario/program.go
+++ b/internal/scenario/program.go
@@ -103,6 +103,20 @@
 // faktory, agent and figures. What the environment calls discovery is another service
 // than the configuration does: that one, next, is for a reload.
 func Start(t testing.TB, members int, operator string) Cast {
+	t.Helper()
+	return start(t, members, operator, "")
+}
+
+// StartDoor is Start with the operators' door, which door in the cast dials.
+func StartDoor(t testing.TB, members int) Cast {
+	t.Helper()
+	admin := free(t)
+	cast := start(t, members, "", admin)
+	cast["door"] = Dial(admin)
+	return cast
+}
+
+func start(t testing.TB, members int, operator, admin string) Cast {
 	t.Helper()
 	binary, err := Build()
 	require.NoError(t, err)
@@ -120,8 +134,8 @@
 	cast["next"] = open
 	listen := free(t)
 	cast["client"] = Dial(listen)
-	config := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":192,"sockets":1024},"known":{"generation":41,"reset":true,"instances":[%s]},"settings":%s}`,
-		listen, next, strings.Join(listed, ","), Settings)
+	config := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"admin":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":192,"sockets":1024},"known":{"generation":41,"reset":true,"instances":[%s]},"settings":%s}`,
+		listen, next, admin, strings.Join(listed, ","), Settings)
 	require.True(t, json.Valid([]byte(config)))
 	var args []string
 	if operator != "" {
@@ -149,7 +163,8 @@
 	read, write, err := os.Pipe()
 	require.NoError(t, err)
 	cmd := exec.Command(binary, args...)
-	cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+config, "ROUTER_LISTEN=", "ROUTER_DISCOVERY="+discovery, "ROUTER_NAME=")
+	cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+config, "ROUTER_LISTEN=", "ROUTER_DISCOVERY="+discovery, "ROUTER_NAME=", "ROUTER_ADMIN=",
+		"TMPDIR="+filepath.Dir(config)) // what a process keeps for the next is the test's
 	cmd.Stdout, cmd.Stderr = write, write
 	require.NoError(t, cmd.Start())
 	write.Close()
--- a/internal/service/assembly.go
+++ b/internal/service/assembly.go
@@ -8,6 +8,7 @@
 	"basaltloft/internal/account"
 	"basaltloft/internal/agentcheck"
 	"basaltloft/internal/core"
+	"basaltloft/internal/door"
 	"basaltloft/internal/faktory"
 	"basaltloft/internal/figures"
 	"basaltloft/internal/journal"
@@ -55,11 +56,24 @@
 
 	http := virtualserver.New(s.hub, s.chain, s.log)
 	desks := []*account.Desk{&http.Desk}
-	s.components = append(s.components, &component{
-		name: "virtual server", listen: c.Listen,
+	s.operators = newOperators(s, http)
+	front := &component{
+		name: "virtual server", listen: c.Listen, inherit: c.AcceptFD,
 		serve: func(_ context.Context, l net.Listener) error { return http.Serve(l, s.sockets/2) },
 		drain: func(End) { http.Drain() }, part: http.Part, inHand: http.InHand, stop: http.Shutdown,
-	})
+	}
+	if c.AcceptFD > 0 { // the socket lives on in the new process, with what waits in its queue
+		front.drain = func(End) {
+			http.Drain()
+			front.listener.Close()
+		}
+	}
+	s.components = append(s.components, front)
+	if c.Admin != "" {
+		http.Elsewhere = s.operators.elsewhere
+		d := door.New(s.operators, s.log)
+		s.components = append(s.components, &component{name: "operators' door", listen: c.Admin, serve: d.Serve})
+	}
 	if f := o.Operator.Faktory; f != nil {
 		if f.Zone == "" {
 			f.Zone = c.Settings.Zone
--- a/internal/service/component.go
+++ b/internal/service/component.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"os"
 	"time"
 )
 
@@ -31,19 +32,28 @@
 // component is one part of the program that is started, drained and stopped.
 // What it does not have is nil. A new front is one entry in the assembly.
 type component struct {
-	name   string
-	listen string                                          // an address; empty: none
-	serve  func(ctx context.Context, l net.Listener) error // until the context ends; l is nil without an address
-	drain  func(End)                                       // a planned end has begun
-	part   func()                                          // at its Stays
-	inHand func() int                                      // what the end still waits for
-	stop   func(ctx context.Context) error                 // once nothing is in hand
+	name    string
+	listen  string                                          // an address; empty: none
+	inherit int                                             // a listening descriptor to serve on instead of listen; 0: none
+	serve   func(ctx context.Context, l net.Listener) error // until the context ends; l is nil without an address
+	drain   func(End)                                       // a planned end has begun
+	part    func()                                          // at its Stays
+	inHand  func() int                                      // what the end still waits for
+	stop    func(ctx context.Context) error                 // once nothing is in hand
 
 	listener net.Listener
 }
 
 // open takes the component's socket.
 func (c *component) open() error {
+	if c.inherit > 0 {
+		l, err := inherited(c.inherit)
+		if err != nil {
+			return fmt.Errorf("%s: %w", c.name, err)
+		}
+		c.listener = l
+		return nil
+	}
 	if c.listen == "" {
 		return nil
 	}
@@ -54,3 +64,22 @@
 	c.listener = l
 	return nil
 }
+
+// inherited makes a listener of a descriptor that this process was handed. It
+// fails unless the descriptor is a listening TCP socket.
+func inherited(fd int) (net.Listener, error) {
+	f := os.NewFile(uintptr(fd), fmt.Sprintf("descriptor %d", fd))
+	if f == nil {
+		return nil, fmt.Errorf("descriptor %d is not open", fd)
+	}
+	defer f.Close() // the listener holds a copy of its own
+	l, err := net.FileListener(f)
+	if err != nil {
+		return nil, fmt.Errorf("the socket handed over as descriptor %d: %w", fd, err)
+	}
+	if _, ok := l.(*net.TCPListener); !ok {
+		l.Close()
+		return nil, fmt.Errorf("descriptor %d is no TCP listener", fd)
+	}
+	return l, nil
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -43,6 +43,7 @@
 	chain      *stage.Chain
 	follower   *pool.Follower
 	components []*component
+	operators  *operators
 	draining   chan struct{} // closed when a planned end begins
 	began      time.Time
 }
@@ -72,6 +73,7 @@
 	defer s.closeJournal()
 	all.Go(func() { s.hub.Run(ctx) })
 	s.follower.Restore(o.Config.Known)
+	s.operators.restore()
 	s.hub.Sync(func() {}) // the pool is known before anybody asks
 
 	// All sockets are taken before anything is served: an address that can't
@@ -86,6 +88,9 @@
 			return err
 		}
 	}
+	if a := o.Config.Admin; a != "" {
+		defer s.operators.announce(a)()
+	}
 	failed := make(chan error, len(s.components))
 	for _, c := range s.components {
 		if c.serve != nil {
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -33,6 +33,9 @@
 		if c.Discovery != "" {
 			r.address("discovery", c.Discovery)
 		}
+		if c.Admin != "" {
+			r.address("admin", c.Admin)
+		}
 		return Report{"configuration", r.problems, r.unknown("settings", "known")}
 	}
 	_, r := decodeOperator(v)
--- a/internal/settings/config.go
+++ b/internal/settings/config.go
@@ -15,6 +15,8 @@
 // Config is what the program is told at its start.
 type Config struct {
 	Name, Listen, Discovery string
+	Admin                   string // the operators' door; empty: none
+	AcceptFD                int    // a listening socket handed over for the clients, from $ROUTER_ACCEPT_FD; 0: bind Listen
 	Cores                   float64
 	MemoryMB, Sockets       int
 	Known                   List
@@ -55,7 +57,7 @@
 func decodeConfig(v *fastjson.Value) (Config, *reader) {
 	r := newReader(v, "")
 	c := Config{
-		Name: r.text("name"), Listen: r.text("listen"), Discovery: r.text("discovery"),
+		Name: r.text("name"), Listen: r.text("listen"), Discovery: r.text("discovery"), Admin: r.text("admin"),
 		Cores: r.number("limits.cores"), MemoryMB: int(r.number("limits.memory_mb")), Sockets: int(r.number("limits.sockets")),
 		DialWithin: cmp.Or(r.span("settings.limits.dial_timeout"), time.Second),
 	}
--- a/internal/virtualserver/news.go
+++ b/internal/virtualserver/news.go
@@ -1,6 +1,7 @@
 package virtualserver
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 
@@ -26,7 +27,9 @@
 		refuse(w, http.StatusBadRequest, "this is no news of a job")
 		return
 	}
-	s.hub.Report(n)
+	if !s.hub.Report(n) && s.Elsewhere != nil {
+		s.Elsewhere(text)
+	}
 	w.WriteHeader(http.StatusNoContent)
 }
 
@@ -64,3 +67,14 @@
 	}
 	return n, n.ID != "" && n.Member != ""
 }
+
+// Handed takes news that the other process of this dispatcher got for a job
+// of this one. It is not handed on again. It fails for what is no news.
+func (s *Server) Handed(text []byte) error {
+	n, ok := readNews(text)
+	if !ok {
+		return fmt.Errorf("this is no news of a job")
+	}
+	s.hub.Report(n)
+	return nil
+}
--- a/internal/virtualserver/virtualserver.go
+++ b/internal/virtualserver/virtualserver.go
@@ -27,7 +27,7 @@
 type Hub interface {
 	Submit(*core.Transaction)
 	Leave(*core.Transaction)
-	Report(core.News)
+	Report(core.News) bool
 	Ready() bool
 }
 
@@ -57,6 +57,10 @@
 	server   *http.Server
 	draining atomic.Bool
 	inHand   atomic.Int64
+	// Elsewhere hands on news of a job that is not in hand here: with a socket
+	// shared by two processes of one dispatcher, a member's call-back may reach
+	// the other one. Nil: none.
+	Elsewhere func(text []byte)
 }
 
 // New returns a front that is not serving yet.
@@ -105,6 +109,13 @@
 // connection, are served on.
 func (s *Server) Drain() { s.draining.Store(true) }
 
+// Undrain ends a drain that was not the end of the program: the ready check is
+// on and connections are kept again.
+func (s *Server) Undrain() {
+	s.draining.Store(false)
+	s.server.SetKeepAlivesEnabled(true)
+}
+
 // Part closes connections between requests from here on. The listener stays
 // open for the call-backs that still bring results.
 func (s *Server) Part() { s.server.SetKeepAlivesEnabled(false) }
