Retune classes and attempts at SIGHUP, and turn bad files down whole

Cause: at SIGHUP only discovery moved. Ruled out: the drain (jobs on open connections were served through it), the door (4 calls, none late or wrong).

Change: settings.Retunable checks a file read again (empty, cut short, key missing, deadline or attempts no number above 0); Dispatcher.Retune takes classes and limits, jobs keep their class entry and their number of attempts (job.most); Core.Retune, Chain.Retune; reload applies all or nothing.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -375,7 +375,7 @@
 func (d *Dispatcher) rescue(a *attempt) {
 	j := a.job
 	if a.called || a.started != 0 || j.done || !d.watches() || !d.Limits.Cancel || j.class.Effect == Unsafe ||
-		d.tied(j) || len(j.attempts) >= d.Limits.MaxAttempts {
+		d.tied(j) || len(j.attempts) >= j.most {
 		return
 	}
 	ran := j.ran
@@ -674,7 +674,7 @@
 	known := j.ran == nil || j.class.Effect == Safe ||
 		j.class.Effect == Keyed && d.now-j.ran.at < j.class.Window
 	free := j.outs == 0 || j.running == nil && d.tied(j)
-	return known && free && len(j.attempts) < d.Limits.MaxAttempts
+	return known && free && len(j.attempts) < j.most
 }
 
 // followList keeps one watch on the list. Many instances may start together, and the list service can't
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -63,6 +63,11 @@
 	if err != nil {
 		return settings.Config{}, fmt.Errorf("ROUTER_CONFIG: %w", err)
 	}
+	if over == nil { // read again while serving: what can't be used whole is not used
+		if err := settings.Retunable(text); err != nil {
+			return settings.Config{}, fmt.Errorf("%s: %w", path, err)
+		}
+	}
 	c, err := settings.DecodeConfig(text)
 	if err != nil {
 		return c, fmt.Errorf("%s: %w", path, err)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -221,6 +221,18 @@
 	})
 }
 
+// Retune takes new settings of classes and limits for what comes from now on;
+// what is under way keeps its own. It tells once the decisions have them, or why
+// they were turned down.
+func (c *Core) Retune(s basaltloft.Settings) (err error) {
+	c.Sync(func() {
+		if err = c.decisions.Retune(c.clock(c.now), s); err == nil {
+			c.settings.Classes, c.settings.Limits = s.Classes, s.Limits
+		}
+	})
+	return err
+}
+
 // Leaving tells that the program ends. What arrived late is answered by the end:
 // what can't be done by then is refused at once, and what is not done then is
 // answered, since nothing can be after that. What came before keeps its deadline.
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -122,18 +122,23 @@
 	return s.end(ctx)
 }
 
-// reload follows the discovery service that the file names now. The file is
-// newer than the environment, so it has the last word here. All else in it
-// takes a restart. A file that can't be used changes nothing: a dispatcher
-// with jobs in hand goes on as it was.
+// reload follows the discovery service that the file names now, and takes its
+// classes and limits for what comes from now on. The file is newer than the
+// environment, so it has the last word here. All else in it takes a restart.
+// A file that can't be used changes nothing: a dispatcher with jobs in hand
+// goes on as it was.
 func (s *Service) reload() {
 	c, err := s.options.Reread()
+	if err == nil {
+		err = s.hub.Retune(c.Settings)
+	}
 	if err != nil {
 		s.log.WithError(err).Error("the configuration can't be reloaded and stays as it was")
 		return
 	}
+	s.chain.Retune(c.Settings)
 	s.follower.Move(c.Discovery)
-	s.log.WithField("discovery", c.Discovery).Info("reloaded")
+	s.log.WithFields(logrus.Fields{"discovery": c.Discovery, "classes": len(c.Settings.Classes), "most_tries": c.Settings.Limits.MaxAttempts}).Info("reloaded")
 }
 
 // end is the planned end.
--- a/internal/stage/stage.go
+++ b/internal/stage/stage.go
@@ -4,6 +4,8 @@
 package stage
 
 import (
+	"sync/atomic"
+
 	"basaltloft"
 
 	"github.com/sirupsen/logrus"
@@ -12,7 +14,7 @@
 // Chain is the stages of one dispatcher. It implements core.Stages.
 type Chain struct {
 	limits  Limits
-	classes map[string]basaltloft.Class
+	classes atomic.Pointer[map[string]basaltloft.Class] // fronts read it, a retune replaces it
 	books   Books
 	needs   func(class string) string // what jobs need that do not say; nil: nothing
 	log     *logrus.Logger
@@ -24,9 +26,16 @@
 
 // New returns the chain for the module's settings.
 func New(s basaltloft.Settings, limits Limits, books Books, log *logrus.Logger) *Chain {
-	c := &Chain{limits: limits, classes: make(map[string]basaltloft.Class), books: books, log: log}
+	c := &Chain{limits: limits, books: books, log: log}
+	c.Retune(s)
+	return c
+}
+
+// Retune takes the classes of new settings for what comes from now on.
+func (c *Chain) Retune(s basaltloft.Settings) {
+	classes := make(map[string]basaltloft.Class, len(s.Classes))
 	for _, class := range s.Classes {
-		c.classes[class.Name] = class
+		classes[class.Name] = class
 	}
-	return c
+	c.classes.Store(&classes)
 }
--- a/internal/stage/takein.go
+++ b/internal/stage/takein.go
@@ -42,7 +42,7 @@
 // TakeIn makes a transaction of an arrival, or says what is wrong with it. Bad
 // input goes no further: the decisions never see it.
 func (c *Chain) TakeIn(a Arrival, now time.Time, client core.Client) (*core.Transaction, error) {
-	class, ok := c.classes[a.Class]
+	class, ok := (*c.classes.Load())[a.Class]
 	switch {
 	case a.ID == "" || len(a.ID) > maxID:
 		return nil, fmt.Errorf("the id must have 1 to %d bytes", maxID)
@@ -70,7 +70,7 @@
 // Effect tells how often a job of a class may run. It reports false for a class
 // that is not known.
 func (c *Chain) Effect(class string) (basaltloft.Effect, bool) {
-	known, ok := c.classes[class]
+	known, ok := (*c.classes.Load())[class]
 	return known.Effect, ok
 }
 
--- /dev/null
+++ b/retune_test.go
@@ -0,0 +1,41 @@
+package basaltloft_test
+
+import (
+	"testing"
+
+	"basaltloft"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestRetune: a new class is served from the retune on, a removed one is
+// refused, and a job under way keeps the attempts it came with when fewer are
+// allowed; an invalid retune changes nothing.
+func TestRetune(t *testing.T) {
+	b := newBench(t, settings(), 3)
+	b.request("before", "safe", 10*ms)
+	first := b.sentTo("before")
+
+	s := settings()
+	s.Classes = append(s.Classes[1:], basaltloft.Class{Name: "fresh", Effect: basaltloft.Safe, Aim: 400 * ms, GiveUp: 5e9, Worth: 1, Kind: -1})
+	s.Limits.MaxAttempts = 1
+	bad := s
+	bad.Limits.MaxAttempts = 0
+	require.Error(t, b.Retune(b.now, bad))
+	b.request("still", "safe", 10*ms) // the bad retune left safe as it was
+	require.False(t, b.has("refuse still"))
+
+	require.NoError(t, b.Retune(b.now, s))
+	b.request("new", "fresh", 10*ms)
+	require.False(t, b.has("refuse new"))
+	b.sentTo("new")
+	b.request("gone", "safe", 10*ms)
+	require.True(t, b.has("refuse gone"))
+
+	b.Outcome(b.now, basaltloft.Outcome{Request: "before", Attempt: 0, Worker: first, Status: basaltloft.ConnectFailed})
+	b.pass(50 * ms)
+	require.Equal(t, 2, b.sends["before"], "came with three attempts, keeps them")
+	b.Outcome(b.now, basaltloft.Outcome{Request: "new", Attempt: 0, Worker: b.sentTo("new"), Status: basaltloft.ConnectFailed})
+	b.pass(50 * ms)
+	require.Equal(t, 1, b.sends["new"], "came with one attempt")
+}
--- a/state.go
+++ b/state.go
@@ -151,6 +151,7 @@
 	queue     *queue   // nil: not held
 	index     int
 	seq       uint64
+	most      int  // attempts it may have: the limit when it came
 	done      bool // it has its final answer, or a stream that is the client's
 }
 
@@ -257,6 +258,37 @@
 	return d, nil
 }
 
+// Retune takes new settings of classes and limits; the rest stays as it was
+// set at New. A class that is new is in use for what comes from now on, one
+// that is gone takes nothing more, one that changed is new from now on but
+// keeps what was learned of its costs. Jobs under way keep the class and the
+// number of attempts that they came with. It fails, and changes nothing, if a
+// setting is invalid.
+func (d *Dispatcher) Retune(now time.Duration, s Settings) error {
+	next := d.Settings
+	next.Classes, next.Limits = s.Classes, s.Limits
+	if err := next.validate(); err != nil {
+		return err
+	}
+	d.start(now)
+	classes := make(map[string]*typeCost, len(s.Classes))
+	for _, c := range s.Classes {
+		t := &typeCost{Class: c, perHint: 1}
+		if old := d.classes[c.Name]; old != nil {
+			t.perHint, t.plain, t.patience = old.perHint, old.plain, old.patience
+		}
+		classes[c.Name] = t
+		if !slices.Contains(d.needs, c.Kind) {
+			d.needs = append(d.needs, c.Kind)
+		}
+	}
+	d.Settings, d.classes = next, classes
+	if !s.Limits.RetryAfter {
+		d.Limits.MaxRetryAfter = 0
+	}
+	return nil
+}
+
 func (d *Dispatcher) attempt(id string, n int) *attempt {
 	if j := d.jobs[id]; j != nil && n >= 0 && n < len(j.attempts) && j.attempts[n].out {
 		return j.attempts[n]
@@ -737,7 +769,7 @@
 func (d *Dispatcher) newJob(c *typeCost, r Request) *job {
 	d.seq++
 	r.Slots = max(1, r.Slots)
-	j := &job{Request: r, class: c, seq: d.seq, run: d.expect(c, r.Hint)}
+	j := &job{Request: r, class: c, seq: d.seq, run: d.expect(c, r.Hint), most: d.Limits.MaxAttempts}
 	j.cost = j.run * r.Slots
 	d.mean += (j.cost - d.mean) / min(float64(d.seq), costWindow)
 	d.jobs[r.ID] = j
