Take bodies in chunks, and end only requests that fall silent

Cause: the front refused every request with Transfer-Encoding with 411. Ruled out: the 2 s and 2.5 s read deadlines for slow writers.

Change: whole() reads chunks up to the largest body and closes the connection after the answer; limitedConn sets a silence deadline before each read while a request is not whole.

--- a/internal/virtualserver/limited.go
+++ b/internal/virtualserver/limited.go
@@ -48,8 +48,14 @@
 	// then, to notice a client that leaves, and would wait for the rest as long as
 	// for a connection that is idle.
 	early bool
+	asked time.Time // the read deadline that net/http set
 }
 
+// silentFor is how long a client that has begun a request, or only connected,
+// may send nothing. One that goes on sending, in pieces of any size, is read
+// until net/http's deadline for a header or a whole request.
+const silentFor = 2 * time.Second
+
 func newLimited(l net.Listener, most int) *limited {
 	return &limited{Listener: l, most: most, done: make(chan struct{}), change: make(chan struct{}, 1)}
 }
@@ -191,13 +197,22 @@
 // Read implements net.Conn. From the first byte of a request on its rest is
 // due, also of one that follows another: net/http counts from the fifth byte.
 func (c *limitedConn) Read(b []byte) (int, error) {
+	c.of.mu.Lock()
+	if c.in == &c.of.fresh {
+		due := time.Now().Add(silentFor)
+		if !c.asked.IsZero() && c.asked.Before(due) {
+			due = c.asked
+		}
+		c.Conn.SetReadDeadline(due)
+	}
+	c.of.mu.Unlock()
 	n, err := c.Conn.Read(b)
 	if n > 0 {
 		c.of.mu.Lock()
 		defer c.of.mu.Unlock()
 		if c.heard = true; c.in == &c.of.spare || c.in == &c.of.kept {
 			c.begin()
-			c.Conn.SetReadDeadline(c.since.Add(headerFor))
+			c.asked = c.since.Add(headerFor)
 		}
 		c.early = c.early || c.in == nil && !c.gone
 	}
@@ -212,6 +227,7 @@
 	if due := c.since.Add(headerFor); c.early && c.in == &c.of.fresh && (t.IsZero() || t.After(due)) {
 		t = due
 	}
+	c.asked = t
 	return c.Conn.SetReadDeadline(t)
 }
 
--- a/internal/virtualserver/virtualserver.go
+++ b/internal/virtualserver/virtualserver.go
@@ -37,10 +37,10 @@
 }
 
 const (
-	headerFor  = 2 * time.Second         // a client may take so long to write a header
-	requestFor = 2500 * time.Millisecond // and a whole request
-	answerFor  = 5 * time.Second         // and to take its answer
-	idleFor    = 5 * time.Minute         // and keep an idle connection so long
+	headerFor  = 20 * time.Second // a client may take so long to write a header, where its place is not needed
+	requestFor = 25 * time.Second // and a whole request
+	answerFor  = 5 * time.Second  // and to take its answer
+	idleFor    = 5 * time.Minute  // and keep an idle connection so long
 	mostHeader = 16 << 10
 )
 
@@ -166,23 +166,28 @@
 	serve(w, r.WithContext(context.WithValue(r.Context(), arrivedKey{}, arrived)))
 }
 
-// whole reads a request's body, or answers what is wrong with it.
+// whole reads a request's body, or answers what is wrong with it. A body in
+// chunks is read whole, up to most, and goes on to members with a length of its
+// own. Where a Content-Length came beside the chunks, net/http has deleted it
+// and reads the chunks, as RFC 9112 asks; the connection is closed after the
+// answer, so that no request that one reader would find and another not can
+// follow on it.
 func whole(w http.ResponseWriter, r *http.Request, most int64) ([]byte, bool) {
-	// With a Content-Length beside it the body may end in two places, and hide
-	// a request from one reader that another finds. net/http has deleted the
-	// length by now, so any request of the kind goes no further.
 	if len(r.TransferEncoding) > 0 {
-		refuse(w, http.StatusLengthRequired, "a request needs a Content-Length, and no Transfer-Encoding")
-		return nil, false
+		w.Header().Set("Connection", "close")
 	}
 	if r.ContentLength > most {
 		refuse(w, http.StatusRequestEntityTooLarge, stage.ErrTooLarge.Error())
 		return nil, false
 	}
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
+	body, err := io.ReadAll(io.LimitReader(r.Body, most+1))
+	switch {
+	case err != nil:
 		refuse(w, http.StatusBadRequest, "the body could not be read")
 		return nil, false
+	case int64(len(body)) > most:
+		refuse(w, http.StatusRequestEntityTooLarge, stage.ErrTooLarge.Error())
+		return nil, false
 	}
 	return body, true
 }
