--- a/internal/scenario/program.go
+++ b/internal/scenario/program.go
@@ -160,11 +160,17 @@
 
 // Run starts a process and ends it with the test.
 func Run(t testing.TB, binary, config, discovery string, args ...string) func() (End, error) {
+	return RunWith(t, binary, config, discovery, nil, nil, args...)
+}
+
+// RunWith is Run with more of the environment, and descriptors from 3 on.
+func RunWith(t testing.TB, binary, config, discovery string, env []string, files []*os.File, args ...string) func() (End, error) {
 	read, write, err := os.Pipe()
 	require.NoError(t, err)
 	cmd := exec.Command(binary, args...)
 	cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+config, "ROUTER_LISTEN=", "ROUTER_DISCOVERY="+discovery, "ROUTER_NAME=", "ROUTER_ADMIN=",
 		"TMPDIR="+filepath.Dir(config)) // what a process keeps for the next is the test's
+	cmd.Env, cmd.ExtraFiles = append(cmd.Env, env...), files
 	cmd.Stdout, cmd.Stderr = write, write
 	require.NoError(t, cmd.Start())
 	write.Close()
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -143,7 +143,6 @@
 
 // end is the planned end.
 func (s *Service) end(ctx context.Context) error {
-	s.log.Info("draining")
 	e := plannedEnd(time.Now())
 	close(s.draining)
 	s.hub.Leaving(e.Late, e.Dismiss)
@@ -152,6 +151,7 @@
 			c.drain(e)
 		}
 	}
+	s.log.Info("draining") // a socket handed over is the new process's alone from here on
 	time.Sleep(time.Until(e.Stays))
 	for _, c := range s.components {
 		if c.part != nil {
