Read handed-on news as the clients' address does, and sort hand-outs once

Read again: the door read handed-on call-backs with a loop of its own and held up to 8 MB for one, where the clients' address holds twice the largest body; it now reads with a LimitReader to that same bound. The state of runners out by hand sorted its ids in three copies of one loop; slices.Sorted over the keys now. The client that hands news on set Close and Proxy where its transport already kept no connection and had no proxy. A doc comment named a constant that is not there.

--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	stdlog "log"
 	"net"
 	"net/http"
@@ -15,6 +16,8 @@
 	"sync"
 	"time"
 
+	"basaltloft/internal/stage"
+
 	"github.com/sirupsen/logrus"
 )
 
@@ -40,8 +43,9 @@
 	// Most connections held at a time; more wait to be accepted, for callFor at most.
 	Most     = 32
 	mostCall = 4 << 10
-	// mostNews leaves room for a result of the greatest size, escaped in JSON.
-	mostNews = 8 << 20
+	// mostNews leaves room for a result of the greatest size, escaped in JSON,
+	// as the clients' address does.
+	mostNews = 2*stage.MaxBody + 1024
 )
 
 // Door is the listener's server.
@@ -152,18 +156,14 @@
 		d.refuse(w, r, http.StatusMethodNotAllowed, "news is told with POST")
 		return
 	}
-	body := make([]byte, 0, max(0, min(r.ContentLength, mostNews)))
-	buf := make([]byte, 32<<10)
-	for {
-		n, err := r.Body.Read(buf)
-		body = append(body, buf[:n]...)
-		if len(body) > mostNews {
-			d.refuse(w, r, http.StatusRequestEntityTooLarge, "news too large")
-			return
-		}
-		if err != nil {
-			break
-		}
+	body, err := io.ReadAll(io.LimitReader(r.Body, mostNews+1))
+	switch {
+	case err != nil:
+		d.refuse(w, r, http.StatusBadRequest, "the news could not be read")
+		return
+	case len(body) > mostNews:
+		d.refuse(w, r, http.StatusRequestEntityTooLarge, "news too large")
+		return
 	}
 	if err := d.op.News(body); err != nil {
 		d.refuse(w, r, http.StatusBadRequest, err.Error())
--- a/internal/hand/hand.go
+++ b/internal/hand/hand.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -51,14 +52,7 @@
 func (s *State) IsOut(id string) bool { return s.out[id] }
 
 // Outs are the runners taken out, in order.
-func (s *State) Outs() []string {
-	ids := make([]string, 0, len(s.out))
-	for id := range s.out {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
-}
+func (s *State) Outs() []string { return slices.Sorted(maps.Keys(s.out)) }
 
 // BackAt is when a runner was last put back; zero: never.
 func (s *State) BackAt(id string) time.Time { return s.back[id] }
@@ -85,12 +79,7 @@
 	}
 	o.Set("out", outs)
 	back := a.NewObject()
-	ids := make([]string, 0, len(s.back))
-	for id := range s.back {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	for _, id := range ids {
+	for _, id := range s.Backs() {
 		back.Set(id, a.NewNumberInt(int(s.back[id].UnixMilli())))
 	}
 	o.Set("back", back)
@@ -145,11 +134,4 @@
 }
 
 // Backs are the runners put back whose time is kept, in order.
-func (s *State) Backs() []string {
-	ids := make([]string, 0, len(s.back))
-	for id := range s.back {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
-}
+func (s *State) Backs() []string { return slices.Sorted(maps.Keys(s.back)) }
--- a/internal/service/operators.go
+++ b/internal/service/operators.go
@@ -18,7 +18,7 @@
 	"basaltloft/internal/virtualserver"
 )
 
-// Part is when a drain that operators ask for closes the clients' connections
+// partAfter is when a drain that operators ask for closes the clients' connections
 // between requests: clients that hold one are served on for this long, and a
 // job that comes later than that is none that the front still sends.
 const partAfter = time.Second
@@ -192,7 +192,6 @@
 		ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(300*time.Millisecond))
 		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+string(addr)+"/_jobs/news", bytes.NewReader(text))
 		if err == nil {
-			req.Close = true
 			if resp, err := handing.Do(req); err == nil {
 				resp.Body.Close()
 			}
@@ -202,7 +201,7 @@
 }
 
 // handing is the client of news handed on; its connections are not kept.
-var handing = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, Proxy: nil}}
+var handing = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 
 func alive(pid int) bool {
 	err := syscall.Kill(pid, 0)
