Keep a watch on the local agent where lists are pushed

A trace of every list the core takes in (new: "list" at trace level) showed each node took in the restored list at its start and nothing after, no warning and no failed call: no call to the agent was ever made.

On sockets a pushed list lives with an agent on the dispatcher's own machine, which must be read; nobody read it.

Change: pool.Follower.Keep, called by the service wherever lists are not asked: the follower keeps a watch on the agent by itself, 1 s long with its answer due 250 ms after, so that a silent agent is given up and asked anew well inside the 2 s of the drain rule; a failed call (503, reset, silence) is renewed after 25 ms doubling to 200 ms, logged once for a run of failures. Asked discovery is unchanged. Tests: a push agent with a change, silence, 503 and a reset, each renewed from the last version (fails without the mend: no call comes); asked lists wait for the module; the pause table.

--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -5,16 +5,26 @@
 	"encoding/binary"
 	"hash/fnv"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
 	"basaltloft"
+
+	"github.com/sirupsen/logrus"
 )
 
 // List takes in what a source tells of its members. A source's whole list
 // leaves the members of other sources as they are.
 func (c *Core) List(source string, kind basaltloft.ListKind, entries []*Member) {
 	c.post(func() {
+		c.trace("list", func() logrus.Fields {
+			states := make([]string, 0, len(entries))
+			for _, m := range entries {
+				states = append(states, m.ID+"="+strconv.Itoa(int(m.State)))
+			}
+			return logrus.Fields{"source": source, "kind": int(kind), "entries": strings.Join(states, " ")}
+		})
 		if kind == basaltloft.ListFailed {
 			c.decisions.Members(c.clock(c.now), kind, nil)
 			return
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -29,6 +29,16 @@
 	grace    = 2 * time.Second        // a call fails so long after its answer was due
 	mostList = 8 << 20                // bytes of a list
 	breather = 100 * time.Millisecond // between watches that come back at once with nothing; 200 ms would end the watch
+
+	// A pushed list is read from an agent on this machine, which answers at once
+	// and at no cost and is silent while discovery is down. Its watch is short,
+	// so that a silent call is given up and the agent asked anew well within
+	// the 2 s in which a drain must bind, and a failed call is renewed after a
+	// pause that grows from pauseLeast to pauseMost: never at once, never long.
+	keptWait   = time.Second
+	keptGrace  = 250 * time.Millisecond
+	pauseLeast = 25 * time.Millisecond
+	pauseMost  = 200 * time.Millisecond
 )
 
 // Lists is told what discovery tells.
@@ -43,8 +53,10 @@
 	carrier core.Carrier
 	log     logrus.FieldLogger
 
-	mu sync.Mutex
-	at *service
+	mu       sync.Mutex
+	at       *service
+	kept     bool // lists are pushed: the follower watches by itself, always
+	failures int  // calls failed in a row while kept
 }
 
 // service is one discovery service while it is followed. Its versions mean
@@ -98,6 +110,19 @@
 	f.begin(f.at)
 }
 
+// Keep follows a list that is pushed to an agent on this machine rather than
+// asked of a shared service: nobody else asks for it, so a watch is kept from
+// now on until the follower ends, and one that fails or falls silent is begun
+// anew after a short pause. Service goes on meanwhile with the members known.
+func (f *Follower) Keep() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.kept = true
+	if f.at.stop == nil {
+		f.begin(f.at)
+	}
+}
+
 // Watch implements core.Lister. While one watch runs, another is not begun.
 func (f *Follower) Watch(on bool) {
 	f.mu.Lock()
@@ -138,12 +163,13 @@
 // its whole list first.
 func (f *Follower) watch(ctx context.Context, s *service) {
 	for first := true; ; first = false {
-		began, query, until := time.Now(), url.Values(nil), time.Now().Add(grace)
+		wait, late := f.span()
+		began, query, until := time.Now(), url.Values(nil), time.Now().Add(late)
 		if generation, known := f.seen(s); known {
 			query = url.Values{
-				"index": {strconv.FormatInt(generation, 10)}, "wait": {strconv.FormatInt(watchFor.Milliseconds(), 10)},
+				"index": {strconv.FormatInt(generation, 10)}, "wait": {strconv.FormatInt(wait.Milliseconds(), 10)},
 			}
-			until = until.Add(watchFor)
+			until = until.Add(wait)
 		}
 		l, err := s.call(ctx, query, until)
 		if err != nil {
@@ -154,6 +180,7 @@
 			f.mu.Unlock()
 			if wanted {
 				f.failed(s, err)
+				f.renew(s)
 			}
 			return
 		}
@@ -176,15 +203,61 @@
 	}
 }
 
+// span is how long a watch may wait, and how long after that its answer is due.
+func (f *Follower) span() (wait, late time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.kept {
+		return keptWait, keptGrace
+	}
+	return watchFor, grace
+}
+
+// failed tells the module of a failed call. Where the watch is kept, it says so
+// in the log once for a run of failures, not for each renewal.
 func (f *Follower) failed(s *service, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.at == s {
+	if f.at != s {
+		return
+	}
+	if f.failures++; !f.kept || f.failures == 1 {
 		f.log.WithError(err).Warn("a call to discovery failed")
-		f.lists.List(Source, basaltloft.ListFailed, nil)
+	}
+	f.lists.List(Source, basaltloft.ListFailed, nil)
+}
+
+// renew begins a kept watch anew after a pause that doubles with each failure
+// in a row, up to pauseMost, unless the service was left or a watch runs.
+func (f *Follower) renew(s *service) {
+	f.mu.Lock()
+	kept, failures := f.kept, f.failures
+	f.mu.Unlock()
+	if !kept {
+		return
+	}
+	select {
+	case <-s.ctx.Done():
+		return
+	case <-time.After(Pause(failures)):
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.at == s && s.stop == nil {
+		f.begin(s)
 	}
 }
 
+// Pause is how long a kept watch waits before it is begun anew after the given
+// number of failures in a row (one or more): pauseLeast, doubled for each
+// further failure, at most pauseMost.
+func Pause(failures int) time.Duration {
+	if failures > 8 {
+		return pauseMost
+	}
+	return min(pauseMost, pauseLeast<<max(0, failures-1))
+}
+
 // tell passes on what a service answered, unless another has been followed
 // since: a list of the old one, under way when it was left, must not undo what
 // the new one has told.
@@ -192,7 +265,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.at == s {
-		s.generation, s.known = generation, true
+		if f.kept && f.failures > 0 {
+			f.log.WithField("failed", f.failures).Info("discovery answers again")
+		}
+		s.generation, s.known, f.failures = generation, true, 0
 		what()
 	}
 }
--- /dev/null
+++ b/internal/pool/pool_test.go
@@ -0,0 +1,98 @@
+package pool
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"basaltloft"
+	"basaltloft/internal/core"
+	"basaltloft/internal/scenario"
+	"basaltloft/internal/settings"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+)
+
+// heard keeps what the follower told, in order: a kind, and each entry's state.
+type heard struct {
+	mu    sync.Mutex
+	lists []string
+}
+
+func (h *heard) List(_ string, kind basaltloft.ListKind, entries []*core.Member) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	text := [...]string{"change", "whole", "restored", "failed"}[kind]
+	for _, m := range entries {
+		text += " " + m.ID + "=" + [...]string{"ready", "draining", "gone"}[m.State]
+	}
+	h.lists = append(h.lists, text)
+}
+
+func (h *heard) told() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append([]string(nil), h.lists...)
+}
+
+// TestPushedListsAreWatched: where lists are pushed to an agent on this machine,
+// the module never asks for them, so the follower keeps a watch by itself. A
+// change is passed on; a watch that the agent leaves silent, one answered 503
+// and one reset before its answer are each begun anew on a new connection,
+// from the last version told, and service goes on.
+func TestPushedListsAreWatched(t *testing.T) {
+	addr, open := scenario.Listen(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	h := &heard{}
+	f := New(ctx, addr, h, nil, logrus.New())
+	f.Restore(settings.List{Generation: 41, Whole: true, Entries: []settings.Entry{{ID: "s-1", Addr: "127.0.0.1:1"}}})
+	f.Keep()
+	f.Keep() // a second call begins no second watch
+	scenario.Play(t, scenario.Cast{"agent": open}, nil, `
+		agent.1 expect ^GET /registry/instances\?index=41&wait=1000 HTTP/1.1\r\n
+		agent.1 send HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{"generation":43,"reset":false,"instances":[{"instanceId":"s-1","hostPort":"127.0.0.1:1","zone":"a","machineType":"m","cell":1,"lifecycle":"leaving","weight":1,"startedAtMs":0}]}
+		agent.1 close
+		# silent: given up by the follower, and asked anew
+		agent.2 expect ^GET /registry/instances\?index=43&wait=1000 HTTP/1.1\r\n
+		agent.3 expect ^GET /registry/instances\?index=43&wait=1000 HTTP/1.1\r\n
+		agent.3 send HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n
+		agent.3 close
+		agent.4 expect ^GET /registry/instances\?index=43&wait=1000 HTTP/1.1\r\n
+		agent.4 close
+		agent.5 expect ^GET /registry/instances\?index=43&wait=1000 HTTP/1.1\r\n
+		agent.5 send HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{"generation":44,"reset":true,"instances":[]}
+		agent.5 close
+		agent.6 expect ^GET /registry/instances\?index=44&wait=1000 HTTP/1.1\r\n`)
+	require.Eventually(t, func() bool { return len(h.told()) == 6 }, 20*time.Second, time.Millisecond)
+	require.Equal(t, []string{"restored s-1=ready", "change s-1=draining", "failed", "failed", "failed", "whole"}, h.told())
+}
+
+// TestAskedListsWaitForTheModule: where discovery is a shared service that is
+// asked, the follower calls only when the module says so.
+func TestAskedListsWaitForTheModule(t *testing.T) {
+	addr, open := scenario.Listen(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	h := &heard{}
+	f := New(ctx, addr, h, nil, logrus.New())
+	f.Restore(settings.List{Generation: 7, Whole: true})
+	f.Watch(true)
+	scenario.Play(t, scenario.Cast{"discovery": open}, nil, `
+		discovery.1 expect ^GET /registry/instances\?index=7&wait=2000 HTTP/1.1\r\n
+		discovery.1 close`)
+	require.Eventually(t, func() bool { return len(h.told()) == 2 }, 20*time.Second, time.Millisecond)
+	require.Equal(t, []string{"restored", "failed"}, h.told())
+}
+
+// TestPause: renewals of a kept watch are never at once and never long.
+func TestPause(t *testing.T) {
+	for failures, want := range map[int]time.Duration{
+		1: 25 * time.Millisecond, 2: 50 * time.Millisecond, 3: 100 * time.Millisecond,
+		4: 200 * time.Millisecond, 5: 200 * time.Millisecond, 64: 200 * time.Millisecond, 1 << 30: 200 * time.Millisecond,
+	} {
+		require.Equal(t, want, Pause(failures), "after %d failures", failures)
+	}
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -73,6 +73,9 @@
 	defer s.closeJournal()
 	all.Go(func() { s.hub.Run(ctx) })
 	s.follower.Restore(o.Config.Known)
+	if !o.Config.Settings.AskLists { // pushed to an agent here: nobody else reads it
+		s.follower.Keep()
+	}
 	s.operators.restore()
 	s.hub.Sync(func() {}) // the pool is known before anybody asks
 
