Read members' load reports on sockets: X-Load-Report, load in news, /stats

Cause: the network code dropped every load report. core.News had no load, a flow's Outcome had no Report, and a probe asked /health/live and threw its body away. Where x0 tells free slots and probes are allowed the module learns room from reports (d.asks), so it probed and waited for word that never came.

Change: internal/loadreport (no I/O) reads the protocol's text form (TEXT name=value, ...) and the object form, by the protocol's names and the wire's; a report that can't be read is left out whole and the outcome stands. The carrier reads X-Load-Report on an answer that ends a flow, and where members report (settings.Config.Reports: via not silent, columns named) probes ask /stats and read the body; the news that ends a job hands its "load" to the flow's Outcome. Elsewhere probes ask /health/live as before.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -363,7 +363,7 @@
 	}
 	c.decisions.Outcome(c.clock(c.now), basaltloft.Outcome{
 		Request: t.ID, Attempt: f.Number, Worker: f.Member.number, Status: s, Ended: t.answered,
-		Latency: c.now.Sub(f.SentAt),
+		Latency: c.now.Sub(f.SentAt), Report: f.Load,
 	})
 	c.forget(t)
 }
@@ -394,6 +394,7 @@
 	Ended      bool
 	Status     basaltloft.Status
 	Result     []byte
+	Load       basaltloft.Report // the member's load report, where the news that ends a job carries one
 }
 
 // Report takes in news. It counts for the live flow of that transaction at
@@ -417,6 +418,7 @@
 	}
 	switch {
 	case n.Ended:
+		t.live.Load = n.Load
 		c.end(t.live, n.Status, n.Result)
 	case n.Started:
 		c.note(t.live, basaltloft.NoteStarted, 0)
@@ -426,15 +428,16 @@
 	return true
 }
 
-// Probed tells how a probe of a member ended.
-func (c *Core) Probed(m *Member, s basaltloft.Status, sentAt time.Time) {
+// Probed tells how a probe of a member ended, with the load report that its
+// answer held (none: an empty one).
+func (c *Core) Probed(m *Member, s basaltloft.Status, r basaltloft.Report, sentAt time.Time) {
 	c.post(func() {
 		c.trace("probe ended", func() logrus.Fields {
 			fields := m.fields()
 			fields["status"], fields["after"] = account.StatusName(s), c.now.Sub(sentAt).String()
 			return fields
 		})
-		c.decisions.Probed(c.clock(c.now), basaltloft.Probed{Worker: m.number, Status: s, Latency: c.now.Sub(sentAt)})
+		c.decisions.Probed(c.clock(c.now), basaltloft.Probed{Worker: m.number, Status: s, Latency: c.now.Sub(sentAt), Report: r})
 	})
 }
 
--- a/internal/core/transaction.go
+++ b/internal/core/transaction.go
@@ -76,6 +76,9 @@
 	SentAt      time.Time
 	Deadline    time.Time // nobody waits for it any longer then
 	Carried     any       // the carrier's own; only its Start and Abandon touch it
+	// Load is the member's load report that came with the answer that ends the
+	// flow, set by the carrier before End; only the fields in Load.Has were told.
+	Load basaltloft.Report
 
 	ended bool
 	due   *timer // its deadline
--- a/internal/faktory/model_test.go
+++ b/internal/faktory/model_test.go
@@ -35,8 +35,8 @@
 func (h *hub) End(f *core.Flow, s basaltloft.Status, result []byte) {
 	h.events = append(h.events, func() { h.answer(f.Transaction, s, result) })
 }
-func (h *hub) Note(*core.Flow, basaltloft.NoteTopic, float64)    {}
-func (h *hub) Probed(*core.Member, basaltloft.Status, time.Time) {}
+func (h *hub) Note(*core.Flow, basaltloft.NoteTopic, float64)                       {}
+func (h *hub) Probed(*core.Member, basaltloft.Status, basaltloft.Report, time.Time) {}
 func (h *hub) List(_ string, _ basaltloft.ListKind, of []*core.Member) {
 	for _, m := range of {
 		if h.members[m.ID] = m; m.State != basaltloft.Ready {
--- a/internal/faktory/workers.go
+++ b/internal/faktory/workers.go
@@ -26,7 +26,7 @@
 	Others(source string) bool
 	End(f *core.Flow, s basaltloft.Status, result []byte)
 	Note(f *core.Flow, topic basaltloft.NoteTopic, share float64)
-	Probed(m *core.Member, s basaltloft.Status, sentAt time.Time)
+	Probed(m *core.Member, s basaltloft.Status, r basaltloft.Report, sentAt time.Time)
 	List(source string, kind basaltloft.ListKind, entries []*core.Member)
 }
 
@@ -370,7 +370,7 @@
 	if w := ws.byID[strings.TrimPrefix(m.ID, prefix)]; w != nil && w.connections > 0 {
 		s = basaltloft.OK
 	}
-	ws.hub.Probed(m, s, time.Now())
+	ws.hub.Probed(m, s, basaltloft.Report{}, time.Now())
 }
 
 // fetch takes a job for a worker, or waits for one. A worker joins the pool by
--- /dev/null
+++ b/internal/loadreport/loadreport.go
@@ -0,0 +1,112 @@
+// Package loadreport reads the load reports that pool members send, on the
+// wire of the protocol: in a header or a probe's body as text,
+//
+//	TEXT inflight=7, queue=2, util=0.61
+//
+// and in the news that ends a job as an object, "load":{"inflight":7,...}.
+// It does no I/O. Only the fields that a report holds are set in Has; names it
+// does not know are skipped, so a deployment may name fields of its own.
+package loadreport
+
+import (
+	"bytes"
+	"fmt"
+	"strconv"
+
+	"basaltloft"
+
+	"github.com/valyala/fastjson"
+)
+
+// field is where a name's value goes. The protocol's names come first; the
+// simulator's words for them are taken too.
+func field(r *basaltloft.Report, name string) (*float64, basaltloft.ReportField) {
+	switch name {
+	case "inflight", "outstanding":
+		return &r.InFlight, basaltloft.HasInFlight
+	case "queue", "backlog":
+		return &r.Queue, basaltloft.HasQueue
+	case "util", "utilization":
+		return &r.Util, basaltloft.HasUtil
+	case "latency_ms", "recent_ms":
+		return &r.LatencyMS, basaltloft.HasLatency
+	case "qps", "throughput":
+		return &r.QPS, basaltloft.HasQPS
+	case "eps", "errors_per_s":
+		return &r.ErrorsPerS, basaltloft.HasErrors
+	case "x0":
+		return &r.X0, basaltloft.HasX0
+	case "x1":
+		return &r.X1, basaltloft.HasX1
+	}
+	return nil, 0
+}
+
+// set puts a value in its field; a name not known changes nothing.
+func set(r *basaltloft.Report, name string, value float64) {
+	if at, has := field(r, name); at != nil {
+		*at, r.Has = value, r.Has|has
+	}
+}
+
+// Parse reads a report in text: an optional first word without '=' (the
+// form's name), then name=value pairs set apart by commas or spaces. Empty text
+// is an empty report. A pair that is not name=value, or a value that is not a
+// finite number, makes the whole report an error: a half-read report would be
+// taken for one in which the rest was not told.
+func Parse(text []byte) (basaltloft.Report, error) {
+	var r basaltloft.Report
+	parts := bytes.FieldsFunc(text, func(c rune) bool { return c == ',' || c == ' ' || c == '\t' })
+	for i, part := range parts {
+		name, value, ok := bytes.Cut(part, []byte("="))
+		if !ok {
+			if i == 0 {
+				continue // the form, such as TEXT
+			}
+			return basaltloft.Report{}, fmt.Errorf("load report: %q is not name=value", part)
+		}
+		f, err := strconv.ParseFloat(string(value), 64)
+		if err != nil || f != f || f > 1e300 || f < -1e300 {
+			return basaltloft.Report{}, fmt.Errorf("load report: %q is no number", part)
+		}
+		set(&r, string(name), f)
+	}
+	return r, nil
+}
+
+// Body reads a probe's body: an object as the news carries it, or text.
+func Body(text []byte) (basaltloft.Report, error) {
+	if t := bytes.TrimSpace(text); len(t) > 0 && t[0] == '{' {
+		v, err := fastjson.ParseBytes(t)
+		if err != nil {
+			return basaltloft.Report{}, fmt.Errorf("load report: %w", err)
+		}
+		return Object(v)
+	}
+	return Parse(text)
+}
+
+// Object reads a report given as a JSON object; nil is an empty report. A
+// value that is not a number makes it an error.
+func Object(v *fastjson.Value) (basaltloft.Report, error) {
+	var r basaltloft.Report
+	if v == nil {
+		return r, nil
+	}
+	o, err := v.Object()
+	if err != nil {
+		return r, fmt.Errorf("load report: %w", err)
+	}
+	o.Visit(func(key []byte, value *fastjson.Value) {
+		f, e := value.Float64()
+		if e != nil {
+			err = fmt.Errorf("load report: %s: %w", key, e)
+			return
+		}
+		set(&r, string(key), f)
+	})
+	if err != nil {
+		return basaltloft.Report{}, err
+	}
+	return r, nil
+}
--- /dev/null
+++ b/internal/loadreport/loadreport_test.go
@@ -0,0 +1,73 @@
+package loadreport
+
+import (
+	"testing"
+
+	"basaltloft"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fastjson"
+)
+
+func TestParse(t *testing.T) {
+	for text, want := range map[string]basaltloft.Report{
+		"":                                    {},
+		"TEXT":                                {},
+		"TEXT inflight=7, queue=2, util=0.61": {Has: basaltloft.HasInFlight | basaltloft.HasQueue | basaltloft.HasUtil, InFlight: 7, Queue: 2, Util: 0.61},
+		"qps=40,inflight=3,x0=0,x1=512":       {Has: basaltloft.HasQPS | basaltloft.HasInFlight | basaltloft.HasX0 | basaltloft.HasX1, QPS: 40, InFlight: 3, X1: 512},
+		"TEXT x0=2 x1=64":                     {Has: basaltloft.HasX0 | basaltloft.HasX1, X0: 2, X1: 64},
+		"throughput=5, outstanding=1":         {Has: basaltloft.HasQPS | basaltloft.HasInFlight, QPS: 5, InFlight: 1},
+		"TEXT temperature=40, x0=1":           {Has: basaltloft.HasX0, X0: 1}, // a name of its own is skipped
+		"latency_ms=12, eps=0.5":              {Has: basaltloft.HasLatency | basaltloft.HasErrors, LatencyMS: 12, ErrorsPerS: 0.5},
+	} {
+		got, err := Parse([]byte(text))
+		require.NoError(t, err, text)
+		require.Equal(t, want, got, text)
+	}
+	for _, text := range []string{"TEXT x0", "x0=many", "TEXT x0=1, x1", "x0=NaN", "x1=1e999", "TEXT x0=1 TEXT"} {
+		got, err := Parse([]byte(text))
+		require.Error(t, err, text)
+		require.Zero(t, got, text) // a half-read report is none
+	}
+}
+
+func TestBody(t *testing.T) {
+	for text, want := range map[string]basaltloft.Report{
+		`{"x0":2,"x1":128,"qps":9}`: {Has: basaltloft.HasX0 | basaltloft.HasX1 | basaltloft.HasQPS, X0: 2, X1: 128, QPS: 9},
+		" {\"inflight\":1}\n":       {Has: basaltloft.HasInFlight, InFlight: 1},
+		"TEXT x0=3":                 {Has: basaltloft.HasX0, X0: 3},
+		"":                          {},
+	} {
+		got, err := Body([]byte(text))
+		require.NoError(t, err, text)
+		require.Equal(t, want, got, text)
+	}
+	for _, text := range []string{`{"x0":"two"}`, `{"x0":1`, `[1,2]`} {
+		got, err := Body([]byte(text))
+		require.Error(t, err, text)
+		require.Zero(t, got, text)
+	}
+	got, err := Object(nil)
+	require.NoError(t, err)
+	require.Zero(t, got)
+	_, err = Object(fastjson.MustParse(`"x0=1"`))
+	require.Error(t, err)
+}
+
+// FuzzParse: any text is a report or an error, never a panic, and a report
+// holds values only where it says that they were told.
+func FuzzParse(f *testing.F) {
+	for _, seed := range []string{"TEXT inflight=7, queue=2, util=0.61", "x0=1,x1=2", "=", ",,", "TEXT x0=-0"} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		r, err := Body(text)
+		if err != nil {
+			require.Zero(t, r)
+			return
+		}
+		require.True(t, r.Has&basaltloft.HasX0 != 0 || r.X0 == 0)
+		require.True(t, r.Has&basaltloft.HasX1 != 0 || r.X1 == 0)
+		require.True(t, r.Has&basaltloft.HasInFlight != 0 || r.InFlight == 0)
+	})
+}
--- a/internal/poolmember/poolmember.go
+++ b/internal/poolmember/poolmember.go
@@ -17,12 +17,13 @@
 
 	"basaltloft"
 	"basaltloft/internal/core"
+	"basaltloft/internal/loadreport"
 )
 
 // Ends is told what becomes of flows and probes.
 type Ends interface {
 	End(f *core.Flow, s basaltloft.Status, result []byte)
-	Probed(m *core.Member, s basaltloft.Status, sentAt time.Time)
+	Probed(m *core.Member, s basaltloft.Status, r basaltloft.Report, sentAt time.Time)
 }
 
 const (
@@ -40,6 +41,8 @@
 	wire  http.RoundTripper
 	slots chan struct{} // one for each connection that may be in use by a flow
 	asks  chan struct{} // and by a probe or the end of a flow, which flows must not shut out
+
+	figures Figures
 }
 
 // Figures are what the deployment says of connections to members.
@@ -51,11 +54,14 @@
 	// run. Sent in one piece it may have run.
 	Settle time.Duration
 	Most   int // flows that are being submitted at a time; half as many probes and ends beside them
+	// Stats: members report their load, so a probe asks /stats, whose body is
+	// the report; else /health/live.
+	Stats bool
 }
 
 // New returns a carrier.
 func New(ends Ends, f Figures) *Carrier {
-	return &Carrier{ends: ends, wire: newTransport(f), slots: make(chan struct{}, f.Most), asks: make(chan struct{}, max(1, f.Most/2))}
+	return &Carrier{ends: ends, wire: newTransport(f), slots: make(chan struct{}, f.Most), asks: make(chan struct{}, max(1, f.Most/2)), figures: f}
 }
 
 // call is the carrier's part of a flow. A flow is abandoned by closing its
@@ -152,6 +158,9 @@
 	}
 	io.Copy(io.Discard, io.LimitReader(resp.Body, mostReply))
 	resp.Body.Close()
+	if resp.StatusCode != http.StatusAccepted { // this answer ends the flow: its report is the member's last word
+		f.Load, _ = loadreport.Parse([]byte(resp.Header.Get("X-Load-Report")))
+	}
 	switch rejected := resp.Header.Get("X-Rejected") == "1"; {
 	case resp.StatusCode == http.StatusAccepted:
 		return basaltloft.OK, true
@@ -248,20 +257,27 @@
 func (c *Carrier) Probe(m *core.Member) {
 	go func() {
 		sentAt := time.Now()
-		c.ends.Probed(m, c.probe(m, sentAt.Add(probeFor)), sentAt)
+		s, r := c.probe(m, sentAt.Add(probeFor))
+		c.ends.Probed(m, s, r, sentAt)
 	}()
 }
 
-func (c *Carrier) probe(m *core.Member, until time.Time) basaltloft.Status {
+// probe asks a member for a sign of life, at /stats where the deployment's
+// members report their load (its body is the report), else at /health/live.
+// A report that can't be read is left out: the sign of life stands.
+func (c *Carrier) probe(m *core.Member, until time.Time) (basaltloft.Status, basaltloft.Report) {
 	ctx, cancel := context.WithDeadline(context.Background(), until)
 	defer cancel()
 	if !c.ask(ctx) {
-		return basaltloft.TimedOut
+		return basaltloft.TimedOut, basaltloft.Report{}
 	}
 	defer func() { <-c.asks }()
 	var connected bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }})
 	u := &url.URL{Scheme: "http", Host: m.Addr, Path: "/health/live"}
+	if c.figures.Stats {
+		u.Path = "/stats"
+	}
 	// Without a body the transport would send a probe again by itself when a
 	// kept connection breaks, and each one costs the member work.
 	req := (&http.Request{
@@ -270,16 +286,20 @@
 	resp, err := c.wire.RoundTrip(req)
 	switch {
 	case err != nil && !connected:
-		return basaltloft.ConnectFailed
+		return basaltloft.ConnectFailed, basaltloft.Report{}
 	case errors.Is(err, context.DeadlineExceeded):
-		return basaltloft.TimedOut
+		return basaltloft.TimedOut, basaltloft.Report{}
 	case err != nil:
-		return basaltloft.Reset
+		return basaltloft.Reset, basaltloft.Report{}
 	}
-	io.Copy(io.Discard, io.LimitReader(resp.Body, mostReply))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, mostReply))
 	resp.Body.Close()
+	var r basaltloft.Report
+	if err == nil && c.figures.Stats {
+		r, _ = loadreport.Body(body)
+	}
 	if resp.StatusCode != http.StatusOK {
-		return basaltloft.Error
+		return basaltloft.Error, r
 	}
-	return basaltloft.OK
+	return basaltloft.OK, r
 }
--- a/internal/poolmember/poolmember_test.go
+++ b/internal/poolmember/poolmember_test.go
@@ -26,18 +26,35 @@
 }
 
 func (d *driver) End(f *core.Flow, s basaltloft.Status, _ []byte) {
-	fmt.Fprintf(d.Conn, "%s %d\n", f.Transaction.ID, s)
+	fmt.Fprintf(d.Conn, "%s %d%s\n", f.Transaction.ID, s, told(f.Load))
 }
 
-func (d *driver) Probed(_ *core.Member, s basaltloft.Status, _ time.Time) {
-	fmt.Fprintf(d.Conn, "probe %d\n", s)
+func (d *driver) Probed(_ *core.Member, s basaltloft.Status, r basaltloft.Report, _ time.Time) {
+	fmt.Fprintf(d.Conn, "probe %d%s\n", s, told(r))
+}
+
+// told is what a report holds of free slots and memory, for a scenario to read.
+func told(r basaltloft.Report) string {
+	text := ""
+	if r.Has&basaltloft.HasX0 != 0 {
+		text += fmt.Sprintf(" x0=%g", r.X0)
+	}
+	if r.Has&basaltloft.HasX1 != 0 {
+		text += fmt.Sprintf(" x1=%g", r.X1)
+	}
+	return text
 }
 
 func drive(addr string, most int, settle ...time.Duration) func() (scenario.End, error) {
+	return driveWith(addr, Figures{DialWithin: time.Second, Most: most, Settle: append(settle, 0)[0]})
+}
+
+func driveWith(addr string, figures Figures) func() (scenario.End, error) {
+	most := figures.Most
 	return func() (scenario.End, error) {
 		near, far := net.Pipe()
 		d := &driver{Conn: far}
-		d.carrier = New(d, Figures{DialWithin: time.Second, Most: most, Settle: append(settle, 0)[0]})
+		d.carrier = New(d, figures)
 		go func() {
 			flows := make(map[string]*core.Flow)
 			for in := bufio.NewScanner(far); in.Scan(); {
@@ -172,11 +189,15 @@
 	addr, open := scenario.Listen(t)
 	c := New(nil, Figures{DialWithin: time.Second, Most: 2})
 	c.asks <- struct{}{}
-	require.Equal(t, basaltloft.TimedOut, c.probe(&core.Member{Addr: addr}, time.Now().Add(20*time.Millisecond)))
+	s, _ := c.probe(&core.Member{Addr: addr}, time.Now().Add(20*time.Millisecond))
+	require.Equal(t, basaltloft.TimedOut, s)
 	require.False(t, c.delete(&core.Flow{Member: &core.Member{Addr: addr}, Transaction: &core.Transaction{ID: "t-1"}}, time.Now().Add(20*time.Millisecond)))
 	<-c.asks
 	done := make(chan basaltloft.Status)
-	go func() { done <- c.probe(&core.Member{Addr: addr}, time.Now().Add(time.Minute)) }()
+	go func() {
+		s, _ := c.probe(&core.Member{Addr: addr}, time.Now().Add(time.Minute))
+		done <- s
+	}()
 	scenario.Play(t, scenario.Cast{"r": open}, nil, `
 		r expect ^GET /health/live
 		r send HTTP/1.1 200 x\r\nContent-Length: 0\r\n\r\n`)
@@ -252,3 +273,33 @@
 	require.Equal(t, "POST /x HTTP/1.1\r\n\r\nb", string(to.got))
 	require.False(t, c.mayHaveSent())
 }
+
+// TestReportsAreRead: where members report their load, the answer that ends a
+// flow carries it in X-Load-Report and a probe asks /stats, whose body is the
+// report; either reaches the core. A report that can't be read is left out and
+// the outcome stands. Elsewhere a probe asks /health/live and reads no body.
+func TestReportsAreRead(t *testing.T) {
+	addr, open := scenario.Listen(t)
+	stats := driveWith(addr, Figures{DialWithin: time.Second, Most: 4, Stats: true})
+	scenario.Play(t, scenario.Cast{"r": open, "flow": stats, "plain": drive(addr, 4)}, nil, `
+		flow.1 send a 0\n
+		r.1 expect ^POST
+		r.1 send HTTP/1.1 503 x\r\nX-Rejected: 1\r\nX-Load-Report: TEXT qps=40, inflight=3, x0=0, x1=512\r\nContent-Length: 0\r\n\r\n
+		flow.1 expect ^a 2 x0=0 x1=512\n$
+		flow.1 send b 0\n
+		r.2 expect ^POST
+		r.2 send HTTP/1.1 503 x\r\nX-Rejected: 1\r\nX-Load-Report: TEXT x0=lots\r\nContent-Length: 0\r\n\r\n
+		flow.1 expect ^b 2\n$
+		flow.1 send probe\n
+		r.3 expect ^GET /stats HTTP/1.1\r\n
+		r.3 send HTTP/1.1 200 x\r\nContent-Length: 15\r\n\r\nTEXT x0=2 x1=64
+		flow.1 expect ^probe 0 x0=2 x1=64\n$
+		flow.1 send probe\n
+		r.4 expect ^GET /stats HTTP/1.1\r\n
+		r.4 send HTTP/1.1 503 x\r\nContent-Length: 17\r\n\r\n{"x0":0,"x1":128}
+		flow.1 expect ^probe 1 x0=0 x1=128\n$
+		plain.1 send probe\n
+		r.5 expect ^GET /health/live HTTP/1.1\r\n
+		r.5 send HTTP/1.1 200 x\r\nContent-Length: 15\r\n\r\nTEXT x0=2 x1=64
+		plain.1 expect ^probe 0\n$`)
+}
--- a/internal/service/assembly.go
+++ b/internal/service/assembly.go
@@ -50,7 +50,7 @@
 		return nil, err
 	}
 	s.hub.Bound(o.Operator.Behind)
-	carrier := poolmember.New(s.hub, poolmember.Figures{DialWithin: c.DialWithin, Settle: settle, Most: s.sockets / 4})
+	carrier := poolmember.New(s.hub, poolmember.Figures{DialWithin: c.DialWithin, Settle: settle, Most: s.sockets / 4, Stats: c.Reports})
 	s.follower = pool.New(ctx, c.Discovery, s.hub, carrier, s.log)
 	s.hub.Follow(s.follower)
 
--- a/internal/settings/config.go
+++ b/internal/settings/config.go
@@ -21,8 +21,11 @@
 	MemoryMB, Sockets       int
 	Known                   List
 	Settings                basaltloft.Settings
-	Tenants                 []string      // those that the settings know
-	DialWithin              time.Duration // how long a connection to a runner takes to come up
+	Tenants                 []string // those that the settings know
+	// Reports: members report their load (reporting.via is not silent and names
+	// columns), in answers and news where via is piggyback, and to probes.
+	Reports    bool
+	DialWithin time.Duration // how long a connection to a runner takes to come up
 }
 
 // List is discovery's list, or the changes to one.
@@ -61,6 +64,8 @@
 		Cores: r.number("limits.cores"), MemoryMB: int(r.number("limits.memory_mb")), Sockets: int(r.number("limits.sockets")),
 		DialWithin: cmp.Or(r.span("settings.limits.dial_timeout"), time.Second),
 	}
+	c.Reports = string(v.GetStringBytes("settings", "reporting", "via")) != "silent" &&
+		len(v.GetArray("settings", "reporting", "columns")) > 0
 	for _, t := range v.GetArray("settings", "tenants") {
 		if name := string(t.GetStringBytes("name")); name != "" {
 			c.Tenants = append(c.Tenants, name)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -7,6 +7,7 @@
 	"basaltloft"
 
 	"github.com/stretchr/testify/require"
+	"github.com/valyala/fastjson"
 )
 
 // TestLists: a list that is malformed anywhere is an error as a whole.
@@ -53,3 +54,19 @@
 		require.Equal(t, want, [2]string{s.ReportX0, s.ReportX1}, reporting)
 	}
 }
+
+// TestMembersReport: a probe asks for a report wherever members send one, by
+// either way; not where they are silent or name no value.
+func TestMembersReport(t *testing.T) {
+	for reporting, want := range map[string]bool{
+		``: false,
+		`"reporting":{"columns":[],"via":"silent"},`:                     false,
+		`"reporting":{"columns":["x0","x1"],"via":"silent"},`:            false,
+		`"reporting":{"columns":[],"via":"pull"},`:                       false,
+		`"reporting":{"columns":["x0"],"via":"pull"},`:                   true,
+		`"reporting":{"columns":["throughput","x1"],"via":"piggyback"},`: true,
+	} {
+		c, _ := decodeConfig(fastjson.MustParse(`{"settings":{` + reporting + `"registry_mode":"push"}}`))
+		require.Equal(t, want, c.Reports, reporting)
+	}
+}
--- a/internal/virtualserver/news.go
+++ b/internal/virtualserver/news.go
@@ -8,6 +8,7 @@
 	"basaltloft"
 	"basaltloft/internal/core"
 	"basaltloft/internal/jsontext"
+	"basaltloft/internal/loadreport"
 	"basaltloft/internal/stage"
 
 	"github.com/valyala/fastjson"
@@ -65,6 +66,9 @@
 	default:
 		return n, false
 	}
+	if n.Ended { // a report that can't be read is left out; the news stands
+		n.Load, _ = loadreport.Object(v.Get("load"))
+	}
 	return n, n.ID != "" && n.Member != ""
 }
 
--- /dev/null
+++ b/internal/virtualserver/news_test.go
@@ -0,0 +1,28 @@
+package virtualserver
+
+import (
+	"testing"
+
+	"basaltloft"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestNewsCarriesLoad: the news that ends a job may carry the member's load
+// report as "load"; news of progress carries none that counts, and a report
+// that can't be read is left out while the news stands.
+func TestNewsCarriesLoad(t *testing.T) {
+	for text, want := range map[string]basaltloft.Report{
+		`{"id":"j","from":"s-1","state":"done","result":"r","load":{"qps":40,"inflight":3,"x0":1,"x1":256}}`: {
+			Has: basaltloft.HasQPS | basaltloft.HasInFlight | basaltloft.HasX0 | basaltloft.HasX1, QPS: 40, InFlight: 3, X0: 1, X1: 256,
+		},
+		`{"id":"j","from":"s-1","state":"returned","load":{"x0":0}}`:            {Has: basaltloft.HasX0},
+		`{"id":"j","from":"s-1","state":"failed"}`:                              {},
+		`{"id":"j","from":"s-1","state":"lost","load":{"x0":"none"}}`:           {},
+		`{"id":"j","from":"s-1","state":"running","share":0.5,"load":{"x0":4}}`: {},
+	} {
+		n, ok := readNews([]byte(text))
+		require.True(t, ok, text)
+		require.Equal(t, want, n.Load, text)
+	}
+}
