--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -252,10 +252,7 @@
 // number of failures in a row (one or more): pauseLeast, doubled for each
 // further failure, at most pauseMost.
 func Pause(failures int) time.Duration {
-	if failures > 8 {
-		return pauseMost
-	}
-	return min(pauseMost, pauseLeast<<max(0, failures-1))
+	return min(pauseMost, pauseLeast<<min(max(0, failures-1), 8)) // the shift bounded, never past pauseMost
 }
 
 // tell passes on what a service answered, unless another has been followed
