One probe a request at most, not three: probes cost workers work, reports come anyway

Change: probeShare 3 to 1; TestProbesStayWithinOneARequest (40 jobs to 4 and 40 workers, at most 40 probes; with three it counts 50).

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -48,7 +48,7 @@
 	reportLife = 1200 * time.Millisecond // a report older than this says nothing
 	waryFor    = 1200 * time.Millisecond // reports may be older than a refusal for this long
 	probeEvery = 80 * time.Millisecond   // a worker is not asked for its report more often
-	probeShare = 3.0                     // probes for each request, at most
+	probeShare = 1.0                     // probes for each request, at most
 	askWait    = 100 * time.Millisecond  // in a crowd a job waits this long for reports, or longer
 
 	overdueRuns  = 5.0                    // an attempt is overdue after this many expected run times
--- a/scale_test.go
+++ b/scale_test.go
@@ -350,3 +350,13 @@
 		t.Errorf("%d of 800 wide jobs share their worker with as many narrow ones", mixed)
 	}
 }
+
+// TestProbesStayWithinOneARequest: each probe costs a worker work, and reports come with answers too, so
+// that more than one a request is paid for and not bought.
+func TestProbesStayWithinOneARequest(t *testing.T) {
+	for _, workers := range []int{4, 40} {
+		if b := fleet(t, workers, 1); b.count("probe ") > 40 {
+			t.Errorf("%d workers: %d probes for 40 jobs", workers, b.count("probe "))
+		}
+	}
+}
