--- a/internal/virtualserver/news_test.go
+++ b/internal/virtualserver/news_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"basaltloft"
+	"basaltloft/internal/stage"
 
 	"github.com/stretchr/testify/require"
 )
@@ -26,3 +27,17 @@
 		require.Equal(t, want, n.Load, text)
 	}
 }
+
+// TestCallInfoCarriesNeeds: slots and memory that a job needs come in
+// X-Call-Info and reach the arrival, so that the module fits both; other
+// names are skipped and a figure that is no number is a clear error.
+func TestCallInfoCarriesNeeds(t *testing.T) {
+	for text, want := range map[string][2]float64{
+		"slots=1,memory=0.359": {1, 0.359}, "width=2, mem=1.5": {2, 1.5}, "kind=x,slots=3": {3, 0}, "": {0, 0},
+	} {
+		var a stage.Arrival
+		require.NoError(t, info(&a, text), text)
+		require.Equal(t, want, [2]float64{a.Slots, a.Memory}, text)
+	}
+	require.ErrorContains(t, info(&stage.Arrival{}, "slots=1,memory=lots"), "memory must be a number")
+}
