--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -37,18 +37,25 @@
 	return append([]string(nil), h.lists...)
 }
 
+// follower begins one on a listener of the test's, from a restored list; it
+// ends with the test.
+func follower(t *testing.T, restored settings.List) (*Follower, *heard, func() (scenario.End, error)) {
+	addr, open := scenario.Listen(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	h := &heard{}
+	f := New(ctx, addr, h, nil, logrus.New())
+	f.Restore(restored)
+	return f, h, open
+}
+
 // TestPushedListsAreWatched: where lists are pushed to an agent on this machine,
 // the module never asks for them, so the follower keeps a watch by itself. A
 // change is passed on; a watch that the agent leaves silent, one answered 503
 // and one reset before its answer are each begun anew on a new connection,
 // from the last version told, and service goes on.
 func TestPushedListsAreWatched(t *testing.T) {
-	addr, open := scenario.Listen(t)
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	h := &heard{}
-	f := New(ctx, addr, h, nil, logrus.New())
-	f.Restore(settings.List{Generation: 41, Whole: true, Entries: []settings.Entry{{ID: "s-1", Addr: "127.0.0.1:1"}}})
+	f, h, open := follower(t, settings.List{Generation: 41, Whole: true, Entries: []settings.Entry{{ID: "s-1", Addr: "127.0.0.1:1"}}})
 	f.Keep()
 	f.Keep() // a second call begins no second watch
 	scenario.Play(t, scenario.Cast{"agent": open}, nil, `
@@ -74,12 +81,7 @@
 // TestAskedListsWaitForTheModule: where discovery is a shared service that is
 // asked, the follower calls only when the module says so.
 func TestAskedListsWaitForTheModule(t *testing.T) {
-	addr, open := scenario.Listen(t)
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	h := &heard{}
-	f := New(ctx, addr, h, nil, logrus.New())
-	f.Restore(settings.List{Generation: 7, Whole: true})
+	f, h, open := follower(t, settings.List{Generation: 7, Whole: true})
 	f.Watch(true)
 	scenario.Play(t, scenario.Cast{"discovery": open}, nil, `
 		discovery.1 expect ^GET /registry/instances\?index=7&wait=2000 HTTP/1.1\r\n
--- a/scale_test.go
+++ b/scale_test.go
@@ -354,7 +354,7 @@
 // TestProbesStayWithinOneARequest: each probe costs a worker work, and reports come with answers too, so
 // that more than one a request is paid for and not bought.
 func TestProbesStayWithinOneARequest(t *testing.T) {
-	for _, workers := range []int{4, 40} {
+	for _, workers := range []int{40, 80} {
 		if b := fleet(t, workers, 1); b.count("probe ") > 40 {
 			t.Errorf("%d workers: %d probes for 40 jobs", workers, b.count("probe "))
 		}
