--- /dev/null
+++ b/internal/fleet/state/state.go
@@ -0,0 +1,309 @@
+// Package state is the replicated state of a fleet: a machine to which every
+// replica applies the same commands in the same order. It does no I/O, reads no
+// clock and draws no random numbers: time and chance travel in the commands, so
+// that the same log gives the same bytes everywhere.
+//
+// The machine itself keeps who is in the fleet, by leases with fencing numbers,
+// and which commands were answered already. All else is kept by its parts.
+package state
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"basaltloft/internal/fleet/codec"
+)
+
+// Version is that of commands and snapshots. Another one is refused, not guessed at.
+const Version = 1
+
+// Command is one entry of the log.
+type Command struct {
+	V           uint8
+	At          time.Duration // fleet time at which it counts; the leader sets it
+	Process     string        // who asks; empty: the keepers themselves
+	Incarnation uint64        // the fencing number that its join gave it
+	Seq         uint64        // counts this incarnation's commands; 0: may be applied twice without harm
+	Acked       uint64        // answers to all commands up to this one have arrived
+	Kind        Kind
+	Body        []byte // the command of that kind, by codec
+}
+
+// Kind names what a command asks for.
+type Kind string
+
+// Kinds of the machine itself. A part's kinds begin with its name and a slash.
+const (
+	Tick  Kind = "tick"  // time goes on
+	Join  Kind = "join"  // JoinBody
+	Renew Kind = "renew" // RenewBody
+	Leave Kind = "leave" // no body: a planned end
+	Sums  Kind = "sums"  // SumsBody
+	Boot  Kind = "boot"  // BootBody
+)
+
+// Reply is what a command comes to. The same command gives the same reply at
+// every replica.
+type Reply struct {
+	Code Code
+	Text string // why not
+	Body []byte
+}
+
+// Code tells whether a command was carried out.
+type Code uint8
+
+// Codes of replies. All but OK changed nothing.
+const (
+	OK      Code = iota
+	Fenced       // a newer incarnation is in force, or this one's lease has ended: join again
+	Refused      // the part says no, for the reason in Text
+	Bad          // the command can't be read
+)
+
+// Errors for the codes.
+var (
+	ErrFenced  = errors.New("this incarnation is not in force")
+	ErrRefused = errors.New("refused by the state")
+	ErrBad     = errors.New("the state can't read the command")
+)
+
+// Err is the reply as an error; nil where it was carried out.
+func (r Reply) Err() error {
+	switch r.Code {
+	case OK:
+		return nil
+	case Fenced:
+		return fmt.Errorf("%w: %s", ErrFenced, r.Text)
+	case Refused:
+		return fmt.Errorf("%w: %s", ErrRefused, r.Text)
+	default:
+		return fmt.Errorf("%w: %s", ErrBad, r.Text)
+	}
+}
+
+// Part is a part of the state. Its methods are called in the order of the log.
+type Part interface {
+	// Name is the part's; the kinds of its commands begin with it and a slash.
+	Name() string
+	// Apply carries out a command of a process that is in force. An error refuses
+	// it; nothing may have changed then.
+	Apply(c Command, index uint64) (body []byte, err error)
+	// Renewed takes in what a renewal says to this part, and says what it is told.
+	Renewed(c Command, body []byte) (reply []byte, err error)
+	// Gone tells that an incarnation is out of force: its lease ended, it left, or
+	// a newer one of the same name joined.
+	Gone(at time.Duration, process string, incarnation uint64, how Going)
+	// Advance carries out what falls due by fleet time.
+	Advance(at time.Duration)
+	// Freeze takes the part as it is now; the function returned writes that, and
+	// may be called while later commands are applied.
+	Freeze() (func(io.Writer) error, error)
+	// Thaw replaces the part by what Freeze wrote. On an error nothing has changed.
+	Thaw(io.Reader) error
+	// Digest sums the part up.
+	Digest() (uint64, error)
+}
+
+// Going says how an incarnation went out of force.
+type Going uint8
+
+// Ways to go.
+const (
+	Expired  Going = iota // its lease ended: it may be cut off or frozen, and what it sent may run
+	Left                  // it said so
+	Replaced              // a newer incarnation joined
+)
+
+// Member is a process of the fleet.
+type Member struct {
+	Process     string
+	Incarnation uint64
+	Nonce       string        // of the start that joined
+	Since       time.Duration // fleet time of the join
+	Until       time.Duration // its lease ends then
+	Version     string        // of the program
+	Floor       uint64        // commands up to this one are answered, and forgotten
+	Answers     []answered    // above it, in order
+}
+
+type answered struct {
+	Seq   uint64
+	Reply Reply
+}
+
+// mostAnswers bounds what is remembered for one process: the commands that it may
+// have under way at once.
+const mostAnswers = 1024
+
+// Machine is one replica's state.
+type Machine struct {
+	lease   time.Duration
+	at      time.Duration
+	index   uint64
+	members []*Member // by name
+	sums    sums
+	boots   []boot // by process
+	parts   []Part
+}
+
+// New returns an empty state with a lease of this length.
+func New(lease time.Duration, parts ...Part) *Machine {
+	return &Machine{lease: lease, parts: parts}
+}
+
+// At is the fleet time of the last command.
+func (m *Machine) At() time.Duration { return m.at }
+
+// Index is the log index of the last command.
+func (m *Machine) Index() uint64 { return m.index }
+
+// Members are those in force, by name. They must not be changed.
+func (m *Machine) Members() []*Member { return m.members }
+
+// Decode reads a log entry.
+func Decode(text []byte) (Command, error) {
+	var c Command
+	if err := codec.Decode(text, &c); err != nil {
+		return c, fmt.Errorf("%w: %w", ErrBad, err)
+	}
+	if c.V != Version {
+		return c, fmt.Errorf("%w: version %d, this program reads %d", ErrBad, c.V, Version)
+	}
+	return c, nil
+}
+
+// Apply carries out the log entry at an index.
+func (m *Machine) Apply(index uint64, text []byte) Reply {
+	m.index = index
+	c, err := Decode(text)
+	if err != nil { // a log written by a newer program: refused alike everywhere
+		return Reply{Code: Bad, Text: err.Error()}
+	}
+	m.at = max(m.at, c.At)
+	c.At = m.at
+	m.advance()
+	switch c.Kind {
+	case Tick:
+		return Reply{}
+	case Join:
+		return m.join(c, index)
+	case Sums:
+		return m.takeSums(c)
+	case Boot:
+		return m.takeBoot(c)
+	}
+	who, r := m.inForce(c)
+	if who == nil {
+		return r
+	}
+	if c.Seq != 0 {
+		if old, ok := who.answer(c.Seq); ok {
+			return old
+		}
+	}
+	r = m.carryOut(who, c, index)
+	if c.Seq != 0 {
+		who.remember(c, r)
+	}
+	return r
+}
+
+// inForce is the member that a command comes from, or why there is none.
+func (m *Machine) inForce(c Command) (*Member, Reply) {
+	i, ok := m.find(c.Process)
+	if !ok || m.members[i].Incarnation != c.Incarnation {
+		return nil, Reply{Code: Fenced, Text: fmt.Sprintf("%s %d", c.Process, c.Incarnation)}
+	}
+	return m.members[i], Reply{}
+}
+
+func (m *Machine) carryOut(who *Member, c Command, index uint64) Reply {
+	switch c.Kind {
+	case Renew:
+		return m.renew(who, c)
+	case Leave:
+		m.drop(who, Left)
+		return Reply{}
+	}
+	for _, p := range m.parts {
+		if n := p.Name(); len(c.Kind) > len(n) && string(c.Kind[:len(n)]) == n && c.Kind[len(n)] == '/' {
+			body, err := p.Apply(c, index)
+			return replied(body, err)
+		}
+	}
+	return Reply{Code: Bad, Text: fmt.Sprintf("no part has commands of kind %q", c.Kind)}
+}
+
+func replied(body []byte, err error) Reply {
+	switch {
+	case errors.Is(err, ErrBad):
+		return Reply{Code: Bad, Text: err.Error()}
+	case err != nil:
+		return Reply{Code: Refused, Text: err.Error()}
+	}
+	return Reply{Body: body}
+}
+
+// advance ends the leases that are due, in the order of the names, and lets the
+// parts do what falls due.
+func (m *Machine) advance() {
+	for i := 0; i < len(m.members); {
+		if who := m.members[i]; who.Until <= m.at {
+			m.drop(who, Expired)
+			continue
+		}
+		i++
+	}
+	for _, p := range m.parts {
+		p.Advance(m.at)
+	}
+}
+
+func (m *Machine) find(process string) (int, bool) {
+	return slices.BinarySearchFunc(m.members, process, func(x *Member, name string) int {
+		switch {
+		case x.Process < name:
+			return -1
+		case x.Process > name:
+			return 1
+		}
+		return 0
+	})
+}
+
+// drop puts an incarnation out of force.
+func (m *Machine) drop(who *Member, how Going) {
+	if i, ok := m.find(who.Process); ok && m.members[i] == who {
+		m.members = slices.Delete(m.members, i, i+1)
+	}
+	for _, p := range m.parts {
+		p.Gone(m.at, who.Process, who.Incarnation, how)
+	}
+}
+
+func (x *Member) answer(seq uint64) (Reply, bool) {
+	i, ok := slices.BinarySearchFunc(x.Answers, seq, func(a answered, s uint64) int { return int(int64(a.Seq - s)) })
+	switch {
+	case ok:
+		return x.Answers[i].Reply, true
+	case seq <= x.Floor: // a late copy that nobody waits for
+		return Reply{Code: Refused, Text: "answered before"}, true
+	}
+	return Reply{}, false
+}
+
+func (x *Member) remember(c Command, r Reply) {
+	i, _ := slices.BinarySearchFunc(x.Answers, c.Seq, func(a answered, s uint64) int { return int(int64(a.Seq - s)) })
+	x.Answers = slices.Insert(x.Answers, i, answered{c.Seq, r})
+	x.Floor = max(x.Floor, c.Acked)
+	from := 0
+	for from < len(x.Answers) && (x.Answers[from].Seq <= x.Floor || len(x.Answers)-from > mostAnswers) {
+		x.Floor = max(x.Floor, x.Answers[from].Seq)
+		from++
+	}
+	x.Answers = slices.Delete(x.Answers, 0, from)
+}
--- /dev/null
+++ b/internal/fleet/state/state_test.go
@@ -0,0 +1,208 @@
+package state
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"basaltloft/internal/fleet/codec"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// tally is a part that counts what it is told, by process, and who went.
+type tally struct {
+	Count map[string]int
+	Went  []string
+	At    time.Duration
+}
+
+func newTally() *tally { return &tally{Count: map[string]int{}} }
+
+func (t *tally) Name() string { return "tally" }
+func (t *tally) Apply(c Command, _ uint64) ([]byte, error) {
+	if c.Kind == "tally/no" {
+		return nil, errors.New("no")
+	}
+	t.Count[c.Process]++
+	return binary.BigEndian.AppendUint32(nil, uint32(t.Count[c.Process])), nil
+}
+func (t *tally) Renewed(_ Command, body []byte) ([]byte, error) { return body, nil }
+func (t *tally) Gone(at time.Duration, process string, incarnation uint64, how Going) {
+	t.Went = append(t.Went, fmt.Sprintf("%s %d %d %s", process, incarnation, how, at))
+}
+func (t *tally) Advance(at time.Duration) { t.At = at }
+func (t *tally) Freeze() (func(io.Writer) error, error) {
+	text, err := codec.Encode(t)
+	return func(w io.Writer) error { _, err := w.Write(text); return err }, err
+}
+func (t *tally) Thaw(r io.Reader) error {
+	text, err := io.ReadAll(r)
+	if err != nil {
+		return err
+	}
+	next := tally{}
+	if err := codec.Decode(text, &next); err != nil {
+		return err
+	}
+	*t = next
+	return nil
+}
+func (t *tally) Digest() (uint64, error) {
+	text, err := codec.Encode(t)
+	return codec.Digest(text), err
+}
+
+const lease = 3 * time.Second
+
+type log struct {
+	t       require.TestingT
+	m       *Machine
+	part    *tally
+	index   uint64
+	entries [][]byte
+}
+
+func newLog(t require.TestingT) *log {
+	part := newTally()
+	return &log{t: t, m: New(lease, part), part: part}
+}
+
+func (l *log) apply(c Command, body any) Reply {
+	c.V = Version
+	if body != nil {
+		text, err := codec.Encode(body)
+		require.NoError(l.t, err)
+		c.Body = text
+	}
+	text, err := codec.Encode(c)
+	require.NoError(l.t, err)
+	l.index++
+	l.entries = append(l.entries, text)
+	return l.m.Apply(l.index, text)
+}
+
+func (l *log) join(at time.Duration, process, nonce string) uint64 {
+	r := l.apply(Command{At: at, Kind: Join}, JoinBody{Process: process, Nonce: nonce})
+	require.NoError(l.t, r.Err())
+	var j Joined
+	require.NoError(l.t, codec.Decode(r.Body, &j))
+	return j.Incarnation
+}
+
+func TestFencing(t *testing.T) {
+	l := newLog(t)
+	first := l.join(0, "n1", "a")
+	require.Equal(t, first, l.join(time.Second, "n1", "a"), "a join whose answer was lost")
+	do := func(at time.Duration, inc uint64) error {
+		return l.apply(Command{At: at, Process: "n1", Incarnation: inc, Kind: "tally/one"}, nil).Err()
+	}
+	require.NoError(t, do(time.Second, first))
+	second := l.join(2*time.Second, "n1", "b")
+	require.Greater(t, second, first)
+	require.ErrorIs(t, do(2*time.Second, first), ErrFenced, "the older incarnation, frozen and resumed")
+	require.NoError(t, do(2*time.Second, second))
+	require.NoError(t, do(2*time.Second+lease-1, second))
+	require.ErrorIs(t, do(2*time.Second+lease, second), ErrFenced, "its lease ended")
+	require.Equal(t, []string{"n1 1 2 2s", "n1 4 0 5s"}, l.part.Went)
+	require.ErrorIs(t, l.apply(Command{Kind: "other/one"}, nil).Err(), ErrFenced)
+	third := l.join(6*time.Second, "n1", "c")
+	require.ErrorIs(t, l.apply(Command{At: 1, Process: "n1", Incarnation: third, Kind: "other/one"}, nil).Err(), ErrBad)
+	require.Equal(t, 6*time.Second, l.m.At(), "time does not run backward")
+	require.NoError(t, l.apply(Command{Process: "n1", Incarnation: third, Kind: Leave}, nil).Err())
+	require.Empty(t, l.m.Members())
+	require.ErrorIs(t, l.m.Apply(99, []byte{1, 2}).Err(), ErrBad)
+}
+
+// Each command counts once, whatever copies of it arrive in whatever order, and a
+// replica made of a snapshot and the rest of the log is the same to the byte.
+func TestOnceAndAlike(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := newLog(t)
+		inc := map[string]uint64{"n1": l.join(0, "n1", "x"), "n2": l.join(0, "n2", "y")}
+		sent, first := map[string]map[uint64]Reply{"n1": {}, "n2": {}}, map[string]uint64{}
+		at, cut := time.Duration(0), rapid.IntRange(3, 30).Draw(t, "cut")
+		var frozen bytes.Buffer
+		for range 40 {
+			at += time.Duration(rapid.IntRange(0, 60).Draw(t, "dt")) * time.Millisecond
+			who := rapid.SampledFrom([]string{"n1", "n2"}).Draw(t, "who")
+			seq := first[who] + uint64(rapid.IntRange(1, 6).Draw(t, "seq")) // out of order, and again
+			kind := rapid.SampledFrom([]Kind{"tally/one", "tally/one", "tally/no"}).Draw(t, "kind")
+			r := l.apply(Command{At: at, Process: who, Incarnation: inc[who], Seq: seq, Acked: first[who], Kind: kind}, nil)
+			if old, again := sent[who][seq]; again {
+				require.Equal(t, old, r, "a copy gets the first answer")
+			}
+			sent[who][seq] = r
+			for sent[who][first[who]+1].Body != nil || sent[who][first[who]+1].Code != OK {
+				first[who]++
+			}
+			if len(l.entries) == cut {
+				write, err := l.m.Freeze()
+				require.NoError(t, err)
+				require.NoError(t, write(&frozen))
+			}
+		}
+		for who, all := range sent {
+			n := 0
+			for _, r := range all {
+				if r.Code == OK {
+					n++
+				}
+			}
+			require.Equal(t, n, l.part.Count[who])
+		}
+		other := New(lease, newTally())
+		require.NoError(t, other.Thaw(bytes.NewReader(frozen.Bytes())))
+		for i := cut; i < len(l.entries); i++ {
+			other.Apply(uint64(i+1), l.entries[i])
+		}
+		a, err := l.m.Digests()
+		require.NoError(t, err)
+		b, err := other.Digests()
+		require.NoError(t, err)
+		require.Equal(t, a, b)
+		torn := frozen.Bytes()[:rapid.IntRange(0, frozen.Len()-1).Draw(t, "torn")]
+		require.ErrorIs(t, New(lease, newTally()).Thaw(bytes.NewReader(torn)), ErrForeign)
+		flipped := bytes.Clone(frozen.Bytes())
+		flipped[rapid.IntRange(0, len(flipped)-1).Draw(t, "at")] ^= 0x10
+		require.Error(t, New(lease, newTally()).Thaw(bytes.NewReader(flipped)))
+	})
+}
+
+func TestMajorityOfDigests(t *testing.T) {
+	l := newLog(t)
+	tell := func(replica string, index uint64, sum uint64) {
+		l.apply(Command{Kind: Sums}, SumsBody{Replica: replica, Index: index, Parts: map[string]uint64{"tally": sum}})
+	}
+	tell("k1", 7, 1)
+	tell("k2", 7, 2)
+	require.Empty(t, l.m.Differs("k1", 3), "one against one proves nothing")
+	tell("k3", 7, 2)
+	require.Equal(t, []string{"tally"}, l.m.Differs("k1", 3))
+	require.Empty(t, l.m.Differs("k2", 3))
+	tell("k1", 9, 5)
+	require.Empty(t, l.m.Differs("k1", 3), "a newer index begins anew")
+	tell("k2", 7, 5)
+	require.Empty(t, l.m.Differs("k2", 3), "what is out of date counts nothing")
+}
+
+func FuzzThaw(f *testing.F) {
+	l := newLog(f)
+	l.join(0, "n1", "a")
+	write, err := l.m.Freeze()
+	require.NoError(f, err)
+	var b bytes.Buffer
+	require.NoError(f, write(&b))
+	f.Add(b.Bytes())
+	f.Fuzz(func(t *testing.T, text []byte) {
+		m := New(lease, newTally())
+		if m.Thaw(bytes.NewReader(text)) != nil {
+			require.Empty(t, m.Members(), "nothing is taken of what is refused")
+		}
+	})
+}
