Keepers: the fleet's state replicated by hashicorp/raft, a wiped folder never votes

Need: the ground of the fleet layer: 1, 3 or 5 processes that hold one state through crashes, wiped and swapped folders, and a replica that went wrong. Ruled out: letting a wiped keeper vote under its old name (it may elect a leader that lacks a committed entry: with nothing, and one other keeper up, the test sees no order carried out); wall clocks for fleet time; addresses in raft's configuration (each process has its own way to a peer, so addresses there are names); etcd-io/raft (storage and transport would be ours).

--- /dev/null
+++ b/internal/fleet/keeper/enter.go
@@ -0,0 +1,271 @@
+package keeper
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"basaltloft/internal/fleet/call"
+	"basaltloft/internal/fleet/codec"
+	"basaltloft/internal/fleet/state"
+
+	"github.com/hashicorp/raft"
+)
+
+// A keeper with an empty folder has forgotten what it voted for and what it took
+// into its log. Were it to vote again under its name, an entry that a majority had
+// might be lost. So it takes no part until those that do have put it out of the
+// configuration, and taken it in as one that does not vote yet; it may vote again
+// once it has all that was committed by then. Only where every other keeper says
+// that it has nothing either is a fleet founded.
+const askEvery = 200 * time.Millisecond
+
+// enter tells whether the fleet is to be founded, once that is known, or returns
+// when the others have taken this keeper in.
+func (k *Keeper) enter(ctx context.Context, own *folder) (found bool, err error) {
+	k.mu.Lock()
+	k.empty = true
+	k.mu.Unlock()
+	self, err := codec.Encode(k.s.Name)
+	if err != nil {
+		return false, err
+	}
+	for waited := false; ctx.Err() == nil; waited = true {
+		nothing, taken := 0, false
+		for _, a := range k.askAll(ctx) {
+			if !a.Founded {
+				nothing++
+				continue
+			}
+			var ok bool
+			if _, err := k.peers.Post(ctx, a.Name, call.Rejoin, self, &ok); err == nil && ok {
+				taken = true
+				break
+			}
+		}
+		if taken {
+			k.log.Info("taken in by the fleet with an empty folder")
+			return false, nil
+		}
+		if nothing == len(k.s.Peers)-1 {
+			k.log.Info("no keeper has a state: the fleet is founded")
+			return true, nil
+		}
+		if !waited {
+			k.log.Info("waiting for the other keepers, to be taken in or to found the fleet")
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(askEvery):
+		}
+	}
+	return false, nil
+}
+
+// askAll asks the other keepers what they have, side by side; those that do not
+// answer are left out.
+func (k *Keeper) askAll(ctx context.Context) (all []call.AboutBody) {
+	answers := make(chan *call.AboutBody)
+	others := 0
+	for _, name := range sorted(k.s.Peers) {
+		if name == k.s.Name {
+			continue
+		}
+		others++
+		go func() {
+			var a call.AboutBody
+			if _, err := k.peers.Post(ctx, name, call.About, nil, &a); err != nil {
+				answers <- nil
+				return
+			}
+			a.Name = name
+			answers <- &a
+		}()
+	}
+	for range others {
+		if a := <-answers; a != nil {
+			all = append(all, *a)
+		}
+	}
+	return all
+}
+
+// isOldCopy tells whether another keeper knows of a later start of this one than
+// its folder does. Such a folder has forgotten, like an empty one.
+func (k *Keeper) isOldCopy(ctx context.Context, own *folder) bool {
+	for _, a := range k.askAll(ctx) {
+		if a.Boots[k.s.Name] > own.mark.Starts {
+			return true
+		}
+	}
+	return false
+}
+
+// attend does what a keeper does while raft runs: it leads when elected, tells the
+// others of its start, asks for its vote, and compares digests. It returns when the
+// context ends, or with true when the state must be taken anew.
+func (k *Keeper) attend(ctx context.Context, n *node, own *folder) (anew bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	sums := make(chan state.SumsBody, 1)
+	told := make(chan struct{}, 1)
+	k.fsm.mu.Lock()
+	k.fsm.summed = func(index uint64, parts map[string]uint64, err error) {
+		if err != nil {
+			k.log.WithError(err).Error("the state can't be summed up")
+			return
+		}
+		select {
+		case sums <- state.SumsBody{Replica: k.s.Name, Index: index, Parts: parts}:
+		default: // the last ones are still on their way
+		}
+	}
+	k.fsm.told = func() {
+		select {
+		case told <- struct{}{}:
+		default:
+		}
+	}
+	k.fsm.mu.Unlock()
+	tick := time.NewTicker(idleTick)
+	defer tick.Stop()
+	booted, summed := false, time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-tick.C:
+			k.elected(ctx, n)
+			k.goOn(&summed)
+			if !booted {
+				booted = k.command(ctx, state.Boot, state.BootBody{Process: k.s.Name, Count: own.mark.Starts}) == nil
+			}
+			k.askForVote(ctx, n)
+		case s := <-sums:
+			if err := k.command(ctx, state.Sums, s); err != nil {
+				k.log.WithError(err).Debug("digests could not be told")
+			}
+		case <-told:
+			if k.compare(n) {
+				return true
+			}
+		}
+	}
+}
+
+// elected notes that this keeper has begun to lead, or leads no more.
+func (k *Keeper) elected(ctx context.Context, n *node) {
+	leads := n.raft.State() == raft.Leader
+	k.mu.Lock()
+	was := k.lead
+	if !leads {
+		k.lead = nil
+	}
+	k.mu.Unlock()
+	if !leads || was != nil {
+		return
+	}
+	if err := n.raft.Barrier(0).Error(); err != nil { // all that was committed is applied here
+		return
+	}
+	l := &lead{since: time.Now()}
+	k.fsm.read(func(m *state.Machine) { l.from = m.At() })
+	k.mu.Lock()
+	k.lead = l
+	k.mu.Unlock()
+	k.log.WithField("at", l.from.String()).Info("leads the fleet")
+}
+
+// goOn lets fleet time go on while nobody asks, and has digests taken when due.
+func (k *Keeper) goOn(summed *time.Time) {
+	k.mu.Lock()
+	l := k.lead
+	k.mu.Unlock()
+	if l == nil {
+		return
+	}
+	c := state.Command{Kind: state.Tick}
+	if time.Since(*summed) >= k.s.SumEvery {
+		*summed, c.Body = time.Now(), sumUp
+	} else if l.now()-time.Duration(l.last.Load()) < idleTick {
+		return
+	}
+	if _, err := k.propose(c); err != nil {
+		k.log.WithError(err).Debug("a tick was lost")
+	}
+}
+
+// command has one of the keepers' own commands carried out by whoever leads.
+func (k *Keeper) command(ctx context.Context, kind state.Kind, body any) error {
+	text, err := codec.Encode(body)
+	if err != nil {
+		return err
+	}
+	c := state.Command{V: state.Version, Kind: kind, Body: text}
+	if r, err := k.propose(c); err == nil || !errors.Is(err, raft.ErrNotLeader) {
+		return errors.Join(err, r.Err())
+	}
+	if len(k.s.Peers) == 1 {
+		return raft.ErrNotLeader
+	}
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(k.s.Election))
+	defer cancel()
+	_, err = k.peers.Do(ctx, c)
+	return err
+}
+
+// askForVote asks the leader to let this keeper vote again, once it has caught up.
+func (k *Keeper) askForVote(ctx context.Context, n *node) {
+	f := n.raft.GetConfiguration()
+	if f.Error() != nil || n.raft.State() == raft.Leader {
+		return
+	}
+	for _, s := range f.Configuration().Servers {
+		if string(s.ID) != k.s.Name || s.Suffrage == raft.Voter {
+			continue
+		}
+		self, err := codec.Encode(readyBody{k.s.Name, n.raft.AppliedIndex()})
+		if err != nil {
+			return
+		}
+		ctx, cancel := context.WithDeadline(ctx, time.Now().Add(k.s.Election))
+		defer cancel()
+		var ok bool
+		if err := k.peers.Leader(ctx, call.Ready, self, &ok); err == nil && ok {
+			k.log.Info("votes again")
+		}
+	}
+}
+
+type readyBody struct {
+	Name  string
+	Index uint64
+}
+
+// compare tells whether this replica's state is not the others'. It serves nothing
+// from then on.
+func (k *Keeper) compare(n *node) bool {
+	voters := 0
+	if f := n.raft.GetConfiguration(); f.Error() == nil {
+		for _, s := range f.Configuration().Servers {
+			if s.Suffrage == raft.Voter {
+				voters++
+			}
+		}
+	}
+	var differs []string
+	k.fsm.read(func(m *state.Machine) { differs = m.Differs(k.s.Name, voters) })
+	if len(differs) == 0 {
+		return false
+	}
+	k.mu.Lock()
+	k.differs = differs
+	k.mu.Unlock()
+	k.log.WithField("parts", differs).Error("this replica's state is not the others': it serves nothing and takes the state anew")
+	if n.raft.State() == raft.Leader {
+		if err := n.raft.LeadershipTransfer().Error(); err != nil {
+			k.log.WithError(err).Debug("the lead could not be handed over")
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/fleet/keeper/keeper.go
@@ -0,0 +1,411 @@
+// Package keeper is one replica of the fleet's state and its vote: hashicorp/raft
+// with its log in a folder, and the calls by which processes ask. What a command
+// means is for package state; here is when it may be answered.
+package keeper
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"basaltloft/internal/fleet/call"
+	"basaltloft/internal/fleet/codec"
+	"basaltloft/internal/fleet/state"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/hashicorp/raft"
+	raftboltdb "github.com/hashicorp/raft-boltdb/v2"
+	"github.com/sirupsen/logrus"
+)
+
+// Peer is where another keeper is reached from here.
+type Peer struct{ Calls, Votes string }
+
+// Settings are what a keeper is made of.
+type Settings struct {
+	Name     string
+	Folder   string
+	Peers    map[string]Peer // all keepers, this one too
+	Votes    net.Listener    // where the others' votes and logs arrive
+	Election time.Duration   // a leader that was silent for so long is replaced
+	SumEvery time.Duration   // the replicas' digests are compared so often
+	Machine  func() (*state.Machine, error)
+	Log      *logrus.Logger
+}
+
+// idleTick: fleet time goes on at least so often.
+const idleTick = 200 * time.Millisecond
+
+// Keeper is one replica.
+type Keeper struct {
+	s     Settings
+	log   *logrus.Entry
+	peers *call.Client // the other keepers
+	fsm   *machine
+
+	mu      sync.Mutex
+	node    *node // nil: not started, or being taken in again
+	empty   bool
+	differs []string
+	lead    *lead // nil: another one leads
+}
+
+// node is what lives between a start of raft and its end.
+type node struct {
+	raft  *raft.Raft
+	store *raftboltdb.BoltStore
+	trans *raft.NetworkTransport
+}
+
+// lead is what a leader keeps: the fleet time that it goes on from.
+type lead struct {
+	from  time.Duration
+	since time.Time // by the monotonic clock
+	last  atomic.Int64
+}
+
+// now is the fleet time: that of the last command when this one began to lead, and
+// what this process's monotonic clock has gone on since. Between two leaders none
+// goes by, so that it never runs ahead of the time that has passed.
+func (l *lead) now() time.Duration { return l.from + time.Since(l.since) }
+
+// New returns a keeper that is not running.
+func New(s Settings) (*Keeper, error) {
+	if err := os.MkdirAll(s.Folder, 0o750); err != nil {
+		return nil, fmt.Errorf("the fleet's folder: %w", err)
+	}
+	others := map[string]string{}
+	for name, p := range s.Peers {
+		if name != s.Name {
+			others[name] = p.Calls
+		}
+	}
+	m, err := s.Machine()
+	if err != nil {
+		return nil, fmt.Errorf("the fleet's state: %w", err)
+	}
+	return &Keeper{s: s, log: s.Log.WithField("keeper", s.Name), peers: call.New(others), fsm: &machine{m: m, applied: make(chan struct{})}, empty: true}, nil
+}
+
+// Run takes part until the context ends. It returns an error if the folder can't be
+// used; that it must not be guessed at.
+func (k *Keeper) Run(ctx context.Context) error {
+	defer k.peers.Close()
+	own, err := k.openFolder()
+	if err != nil {
+		return err
+	}
+	defer own.lock.Close()
+	for ctx.Err() == nil {
+		anew, err := k.live(ctx, own)
+		if err != nil {
+			return err
+		}
+		if !anew {
+			return nil
+		}
+		if err := own.wipe(); err != nil {
+			return fmt.Errorf("making room for the state anew: %w", err)
+		}
+	}
+	return nil
+}
+
+// live runs raft on what the folder has. It tells whether the state is to be taken
+// anew.
+func (k *Keeper) live(ctx context.Context, own *folder) (anew bool, err error) {
+	m, err := k.s.Machine() // from nothing: raft brings the snapshot and the log
+	if err != nil {
+		return false, fmt.Errorf("the fleet's state: %w", err)
+	}
+	k.fsm.replace(m)
+	n, err := k.open(own)
+	if err != nil {
+		return false, err
+	}
+	has, err := raft.HasExistingState(n.store, n.store, own.snaps)
+	if err != nil {
+		n.store.Close()
+		return false, fmt.Errorf("reading the fleet's log: %w", err)
+	}
+	if has && k.isOldCopy(ctx, own) {
+		k.log.Error("the folder is an older copy of this keeper's own: it is cleared and the state taken anew")
+		n.store.Close()
+		return true, nil
+	}
+	if !has {
+		found, err := k.enter(ctx, own)
+		if err != nil || ctx.Err() != nil {
+			n.store.Close()
+			return false, err
+		}
+		if found {
+			if err := raft.BootstrapCluster(k.config(), n.store, n.store, own.snaps, &raft.InmemTransport{}, k.founders()); err != nil {
+				n.store.Close()
+				return false, fmt.Errorf("founding the fleet: %w", err)
+			}
+		}
+	}
+	if err := own.countStart(); err != nil {
+		n.store.Close()
+		return false, err
+	}
+	n.trans = raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{Stream: newStream(k.s.Votes, k.s.Peers), MaxPool: 3, Timeout: 2 * time.Second, Logger: k.quiet()})
+	if n.raft, err = raft.NewRaft(k.config(), k.fsm, n.store, n.store, own.snaps, n.trans); err != nil {
+		n.trans.Close()
+		n.store.Close()
+		return false, fmt.Errorf("starting the fleet's log: %w", err)
+	}
+	k.mu.Lock()
+	k.node, k.empty, k.differs = n, false, nil
+	k.mu.Unlock()
+	anew = k.attend(ctx, n, own)
+	k.mu.Lock()
+	k.node, k.lead = nil, nil
+	k.mu.Unlock()
+	if err := n.raft.Shutdown().Error(); err != nil {
+		k.log.WithError(err).Error("ending the fleet's log")
+	}
+	n.trans.CloseStreams()
+	n.trans.Close()
+	if err := n.store.Close(); err != nil {
+		k.log.WithError(err).Error("closing the fleet's log")
+	}
+	return anew, nil
+}
+
+func (k *Keeper) config() *raft.Config {
+	c := raft.DefaultConfig()
+	c.LocalID = raft.ServerID(k.s.Name)
+	c.HeartbeatTimeout, c.ElectionTimeout, c.LeaderLeaseTimeout = k.s.Election, k.s.Election, k.s.Election/2
+	c.MaxAppendEntries, c.BatchApplyCh = 256, true
+	c.SnapshotInterval, c.SnapshotThreshold, c.TrailingLogs = 20*time.Second, 8192, 4096
+	c.NoLegacyTelemetry = true
+	c.Logger = k.quiet()
+	return c
+}
+
+func (k *Keeper) founders() (c raft.Configuration) {
+	for _, name := range sorted(k.s.Peers) {
+		c.Servers = append(c.Servers, raft.Server{ID: raft.ServerID(name), Address: raft.ServerAddress(name)})
+	}
+	return c
+}
+
+func (k *Keeper) quiet() hclog.Logger {
+	return hclog.New(&hclog.LoggerOptions{Level: hclog.Info, Output: debug{k.log}, DisableTime: true})
+}
+
+type debug struct{ log *logrus.Entry }
+
+func (d debug) Write(text []byte) (int, error) {
+	d.log.Debug(string(text[:max(0, len(text)-1)]))
+	return len(text), nil
+}
+
+// open opens the log.
+func (k *Keeper) open(own *folder) (*node, error) {
+	store, err := raftboltdb.New(raftboltdb.Options{Path: filepath.Join(own.path, "log.db"), BoltOptions: boltOptions})
+	if err != nil {
+		return nil, fmt.Errorf("opening the fleet's log: %w", err)
+	}
+	own.snaps, err = raft.NewFileSnapshotStoreWithLogger(own.path, 2, k.quiet())
+	if err != nil {
+		store.Close()
+		return nil, fmt.Errorf("opening the fleet's snapshots: %w", err)
+	}
+	return &node{store: store}, nil
+}
+
+// stream is how keepers reach one another: addresses are names, which each looks up
+// among its own peers.
+type stream struct {
+	net.Listener
+	peers  map[string]Peer
+	closed chan struct{}
+
+	mu   sync.Mutex
+	open map[net.Conn]bool // accepted; the library leaves them open
+}
+
+func newStream(l net.Listener, peers map[string]Peer) *stream {
+	return &stream{Listener: l, peers: peers, closed: make(chan struct{}), open: make(map[net.Conn]bool)}
+}
+
+// Accept implements net.Listener. The listener outlives the stream: a keeper whose
+// state is taken anew goes on with it.
+func (s *stream) Accept() (net.Conn, error) {
+	l := s.Listener.(*net.TCPListener)
+	for {
+		select {
+		case <-s.closed:
+			return nil, net.ErrClosed
+		default:
+		}
+		l.SetDeadline(time.Now().Add(100 * time.Millisecond))
+		c, err := l.Accept()
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.open[c] = true
+		return &accepted{c, s}, nil
+	}
+}
+
+type accepted struct {
+	net.Conn
+	of *stream
+}
+
+func (c *accepted) Close() error {
+	c.of.mu.Lock()
+	delete(c.of.open, c.Conn)
+	c.of.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// Close implements net.Listener.
+func (s *stream) Close() error {
+	close(s.closed)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.open {
+		c.Close()
+	}
+	return nil
+}
+
+// Dial implements raft.StreamLayer.
+func (s *stream) Dial(address raft.ServerAddress, within time.Duration) (net.Conn, error) {
+	p, ok := s.peers[string(address)]
+	if !ok {
+		return nil, fmt.Errorf("no keeper is called %q", address)
+	}
+	return net.DialTimeout("tcp", p.Votes, within)
+}
+
+// machine joins the state to raft. Commands are applied by raft's one goroutine,
+// and read by others.
+type machine struct {
+	mu      sync.RWMutex
+	m       *state.Machine
+	applied chan struct{} // closed and made anew at each command
+	summed  func(index uint64, sums map[string]uint64, err error)
+	told    func() // digests of some replica have arrived
+}
+
+// sumUp is the body of a tick at which every replica sums its state up.
+var sumUp = []byte{1}
+
+// Apply implements raft.FSM.
+func (f *machine) Apply(l *raft.Log) any {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r := f.m.Apply(l.Index, l.Data)
+	if c, err := state.Decode(l.Data); err == nil && f.summed != nil {
+		switch {
+		case c.Kind == state.Tick && len(c.Body) > 0:
+			sums, err := f.m.Digests()
+			f.summed(l.Index, sums, err)
+		case c.Kind == state.Sums:
+			f.told()
+		}
+	}
+	close(f.applied)
+	f.applied = make(chan struct{})
+	return r
+}
+
+// Snapshot implements raft.FSM.
+func (f *machine) Snapshot() (raft.FSMSnapshot, error) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	write, err := f.m.Freeze()
+	return frozen{write}, err
+}
+
+// Restore implements raft.FSM.
+func (f *machine) Restore(r io.ReadCloser) error {
+	defer r.Close()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.m.Thaw(r)
+}
+
+func (f *machine) replace(m *state.Machine) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.m = m
+}
+
+// read lets a function see the state.
+func (f *machine) read(see func(*state.Machine)) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	see(f.m)
+}
+
+// reach waits until the command at an index has been applied.
+func (f *machine) reach(ctx context.Context, index uint64) error {
+	for {
+		f.mu.RLock()
+		at, more := f.m.Index(), f.applied
+		f.mu.RUnlock()
+		if at >= index {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-more:
+		}
+	}
+}
+
+type frozen struct{ write func(io.Writer) error }
+
+// Persist implements raft.FSMSnapshot.
+func (s frozen) Persist(to raft.SnapshotSink) error {
+	if err := s.write(to); err != nil {
+		to.Cancel()
+		return fmt.Errorf("writing a snapshot: %w", err)
+	}
+	return to.Close()
+}
+
+// Release implements raft.FSMSnapshot.
+func (frozen) Release() {}
+
+// propose puts a command into the log and waits for what it comes to. An error says
+// that it may have been carried out, or may yet be.
+func (k *Keeper) propose(c state.Command) (state.Reply, error) {
+	k.mu.Lock()
+	n, l, differs := k.node, k.lead, k.differs
+	k.mu.Unlock()
+	if n == nil || l == nil || len(differs) > 0 {
+		return state.Reply{}, raft.ErrNotLeader
+	}
+	c.V, c.At = state.Version, l.now()
+	text, err := codec.Encode(c)
+	if err != nil {
+		return state.Reply{}, err
+	}
+	l.last.Store(int64(c.At))
+	f := n.raft.Apply(text, 0)
+	if err := f.Error(); err != nil {
+		return state.Reply{}, err
+	}
+	return f.Response().(state.Reply), nil
+}
--- /dev/null
+++ b/internal/fleet/keeper/keeper_test.go
@@ -0,0 +1,354 @@
+package keeper
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"basaltloft/internal/fleet/call"
+	"basaltloft/internal/fleet/codec"
+	"basaltloft/internal/fleet/state"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+)
+
+// counter is a part that counts commands; spoilt makes its next count wrong.
+type counter struct {
+	N      uint64
+	spoilt *atomic.Bool
+}
+
+func (c *counter) Name() string { return "count" }
+func (c *counter) Apply(state.Command, uint64) ([]byte, error) {
+	if c.N++; c.spoilt.Swap(false) {
+		c.N += 1000
+	}
+	return codec.Encode(c.N)
+}
+func (c *counter) Ask(state.Kind, []byte) ([]byte, error)          { return codec.Encode(c.N) }
+func (c *counter) Renewed(state.Command, []byte) ([]byte, error)   { return nil, nil }
+func (c *counter) Gone(time.Duration, string, uint64, state.Going) {}
+func (c *counter) Advance(time.Duration)                           {}
+func (c *counter) Digest() (uint64, error)                         { return c.N, nil }
+func (c *counter) Thaw(r io.Reader) error {
+	text, err := io.ReadAll(r)
+	if err != nil {
+		return err
+	}
+	return codec.Decode(text, &c.N)
+}
+func (c *counter) Freeze() (func(io.Writer) error, error) {
+	text, err := codec.Encode(c.N)
+	return func(w io.Writer) error { _, err := w.Write(text); return err }, err
+}
+
+// fleet is three keepers in this process.
+type fleet struct {
+	t      *testing.T
+	dir    string
+	peers  map[string]Peer
+	calls  map[string]net.Listener
+	votes  map[string]net.Listener
+	spoilt map[string]*atomic.Bool
+	up     map[string]*Keeper
+	stops  map[string]func() error
+	client *call.Client
+	who    *call.Session
+	count  uint64
+}
+
+func found(t *testing.T) *fleet {
+	f := &fleet{t: t, dir: t.TempDir(), peers: map[string]Peer{}, calls: map[string]net.Listener{}, votes: map[string]net.Listener{},
+		spoilt: map[string]*atomic.Bool{}, up: map[string]*Keeper{}, stops: map[string]func() error{}}
+	addrs := map[string]string{}
+	for _, name := range []string{"k1", "k2", "k3"} {
+		for _, m := range []map[string]net.Listener{f.calls, f.votes} {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			t.Cleanup(func() { l.Close() })
+			m[name] = l
+		}
+		f.peers[name] = Peer{f.calls[name].Addr().String(), f.votes[name].Addr().String()}
+		addrs[name], f.spoilt[name] = f.peers[name].Calls, new(atomic.Bool)
+	}
+	for name := range f.peers {
+		f.start(name)
+	}
+	f.client = call.New(addrs)
+	t.Cleanup(func() {
+		f.client.Close()
+		for _, stop := range f.stops {
+			stop()
+		}
+	})
+	var err error
+	f.who, _, err = f.client.Join(f.ctx(), "n1", "first", "test")
+	require.NoError(t, err)
+	return f
+}
+
+func (f *fleet) ctx() context.Context {
+	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(20*time.Second))
+	f.t.Cleanup(cancel)
+	return ctx
+}
+
+func (f *fleet) folder(name string) string { return filepath.Join(f.dir, name) }
+
+// start starts a keeper; what its Run returns is what its stop does.
+func (f *fleet) start(name string) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	k, err := New(Settings{
+		Name: name, Folder: f.folder(name), Peers: f.peers, Votes: f.votes[name], Election: 250 * time.Millisecond, SumEvery: 400 * time.Millisecond, Log: log,
+		Machine: func() (*state.Machine, error) { return state.New(time.Minute, &counter{spoilt: f.spoilt[name]}), nil },
+	})
+	require.NoError(f.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	server := &http.Server{Handler: k}
+	var all sync.WaitGroup
+	ended := make(chan error, 1)
+	all.Go(func() { ended <- k.Run(ctx) })
+	// The address stays taken while the keeper is down; what arrives then is cut.
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(f.t, err)
+	all.Go(func() { server.Serve(l) })
+	all.Go(func() { relay(ctx, f.calls[name], l.Addr().String()) })
+	f.up[name], f.stops[name] = k, sync.OnceValue(func() error {
+		cancel()
+		server.Close()
+		f.calls[name].(*net.TCPListener).SetDeadline(time.Now())
+		all.Wait()
+		f.calls[name].(*net.TCPListener).SetDeadline(time.Time{})
+		delete(f.up, name)
+		return <-ended
+	})
+}
+
+// relay passes connections on until the context ends.
+func relay(ctx context.Context, from net.Listener, to string) {
+	var all sync.WaitGroup
+	defer all.Wait()
+	for {
+		in, err := from.Accept()
+		if err != nil {
+			return
+		}
+		stop := context.AfterFunc(ctx, func() { in.Close() })
+		all.Go(func() {
+			defer stop()
+			defer in.Close()
+			out, err := net.Dial("tcp", to)
+			if err != nil {
+				return
+			}
+			defer out.Close()
+			all.Go(func() { io.Copy(out, in); out.Close() })
+			io.Copy(in, out)
+		})
+	}
+}
+
+// order has n commands carried out and holds what they say against the count.
+func (f *fleet) order(n int) {
+	f.t.Helper()
+	for range n {
+		var got uint64
+		require.NoError(f.t, f.who.Order(f.ctx(), "count/one", nil, &got))
+		f.count++
+		require.Equal(f.t, f.count, got, "a command counts once")
+	}
+}
+
+// same waits until a keeper has all that was ordered, and votes.
+func (f *fleet) same(name string) {
+	f.t.Helper()
+	require.Eventually(f.t, func() bool {
+		var n uint64
+		a := f.up[name].Ask(call.Query{Kind: "count/read"})
+		return codec.Decode(a.Body, &n) == nil && n == f.count && f.voters() == 3
+	}, 20*time.Second, 10*time.Millisecond, "%s has the state and a vote", name)
+}
+
+func (f *fleet) leader() string {
+	name := ""
+	require.Eventually(f.t, func() bool {
+		for name = range f.up {
+			if f.up[name].about().Leads {
+				return true
+			}
+		}
+		return false
+	}, 20*time.Second, 5*time.Millisecond)
+	return name
+}
+
+func (f *fleet) voters() (n int) {
+	k := f.up[f.leader()]
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.node == nil {
+		return 0
+	}
+	c := k.node.raft.GetConfiguration()
+	if c.Error() != nil {
+		return 0
+	}
+	for _, s := range c.Configuration().Servers {
+		if s.Suffrage == 0 {
+			n++
+		}
+	}
+	return n
+}
+
+func (f *fleet) other(than string) string {
+	for _, name := range sorted(f.peers) {
+		if name != than {
+			return name
+		}
+	}
+	return ""
+}
+
+func TestKeepers(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	t.Run("the leader ends, with its folder", func(t *testing.T) {
+		f := found(t)
+		f.order(20)
+		first := f.leader()
+		require.NoError(t, f.stops[first]())
+		f.order(20)
+		require.NotEqual(t, first, f.leader())
+		f.start(first)
+		f.same(first)
+	})
+	t.Run("a folder is wiped", func(t *testing.T) {
+		f := found(t)
+		f.order(10)
+		gone := f.other(f.leader())
+		require.NoError(t, f.stops[gone]())
+		require.NoError(t, os.RemoveAll(f.folder(gone)))
+		f.order(10)
+		f.start(gone)
+		f.same(gone)
+		f.order(1)
+		// What it has is enough now, with one of the others.
+		require.NoError(t, f.stops[f.other(gone)]())
+		f.order(5)
+	})
+	t.Run("with nothing, and nobody to ask, it neither votes nor founds", func(t *testing.T) {
+		f := found(t)
+		f.order(3)
+		for _, name := range sorted(f.peers) {
+			require.NoError(t, f.stops[name]())
+		}
+		require.NoError(t, os.RemoveAll(f.folder("k1")))
+		f.start("k1")
+		f.start("k2") // which has the state, and no majority without a vote of k1
+		ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(time.Second))
+		defer cancel()
+		require.ErrorIs(t, f.who.Order(ctx, "count/one", nil, nil), call.ErrNobody)
+		f.count++ // asked again under the same number it would count once; here it is left open
+		require.True(t, f.up["k1"].about().Empty)
+		f.start("k3")
+		f.leader()
+		f.count = f.read()
+		f.order(3)
+		f.same("k1")
+	})
+	t.Run("an older copy of its own folder", func(t *testing.T) {
+		f := found(t)
+		f.order(5)
+		name := f.other(f.leader())
+		require.NoError(t, f.stops[name]())
+		old := filepath.Join(f.dir, "old")
+		require.NoError(t, os.CopyFS(old, os.DirFS(f.folder(name))))
+		f.start(name)
+		f.order(5)
+		f.same(name)
+		require.Eventually(t, func() bool { return f.up[f.leader()].about().Boots[name] == 2 }, 10*time.Second, 10*time.Millisecond)
+		require.NoError(t, f.stops[name]())
+		require.NoError(t, os.RemoveAll(f.folder(name)))
+		require.NoError(t, os.Rename(old, f.folder(name)))
+		f.start(name)
+		f.same(name)
+		require.Eventually(t, func() bool { return f.up[f.leader()].about().Boots[name] == 1 }, 10*time.Second, 10*time.Millisecond, "taken in anew")
+	})
+	t.Run("the folder of another", func(t *testing.T) {
+		f := found(t)
+		f.order(1)
+		require.NoError(t, f.stops["k1"]())
+		require.NoError(t, f.stops["k2"]())
+		require.NoError(t, os.Rename(f.folder("k2"), f.folder("x")))
+		require.NoError(t, os.Rename(f.folder("k1"), f.folder("k2")))
+		f.start("k2")
+		require.ErrorIs(t, f.stops["k2"](), ErrFolder)
+	})
+	t.Run("a replica whose state is wrong", func(t *testing.T) {
+		f := found(t)
+		f.order(2)
+		for _, wrong := range []string{f.other(f.leader()), f.leader()} {
+			f.spoilt[wrong].Store(true)
+			var got uint64
+			require.NoError(t, f.who.Order(f.ctx(), "count/one", nil, &got))
+			f.count++
+			k := f.up[wrong]
+			require.Eventually(t, func() bool { return f.read() == f.count }, 20*time.Second, 10*time.Millisecond)
+			f.same(wrong)
+			require.Same(t, k, f.up[wrong], "it took the state anew by itself")
+			f.order(2)
+		}
+	})
+}
+
+// read asks the leader.
+func (f *fleet) read() (n uint64) {
+	a, err := f.client.Read(f.ctx(), call.Query{Kind: "count/read"})
+	require.NoError(f.t, err)
+	require.NoError(f.t, codec.Decode(a.Body, &n))
+	return n
+}
+
+func TestMarkOfAFolder(t *testing.T) {
+	for name, at := range map[string]struct {
+		mark any
+		log  bool
+		want string
+	}{
+		"newer":     {mark{V: 9, Keeper: "k1"}, true, "it is of version 9"},
+		"torn":      {"k", true, "its mark can't be read"},
+		"no mark":   {nil, true, "no mark of whose it is"},
+		"another's": {mark{V: markVersion, Keeper: "k2"}, true, "is that of keeper k2, not of k1"},
+	} {
+		dir := t.TempDir()
+		if at.mark != nil {
+			text, err := codec.Encode(at.mark)
+			require.NoError(t, err)
+			require.NoError(t, os.WriteFile(filepath.Join(dir, markName), text, 0o600))
+		}
+		require.NoError(t, os.WriteFile(filepath.Join(dir, "log.db"), nil, 0o600))
+		k := &Keeper{s: Settings{Name: "k1", Folder: dir}}
+		_, err := k.openFolder()
+		require.ErrorIs(t, err, ErrFolder, name)
+		require.ErrorContains(t, err, at.want, name)
+	}
+	dir := t.TempDir()
+	k := &Keeper{s: Settings{Name: "k1", Folder: dir}}
+	first, err := k.openFolder()
+	require.NoError(t, err)
+	defer first.lock.Close()
+	_, err = k.openFolder()
+	require.True(t, errors.Is(err, ErrFolder), fmt.Sprint(err))
+}
--- /dev/null
+++ b/internal/fleet/keeper/serve.go
@@ -0,0 +1,206 @@
+package keeper
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"basaltloft/internal/fleet/call"
+	"basaltloft/internal/fleet/codec"
+	"basaltloft/internal/fleet/state"
+
+	"github.com/hashicorp/raft"
+)
+
+// readFor bounds how long a read waits for what was committed before it.
+const readFor = time.Second
+
+// ServeHTTP answers calls of the fleet's processes and of the other keepers.
+func (k *Keeper) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, call.MostBody+1))
+	switch {
+	case err != nil:
+		return // the caller is gone
+	case r.Method != http.MethodPost:
+		http.Error(w, "calls are told with POST", http.StatusMethodNotAllowed)
+		return
+	case len(body) > call.MostBody:
+		http.Error(w, "the call is too large", http.StatusRequestEntityTooLarge)
+		return
+	}
+	switch r.URL.Path {
+	case call.About:
+		k.write(w, k.about())
+	case call.Do:
+		k.do(w, body)
+	case call.Read, call.Nearby:
+		k.answer(w, r, body)
+	case call.Rejoin:
+		k.change(w, body, k.takeIn)
+	case call.Ready:
+		k.change(w, body, k.letVote)
+	default:
+		http.Error(w, "no such call", http.StatusNotFound)
+	}
+}
+
+func (k *Keeper) write(w http.ResponseWriter, v any) {
+	text, err := codec.Encode(v)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Write(text)
+}
+
+// notHere says that another keeper leads, and which.
+func (k *Keeper) notHere(w http.ResponseWriter, why string) {
+	k.mu.Lock()
+	n := k.node
+	k.mu.Unlock()
+	if n != nil {
+		if _, id := n.raft.LeaderWithID(); id != "" && string(id) != k.s.Name {
+			w.Header().Set(call.LeaderHeader, string(id))
+		}
+	}
+	http.Error(w, why, http.StatusMisdirectedRequest)
+}
+
+func (k *Keeper) about() call.AboutBody {
+	k.mu.Lock()
+	a := call.AboutBody{Name: k.s.Name, Empty: k.empty, Leads: k.lead != nil, Differs: k.differs, Boots: map[string]uint64{}}
+	k.mu.Unlock()
+	k.fsm.read(func(m *state.Machine) {
+		a.Index, a.At = m.Index(), m.At()
+		for name := range k.s.Peers {
+			a.Boots[name] = m.Boots(name)
+		}
+	})
+	a.Founded = !a.Empty && a.Index > 0
+	return a
+}
+
+func (k *Keeper) do(w http.ResponseWriter, body []byte) {
+	c, err := state.Decode(body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	r, err := k.propose(c)
+	if err != nil {
+		k.notHere(w, err.Error())
+		return
+	}
+	k.write(w, r)
+}
+
+// answer answers a query. The leader's answer knows of all that was answered before:
+// it first makes sure that it still leads.
+func (k *Keeper) answer(w http.ResponseWriter, r *http.Request, body []byte) {
+	var q call.Query
+	if err := codec.Decode(body, &q); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	k.mu.Lock()
+	n, leads, differs := k.node, k.lead != nil, k.differs
+	k.mu.Unlock()
+	if n == nil || len(differs) > 0 {
+		k.notHere(w, "this keeper has no state to serve")
+		return
+	}
+	if r.URL.Path == call.Read {
+		if !leads {
+			k.notHere(w, "another keeper leads")
+			return
+		}
+		ctx, cancel := context.WithDeadline(r.Context(), time.Now().Add(readFor))
+		defer cancel()
+		upTo := n.raft.CommitIndex()
+		if err := errors.Join(n.raft.VerifyLeader().Error(), k.reached(ctx, n, upTo)); err != nil {
+			k.notHere(w, err.Error())
+			return
+		}
+	}
+	k.write(w, k.Ask(q))
+}
+
+// reached waits until what was committed at an index is applied. Some entries of
+// the log are raft's own, which the state does not see.
+func (k *Keeper) reached(ctx context.Context, n *node, index uint64) error {
+	for n.raft.AppliedIndex() < index {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(time.Millisecond):
+		}
+	}
+	return nil
+}
+
+// Ask answers a query of the state as it is here.
+func (k *Keeper) Ask(q call.Query) (a call.Answer) {
+	k.fsm.read(func(m *state.Machine) {
+		a.Index = m.Index()
+		body, err := m.Ask(q.Kind, q.Body)
+		if err != nil {
+			a.Code, a.Text = state.Refused, err.Error()
+			return
+		}
+		a.Body = body
+	})
+	return a
+}
+
+// change carries out a change of who votes.
+func (k *Keeper) change(w http.ResponseWriter, body []byte, how func(*node, readyBody) error) {
+	k.mu.Lock()
+	n, leads := k.node, k.lead != nil
+	k.mu.Unlock()
+	if n == nil || !leads {
+		k.notHere(w, "another keeper leads")
+		return
+	}
+	var b readyBody
+	if err := codec.Decode(body, &b); err != nil && codec.Decode(body, &b.Name) != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if _, ok := k.s.Peers[b.Name]; !ok || b.Name == k.s.Name {
+		http.Error(w, "no other keeper is called that", http.StatusBadRequest)
+		return
+	}
+	if err := how(n, b); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	k.write(w, true)
+}
+
+// takeIn puts a keeper that has nothing out of the configuration, so that nothing
+// counts on what it has forgotten, and takes it in without a vote.
+func (k *Keeper) takeIn(n *node, b readyBody) error {
+	id := raft.ServerID(b.Name)
+	if err := n.raft.RemoveServer(id, 0, 0).Error(); err != nil {
+		return err
+	}
+	k.command(context.Background(), state.Boot, state.BootBody{Process: b.Name}) // its count begins anew
+	k.log.WithField("keeper", b.Name).Warn("a keeper comes back with nothing: it has no vote until it has caught up")
+	return n.raft.AddNonvoter(id, raft.ServerAddress(b.Name), 0, 0).Error()
+}
+
+// letVote lets a keeper vote that has all that is committed by now.
+func (k *Keeper) letVote(n *node, b readyBody) error {
+	if b.Index+voteWithin < n.raft.CommitIndex() {
+		return errors.New("it has not caught up yet")
+	}
+	k.log.WithField("keeper", b.Name).Info("a keeper has caught up and votes again")
+	return n.raft.AddVoter(raft.ServerID(b.Name), raft.ServerAddress(b.Name), 0, 0).Error()
+}
+
+// voteWithin entries of the log: a keeper that lacks no more has caught up. It is
+// safe at any number, since it forgot nothing that it took in after it was put out;
+// a large one would leave a majority that is far behind.
+const voteWithin = 64
--- a/internal/fleet/state/state.go
+++ b/internal/fleet/state/state.go
@@ -230,7 +230,7 @@
 		return Reply{}
 	}
 	for _, p := range m.parts {
-		if n := p.Name(); len(c.Kind) > len(n) && string(c.Kind[:len(n)]) == n && c.Kind[len(n)] == '/' {
+		if c.Kind.of(p.Name()) {
 			body, err := p.Apply(c, index)
 			return replied(body, err)
 		}
@@ -307,3 +307,25 @@
 	}
 	x.Answers = slices.Delete(x.Answers, 0, from)
 }
+
+// Asked is a part that answers queries, of kinds that begin with its name and a
+// slash. A query changes nothing.
+type Asked interface {
+	Part
+	Ask(kind Kind, body []byte) ([]byte, error)
+}
+
+// Ask answers a query.
+func (m *Machine) Ask(kind Kind, body []byte) ([]byte, error) {
+	for _, p := range m.parts {
+		if a, ok := p.(Asked); ok && kind.of(p.Name()) {
+			return a.Ask(kind, body)
+		}
+	}
+	return nil, fmt.Errorf("no part answers queries of kind %q", kind)
+}
+
+// of tells whether a kind is one of a part's.
+func (k Kind) of(part string) bool {
+	return len(k) > len(part) && string(k[:len(part)]) == part && k[len(part)] == '/'
+}
