--- /dev/null
+++ b/internal/fleet/shares/sim_test.go
@@ -0,0 +1,440 @@
+package shares
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"basaltloft/internal/heap"
+
+	"github.com/stretchr/testify/require"
+)
+
+var seeds = flag.Int("seeds", 2000, "seeds of the simulation")
+
+// world is processes, keepers and a bad network in true, virtual time.
+type world struct {
+	*rand.Rand
+	now    time.Duration
+	events heap.Heap[*event]
+	order  int
+
+	book, follower *Book
+	fleet          time.Duration // fleet time when the leader began
+	since          time.Duration // true time then
+	rate           float64
+	stopped        bool
+	config         Config
+	number         uint64 // of incarnations
+	procs          []*proc
+	faults         counts
+
+	full, twice bool // the planted bugs
+	check       checker
+}
+
+type counts struct{ crashes, freezes, cuts, leaves, leaders, configs, lost, twice, admitted int }
+
+type event struct {
+	at    time.Duration
+	order int
+	do    func()
+}
+
+// proc is a process's place; what runs there has an incarnation.
+type proc struct {
+	*world
+	name        string
+	inc         uint64
+	purse       *Purse
+	rate        float64
+	off         time.Duration
+	up, cut     bool
+	frozen      time.Duration // until then
+	r, u, p     *Tap
+	busy, using float64
+}
+
+func (w *world) after(d time.Duration, do func()) {
+	w.order++
+	w.events.Push(&event{w.now + max(d, 0), w.order, do})
+}
+
+func (w *world) span(most time.Duration) time.Duration { return time.Duration(w.Float64() * float64(most)) }
+func (w *world) chance(p float64) bool                  { return w.Float64() < p }
+func (w *world) clock() float64                         { return 0.975 + 0.05*w.Float64() }
+func (w *world) at() time.Duration {
+	return w.fleet + time.Duration(w.rate*float64(w.now-w.since))
+}
+func (p *proc) own() time.Duration { return p.off + time.Duration(p.rate*float64(p.now)) }
+
+const (
+	simLease = 900 * time.Millisecond
+	simLife  = 700 * time.Millisecond
+)
+
+func newWorld(seed uint64, full, twice bool) *world {
+	w := &world{Rand: rand.New(rand.NewPCG(seed, 7)), rate: 1, full: full, twice: twice}
+	w.events = heap.New(func(a, b *event) bool {
+		return a.at < b.at || a.at == b.at && a.order < b.order
+	}, nil)
+	w.config = Config{Lease: simLease, Budgets: []Budget{
+		{Name: "p", Kind: Part, Whole: 100, Floors: 2, Floor: 5, FloorFor: simLease, Linger: 500 * time.Millisecond},
+		{Name: "r", Kind: Rate, Whole: 120, Burst: 24, Floors: 2, Floor: 6, FloorFor: 2 * simLease, Weights: map[string]float64{"n1": 3}},
+		{Name: "u", Kind: UnderWay, Whole: 24, Floors: 3, Floor: 2, FloorFor: simLease, Linger: simLife},
+	}}
+	w.book, w.follower = NewBook(), NewBook()
+	w.book.twice, w.follower.twice = twice, twice
+	w.command(func(b *Book) { must(b.Configure(w.at(), w.config)) })
+	w.check.bind(w)
+	return w
+}
+
+func must(err error) {
+	if err != nil {
+		panic(err)
+	}
+}
+
+// command applies one at both replicas, and looks whether a lowered whole binds now.
+func (w *world) command(do func(b *Book)) {
+	do(w.book)
+	do(w.follower)
+	w.check.bind(w)
+}
+
+func (p *proc) start() {
+	p.number++
+	p.inc, p.up, p.cut, p.frozen = p.number, true, false, 0
+	p.rate, p.off = p.clock(), p.span(time.Hour)
+	p.purse = NewPurse()
+	p.purse.full = p.full
+	p.purse.Expect("p", "r", "u")
+	p.purse.Become(p.name, p.inc)
+	p.r, p.u, p.p = p.purse.Tap("r"), p.purse.Tap("u"), p.purse.Tap("p")
+	inc := p.inc
+	var tick, spend func()
+	tick = p.whileUp(inc, func() {
+		if own := p.own(); p.purse.Due(own) <= own {
+			p.renew()
+		}
+		p.after(20*time.Millisecond+p.span(20*time.Millisecond), tick)
+	})
+	spend = p.whileUp(inc, func() {
+		p.spend()
+		p.after(p.span(time.Duration(float64(60*time.Millisecond)/(0.1+p.busy))), spend)
+	})
+	tick()
+	spend()
+}
+
+// whileUp is do for as long as this incarnation is up; frozen, it is done when it resumes.
+func (p *proc) whileUp(inc uint64, do func()) func() {
+	var run func()
+	run = func() {
+		switch {
+		case !p.up || p.inc != inc:
+		case p.now < p.frozen:
+			p.after(p.frozen-p.now, run)
+		default:
+			do()
+		}
+	}
+	return run
+}
+
+// spend takes as greedily as it comes: several at once, at any instant.
+func (p *proc) spend() {
+	for range p.IntN(1 + int(20*p.busy)) {
+		if !p.r.Take(p.own()) {
+			break
+		}
+		p.check.admit(p.world, p.now)
+	}
+	for range p.IntN(1 + int(8*p.busy)) {
+		life := p.span(simLife)
+		tap, purse, own := p.u, p.purse, p.own()
+		if !tap.Begin(own, own+life) {
+			break
+		}
+		p.check.underWay(p.world, 1)
+		really := time.Duration(float64(life) / p.rate)
+		if p.chance(0.3) {
+			really = p.span(really)
+		}
+		p.after(really, func() { // at its member, whatever became of the dispatcher
+			p.check.underWay(p.world, -1)
+			p.after(max(p.frozen-p.now, 0), func() {
+				if p.purse == purse {
+					tap.End()
+				}
+			})
+		})
+	}
+	p.p.Want(p.using)
+	if amount, ok := p.p.Amount(p.own()); ok && p.chance(0.5) {
+		p.check.use(p.world, p.inc, amount)
+	}
+}
+
+func (p *proc) renew() {
+	sent, inc, purse := p.own(), p.inc, p.purse
+	r := purse.Renewal(sent)
+	send := func(do func()) { // lost, late, twice, in any order
+		times := 1
+		if p.cut || p.chance(0.1) {
+			p.faults.lost++
+			times = 0
+		} else if p.chance(0.1) {
+			p.faults.twice++
+			times = 2
+		}
+		for range times {
+			late := p.span(20 * time.Millisecond)
+			if p.chance(0.1) {
+				late = p.span(2 * simLease)
+			}
+			p.after(late, do)
+		}
+	}
+	send(func() {
+		if p.stopped {
+			return // no leader
+		}
+		var g Grant
+		var err error
+		p.command(func(b *Book) { g, err = b.Renew(p.at(), r) })
+		if err == nil {
+			send(p.whileUp(inc, func() { purse.Apply(sent, p.own(), g) }))
+		}
+	})
+}
+
+// happen is one thing that goes wrong, or is done.
+func (w *world) happen() {
+	p := w.procs[w.IntN(len(w.procs))]
+	switch k := w.IntN(12); {
+	case !p.up && k < 6:
+		p.start()
+	case k < 2 && p.up: // killed, and perhaps back before its lease's end
+		w.faults.crashes++
+		p.up = false
+		if w.chance(0.7) {
+			w.after(w.span(simLease), func() {
+				if !p.up {
+					p.start()
+				}
+			})
+		}
+	case k == 2 && p.up:
+		w.faults.freezes++
+		p.frozen = w.now + w.span(4*simLease)
+	case k == 3 && p.up:
+		w.faults.cuts++
+		p.cut = !p.cut
+	case k == 4 && p.up && w.now >= p.frozen && !w.stopped:
+		w.faults.leaves++
+		left, inc := p.purse.Close(p.own()), p.inc
+		p.up = false
+		w.after(w.span(50*time.Millisecond), func() {
+			if !w.stopped {
+				w.command(func(b *Book) { must(b.Leave(w.at(), p.name, inc, left)) })
+			}
+		})
+	case k == 5 && !w.stopped: // fleet time stands until there is a leader
+		w.faults.leaders++
+		w.fleet, w.stopped = w.at(), true
+		w.after(w.span(simLease), func() {
+			w.since, w.rate, w.stopped = w.now, w.clock(), false
+			text, err := w.book.Encode()
+			must(err)
+			w.follower, w.book = w.book, NewBook()
+			must(w.book.Decode(text))
+			w.book.twice = w.twice
+		})
+	case k == 6 && !w.stopped:
+		w.faults.configs++
+		c := Config{Lease: simLease}
+		for _, b := range w.config.Budgets {
+			b.Whole, b.Burst = float64(int(b.Whole*(0.5+w.Float64()))), float64(int(b.Burst*(0.5+w.Float64())))
+			c.Budgets = append(c.Budgets, b)
+		}
+		w.command(func(b *Book) { must(b.Configure(w.at(), c)) })
+	default: // demand moves
+		p.busy, p.using = w.Float64()*w.Float64()*3, 60*w.Float64()
+	}
+}
+
+func (w *world) run(length time.Duration, procs int) *world {
+	for i := range procs {
+		p := &proc{world: w, name: fmt.Sprintf("n%d", i), busy: w.Float64(), using: 60 * w.Float64()}
+		w.procs = append(w.procs, p)
+		w.after(w.span(time.Second), p.start)
+	}
+	var chaos, advance func()
+	chaos = func() {
+		w.happen()
+		w.after(w.span(400*time.Millisecond), chaos)
+	}
+	advance = func() {
+		if !w.stopped {
+			w.command(func(b *Book) { b.Advance(w.at()) })
+		}
+		w.after(Interval, advance)
+	}
+	w.after(time.Second, chaos)
+	advance()
+	for w.events.Len() > 0 && w.check.wrong == "" {
+		e := w.events.Pop()
+		if e.at > length {
+			break
+		}
+		w.now = e.at
+		e.do()
+	}
+	if a, b := digest(w.book), digest(w.follower); a != b {
+		w.check.fail(w, "digests %x and %x", a, b)
+	}
+	return w
+}
+
+func digest(b *Book) uint64 {
+	d, err := b.Digest()
+	must(err)
+	return d
+}
+
+// checker sees what was admitted, in true time and from outside. A window with too
+// much in it is there exactly if the level of a bucket that drains by the whole a
+// second rises above the burst. A lowered whole counts from when it binds.
+type checker struct {
+	wrong         string
+	whole         [3]float64 // of p, r, u
+	burst         float64
+	level         float64
+	last          time.Duration
+	running       int
+	used          []used
+	under, parted float64 // the most seen, as a part of the whole
+}
+
+type used struct {
+	inc    uint64
+	amount float64
+	at     time.Duration
+}
+
+func (c *checker) fail(w *world, form string, args ...any) {
+	if c.wrong == "" {
+		c.wrong = fmt.Sprintf("at %v: ", w.now) + fmt.Sprintf(form, args...)
+	}
+}
+
+func (c *checker) bind(w *world) {
+	for i, s := range w.book.Standings() {
+		if !s.Bound && s.Whole <= c.whole[i] && (i != 1 || s.Burst <= c.burst) {
+			continue // not yet
+		}
+		if i == 1 {
+			c.drain(w.now)
+			if s.Bound && s.Burst < c.burst {
+				c.level = 0 // each span apart
+			}
+			if s.Bound || s.Burst > c.burst {
+				c.burst = s.Burst
+			}
+		}
+		if s.Bound || s.Whole > c.whole[i] {
+			c.whole[i] = s.Whole
+		}
+	}
+}
+
+func (c *checker) drain(now time.Duration) {
+	c.level = max(0, c.level-c.whole[1]*(now-c.last).Seconds())
+	c.last = now
+}
+
+func (c *checker) admit(w *world, now time.Duration) {
+	w.faults.admitted++
+	c.drain(now)
+	if c.level++; c.level > c.burst+1e-6 {
+		c.fail(w, "%.3f more than %v a second admits, burst %v", c.level, c.whole[1], c.burst)
+	}
+}
+
+func (c *checker) underWay(w *world, n int) {
+	c.running += n
+	c.under = max(c.under, float64(c.running)/c.whole[2])
+	if n > 0 && float64(c.running) > c.whole[2] {
+		c.fail(w, "%d under way of %v", c.running, c.whole[2])
+	}
+}
+
+func (c *checker) use(w *world, inc uint64, amount float64) {
+	c.used = append(c.used, used{inc, amount, w.now})
+	for c.used[0].at <= w.now-500*time.Millisecond {
+		c.used = c.used[1:]
+	}
+	most, sum := map[uint64]float64{}, 0.0
+	for _, u := range c.used {
+		if d := u.amount - most[u.inc]; d > 0 {
+			most[u.inc] += d
+			sum += d
+		}
+	}
+	c.parted = max(c.parted, sum/c.whole[0])
+	if sum > c.whole[0]+1e-4 {
+		c.fail(w, "%.3f used within the window of %v", sum, c.whole[0])
+	}
+}
+
+// simulate runs worlds until one is found wrong; it tells how many were.
+func simulate(n int, full, twice bool) (wrong []string, all counts, under, parted float64) {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	seed := uint64(0)
+	for range 4 {
+		wg.Go(func() {
+			for {
+				mu.Lock()
+				mine := seed
+				seed++
+				mu.Unlock()
+				if mine >= uint64(n) {
+					return
+				}
+				w := newWorld(mine, full, twice).run(8*time.Second, 6)
+				mu.Lock()
+				f := w.faults
+				all = counts{all.crashes + f.crashes, all.freezes + f.freezes, all.cuts + f.cuts, all.leaves + f.leaves, all.leaders + f.leaders,
+					all.configs + f.configs, all.lost + f.lost, all.twice + f.twice, all.admitted + f.admitted}
+				under, parted = max(under, w.check.under), max(parted, w.check.parted)
+				if w.check.wrong != "" {
+					wrong = append(wrong, fmt.Sprintf("seed %d %s", mine, w.check.wrong))
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	return wrong, all, under, parted
+}
+
+// TestNeverOver: whatever goes wrong, no window holds more than the whole, and a
+// planted double spend is seen.
+func TestNeverOver(t *testing.T) {
+	wrong, all, under, parted := simulate(*seeds, plantFull, plantTwice)
+	t.Logf("%+v; at most %.2f under way, %.2f parted", all, under, parted)
+	require.Empty(t, wrong)
+	require.Greater(t, under, 0.9, "the check would see little")
+	require.Greater(t, parted, 0.9, "the check would see little")
+	for name, bugs := range map[string][2]bool{"full": {true, false}, "twice": {false, true}} {
+		wrong, _, _, _ := simulate(60, bugs[0], bugs[1])
+		require.NotEmpty(t, wrong, name)
+		t.Logf("%s: %d of 60, %v", name, len(wrong), wrong[0])
+	}
+}
