Fleet budgets on the job's path: shares admit, retries, places under way, probes, cold parts

Need: fleet-wide budgets that hold on each dispatcher without a call on a job's path. The decision module still decides; where it guessed 1/n at a cold member it goes by its part if there is one. Ruled out: taking a retry's token at the send (a head job without one would hold up the first attempts behind it), a lock or a call on the path. With the platform's variables set the section ends the program with one line.

--- a/basaltloft.go
+++ b/basaltloft.go
@@ -38,6 +38,21 @@
 	Log(text string)
 }
 
+// Purse is what this dispatcher may spend of budgets that many share. Its methods
+// are called while an event is handled, answer at once and do not call back.
+type Purse interface {
+	// Again takes one attempt beyond a request's first from the budget of its
+	// class; false: there is none left.
+	Again(request, class string) bool
+	// Room tells whether one more job may be under way at workers of a kind.
+	Room(kind string) bool
+	// Probe takes one probe.
+	Probe() bool
+	// Cold is the part of what all may send to a cold worker that is this
+	// dispatcher's; false: it is not divided, and the dispatcher goes by its rank.
+	Cold() (part float64, divided bool)
+}
+
 // Settings are what a dispatcher is told at its start. All times are
 // durations; points in time are durations since a clock of the host's choice.
 type Settings struct {
@@ -58,6 +73,7 @@
 
 	Limits Limits
 	Rules  Rules
+	Purse  Purse // nil: nothing is shared
 }
 
 // FreeSlots and FreeMemory are the meanings of report fields that a
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -151,7 +151,7 @@
 	case a.job.done || a.job.outs > 0:
 	case o.Status == Unfit || o.Status == Error && (a.job.Once || d.ownFault(a)): // it would fail anywhere
 		d.end(a.job)
-	case d.mayResend(a.job) && !d.hopeless(a.job):
+	case d.mayResend(a.job) && !d.hopeless(a.job) && d.again(a.job):
 		d.hold(a.job)
 	default:
 		d.end(a.job)
@@ -386,7 +386,7 @@
 		return
 	}
 	left := time.Duration(rescueRuns * j.run * to.pace() * d.common * d.chilled(to))
-	if d.now+left+tickEvery >= j.aim {
+	if d.now+left+tickEvery >= j.aim && d.again(j) {
 		a.worker.shutTill = d.now + d.now - a.at
 		d.callOff(a)
 	}
@@ -412,7 +412,7 @@
 func (d *Dispatcher) tie(j *job) {
 	if d.tied(j) && !j.done && j.running == nil && !d.lost(j) &&
 		d.now >= j.attempts[len(j.attempts)-1].at+startSoon && d.mayResend(j) {
-		if w := d.choose(j); w != nil {
+		if w := d.choose(j); w != nil && d.again(j) {
 			d.send(j, w)
 		}
 	}
@@ -482,6 +482,7 @@
 	capacity := max(1, 0.8*w.kind.slots) / w.pace() * float64(d.Rules.FallFor)
 	whole := coldSafety * d.Rules.FallMultiple * d.share(w, start) * capacity
 	switch {
+	case d.divided(&whole):
 	case d.blind() && w.chance(j.seq)*d.mine(j) > coldFair*whole/float64(d.Instances):
 		return 0
 	case d.blind():
--- a/internal/account/reason.go
+++ b/internal/account/reason.go
@@ -50,6 +50,7 @@
 	Stopped                   // failed by a dispatcher that ends
 	CutOff                    // open when the dispatcher crashed
 	Behind                    // refused by a dispatcher that is behind with its own work
+	NoShare                   // refused: this dispatcher's share of a budget of the fleet's is spent
 	Reasons
 )
 
@@ -60,7 +61,7 @@
 	Answered: {"answered", Served}, Declined: {"declined", Refused}, NoRoom: {"no room", Refused}, GoingAway: {"going away", Refused},
 	GivenUp: {"given up", Failed}, OverTime: {"deadline", Failed}, MemberError: {"member error", Failed}, ClientLeft: {"client left", Failed},
 	BadRequest: {"bad request", Failed}, IDInHand: {"id in hand", Failed}, Stopped: {"stopped", Failed}, CutOff: {"cut off by a crash", Failed},
-	Behind: {"behind", Refused},
+	Behind: {"behind", Refused}, NoShare: {"no share", Refused},
 }
 
 func (r Reason) String() string {
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -46,6 +47,9 @@
 	if err != nil {
 		return err
 	}
+	if extra.Fleet != nil && os.Getenv("ROUTER_NAME") != "" && os.Getenv("ROUTER_LISTEN") != "" {
+		return errors.New("operator's file: fleet: the platform that sets ROUTER_NAME and ROUTER_LISTEN has no lasting folder and no talk among dispatchers: take the section out")
+	}
 	told, reloads := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(told, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(reloads, syscall.SIGHUP)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -60,20 +60,24 @@
 	gauge        lag.Gauge // of what events wait
 	flowing      int64     // flows that are out
 	late, leaves time.Time // see Leaving
+	spending     Spending  // nil: nothing is shared
 
 	unanswered atomic.Int64
 	known      atomic.Bool
 }
 
-// New returns a core that is not running yet. It fails if the module does not
+// New returns a core that is not running yet; spending may be nil. It fails if the module does not
 // accept the settings.
-func New(s basaltloft.Settings, stages Stages, log logrus.FieldLogger) (*Core, error) {
+func New(s basaltloft.Settings, stages Stages, spending Spending, log logrus.FieldLogger) (*Core, error) {
 	c := &Core{
 		settings: s, stages: stages, log: log, base: time.Now(),
 		posted: make(chan struct{}, 1), stopped: make(chan struct{}),
 		open: make(map[string]*Transaction), left: make(map[string]time.Time), members: make(map[string]*Member), numbers: make(map[uint32]*Member),
 		sources: make(map[string]int), listed: make(map[string]bool), held: make(map[string]bool), warmFrom: make(map[string]time.Time), timers: newTimers(), asked: make(map[moment]bool),
 	}
+	if c.spending = spending; spending != nil {
+		s.Purse = purse{c, spending}
+	}
 	var err error
 	if c.decisions, err = basaltloft.New(s, host{c}); err != nil {
 		return nil, fmt.Errorf("starting the decisions: %w", err)
@@ -81,6 +85,37 @@
 	return c, nil
 }
 
+// Spending are the budgets that this dispatcher shares with others. Its methods
+// are called by Run's goroutine and answer at once.
+type Spending interface {
+	basaltloft.Purse
+	// Begin takes a place for a job that is under way at members of a kind until
+	// then at the latest; false: there is none. A nil place needs no End.
+	Begin(kind string, until time.Time) (Place, bool)
+	// ComeBack is when another attempt of a class is worth while.
+	ComeBack(class string, now time.Time) time.Time
+}
+
+// Place is one job's among what is under way.
+type Place interface {
+	End()
+}
+
+// release gives back the place of a flow that was under way. What may run on at its
+// member though nobody waits keeps its place to the deadline.
+func (c *Core) release(f *Flow, s basaltloft.Status) {
+	p := f.place
+	if p == nil {
+		return
+	}
+	f.place = nil
+	if (s == basaltloft.Cancelled || s == basaltloft.Reset) && c.now.Before(f.Deadline) {
+		c.timers.add(f.Deadline, p.End)
+		return
+	}
+	p.End()
+}
+
 // Follow names the lister. It must be called before Run.
 func (c *Core) Follow(l Lister) { c.lister = l }
 
@@ -353,6 +388,7 @@
 		return fields
 	})
 	c.timers.drop(f.due)
+	c.release(f, s)
 	t.last = s
 	c.flowing--
 	if t.live == f {
--- a/internal/core/host.go
+++ b/internal/core/host.go
@@ -20,22 +20,24 @@
 		// The ledger's guard on "never two at once": what may not go out is
 		// told as never sent, which is what the simulator does.
 		c.log.WithField("transaction", id).Error("a send that the ledger does not allow")
-		if t != nil {
-			n := t.sends
-			t.sends++
-			c.later = append(c.later, func() {
-				c.decisions.Outcome(c.clock(c.now), basaltloft.Outcome{Request: id, Attempt: n, Worker: worker, Status: basaltloft.Moot, Ended: t.answered})
-			})
-		}
+		h.unsent(t, worker)
 		return
 	}
 	until := t.Deadline
 	if timeout != 0 {
 		until = c.now.Add(timeout)
 	}
+	var place Place
+	if c.spending != nil {
+		var ok bool
+		if place, ok = c.spending.Begin(m.Kind, until); !ok { // its share went since the decisions looked
+			h.unsent(t, worker)
+			return
+		}
+	}
 	f := c.stages.Send(t, m, t.sends, c.now, until)
 	t.sends++
-	t.live = f
+	t.live, f.place = f, place
 	c.flowing++
 	f.due = c.timers.add(f.Deadline, func() {
 		if !f.ended {
@@ -47,6 +49,33 @@
 	m.Carrier.Start(f)
 }
 
+// unsent tells the decisions that a send did not go out.
+func (h host) unsent(t *Transaction, worker uint32) {
+	if t == nil {
+		return
+	}
+	c, n := h.c, t.sends
+	t.sends++
+	c.later = append(c.later, func() {
+		c.decisions.Outcome(c.clock(c.now), basaltloft.Outcome{Request: t.ID, Attempt: n, Worker: worker, Status: basaltloft.Moot, Ended: t.answered})
+	})
+}
+
+// purse notes on a transaction that another attempt was not to be had.
+type purse struct {
+	c *Core
+	Spending
+}
+
+// Again implements basaltloft.Purse.
+func (p purse) Again(id, class string) bool {
+	ok := p.Spending.Again(id, class)
+	if t := p.c.open[id]; t != nil {
+		t.short = !ok
+	}
+	return ok
+}
+
 // Refuse implements basaltloft.Host.
 func (h host) Refuse(id string, retryAfter time.Duration) {
 	if t := h.c.open[id]; t != nil {
@@ -54,6 +83,9 @@
 		if retryAfter > 0 {
 			a.RetryAt = h.c.now.Add(retryAfter)
 		}
+		if t.short {
+			a.Reason, a.RetryAt = account.NoShare, h.c.spending.ComeBack(t.Class, h.c.now)
+		}
 		h.c.answer(t, a)
 	}
 }
--- a/internal/core/ledger_test.go
+++ b/internal/core/ledger_test.go
@@ -67,7 +67,7 @@
 		c, err := New(basaltloft.Settings{
 			Instances: 1, TellsStart: true, Limits: basaltloft.Limits{MaxAttempts: 3, Cancel: true},
 			Classes: []basaltloft.Class{{Name: "ticket", Effect: basaltloft.Unsafe, Aim: time.Second, Stretch: 2, GiveUp: time.Minute, Worth: 1, Kind: -1}},
-		}, p, log)
+		}, p, nil, log)
 		require.NoError(t, err)
 		c.Follow(p)
 		c.List("test", basaltloft.ListRestored, []*Member{{ID: "a", Carrier: p}})
--- a/internal/core/transaction.go
+++ b/internal/core/transaction.go
@@ -27,6 +27,7 @@
 	Booked            any // the books' own
 
 	sends    int
+	short    bool // another attempt was not to be had of the fleet's budget
 	live     *Flow
 	answered bool
 	last     basaltloft.Status // how the last flow ended
@@ -81,6 +82,7 @@
 	Load basaltloft.Report
 
 	ended bool
+	place Place  // among what is under way in the fleet; nil: none is needed
 	due   *timer // its deadline
 }
 
--- a/internal/figures/figures_test.go
+++ b/internal/figures/figures_test.go
@@ -125,7 +125,7 @@
 	r.books = &faulty{Keeper: r.keeper}
 	chain := stage.New(settings, stage.Limits{Open: 20, Bytes: 1 << 20}, r.books, log)
 	var err error
-	r.hub, err = core.New(settings, chain, log)
+	r.hub, err = core.New(settings, chain, nil, log)
 	require.NoError(t, err)
 	r.hub.Follow(r)
 	for _, front := range []string{"http", "faktory"} {
--- /dev/null
+++ b/internal/fleet/agent/agent.go
@@ -0,0 +1,211 @@
+// Package agent is a process's side of the fleet: it joins, keeps the process's lease
+// and its shares of the budgets, and says at a planned end what it leaves. What a
+// job's path asks of it is in spend.go; nothing there waits.
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"basaltloft/internal/fleet/call"
+	"basaltloft/internal/fleet/codec"
+	"basaltloft/internal/fleet/parts"
+	"basaltloft/internal/fleet/shares"
+	"basaltloft/internal/fleet/state"
+
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	firstPause = 50 * time.Millisecond // after a join that failed; doubled up to lastPause
+	lastPause  = time.Second
+	orderFor   = 3 * time.Second // how long a command is asked for before it counts as lost
+)
+
+// Settings are what an agent is made of.
+type Settings struct {
+	Process, Version string
+	Keepers          map[string]string // where their calls arrive, as reached from here
+	Set              state.SetBody     // what the operator's file says for the whole fleet
+	Expect           []string          // the budgets that it names
+	Log              logrus.FieldLogger
+}
+
+// Agent is a process's side. Its methods may be used by several goroutines, but for
+// those of spend.go that say otherwise.
+type Agent struct {
+	s      Settings
+	client *call.Client
+	base   time.Time // the own clock's zero
+	nonce  string
+	purse  *shares.Purse
+	taps   atomic.Pointer[taps]
+	short  map[string]time.Duration // see Room
+
+	session atomic.Pointer[call.Session] // nil: not joined
+	leave   chan struct{}
+	joined  atomic.Int64 // how often
+	renewed atomic.Int64 // the own clock when the last renewal that was granted was sent
+	members atomic.Int64
+}
+
+// New returns an agent that has not joined. Until its first grant it admits nothing
+// of the budgets that it expects.
+func New(s Settings) *Agent {
+	a := &Agent{s: s, client: call.New(s.Keepers), base: time.Now(), nonce: fmt.Sprintf("%016x", rand.Uint64()), purse: shares.NewPurse(),
+		leave: make(chan struct{}), short: make(map[string]time.Duration)}
+	a.purse.Expect(s.Expect...)
+	a.see(s.Expect)
+	return a
+}
+
+// now is the own clock, which never jumps and goes on while the process is stopped.
+func (a *Agent) now() time.Duration { return time.Since(a.base) }
+
+// Session is the incarnation in force, as far as is known here; nil: none.
+func (a *Agent) Session() *call.Session { return a.session.Load() }
+
+// Run keeps the process in the fleet until the context ends.
+func (a *Agent) Run(ctx context.Context) error {
+	defer a.client.Close()
+	pause := firstPause
+	for n := 0; ctx.Err() == nil; n++ {
+		// A start joins under its own nonce; one that went out of force is a new one.
+		err := a.belong(ctx, fmt.Sprintf("%s-%d", a.nonce, n))
+		a.session.Store(nil)
+		switch {
+		case ctx.Err() != nil:
+		case errors.Is(err, state.ErrFenced):
+			a.s.Log.WithError(err).Warn("this process went out of force in the fleet and joins anew")
+			pause = firstPause
+			continue
+		default:
+			a.s.Log.WithError(err).Warn("the fleet's keepers can't be reached; asking again")
+			n-- // the same start: its join may have counted
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+		pause = min(2*pause, lastPause)
+	}
+	return nil
+}
+
+// belong joins and renews until it is out of force or the context ends.
+func (a *Agent) belong(ctx context.Context, nonce string) error {
+	join, cancel := context.WithDeadline(ctx, time.Now().Add(orderFor))
+	defer cancel()
+	s, _, err := a.client.Join(join, a.s.Process, nonce, a.s.Version)
+	if err != nil {
+		return err
+	}
+	a.purse.Become(a.s.Process, s.Incarnation)
+	if err := s.Order(join, state.Set, a.s.Set, nil); err != nil && !errors.Is(err, call.ErrNobody) {
+		if errors.Is(err, state.ErrFenced) {
+			return err
+		}
+		a.s.Log.WithError(err).Error("the fleet goes by other settings than this operator's file")
+	}
+	a.session.Store(s)
+	a.joined.Add(1)
+	a.s.Log.WithField("incarnation", s.Incarnation).Info("joined the fleet")
+	for silent := false; ; {
+		sent := a.now()
+		switch err := a.renew(ctx, s, sent); {
+		case ctx.Err() != nil:
+			return ctx.Err()
+		case errors.Is(err, state.ErrFenced):
+			return err
+		case err != nil && !silent:
+			silent = true
+			a.s.Log.WithError(err).Warn("the lease could not be renewed: shares are spent to its end, then floors")
+		case err == nil && silent:
+			silent = false
+			a.s.Log.Info("the lease is renewed again")
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-a.leave:
+			<-ctx.Done() // nothing is spent any more
+			return ctx.Err()
+		case <-time.After(max(0, a.purse.Due(a.now())-a.now())):
+		}
+	}
+}
+
+// renew renews the lease and takes in what it grants.
+func (a *Agent) renew(ctx context.Context, s *call.Session, sent time.Duration) error {
+	body, err := codec.Encode(a.purse.Renewal(sent))
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(orderFor))
+	defer cancel()
+	told, err := s.Renew(ctx, map[string][]byte{parts.BudgetsName: body})
+	if err != nil {
+		return err
+	}
+	for part, why := range told.Refused {
+		a.s.Log.WithField("part", part).Warn("the fleet refuses what a renewal says: " + why)
+	}
+	a.renewed.Store(int64(sent))
+	a.members.Store(int64(told.Members))
+	var g shares.Grant
+	if text := told.Parts[parts.BudgetsName]; text != nil {
+		if err := codec.Decode(text, &g); err != nil {
+			return err
+		}
+		a.purse.Apply(sent, a.now(), g)
+		names := append([]string(nil), a.s.Expect...)
+		for _, share := range g.Shares {
+			names = append(names, share.Name)
+		}
+		a.see(names)
+	}
+	return nil
+}
+
+// Leave says that this process ends as planned, and what it leaves under way. What
+// it can't say by the deadline the fleet finds out by the lease.
+func (a *Agent) Leave(ctx context.Context) error {
+	close(a.leave)
+	left := a.purse.Close(a.now())
+	s := a.session.Load()
+	if s == nil {
+		return nil
+	}
+	if err := s.Order(ctx, parts.BudgetsLeave, parts.BudgetsLeft{Left: left}, nil); err != nil {
+		return fmt.Errorf("leaving the fleet: %w", err)
+	}
+	if err := s.Order(ctx, state.Leave, nil, nil); err != nil {
+		return fmt.Errorf("leaving the fleet: %w", err)
+	}
+	return nil
+}
+
+// Status is what an agent can tell of itself.
+type Status struct {
+	Process     string
+	Incarnation uint64 // 0: not in the fleet
+	Joined      int64  // how often
+	Members     int64  // in force, as of the last renewal
+	RenewedMS   int64  // since the last renewal that was granted was sent; -1: none was
+}
+
+// Status tells how this process stands.
+func (a *Agent) Status() Status {
+	s := Status{Process: a.s.Process, Joined: a.joined.Load(), Members: a.members.Load(), RenewedMS: -1}
+	if at := a.renewed.Load(); at != 0 {
+		s.RenewedMS = (a.now() - time.Duration(at)).Milliseconds()
+	}
+	if in := a.session.Load(); in != nil {
+		s.Incarnation = in.Incarnation
+	}
+	return s
+}
--- /dev/null
+++ b/internal/fleet/agent/spend.go
@@ -0,0 +1,134 @@
+package agent
+
+import (
+	"strings"
+	"time"
+
+	"basaltloft/internal/core"
+	"basaltloft/internal/fleet/shares"
+	"basaltloft/internal/settings"
+)
+
+// taps are looked up on a job's path: an immutable snapshot, replaced when a grant
+// names a budget that was not known.
+type taps struct {
+	names                   map[string]bool
+	jobs, retries, underWay map[string]*shares.Tap
+	cold, probes            *shares.Tap
+}
+
+// see makes the taps of these budgets known.
+func (a *Agent) see(names []string) {
+	old := a.taps.Load()
+	unknown := old == nil
+	for _, n := range names {
+		unknown = unknown || !old.names[n]
+	}
+	if !unknown {
+		return
+	}
+	t := &taps{names: map[string]bool{}, jobs: map[string]*shares.Tap{}, retries: map[string]*shares.Tap{}, underWay: map[string]*shares.Tap{}}
+	if old != nil {
+		for n := range old.names {
+			names = append(names, n)
+		}
+	}
+	for _, n := range names {
+		t.names[n] = true
+		of, name, _ := strings.Cut(n, "/")
+		switch tap := a.purse.Tap(n); of {
+		case settings.BudgetJobs:
+			t.jobs[name] = tap
+		case settings.BudgetRetries:
+			t.retries[name] = tap
+		case settings.BudgetUnderWay:
+			t.underWay[name] = tap
+		case settings.BudgetCold:
+			t.cold = tap
+		case settings.BudgetProbes:
+			t.probes = tap
+		}
+	}
+	a.taps.Store(t)
+}
+
+// The methods below are on a job's path: atomics and a snapshot. Those of
+// core.Spending are called by the core's goroutine alone.
+
+// Admit implements stage.Shares.
+func (a *Agent) Admit(tenant string, now time.Time) (time.Time, bool) {
+	t := a.taps.Load().jobs[tenant]
+	if t == nil {
+		return time.Time{}, true
+	}
+	own := a.now() // read anew: a process that was stopped must see its lease's end
+	if t.Take(own) {
+		return time.Time{}, true
+	}
+	return now.Add(t.ComeBack(own)), false
+}
+
+// Again implements basaltloft.Purse.
+func (a *Agent) Again(_, class string) bool {
+	t := a.taps.Load().retries[class]
+	return t == nil || t.Take(a.now())
+}
+
+// ComeBack implements core.Spending.
+func (a *Agent) ComeBack(class string, now time.Time) time.Time {
+	if t := a.taps.Load().retries[class]; t != nil {
+		return now.Add(t.ComeBack(a.now()))
+	}
+	return now
+}
+
+// shortEvery: jobs that wait for room ask at each look of the decisions; what they
+// want is counted this often.
+const shortEvery = 20 * time.Millisecond
+
+// Room implements basaltloft.Purse.
+func (a *Agent) Room(kind string) bool {
+	t := a.taps.Load().underWay[kind]
+	if t == nil {
+		return true
+	}
+	now := a.now()
+	free := t.Free(now)
+	if !free && now-a.short[kind] >= shortEvery {
+		a.short[kind] = now
+		t.Short()
+	}
+	return free
+}
+
+// Begin implements core.Spending.
+func (a *Agent) Begin(kind string, until time.Time) (core.Place, bool) {
+	t := a.taps.Load().underWay[kind]
+	if t == nil {
+		return nil, true
+	}
+	return t, t.Begin(a.now(), until.Sub(a.base))
+}
+
+// Probe implements basaltloft.Purse.
+func (a *Agent) Probe() bool {
+	t := a.taps.Load().probes
+	return t == nil || t.Take(a.now())
+}
+
+// Cold implements basaltloft.Purse.
+func (a *Agent) Cold() (float64, bool) {
+	t := a.taps.Load().cold
+	if t == nil {
+		return 0, false
+	}
+	return t.Amount(a.now())
+}
+
+// Want tells how many jobs a second this dispatcher has, by which a cold member's
+// parts are divided.
+func (a *Agent) Want(rate float64) {
+	if t := a.taps.Load().cold; t != nil {
+		t.Want(rate)
+	}
+}
--- a/internal/fleet/keeper/keeper_test.go
+++ b/internal/fleet/keeper/keeper_test.go
@@ -39,6 +39,8 @@
 func (c *counter) Ask(state.Kind, []byte) ([]byte, error)          { return codec.Encode(c.N) }
 func (c *counter) Renewed(state.Command, []byte) ([]byte, error)   { return nil, nil }
 func (c *counter) Gone(time.Duration, string, uint64, state.Going) {}
+func (c *counter) Check([]byte) error                              { return nil }
+func (c *counter) Set(time.Duration, []byte) error                 { return nil }
 func (c *counter) Advance(time.Duration)                           {}
 func (c *counter) Digest() (uint64, error)                         { return c.N, nil }
 func (c *counter) Thaw(r io.Reader) error {
@@ -95,6 +97,9 @@
 	var err error
 	f.who, _, err = f.client.Join(f.ctx(), "n1", "first", "test")
 	require.NoError(t, err)
+	require.NoError(t, f.who.Order(f.ctx(), state.Set, state.SetBody{Revision: 1, Lease: time.Minute}, nil))
+	_, err = f.who.Renew(f.ctx(), nil) // for a minute now: the tests renew nothing
+	require.NoError(t, err)
 	return f
 }
 
@@ -112,7 +117,7 @@
 	log.SetOutput(io.Discard)
 	k, err := New(Settings{
 		Name: name, Folder: f.folder(name), Peers: f.peers, Votes: f.votes[name], Election: 250 * time.Millisecond, SumEvery: 400 * time.Millisecond, Log: log,
-		Machine: func() (*state.Machine, error) { return state.New(time.Minute, &counter{spoilt: f.spoilt[name]}), nil },
+		Machine: func() (*state.Machine, error) { return state.New(&counter{spoilt: f.spoilt[name]}), nil },
 	})
 	require.NoError(f.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
--- /dev/null
+++ b/internal/fleet/parts/budgets.go
@@ -0,0 +1,118 @@
+// Package parts joins the deciding packages of the fleet layer to the replicated
+// state: it reads their commands, and writes and reads their part of a snapshot.
+package parts
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"basaltloft/internal/fleet/codec"
+	"basaltloft/internal/fleet/shares"
+	"basaltloft/internal/fleet/state"
+)
+
+// Names of the parts, which their kinds of commands begin with.
+const (
+	BudgetsName = "budgets"
+
+	BudgetsLeave     state.Kind = "budgets/leave"     // a BudgetsLeft: a planned end
+	BudgetsStandings state.Kind = "budgets/standings" // asks for []shares.Standing
+)
+
+// BudgetsLeft is what a process leaves under way at its planned end, by budget.
+type BudgetsLeft struct{ Left map[string]shares.Left }
+
+// Budgets is the part of the budgets. Its settings are a shares.Config.
+type Budgets struct{ book *shares.Book }
+
+// NewBudgets returns a part without budgets.
+func NewBudgets() *Budgets { return &Budgets{shares.NewBook()} }
+
+// Name implements state.Part.
+func (*Budgets) Name() string { return BudgetsName }
+
+// Check implements state.Part.
+func (*Budgets) Check(settings []byte) error {
+	var c shares.Config
+	if err := codec.Decode(settings, &c); err != nil {
+		return err
+	}
+	return c.Check()
+}
+
+// Set implements state.Part.
+func (b *Budgets) Set(at time.Duration, settings []byte) error {
+	var c shares.Config
+	if err := codec.Decode(settings, &c); err != nil {
+		return err
+	}
+	return b.book.Configure(at, c)
+}
+
+// Apply implements state.Part.
+func (b *Budgets) Apply(c state.Command, _ uint64) ([]byte, error) {
+	if c.Kind != BudgetsLeave {
+		return nil, fmt.Errorf("%w: no budget command %q", state.ErrBad, c.Kind)
+	}
+	var left BudgetsLeft
+	if err := codec.Decode(c.Body, &left); err != nil {
+		return nil, fmt.Errorf("%w: %w", state.ErrBad, err)
+	}
+	return nil, b.book.Leave(c.At, c.Process, c.Incarnation, left.Left)
+}
+
+// Renewed implements state.Part: it renews the shares.
+func (b *Budgets) Renewed(c state.Command, body []byte) ([]byte, error) {
+	var r shares.Renewal
+	if err := codec.Decode(body, &r); err != nil {
+		return nil, err
+	}
+	if r.Process != c.Process || r.Incarnation != c.Incarnation {
+		return nil, fmt.Errorf("%w: a renewal for %s %d", shares.ErrFenced, r.Process, r.Incarnation)
+	}
+	g, err := b.book.Renew(c.At, r)
+	if err != nil {
+		return nil, err
+	}
+	return codec.Encode(g)
+}
+
+// Gone implements state.Part. A share outlasts its holder: the book takes it back
+// when the lease has ended, whoever has the name by then.
+func (*Budgets) Gone(time.Duration, string, uint64, state.Going) {}
+
+// Advance implements state.Part.
+func (b *Budgets) Advance(at time.Duration) { b.book.Advance(at) }
+
+// Ask implements state.Asked.
+func (b *Budgets) Ask(kind state.Kind, _ []byte) ([]byte, error) {
+	if kind != BudgetsStandings {
+		return nil, fmt.Errorf("no budget query %q", kind)
+	}
+	return codec.Encode(b.book.Standings())
+}
+
+// Freeze implements state.Part.
+func (b *Budgets) Freeze() (func(io.Writer) error, error) { return encoded(b.book.Encode()) }
+
+// Thaw implements state.Part.
+func (b *Budgets) Thaw(r io.Reader) error { return decoded(r, b.book.Decode) }
+
+// Digest implements state.Part.
+func (b *Budgets) Digest() (uint64, error) { return b.book.Digest() }
+
+func encoded(text []byte, err error) (func(io.Writer) error, error) {
+	return func(w io.Writer) error {
+		_, err := w.Write(text)
+		return err
+	}, err
+}
+
+func decoded(r io.Reader, decode func([]byte) error) error {
+	text, err := io.ReadAll(r)
+	if err != nil {
+		return err
+	}
+	return decode(text)
+}
--- a/internal/fleet/state/members.go
+++ b/internal/fleet/state/members.go
@@ -41,14 +41,14 @@
 	}
 	if i, ok := m.find(b.Process); ok {
 		if old := m.members[i]; old.Nonce == b.Nonce {
-			return replyWith(Joined{old.Incarnation, m.lease})
+			return replyWith(Joined{old.Incarnation, m.set.Lease})
 		}
 		m.drop(m.members[i], Replaced)
 	}
-	who := &Member{Process: b.Process, Nonce: b.Nonce, Version: b.Version, Incarnation: index, Since: m.at, Until: m.at + m.lease}
+	who := &Member{Process: b.Process, Nonce: b.Nonce, Version: b.Version, Incarnation: index, Since: m.at, Until: m.at + m.set.Lease}
 	i, _ := m.find(b.Process)
 	m.members = slices.Insert(m.members, i, who)
-	return replyWith(Joined{index, m.lease})
+	return replyWith(Joined{index, m.set.Lease})
 }
 
 func (m *Machine) renew(who *Member, c Command) Reply {
@@ -56,8 +56,8 @@
 	if err := codec.Decode(c.Body, &b); err != nil {
 		return Reply{Code: Bad, Text: err.Error()}
 	}
-	who.Until = m.at + m.lease
-	r := Renewed{Lease: m.lease, Members: len(m.members), Parts: map[string][]byte{}, Refused: map[string]string{}}
+	who.Until = m.at + m.set.Lease
+	r := Renewed{Lease: m.set.Lease, Members: len(m.members), Parts: map[string][]byte{}, Refused: map[string]string{}}
 	for _, p := range m.parts {
 		body, told := b.Parts[p.Name()]
 		if !told {
@@ -78,6 +78,54 @@
 	return replied(body, err)
 }
 
+// SetBody is what the operators set for the whole fleet. Of two the one with the
+// higher revision is in force; one revision can't mean two things.
+type SetBody struct {
+	Revision uint64
+	Lease    time.Duration
+	Parts    map[string][]byte // by the part's name; one that is not named keeps what it has
+}
+
+// setting is what is in force.
+type setting struct {
+	Revision, Digest uint64
+	Lease            time.Duration
+}
+
+// Revision is that of the settings in force; 0: none were set.
+func (m *Machine) Revision() uint64 { return m.set.Revision }
+
+func (m *Machine) takeSettings(c Command) Reply {
+	var b SetBody
+	if err := codec.Decode(c.Body, &b); err != nil {
+		return Reply{Code: Bad, Text: err.Error()}
+	}
+	digest := codec.Digest(c.Body)
+	switch {
+	case b.Revision == m.set.Revision && digest == m.set.Digest:
+		return Reply{}
+	case b.Revision <= m.set.Revision:
+		return Reply{Code: Refused, Text: fmt.Sprintf("revision %d of the fleet's settings is in force: another one needs a higher revision than that", m.set.Revision)}
+	case b.Lease < 100*time.Millisecond || b.Lease > time.Hour:
+		return Reply{Code: Refused, Text: fmt.Sprintf("a lease of %s: not from 100ms to 1h", b.Lease)}
+	}
+	for _, p := range m.parts { // all or none
+		if err := p.Check(b.Parts[p.Name()]); b.Parts[p.Name()] != nil && err != nil {
+			return Reply{Code: Refused, Text: fmt.Sprintf("%s: %s", p.Name(), err)}
+		}
+	}
+	for _, p := range m.parts {
+		if b.Parts[p.Name()] == nil {
+			continue
+		}
+		if err := p.Set(m.at, b.Parts[p.Name()]); err != nil {
+			return Reply{Code: Refused, Text: fmt.Sprintf("%s: %s", p.Name(), err)}
+		}
+	}
+	m.set = setting{Revision: b.Revision, Digest: digest, Lease: b.Lease}
+	return Reply{}
+}
+
 // boot is what is known of a keeper's starts.
 type boot struct {
 	Process string
--- a/internal/fleet/state/snapshot.go
+++ b/internal/fleet/state/snapshot.go
@@ -22,7 +22,7 @@
 // kept is what the machine itself has in a snapshot.
 type kept struct {
 	V       uint8
-	Lease   time.Duration
+	Set     setting
 	At      time.Duration
 	Index   uint64
 	Members []*Member
@@ -33,7 +33,7 @@
 
 // own encodes what the machine itself keeps.
 func (m *Machine) own() ([]byte, error) {
-	k := kept{V: Version, Lease: m.lease, At: m.at, Index: m.index, Members: m.members, Sums: m.sums, Boots: m.boots}
+	k := kept{V: Version, Set: m.set, At: m.at, Index: m.index, Members: m.members, Sums: m.sums, Boots: m.boots}
 	for _, p := range m.parts {
 		k.Parts = append(k.Parts, p.Name())
 	}
@@ -45,8 +45,9 @@
 func (m *Machine) Digests() (map[string]uint64, error) {
 	text, err := codec.Encode(struct {
 		At      time.Duration
+		Set     setting
 		Members []*Member
-	}{m.at, m.members})
+	}{m.at, m.set, m.members})
 	if err != nil {
 		return nil, err
 	}
@@ -121,7 +122,7 @@
 			return fmt.Errorf("thawing %s: %w", p.Name(), err)
 		}
 	}
-	m.at, m.index, m.members, m.sums, m.boots = k.At, k.Index, k.Members, k.Sums, k.Boots
+	m.set, m.at, m.index, m.members, m.sums, m.boots = k.Set, k.At, k.Index, k.Members, k.Sums, k.Boots
 	return nil
 }
 
--- a/internal/fleet/state/state.go
+++ b/internal/fleet/state/state.go
@@ -43,6 +43,7 @@
 	Leave Kind = "leave" // no body: a planned end
 	Sums  Kind = "sums"  // SumsBody
 	Boot  Kind = "boot"  // BootBody
+	Set   Kind = "set"   // SetBody
 )
 
 // Reply is what a command comes to. The same command gives the same reply at
@@ -92,6 +93,9 @@
 	// Apply carries out a command of a process that is in force. An error refuses
 	// it; nothing may have changed then.
 	Apply(c Command, index uint64) (body []byte, err error)
+	// Check tells what is wrong with settings; Set takes ones in that were checked.
+	Check(settings []byte) error
+	Set(at time.Duration, settings []byte) error
 	// Renewed takes in what a renewal says to this part, and says what it is told.
 	Renewed(c Command, body []byte) (reply []byte, err error)
 	// Gone tells that an incarnation is out of force: its lease ended, it left, or
@@ -141,7 +145,7 @@
 
 // Machine is one replica's state.
 type Machine struct {
-	lease   time.Duration
+	set     setting
 	at      time.Duration
 	index   uint64
 	members []*Member // by name
@@ -150,9 +154,12 @@
 	parts   []Part
 }
 
-// New returns an empty state with a lease of this length.
-func New(lease time.Duration, parts ...Part) *Machine {
-	return &Machine{lease: lease, parts: parts}
+// FirstLease is the length of leases until the operators set one.
+const FirstLease = 3 * time.Second
+
+// New returns an empty state of these parts.
+func New(parts ...Part) *Machine {
+	return &Machine{set: setting{Lease: FirstLease}, parts: parts}
 }
 
 // At is the fleet time of the last command.
@@ -225,6 +232,8 @@
 	switch c.Kind {
 	case Renew:
 		return m.renew(who, c)
+	case Set:
+		return m.takeSettings(c)
 	case Leave:
 		m.drop(who, Left)
 		return Reply{}
--- a/internal/fleet/state/state_test.go
+++ b/internal/fleet/state/state_test.go
@@ -32,6 +32,16 @@
 	t.Count[c.Process]++
 	return binary.BigEndian.AppendUint32(nil, uint32(t.Count[c.Process])), nil
 }
+func (t *tally) Check(settings []byte) error {
+	if string(settings) == "bad" {
+		return errors.New("bad settings")
+	}
+	return nil
+}
+func (t *tally) Set(at time.Duration, settings []byte) error {
+	t.Went = append(t.Went, string(settings))
+	return nil
+}
 func (t *tally) Renewed(_ Command, body []byte) ([]byte, error) { return body, nil }
 func (t *tally) Gone(at time.Duration, process string, incarnation uint64, how Going) {
 	t.Went = append(t.Went, fmt.Sprintf("%s %d %d %s", process, incarnation, how, at))
@@ -58,7 +68,7 @@
 	return codec.Digest(text), err
 }
 
-const lease = 3 * time.Second
+const lease = FirstLease
 
 type log struct {
 	t       require.TestingT
@@ -70,7 +80,7 @@
 
 func newLog(t require.TestingT) *log {
 	part := newTally()
-	return &log{t: t, m: New(lease, part), part: part}
+	return &log{t: t, m: New(part), part: part}
 }
 
 func (l *log) apply(c Command, body any) Reply {
@@ -156,7 +166,7 @@
 			}
 			require.Equal(t, n, l.part.Count[who])
 		}
-		other := New(lease, newTally())
+		other := New(newTally())
 		require.NoError(t, other.Thaw(bytes.NewReader(frozen.Bytes())))
 		for i := cut; i < len(l.entries); i++ {
 			other.Apply(uint64(i+1), l.entries[i])
@@ -167,13 +177,33 @@
 		require.NoError(t, err)
 		require.Equal(t, a, b)
 		torn := frozen.Bytes()[:rapid.IntRange(0, frozen.Len()-1).Draw(t, "torn")]
-		require.ErrorIs(t, New(lease, newTally()).Thaw(bytes.NewReader(torn)), ErrForeign)
+		require.ErrorIs(t, New(newTally()).Thaw(bytes.NewReader(torn)), ErrForeign)
 		flipped := bytes.Clone(frozen.Bytes())
 		flipped[rapid.IntRange(0, len(flipped)-1).Draw(t, "at")] ^= 0x10
-		require.Error(t, New(lease, newTally()).Thaw(bytes.NewReader(flipped)))
+		require.Error(t, New(newTally()).Thaw(bytes.NewReader(flipped)))
 	})
 }
 
+func TestSettings(t *testing.T) {
+	l := newLog(t)
+	inc := l.join(0, "n1", "a")
+	set := func(b SetBody) string {
+		return l.apply(Command{Process: "n1", Incarnation: inc, Kind: Set}, b).Text
+	}
+	second := SetBody{Revision: 2, Lease: time.Second, Parts: map[string][]byte{"tally": []byte("two")}}
+	require.Empty(t, set(second))
+	require.Empty(t, set(second), "again is no change")
+	require.Contains(t, set(SetBody{Revision: 2, Lease: time.Minute}), "revision 2 of the fleet's settings is in force")
+	require.Contains(t, set(SetBody{Revision: 1, Lease: time.Minute}), "needs a higher revision")
+	require.Contains(t, set(SetBody{Revision: 3}), "a lease of 0s")
+	require.Contains(t, set(SetBody{Revision: 3, Lease: time.Minute, Parts: map[string][]byte{"tally": []byte("bad")}}), "tally: bad settings")
+	require.Equal(t, uint64(2), l.m.Revision())
+	require.Equal(t, []string{"two"}, l.part.Went)
+	l.join(0, "n2", "b")
+	l.apply(Command{At: time.Second, Kind: Tick}, nil)
+	require.Len(t, l.m.Members(), 1, "the lease that was set ends for who joined under it")
+}
+
 func TestMajorityOfDigests(t *testing.T) {
 	l := newLog(t)
 	tell := func(replica string, index uint64, sum uint64) {
@@ -200,7 +230,7 @@
 	require.NoError(f, write(&b))
 	f.Add(b.Bytes())
 	f.Fuzz(func(t *testing.T, text []byte) {
-		m := New(lease, newTally())
+		m := New(newTally())
 		if m.Thaw(bytes.NewReader(text)) != nil {
 			require.Empty(t, m.Members(), "nothing is taken of what is refused")
 		}
--- a/internal/service/assembly.go
+++ b/internal/service/assembly.go
@@ -46,7 +46,15 @@
 	s.keeper = figures.NewKeeper(counted)
 	s.chain = stage.New(c.Settings, s.limits, s.keeper, s.log)
 	var err error
-	if s.hub, err = core.New(c.Settings, s.chain, s.log); err != nil {
+	var spending core.Spending
+	if f := o.Operator.Fleet; f != nil {
+		if s.fleet, err = s.newFleet(f); err != nil {
+			return nil, err
+		}
+		s.chain.Share(s.fleet.agent)
+		spending = s.fleet.agent
+	}
+	if s.hub, err = core.New(c.Settings, s.chain, spending, s.log); err != nil {
 		return nil, err
 	}
 	s.hub.Bound(o.Operator.Behind)
--- /dev/null
+++ b/internal/service/fleet.go
@@ -0,0 +1,162 @@
+package service
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"basaltloft/internal/fleet/agent"
+	"basaltloft/internal/fleet/codec"
+	"basaltloft/internal/fleet/keeper"
+	"basaltloft/internal/fleet/parts"
+	"basaltloft/internal/fleet/shares"
+	"basaltloft/internal/fleet/state"
+	"basaltloft/internal/settings"
+)
+
+// fleet is this process's part in a fleet: always an agent, and a keeper where the
+// operator's file says so.
+type fleet struct {
+	agent  *agent.Agent
+	keeper atomic.Pointer[keeper.Keeper] // nil: this process keeps nothing for others, or not yet
+}
+
+// leaveWithin is how long a planned end waits to say that this process leaves.
+const leaveWithin = time.Second
+
+// wantEvery is how often a dispatcher's traffic is told to the budget of cold members.
+const wantEvery = 500 * time.Millisecond
+
+// newFleet makes the parts of the fleet layer and their components.
+func (s *Service) newFleet(f *settings.Fleet) (*fleet, error) {
+	if f.Name == "" {
+		f.Name = s.options.Config.Name
+	}
+	if f.Name == "" {
+		return nil, fmt.Errorf("fleet.name: a process of a fleet needs a name")
+	}
+	_, keeps := f.Keepers[f.Name]
+	if keeps != (f.Calls != "") {
+		return nil, fmt.Errorf("fleet.keepers: %q is to listen as a keeper exactly if it is named there", f.Name)
+	}
+	set, expect, err := fleetSettings(f)
+	if err != nil {
+		return nil, err
+	}
+	calls := map[string]string{}
+	for name, k := range f.Keepers {
+		calls[name] = k.Calls
+	}
+	out := &fleet{agent: agent.New(agent.Settings{Process: f.Name, Version: "1", Keepers: calls, Set: set, Expect: expect, Log: s.log.WithField("fleet", f.Name)})}
+	if keeps {
+		s.keep(f, out)
+	}
+	s.components = append(s.components, &component{
+		name: "fleet agent",
+		serve: func(ctx context.Context, _ net.Listener) error {
+			go s.tellTraffic(ctx, out.agent)
+			return out.agent.Run(ctx)
+		},
+		stop: func(ctx context.Context) error {
+			ctx, cancel := context.WithDeadline(ctx, time.Now().Add(leaveWithin))
+			defer cancel()
+			if err := out.agent.Leave(ctx); err != nil {
+				s.log.WithError(err).Warn("the fleet finds out by the lease that this process has ended")
+			}
+			return nil
+		},
+	})
+	return out, nil
+}
+
+// keep adds the components of a keeper.
+func (s *Service) keep(f *settings.Fleet, out *fleet) {
+	votes := &component{name: "fleet votes", listen: f.Votes}
+	peers := map[string]keeper.Peer{}
+	for name, k := range f.Keepers {
+		peers[name] = keeper.Peer{Calls: k.Calls, Votes: k.Votes}
+	}
+	ready := make(chan *keeper.Keeper, 1)
+	votes.serve = func(ctx context.Context, l net.Listener) error {
+		k, err := keeper.New(keeper.Settings{
+			Name: f.Name, Folder: f.Folder, Peers: peers, Votes: l, Election: f.Election, SumEvery: f.SumEvery, Machine: newMachine, Log: s.log,
+		})
+		if err != nil {
+			return err
+		}
+		ready <- k
+		defer l.Close()
+		return k.Run(ctx)
+	}
+	s.components = append(s.components, votes, &component{
+		name: "fleet calls", listen: f.Calls,
+		serve: func(ctx context.Context, l net.Listener) error {
+			select {
+			case <-ctx.Done():
+				l.Close()
+				return nil
+			case k := <-ready:
+				out.keeper.Store(k)
+			}
+			server := &http.Server{Handler: out.keeper.Load(), ReadHeaderTimeout: 2 * time.Second, IdleTimeout: time.Minute}
+			defer context.AfterFunc(ctx, func() { server.Close() })()
+			if err := server.Serve(l); err != http.ErrServerClosed {
+				return fmt.Errorf("the fleet's calls at %s: %w", l.Addr(), err)
+			}
+			return nil
+		},
+	})
+}
+
+// newMachine is the state that every keeper of this version has.
+func newMachine() (*state.Machine, error) {
+	return state.New(parts.NewBudgets()), nil
+}
+
+// fleetSettings are what the operator's file says for the whole fleet, and the
+// budgets that it names.
+func fleetSettings(f *settings.Fleet) (set state.SetBody, expect []string, err error) {
+	budgets := shares.Config{Lease: f.Lease}
+	for _, b := range f.Budgets {
+		one := shares.Budget{
+			Name: b.Key(), Kind: shares.Rate, Whole: b.Whole, Burst: b.Burst, Floor: b.Floor, Floors: b.Floors, FloorFor: b.FloorFor, Linger: b.Linger, Weights: b.Weights,
+		}
+		switch b.Of {
+		case settings.BudgetUnderWay:
+			one.Kind = shares.UnderWay
+		case settings.BudgetCold:
+			one.Kind = shares.Part
+		}
+		budgets.Budgets = append(budgets.Budgets, one)
+		expect = append(expect, one.Name)
+	}
+	if err := budgets.Check(); err != nil {
+		return set, nil, fmt.Errorf("fleet.budgets: %w", err)
+	}
+	text, err := codec.Encode(budgets)
+	if err != nil {
+		return set, nil, err
+	}
+	return state.SetBody{Revision: f.Revision, Lease: f.Lease, Parts: map[string][]byte{parts.BudgetsName: text}}, expect, nil
+}
+
+// tellTraffic tells how many jobs a second come here, by the account.
+func (s *Service) tellTraffic(ctx context.Context, a *agent.Agent) {
+	tick := time.NewTicker(wantEvery)
+	defer tick.Stop()
+	last, at := int64(0), time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			var taken int64
+			s.hub.Sync(func() { taken = s.keeper.Book.Totals().Taken })
+			a.Want(float64(taken-last) / now.Sub(at).Seconds())
+			last, at = taken, now
+		}
+	}
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -44,6 +44,7 @@
 	follower   *pool.Follower
 	components []*component
 	operators  *operators
+	fleet      *fleet        // nil: this process is alone
 	draining   chan struct{} // closed when a planned end begins
 	began      time.Time
 }
--- a/internal/settings/operator.go
+++ b/internal/settings/operator.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"strings"
 	"time"
 
 	"basaltloft/internal/lag"
@@ -17,6 +16,7 @@
 	Faktory    *Faktory // nil: off
 	Figures    Figures
 	AgentCheck string     // where the agent check listens; empty: off
+	Fleet      *Fleet     // nil: this process is alone
 	Behind     lag.Bounds // when new work is turned away since own work is late; a Target of 0: never
 }
 
@@ -95,6 +95,9 @@
 	if r.get("faktory", fastjson.TypeObject) != nil {
 		o.Faktory = r.faktory()
 	}
+	if r.get("fleet", fastjson.TypeObject) != nil {
+		o.Fleet = r.fleet()
+	}
 	return o, r
 }
 
@@ -157,24 +160,9 @@
 	}
 }
 
-// jobs reads an object of jobs by name. Its names may hold dots, so each is
-// read from its own value.
+// jobs reads an object of jobs by name.
 func (r *reader) jobs(path string) map[string]FaktoryJob {
 	jobs := make(map[string]FaktoryJob)
-	if v := r.get(path, fastjson.TypeObject); v != nil {
-		v.GetObject().Visit(func(name []byte, at *fastjson.Value) {
-			if strings.HasPrefix(string(name), "#") {
-				return
-			}
-			r.asked[r.in+path+"."+string(name)] = true
-			inner := r.inner(at, path+"."+string(name)+".")
-			if at.Type() != fastjson.TypeObject {
-				r.fail(path+"."+string(name), errors.New("must be an object"))
-				return
-			}
-			jobs[string(name)] = inner.job("")
-			r.join(inner)
-		})
-	}
+	r.eachOf(path, func(name string, at *reader) { jobs[name] = at.job("") })
 	return jobs
 }
--- a/internal/stage/admit.go
+++ b/internal/stage/admit.go
@@ -26,5 +26,10 @@
 	if load.Behind > 0 {
 		return &core.Answer{Verdict: core.Refused, Reason: account.Behind, RetryAt: now.Add(load.Behind)}
 	}
+	if c.shares != nil {
+		if until, ok := c.shares.Admit(t.Tenant, now); !ok {
+			return &core.Answer{Verdict: core.Refused, Reason: account.NoShare, RetryAt: until}
+		}
+	}
 	return nil
 }
--- a/internal/stage/stage.go
+++ b/internal/stage/stage.go
@@ -5,6 +5,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"basaltloft"
 
@@ -17,9 +18,19 @@
 	classes atomic.Pointer[map[string]basaltloft.Class] // fronts read it, a retune replaces it
 	books   Books
 	needs   func(class string) string // what jobs need that do not say; nil: nothing
+	shares  Shares                    // nil: nothing is shared
 	log     *logrus.Logger
 }
 
+// Shares are this dispatcher's of what the whole fleet may take.
+type Shares interface {
+	// Admit takes one job of a tenant; not ok: there is none left until then.
+	Admit(tenant string, now time.Time) (until time.Time, ok bool)
+}
+
+// Share bounds what is admitted by this dispatcher's shares. It must be called before the first job.
+func (c *Chain) Share(s Shares) { c.shares = s }
+
 // Need says what jobs need of a member whose front does not say. It must be
 // called before the first job.
 func (c *Chain) Need(of func(class string) string) { c.needs = of }
--- a/state.go
+++ b/state.go
@@ -152,6 +152,7 @@
 	index     int
 	seq       uint64
 	most      int  // attempts it may have: the limit when it came
+	paid      int  // the highest attempt, from 0, that was taken from what all share
 	done      bool // it has its final answer, or a stream that is the client's
 }
 
@@ -307,6 +308,9 @@
 }
 
 func (d *Dispatcher) probe(w *worker) {
+	if d.Purse != nil && !d.Purse.Probe() {
+		return
+	}
 	w.probing, w.probedAt = true, d.now
 	d.host.Probe(w.Worker)
 }
@@ -373,7 +377,7 @@
 
 func (d *Dispatcher) suits(j *job, w *worker) bool {
 	k := j.class.Kind
-	return d.usable(w) && (k < 0 || d.Kinds[k] == w.Kind) && (w.Offers == nil || j.Needs == "" || slices.Contains(w.Offers, j.Needs))
+	return d.usable(w) && (d.Purse == nil || d.Purse.Room(w.Kind)) && (k < 0 || d.Kinds[k] == w.Kind) && (w.Offers == nil || j.Needs == "" || slices.Contains(w.Offers, j.Needs))
 }
 
 func (d *Dispatcher) free(a *attempt) {
@@ -806,6 +810,29 @@
 	*p += (1 - *p) / paceWindow
 }
 
+// again takes the job's next attempt from what all dispatchers share, once; false: there is none left.
+func (d *Dispatcher) again(j *job) bool {
+	if d.Purse != nil && j.paid < len(j.attempts) {
+		if !d.Purse.Again(j.ID, j.class.Name) {
+			return false
+		}
+		j.paid = len(j.attempts)
+	}
+	return true
+}
+
+// divided makes what all may send to a cold worker this dispatcher's part of it, where it has one.
+func (d *Dispatcher) divided(whole *float64) bool {
+	if d.Purse == nil {
+		return false
+	}
+	part, ok := d.Purse.Cold()
+	if ok {
+		*whole *= part
+	}
+	return ok
+}
+
 // one is 1 for true.
 func one(b bool) int {
 	if b {
