Plans: the replicated Book of runs under way, its commands, and what to do next

Need: a plan's progress must outlive its coordinator, and whatever a coordinator sends, a never-twice job that may have run must not be sent again, one item must not be out twice, a lost output must be made again once for all that report it, and each run must end once. Ruled out: evaluating expressions while applying (replicas would need the plan files, and the same library, to agree): a run's shape travels in Start, evaluated outcomes in the commands. A Finish that the coordinator must send: the command after which nothing is left ends the run, so that no crash fits between; Finish only asks. Joining a stage as soon as k items are there: its output would change under its generation, so it is fixed once every item has ended. Measured: hard cases by hand over three replicas with the same bytes, one of them decoded.

--- /dev/null
+++ b/internal/fleet/planrun/book_test.go
@@ -0,0 +1,350 @@
+package planrun
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"basaltloft"
+	"basaltloft/internal/fleet/plan"
+
+	"github.com/stretchr/testify/require"
+)
+
+const ms = time.Millisecond
+
+// replicas are books that get the same commands.
+type replicas [3]*Book
+
+func newReplicas(l Limits) (r replicas) {
+	for i := range r {
+		r[i] = NewBook(l)
+	}
+	return r
+}
+
+// apply gives a command to each; their replies and errors must be alike.
+func (r replicas) apply(at time.Duration, command any) (reply any, err error) {
+	for i, b := range r {
+		var got any
+		var bad error
+		switch c := command.(type) {
+		case Start:
+			got, bad = b.Start(at, c)
+		case Claim:
+			got = b.Claim(at, c)
+		case Open:
+			bad = b.Open(at, c)
+		case Sending:
+			got, bad = b.Sending(at, c)
+		case Ended:
+			got, bad = b.Ended(at, c)
+		case Abandon:
+			bad = b.Abandon(at, c)
+		case Finish:
+			got, bad = b.Finish(at, c)
+		case gone:
+			b.Lost(at, c.process, c.incarnation)
+		case nil:
+			b.Advance(at)
+		}
+		if i == 0 {
+			reply, err = got, bad
+		} else if !reflect.DeepEqual(got, reply) || fmt.Sprint(bad) != fmt.Sprint(err) {
+			panic(fmt.Sprintf("%T: replica %d replied %+v, %v; replica 0 %+v, %v", command, i, got, bad, reply, err))
+		}
+	}
+	return reply, err
+}
+
+type gone struct {
+	process     string
+	incarnation uint64
+}
+
+// alike compares the bytes of the replicas, one of them after a decode.
+func (r replicas) alike(t require.TestingT) {
+	want, err := r[0].Encode()
+	require.NoError(t, err)
+	back := NewBook(Limits{})
+	require.NoError(t, back.Decode(want))
+	back.planted = r[0].planted
+	for _, b := range []*Book{r[1], r[2], back} {
+		got, err := b.Encode()
+		require.NoError(t, err)
+		require.Equal(t, want, got)
+	}
+	r[2] = back // goes on from what it decoded
+}
+
+// booking: a price list shared by tour, a hold that is keyed and undone, tickets that
+// must never run twice, and a notice.
+func booking(seats int) Shape {
+	retry := []RetryShape{{On: []plan.End{plan.Refused, plan.Full, plan.Unsent, plan.Late, plan.Failed, plan.Reset}, Most: 2, Wait: 20 * ms, WaitAtMost: 100 * ms, Jitter: 200}}
+	never := []RetryShape{{On: []plan.End{plan.Refused, plan.Full, plan.Unsent}, Most: 2, Wait: 20 * ms}}
+	return Shape{Most: 40 + 8*seats, Within: 3 * time.Second, Stages: []StageShape{
+		{Name: "prices", Class: "read", Effect: basaltloft.Safe, Shared: true, SharedFor: time.Second, Retries: retry},
+		{Name: "hold", Class: "hold", Effect: basaltloft.Keyed, After: []int{0}, Each: true, MostEach: seats, AtLeast: max(1, seats*4/5), Retries: retry,
+			Reruns: []RerunShape{{Of: 0, Most: 2}}, Undo: &UndoShape{Class: "release", Effect: basaltloft.Keyed, Most: 2, Wait: 20 * ms}},
+		{Name: "ticket", Class: "ticket", Effect: basaltloft.Unsafe, After: []int{1}, Retries: never},
+		{Name: "notice", Class: "notice", Effect: basaltloft.Safe, After: []int{2}, Retries: retry},
+	}}
+}
+
+// script drives one run by hand.
+type script struct {
+	t *testing.T
+	replicas
+	at    time.Duration
+	fence uint64
+	run   string
+}
+
+func begin(t *testing.T, s Shape, run string) *script {
+	c := &script{t: t, replicas: newReplicas(DefaultLimits()), run: run}
+	c.fence = c.start(s, run, "n1").Fence
+	return c
+}
+
+func (c *script) start(s Shape, run, process string) Started {
+	reply, err := c.apply(c.at, Start{Run: run, Plan: "p", Shape: s, Before: c.at + 10*time.Second, Process: process, Incarnation: 1})
+	require.NoError(c.t, err)
+	return reply.(Started)
+}
+
+func (c *script) view() View {
+	v, err := c.replicas[0].View(c.run)
+	require.NoError(c.t, err)
+	return v
+}
+
+func (c *script) sending(stage, item int) Sending {
+	v := c.view()
+	it := v.Run.Stages[stage].Items[item]
+	return Sending{Run: c.run, Fence: c.fence, Stage: stage, Item: item, Generation: v.Run.Stages[stage].Gen, Inputs: v.Run.inputs(v.Shape, stage), Attempt: it.Job.Attempt + 1}
+}
+
+func (c *script) send(stage, item int) error {
+	c.at += ms
+	_, err := c.apply(c.at, c.sending(stage, item))
+	return err
+}
+
+func (c *script) ended(stage, item int, end plan.End, lost *LostInput) Counted {
+	c.at += ms
+	j := c.view().Run.Stages[stage].Items[item].Job
+	reply, err := c.apply(c.at, Ended{Run: c.run, Fence: j.Fence, Stage: stage, Item: item, Attempt: j.Attempt, End: end, Result: []byte(`1`), Lost: lost})
+	require.NoError(c.t, err)
+	return reply.(Counted)
+}
+
+func (c *script) runs(stage, item int) Counted {
+	require.NoError(c.t, c.send(stage, item))
+	return c.ended(stage, item, plan.Done, nil)
+}
+
+func (c *script) open(stage, items int, key string) {
+	_, err := c.apply(c.at, Open{Run: c.run, Fence: c.fence, Stage: stage, Key: key, Items: make([][]byte, items)})
+	require.NoError(c.t, err)
+}
+
+// takeOver has another coordinator claim all.
+func (c *script) takeOver() {
+	c.apply(c.at, gone{"n1", 1})
+	reply, _ := c.apply(c.at, Claim{Process: "n2", Incarnation: 1, Most: 100})
+	for _, k := range reply.([]Claimed) {
+		if k.Run == c.run {
+			c.fence = k.Fence
+		}
+	}
+}
+
+func (c *script) answer() *Answer {
+	c.alike(c.t)
+	reply, err := c.apply(c.at, Finish{c.run})
+	require.NoError(c.t, err)
+	return reply.(*Answer)
+}
+
+func TestServedOnceAndKnown(t *testing.T) {
+	c := begin(t, booking(2), "r")
+	require.Equal(t, Started{Known: true, Fence: c.fence}, c.start(booking(2), "r", "n1"), "started again")
+	require.Equal(t, Started{Known: true}, c.start(booking(2), "r", "n2"), "by another")
+	c.open(0, 1, "tour")
+	c.runs(0, 0)
+	c.open(1, 2, "")
+	c.runs(1, 0)
+	require.ErrorIs(t, c.send(2, 0), ErrStale, "a seat is yet to be held")
+	c.runs(1, 1)
+	c.runs(2, 0)
+	require.ErrorIs(t, c.send(2, 0), ErrTwice)
+	require.NotNil(t, c.runs(3, 0).Answer)
+	a := c.answer()
+	require.Equal(t, Served, a.Outcome)
+	require.Equal(t, []Results{{"notice", [][]byte{[]byte(`1`)}}}, a.Results)
+	require.Equal(t, a, c.start(booking(2), "r", "n2").Answer)
+	c.at = a.Until + 1
+	c.apply(c.at, nil)
+	_, err := c.apply(c.at, Start{Run: "r", Shape: booking(2), Before: a.Until, Process: "n1"})
+	require.ErrorIs(t, err, ErrBefore, "delivered late, after the answer was dropped")
+}
+
+func TestTicketOutAtTakeOver(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		c := begin(t, booking(1), "r")
+		c.open(0, 1, "tour")
+		c.runs(0, 0)
+		c.open(1, 1, "")
+		c.runs(1, 0)
+		require.NoError(t, c.send(2, 0))
+		old := c.sending(2, 0)
+		old.Attempt--
+		reply, err := c.apply(c.at, old)
+		require.NoError(t, err)
+		require.Equal(t, Sent{Again: true}, reply, "the reply was lost")
+		c.takeOver()
+		_, err = c.apply(c.at, old)
+		require.ErrorIs(t, err, ErrFence)
+		require.ErrorIs(t, c.send(2, 0), ErrTwice)
+		if late { // its end comes while the hold is undone: known, and the answer as decided
+			require.True(t, c.ended(2, 0, plan.Done, nil).Once)
+			require.False(t, c.ended(2, 0, plan.Done, nil).Once)
+		}
+		undo := Sending{Run: "r", Fence: c.fence, Stage: 1, Undo: true, Attempt: 1}
+		_, err = c.apply(c.at, undo)
+		require.NoError(t, err)
+		_, err = c.apply(c.at, Ended{Run: "r", Fence: c.fence, Stage: 1, Undo: true, Attempt: 1, End: plan.Done})
+		require.NoError(t, err)
+		a := c.answer()
+		require.Equal(t, "ticket", a.Stage)
+		require.Equal(t, plan.MayRun, a.End)
+		require.Equal(t, []string{"ticket"}, a.Left)
+		require.Equal(t, map[bool]Outcome{false: Unknown, true: Failed}[late], a.Outcome)
+	}
+}
+
+// TestFiftyLosses: fifty dependents, of one plan or of fifty, report one loss; the
+// output is made once more, by one.
+func TestFiftyLosses(t *testing.T) {
+	for _, plans := range []int{1, 50} {
+		seats := 50 / plans
+		c := begin(t, booking(seats), "r00")
+		var fences []uint64
+		each := func(f func()) {
+			for p := range plans {
+				c.run, c.fence = fmt.Sprintf("r%02d", p), fences[p]
+				f()
+			}
+		}
+		fences = append(fences, c.fence)
+		for p := 1; p < plans; p++ {
+			fences = append(fences, c.start(booking(seats), fmt.Sprintf("r%02d", p), "n1").Fence)
+		}
+		each(func() { c.open(0, 1, "tour") })
+		each(func() {
+			if c.run == "r00" {
+				c.runs(0, 0)
+			} else {
+				require.Error(t, c.send(0, 0), "it waits for r00, or has it")
+			}
+			c.open(1, seats, "")
+			for i := range seats {
+				require.NoError(t, c.send(1, i))
+			}
+		})
+		fresh, made := 0, 0
+		each(func() {
+			for i := range seats {
+				if !c.ended(1, i, plan.Lost, &LostInput{0, 1}).Known {
+					fresh++
+				}
+			}
+		})
+		require.Equal(t, 1, fresh)
+		c.alike(t)
+		each(func() {
+			for c.send(0, 0) == nil {
+				made++
+				c.ended(0, 0, plan.Done, nil)
+			}
+			require.EqualValues(t, 2, c.view().Run.Stages[0].Gen)
+		})
+		require.Equal(t, 1, made)
+		each(func() {
+			require.EqualValues(t, []uint64{2}, c.sending(1, 0).Inputs)
+			for i := range seats {
+				c.runs(1, i)
+			}
+			c.runs(2, 0)
+			require.Equal(t, Served, c.runs(3, 0).Answer.Outcome)
+		})
+		c.alike(t)
+	}
+}
+
+// TestHardCases: one way each to an end that must not be what it looks like.
+func TestHardCases(t *testing.T) {
+	two := func(first basaltloft.Effect, most int) Shape {
+		return Shape{Most: 6, Within: time.Second, Stages: []StageShape{
+			{Name: "a", Class: "a", Effect: first, Retries: []RetryShape{{On: []plan.End{plan.Failed}, Most: 9}}},
+			{Name: "b", Class: "b", Effect: basaltloft.Keyed, After: []int{0}, Reruns: []RerunShape{{Of: 0, Most: most}}},
+		}}
+	}
+	for name, x := range map[string]struct {
+		shape   Shape
+		do      func(c *script)
+		outcome Outcome
+		reason  string
+	}{
+		"nothing ran": {two(basaltloft.Unsafe, 1), func(c *script) {
+			require.NoError(c.t, c.send(0, 0))
+			c.ended(0, 0, plan.Refused, nil)
+		}, Refused, "no rule"},
+		"a retry rule on a never-twice stage that failed": {two(basaltloft.Unsafe, 1), func(c *script) {
+			require.NoError(c.t, c.send(0, 0))
+			c.ended(0, 0, plan.Failed, nil)
+		}, Unknown, "never run twice"},
+		"the loss of what must never be made twice": {two(basaltloft.Unsafe, 1), func(c *script) {
+			c.runs(0, 0)
+			require.NoError(c.t, c.send(1, 0))
+			c.ended(1, 0, plan.Lost, &LostInput{0, 1})
+		}, Unknown, "never run twice"},
+		"more losses than the rule allows": {two(basaltloft.Safe, 1), func(c *script) {
+			for g := range uint64(2) {
+				c.runs(0, 0)
+				require.NoError(c.t, c.send(1, 0))
+				c.ended(1, 0, plan.Lost, &LostInput{0, g + 1})
+			}
+		}, Unknown, "no rerun is left"},
+		"more attempts than the run has": {two(basaltloft.Safe, 1), func(c *script) {
+			for range 6 {
+				require.NoError(c.t, c.send(0, 0))
+				c.ended(0, 0, plan.Failed, nil)
+			}
+			require.ErrorIs(c.t, c.send(0, 0), ErrSettled)
+		}, Failed, "no attempts left"},
+		"a rerun that can't end in time": {two(basaltloft.Safe, 1), func(c *script) {
+			s := c.sending(0, 0)
+			s.Rest = time.Second
+			_, err := c.apply(c.at, s)
+			require.ErrorIs(c.t, err, ErrSettled)
+		}, Refused, "before the deadline"},
+		"a coordinator that does nothing": {two(basaltloft.Safe, 1), func(c *script) {
+			require.NoError(c.t, c.send(0, 0))
+			c.at += time.Second
+			c.apply(c.at, nil)
+			require.Equal(c.t, "its deadline passed", c.view().Run.Gave.Reason)
+			c.at += DefaultLimits().Grace
+			c.apply(c.at, nil)
+		}, Failed, "deadline"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := begin(t, x.shape, "r")
+			x.do(c)
+			a := c.answer()
+			require.Equal(t, x.outcome, a.Outcome)
+			require.Contains(t, a.Reason, x.reason)
+		})
+	}
+}
--- /dev/null
+++ b/internal/fleet/planrun/shape.go
@@ -0,0 +1,157 @@
+// Package planrun runs plans: which job of a plan is sent next, what an end of one
+// means for the others, when a plan gives up. A Book is the replicated side: the
+// progress of all plans under way, changed by commands that travel in the log, and
+// alike at every replica. Whoever drives a plan (its coordinator) evaluates what the
+// plan file says and reports ends; the Book holds whatever it sends to the rules.
+// The package does no I/O, reads no clock and starts no goroutine.
+package planrun
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"math/bits"
+	"time"
+
+	"basaltloft"
+	"basaltloft/internal/fleet/plan"
+)
+
+// Shape is what a Book needs to know of a plan. It travels in Start, so that a
+// replica neither reads plan files nor evaluates expressions.
+type Shape struct {
+	Stages []StageShape
+	Most   int           // attempts in all, reruns and undos included
+	Within time.Duration // its deadline is this long after its start, at the latest
+
+	up []uint64 // for each stage a bit for each stage upstream, however far; see link
+}
+
+// StageShape is one stage: indexes of stages count from 0, and a stage comes after
+// lower ones only.
+type StageShape struct {
+	Name, Class string
+	Effect      basaltloft.Effect
+	After       []int
+	Cost        time.Duration // hint of its run time; 0: none
+	Each        bool          // a list says how often it is run
+	MostEach    int           // longest list
+	AtLeast     int           // so many must end well; 0: all
+	Shared      bool
+	SharedFor   time.Duration
+	Retries     []RetryShape
+	Reruns      []RerunShape
+	Undo        *UndoShape
+}
+
+// RetryShape is plan.Retry with its jitter in thousandths: replicas add no floats.
+type RetryShape struct {
+	On               []plan.End
+	Most             int
+	Wait, WaitAtMost time.Duration // at most 0: no cap
+	Jitter           int
+	Where            plan.Place
+}
+
+// RerunShape is a rule that a stage upstream is run again.
+type RerunShape struct{ Of, Most int }
+
+// UndoShape is a stage's compensation.
+type UndoShape struct {
+	Class  string
+	Effect basaltloft.Effect
+	Most   int
+	Wait   time.Duration
+}
+
+// ShapeOf returns the shape of a checked plan.
+func ShapeOf(p *plan.Plan) Shape {
+	at := make(map[string]int, len(p.Stages))
+	s := Shape{Most: p.Most, Within: p.Within, Stages: make([]StageShape, len(p.Stages))}
+	for i, st := range p.Stages {
+		at[st.Name] = i
+		to := &s.Stages[i]
+		*to = StageShape{
+			Name: st.Name, Class: st.Class, Effect: st.Effect, Cost: st.Cost, Each: st.Each != nil, MostEach: st.MostEach,
+			AtLeast: st.AtLeast, Shared: st.Shared != nil, SharedFor: st.SharedFor,
+		}
+		for _, a := range st.After {
+			to.After = append(to.After, at[a])
+		}
+		for _, r := range st.Retries {
+			to.Retries = append(to.Retries, RetryShape{
+				On: r.On, Most: r.Most, Wait: r.Wait, WaitAtMost: r.WaitAtMost, Jitter: int(math.Round(r.Jitter * 1000)), Where: r.Where,
+			})
+		}
+		for _, r := range st.Reruns {
+			to.Reruns = append(to.Reruns, RerunShape{Of: at[r.Of], Most: r.Most})
+		}
+		if u := st.Undo; u != nil {
+			to.Undo = &UndoShape{Class: u.Class, Effect: u.Effect, Most: u.Most, Wait: u.Wait}
+		}
+	}
+	return s
+}
+
+// Bounds of a shape. Stages fit a word of bits.
+const (
+	mostStages = 64
+	mostItems  = 4096 // over all stages of a plan
+	mostName   = 256  // bytes of a name
+)
+
+// ErrShape says that a shape can't be run.
+var ErrShape = errors.New("unusable shape of a plan")
+
+// link checks a shape and works out what is upstream of what.
+func (s *Shape) link() error {
+	if n := len(s.Stages); n == 0 || n > mostStages || s.Most < 1 || s.Within <= 0 {
+		return fmt.Errorf("%w: %d stages, %d attempts, within %v", ErrShape, n, s.Most, s.Within)
+	}
+	up, items := make([]uint64, len(s.Stages)), 0
+	for i := range s.Stages {
+		st := &s.Stages[i]
+		for _, a := range st.After {
+			if a < 0 || a >= i {
+				return fmt.Errorf("%w: stage %d comes after %d", ErrShape, i, a)
+			}
+			up[i] |= up[a] | 1<<a
+		}
+		if items++; st.Each {
+			items += max(st.MostEach, 0)
+		}
+		bad := len(st.Name) > mostName || len(st.Class) > mostName || st.AtLeast < 0 || st.Cost < 0 ||
+			st.Shared && (st.Effect == basaltloft.Unsafe || st.SharedFor < 0) || st.Undo != nil && (st.Undo.Most < 0 || st.Undo.Wait < 0)
+		for _, r := range st.Reruns {
+			bad = bad || r.Of < 0 || r.Of >= i || up[i]&(1<<r.Of) == 0
+		}
+		for _, r := range st.Retries {
+			bad = bad || r.Most < 0 || r.Wait < 0 || r.WaitAtMost < 0 || r.Jitter < 0 || r.Jitter > 1000
+		}
+		if bad {
+			return fmt.Errorf("%w: stage %d", ErrShape, i)
+		}
+	}
+	if items > mostItems {
+		return fmt.Errorf("%w: %d items", ErrShape, items)
+	}
+	s.up = up
+	return nil
+}
+
+// upstream calls f for each stage upstream of one, in order.
+func (s *Shape) upstream(of int, f func(i, stage int)) {
+	for i, left := 0, s.up[of]; left != 0; i, left = i+1, left&(left-1) {
+		f(i, bits.TrailingZeros64(left))
+	}
+}
+
+// hangs tells whether a stage is downstream of another.
+func (s *Shape) hangs(stage, on int) bool { return s.up[stage]&(1<<on) != 0 }
+
+// Upstream lists the stages upstream of one, however far, in order: Sending.Inputs
+// are their generations.
+func (s *Shape) Upstream(of int) (list []int) {
+	s.upstream(of, func(_, u int) { list = append(list, u) })
+	return list
+}
