--- /dev/null
+++ b/internal/fleet/coordinator/coordinator.go
@@ -0,0 +1,269 @@
+// Package coordinator drives plans for a process of the fleet: it asks the replicated
+// state what comes next, evaluates what the plan file says, and hands each stage to the
+// dispatcher as a job like any other. What may be sent at all is for the state to say,
+// before it is sent; a coordinator that died or was cut off is replaced by another.
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"basaltloft/internal/core"
+	"basaltloft/internal/fleet/call"
+	"basaltloft/internal/fleet/codec"
+	"basaltloft/internal/fleet/parts"
+	"basaltloft/internal/fleet/plan"
+	"basaltloft/internal/fleet/planrun"
+	"basaltloft/internal/fleet/state"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Job is one attempt at a stage, for the dispatcher.
+type Job struct {
+	ID, Class, Tenant, Path, Key string
+	Body                         []byte
+	Until                        time.Time // its end counts no more after this
+	Hint                         time.Duration
+	NotMember                    string // "": any
+	NotItsZone                   bool   // nor any other member in that one's zone
+	Plan, Stage                  string
+}
+
+// Dispatcher runs jobs: each passes the same stages, decisions, account and rules as
+// a client's. Done is called once, unless Submit returns an error.
+type Dispatcher interface {
+	Submit(j Job, done func(core.Answer)) error
+}
+
+// Fleet is this process's place in it.
+type Fleet interface {
+	Session() *call.Session // nil: it has none just now
+	// Again takes an attempt beyond the first of the fleet's budget of a class.
+	Again(request, class string) bool
+	// ComeBack is when another is worth asking for.
+	ComeBack(class string, now time.Time) time.Time
+}
+
+// Errors of Start and Look.
+var (
+	ErrNoPlan  = errors.New("no plan of this name is in use here")
+	ErrNoFleet = errors.New("this process is not in the fleet just now")
+	ErrRefused = errors.New("the plan can't be begun")
+	ErrUnknown = errors.New("no such run, or it ended too long ago")
+)
+
+const (
+	mostRuns  = 4096                   // that one process drives
+	claimMost = 64                     // runs taken over at a time
+	claimFor  = 250 * time.Millisecond // between looks for runs that nobody drives
+	lookEvery = 100 * time.Millisecond // at a run that waits for another one's output
+	tryEvery  = 50 * time.Millisecond  // a command for which no keeper answered
+	orderFor  = 3 * time.Second
+)
+
+// Coordinator drives the runs of one process.
+type Coordinator struct {
+	fleet Fleet
+	jobs  Dispatcher
+	log   logrus.FieldLogger
+	grace time.Duration
+
+	mu       sync.Mutex
+	named    map[string]*plan.Plan // in use
+	digests  map[uint64]*plan.Plan // those, and older ones that runs may have
+	runs     map[string]*run
+	estimate planrun.Estimate
+	all      sync.WaitGroup
+}
+
+// New returns a coordinator without plans.
+func New(f Fleet, d Dispatcher, log logrus.FieldLogger) *Coordinator {
+	return &Coordinator{fleet: f, jobs: d, log: log, grace: planrun.DefaultLimits().Grace,
+		named: map[string]*plan.Plan{}, digests: map[uint64]*plan.Plan{}, runs: map[string]*run{}}
+}
+
+// Use takes plans in use in place of those before. Runs under way go on by the plan
+// that they began with.
+func (c *Coordinator) Use(plans []*plan.Plan) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.named = make(map[string]*plan.Plan, len(plans))
+	for _, p := range plans {
+		c.named[p.Name], c.digests[p.Digest] = p, p
+	}
+}
+
+// Run takes over runs that nobody drives, until the context ends; then the runs of
+// this process are left to the others.
+func (c *Coordinator) Run(ctx context.Context) error {
+	defer c.all.Wait()
+	tick := time.NewTicker(claimFor)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+			if err := c.claim(ctx); err != nil && ctx.Err() == nil {
+				c.log.WithError(err).Debug("runs of plans could not be claimed")
+			}
+		}
+	}
+}
+
+// claim takes over runs of plans that this process knows.
+func (c *Coordinator) claim(ctx context.Context) error {
+	s := c.fleet.Session()
+	c.mu.Lock()
+	claim := planrun.Claim{Most: min(claimMost, mostRuns-len(c.runs))}
+	for digest := range c.digests {
+		claim.Plans = append(claim.Plans, digest)
+	}
+	c.mu.Unlock()
+	if s == nil || len(claim.Plans) == 0 || claim.Most <= 0 {
+		return nil
+	}
+	ctx2, cancel := context.WithDeadline(ctx, time.Now().Add(orderFor))
+	defer cancel()
+	a, err := s.Read(ctx2, call.Query{Kind: parts.PlansOrphans})
+	if err != nil {
+		return err
+	}
+	var orphans int
+	if err := codec.Decode(a.Body, &orphans); err != nil || orphans == 0 {
+		return err
+	}
+	var r parts.PlanReply
+	if err := s.Order(ctx2, parts.PlansClaim, claim, &r); err != nil {
+		return err
+	}
+	for _, one := range r.Claimed {
+		look, err := c.look(ctx2, s, one.Run)
+		if err != nil {
+			return fmt.Errorf("run %s: %w", one.Run, err) // its fence is this process's: no other takes it, until its lease ends
+		}
+		if look.Run != nil && look.Run.Fence == one.Fence {
+			c.drive(ctx, one.Fence, look)
+		}
+	}
+	if len(r.Claimed) > 0 {
+		c.log.WithField("runs", len(r.Claimed)).Info("took over runs of plans")
+	}
+	return nil
+}
+
+func (c *Coordinator) look(ctx context.Context, s *call.Session, id string) (r parts.PlanReply, err error) {
+	body, err := codec.Encode(id)
+	if err != nil {
+		return r, err
+	}
+	a, err := s.Read(ctx, call.Query{Kind: parts.PlansLook, Body: body})
+	if err != nil {
+		return r, err
+	}
+	return r, codec.Decode(a.Body, &r)
+}
+
+// Ask is a plan that somebody wants run.
+type Ask struct {
+	Run, Plan, Tenant string
+	Input             []byte
+	Within            time.Duration // of fleet time; 0: as the plan says
+}
+
+// Start begins a run, or finds it under way, or ended with its final answer. An error
+// that wraps call.ErrNobody leaves open whether it has begun: the same ask may be
+// made again, here or at another process.
+func (c *Coordinator) Start(ctx, life context.Context, a Ask) (*planrun.Answer, error) {
+	c.mu.Lock()
+	p := c.named[a.Plan]
+	full := len(c.runs) >= mostRuns
+	c.mu.Unlock()
+	s := c.fleet.Session()
+	switch {
+	case p == nil:
+		return nil, fmt.Errorf("%w: %q", ErrNoPlan, a.Plan)
+	case s == nil:
+		return nil, ErrNoFleet
+	case full:
+		return nil, fmt.Errorf("%w: this process drives %d runs", ErrRefused, mostRuns)
+	}
+	look, err := c.look(ctx, s, a.Run)
+	if err != nil {
+		return nil, err
+	}
+	if look.Answer != nil || look.Run != nil {
+		return look.Answer, nil
+	}
+	if a.Within <= 0 || a.Within > p.Within {
+		a.Within = p.Within
+	}
+	var r parts.PlanReply
+	start := planrun.Start{Run: a.Run, Plan: p.Name, Tenant: a.Tenant, Digest: p.Digest, Shape: planrun.ShapeOf(p), Input: a.Input,
+		Seed: codec.Digest([]byte(a.Run)), Before: look.At + a.Within}
+	if err := s.Order(ctx, parts.PlansStart, start, &r); err != nil {
+		return nil, err
+	}
+	switch {
+	case r.No != "":
+		return nil, fmt.Errorf("%w: %s", ErrRefused, r.No)
+	case r.Answer == nil && r.Started.Fence != 0:
+		c.drive(life, r.Started.Fence, r)
+	}
+	return r.Answer, nil
+}
+
+// Look tells how a run stands: its final answer, or nil while it is under way.
+func (c *Coordinator) Look(ctx context.Context, id string) (*planrun.Answer, error) {
+	s := c.fleet.Session()
+	if s == nil {
+		return nil, ErrNoFleet
+	}
+	r, err := c.look(ctx, s, id)
+	if err == nil && r.Run == nil && r.Answer == nil {
+		err = ErrUnknown
+	}
+	return r.Answer, err
+}
+
+// drive goes on with a run under a fence of this process's.
+func (c *Coordinator) drive(ctx context.Context, fence uint64, r parts.PlanReply) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.digests[r.Run.Digest]
+	if old := c.runs[r.Run.ID]; p == nil || ctx.Err() != nil || old != nil && old.fence >= fence {
+		return
+	}
+	shape := planrun.ShapeOf(p)
+	d := &run{c: c, id: r.Run.ID, fence: fence, plan: p, shape: &shape, busy: map[try]bool{}, wake: make(chan struct{}, 1)}
+	d.see(r)
+	c.runs[d.id] = d
+	c.all.Go(func() {
+		d.drive(ctx)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.runs[d.id] == d {
+			delete(c.runs, d.id)
+		}
+	})
+}
+
+// ran learns how long a job of a class ran.
+func (c *Coordinator) ran(class string, took time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.estimate.Ran(class, took)
+}
+
+func (c *Coordinator) rest(at time.Duration, v planrun.View) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.estimate.Rest(at, v)
+}
+
+// gone tells whether an error means that this process no longer drives a run.
+func gone(err error) bool { return errors.Is(err, state.ErrFenced) || errors.Is(err, ErrNoFleet) }
