Plans: the language, read by hcl/v2, checked before use, evaluated within bounds

Ruled out: participle (a grammar and an evaluator of our own to keep), cel-go for conditions (a second type system and evaluator beside the file's), for-expressions (work beyond bounds).

--- /dev/null
+++ b/internal/fleet/plan/eval.go
@@ -0,0 +1,485 @@
+package plan
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"math"
+	"math/big"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+	"unicode"
+
+	"github.com/hashicorp/hcl/v2"
+	"github.com/hashicorp/hcl/v2/ext/tryfunc"
+	"github.com/hashicorp/hcl/v2/hclsyntax"
+	"github.com/valyala/fastjson"
+	"github.com/zclconf/go-cty/cty"
+	"github.com/zclconf/go-cty/cty/convert"
+	"github.com/zclconf/go-cty/cty/function"
+	"github.com/zclconf/go-cty/cty/function/stdlib"
+)
+
+// Bounds of values.
+const (
+	mostValue   = 1 << 20 // bytes of JSON, in and out
+	mostWeight  = 8 << 20 // bytes of JSON that one expression may go over
+	mostDeep    = 32      // lists and objects within one another
+	longestPath = 2048
+	longestKey  = 256
+	largest     = 1e300 // of a number
+)
+
+// Values are what expressions are evaluated over, as JSON. Text that is no JSON is
+// taken as a string.
+type Values struct {
+	Input   []byte            // what the plan was started with
+	Item    []byte            // of a stage with a list; nil: none
+	Results map[string][]byte // by stage; of a stage with a list, List of its items' results
+}
+
+// Item is an entry of a stage's list, as JSON.
+type Item []byte
+
+// List is the result of a stage with a list: a JSON list of its items' results, in
+// their order. A nil one, of an item that did not end well, is null.
+func List(results [][]byte) []byte {
+	var a fastjson.Arena
+	list := a.NewArray()
+	for i, text := range results {
+		v := a.NewNull()
+		if text != nil {
+			var err error
+			if v, err = fastjson.ParseBytes(text); err != nil {
+				v = fastjson.MustParseBytes(quoted(string(text)))
+			}
+		}
+		list.SetArrayItem(i, v)
+	}
+	return list.MarshalTo(nil)
+}
+
+// Render returns what a run of the stage is sent: its path, its body (nil: none)
+// and its key (empty: none).
+func (s *Stage) Render(v Values) (path string, body []byte, key string, err error) {
+	if path, body, key, err = render(s.Path, s.Body, s.Key, v); err != nil {
+		err = fmt.Errorf("stage %q: %w", s.Name, err)
+	}
+	return path, body, key, err
+}
+
+// Render returns what a try of the compensation is sent, over the same values as
+// the stage was.
+func (u *Undo) Render(v Values) (path string, body []byte, key string, err error) {
+	if path, body, key, err = render(u.Path, u.Body, u.Key, v); err != nil {
+		err = fmt.Errorf("undo: %w", err)
+	}
+	return path, body, key, err
+}
+
+func render(path, body, key hcl.Expression, v Values) (where string, sent []byte, same string, err error) {
+	names := v.names()
+	if where, err = word(path, names, pathFits); err != nil {
+		return "", nil, "", fmt.Errorf("path: %w", err)
+	}
+	if body != nil {
+		var made cty.Value
+		if made, err = evaluate(body, names); err == nil {
+			sent, err = encode(made)
+		}
+		if err != nil {
+			return "", nil, "", fmt.Errorf("body: %w", err)
+		}
+	}
+	if key != nil {
+		if same, err = word(key, names, keyFits); err != nil {
+			return "", nil, "", fmt.Errorf("key: %w", err)
+		}
+	}
+	return where, sent, same, nil
+}
+
+// Items returns what the stage is run for: the entries of its list, or one nil
+// item if it has none. A list that is too long, or too short for at_least, is an
+// error.
+func (s *Stage) Items(v Values) ([]Item, error) {
+	if s.Each == nil {
+		return []Item{nil}, nil
+	}
+	made, err := evaluate(s.Each, v.names())
+	if err != nil {
+		return nil, fmt.Errorf("stage %q: each: %w", s.Name, err)
+	}
+	if t := made.Type(); made.IsNull() || !t.IsTupleType() && !t.IsListType() {
+		return nil, fmt.Errorf("stage %q: each: a list is needed, not %s", s.Name, kind(made))
+	}
+	switch n := made.LengthInt(); {
+	case n > s.MostEach:
+		return nil, fmt.Errorf("stage %q: each: %d items, and at most %d are allowed", s.Name, n, s.MostEach)
+	case n < s.AtLeast:
+		return nil, fmt.Errorf("stage %q: each: %d items, and at least %d must end well", s.Name, n, s.AtLeast)
+	}
+	items := make([]Item, 0, made.LengthInt())
+	for it := made.ElementIterator(); it.Next(); {
+		_, one := it.Element()
+		text, err := encode(one)
+		if err != nil {
+			return nil, fmt.Errorf("stage %q: each: %w", s.Name, err)
+		}
+		items = append(items, text)
+	}
+	return items, nil
+}
+
+// SharedKey returns the key by which plans share a run of the stage; empty: it is
+// not shared. Keys are of the stage of this plan: plans of other names, or of
+// another digest, share nothing.
+func (s *Stage) SharedKey(v Values) (string, error) {
+	if s.Shared == nil {
+		return "", nil
+	}
+	key, err := word(s.Shared, v.names(), keyFits)
+	if err != nil {
+		return "", fmt.Errorf("stage %q: shared: %w", s.Name, err)
+	}
+	return key, nil
+}
+
+// Holds tells whether an attempt that ended so, with this result (nil: none),
+// reports that its input is lost or stale. Where that can't be told it doesn't
+// hold, and the error says why.
+func (r *Rerun) Holds(end End, result []byte) (bool, error) {
+	made, err := evaluate(r.When, map[string][]byte{"end": quoted(string(end)), "result": result})
+	if err == nil {
+		made, err = convert.Convert(made, cty.Bool)
+	}
+	if err == nil && (made.IsNull() || !made.IsKnown()) {
+		err = errors.New("true or false is needed")
+	}
+	if err != nil {
+		return false, fmt.Errorf("rerun of %q: when: %w", r.Of, err)
+	}
+	return made.True(), nil
+}
+
+func (v Values) names() map[string][]byte {
+	names := maps.Clone(v.Results)
+	if names == nil {
+		names = map[string][]byte{}
+	}
+	names["input"], names["item"] = v.Input, v.Item
+	return names
+}
+
+// word evaluates what must become text of a form.
+func word(e hcl.Expression, names map[string][]byte, fits func(string) error) (string, error) {
+	made, err := evaluate(e, names)
+	if err != nil {
+		return "", err
+	}
+	text, err := convert.Convert(made, cty.String)
+	if err != nil || text.IsNull() || !text.IsKnown() {
+		return "", fmt.Errorf("text is needed, not %s", kind(made))
+	}
+	return text.AsString(), fits(text.AsString())
+}
+
+func pathFits(path string) error {
+	if !strings.HasPrefix(path, "/") || len(path) > longestPath ||
+		strings.ContainsFunc(path, func(r rune) bool { return r <= ' ' || r > '~' || r == '#' }) {
+		return fmt.Errorf(`%.80q is no path: it begins with / and has at most %d of the letters that a URL may have; segment() writes others`, path, longestPath)
+	}
+	return nil
+}
+
+func keyFits(key string) error {
+	if key == "" || len(key) > longestKey || strings.ContainsFunc(key, func(r rune) bool { return !unicode.IsPrint(r) || r > '~' }) {
+		return fmt.Errorf("%.80q is no key: 1 to %d printable ASCII letters; segment() writes others", key, longestKey)
+	}
+	return nil
+}
+
+// evaluate computes an expression over names. It decodes only those in use.
+func evaluate(e hcl.Expression, names map[string][]byte) (made cty.Value, err error) {
+	defer func() { // the library's own guard against values that no check foresees
+		if r := recover(); r != nil {
+			made, err = cty.NilVal, fmt.Errorf("can't be evaluated: %v", r)
+		}
+	}()
+	ctx, weight := &hcl.EvalContext{Variables: map[string]cty.Value{}, Functions: functions}, 0
+	for _, t := range e.Variables() {
+		name := t.RootName()
+		text, known := names[name]
+		if !known {
+			return cty.NilVal, fmt.Errorf("there is no %s yet", name)
+		}
+		if weight += len(text); len(text) > mostValue || weight > mostWeight {
+			return cty.NilVal, fmt.Errorf("%s has %d bytes, and the values in use have %d; at most %d and %d are used", name, len(text), weight, mostValue, mostWeight)
+		}
+		if _, done := ctx.Variables[name]; !done {
+			if ctx.Variables[name], err = decode(text); err != nil {
+				return cty.NilVal, fmt.Errorf("%s: %w", name, err)
+			}
+		}
+	}
+	made, diags := e.Value(ctx)
+	for _, d := range diags {
+		if d.Severity == hcl.DiagError {
+			return cty.NilVal, fmt.Errorf("%s:%d:%d: %s", d.Subject.Filename, d.Subject.Start.Line, d.Subject.Start.Column, oneLine(d))
+		}
+	}
+	if !made.IsWhollyKnown() {
+		return cty.NilVal, errors.New("its value can't be known")
+	}
+	return made, nil
+}
+
+// decode reads JSON.
+func decode(text []byte) (cty.Value, error) {
+	if text == nil {
+		return cty.NullVal(cty.DynamicPseudoType), nil
+	}
+	v, err := fastjson.ParseBytes(text)
+	if err != nil {
+		return cty.StringVal(string(text)), nil
+	}
+	return from(v, mostDeep)
+}
+
+func from(v *fastjson.Value, deep int) (cty.Value, error) {
+	if deep == 0 {
+		return cty.NilVal, fmt.Errorf("lists and objects are nested more than %d deep", mostDeep)
+	}
+	switch v.Type() {
+	case fastjson.TypeTrue, fastjson.TypeFalse:
+		return cty.BoolVal(v.GetBool()), nil
+	case fastjson.TypeString:
+		return cty.StringVal(string(v.GetStringBytes())), nil
+	case fastjson.TypeNumber:
+		text := v.MarshalTo(nil)
+		if f, err := v.Float64(); err != nil || math.Abs(f) > largest || len(text) > longestKey {
+			return cty.NilVal, fmt.Errorf("%.40s is no number that can be used", text)
+		}
+		return cty.ParseNumberVal(string(text))
+	case fastjson.TypeArray:
+		var list []cty.Value
+		for _, one := range v.GetArray() {
+			made, err := from(one, deep-1)
+			if err != nil {
+				return cty.NilVal, err
+			}
+			list = append(list, made)
+		}
+		return cty.TupleVal(list), nil
+	case fastjson.TypeObject:
+		fields, err := map[string]cty.Value{}, error(nil)
+		v.GetObject().Visit(func(name []byte, one *fastjson.Value) {
+			made, bad := from(one, deep-1)
+			err = errors.Join(err, bad)
+			fields[string(name)] = made
+		})
+		if err != nil {
+			return cty.NilVal, err
+		}
+		return cty.ObjectVal(fields), nil
+	}
+	return cty.NullVal(cty.DynamicPseudoType), nil
+}
+
+// encode writes JSON: the same value, the same bytes.
+func encode(v cty.Value) ([]byte, error) {
+	text, err := appendValue(nil, v)
+	if err != nil {
+		return nil, err
+	}
+	return text, nil
+}
+
+func appendValue(to []byte, v cty.Value) (_ []byte, err error) {
+	t := v.Type()
+	switch {
+	case len(to) > mostValue:
+		return nil, fmt.Errorf("it has more than %d bytes", mostValue)
+	case !v.IsKnown():
+		return nil, errors.New("its value can't be known")
+	case v.IsNull():
+		to = append(to, "null"...)
+	case t == cty.Bool:
+		to = fmt.Appendf(to, "%t", v.True())
+	case t == cty.Number:
+		n := v.AsBigFloat()
+		if n.IsInf() || n.MantExp(nil) > 4096 || n.MantExp(nil) < -4096 {
+			return nil, errors.New("a number is too large or too small")
+		}
+		if whole, exact := n.Int64(); exact == big.Exact { // the common case, and the fast one
+			to = strconv.AppendInt(to, whole, 10)
+		} else {
+			to = n.Append(to, 'f', -1)
+		}
+	case t == cty.String:
+		to = append(to, quoted(v.AsString())...)
+	case t.IsObjectType() || t.IsMapType():
+		to = append(to, '{')
+		for i, name := range slices.Sorted(maps.Keys(v.AsValueMap())) {
+			if i > 0 {
+				to = append(to, ',')
+			}
+			to = append(append(to, quoted(name)...), ':')
+			one := v.AsValueMap()[name]
+			if to, err = appendValue(to, one); err != nil {
+				return nil, err
+			}
+		}
+		to = append(to, '}')
+	case t.IsTupleType() || t.IsListType() || t.IsSetType():
+		to = append(to, '[')
+		for it, n := v.ElementIterator(), 0; it.Next(); n++ {
+			if n > 0 {
+				to = append(to, ',')
+			}
+			_, one := it.Element()
+			if to, err = appendValue(to, one); err != nil {
+				return nil, err
+			}
+		}
+		to = append(to, ']')
+	default:
+		return nil, fmt.Errorf("%s can't be sent", t.FriendlyName())
+	}
+	if len(to) > mostValue {
+		return nil, fmt.Errorf("it has more than %d bytes", mostValue)
+	}
+	return to, nil
+}
+
+func quoted(text string) []byte {
+	out, _ := json.Marshal(text) // text has a form always
+	return out
+}
+
+func kind(v cty.Value) string {
+	if v.IsNull() {
+		return "null"
+	}
+	return v.Type().FriendlyName()
+}
+
+// functions are all that expressions may call. None is random, reads a clock, or
+// makes much of little.
+var functions = map[string]function.Function{
+	"can":        tryfunc.CanFunc,
+	"coalesce":   stdlib.CoalesceFunc,
+	"contains":   stdlib.ContainsFunc,
+	"format":     guarded(stdlib.FormatFunc, formatFits),
+	"join":       guarded(stdlib.JoinFunc, joinFits),
+	"jsonencode": stdlib.JSONEncodeFunc,
+	"length":     stdlib.LengthFunc,
+	"lower":      stdlib.LowerFunc,
+	"present":    presentFunc,
+	"segment":    segmentFunc,
+	"try":        tryfunc.TryFunc,
+}
+
+// guarded looks at the first argument, which is text, before a function is called.
+func guarded(f function.Function, fits func(string) error) function.Function {
+	return function.New(&function.Spec{
+		Params: f.Params(), VarParam: f.VarParam(), Type: f.ReturnTypeForValues,
+		Impl: func(args []cty.Value, _ cty.Type) (cty.Value, error) {
+			if args[0].IsKnown() && !args[0].IsNull() {
+				if err := fits(args[0].AsString()); err != nil {
+					return cty.NilVal, function.NewArgError(0, err)
+				}
+			}
+			return f.Call(args)
+		},
+	})
+}
+
+// formatFits: a width of many digits would make much of nothing.
+func formatFits(spec string) error {
+	digits := 0
+	for _, r := range spec {
+		if digits++; !unicode.IsDigit(r) {
+			digits = 0
+		}
+		if digits > 2 || len(spec) > longestKey || strings.Count(spec, "%") > 16 {
+			return fmt.Errorf("a format has at most %d letters, 16 verbs, and numbers of 2 digits", longestKey)
+		}
+	}
+	return nil
+}
+
+func joinFits(between string) error {
+	if len(between) > longestName {
+		return fmt.Errorf("what goes between has at most %d letters", longestName)
+	}
+	return nil
+}
+
+// presentFunc is a list without its nulls.
+var presentFunc = function.New(&function.Spec{
+	Params: []function.Parameter{{Name: "list", Type: cty.DynamicPseudoType}},
+	Type: func(args []cty.Value) (cty.Type, error) {
+		return cty.DynamicPseudoType, nil
+	},
+	Impl: func(args []cty.Value, _ cty.Type) (cty.Value, error) {
+		if t := args[0].Type(); !t.IsTupleType() && !t.IsListType() {
+			return cty.NilVal, function.NewArgErrorf(0, "a list is needed, not %s", kind(args[0]))
+		}
+		var kept []cty.Value
+		for it := args[0].ElementIterator(); it.Next(); {
+			if _, one := it.Element(); !one.IsNull() {
+				kept = append(kept, one)
+			}
+		}
+		return cty.TupleVal(kept), nil
+	},
+})
+
+// segmentFunc is text as one segment of a path.
+var segmentFunc = function.New(&function.Spec{
+	Params: []function.Parameter{{Name: "text", Type: cty.String}},
+	Type:   function.StaticReturnType(cty.String),
+	Impl: func(args []cty.Value, _ cty.Type) (cty.Value, error) {
+		text := url.PathEscape(args[0].AsString())
+		if text == "" || text == "." || text == ".." {
+			return cty.NilVal, function.NewArgErrorf(0, "%q is no segment of a path", text)
+		}
+		return cty.StringVal(text), nil
+	},
+})
+
+// plain tells whether an expression is of the allowed kinds, and within bounds; if
+// not, it says why.
+func (f *file) plain(e hcl.Expression) bool {
+	before, nodes := len(f.problems), 0
+	_ = hclsyntax.VisitAll(e.(hclsyntax.Expression), func(n hclsyntax.Node) hcl.Diagnostics {
+		if nodes++; nodes == mostNodes {
+			f.fail(e.Range(), "an expression of more than %d parts: make it smaller", mostNodes)
+		}
+		switch n := n.(type) {
+		case *hclsyntax.ForExpr:
+			f.fail(n.Range(), "for has no place in a plan: each runs a stage for each item, and list[*].name takes a field of all")
+		case *hclsyntax.FunctionCallExpr:
+			if _, known := functions[n.Name]; !known {
+				f.fail(n.NameRange, "unknown function %q%s", n.Name, instead(n.Name, slices.Sorted(maps.Keys(functions))))
+			}
+		case *hclsyntax.SplatExpr:
+			_ = hclsyntax.VisitAll(n.Each, func(in hclsyntax.Node) hcl.Diagnostics {
+				if s, nested := in.(*hclsyntax.SplatExpr); nested {
+					f.fail(s.Range(), "[*] within [*] has no place in a plan: let the stage return the list")
+				}
+				return nil
+			})
+		case *hclsyntax.LiteralValueExpr:
+			if n.Val.Type() == cty.Number && !n.Val.IsNull() && n.Val.AsBigFloat().Cmp(big.NewFloat(largest)) > 0 {
+				f.fail(n.Range(), "a number above %g", largest)
+			}
+		}
+		return nil
+	})
+	return len(f.problems) == before
+}
--- /dev/null
+++ b/internal/fleet/plan/file.go
@@ -0,0 +1,35 @@
+package plan
+
+import (
+	"strings"
+
+	"basaltloft"
+)
+
+// CheckFile checks a plan file for who wrote it. The lines are its problems, or
+// what its plans may come to; ok tells which. No classes at all is a problem: the
+// rules on what may run again need them.
+func CheckFile(name, text string, classes []basaltloft.Class) (lines []string, ok bool) {
+	plans, problems := Parse(name, []byte(text), Classes(classes))
+	for _, p := range problems {
+		lines = append(lines, strings.Replace(p.String(), ": ", ": error: ", 1))
+	}
+	if len(problems) > 0 {
+		return lines, false
+	}
+	for _, p := range plans {
+		for _, line := range strings.Split(strings.TrimSuffix(p.Describe(), "\n"), "\n") {
+			lines = append(lines, name+": "+line)
+		}
+	}
+	return lines, true
+}
+
+// Classes are classes by their names, as Parse takes them.
+func Classes(list []basaltloft.Class) map[string]basaltloft.Class {
+	by := make(map[string]basaltloft.Class, len(list))
+	for _, c := range list {
+		by[c.Name] = c
+	}
+	return by
+}
--- a/internal/fleet/plan/model.go
+++ b/internal/fleet/plan/model.go
@@ -39,7 +39,10 @@
 	Most   int           // attempts in all, reruns and compensations included
 	Stages []*Stage      // each after all that it comes after
 	ByName map[string]*Stage
-	Worst  Worst // computed by the check, within the bounds above
+	Worst  Worst    // computed by the check, within the bounds above
+	Notes  []string // what the check allows and an operator should know
+
+	at map[string]hcl.Range // of its bounds
 }
 
 // Worst is the worst case that the check has computed.
@@ -63,15 +66,17 @@
 	Name   string
 	Class  string
 	Effect basaltloft.Effect
-	After  []string // stages that must have ended well; their results may be used
+	GiveUp time.Duration // of its class: how long an attempt may take
+	Runs   int           // at most, the first included; computed by the check
+	After  []string      // stages that must have ended well; their results may be used
 	Path   hcl.Expression
 	Body   hcl.Expression // what the job is sent, over input, item and stage results
 	Key    hcl.Expression // of a keyed class: the same at each run of the stage
 	Cost   time.Duration  // hint of its run time; 0: learned only
 
-	Each     hcl.Expression // a list: the stage is run for each item; nil: once
+	Each     hcl.Expression // a list: the stage is run for each item, those of its first run; nil: once
 	MostEach int            // longest list
-	AtLeast  int            // so many must end well; 0: all
+	AtLeast  int            // so many must end well, once each has ended; 0: all
 
 	Shared    hcl.Expression // a key by which plans share one run of it; nil: its own
 	SharedFor time.Duration  // a shared result is good for so long
@@ -80,6 +85,8 @@
 	Reruns  []Rerun
 	Undo    *Undo // what compensates it when the plan gives up after it may have run
 	Range   hcl.Range
+
+	afterAt []hcl.Range // of each of After
 }
 
 // Retry says that a stage is tried again.
@@ -91,6 +98,8 @@
 	Jitter     float64 // the wait varies by this share of itself, either way
 	Where      Place
 	Range      hcl.Range
+
+	onAt []hcl.Range // of each of On
 }
 
 // Rerun says that a stage upstream is run again, and with it all that hung on its
@@ -98,16 +107,19 @@
 type Rerun struct {
 	Of    string         // a stage this one comes after, directly or not
 	When  hcl.Expression // over end and result of this stage
-	Most  int            // generations beyond the first, for the plan
+	Most  int            // generations of Of beyond the first, for the plan, whichever rule asked
 	Range hcl.Range
+
+	ofAt hcl.Range
 }
 
 // Undo compensates a stage.
 type Undo struct {
 	Class           string
 	Effect          basaltloft.Effect
+	GiveUp          time.Duration // of its class: how long a try may take
 	Path, Body, Key hcl.Expression
-	Most            int // tries
-	Wait            time.Duration
+	Most            int           // tries
+	Wait            time.Duration // between tries, not doubled
 	Range           hcl.Range
 }
