--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -107,6 +107,26 @@
 	}
 }
 
+// TestCheckPlans: a plan file is checked against the classes of the configuration
+// that is named, and not without.
+func TestCheckPlans(t *testing.T) {
+	at := func(name string) string { return filepath.Join("..", "..", name) }
+	plans := at("deploy/plans-archive-example.hcl")
+	status, out, errs := call("config", "check", plans, "--config", at("experiments/archive.json"))
+	require.Equal(t, exitOK, status, out+errs)
+	require.Contains(t, out, plans+`: plan "reading": at most 26 attempts (bound 30)`)
+	require.Contains(t, out, plans+": ok (plans)\n")
+	status, out, _ = call("config", "check", plans, "--config", at("deploy/config-example.json"))
+	require.Equal(t, exitFailed, status)
+	require.Contains(t, out, plans+`:12:13: error: unknown class "preview"; one of group-ticket, place-hold`)
+	status, out, _ = call("config", "check", plans)
+	require.Equal(t, exitFailed, status)
+	require.Contains(t, out, "name the configuration that has them (config check --config FILE)")
+	status, _, errs = call("config", "check", plans, "--config", "/nowhere")
+	require.Equal(t, exitFailed, status)
+	require.Contains(t, errs, "no such file")
+}
+
 // TestVerify: a journal that adds up gets status 0; one in which a bit has
 // flipped gets status 1 and a line that says where.
 func TestVerify(t *testing.T) {
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -8,8 +8,10 @@
 	"os/signal"
 	"runtime/debug"
 	"strconv"
+	"strings"
 	"syscall"
 
+	"basaltloft/internal/fleet/plan"
 	"basaltloft/internal/service"
 	"basaltloft/internal/settings"
 
@@ -132,14 +134,18 @@
 
 func checkCommand(sh *shared) *cobra.Command {
 	config := &cobra.Command{Use: "config", Short: "look after configuration files", Args: none, RunE: help}
-	config.AddCommand(&cobra.Command{
-		Use: "check FILE", Short: "name everything that is wrong in a configuration or an operator's file",
+	var classes string
+	check := &cobra.Command{
+		Use: "check FILE", Short: "name everything that is wrong in a configuration, an operator's file or a plan file (.hcl)",
 		Args: exactly("FILE"),
 		RunE: func(_ *cobra.Command, args []string) error {
 			text, err := os.ReadFile(args[0])
 			if err != nil {
 				return err
 			}
+			if strings.HasSuffix(args[0], ".hcl") {
+				return checkPlans(sh, args[0], string(text), classes)
+			}
 			r := settings.Check(text)
 			for _, p := range r.Problems {
 				fmt.Fprintf(sh.out, "%s: error: %s\n", args[0], p)
@@ -153,8 +159,33 @@
 			fmt.Fprintf(sh.out, "%s: ok (%s)\n", args[0], r.Kind)
 			return nil
 		},
-	})
+	}
+	check.Flags().StringVar(&classes, "config", "", "the configuration `file` whose classes a plan file's stages name")
+	config.AddCommand(check)
 	return config
 }
 
+// checkPlans checks a plan file against the classes of a configuration.
+func checkPlans(sh *shared, name, text, config string) error {
+	var c settings.Config
+	if config != "" {
+		from, err := os.ReadFile(config)
+		if err != nil {
+			return err
+		}
+		if c, err = settings.DecodeConfig(from); err != nil {
+			return fmt.Errorf("%s: %w", config, err)
+		}
+	}
+	lines, ok := plan.CheckFile(name, text, c.Settings.Classes)
+	for _, line := range lines {
+		fmt.Fprintln(sh.out, line)
+	}
+	if !ok {
+		return silent
+	}
+	fmt.Fprintf(sh.out, "%s: ok (plans)\n", name)
+	return nil
+}
+
 func help(c *cobra.Command, _ []string) error { return c.Help() }
