--- a/basaltloft.go
+++ b/basaltloft.go
@@ -193,6 +193,9 @@
 	Retry   bool   // the client repeats it; see Settings.MarksRetry
 	Once    bool   // an error ends it: whoever sent it tries again by rules of its own
 	Needs   string // only workers that offer this may get it; empty: any
+
+	NotWorker uint32 // this one may not get it; 0: none
+	NotZone   string // nor may any in this zone; empty: none
 }
 
 // Status is how an attempt or probe ended.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -296,6 +296,11 @@
 func (c *Core) request(t *Transaction) basaltloft.Request {
 	r := c.stages.Route(t)
 	r.Expires = c.clock(t.Deadline)
+	if m := c.members[t.NotMember]; m != nil {
+		if r.NotWorker = m.number; t.NotItsZone {
+			r.NotZone = m.Zone
+		}
+	}
 	return r
 }
 
@@ -349,6 +354,7 @@
 	if t.answered {
 		return
 	}
+	a.Sends, a.MayHaveRun, a.Last, a.Member = t.sends, t.mayRun || t.live != nil, t.last, t.at
 	c.close(t)
 	c.stages.Book(t, a, c.now)
 	t.Client.Answer(a)
@@ -389,7 +395,7 @@
 	})
 	c.timers.drop(f.due)
 	c.release(f, s)
-	t.last = s
+	t.last, t.mayRun = s, t.mayRun || !c.settings.Rules.NeverRan(s)
 	c.flowing--
 	if t.live == f {
 		t.live = nil
--- a/internal/core/host.go
+++ b/internal/core/host.go
@@ -37,7 +37,7 @@
 	}
 	f := c.stages.Send(t, m, t.sends, c.now, until)
 	t.sends++
-	t.live, f.place = f, place
+	t.live, t.at, f.place = f, m.ID, place
 	c.flowing++
 	f.due = c.timers.add(f.Deadline, func() {
 		if !f.ended {
--- a/internal/core/transaction.go
+++ b/internal/core/transaction.go
@@ -21,6 +21,8 @@
 	Hint              time.Duration
 	Slots, Memory     float64
 	Once              bool   // an error ends it; see basaltloft.Request
+	NotMember         string // not to be sent there, or, with NotItsZone, anywhere in that one's zone
+	NotItsZone        bool
 	Needs             string // only members that offer it may have this one; empty: any
 	Retry             bool
 	Client            Client
@@ -31,6 +33,8 @@
 	live     *Flow
 	answered bool
 	last     basaltloft.Status // how the last flow ended
+	mayRun   bool              // some flow that ended may have run
+	at       string            // the member of the last flow
 	due      *timer            // its deadline
 }
 
@@ -67,6 +71,12 @@
 	RetryAt time.Time // Refused: when to come back; zero: no advice
 	Reason  account.Reason
 	Ran     bool // Refused: a member has run it and called it failed, which its class lets be repeated
+
+	// What came before it, for who decides what follows; the core sets them.
+	Sends      int               // flows
+	MayHaveRun bool              // at some member, or may yet
+	Last       basaltloft.Status // how the last flow ended; of no meaning without flows
+	Member     string            // that the last flow went to
 }
 
 // Flow is a server-side flow: one attempt of a transaction at a pool member.
--- a/internal/fleet/call/call.go
+++ b/internal/fleet/call/call.go
@@ -51,7 +51,8 @@
 
 // Answer answers a query.
 type Answer struct {
-	Index uint64 // of the last command that the answer knows of
+	Index uint64        // of the last command that the answer knows of
+	At    time.Duration // its fleet time
 	Code  state.Code
 	Text  string
 	Body  []byte
--- a/internal/fleet/coordinator/coordinator.go
+++ b/internal/fleet/coordinator/coordinator.go
@@ -165,7 +165,9 @@
 	if err != nil {
 		return r, err
 	}
-	return r, codec.Decode(a.Body, &r)
+	err = codec.Decode(a.Body, &r)
+	r.Index, r.At = a.Index, a.At
+	return r, err
 }
 
 // Ask is a plan that somebody wants run.
@@ -239,7 +241,7 @@
 		return
 	}
 	shape := planrun.ShapeOf(p)
-	d := &run{c: c, id: r.Run.ID, fence: fence, plan: p, shape: &shape, busy: map[try]bool{}, wake: make(chan struct{}, 1)}
+	d := &run{c: c, id: r.Run.ID, fence: fence, plan: p, shape: &shape, busy: map[try]bool{}, wake: make(chan struct{}, 1), life: ctx}
 	d.see(r)
 	c.runs[d.id] = d
 	c.all.Go(func() {
--- a/internal/fleet/coordinator/run.go
+++ b/internal/fleet/coordinator/run.go
@@ -24,7 +24,8 @@
 	fence uint64
 	plan  *plan.Plan
 	shape *planrun.Shape
-	wake  chan struct{} // the view is newer, or something has ended
+	wake  chan struct{}   // the view is newer, or something has ended
+	life  context.Context // of the coordinator: ends are told also when the run is another's
 
 	mu    sync.Mutex
 	view  planrun.View
@@ -261,13 +262,11 @@
 	if a.Extra && !r.pay(ctx, a.Class, j.Until) {
 		return
 	}
-	if _, at, over := r.now(); !over {
-		p, ok := r.order(ctx, parts.PlansSending, planrun.Sending{
-			Run: r.id, Fence: r.fence, Stage: a.Stage, Item: a.Item, Undo: a.Undo, Generation: a.Generation, Inputs: a.Inputs, Attempt: a.Attempt, Rest: r.c.rest(at, v),
-		})
-		if !ok || p.Sent == nil {
-			return
-		}
+	p, ok := r.order(ctx, parts.PlansSending, planrun.Sending{
+		Run: r.id, Fence: r.fence, Stage: a.Stage, Item: a.Item, Undo: a.Undo, Generation: a.Generation, Inputs: a.Inputs, Attempt: a.Attempt, Rest: r.c.rest(at, v),
+	})
+	if !ok || p.Sent == nil || ctx.Err() != nil {
+		return
 	}
 	j.ID = jobID(r.id, a)
 	done := make(chan core.Answer, 1)
@@ -289,9 +288,9 @@
 			r.lost(&ended, st, a, answer.Body)
 		}
 	}
-	if p, _ := r.order(ctx, parts.PlansEnded, ended); p.No == planrun.ErrTooLarge.Error() {
+	if p, _ := r.order(r.life, parts.PlansEnded, ended); p.No == planrun.ErrTooLarge.Error() {
 		ended.End, ended.Result = plan.Failed, nil
-		r.order(ctx, parts.PlansEnded, ended)
+		r.order(r.life, parts.PlansEnded, ended)
 	}
 }
 
--- a/internal/fleet/keeper/serve.go
+++ b/internal/fleet/keeper/serve.go
@@ -143,7 +143,7 @@
 // Ask answers a query of the state as it is here.
 func (k *Keeper) Ask(q call.Query) (a call.Answer) {
 	k.fsm.read(func(m *state.Machine) {
-		a.Index = m.Index()
+		a.Index, a.At = m.Index(), m.At()
 		body, err := m.Ask(q.Kind, q.Body)
 		if err != nil {
 			a.Code, a.Text = state.Refused, err.Error()
--- a/internal/fleet/parts/plans.go
+++ b/internal/fleet/parts/plans.go
@@ -23,6 +23,7 @@
 	PlansSending state.Kind = "plans/sending"
 	PlansEnded   state.Kind = "plans/ended"
 	PlansAbandon state.Kind = "plans/abandon"
+	PlansOrphans state.Kind = "plans/orphans" // a query: how many runs nobody drives
 	PlansLook    state.Kind = "plans/look" // a query with a run's id, answered with a PlanReply
 )
 
@@ -40,14 +41,6 @@
 	Answer  *planrun.Answer
 }
 
-// PlansTold is what a renewal says to this part: nothing yet.
-type PlansTold struct{}
-
-// PlansNews answers a renewal.
-type PlansNews struct {
-	Orphans int // runs that nobody drives
-}
-
 // Plans is the part of plans under way.
 type Plans struct{ book *planrun.Book }
 
@@ -150,13 +143,9 @@
 	r.Answer = p.book.Answer(run)
 }
 
-// Renewed implements state.Part.
-func (p *Plans) Renewed(_ state.Command, body []byte) ([]byte, error) {
-	var t PlansTold
-	if err := codec.Decode(body, &t); err != nil {
-		return nil, err
-	}
-	return codec.Encode(PlansNews{Orphans: p.book.Orphans()})
+// Renewed implements state.Part: a renewal says nothing to this part.
+func (*Plans) Renewed(state.Command, []byte) ([]byte, error) {
+	return nil, errors.New("plans are not renewed")
 }
 
 // Gone implements state.Part: the runs that an incarnation drove wait for another.
@@ -169,16 +158,19 @@
 
 // Ask implements state.Asked.
 func (p *Plans) Ask(kind state.Kind, body []byte) ([]byte, error) {
-	var run string
-	if kind != PlansLook {
-		return nil, fmt.Errorf("no plan query %q", kind)
-	}
-	if err := codec.Decode(body, &run); err != nil {
-		return nil, err
+	switch kind {
+	case PlansOrphans:
+		return codec.Encode(p.book.Orphans())
+	case PlansLook:
+		var run string
+		if err := codec.Decode(body, &run); err != nil {
+			return nil, err
+		}
+		var r PlanReply
+		p.tell(run, &r)
+		return codec.Encode(r)
 	}
-	var r PlanReply
-	p.tell(run, &r)
-	return codec.Encode(r)
+	return nil, fmt.Errorf("no plan query %q", kind)
 }
 
 // Freeze implements state.Part.
--- a/internal/fleet/planrun/book.go
+++ b/internal/fleet/planrun/book.go
@@ -58,6 +58,7 @@
 // Start begins a run. One that is known goes on, or is answered.
 type Start struct {
 	Run, Plan   string
+	Tenant      string
 	Digest      uint64
 	Shape       Shape
 	Input       []byte
@@ -79,6 +80,7 @@
 	Process     string
 	Incarnation uint64
 	Most        int
+	Plans       []uint64 // digests of the plans that it knows; none: any
 }
 
 // Claimed is a run that was taken over.
@@ -255,7 +257,7 @@
 		return Started{}, fmt.Errorf("starting run %s at %v: %w", c.Run, at, ErrBefore)
 	case len(b.runs) >= b.limits.Runs || len(b.runs)+len(b.ended) >= b.limits.Known:
 		return Started{}, ErrFull
-	case len(c.Input) > b.limits.RunBytes || c.Run == "" || len(c.Run) > mostName || len(c.Plan) > mostName || len(c.Process) > mostName:
+	case len(c.Input) > b.limits.RunBytes || c.Run == "" || len(c.Run) > mostName || len(c.Plan) > mostName || len(c.Tenant) > mostName || len(c.Process) > mostName:
 		return Started{}, fmt.Errorf("starting a run of plan %.32s: %w", c.Plan, ErrTooLarge)
 	}
 	key, shape, err := b.intern(c.Shape)
@@ -264,7 +266,7 @@
 	}
 	b.fence++
 	r := &Run{
-		ID: c.Run, Plan: c.Plan, Digest: c.Digest, Shape: key, Input: c.Input, Seed: c.Seed, Started: at, Before: c.Before,
+		ID: c.Run, Plan: c.Plan, Tenant: c.Tenant, Digest: c.Digest, Shape: key, Input: c.Input, Seed: c.Seed, Started: at, Before: c.Before,
 		Deadline: min(c.Before, at+shape.Within), Process: c.Process, Incarnation: c.Incarnation, Fence: b.fence,
 		Bytes: len(c.Input), Stages: make([]Stage, len(shape.Stages)), shape: shape,
 	}
@@ -313,7 +315,9 @@
 	at = b.tick(at)
 	var list []*Run
 	for _, id := range b.orphans {
-		list = append(list, b.runs[id])
+		if r := b.runs[id]; len(c.Plans) == 0 || slices.Contains(c.Plans, r.Digest) {
+			list = append(list, r)
+		}
 	}
 	slices.SortStableFunc(list, func(x, y *Run) int { return cmp.Compare(x.Deadline, y.Deadline) })
 	var claimed []Claimed
--- a/internal/fleet/planrun/run.go
+++ b/internal/fleet/planrun/run.go
@@ -82,6 +82,7 @@
 // Run is the progress of a plan under way.
 type Run struct {
 	ID, Plan    string
+	Tenant      string
 	Digest      uint64 // of the plan's text
 	Shape       uint64 // its key among the Book's shapes
 	Input       []byte
--- a/state.go
+++ b/state.go
@@ -377,6 +377,9 @@
 
 func (d *Dispatcher) suits(j *job, w *worker) bool {
 	k := j.class.Kind
+	if j.NotWorker != 0 && j.NotWorker == w.Worker || j.NotZone != "" && j.NotZone == w.Zone {
+		return false
+	}
 	return d.usable(w) && (d.Purse == nil || d.Purse.Room(w.Kind)) && (k < 0 || d.Kinds[k] == w.Kind) && (w.Offers == nil || j.Needs == "" || slices.Contains(w.Offers, j.Needs))
 }
 
