Plans on the fleet: coordinator, door calls, stages as jobs like any other (in progress)

Need: plans run over the fleet's processes; the state says what may be sent before it is sent. Change: parts/plans, internal/fleet/coordinator, the plans front of the account, door calls POST /plans/NAME, GET /runs/ID, GET /fleet; an answer tells whether its job may have run.

--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"runtime/debug"
 	"strconv"
 	"strings"
@@ -57,7 +58,7 @@
 	signal.Notify(reloads, syscall.SIGHUP)
 	service.Fit(c)
 	return service.Run(ctx, service.Options{
-		Config: c, Operator: extra, Log: sh.logger(),
+		Config: c, Operator: extra, OperatorDir: filepath.Dir(operator), Log: sh.logger(),
 		Reread: func() (settings.Config, error) { return configure(nil) },
 	}, told, reloads)
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -354,7 +354,7 @@
 	if t.answered {
 		return
 	}
-	a.Sends, a.MayHaveRun, a.Last, a.Member = t.sends, t.mayRun || t.live != nil, t.last, t.at
+	a.Sends, a.MayHaveRun, a.Last, a.Member, a.Said = t.sends, t.mayRun || t.live != nil, t.last, t.at, t.said
 	c.close(t)
 	c.stages.Book(t, a, c.now)
 	t.Client.Answer(a)
@@ -396,6 +396,9 @@
 	c.timers.drop(f.due)
 	c.release(f, s)
 	t.last, t.mayRun = s, t.mayRun || !c.settings.Rules.NeverRan(s)
+	if s == basaltloft.Error {
+		t.said = result
+	}
 	c.flowing--
 	if t.live == f {
 		t.live = nil
--- a/internal/core/transaction.go
+++ b/internal/core/transaction.go
@@ -35,6 +35,7 @@
 	last     basaltloft.Status // how the last flow ended
 	mayRun   bool              // some flow that ended may have run
 	at       string            // the member of the last flow
+	said     []byte            // with the last error of a member
 	due      *timer            // its deadline
 }
 
@@ -77,6 +78,7 @@
 	MayHaveRun bool              // at some member, or may yet
 	Last       basaltloft.Status // how the last flow ended; of no meaning without flows
 	Member     string            // that the last flow went to
+	Said       []byte            // with the last error of a member
 }
 
 // Flow is a server-side flow: one attempt of a transaction at a pool member.
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -53,6 +53,7 @@
 	op     Operator
 	log    logrus.FieldLogger
 	server *http.Server
+	fleet  Fleet // nil: this process is alone
 }
 
 // New returns a door that is not serving yet.
@@ -117,6 +118,7 @@
 		d.runner(w, r, strings.TrimPrefix(path, "/runners/"))
 	case path == "/_jobs/news":
 		d.news(w, r)
+	case d.askFleet(w, r):
 	default:
 		d.refuse(w, r, http.StatusNotFound, "no such call")
 	}
--- a/internal/fleet/coordinator/coordinator.go
+++ b/internal/fleet/coordinator/coordinator.go
@@ -77,6 +77,7 @@
 	digests  map[uint64]*plan.Plan // those, and older ones that runs may have
 	runs     map[string]*run
 	estimate planrun.Estimate
+	life     context.Context // nil: not running
 	all      sync.WaitGroup
 }
 
@@ -101,6 +102,9 @@
 // this process are left to the others.
 func (c *Coordinator) Run(ctx context.Context) error {
 	defer c.all.Wait()
+	c.mu.Lock()
+	c.life = ctx
+	c.mu.Unlock()
 	tick := time.NewTicker(claimFor)
 	defer tick.Stop()
 	for {
@@ -180,16 +184,16 @@
 // Start begins a run, or finds it under way, or ended with its final answer. An error
 // that wraps call.ErrNobody leaves open whether it has begun: the same ask may be
 // made again, here or at another process.
-func (c *Coordinator) Start(ctx, life context.Context, a Ask) (*planrun.Answer, error) {
+func (c *Coordinator) Start(ctx context.Context, a Ask) (*planrun.Answer, error) {
 	c.mu.Lock()
 	p := c.named[a.Plan]
-	full := len(c.runs) >= mostRuns
+	full, life := len(c.runs) >= mostRuns, c.life
 	c.mu.Unlock()
 	s := c.fleet.Session()
 	switch {
 	case p == nil:
 		return nil, fmt.Errorf("%w: %q", ErrNoPlan, a.Plan)
-	case s == nil:
+	case s == nil || life == nil:
 		return nil, ErrNoFleet
 	case full:
 		return nil, fmt.Errorf("%w: this process drives %d runs", ErrRefused, mostRuns)
--- a/internal/fleet/coordinator/run.go
+++ b/internal/fleet/coordinator/run.go
@@ -278,14 +278,14 @@
 	} else {
 		// An end is told even when another drives the run by then: it may still count.
 		answer := <-done
-		ended.End, ended.Result, ended.Member = endOf(answer), answer.Body, answer.Member
+		ended.End, ended.Member = endOf(answer), answer.Member
+		said := answer.Said
 		if ended.End == plan.Done {
 			r.c.ran(a.Class, time.Since(sent))
-		} else {
-			ended.Result = nil
+			said, ended.Result = answer.Body, answer.Body
 		}
 		if !a.Undo {
-			r.lost(&ended, st, a, answer.Body)
+			r.lost(&ended, st, a, said)
 		}
 	}
 	if p, _ := r.order(r.life, parts.PlansEnded, ended); p.No == planrun.ErrTooLarge.Error() {
--- a/internal/fleet/keeper/serve.go
+++ b/internal/fleet/keeper/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -12,6 +13,7 @@
 	"basaltloft/internal/fleet/state"
 
 	"github.com/hashicorp/raft"
+	"github.com/valyala/fastjson"
 )
 
 // readFor bounds how long a read waits for what was committed before it.
@@ -204,3 +206,39 @@
 // safe at any number, since it forgot nothing that it took in after it was put out;
 // a large one would leave a majority that is far behind.
 const voteWithin = 64
+
+// Status tells how this keeper stands, as JSON.
+func (k *Keeper) Status(arena *fastjson.Arena) *fastjson.Value {
+	a := k.about()
+	o := arena.NewObject()
+	flag := func(name string, on bool) {
+		v := arena.NewFalse()
+		if on {
+			v = arena.NewTrue()
+		}
+		o.Set(name, v)
+	}
+	flag("leads", a.Leads)
+	flag("empty", a.Empty)
+	o.Set("index", arena.NewNumberString(fmt.Sprint(a.Index)))
+	o.Set("at_ms", arena.NewNumberString(fmt.Sprint(a.At.Milliseconds())))
+	differs, names := arena.NewArray(), arena.NewArray()
+	for i, name := range a.Differs {
+		differs.SetArrayItem(i, arena.NewString(name))
+	}
+	o.Set("differs", differs)
+	digests := arena.NewObject()
+	k.fsm.read(func(m *state.Machine) {
+		for i, who := range m.Members() {
+			names.SetArrayItem(i, arena.NewString(who.Process))
+		}
+		if sums, err := m.Digests(); err == nil {
+			for name, sum := range sums {
+				digests.Set(name, arena.NewString(fmt.Sprintf("%016x", sum)))
+			}
+		}
+	})
+	o.Set("members", names)
+	o.Set("digests", digests)
+	return o
+}
--- a/internal/fleet/parts/plans.go
+++ b/internal/fleet/parts/plans.go
@@ -24,7 +24,7 @@
 	PlansEnded   state.Kind = "plans/ended"
 	PlansAbandon state.Kind = "plans/abandon"
 	PlansOrphans state.Kind = "plans/orphans" // a query: how many runs nobody drives
-	PlansLook    state.Kind = "plans/look" // a query with a run's id, answered with a PlanReply
+	PlansLook    state.Kind = "plans/look"    // a query with a run's id, answered with a PlanReply
 )
 
 // PlanReply answers a command or a query of plans.
--- a/internal/service/assembly.go
+++ b/internal/service/assembly.go
@@ -64,6 +64,9 @@
 
 	http := virtualserver.New(s.hub, s.chain, s.log)
 	desks := []*account.Desk{&http.Desk}
+	if s.fleet != nil {
+		desks = append(desks, &s.fleet.plans.desk)
+	}
 	s.operators = newOperators(s, http)
 	front := &component{
 		name: "virtual server", listen: c.Listen, inherit: c.AcceptFD,
@@ -80,6 +83,9 @@
 	if c.Admin != "" {
 		http.Elsewhere = s.operators.elsewhere
 		d := door.New(s.operators, s.log)
+		if s.fleet != nil {
+			d.With(s.fleet)
+		}
 		s.components = append(s.components, &component{name: "operators' door", listen: c.Admin, serve: d.Serve})
 	}
 	if f := o.Operator.Faktory; f != nil {
--- a/internal/service/fleet.go
+++ b/internal/service/fleet.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"basaltloft/internal/door"
 	"basaltloft/internal/fleet/agent"
 	"basaltloft/internal/fleet/codec"
 	"basaltloft/internal/fleet/keeper"
@@ -15,12 +16,15 @@
 	"basaltloft/internal/fleet/shares"
 	"basaltloft/internal/fleet/state"
 	"basaltloft/internal/settings"
+
+	"github.com/valyala/fastjson"
 )
 
 // fleet is this process's part in a fleet: always an agent, and a keeper where the
 // operator's file says so.
 type fleet struct {
 	agent  *agent.Agent
+	plans  *plans
 	keeper atomic.Pointer[keeper.Keeper] // nil: this process keeps nothing for others, or not yet
 }
 
@@ -69,9 +73,36 @@
 			return nil
 		},
 	})
+	if out.plans, err = s.newPlans(f, out); err != nil {
+		return nil, err
+	}
 	return out, nil
 }
 
+// StartPlan implements door.Fleet.
+func (f *fleet) StartPlan(ctx context.Context, a door.PlanAsk) ([]byte, error) {
+	return f.plans.StartPlan(ctx, a)
+}
+
+// Run implements door.Fleet.
+func (f *fleet) Run(ctx context.Context, id string) ([]byte, error) { return f.plans.Run(ctx, id) }
+
+// Status implements door.Fleet.
+func (f *fleet) Status(context.Context) ([]byte, error) {
+	a := f.agent.Status()
+	var arena fastjson.Arena
+	o := arena.NewObject()
+	o.Set("process", arena.NewString(a.Process))
+	o.Set("incarnation", arena.NewNumberString(fmt.Sprint(a.Incarnation)))
+	o.Set("joined", arena.NewNumberString(fmt.Sprint(a.Joined)))
+	o.Set("members", arena.NewNumberString(fmt.Sprint(a.Members)))
+	o.Set("renewed_ms", arena.NewNumberString(fmt.Sprint(a.RenewedMS)))
+	if k := f.keeper.Load(); k != nil {
+		o.Set("keeper", k.Status(&arena))
+	}
+	return o.MarshalTo(nil), nil
+}
+
 // keep adds the components of a keeper.
 func (s *Service) keep(f *settings.Fleet, out *fleet) {
 	votes := &component{name: "fleet votes", listen: f.Votes}
@@ -113,7 +144,7 @@
 
 // newMachine is the state that every keeper of this version has.
 func newMachine() (*state.Machine, error) {
-	return state.New(parts.NewBudgets()), nil
+	return state.New(parts.NewBudgets(), parts.NewPlans()), nil
 }
 
 // fleetSettings are what the operator's file says for the whole fleet, and the
--- /dev/null
+++ b/internal/service/plans.go
@@ -0,0 +1,182 @@
+package service
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"basaltloft/internal/account"
+	"basaltloft/internal/core"
+	"basaltloft/internal/door"
+	"basaltloft/internal/fleet/call"
+	"basaltloft/internal/fleet/coordinator"
+	"basaltloft/internal/fleet/plan"
+	"basaltloft/internal/fleet/planrun"
+	"basaltloft/internal/settings"
+	"basaltloft/internal/stage"
+
+	"github.com/valyala/fastjson"
+)
+
+// planFront is what stages of plans are counted under in the account.
+const planFront = "plans"
+
+// plans hands stages of plans to the dispatcher as jobs, and plans to the coordinator
+// from the door.
+type plans struct {
+	s     *Service
+	desk  account.Desk
+	files []string
+	coord *coordinator.Coordinator
+}
+
+// newPlans reads the plan files. A file with a mistake ends the start: its plans
+// would not be there.
+func (s *Service) newPlans(f *settings.Fleet, fl *fleet) (*plans, error) {
+	p := &plans{s: s, desk: account.Desk{Front: planFront}, files: f.Plans}
+	for i, name := range p.files {
+		if !filepath.IsAbs(name) {
+			p.files[i] = filepath.Join(s.options.OperatorDir, name)
+		}
+	}
+	p.coord = coordinator.New(fl.agent, p, s.log.WithField("part", "plans"))
+	if err := p.read(s.options.Config); err != nil {
+		return nil, err
+	}
+	s.components = append(s.components, &component{
+		name: "plans",
+		serve: func(ctx context.Context, _ net.Listener) error {
+			return p.coord.Run(ctx)
+		},
+	})
+	return p, nil
+}
+
+// read takes the plan files in use, or, where any of them has a mistake, none.
+func (p *plans) read(c settings.Config) error {
+	classes := plan.Classes(c.Settings.Classes)
+	var all []*plan.Plan
+	var wrong []string
+	for _, name := range p.files {
+		text, err := os.ReadFile(name)
+		if err != nil {
+			return fmt.Errorf("plans: %w", err)
+		}
+		some, problems := plan.Parse(filepath.Base(name), text, classes)
+		for _, one := range problems {
+			wrong = append(wrong, one.String())
+		}
+		all = append(all, some...)
+	}
+	if len(wrong) > 0 {
+		return fmt.Errorf("plans: %s", strings.Join(wrong, "; "))
+	}
+	p.coord.Use(all)
+	return nil
+}
+
+// Submit implements coordinator.Dispatcher.
+func (p *plans) Submit(j coordinator.Job, done func(core.Answer)) error {
+	tx, err := p.s.chain.TakeIn(stage.Arrival{
+		ID: j.ID, Class: j.Class, Tenant: j.Tenant, Target: j.Path, Key: j.Key, Body: j.Body, Front: planFront, GivesUp: j.Until, Hint: j.Hint,
+		NotMember: j.NotMember, NotItsZone: j.NotItsZone,
+	}, time.Now(), planClient{p, done})
+	if err != nil {
+		return fmt.Errorf("stage %s of plan %s: %w", j.Stage, j.Plan, err)
+	}
+	p.desk.Begin()
+	p.s.hub.Submit(tx)
+	p.desk.Handed()
+	return nil
+}
+
+// planClient hears the one final answer of a stage's job.
+type planClient struct {
+	p    *plans
+	done func(core.Answer)
+}
+
+// Answer implements core.Client.
+func (c planClient) Answer(a core.Answer) {
+	c.p.desk.Answered(a.Verdict.Outcome())
+	c.done(a)
+}
+
+// StartPlan implements door.Fleet.
+func (p *plans) StartPlan(ctx context.Context, a door.PlanAsk) ([]byte, error) {
+	if err := fastjson.ValidateBytes(a.Input); err != nil {
+		return nil, fmt.Errorf("%w: the input of a plan is JSON: %w", door.ErrBadCall, err)
+	}
+	answer, err := p.coord.Start(ctx, coordinator.Ask{Run: a.Run, Plan: a.Plan, Tenant: a.Tenant, Input: a.Input, Within: a.Within})
+	return told(answer, err)
+}
+
+// Run implements door.Fleet.
+func (p *plans) Run(ctx context.Context, id string) ([]byte, error) {
+	return told(p.coord.Look(ctx, id))
+}
+
+// told puts a final answer, if there is one, and an error in the door's words.
+func told(a *planrun.Answer, err error) ([]byte, error) {
+	switch {
+	case errors.Is(err, coordinator.ErrNoPlan), errors.Is(err, coordinator.ErrUnknown):
+		return nil, fmt.Errorf("%w: %w", door.ErrNotThere, err)
+	case errors.Is(err, coordinator.ErrRefused):
+		return nil, fmt.Errorf("%w: %w", door.ErrRefused, err)
+	case errors.Is(err, call.ErrNobody), errors.Is(err, coordinator.ErrNoFleet):
+		return nil, fmt.Errorf("%w: %w", door.ErrAway, err)
+	case err != nil || a == nil:
+		return nil, err
+	}
+	return answerText(a), nil
+}
+
+// answerText is a final answer as JSON. Results that are JSON go in as they are.
+func answerText(a *planrun.Answer) []byte {
+	var arena fastjson.Arena
+	o := arena.NewObject()
+	o.Set("run", arena.NewString(a.Run))
+	o.Set("plan", arena.NewString(a.Plan))
+	o.Set("outcome", arena.NewString(a.Outcome.String()))
+	o.Set("attempts", arena.NewNumberInt(a.Attempts))
+	for name, text := range map[string]string{"stage": a.Stage, "end": string(a.End), "reason": a.Reason} {
+		if text != "" {
+			o.Set(name, arena.NewString(text))
+		}
+	}
+	if len(a.Left) > 0 {
+		left := arena.NewArray()
+		for i, name := range a.Left {
+			left.SetArrayItem(i, arena.NewString(name))
+		}
+		o.Set("left", left)
+	}
+	results := arena.NewObject()
+	for _, r := range a.Results {
+		items := arena.NewArray()
+		for i, text := range r.Items {
+			v := arena.NewNull()
+			if text != nil {
+				if parsed, err := fastjson.ParseBytes(text); err == nil {
+					v = parsed
+				} else {
+					v = arena.NewStringBytes(text)
+				}
+			}
+			items.SetArrayItem(i, v)
+		}
+		results.Set(r.Stage, items)
+	}
+	if a.Cut {
+		o.Set("results_cut", arena.NewTrue())
+	} else {
+		o.Set("results", results)
+	}
+	return bytes.TrimSpace(o.MarshalTo(nil))
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -26,8 +26,11 @@
 type Options struct {
 	Config   settings.Config
 	Operator settings.Operator
-	Reread   func() (settings.Config, error) // reads the configuration file again, for a reload
-	Log      *logrus.Logger
+	// OperatorDir is the folder of the operator's file: names in it that are not
+	// absolute are looked up there.
+	OperatorDir string
+	Reread      func() (settings.Config, error) // reads the configuration file again, for a reload
+	Log         *logrus.Logger
 }
 
 // Service is one dispatcher.
@@ -141,6 +144,11 @@
 		return
 	}
 	s.chain.Retune(c.Settings)
+	if s.fleet != nil {
+		if err := s.fleet.plans.read(c); err != nil {
+			s.log.WithError(err).Error("the plan files can't be reloaded: those in use stay")
+		}
+	}
 	s.follower.Move(c.Discovery)
 	s.log.WithFields(logrus.Fields{"discovery": c.Discovery, "classes": len(c.Settings.Classes), "most_tries": c.Settings.Limits.MaxAttempts}).Info("reloaded")
 }
--- a/internal/virtualserver/news.go
+++ b/internal/virtualserver/news.go
@@ -49,16 +49,9 @@
 	case "running":
 		n.Running, n.Share = true, v.GetFloat64("share")
 	case "done":
-		n.Ended, n.Status = true, basaltloft.OK
-		switch result := v.Get("result"); {
-		case result == nil:
-		case result.Type() == fastjson.TypeString:
-			n.Result = append([]byte(nil), result.GetStringBytes()...)
-		default:
-			n.Result = jsontext.Append(nil, result)
-		}
-	case "failed":
-		n.Ended, n.Status = true, basaltloft.Error
+		n.Ended, n.Status, n.Result = true, basaltloft.OK, result(v)
+	case "failed": // its result is for plans, which may go by it
+		n.Ended, n.Status, n.Result = true, basaltloft.Error, result(v)
 	case "returned":
 		n.Ended, n.Status = true, basaltloft.Full
 	case "lost":
@@ -72,6 +65,18 @@
 	return n, n.ID != "" && n.Member != ""
 }
 
+// result is the text of a result, or the JSON of one that is no text; nil: none.
+func result(v *fastjson.Value) []byte {
+	switch result := v.Get("result"); {
+	case result == nil:
+		return nil
+	case result.Type() == fastjson.TypeString:
+		return append([]byte(nil), result.GetStringBytes()...)
+	default:
+		return jsontext.Append(nil, result)
+	}
+}
+
 // Handed takes news that the other process of this dispatcher got for a job
 // of this one. It is not handed on again. It fails for what is no news.
 func (s *Server) Handed(text []byte) error {
