A rig of several processes, with links that fail and plans of faults

The fleet's tests need N processes of the program, each with a folder, files and log of its own, over members and discovery that all share, and each link between two through a fault link. Copying the demo's world was ruled out: its configuration, run times and classes are exported instead, and a stand-in member has a door (an address) for each dispatcher, so that it knows who sent a job without being told, and reports to that one. Its news now go out beside the run: a frozen dispatcher no longer holds a member's slot for the others. The till can log each arrival with the member's time.

A process can be killed, frozen (until all its threads stand still), ended, wiped, copied at one moment, and given any folder. Plan draws seeded faults of all kinds that keep a majority, Play plays them. scenario.BuildTags builds the program with tags, once for each set.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -21,9 +21,10 @@
 // Tenants are those of the demo.
 var Tenants = []string{"hrad-kamenec", "jaskyna-dolina", "hrad-vysoka"}
 
-// settingsText is what the platform tells a dispatcher of the demo: the two
-// classes of the guided tours, and notices, which may run as often as need be.
-const settingsText = `{"balancers":1,"rank":0,"registry_mode":"ask","worth_by":"work","zone":"hall","shapes":["std"],
+// settingsText is what the platform tells a dispatcher of the demo, one of so
+// many and which: the two classes of the guided tours, and notices, which may run
+// as often as need be.
+const settingsText = `{"balancers":%d,"rank":%d,"registry_mode":"ask","worth_by":"work","zone":"hall","shapes":["std"],
 "tenants":[{"name":"hrad-kamenec"},{"name":"jaskyna-dolina"},{"name":"hrad-vysoka"}],
 "lanes":[{"name":"place-hold","effect":"deduplicated","key_scope":"cell","promise":400000000,"give_up":10000000000,"repeat_window":15000000000,"worth":10},
 {"name":"group-ticket","effect":"at_most_once","key_scope":"all","promise":1000000000,"give_up":25000000000,"worth":2},
@@ -39,9 +40,21 @@
 	for _, m := range w.members {
 		listed = append(listed, m.Listed())
 	}
-	known, _ := json.Marshal(listed)
-	return fmt.Sprintf(`{"name":"demo","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":192,"sockets":1024},`+
-		`"known":{"generation":0,"reset":true,"instances":%s},"settings":%s}`, w.Addr, w.Discovery.Addr(), known, settingsText)
+	return Dispatcher{Name: "demo", Listen: w.Addr, Discovery: w.Discovery.Addr(), Of: 1, Known: listed}.Configuration()
+}
+
+// Dispatcher is what the platform tells one dispatcher, of so many.
+type Dispatcher struct {
+	Name, Listen, Discovery, Admin string
+	Rank, Of                       int
+	Known                          []standin.Listed
+}
+
+// Configuration is a dispatcher's configuration file.
+func (d Dispatcher) Configuration() string {
+	known, _ := json.Marshal(d.Known)
+	return fmt.Sprintf(`{"name":%q,"listen":%q,"discovery":%q,"admin":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":192,"sockets":1024},`+
+		`"known":{"generation":0,"reset":true,"instances":%s},"settings":%s}`, d.Name, d.Listen, d.Discovery, d.Admin, known, fmt.Sprintf(settingsText, d.Of, d.Rank))
 }
 
 // OperatorFile is its operator's file. An empty folder leaves the journal off.
@@ -94,8 +107,8 @@
 	var listed []standin.Listed
 	for i := range l.Members {
 		m, err := standin.NewMember(standin.MemberSettings{
-			ID: fmt.Sprintf("s-%d", i+1), Cell: i / 4, Slots: cmp.Or(l.Slots, 4), Run: l.running(uint64(i)), Troubles: l.Troubles,
-			Reports: func() string { return w.Addr }, Till: w.Till, Once: once, Seed: l.Seed + uint64(i),
+			ID: fmt.Sprintf("s-%d", i+1), Cell: i / 4, Slots: cmp.Or(l.Slots, 4), Run: l.Running(uint64(i)), Troubles: l.Troubles,
+			Reports: func() string { return w.Addr }, Till: w.Till, Once: Once, Seed: l.Seed + uint64(i),
 		})
 		if err != nil {
 			w.Close()
@@ -112,11 +125,12 @@
 	return w, nil
 }
 
-func once(class string) bool { return class == "group-ticket" || class == "IssueTicket" }
+// Once tells the classes that must never run twice.
+func Once(class string) bool { return class == "group-ticket" || class == "IssueTicket" }
 
-// running is how long jobs run: holds for 10 to 30 ms, tickets for three times
+// Running is how long jobs run: holds for 10 to 30 ms, tickets for three times
 // as long.
-func (l Load) running(n uint64) func(string) time.Duration {
+func (l Load) Running(n uint64) func(string) time.Duration {
 	if l.Run > 0 {
 		return func(string) time.Duration { return l.Run }
 	}
@@ -126,7 +140,7 @@
 		mu.Lock()
 		defer mu.Unlock()
 		d := 10*time.Millisecond + time.Duration(random.Int64N(int64(20*time.Millisecond)))
-		if once(class) {
+		if Once(class) {
 			d *= 3
 		}
 		return d
@@ -160,8 +174,8 @@
 	n := uint64(w.begun)
 	w.all.Go(func() {
 		standin.FaktoryWorker(ctx, w.faktory, standin.WorkerSettings{
-			WID: fmt.Sprintf("worker-%d", n), Queues: []string{"tickets", "holds"}, Run: w.load.running(100 + n),
-			Troubles: w.load.Troubles, Till: w.Till, Once: once, Seed: w.load.Seed + 100 + n,
+			WID: fmt.Sprintf("worker-%d", n), Queues: []string{"tickets", "holds"}, Run: w.load.Running(100 + n),
+			Troubles: w.load.Troubles, Till: w.Till, Once: Once, Seed: w.load.Seed + 100 + n,
 		})
 	})
 	return kill
--- /dev/null
+++ b/internal/fleet/rig/plan.go
@@ -0,0 +1,213 @@
+package rig
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"basaltloft/internal/faultlink"
+)
+
+// Fault is something that goes wrong for a time.
+type Fault struct {
+	At, For   time.Duration // from the play's begin; how long
+	Kind      string
+	Who, Whom int // places of processes; Whom only where there are two
+	Rate      int // of a trickle, in bytes a second
+}
+
+// Faults are a plan, in their order.
+type Faults []Fault
+
+func (f Fault) String() string {
+	text := fmt.Sprintf("%8.3fs for %5.3fs n%d %s", f.At.Seconds(), f.For.Seconds(), f.Who+1, f.Kind)
+	if kinds[f.Kind].two {
+		text += fmt.Sprintf(" n%d", f.Whom+1)
+	}
+	return text
+}
+
+func (f Faults) String() string {
+	var lines []string
+	for _, one := range f {
+		lines = append(lines, one.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// kind is how a kind of fault begins and ends.
+type kind struct {
+	two        bool // it is between two processes; else it takes one out of service
+	folder     bool // it costs a folder: nobody else may be out, nor was of late
+	begin, end func(*Rig, Fault) error
+}
+
+var kinds = map[string]kind{
+	"is killed": {begin: func(r *Rig, f Fault) error { return r.who(f).Kill() }, end: start},
+	"is frozen": {begin: func(r *Rig, f Fault) error { return r.who(f).Freeze() }, end: func(r *Rig, f Fault) error { return r.who(f).Thaw() }},
+	"is asked to end": {begin: func(r *Rig, f Fault) error { return r.who(f).Term() }, end: func(r *Rig, f Fault) error {
+		if err := r.who(f).Wait(time.Now().Add(patience)); err != nil {
+			return err
+		}
+		return start(r, f)
+	}},
+	"is cut off": {begin: around(func(l *faultlink.Link) error { return l.Cut(false) }), end: around((*faultlink.Link).Heal)},
+	"loses its folder": {folder: true, begin: func(r *Rig, f Fault) error {
+		return errors.Join(r.who(f).Kill(), r.who(f).Wipe())
+	}, end: start},
+	"gets back an old folder": {folder: true, begin: func(r *Rig, f Fault) error { return r.who(f).Copy(aside(r, f)) }, end: func(r *Rig, f Fault) error {
+		return errors.Join(r.who(f).Kill(), r.who(f).Put(aside(r, f)), start(r, f))
+	}},
+	"gets the folder of": {two: true, folder: true, begin: func(r *Rig, f Fault) error {
+		p, other := r.who(f), r.Processes[f.Whom]
+		taken := filepath.Join(p.Home, "taken")
+		return errors.Join(p.Kill(), os.RemoveAll(aside(r, f)), os.Rename(p.Folder, aside(r, f)), other.Copy(taken), p.Put(taken), p.Start())
+	}, end: func(r *Rig, f Fault) error {
+		return errors.Join(r.who(f).Kill(), r.who(f).Put(aside(r, f)), start(r, f))
+	}},
+	"is cut from":            link(func(l *faultlink.Link, _ Fault, _ faultlink.Way) error { return l.Cut(false) }),
+	"is refused by":          link(func(l *faultlink.Link, _ Fault, _ faultlink.Way) error { return l.Cut(true) }),
+	"is not heard by":        link(func(l *faultlink.Link, _ Fault, w faultlink.Way) error { l.OneWay(w); return nil }),
+	"is late at":             link(func(l *faultlink.Link, f Fault, _ faultlink.Way) error { l.Delay(f.For/8, f.For/8); return nil }),
+	"is slow at":             link(func(l *faultlink.Link, f Fault, _ faultlink.Way) error { l.Trickle(f.Rate); return nil }),
+	"has its calls reset by": link(func(l *faultlink.Link, _ Fault, _ faultlink.Way) error { l.Reset(); return nil }),
+	"has its calls twice at": link(func(l *faultlink.Link, _ Fault, _ faultlink.Way) error { l.Replay(); return nil }),
+}
+
+// Kinds are the names of all kinds of faults.
+func Kinds() (names []string) {
+	for name := range kinds {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (r *Rig) who(f Fault) *Process { return r.Processes[f.Who] }
+
+func start(r *Rig, f Fault) error { return r.who(f).Start() }
+
+// aside is where a process's folder is kept while another is in its place.
+func aside(r *Rig, f Fault) string { return filepath.Join(r.who(f).Home, "aside") }
+
+func around(do func(*faultlink.Link) error) func(*Rig, Fault) error {
+	return func(r *Rig, f Fault) (err error) {
+		for _, l := range r.Around(f.Who) {
+			err = errors.Join(err, do(l))
+		}
+		return err
+	}
+}
+
+// link is a fault of the links between two processes, whoever dials: what Who
+// says to Whom goes forth on its own, and back on the other's.
+func link(do func(*faultlink.Link, Fault, faultlink.Way) error) kind {
+	each := func(r *Rig, f Fault, do func(*faultlink.Link, Fault, faultlink.Way) error) (err error) {
+		for _, l := range r.Links(f.Who, f.Whom) {
+			err = errors.Join(err, do(l, f, faultlink.Forth))
+		}
+		for _, l := range r.Links(f.Whom, f.Who) {
+			err = errors.Join(err, do(l, f, faultlink.Back))
+		}
+		return err
+	}
+	return kind{two: true, begin: func(r *Rig, f Fault) error { return each(r, f, do) }, end: func(r *Rig, f Fault) error {
+		return each(r, f, func(l *faultlink.Link, _ Fault, _ faultlink.Way) error { return l.Heal() })
+	}}
+}
+
+const (
+	calm    = 3 * time.Second // after a fault of a folder, in which none that takes out a process begins
+	longest = 4 * time.Second // of a fault
+)
+
+// Plan draws so many faults for so many processes, of the named kinds, or of all
+// if none is named. The same arguments give the same plan. No process has two
+// faults at a time, and a majority is always left: fewer than half are out at a
+// time, and while one loses a folder, and for a while before and after, no other
+// is. There must be two processes at least, and of two one may be out.
+func Plan(seed uint64, processes, steps int, of ...string) (all Faults) {
+	if len(of) == 0 {
+		of = Kinds()
+	}
+	random := rand.New(rand.NewPCG(seed, 37))
+	busy := make([]time.Duration, processes) // until when
+	out := make([]time.Duration, processes)
+	calmUntil := time.Duration(0)
+	for at := time.Duration(0); len(all) < steps; {
+		at += 200*time.Millisecond + time.Duration(random.Int64N(int64(800*time.Millisecond)))
+		f := Fault{
+			At: at, For: 200*time.Millisecond + time.Duration(random.ExpFloat64()*float64(time.Second)), Kind: of[random.IntN(len(of))],
+			Who: random.IntN(processes), Whom: random.IntN(processes), Rate: 50 << random.IntN(8),
+		}
+		f.For = min(f.For, longest)
+		k, down := kinds[f.Kind], 0
+		for _, until := range out {
+			if until > at || k.folder && until > 0 && until+calm > at {
+				down++
+			}
+		}
+		takesOut := !k.two || k.folder
+		switch {
+		case busy[f.Who] > at, k.two && (f.Whom == f.Who || busy[f.Whom] > at):
+			continue
+		case takesOut && (down >= max(1, (processes-1)/2) || calmUntil > at || k.folder && down > 0):
+			continue
+		}
+		end := at + f.For
+		if busy[f.Who] = end; k.two {
+			busy[f.Whom] = end
+		}
+		if takesOut {
+			out[f.Who] = end
+		}
+		if k.folder {
+			calmUntil = end + calm
+		}
+		all = append(all, f)
+	}
+	return all
+}
+
+// Play plays a plan at its times, each fault's end included, and tells what it
+// could not do. Ended early, it ends the faults that are there.
+func (r *Rig) Play(ctx context.Context, plan Faults) (err error) {
+	type event struct {
+		at  time.Duration
+		f   Fault
+		end bool
+	}
+	var events []event
+	for _, f := range plan {
+		events = append(events, event{f.At, f, false}, event{f.At + f.For, f, true})
+	}
+	slices.SortStableFunc(events, func(a, b event) int { return int(a.at - b.at) })
+	begun := make(map[Fault]bool)
+	began := time.Now()
+	for _, e := range events {
+		t := time.NewTimer(time.Until(began.Add(e.at)))
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+		}
+		do := kinds[e.f.Kind].begin
+		if e.end {
+			do = kinds[e.f.Kind].end
+		}
+		if ctx.Err() != nil && !begun[e.f] {
+			continue
+		}
+		begun[e.f] = true
+		if failed := do(r, e.f); failed != nil {
+			err = errors.Join(err, fmt.Errorf("%v: %w", e.f, failed))
+		}
+	}
+	return err
+}
--- /dev/null
+++ b/internal/fleet/rig/process.go
@@ -0,0 +1,273 @@
+package rig
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"sync"
+	"syscall"
+	"text/template"
+	"time"
+
+	"basaltloft/internal/demo"
+	"basaltloft/internal/standin"
+)
+
+// Process is one process of a rig. It is also what the template of its
+// operator's file is given: {{.Name}}, {{.Folder}}, {{.Addr "calls"}} for an
+// address of its own, {{.Reach "n2" "calls"}} for another's as this one reaches
+// it, {{.Peers 3 "calls" "votes"}} for an object of the first three by name, with
+// both addresses of each.
+type Process struct {
+	Name, Home, Folder, Log string
+	Operator                string // its template; a change counts from the next start
+
+	rig       *Rig
+	place     int
+	discovery *standin.Discovery
+	known     []standin.Listed
+
+	mu      sync.Mutex
+	addrs   map[string]string
+	reached map[string]string
+	cmd     *exec.Cmd // nil: it does not run
+	ended   chan error
+	asked   bool // to end
+	died    []string
+}
+
+// Addr is one of its addresses, which stays its own over restarts: listen,
+// admin, or any that its operator's file names.
+func (p *Process) Addr(name string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.addrs[name] == "" {
+		addr, err := standin.Free()
+		if err != nil {
+			panic(err) // no port at all: no test can go on
+		}
+		p.addrs[name] = addr
+	}
+	return p.addrs[name]
+}
+
+// Reach is another process's address as this one reaches it, through a link;
+// its own is not.
+func (p *Process) Reach(other, name string) (string, error) {
+	i := slices.IndexFunc(p.rig.Processes, func(q *Process) bool { return q.Name == other })
+	if i < 0 {
+		return "", fmt.Errorf("no process is called %q", other)
+	}
+	at := p.rig.Processes[i].Addr(name)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var err error
+	if i != p.place && p.reached[at] == "" {
+		p.reached[at], err = p.rig.link(p.place, i, at)
+	}
+	if i == p.place {
+		return at, nil
+	}
+	return p.reached[at], err
+}
+
+// Peers are the first so many processes and the named addresses of each, as
+// JSON.
+func (p *Process) Peers(first int, names ...string) (string, error) {
+	peers := make(map[string]map[string]string)
+	for _, q := range p.rig.Processes[:first] {
+		peers[q.Name] = make(map[string]string)
+		for _, name := range names {
+			var err error
+			if peers[q.Name][name], err = p.Reach(q.Name, name); err != nil {
+				return "", err
+			}
+		}
+	}
+	text, err := json.Marshal(peers)
+	return string(text), err
+}
+
+// Start writes its files and starts it. It does nothing if it runs.
+func (p *Process) Start() error {
+	args := append([]string{"--log-level", "info"}, p.rig.Args...)
+	config, operator := filepath.Join(p.Home, "config.json"), filepath.Join(p.Home, "operator.json")
+	text := demo.Dispatcher{
+		Name: p.Name, Listen: p.Addr("listen"), Discovery: p.discovery.Addr(), Admin: p.Addr("admin"),
+		Rank: p.place, Of: len(p.rig.Processes), Known: p.known,
+	}.Configuration()
+	if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
+		return err
+	}
+	if p.Operator != "" {
+		form, err := template.New("operator").Parse(p.Operator)
+		if err != nil {
+			return err
+		}
+		var filled bytes.Buffer
+		if err := form.Execute(&filled, p); err != nil {
+			return err
+		}
+		if err := os.WriteFile(operator, filled.Bytes(), 0o600); err != nil {
+			return err
+		}
+		args = append(args, "--operator", operator)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		return nil
+	}
+	log, err := os.OpenFile(p.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	cmd := exec.Command(p.rig.binary, args...)
+	cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+config, "ROUTER_LISTEN=", "ROUTER_DISCOVERY=", "ROUTER_NAME=", "ROUTER_ADMIN=", "TMPDIR="+filepath.Join(p.Home, "tmp"))
+	cmd.Env = append(cmd.Env, p.rig.Env...)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	ended := make(chan error, 1)
+	go func() {
+		err := cmd.Wait()
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if p.cmd = nil; !p.asked {
+			p.died = append(p.died, fmt.Sprintf("%s ended by itself: %v", p.Name, err))
+		}
+		ended <- err
+		close(ended)
+	}()
+	p.cmd, p.ended, p.asked = cmd, ended, false
+	return nil
+}
+
+// Ready waits until it serves.
+func (p *Process) Ready() error {
+	p.mu.Lock()
+	ended := p.ended
+	p.mu.Unlock()
+	return demo.Ready(context.Background(), p.Addr("listen"), ended)
+}
+
+// Runs tells whether it runs, or is frozen.
+func (p *Process) Runs() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd != nil
+}
+
+// Died tells of each end that nobody asked for.
+func (p *Process) Died() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.died)
+}
+
+func (p *Process) signal(s os.Signal) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return nil
+	}
+	p.asked = p.asked || s == syscall.SIGKILL || s == syscall.SIGTERM
+	if err := p.cmd.Process.Signal(s); !errors.Is(err, os.ErrProcessDone) {
+		return err
+	}
+	return nil
+}
+
+// Wait waits for its end, and returns what it ended with. The end of one that
+// was waited for before is nil.
+func (p *Process) Wait(until time.Time) error {
+	p.mu.Lock()
+	ended := p.ended
+	p.mu.Unlock()
+	if ended == nil {
+		return nil
+	}
+	t := time.NewTimer(time.Until(until))
+	defer t.Stop()
+	select {
+	case err := <-ended:
+		return err
+	case <-t.C:
+		return fmt.Errorf("%s has not ended", p.Name)
+	}
+}
+
+// Kill ends it with SIGKILL, also when it is frozen, and waits for that.
+func (p *Process) Kill() error {
+	if err := p.signal(syscall.SIGKILL); err != nil {
+		return err
+	}
+	var exit *exec.ExitError
+	if err := p.Wait(time.Now().Add(patience)); err != nil && !errors.As(err, &exit) {
+		return err
+	}
+	return nil
+}
+
+// Freeze stops it with SIGSTOP, and returns once all its threads stand still.
+func (p *Process) Freeze() error {
+	if err := p.signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	for until := time.Now().Add(patience); !p.still(); time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			return fmt.Errorf("%s does not stop", p.Name)
+		}
+	}
+	return nil
+}
+
+// still tells whether no thread of it can run.
+func (p *Process) still() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return true
+	}
+	threads, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.cmd.Process.Pid))
+	for _, thread := range threads {
+		text, _ := os.ReadFile(thread)
+		if _, state, ok := bytes.Cut(text, []byte(") ")); ok && state[0] != 'T' && state[0] != 'Z' {
+			return false
+		}
+	}
+	return true
+}
+
+// Thaw ends Freeze.
+func (p *Process) Thaw() error { return p.signal(syscall.SIGCONT) }
+
+// Term asks it to end in order; Wait waits for that.
+func (p *Process) Term() error { return p.signal(syscall.SIGTERM) }
+
+// Wipe empties the folder of a process that does not run.
+func (p *Process) Wipe() error {
+	return errors.Join(os.RemoveAll(p.Folder), os.MkdirAll(p.Folder, 0o700))
+}
+
+// Copy copies its folder as it is at one moment, for which it is frozen.
+func (p *Process) Copy(to string) error {
+	err := p.Freeze()
+	if err == nil {
+		err = errors.Join(os.RemoveAll(to), os.CopyFS(to, os.DirFS(p.Folder)))
+	}
+	return errors.Join(err, p.Thaw())
+}
+
+// Put puts a copy of a folder in place of that of a process that does not run.
+func (p *Process) Put(from string) error {
+	return errors.Join(os.RemoveAll(p.Folder), os.CopyFS(p.Folder, os.DirFS(from)))
+}
--- /dev/null
+++ b/internal/fleet/rig/rig.go
@@ -0,0 +1,200 @@
+// Package rig runs several processes of the program on loopback, joined by links
+// that fail on demand, with members, discovery and clients that all of them
+// share. What they did is judged by what stood outside: members, clients and who
+// asked the doors.
+package rig
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"basaltloft/internal/demo"
+	"basaltloft/internal/faultlink"
+	"basaltloft/internal/scenario"
+	"basaltloft/internal/standin"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Settings are what a rig is to be.
+type Settings struct {
+	Processes int
+	Load      demo.Load // Members, Slots, Run, Troubles, Rate and Seed
+	Operator  string    // the template of the operators' files, see Process; empty: none
+	Tags      string    // build tags of the program
+	Env       []string  // more of the processes' environment
+	Args      []string  // more of their arguments
+}
+
+// Rig is processes and what is around them.
+type Rig struct {
+	Settings
+	Processes []*Process // n1, n2 and so on
+	Till      *standin.Till
+	Answers   standin.Answers
+
+	t       testing.TB
+	binary  string
+	members []*standin.Member
+	all     sync.WaitGroup
+	stop    context.CancelFunc
+
+	mu     sync.Mutex
+	random *rand.Rand
+	links  map[pair][]*faultlink.Link
+	calls  []standin.Call
+}
+
+// pair is who dials whom, by their places.
+type pair struct{ from, to int }
+
+// New makes a rig, of which no process runs yet. The test's end ends it; a test
+// that has failed then shows the end of each process's log.
+func New(t testing.TB, s Settings) *Rig {
+	t.Helper()
+	binary, err := scenario.BuildTags(s.Tags)
+	require.NoError(t, err)
+	r := &Rig{
+		Settings: s, Till: standin.NewTill(), t: t, binary: binary, links: make(map[pair][]*faultlink.Link),
+		random: rand.New(rand.NewPCG(s.Load.Seed, 31)), stop: func() {},
+	}
+	r.Till.Log()
+	t.Cleanup(r.close)
+	for i := range s.Load.Members {
+		m, err := standin.NewMember(standin.MemberSettings{
+			ID: fmt.Sprintf("s-%d", i+1), Cell: i / 4, Slots: max(1, s.Load.Slots), Run: s.Load.Running(uint64(i)), Troubles: s.Load.Troubles,
+			Till: r.Till, Once: demo.Once, Seed: s.Load.Seed + uint64(i),
+		})
+		require.NoError(t, err)
+		r.members = append(r.members, m)
+	}
+	dir := t.TempDir()
+	for i := range s.Processes {
+		name := fmt.Sprintf("n%d", i+1)
+		p := &Process{
+			Name: name, Home: filepath.Join(dir, name), Operator: s.Operator, rig: r, place: i, addrs: make(map[string]string), reached: make(map[string]string),
+		}
+		p.Folder, p.Log = filepath.Join(p.Home, "folder"), filepath.Join(p.Home, "log")
+		for _, dir := range []string{p.Folder, filepath.Join(p.Home, "tmp")} {
+			require.NoError(t, os.MkdirAll(dir, 0o700))
+		}
+		var known []standin.Listed
+		for _, m := range r.members {
+			listed, err := m.Door(name, func() string { return p.Addr("listen") })
+			require.NoError(t, err)
+			known = append(known, listed)
+		}
+		p.discovery, err = standin.NewDiscovery(known...)
+		require.NoError(t, err)
+		p.known = known
+		r.Processes = append(r.Processes, p)
+	}
+	return r
+}
+
+// Start starts all processes and waits until they are ready.
+func (r *Rig) Start() {
+	r.t.Helper()
+	for _, p := range r.Processes {
+		require.NoError(r.t, p.Start(), p.Name)
+	}
+	for _, p := range r.Processes {
+		require.NoError(r.t, p.Ready(), p.Name)
+	}
+}
+
+// Begin lets clients ask: each try goes to any process, running or not.
+func (r *Rig) Begin() {
+	ctx, stop := context.WithCancel(context.Background())
+	r.stop = stop
+	mix := standin.Mix{Rate: r.Load.Rate, Tickets: 0.28, Tenants: demo.Tenants, Retries: 4, Seed: r.Load.Seed, Told: func(c standin.Call) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.calls = append(r.calls, c)
+	}}
+	r.all.Go(func() {
+		standin.HTTPClients(ctx, func() string { return r.Processes[r.draw(len(r.Processes))].Addr("listen") }, "h", mix, &r.Answers)
+	})
+}
+
+// End asks nothing more, and waits for the answers that are due.
+func (r *Rig) End() {
+	r.stop()
+	r.all.Wait()
+}
+
+// Calls are the tries of clients that have ended.
+func (r *Rig) Calls() []standin.Call {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.calls)
+}
+
+// Links are the links from one process to another, by their places.
+func (r *Rig) Links(from, to int) []*faultlink.Link {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.links[pair{from, to}]
+}
+
+// Around are all links from and to a process.
+func (r *Rig) Around(place int) (all []*faultlink.Link) {
+	for other := range r.Processes {
+		all = append(append(all, r.Links(place, other)...), r.Links(other, place)...)
+	}
+	return all
+}
+
+// link makes a link for one of a process's addresses.
+func (r *Rig) link(from, to int, addr string) (string, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	at := pair{from, to}
+	l, err := faultlink.New(addr, r.Load.Seed<<16+uint64(from)<<8+uint64(to))
+	if err != nil {
+		return "", err
+	}
+	r.links[at] = append(r.links[at], l)
+	return l.Addr(), nil
+}
+
+func (r *Rig) draw(n int) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.random.IntN(n)
+}
+
+func (r *Rig) close() {
+	r.stop()
+	for _, p := range r.Processes {
+		p.Kill()
+	}
+	r.all.Wait()
+	for _, m := range r.members {
+		m.Close()
+	}
+	for _, links := range r.links {
+		for _, l := range links {
+			l.Close()
+		}
+	}
+	for _, p := range r.Processes {
+		p.discovery.Close()
+		if r.t.Failed() {
+			text, _ := os.ReadFile(p.Log)
+			r.t.Logf("the log of %s ends:\n%s", p.Name, text[max(0, len(text)-mostShown):])
+		}
+	}
+}
+
+const mostShown = 4000 // bytes of a log
+
+// patience is how long an exit or a process's readiness may take.
+const patience = 40 * time.Second
--- a/internal/scenario/program.go
+++ b/internal/scenario/program.go
@@ -21,20 +21,30 @@
 // Build compiles the program once for all tests of a package, and returns its path,
 // or that of another build to be measured beside this one, which BASALTLOFT_BINARY
 // names.
-var Build = sync.OnceValues(func() (string, error) {
+func Build() (string, error) {
 	if other := os.Getenv("BASALTLOFT_BINARY"); other != "" {
 		return other, nil
 	}
-	dir, err := os.MkdirTemp("", "basaltloft")
-	if err != nil {
-		return "", err
-	}
-	out, err := exec.Command("go", append(append([]string{"build"}, buildFlags...), "-o", dir, "basaltloft/cmd/basaltloft")...).CombinedOutput()
-	if err != nil {
-		return "", fmt.Errorf("%w: %s", err, out)
-	}
-	return filepath.Join(dir, "basaltloft"), nil
-})
+	return BuildTags("")
+}
+
+var builds sync.Map // by tags
+
+// BuildTags is Build with build tags, of which each set is compiled once.
+func BuildTags(tags string) (string, error) {
+	build, _ := builds.LoadOrStore(tags, sync.OnceValues(func() (string, error) {
+		dir, err := os.MkdirTemp("", "basaltloft")
+		if err != nil {
+			return "", err
+		}
+		out, err := exec.Command("go", append(append([]string{"build"}, buildFlags...), "-tags", tags, "-o", dir, "basaltloft/cmd/basaltloft")...).CombinedOutput()
+		if err != nil {
+			return "", fmt.Errorf("%w: %s", err, out)
+		}
+		return filepath.Join(dir, "basaltloft"), nil
+	}))
+	return build.(func() (string, error))()
+}
 
 // Listen is a peer that accepts: each new actor is the next connection to it.
 func Listen(t testing.TB) (addr string, open func() (End, error)) {
--- a/internal/standin/clients.go
+++ b/internal/standin/clients.go
@@ -21,6 +21,14 @@
 	Retries   int     // further tries after a refusal, or of a hold after any failure
 	Impatient float64 // share of asks that leave before their answer
 	Seed      uint64
+	Told      func(Call) // of each try over HTTP, once it has ended; nil: nobody
+}
+
+// Call is one try of an ask, as its client saw it.
+type Call struct {
+	ID, Ask, Class, Tenant, Addr string // Addr is who was asked
+	Sent, Ended                  time.Time
+	Status                       int // of HTTP; 0: no answer came
 }
 
 // Answers are what clients have been told. Asked counts tries.
@@ -56,6 +64,7 @@
 		ask := httpAsk{
 			class: "place-hold", key: fmt.Sprintf("%s-k%d", prefix, n), id: fmt.Sprintf("%s-%d", prefix, n),
 			tenant: m.Tenants[random.IntN(len(m.Tenants))], budget: holdBudget, retries: m.Retries, leaves: random.Float64() < m.Impatient,
+			told: m.Told,
 		}
 		if random.Float64() < m.Tickets {
 			ask.class, ask.budget = "group-ticket", ticketBudget
@@ -70,6 +79,7 @@
 	budget                 time.Duration
 	retries                int
 	leaves                 bool
+	told                   func(Call)
 }
 
 // run tries until the ask is served, may not be tried again, or was tried
@@ -103,6 +113,12 @@
 		req.Header.Set("Idempotency-Key", q.key)
 	}
 	a.Tries.Add(1)
+	call := Call{ID: req.Header.Get("X-Call-Id"), Ask: q.key, Class: q.class, Tenant: q.tenant, Addr: addr, Sent: time.Now()}
+	defer func() {
+		if call.Ended = time.Now(); q.told != nil {
+			q.told(call)
+		}
+	}()
 	resp, err := client.Do(req)
 	if err != nil {
 		if q.leaves && ctx.Err() != nil {
@@ -114,6 +130,7 @@
 	}
 	io.Copy(io.Discard, resp.Body)
 	resp.Body.Close()
+	call.Status = resp.StatusCode
 	switch resp.StatusCode {
 	case http.StatusOK:
 		a.Served.Add(1)
--- a/internal/standin/member.go
+++ b/internal/standin/member.go
@@ -29,7 +29,7 @@
 	Slots    int
 	Run      func(class string) time.Duration // how long a job runs
 	Troubles Troubles
-	Reports  func() string // the address of the dispatcher that is told
+	Reports  func() string // the address of the dispatcher that is told; of others, Door
 	Till     *Till
 	Once     func(class string) bool // classes that must not run twice
 	Seed     uint64
@@ -49,9 +49,20 @@
 
 	mu     sync.Mutex
 	random *rand.Rand
+	doors  map[string]door // by the address that a job comes to
 }
 
-type memberJob struct{ id, class string }
+// door is one dispatcher's way to a member.
+type door struct {
+	dispatcher string
+	reports    func() string
+}
+
+type memberJob struct {
+	id, class string
+	number    int // in the till's log
+	reports   func() string
+}
 
 const mostQueued = 64
 
@@ -65,6 +76,7 @@
 	m := &Member{
 		MemberSettings: s, listener: l, queue: make(chan memberJob, mostQueued), ctx: ctx, end: end,
 		random: rand.New(rand.NewPCG(s.Seed, 7)), client: http.Client{Timeout: 2 * time.Second},
+		doors: map[string]door{l.Addr().String(): {"", s.Reports}},
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /health/live", func(http.ResponseWriter, *http.Request) {})
@@ -83,6 +95,22 @@
 	return Listed{ID: m.ID, Addr: m.listener.Addr().String(), Zone: "hall", Kind: "std", Cell: m.Cell, Lifecycle: "active", Weight: 1}
 }
 
+// Door is another address of the member, for one more dispatcher, which is told
+// of the jobs that come there. It returns the member's entry on its list.
+func (m *Member) Door(dispatcher string, reports func() string) (Listed, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return Listed{}, fmt.Errorf("stand-in member's door: %w", err)
+	}
+	m.mu.Lock()
+	m.doors[l.Addr().String()] = door{dispatcher, reports}
+	m.mu.Unlock()
+	go m.server.Serve(l)
+	listed := m.Listed()
+	listed.Addr = l.Addr().String()
+	return listed, nil
+}
+
 // Close ends the member at once, with all that it runs.
 func (m *Member) Close() {
 	m.end()
@@ -105,7 +133,15 @@
 		http.Error(w, "a job has an id", http.StatusNotFound)
 		return
 	}
+	m.mu.Lock()
+	from := m.doors[r.Context().Value(http.LocalAddrContextKey).(net.Addr).String()]
+	m.mu.Unlock()
+	number := m.Till.arrive(Arrival{
+		At: time.Now(), ID: id, Class: class, Key: r.Header.Get("Idempotency-Key"), Tenant: r.Header.Get("X-Caller"),
+		Ask: r.URL.Query().Get("sid"), Dispatcher: from.dispatcher, Member: m.ID,
+	})
 	full := func() {
+		m.Till.mark(number, func(a *Arrival) { a.TurnedAway = true })
 		w.Header().Set("X-Rejected", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
@@ -115,10 +151,11 @@
 	}
 	if m.chance(m.Troubles.Break) {
 		m.Till.Run(id, m.Once(class))
+		m.Till.mark(number, func(a *Arrival) { a.Ran, a.Ended = a.At, time.Now() })
 		panic(http.ErrAbortHandler)
 	}
 	select {
-	case m.queue <- memberJob{id, class}:
+	case m.queue <- memberJob{id, class, number, from.reports}:
 		w.WriteHeader(http.StatusAccepted)
 	default:
 		full()
@@ -131,30 +168,45 @@
 		case <-m.ctx.Done():
 			return
 		case j := <-m.queue:
-			m.tell(j.id, "started", "")
-			m.Till.Run(j.id, m.Once(j.class))
-			select {
-			case <-m.ctx.Done():
-				return
-			case <-time.After(m.Run(j.class)):
-			}
-			state := "done"
-			if m.chance(m.Troubles.Fail) {
-				state = "failed"
-			}
-			m.tell(j.id, state, "ok from "+m.ID)
-			if m.chance(m.Troubles.Again) {
-				m.tell(j.id, state, "again")
-			}
+			m.run(j)
 		}
 	}
 }
 
+// run runs a job, and reports beside it: a dispatcher that is silent holds up
+// its own news only.
+func (m *Member) run(j memberJob) {
+	news := make(chan [2]string, 3)
+	defer close(news)
+	m.all.Go(func() {
+		for n := range news {
+			m.tell(j, n[0], n[1])
+		}
+	})
+	news <- [2]string{"started", ""}
+	m.Till.Run(j.id, m.Once(j.class))
+	m.Till.mark(j.number, func(a *Arrival) { a.Ran = time.Now() })
+	select {
+	case <-m.ctx.Done():
+		return
+	case <-time.After(m.Run(j.class)):
+	}
+	m.Till.mark(j.number, func(a *Arrival) { a.Ended = time.Now() })
+	state := "done"
+	if m.chance(m.Troubles.Fail) {
+		state = "failed"
+	}
+	news <- [2]string{state, "ok from " + m.ID}
+	if m.chance(m.Troubles.Again) {
+		news <- [2]string{state, "again"}
+	}
+}
+
 // tell reports to the dispatcher until it answers, ten times at the most.
-func (m *Member) tell(id, state, result string) {
-	text, _ := json.Marshal(map[string]string{"id": id, "from": m.ID, "state": state, "result": result})
+func (m *Member) tell(j memberJob, state, result string) {
+	text, _ := json.Marshal(map[string]string{"id": j.id, "from": m.ID, "state": state, "result": result})
 	for range 10 {
-		req, err := http.NewRequestWithContext(m.ctx, http.MethodPost, "http://"+m.Reports()+"/_jobs/news", bytes.NewReader(text))
+		req, err := http.NewRequestWithContext(m.ctx, http.MethodPost, "http://"+j.reports()+"/_jobs/news", bytes.NewReader(text))
 		if err != nil {
 			return
 		}
--- a/internal/standin/till.go
+++ b/internal/standin/till.go
@@ -1,6 +1,10 @@
 package standin
 
-import "sync"
+import (
+	"slices"
+	"sync"
+	"time"
+)
 
 // Till counts how often each job was run, by whoever ran it: it is how a
 // second charge would show.
@@ -8,6 +12,47 @@
 	mu   sync.Mutex
 	runs map[string]int
 	once map[string]bool // those that must not run twice
+	keep bool
+	log  []Arrival
+}
+
+// Arrival is a job's arrival at a member, as the member saw it. Times are the
+// member's own; those of what has not happened are zero.
+type Arrival struct {
+	At, Ran, Ended         time.Time
+	ID, Class, Key, Tenant string
+	Ask                    string // what the client calls it over all its tries, in the target's sid
+	Dispatcher, Member     string // who sent it, by the door it came through; who got it
+	TurnedAway             bool
+}
+
+// Log makes the till keep each arrival.
+func (t *Till) Log() { t.keep = true }
+
+// Arrivals are those so far, in their order, if they are kept.
+func (t *Till) Arrivals() []Arrival {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Clone(t.log)
+}
+
+// arrive logs an arrival, and returns its number.
+func (t *Till) arrive(a Arrival) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.keep {
+		t.log = append(t.log, a)
+	}
+	return len(t.log) - 1
+}
+
+// mark notes what became of an arrival.
+func (t *Till) mark(n int, note func(*Arrival)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.keep {
+		note(&t.log[n])
+	}
 }
 
 // NewTill returns an empty till.
