Checks of what the outside saw, and models of leases and of runs that end once

The fleet's invariants must not rest on what the program says of itself. The checks judge what members, clients and those who asked the doors saw: whether any window was overspent, the most under way at once, final answers against what was asked, tickets twice over all tries, answers with nothing behind them, and a replica's records. An admission's moment is not seen from outside, only that it lies between an ask and an arrival: Overspent counts an event in a window only if all of its span does, so that it accuses nobody wrongly, and finds the worst of all windows in n log n.

The worst window is held against a count over all windows by rapid. Seen to fail, each by a planted history: a window counted from its ends, ends after begins, tickets by try in place of ask, a served answer before its run, a refusal of what ran, a record twice, a fencing number given again, time that runs backward, a renewal after the end, a grant while held, a refusal while free, an unanswered renewal that counts for nothing.

--- /dev/null
+++ b/internal/fleet/rig/check.go
@@ -0,0 +1,246 @@
+package rig
+
+import (
+	"slices"
+	"time"
+
+	"basaltloft/internal/standin"
+)
+
+// Span is when something was: an event that surely fell into it, or what lasted
+// so long. A zero To is one that still lasts.
+type Span struct{ From, To time.Time }
+
+// Spans are of the arrivals that keep picks, each from its arrival to its end at
+// the member. Those that were turned away are of no length.
+func Spans(log []standin.Arrival, keep func(standin.Arrival) bool) (all []Span) {
+	for _, a := range log {
+		if a.TurnedAway {
+			a.Ended = a.At
+		}
+		if keep == nil || keep(a) {
+			all = append(all, Span{a.At, a.Ended})
+		}
+	}
+	return all
+}
+
+// Points are the spans' beginnings alone.
+func Points(spans []Span) (all []Span) {
+	for _, s := range spans {
+		all = append(all, Span{s.From, s.From})
+	}
+	return all
+}
+
+// Overspent is by how much the most spendthrift window goes over rate a second
+// times its length, and burst: of all windows, the most events that surely fell
+// into it, less what it may have. It is above 0 only if the whole was overspent,
+// whatever the moment within its span at which each event was admitted.
+func Overspent(events []Span, rate, burst float64) (by float64, window Span) {
+	events = slices.DeleteFunc(slices.Clone(events), func(e Span) bool { return e.To.IsZero() })
+	slices.SortFunc(events, func(a, b Span) int { return a.To.Compare(b.To) })
+	var starts []time.Time
+	for _, e := range events {
+		starts = append(starts, e.From)
+	}
+	slices.SortFunc(starts, time.Time.Compare)
+	if len(starts) == 0 {
+		return -burst, window
+	}
+	// For each start of a window: the events in it up to now, and rate times the
+	// start, of which the greatest is wanted. It is a tree of greatest values,
+	// with what is to be added to the whole of a branch kept at its root.
+	at := func(t time.Time) float64 { return rate * t.Sub(starts[0]).Seconds() }
+	size := 1
+	for size < len(starts) {
+		size *= 2
+	}
+	most, added := make([]float64, 2*size), make([]float64, 2*size)
+	for i := range starts {
+		most[size+i] = at(starts[i])
+	}
+	for i := size - 1; i > 0; i-- {
+		most[i] = max(most[2*i], most[2*i+1])
+	}
+	var raise func(node, lo, hi, to int) // all starts before to have one event more
+	raise = func(node, lo, hi, to int) {
+		switch mid := (lo + hi) / 2; {
+		case to <= lo:
+		case hi <= to:
+			most[node]++
+			added[node]++
+		default:
+			raise(2*node, lo, mid, to)
+			raise(2*node+1, mid, hi, to)
+			most[node] = max(most[2*node], most[2*node+1]) + added[node]
+		}
+	}
+	var best func(node, lo, hi, to int) (float64, int) // of the starts before to
+	best = func(node, lo, hi, to int) (float64, int) {
+		if hi-lo == 1 {
+			return most[node], lo
+		}
+		mid := (lo + hi) / 2
+		v, i := best(2*node, lo, mid, min(to, mid))
+		if to > mid {
+			if w, j := best(2*node+1, mid, hi, to); w > v {
+				v, i = w, j
+			}
+		}
+		return v + added[node], i
+	}
+	before := func(t time.Time) int { // how many starts are not after t
+		n, _ := slices.BinarySearchFunc(starts, t, func(s, t time.Time) int {
+			if s.After(t) {
+				return 1
+			}
+			return -1
+		})
+		return n
+	}
+	by = -burst
+	for _, e := range events {
+		raise(1, 0, size, before(e.From))
+		v, i := best(1, 0, size, before(e.To))
+		if over := v - at(e.To) - burst; over > by {
+			by, window = over, Span{starts[i], e.To}
+		}
+	}
+	return by, window
+}
+
+// MostAtOnce is how many spans there were at a time, at the most. One that ends
+// as another begins was not there with it.
+func MostAtOnce(spans []Span) (most int) {
+	type edge struct {
+		at time.Time
+		by int
+	}
+	var edges []edge
+	for _, s := range spans {
+		edges = append(edges, edge{s.From, 1})
+		if !s.To.IsZero() {
+			edges = append(edges, edge{s.To, -1})
+		}
+	}
+	slices.SortFunc(edges, func(a, b edge) int {
+		if c := a.at.Compare(b.at); c != 0 {
+			return c
+		}
+		return a.by - b.by
+	})
+	now := 0
+	for _, e := range edges {
+		now += e.by
+		most = max(most, now)
+	}
+	return most
+}
+
+// End is a final answer that somebody was given.
+type End struct{ ID, Text string }
+
+// Ends is what became of what was asked.
+type Ends struct {
+	Once                          int      // asked, and ended with one text
+	Never, Again, Differ, Unasked []string // no end; more than one, as the same; as others; nobody asked
+}
+
+// Ended holds final answers against what was asked. Again is wrong of a call,
+// which has one answer; of a plan, which may be asked about again, only Differ.
+func Ended(asked []string, ends []End) (e Ends) {
+	texts := make(map[string][]string)
+	for _, id := range asked {
+		texts[id] = nil
+	}
+	for _, end := range ends {
+		if _, ok := texts[end.ID]; !ok {
+			e.Unasked = append(e.Unasked, end.ID)
+			continue
+		}
+		texts[end.ID] = append(texts[end.ID], end.Text)
+	}
+	for _, id := range slices.Compact(slices.Sorted(slices.Values(asked))) {
+		all := texts[id]
+		switch kinds := len(slices.Compact(slices.Sorted(slices.Values(all)))); {
+		case kinds == 0:
+			e.Never = append(e.Never, id)
+		case kinds > 1:
+			e.Differ = append(e.Differ, id)
+		case len(all) > 1:
+			e.Again = append(e.Again, id)
+			fallthrough
+		default:
+			e.Once++
+		}
+	}
+	return e
+}
+
+// Twice are the asks of classes that must not run twice which did, over all
+// tries and dispatchers.
+func Twice(log []standin.Arrival, once func(class string) bool) (asks []string) {
+	runs := make(map[string]int)
+	for _, a := range log {
+		ask := a.Ask
+		if ask == "" {
+			ask = a.ID
+		}
+		if once(a.Class) && !a.Ran.IsZero() {
+			if runs[ask]++; runs[ask] == 2 {
+				asks = append(asks, ask)
+			}
+		}
+	}
+	return asks
+}
+
+// Unfounded are the calls whose answer says what was not so: served without a
+// run that had begun, or refused though it ran, of a class that must not run
+// twice.
+func Unfounded(calls []standin.Call, log []standin.Arrival, once func(class string) bool) (ids []string) {
+	ran := make(map[string]time.Time)
+	for _, a := range log {
+		if first, ok := ran[a.ID]; !a.Ran.IsZero() && (!ok || a.Ran.Before(first)) {
+			ran[a.ID] = a.Ran
+		}
+	}
+	for _, c := range calls {
+		first, ok := ran[c.ID]
+		if c.Status == 200 && (!ok || first.After(c.Ended)) || c.Status == 503 && once(c.Class) && ok {
+			ids = append(ids, c.ID)
+		}
+	}
+	return ids
+}
+
+// Records holds what a replica has against what must be there and what was
+// pruned: those that are missing, those that came back, and those that nobody
+// made or that are there twice.
+func Records(want, pruned, got []string) (missing, extra, back []string) {
+	const wanted, gone = 1, 2
+	state := make(map[string]int)
+	for _, id := range pruned {
+		state[id] = gone
+	}
+	for _, id := range want {
+		state[id] = wanted
+	}
+	for _, id := range got {
+		switch state[id] {
+		case wanted:
+			state[id] = 0 // a second one is extra
+		case gone:
+			back = append(back, id)
+		default:
+			extra = append(extra, id)
+		}
+	}
+	for _, id := range want {
+		if state[id] == wanted {
+			missing = append(missing, id)
+		}
+	}
+	return missing, extra, back
+}
--- /dev/null
+++ b/internal/fleet/rig/check_test.go
@@ -0,0 +1,131 @@
+package rig
+
+import (
+	"testing"
+	"time"
+
+	"basaltloft/internal/demo"
+	"basaltloft/internal/standin"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func ms(n int) time.Time { return time.UnixMilli(1_000_000 + int64(n)) }
+
+// TestOverspent holds the check against a count over all windows, and has a
+// bucket that spends once too often found.
+func TestOverspent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var events []Span
+		for range rapid.IntRange(0, 30).Draw(t, "events") {
+			from := rapid.IntRange(0, 50).Draw(t, "from")
+			events = append(events, Span{ms(from), ms(from + rapid.IntRange(0, 20).Draw(t, "for"))})
+		}
+		rate, burst := float64(rapid.IntRange(1, 500).Draw(t, "rate")), 3.0
+		want := -burst
+		for _, a := range events {
+			for _, b := range events {
+				n := 0.0
+				for _, e := range events {
+					if !e.From.Before(a.From) && !e.To.After(b.To) {
+						n++
+					}
+				}
+				if !a.From.After(b.To) {
+					want = max(want, n-rate*b.To.Sub(a.From).Seconds()-burst)
+				}
+			}
+		}
+		got, _ := Overspent(events, rate, burst)
+		require.InDelta(t, want, got, 1e-9)
+	})
+	var even []Span // 100 a second, after a burst of 5 that was saved
+	for n := range 100 {
+		even = append(even, Span{ms(max(0, n-4) * 10), ms(max(0, n-4) * 10)})
+	}
+	by, _ := Overspent(even, 100, 5)
+	require.InDelta(t, 0, by, 1e-9)
+	by, window := Overspent(append(even, Span{ms(500), ms(500)}), 100, 5)
+	require.InDelta(t, 1, by, 1e-9)
+	require.False(t, window.From.After(ms(500)) || window.To.Before(ms(500)), window)
+	by, _ = Overspent(append(even, Span{From: ms(500)}, Span{ms(400), ms(5000)}), 100, 5) // may be of another time
+	require.InDelta(t, 0, by, 1e-9)
+}
+
+// TestChecks plants what each check is to find, beside what is right.
+func TestChecks(t *testing.T) {
+	require.Equal(t, 2, MostAtOnce([]Span{{ms(0), ms(10)}, {ms(10), ms(20)}, {ms(5), ms(15)}, {ms(15), ms(15)}}))
+	require.Equal(t, 3, MostAtOnce([]Span{{ms(0), ms(10)}, {ms(9), ms(20)}, {From: ms(1)}}))
+
+	e := Ended([]string{"a", "b", "c", "d"}, []End{{"a", "sold"}, {"b", "sold"}, {"b", "sold"}, {"c", "sold"}, {"c", "gave up"}, {"x", "sold"}})
+	require.Equal(t, Ends{Once: 2, Never: []string{"d"}, Again: []string{"b"}, Differ: []string{"c"}, Unasked: []string{"x"}}, e)
+
+	ticket, hold := "group-ticket", "place-hold"
+	log := []standin.Arrival{
+		{ID: "1-0", Ask: "1", Class: ticket, Dispatcher: "n1", At: ms(0), TurnedAway: true},
+		{ID: "1-1", Ask: "1", Class: ticket, Dispatcher: "n2", At: ms(1), Ran: ms(2), Ended: ms(5)},
+		{ID: "2-0", Ask: "2", Class: ticket, Dispatcher: "n1", At: ms(1), Ran: ms(2)},
+		{ID: "3-0", Ask: "3", Class: hold, Dispatcher: "n1", At: ms(1), Ran: ms(2)},
+		{ID: "3-1", Ask: "3", Class: hold, Dispatcher: "n1", At: ms(1), Ran: ms(2)},
+	}
+	calls := []standin.Call{{ID: "1-0", Class: ticket, Status: 503}, {ID: "1-1", Class: ticket, Status: 200, Ended: ms(9)}, {ID: "3-0", Class: hold, Status: 503}, {ID: "2-0", Class: ticket}}
+	require.Empty(t, Twice(log, demo.Once))
+	require.Empty(t, Unfounded(calls, log, demo.Once))
+	again := append(log, standin.Arrival{ID: "2-1", Ask: "2", Class: ticket, Dispatcher: "n2", Ran: ms(9)})
+	require.Equal(t, []string{"2"}, Twice(again, demo.Once))
+	wrong := append(calls, standin.Call{ID: "2-0", Class: ticket, Status: 503}, standin.Call{ID: "4-0", Status: 200}, standin.Call{ID: "3-0", Status: 200, Ended: ms(1)})
+	require.Equal(t, []string{"2-0", "4-0", "3-0"}, Unfounded(wrong, log, demo.Once))
+	n1 := func(a standin.Arrival) bool { return a.Dispatcher == "n1" }
+	require.Equal(t, []Span{{ms(0), ms(0)}, {ms(1), ms(1)}, {ms(1), ms(1)}, {ms(1), ms(1)}}, Points(Spans(log, n1)))
+	require.Equal(t, Span{ms(0), ms(0)}, Spans(log, n1)[0])
+
+	missing, extra, back := Records([]string{"a", "b", "c"}, []string{"p", "q"}, []string{"a", "c", "q", "x", "c"})
+	require.Equal(t, [][]string{{"b"}, {"x", "c"}, {"q"}}, [][]string{missing, extra, back})
+}
+
+// TestHistories: what may have been passes, and each planted breach is found.
+func TestHistories(t *testing.T) {
+	type call struct{ in, out any } // out nil: it was never answered
+	const s = time.Second
+	ask := func(holder string, out any) call { return call{LeaseCall{"coach", holder, 0}, out} }
+	renew := func(holder string, fence uint64, out any) call { return call{LeaseCall{"coach", holder, fence}, out} }
+	granted := func(fence uint64, at time.Duration) LeaseAnswer { return LeaseAnswer{true, fence, at, at + 3*s} }
+	refused := func(at time.Duration) LeaseAnswer { return LeaseAnswer{At: at} }
+	held := []call{ask("n1", granted(1, 0)), ask("n2", refused(1*s)), renew("n1", 1, granted(1, 2*s))}
+	for name, c := range map[string]struct {
+		calls []call
+		good  bool
+	}{
+		"held, renewed, ended, taken":     {append(held, renew("n1", 1, refused(5*s)), ask("n2", granted(2, 5*s)), renew("n1", 1, refused(6*s))), true},
+		"a restart fences its old self":   {append(held, ask("n1", granted(2, 3*s)), renew("n1", 1, refused(4*s))), true},
+		"an unanswered renewal may count": {append(held, renew("n1", 1, nil), ask("n2", refused(5500*time.Millisecond))), true},
+		"an unanswered grant may count":   {append(held, ask("n2", nil), renew("n2", 2, granted(2, 6*s))), true},
+		"two names":                       {append(held, call{LeaseCall{"price", "n2", 0}, granted(1, 1*s)}), true},
+		"granted to two":                  {append(held, ask("n2", granted(2, 3*s))), false},
+		"the same number twice":           {append(held, ask("n2", granted(1, 5*s))), false},
+		"renewed after its end":           {append(held, renew("n1", 1, granted(1, 6*s))), false},
+		"renewed with an old number":      {append(held, ask("n2", granted(2, 5*s)), renew("n1", 1, granted(1, 6*s))), false},
+		"refused though free":             {append(held, ask("n2", refused(5*s))), false},
+		"time ran backward":               {append(held, ask("n2", refused(1*s))), false},
+		"a run ends once": {[]call{{RunCall{"r", ""}, ""}, {RunCall{"r", "sold"}, "sold"}, {RunCall{"r", "gave up"}, "sold"}, {RunCall{"r", ""}, "sold"},
+			{RunCall{"q", "gave up"}, "gave up"}}, true},
+		"an unanswered end may count": {[]call{{RunCall{"r", "sold"}, nil}, {RunCall{"r", "gave up"}, "sold"}}, true},
+		"an unanswered end may not":   {[]call{{RunCall{"r", "sold"}, nil}, {RunCall{"r", "gave up"}, "gave up"}, {RunCall{"r", ""}, "gave up"}}, true},
+		"a run ends twice":            {[]call{{RunCall{"r", "sold"}, "sold"}, {RunCall{"r", "gave up"}, "gave up"}}, false},
+		"an end is forgotten":         {[]call{{RunCall{"r", "sold"}, "sold"}, {RunCall{"r", ""}, ""}}, false},
+	} {
+		h := NewHistory()
+		for n, one := range c.calls {
+			if answered := h.Call(n, one.in); one.out != nil {
+				answered(one.out)
+			}
+		}
+		model := Leases()
+		if _, ok := c.calls[0].in.(RunCall); ok {
+			model = Runs()
+		}
+		err := h.Check(model, time.Now().Add(10*time.Second))
+		require.Equal(t, c.good, err == nil, "%s: %v", name, err)
+	}
+}
