The rig's soak: faults under load, and one line of what the outside saw

Calls lost are those without an answer from a process that no fault had out of service; the rig notes when each was. The stand-in's clients now wait a second longer than their budget: they gave up at the very moment at which a dispatcher still answers.

--- a/internal/fleet/rig/check_test.go
+++ b/internal/fleet/rig/check_test.go
@@ -80,6 +80,11 @@
 	require.Equal(t, []Span{{ms(0), ms(0)}, {ms(1), ms(1)}, {ms(1), ms(1)}, {ms(1), ms(1)}}, Points(Spans(log, n1)))
 	require.Equal(t, Span{ms(0), ms(0)}, Spans(log, n1)[0])
 
+	r := &Rig{calls: []standin.Call{{ID: "1", Addr: "a", Sent: ms(0), Ended: ms(10)}, {ID: "2", Addr: "a", Sent: ms(0), Ended: ms(30)},
+		{ID: "3", Addr: "b", Sent: ms(0), Ended: ms(30)}, {ID: "4", Addr: "a", Sent: ms(41), Ended: ms(50)}, {ID: "5", Addr: "b", Sent: ms(50), Ended: ms(60), Status: 502},
+		{ID: "6", Addr: "a", Sent: ms(70), Ended: ms(90)}}, outs: []out{{"a", Span{ms(20), ms(40)}}, {"a", Span{From: ms(80)}}}}
+	require.Equal(t, []string{"1", "3", "4"}, r.Lost())
+
 	missing, extra, back := Records([]string{"a", "b", "c"}, []string{"p", "q"}, []string{"a", "c", "q", "x", "c"})
 	require.Equal(t, [][]string{{"b"}, {"x", "c"}, {"q"}}, [][]string{missing, extra, back})
 }
--- a/internal/fleet/rig/rig.go
+++ b/internal/fleet/rig/rig.go
@@ -50,6 +50,13 @@
 	random *rand.Rand
 	links  map[pair][]*faultlink.Link
 	calls  []standin.Call
+	outs   []out
+}
+
+// out is a time in which a process was out of service by a fault.
+type out struct {
+	addr string // of clients
+	Span
 }
 
 // pair is who dials whom, by their places.
@@ -137,6 +144,39 @@
 	return slices.Clone(r.calls)
 }
 
+// goesOut notes that a process is out of service. What it returns notes that it
+// is back once it serves, or has ended again.
+func (r *Rig) goesOut(p *Process) (back func()) {
+	addr := p.Addr("listen")
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := len(r.outs)
+	r.outs = append(r.outs, out{addr, Span{From: time.Now()}})
+	return func() {
+		r.all.Go(func() {
+			p.Ready()
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.outs[n].To = time.Now()
+		})
+	}
+}
+
+// Lost are the calls that got no answer though the process that they went to was
+// in service all the time.
+func (r *Rig) Lost() (ids []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range r.calls {
+		if c.Status == 0 && !slices.ContainsFunc(r.outs, func(o out) bool {
+			return o.addr == c.Addr && o.From.Before(c.Ended) && (o.To.IsZero() || o.To.After(c.Sent))
+		}) {
+			ids = append(ids, c.ID)
+		}
+	}
+	return ids
+}
+
 // Links are the links from one process to another, by their places.
 func (r *Rig) Links(from, to int) []*faultlink.Link {
 	r.mu.Lock()
--- a/internal/standin/clients.go
+++ b/internal/standin/clients.go
@@ -95,7 +95,7 @@
 }
 
 func (q httpAsk) try(client *http.Client, addr string, try int, a *Answers) (wait time.Duration, again bool) {
-	patience := q.budget
+	patience := q.budget + time.Second // a dispatcher answers within the budget
 	if q.leaves {
 		patience = 30 * time.Millisecond
 	}
