--- /dev/null
+++ b/internal/fleet/rig/rig_test.go
@@ -0,0 +1,146 @@
+package rig
+
+import (
+	"flag"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"basaltloft/internal/demo"
+	"basaltloft/internal/faultlink"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// TestProcesses takes processes through all that can be done to one, and to a
+// link between two.
+func TestProcesses(t *testing.T) {
+	r := New(t, Settings{Processes: 2, Load: demo.Load{Members: 2, Seed: 3},
+		Operator: `{"#":{"name":"{{.Name}}","peer":"{{.Reach "n2" "listen"}}","all":{{.Peers 2 "listen"}}},"figures":{"journal":{"folder":"{{.Folder}}"}}}`})
+	r.Start()
+	one, two := r.Processes[0], r.Processes[1]
+	transport := &http.Transport{DisableKeepAlives: true}
+	defer transport.CloseIdleConnections()
+	asks := func(addr string) error { // until the answer, or for a little while
+		client := http.Client{Transport: transport, Timeout: 250 * time.Millisecond}
+		resp, err := client.Get("http://" + addr + "/health/ready")
+		if err == nil {
+			resp.Body.Close()
+		}
+		return err
+	}
+	addr, err := one.Reach("n2", "listen")
+	require.NoError(t, err)
+	require.NotEqual(t, two.Addr("listen"), addr)
+	require.NoError(t, asks(addr))
+	own, err := two.Reach("n2", "listen")
+	require.NoError(t, err)
+	require.Equal(t, two.Addr("listen"), own)
+	link := r.Links(0, 1)[0]
+	for name, silent := range map[string]bool{"is cut from": true, "is cut off": true, "is refused by": true, "is not heard by": true, "is late at": false,
+		"is slow at": true, "has its calls reset by": false, "has its calls twice at": false} {
+		for who := range 2 { // whoever it is said of, the link is the same
+			f := Fault{For: 80 * time.Millisecond, Kind: name, Who: who, Whom: 1 - who, Rate: 50}
+			was := link.Counts()
+			require.NoError(t, kinds[name].begin(r, f))
+			require.Equal(t, silent, asks(addr) != nil, f)
+			if name == "is not heard by" {
+				require.Equal(t, who == 0, link.Counts().Lost[faultlink.Forth] > was.Lost[faultlink.Forth], f)
+			}
+			require.NoError(t, asks(own))
+			require.NoError(t, kinds[name].end(r, f))
+			require.NoError(t, asks(addr), f)
+		}
+	}
+	require.NoError(t, two.Freeze())
+	require.Error(t, asks(own))
+	require.NoError(t, two.Thaw())
+	require.Eventually(t, func() bool { return asks(own) == nil }, patience, time.Millisecond)
+
+	copied := filepath.Join(one.Home, "copy")
+	require.NoError(t, one.Copy(copied))
+	require.NoError(t, one.Kill())
+	require.False(t, one.Runs())
+	require.Error(t, asks(one.Addr("listen")))
+	segments := func(dir string) int {
+		entries, err := os.ReadDir(dir)
+		require.NoError(t, err)
+		return len(entries)
+	}
+	require.NotZero(t, segments(one.Folder))
+	require.NoError(t, one.Wipe())
+	require.Zero(t, segments(one.Folder))
+	require.NoError(t, one.Put(copied))
+	require.Equal(t, segments(copied), segments(one.Folder))
+	require.NoError(t, one.Start())
+	require.NoError(t, one.Ready())
+	require.NoError(t, one.Term())
+	require.NoError(t, one.Wait(time.Now().Add(patience)))
+	require.NoError(t, one.Start())
+
+	var all Faults
+	for n, name := range Kinds() {
+		all = append(all, Fault{At: time.Duration(n) * 20 * time.Millisecond, For: 15 * time.Millisecond, Kind: name, Who: 0, Whom: 1, Rate: 50})
+	}
+	require.NoError(t, r.Play(t.Context(), all))
+	r.all.Wait()
+	require.NoError(t, asks(addr))
+	require.NoError(t, asks(one.Addr("listen")))
+	require.Empty(t, append(one.Died(), two.Died()...))
+	require.Error(t, r.Play(t.Context(), Faults{{Kind: "loses its mind"}}))
+}
+
+// TestPlan: a plan is its seed's, keeps a majority, and leaves time around the
+// loss of a folder.
+func TestPlan(t *testing.T) {
+	for seed := range uint64(40) {
+		n := 2 + int(seed%4)
+		plan := Plan(seed, n, 200)
+		require.Equal(t, plan.String(), Plan(seed, n, 200).String())
+		require.NotEqual(t, plan.String(), Plan(seed+1, n, 200).String())
+		for i, f := range plan {
+			out := 0
+			for _, g := range plan[:i] {
+				together := g.At+g.For > f.At
+				require.False(t, together && (g.Who == f.Who || kinds[g.Kind].two && g.Whom == f.Who), "%v\n%v", g, f)
+				if together && (!kinds[g.Kind].two || kinds[g.Kind].folder) {
+					out++
+				}
+				if kinds[f.Kind].folder && (!kinds[g.Kind].two || kinds[g.Kind].folder) || kinds[g.Kind].folder && !kinds[f.Kind].two {
+					require.LessOrEqual(t, g.At+g.For+calm, f.At, "%v\n%v", g, f)
+				}
+			}
+			if !kinds[f.Kind].two {
+				require.Less(t, out, max(1, (n-1)/2), f)
+			}
+		}
+	}
+}
+
+var (
+	soakFor  = flag.Duration("soak", 0, "how long TestSoak plays faults; 0: it is skipped")
+	soakSeed = flag.Uint64("seed", 1, "of TestSoak")
+)
+
+// today is a soak of processes that know nothing of each other.
+func today(processes int, seed uint64) Soak {
+	load := demo.Load{Members: 6, Rate: 60, Seed: seed}
+	load.Troubles.TurnAway, load.Troubles.Fail, load.Troubles.Break, load.Troubles.Again = 0.02, 0.01, 0.005, 0.1
+	return Soak{Settings: Settings{Processes: processes, Load: load}, Kinds: []string{"is killed", "is frozen", "is asked to end"}, Counts: Counts()}
+}
+
+// TestFaults is the short form of the soak.
+func TestFaults(t *testing.T) { t.Log(today(3, 4).Run(t, 6*time.Second)) }
+
+// TestSoak is the long form: go test ./internal/fleet/rig -run Soak -v -args -soak 10m -seed 1
+func TestSoak(t *testing.T) {
+	if *soakFor == 0 {
+		t.Skip("it takes as long as -args -soak says")
+	}
+	t.Log(today(5, *soakSeed).Run(t, *soakFor))
+}
