Plans through killed, frozen and wiped coordinators: one answer each, no ticket twice

Cause: stages of plans that were taken over were declined at once: the decisions took a first try whose deadline is near for a retry that began long ago (a debug log: five tries, no flow each). Ruled out: places, shares, the members (no flow was begun). Change: Request.First, which a front sets that knows; the plans front does. Test of five processes with a plan of fan-out, ticket and notice: a coordinator killed, one frozen past its lease, the keepers' leader killed and wiped.

--- a/basaltloft.go
+++ b/basaltloft.go
@@ -191,6 +191,7 @@
 	Slots   float64       // slots it takes; 0 counts as 1
 	Memory  float64
 	Retry   bool   // the client repeats it; see Settings.MarksRetry
+	First   bool   // it is known to be none, however near its deadline
 	Once    bool   // an error ends it: whoever sent it tries again by rules of its own
 	Needs   string // only workers that offer this may get it; empty: any
 
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -125,7 +125,7 @@
 func (d *Dispatcher) aim(j *job) time.Duration {
 	left, born := j.Expires-d.now, d.now
 	j.class.patience = max(j.class.patience, min(left, j.class.GiveUp))
-	if j.Retry || !d.MarksRetry {
+	if j.Retry || !d.MarksRetry && !j.First {
 		born -= max(0, j.class.patience-left)
 	}
 	work := cmp.Or(float64(j.Hint), j.run)
--- a/internal/core/transaction.go
+++ b/internal/core/transaction.go
@@ -25,6 +25,7 @@
 	NotItsZone        bool
 	Needs             string // only members that offer it may have this one; empty: any
 	Retry             bool
+	First             bool // known to be no retry; see basaltloft.Request
 	Client            Client
 	Booked            any // the books' own
 
--- a/internal/fleet/coordinator/run.go
+++ b/internal/fleet/coordinator/run.go
@@ -15,6 +15,8 @@
 	"basaltloft/internal/fleet/plan"
 	"basaltloft/internal/fleet/planrun"
 	"basaltloft/internal/fleet/state"
+
+	"github.com/sirupsen/logrus"
 )
 
 // run is one that this process drives, under one fence.
@@ -280,6 +282,7 @@
 		answer := <-done
 		ended.End, ended.Member = endOf(answer), answer.Member
 		said := answer.Said
+		r.c.log.WithFields(logrus.Fields{"run": r.id, "job": j.ID, "stage": st.Name, "end": ended.End, "reason": answer.Reason.String(), "flows": answer.Sends}).Debug("a stage's job ended")
 		if ended.End == plan.Done {
 			r.c.ran(a.Class, time.Since(sent))
 			said, ended.Result = answer.Body, answer.Body
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -12,6 +14,7 @@
 	"basaltloft/internal/demo"
 	"basaltloft/internal/faultlink"
 	"basaltloft/internal/fleet/rig"
+	"basaltloft/internal/standin"
 
 	"github.com/stretchr/testify/require"
 )
@@ -22,9 +25,12 @@
 {{if le .Name "n3"}}"calls":"{{.Addr "calls"}}","votes":"{{.Addr "votes"}}",{{end}}
 "keepers":{{.Peers 3 "calls" "votes"}},"lease_ms":1500,"election_ms":400,"compare_every_ms":500%s}}`
 
+// logs are further arguments of the processes.
+var logs = strings.Fields(os.Getenv("BASALTLOFT_ARGS"))
+
 func found(t *testing.T, processes int, load demo.Load, more string) *rig.Rig {
 	t.Helper()
-	r := rig.New(t, rig.Settings{Processes: processes, Load: load, Operator: fmt.Sprintf(section, more)})
+	r := rig.New(t, rig.Settings{Processes: processes, Load: load, Operator: fmt.Sprintf(section, more), Args: logs})
 	r.Start()
 	for _, p := range r.Processes {
 		joined(t, p)
@@ -181,3 +187,138 @@
 	require.Empty(t, r.Till.Twice())
 	alike(t, r)
 }
+
+// bookings is a plan of three stages; its ticket must never run twice. The sid of each
+// job is what it is for, over all attempts.
+const bookings = `
+plan "booking" {
+  within   = "6m" # the worst case of the check; each run asks for less
+  attempts = 60
+  stage "hold" {
+    class = "place-hold"
+    each  = input.seats
+    most  = 3
+    path  = "/place-hold?sid=${segment(input.booking)}-${item}"
+    body  = { seat = item }
+    key   = "${input.booking}-${item}"
+    retry {
+      on   = ["refused", "full", "unsent", "late", "reset"]
+      most = 4
+      wait = "50ms"
+    }
+    undo {
+      class = "place-hold"
+      path  = "/place-hold?sid=${segment(input.booking)}-${item}-release"
+      key   = "${input.booking}-${item}-release"
+      most  = 2
+      wait  = "100ms"
+    }
+  }
+  stage "ticket" {
+    class = "group-ticket"
+    after = ["hold"]
+    path  = "/group-ticket?sid=${segment(input.booking)}"
+    body  = { seats = length(hold) }
+    retry {
+      on   = ["refused", "full", "unsent"]
+      most = 4
+      wait = "50ms"
+    }
+  }
+  stage "notice" {
+    class = "send-notice"
+    after = ["ticket"]
+    path  = "/send-notice?sid=${segment(input.booking)}"
+    retry {
+      on   = ["refused", "full", "unsent", "late", "failed", "reset"]
+      most = 4
+      wait = "50ms"
+    }
+  }
+}
+`
+
+// begin begins a run at some process, asking again elsewhere until it is known to have
+// begun.
+func begin(t *testing.T, r *rig.Rig, at int, run string) {
+	t.Helper()
+	input := fmt.Sprintf(`{"booking":%q,"seats":[1,2,3]}`, run)
+	for until := time.Now().Add(30 * time.Second); time.Now().Before(until); at++ {
+		p := r.Processes[at%len(r.Processes)]
+		if code, _ := ask(p, http.MethodPost, "/plans/booking?within_ms=25000&tenant="+demo.Tenants[0]+"&run="+run, input); code == http.StatusAccepted || code == http.StatusOK {
+			return
+		}
+	}
+	t.Fatalf("run %s could not be begun", run)
+}
+
+// ends asks each process for the final answers of runs until all have one.
+func ends(t *testing.T, r *rig.Rig, runs []string) (all []rig.End) {
+	t.Helper()
+	for i, p := range r.Processes {
+		for _, run := range runs {
+			require.Eventually(t, func() bool {
+				code, text := ask(p, http.MethodGet, "/runs/"+run, "")
+				if code == http.StatusOK {
+					all = append(all, rig.End{ID: run, Text: text})
+				}
+				return code == http.StatusOK
+			}, 60*time.Second, 20*time.Millisecond, "%s tells the end of %s", p.Name, run)
+			if i > 0 && run > runs[0] {
+				break // one is enough of each other process
+			}
+		}
+	}
+	return all
+}
+
+// TestPlansThroughFaults: coordinators are killed, frozen and cut off while their plans
+// run. Each plan ends once, with one answer whoever is asked; no ticket runs twice.
+func TestPlansThroughFaults(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "plans.hcl")
+	require.NoError(t, os.WriteFile(file, []byte(bookings), 0o600))
+	r := found(t, 5, demo.Load{Members: 6, Slots: 8, Run: 60 * time.Millisecond, Seed: 11, Troubles: standin.Troubles{TurnAway: 0.1}},
+		fmt.Sprintf(`,"plans":[%q]`, file))
+	var runs []string
+	more := func(n int) {
+		for range n {
+			run := fmt.Sprintf("b%03d", len(runs))
+			begin(t, r, len(runs), run)
+			runs = append(runs, run)
+		}
+	}
+	more(15)
+	require.NoError(t, r.Processes[4].Kill())
+	more(10)
+	require.NoError(t, r.Processes[3].Freeze())
+	more(6)
+	time.Sleep(2 * time.Second) // the fault itself: others take its plans over meanwhile
+	require.NoError(t, r.Processes[3].Thaw())
+	lead := leader(t, r)
+	more(6)
+	require.NoError(t, r.Processes[lead].Kill())
+	require.NoError(t, r.Processes[lead].Wipe())
+	more(6)
+	require.NoError(t, r.Processes[lead].Start())
+	require.NoError(t, r.Processes[4].Start())
+	joined(t, r.Processes[lead])
+	joined(t, r.Processes[4])
+	more(4)
+	told := rig.Ended(runs, ends(t, r, runs))
+	require.Empty(t, told.Never)
+	require.Empty(t, told.Differ)
+	require.Empty(t, rig.Twice(r.Till.Arrivals(), demo.Once), "no ticket twice")
+	outcomes := map[string]int{}
+	for _, run := range runs {
+		_, text := ask(r.Processes[0], http.MethodGet, "/runs/"+run, "")
+		var a struct{ Outcome, Stage, End, Reason string }
+		require.NoError(t, json.Unmarshal([]byte(text), &a))
+		outcomes[a.Outcome]++
+		if a.Outcome == "served" {
+			continue
+		}
+		t.Log(run, text)
+	}
+	require.Greater(t, outcomes["served"], len(runs)/2, "%v", outcomes)
+	alike(t, r)
+}
--- a/internal/service/plans.go
+++ b/internal/service/plans.go
@@ -85,7 +85,7 @@
 func (p *plans) Submit(j coordinator.Job, done func(core.Answer)) error {
 	tx, err := p.s.chain.TakeIn(stage.Arrival{
 		ID: j.ID, Class: j.Class, Tenant: j.Tenant, Target: j.Path, Key: j.Key, Body: j.Body, Front: planFront, GivesUp: j.Until, Hint: j.Hint,
-		NotMember: j.NotMember, NotItsZone: j.NotItsZone,
+		First: true, NotMember: j.NotMember, NotItsZone: j.NotItsZone,
 	}, time.Now(), planClient{p, done})
 	if err != nil {
 		return fmt.Errorf("stage %s of plan %s: %w", j.Stage, j.Plan, err)
--- a/requests_test.go
+++ b/requests_test.go
@@ -250,3 +250,16 @@
 		b.outcome(id, basaltloft.OK)
 	}
 }
+
+// TestFirstTryNearItsDeadline fails where a first try whose deadline is near, as that of a plan's late stage, is
+// taken for a retry that began long ago.
+func TestFirstTryNearItsDeadline(t *testing.T) {
+	for _, first := range []bool{false, true} {
+		b := newBench(t, settings(), 4)
+		b.request("patient", "safe", 100*ms) // which shows how long clients of the class wait
+		b.Request(b.now, basaltloft.Request{ID: "late", Class: "safe", Hint: 100 * ms, Expires: b.now + 2*time.Second, First: first})
+		if got := b.sends["late"] == 1; got != first {
+			t.Errorf("first %v: sent %v, %v", first, got, b.acts)
+		}
+	}
+}
