--- a/internal/scenario/program.go
+++ b/internal/scenario/program.go
@@ -161,6 +161,18 @@
 	return cast
 }
 
+// Dump ends the program with the stacks of all goroutines in its log.
+func (p process) Dump() error { return p.cmd.Process.Signal(syscall.SIGQUIT) }
+
+// StartEnv starts the program with an operator's file and more of the environment.
+func StartEnv(t testing.TB, operator string, env ...string) Cast {
+	binary, err := Build()
+	require.NoError(t, err)
+	dir := t.TempDir()
+	config := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":"127.0.0.1:1","settings":%s}`, free(t), Settings)
+	return Cast{"program": RunWith(t, binary, file(t, dir, "config.json", config), "", env, nil, "-operator", file(t, dir, "operator.json", operator))}
+}
+
 // StartWith starts the program with a configuration of any kind.
 func StartWith(t testing.TB, config string) Cast {
 	binary, err := Build()
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -120,7 +120,12 @@
 		}
 	})
 	select {
-	case err := <-failed:
+	case err := <-failed: // the parts that serve on a listener alone would be waited for
+		for _, c := range s.components {
+			if c.listener != nil {
+				c.listener.Close()
+			}
+		}
 		return err
 	case <-ctx.Done():
 		return nil
