--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -30,7 +31,13 @@
 
 func found(t *testing.T, processes int, load demo.Load, more string) *rig.Rig {
 	t.Helper()
-	r := rig.New(t, rig.Settings{Processes: processes, Load: load, Operator: fmt.Sprintf(section, more), Args: logs})
+	return foundWith(t, rig.Settings{Processes: processes, Load: load}, more)
+}
+
+func foundWith(t *testing.T, s rig.Settings, more string) *rig.Rig {
+	t.Helper()
+	s.Operator, s.Args = fmt.Sprintf(section, more), logs
+	r := rig.New(t, s)
 	r.Start()
 	for _, p := range r.Processes {
 		joined(t, p)
@@ -322,3 +329,83 @@
 	require.Greater(t, outcomes["served"], len(runs)/2, "%v", outcomes)
 	alike(t, r)
 }
+
+// coach shares a price list among its seats; each seat that was given an older one than
+// the members have says so.
+const coach = `
+plan "coach" {
+  within   = "20m"
+  attempts = 800
+  stage "prices" {
+    class = "send-notice"
+    path  = "/send-notice?sid=prices"
+    retry {
+      on   = ["refused", "full", "unsent", "late", "failed", "reset"]
+      most = 2
+      wait = "50ms"
+    }
+  }
+  stage "hold" {
+    class = "place-hold"
+    after = ["prices"]
+    each  = input.seats
+    most  = 50
+    path  = "/place-hold?sid=seat-${item}"
+    body  = { list = prices.list }
+    key   = "${input.booking}-${item}"
+    rerun "prices" {
+      when = end == "failed" && try(result.stale, "") == "prices"
+      most = 2
+    }
+    retry {
+      on   = ["refused", "full", "unsent", "late", "reset"]
+      most = 4
+      wait = "50ms"
+    }
+  }
+}
+`
+
+// TestFiftyLoseOneOutput: fifty jobs on many members report at once that what they were
+// given is stale, while the keepers' leader is killed. It is made anew once, for all.
+func TestFiftyLoseOneOutput(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "plans.hcl")
+	require.NoError(t, os.WriteFile(file, []byte(coach), 0o600))
+	var lists, stale atomic.Int64
+	some := make(chan struct{}) // closed once some have reported
+	r := foundWith(t, rig.Settings{Processes: 4, Load: demo.Load{Members: 8, Slots: 8, Run: 20 * time.Millisecond, Seed: 3},
+		Ends: func(class, _ string, body []byte) (string, string) {
+			switch {
+			case class == "send-notice":
+				return "done", fmt.Sprintf(`{"list":%d}`, lists.Add(1))
+			case strings.Contains(string(body), `"list":1`):
+				if stale.Add(1) == 10 {
+					close(some)
+				}
+				return "failed", `{"stale":"prices"}`
+			}
+			return "done", `{}`
+		}}, fmt.Sprintf(`,"plans":[%q]`, file))
+	seats := make([]int, 50)
+	for i := range seats {
+		seats[i] = i
+	}
+	text, err := json.Marshal(map[string]any{"booking": "c1", "seats": seats})
+	require.NoError(t, err)
+	code, answer := ask(r.Processes[3], http.MethodPost, "/plans/coach?run=c1&within_ms=60000&tenant="+demo.Tenants[0], string(text))
+	require.Equal(t, http.StatusAccepted, code, answer)
+	<-some
+	require.NoError(t, r.Processes[leader(t, r)].Kill())
+	var a struct {
+		Outcome  string
+		Attempts int
+	}
+	require.Eventually(t, func() bool {
+		code, answer = ask(r.Processes[3], http.MethodGet, "/runs/c1", "")
+		return code == http.StatusOK
+	}, 60*time.Second, 20*time.Millisecond)
+	require.NoError(t, json.Unmarshal([]byte(answer), &a))
+	require.Equal(t, "served", a.Outcome, answer)
+	require.EqualValues(t, 2, lists.Load(), "the list was made anew once for fifty reports")
+	t.Logf("%d attempts", a.Attempts)
+}
--- a/internal/fleet/rig/rig.go
+++ b/internal/fleet/rig/rig.go
@@ -26,11 +26,12 @@
 // Settings are what a rig is to be.
 type Settings struct {
 	Processes int
-	Load      demo.Load // Members, Slots, Run, Troubles, Rate and Seed
-	Operator  string    // the template of the operators' files, see Process; empty: none
-	Tags      string    // build tags of the program
-	Env       []string  // more of the processes' environment
-	Args      []string  // more of their arguments
+	Load      demo.Load                                                   // Members, Slots, Run, Troubles, Rate and Seed
+	Operator  string                                                      // the template of the operators' files, see Process; empty: none
+	Tags      string                                                      // build tags of the program
+	Env       []string                                                    // more of the processes' environment
+	Args      []string                                                    // more of their arguments
+	Ends      func(class, ask string, body []byte) (state, result string) // see standin.MemberSettings
 }
 
 // Rig is processes and what is around them.
@@ -78,7 +79,7 @@
 	for i := range s.Load.Members {
 		m, err := standin.NewMember(standin.MemberSettings{
 			ID: fmt.Sprintf("s-%d", i+1), Cell: i / 4, Slots: max(1, s.Load.Slots), Run: s.Load.Running(uint64(i)), Troubles: s.Load.Troubles,
-			Till: r.Till, Once: demo.Once, Seed: s.Load.Seed + uint64(i),
+			Till: r.Till, Ends: s.Ends, Once: demo.Once, Seed: s.Load.Seed + uint64(i),
 		})
 		require.NoError(t, err)
 		r.members = append(r.members, m)
--- a/internal/standin/member.go
+++ b/internal/standin/member.go
@@ -31,7 +31,8 @@
 	Troubles Troubles
 	Reports  func() string // the address of the dispatcher that is told; of others, Door
 	Till     *Till
-	Once     func(class string) bool // classes that must not run twice
+	Ends     func(class, ask string, body []byte) (state, result string) // how a job ends, before troubles; nil: done
+	Once     func(class string) bool                                     // classes that must not run twice
 	Seed     uint64
 }
 
@@ -59,9 +60,10 @@
 }
 
 type memberJob struct {
-	id, class string
-	number    int // in the till's log
-	reports   func() string
+	id, class, ask string
+	body           []byte
+	number         int // in the till's log
+	reports        func() string
 }
 
 const mostQueued = 64
@@ -126,7 +128,7 @@
 }
 
 func (m *Member) submit(w http.ResponseWriter, r *http.Request) {
-	io.Copy(io.Discard, r.Body)
+	body, _ := io.ReadAll(r.Body)
 	id := r.Header.Get("X-Call-Id")
 	class, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	if id == "" {
@@ -155,7 +157,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	select {
-	case m.queue <- memberJob{id, class, number, from.reports}:
+	case m.queue <- memberJob{id, class, r.URL.Query().Get("sid"), body, number, from.reports}:
 		w.WriteHeader(http.StatusAccepted)
 	default:
 		full()
@@ -192,11 +194,14 @@
 	case <-time.After(m.Run(j.class)):
 	}
 	m.Till.mark(j.number, func(a *Arrival) { a.Ended = time.Now() })
-	state := "done"
+	state, result := "done", "ok from "+m.ID
+	if m.Ends != nil {
+		state, result = m.Ends(j.class, j.ask, j.body)
+	}
 	if m.chance(m.Troubles.Fail) {
 		state = "failed"
 	}
-	news <- [2]string{state, "ok from " + m.ID}
+	news <- [2]string{state, result}
 	if m.chance(m.Troubles.Again) {
 		news <- [2]string{state, "again"}
 	}
