Refuse, not fail, at a planned end or the deadline what never ran or may run twice

Cause: the timer of Core.Leaving and Core.expire looked at whether a job had been sent at all (sends == 0), or at nothing. One whose only try found no connection, or whose class may run twice, was answered as failed, though trying again is harmless; the module's own end() refuses these.

Change: a transaction knows whether an attempt that ended may have run (Rules.NeverRan), and harmless() says refused for that, for a safe class and for a key that holds everywhere. Longest() tells the longest deadline, for the planned end.

TestLedger has two more rows; with sends == 0 instead, or without the safe class, they fail.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -245,7 +245,7 @@
 					continue
 				}
 				a := Answer{Verdict: Failed, Reason: account.Stopped}
-				if t.sends == 0 {
+				if c.harmless(t) {
 					a = Answer{Verdict: Refused, Reason: account.GoingAway, RetryAt: c.now}
 				}
 				c.answer(t, a)
@@ -255,6 +255,27 @@
 	})
 }
 
+// Longest is the longest deadline of any class. It may be called by Run's goroutine
+// only, such as in a Sync.
+func (c *Core) Longest() (longest time.Duration) {
+	for _, class := range c.settings.Classes {
+		longest = max(longest, class.GiveUp)
+	}
+	return longest
+}
+
+// harmless tells whether a client may try a transaction again that has no result: it
+// was never sent on, no attempt may have run, or its class lets it run twice. Such a
+// one is refused, not failed, as the module itself does.
+func (c *Core) harmless(t *Transaction) bool {
+	for _, class := range c.settings.Classes {
+		if class.Name == t.Class && (class.Effect == basaltloft.Safe || class.Effect == basaltloft.Keyed && class.Group == basaltloft.GroupAll) {
+			return true
+		}
+	}
+	return t.live == nil && !t.ran
+}
+
 func (c *Core) comesLate(t *Transaction) bool { return !c.late.IsZero() && t.Arrived.After(c.late) }
 
 // request is the stage's view of the transaction, on the module's clock.
@@ -305,7 +326,11 @@
 		return
 	}
 	c.log.WithField("transaction", t.ID).Error("no final answer by the deadline")
-	c.answer(t, Answer{Verdict: Failed, Reason: account.OverTime})
+	a := Answer{Verdict: Failed, Reason: account.OverTime}
+	if c.harmless(t) {
+		a = Answer{Verdict: Refused, Reason: account.Declined, RetryAt: c.now}
+	}
+	c.answer(t, a)
 	c.decisions.Gone(c.clock(c.now), t.ID)
 }
 
@@ -353,7 +378,7 @@
 		return fields
 	})
 	c.timers.drop(f.due)
-	t.last = s
+	t.last, t.ran = s, t.ran || !c.settings.Rules.NeverRan(s)
 	c.flowing--
 	if t.live == f {
 		t.live = nil
--- a/internal/core/ledger_test.go
+++ b/internal/core/ledger_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -66,7 +68,8 @@
 		log.SetLevel(logrus.PanicLevel)
 		c, err := New(basaltloft.Settings{
 			Instances: 1, TellsStart: true, Limits: basaltloft.Limits{MaxAttempts: 3, Cancel: true},
-			Classes: []basaltloft.Class{{Name: "ticket", Effect: basaltloft.Unsafe, Aim: time.Second, Stretch: 2, GiveUp: time.Minute, Worth: 1, Kind: -1}},
+			Classes: []basaltloft.Class{{Name: "ticket", Effect: basaltloft.Unsafe, Aim: time.Second, Stretch: 2, GiveUp: time.Minute, Worth: 1, Kind: -1},
+				{Name: "notice", Effect: basaltloft.Safe, Aim: time.Second, Stretch: 2, GiveUp: time.Minute, Worth: 1, Kind: -1}},
 		}, p, log)
 		require.NoError(t, err)
 		c.Follow(p)
@@ -156,6 +159,29 @@
 				}
 			})
 		}, `["start t","book long","refused long","start short","book short","failed short","abandon short"]`},
+		// A refusal says that trying again is harmless: it holds for what no member may
+		// have run, and for what may run twice.
+		"what never ran, or may run twice, is refused by the end": {func(c *Core, p *tape, tx *Transaction) {
+			now := time.Now()
+			c.Leaving(now, now.Add(time.Second))
+			for n, class := range []string{"ticket", "notice", "ticket"} {
+				c.Submit(&Transaction{ID: fmt.Sprint(n), Class: class, Hint: time.Millisecond, Arrived: now.Add(1), Deadline: tx.Deadline, Client: told{p, fmt.Sprint(n)}})
+			}
+			c.List("test", basaltloft.ListChange, []*Member{{ID: "a", State: basaltloft.Draining, Carrier: p}}) // so nothing is sent again
+			c.post(func() { c.end(p.flows[1], basaltloft.ConnectFailed, nil) })
+			c.post(func() {
+				for due := c.timers.due(now.Add(time.Second)); due != nil; due = c.timers.due(now.Add(time.Second)) {
+					c.handle(posted{do: due})
+				}
+				p.said = slices.DeleteFunc(p.said, func(s string) bool { return !strings.Contains(s, "ed ") })
+				slices.Sort(p.said)
+			})
+		}, `["failed 2","refused 0","refused 1"]`},
+		"what never ran is refused when the module owes its answer": {func(c *Core, p *tape, tx *Transaction) {
+			c.List("test", basaltloft.ListChange, []*Member{{ID: "a", State: basaltloft.Draining, Carrier: p}})
+			c.End(p.flows[0], basaltloft.ConnectFailed, nil)
+			c.post(func() { c.expire(tx) })
+		}, `["start t","book t","refused t"]`},
 		"what the module still owes after the deadline is answered": {func(c *Core, p *tape, tx *Transaction) {
 			c.post(func() { c.expire(tx); c.expire(tx) })
 		}, `["start t","book t","failed t","abandon t"]`},
--- a/internal/core/transaction.go
+++ b/internal/core/transaction.go
@@ -29,6 +29,7 @@
 	sends    int
 	live     *Flow
 	answered bool
+	ran      bool              // an attempt that has ended may have run
 	last     basaltloft.Status // how the last flow ended
 	due      *timer            // its deadline
 }
