Ask a pushed list whole at the start; ask a silent call anew before it counts as told

Cause, pushed lists: a new process watched from the version in its file, wait=1000, beside serving already. What the agent has counts as told from the first moment, so a job sent before that answer went by an old list. Keep now asks for the whole list, which comes at once, and Heard waits for it until a time.

Cause, asked lists: a silent call ended 4 s after it began and was told to the module as failed, which spreads failed calls by 25 ms a dispatcher: with 300 of them by 5.6 to 9.4 s. So the next call came up to 13.4 s after the silence began, and what it missed counts as told after 6 s, a drain binding 2 s later. A silent call has not burdened the service, so the follower makes it anew by itself, by chance within what is left until 5 s after it began (3 s for a whole list, after SIGHUP); 503 and reset go to the module as before. Ruled out: a shorter wait for the answer, which would break watches that an overloaded service answers late.

Indented lists are held by a test, not mended.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -3,8 +3,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -39,6 +41,12 @@
 	keptGrace  = 250 * time.Millisecond
 	pauseLeast = 25 * time.Millisecond
 	pauseMost  = 200 * time.Millisecond
+
+	// Where discovery is asked, what a silent call misses counts as told 6 s after
+	// the silence began, and a drain binds 2 s after that. Silent calls are asked
+	// anew by chance between their end and so long after their wait is over, since
+	// many fall silent together and the service takes calls one after another.
+	againBy = 3 * time.Second
 )
 
 // Lists is told what discovery tells.
@@ -53,8 +61,12 @@
 	carrier core.Carrier
 	log     logrus.FieldLogger
 
+	heard chan struct{} // closed once a service has answered
+	first sync.Once
+
 	mu       sync.Mutex
 	at       *service
+	on       bool // a watch is wanted
 	kept     bool // lists are pushed: the follower watches by itself, always
 	failures int  // calls failed in a row while kept
 }
@@ -74,7 +86,7 @@
 
 // New returns a follower of the discovery service at addr. Calls end with ctx.
 func New(ctx context.Context, addr string, lists Lists, carrier core.Carrier, log logrus.FieldLogger) *Follower {
-	f := &Follower{ctx: ctx, lists: lists, carrier: carrier, log: log}
+	f := &Follower{ctx: ctx, lists: lists, carrier: carrier, log: log, heard: make(chan struct{})}
 	f.at = f.service(addr)
 	return f
 }
@@ -90,7 +102,10 @@
 
 // Restore starts from the list that the dispatcher last had.
 func (f *Follower) Restore(l settings.List) {
-	f.tell(f.at, l.Generation, func() { f.lists.List(Source, basaltloft.ListRestored, f.members(l)) })
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.at.generation, f.at.known = l.Generation, true
+	f.lists.List(Source, basaltloft.ListRestored, f.members(l))
 }
 
 // Move follows the service at another address from here on and asks it for its
@@ -106,7 +121,7 @@
 	}
 	old.end()
 	old.wire.CloseIdleConnections()
-	f.at = f.service(addr)
+	f.at, f.on = f.service(addr), true
 	f.begin(f.at)
 }
 
@@ -114,19 +129,38 @@
 // asked of a shared service: nobody else asks for it, so a watch is kept from
 // now on until the follower ends, and one that fails or falls silent is begun
 // anew after a short pause. Service goes on meanwhile with the members known.
+// What the agent has counts as told from a process's first moment, however old
+// the list that it was started with: so the whole list is asked for first, which
+// comes at once, where a watch from that list's version would wait for news.
 func (f *Follower) Keep() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.kept = true
+	f.kept, f.on = true, true
 	if f.at.stop == nil {
+		f.at.known = false
 		f.begin(f.at)
 	}
 }
 
+// Heard waits until a service has answered, but no longer than until the time
+// given, and tells whether one has. A process that sends nothing before goes by no
+// list older than its agent's, as long as that speaks.
+func (f *Follower) Heard(until time.Time) bool {
+	ctx, cancel := context.WithDeadline(f.ctx, until)
+	defer cancel()
+	select {
+	case <-f.heard:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // Watch implements core.Lister. While one watch runs, another is not begun.
 func (f *Follower) Watch(on bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.on = on
 	switch s := f.at; {
 	case on && s.stop == nil:
 		f.begin(s)
@@ -158,29 +192,35 @@
 }
 
 // watch calls again as soon as it is answered: a gap of over 200 ms would end
-// the watch, and changes in it would count as told. Its end is told to the
-// module, which asks anew. A service of which no version is known is asked for
-// its whole list first.
+// the watch, and changes in it would count as told. A call that fails is told to
+// the module, which asks anew when the service can bear it; one that falls silent
+// has not burdened it, and is asked anew from here, in time for what it may have
+// missed. A service of which no version is known is asked for its whole list first.
 func (f *Follower) watch(ctx context.Context, s *service) {
 	for first := true; ; first = false {
 		wait, late := f.span()
-		began, query, until := time.Now(), url.Values(nil), time.Now().Add(late)
+		began, query := time.Now(), url.Values(nil)
+		due := began // when the answer is due
 		if generation, known := f.seen(s); known {
 			query = url.Values{
 				"index": {strconv.FormatInt(generation, 10)}, "wait": {strconv.FormatInt(wait.Milliseconds(), 10)},
 			}
-			until = until.Add(wait)
+			due = due.Add(wait)
 		}
-		l, err := s.call(ctx, query, until)
+		l, err := s.call(ctx, query, due.Add(late))
 		if err != nil {
 			wanted := ctx.Err() == nil // asked before the watch's own end, which would hide a failure
 			f.mu.Lock()
 			s.stop()
 			s.stop = nil
 			f.mu.Unlock()
-			if wanted {
-				f.failed(s, err)
-				f.renew(s)
+			if !wanted {
+				return
+			}
+			if errors.Is(err, context.DeadlineExceeded) && f.again(s) {
+				f.renew(s, Spread(time.Now(), due.Add(againBy), rand.Float64()))
+			} else if failures := f.failed(s, err); failures > 0 {
+				f.renew(s, time.Now().Add(Pause(failures)))
 			}
 			return
 		}
@@ -213,41 +253,60 @@
 	return watchFor, grace
 }
 
-// failed tells the module of a failed call. Where the watch is kept, it says so
-// in the log once for a run of failures, not for each renewal.
-func (f *Follower) failed(s *service, err error) {
+// again tells whether a silent call is the follower's own to make anew: it is where
+// discovery is asked. A kept watch has a pace of its own.
+func (f *Follower) again(s *service) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.kept {
+		return false
+	}
+	if f.at == s {
+		f.log.Info("discovery fell silent and is asked anew")
+	}
+	return true
+}
+
+// failed tells the module of a failed call. Where the watch is kept, it returns how
+// many have failed in a row, since the follower is to make the call anew; it then says
+// so in the log once for a run of failures, not for each renewal.
+func (f *Follower) failed(s *service, err error) (kept int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.at != s {
-		return
+		return 0
 	}
 	if f.failures++; !f.kept || f.failures == 1 {
 		f.log.WithError(err).Warn("a call to discovery failed")
 	}
 	f.lists.List(Source, basaltloft.ListFailed, nil)
+	if !f.kept {
+		return 0
+	}
+	return f.failures
 }
 
-// renew begins a kept watch anew after a pause that doubles with each failure
-// in a row, up to pauseMost, unless the service was left or a watch runs.
-func (f *Follower) renew(s *service) {
-	f.mu.Lock()
-	kept, failures := f.kept, f.failures
-	f.mu.Unlock()
-	if !kept {
-		return
-	}
+// renew begins a watch anew at a time, unless the service was left, a watch runs
+// or none is wanted any more.
+func (f *Follower) renew(s *service, at time.Time) {
 	select {
 	case <-s.ctx.Done():
 		return
-	case <-time.After(Pause(failures)):
+	case <-time.After(time.Until(at)):
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.at == s && s.stop == nil {
+	if f.at == s && f.on && s.stop == nil {
 		f.begin(s)
 	}
 }
 
+// Spread is when a silent call is made anew: by chance, of which share (0 to 1) is
+// the draw, between now and the time by which it has to be, and now once that is over.
+func Spread(now, by time.Time, share float64) time.Time {
+	return now.Add(time.Duration(share * float64(max(0, by.Sub(now)))))
+}
+
 // Pause is how long a kept watch waits before it is begun anew after the given
 // number of failures in a row (one or more): pauseLeast, doubled for each
 // further failure, at most pauseMost.
@@ -267,6 +326,7 @@
 		}
 		s.generation, s.known, f.failures = generation, true, 0
 		what()
+		f.first.Do(func() { close(f.heard) })
 	}
 }
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,6 +1,8 @@
 package settings
 
 import (
+	"bytes"
+	"encoding/json"
 	"testing"
 	"time"
 
@@ -25,6 +27,24 @@
 	}
 }
 
+// TestIndentedLists: whitespace between the parts of a list, in discovery's answer
+// or the configuration, changes nothing.
+func TestIndentedLists(t *testing.T) {
+	const list = `{"generation":7,"reset":true,"instances":[{"instanceId":"a b","hostPort":"h:1","zone":"z","machineType":"m","cell":3,"lifecycle":"leaving","weight":1.5,"startedAtMs":1500},{"instanceId":"b","hostPort":"h:2","lifecycle":"active"}]}`
+	var indented bytes.Buffer
+	require.NoError(t, json.Indent(&indented, []byte(list), "\r\n ", "\t"))
+	want, err := DecodeList([]byte(list))
+	require.NoError(t, err)
+	for _, text := range []string{indented.String(), "\n" + indented.String() + "\n"} {
+		got, err := DecodeList([]byte(text))
+		require.NoError(t, err)
+		require.Equal(t, want, got)
+		c, err := DecodeConfig([]byte(`{ "settings" : {"registry_mode":"push"}, "known" : ` + text + `}`))
+		require.NoError(t, err)
+		require.Equal(t, want, c.Known)
+	}
+}
+
 func TestOperator(t *testing.T) {
 	o, err := DecodeOperator([]byte(`{"faktory":{"listen":"h:1","jobtypes":{"a.b":{"class":"c","deadline_ms":5}}}}`))
 	require.NoError(t, err)
