Answer what comes while the socket closes; wait for the agent's first list; end by deadlines

Cause, the close: net/http's Shutdown closes a connection without a word on which it reads a request from then on, so that a request whose last byte came on a connection still open was lost, and a new connection closed with no answer. Found by the scenario, which read EOF. The server now closes its listener alone, answers all that comes, closes what is idle, and calls Shutdown when nothing is left. Call-backs are shut out with the listener, so what comes from then on is refused at once (Leaving with no time left): sent on, it was answered 502 at 3.3 s for want of its call-back.

Cause, the start: with pushed lists, serving began beside the agent's first call. Run now waits for the list, half a second at most, since the agent is silent while discovery is down.

Cause, the end: plannedEnd took 3.7 s for the end by force, which comes sooner where the longest deadline is under 3 s. It goes by the longest deadline of the classes now; at 3 s and more nothing changes.

Broken on purpose: net/http's Shutdown alone (EOF), no Leaving before the close (502), no wait for the agent (serving first), 3 s whatever the deadline (TestPlannedEnd): each fails.

--- a/internal/scenario/program.go
+++ b/internal/scenario/program.go
@@ -107,6 +107,12 @@
 	return start(t, members, operator, "")
 }
 
+// StartPushed is Start where lists are pushed to an agent, which is the actor discovery.
+func StartPushed(t testing.TB, members int) Cast {
+	t.Helper()
+	return startWith(t, members, "", "", strings.Replace(Settings, `"ask"`, `"push"`, 1))
+}
+
 // StartDoor is Start with the operators' door, which door in the cast dials.
 func StartDoor(t testing.TB, members int) Cast {
 	t.Helper()
@@ -117,6 +123,11 @@
 }
 
 func start(t testing.TB, members int, operator, admin string) Cast {
+	t.Helper()
+	return startWith(t, members, operator, admin, Settings)
+}
+
+func startWith(t testing.TB, members int, operator, admin, settings string) Cast {
 	t.Helper()
 	binary, err := Build()
 	require.NoError(t, err)
@@ -135,7 +146,7 @@
 	listen := free(t)
 	cast["client"] = Dial(listen)
 	config := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"admin":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":192,"sockets":1024},"known":{"generation":41,"reset":true,"instances":[%s]},"settings":%s}`,
-		listen, next, admin, strings.Join(listed, ","), Settings)
+		listen, next, admin, strings.Join(listed, ","), settings)
 	require.True(t, json.Valid([]byte(config)))
 	var args []string
 	if operator != "" {
--- a/internal/service/component.go
+++ b/internal/service/component.go
@@ -17,18 +17,29 @@
 	Dismiss time.Time
 }
 
-// Clients learn of a planned end late and go on opening connections for a
+// PlannedEnd is what happens when after a signal. Clients learn of it late and go on opening connections for a
 // while; those that hold one are served on it for longer, since the dispatcher
 // that they would turn to may be on its way back. The end by force comes no
-// sooner than 3.7 s after the signal, and finds nothing unanswered that came
-// later than 0.7 s after it.
-func plannedEnd(began time.Time) End {
+// sooner after the signal than the longest deadline, taken as 3 s where it is
+// longer, and 0.7 s, and finds nothing unanswered that came later than 0.7 s
+// after the signal.
+func PlannedEnd(began time.Time, longest time.Duration) End {
+	force := began.Add(min(longest, 3*time.Second) + 700*time.Millisecond)
+	// New connections come for 0.4 s: no end, however near, closes before that.
+	parts := latest(force.Add(-1200*time.Millisecond), began.Add(500*time.Millisecond))
 	return End{
-		Began: began, Late: began.Add(600 * time.Millisecond), Stays: began.Add(2400 * time.Millisecond),
-		Parts: began.Add(2500 * time.Millisecond), Dismiss: began.Add(3300 * time.Millisecond),
+		Began: began, Late: began.Add(600 * time.Millisecond), Stays: parts.Add(-100 * time.Millisecond), Parts: parts,
+		Dismiss: force.Add(-400 * time.Millisecond),
 	}
 }
 
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // component is one part of the program that is started, drained and stopped.
 // What it does not have is nil. A new front is one entry in the assembly.
 type component struct {
--- a/internal/service/program_test.go
+++ b/internal/service/program_test.go
@@ -5,10 +5,13 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"basaltloft/internal/scenario"
+	"basaltloft/internal/service"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 )
 
 const served = `
@@ -54,6 +57,44 @@
 	require.Equal(t, text, after)
 }
 
+// TestFirstMoment: what the agent has counts as told from a process's first moment, so
+// nothing is served before its list is in hand, however old the one in the file. An
+// agent that is silent, as while discovery is down, is not waited for for long.
+func TestFirstMoment(t *testing.T) {
+	const list = `{"generation":44,"reset":false,"instances":[{"instanceId":"s-r1","hostPort":"127.0.0.1:9","lifecycle":"leaving"}]}`
+	for name, script := range map[string]string{
+		"in hand": fmt.Sprintf(`
+			discovery expect ^GET /registry/instances HTTP
+			discovery send HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s
+			program expect listed as draining.*msg=serving
+			discovery expect GET /registry/instances\?index=44&wait=1000 HTTP`, len(list), list),
+		"silent": `
+			discovery expect ^GET /registry/instances HTTP
+			program expect msg=serving` + served,
+	} {
+		t.Run(name, func(t *testing.T) { scenario.Play(t, scenario.StartPushed(t, 1), nil, script) })
+	}
+}
+
+// TestPlannedEnd: all that comes up to the end by force is answered before it, however
+// short the longest deadline is, and nothing closes while clients still connect.
+func TestPlannedEnd(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		longest := time.Duration(rapid.Int64Range(int64(50*time.Millisecond), int64(30*time.Second)).Draw(t, "longest"))
+		began := time.Now()
+		force, e := began.Add(min(longest, 3*time.Second)+700*time.Millisecond), service.PlannedEnd(began, longest)
+		require.False(t, e.Dismiss.After(force.Add(-400*time.Millisecond)))
+		require.False(t, e.Late.After(began.Add(700*time.Millisecond)))
+		require.False(t, e.Stays.Before(began.Add(400*time.Millisecond)))
+		require.True(t, e.Stays.Before(e.Parts))
+		require.True(t, e.Parts.Before(force))
+		if longest >= 3*time.Second {
+			require.Equal(t, service.End{Began: began, Late: began.Add(600 * time.Millisecond), Stays: began.Add(2400 * time.Millisecond),
+				Parts: began.Add(2500 * time.Millisecond), Dismiss: began.Add(3300 * time.Millisecond)}, e)
+		}
+	})
+}
+
 // TestOneFolder: a second dispatcher does not write where the first one does.
 func TestOneFolder(t *testing.T) {
 	dir := t.TempDir()
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -30,6 +30,10 @@
 	Log      *logrus.Logger
 }
 
+// agentFor is how long a start waits for the list of the agent on this machine, which
+// answers at once or, while discovery is down, not at all.
+const agentFor = 500 * time.Millisecond
+
 // Service is one dispatcher.
 type Service struct {
 	options    Options
@@ -75,6 +79,7 @@
 	s.follower.Restore(o.Config.Known)
 	if !o.Config.Settings.AskLists { // pushed to an agent here: nobody else reads it
 		s.follower.Keep()
+		s.follower.Heard(time.Now().Add(agentFor))
 	}
 	s.operators.restore()
 	s.hub.Sync(func() {}) // the pool is known before anybody asks
@@ -146,7 +151,7 @@
 
 // end is the planned end.
 func (s *Service) end(ctx context.Context) error {
-	e := plannedEnd(time.Now())
+	e := PlannedEnd(time.Now(), s.longest())
 	close(s.draining)
 	s.hub.Leaving(e.Late, e.Dismiss)
 	for _, c := range s.components {
@@ -162,6 +167,10 @@
 		}
 	}
 	s.drained(e.Parts)
+	// A socket that closes shuts call-backs out: what comes on a connection that is
+	// still open is refused, since no result could come for it.
+	s.hub.Leaving(time.Now(), time.Now())
+	s.log.Info("closing")
 	for _, c := range s.components {
 		if c.stop != nil {
 			if err := c.stop(ctx); err != nil {
@@ -174,6 +183,12 @@
 	return nil
 }
 
+// longest is the longest deadline of any class.
+func (s *Service) longest() (d time.Duration) {
+	s.hub.Sync(func() { d = s.hub.Longest() })
+	return d
+}
+
 // drained waits until the time given and then until nothing is in hand.
 func (s *Service) drained(from time.Time) {
 	tick := time.NewTicker(10 * time.Millisecond)
--- a/internal/virtualserver/limited.go
+++ b/internal/virtualserver/limited.go
@@ -87,6 +87,23 @@
 	return l.Listener.Close()
 }
 
+// over tells whether the listener has been closed.
+func (l *limited) over() bool {
+	select {
+	case <-l.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// holds is how many connections are open.
+func (l *limited) holds() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.held
+}
+
 // enter lets a connection in, in another's place if need be. Where none can be
 // spared it returns when to try again.
 func (l *limited) enter(c *limitedConn) (until time.Time) {
--- a/internal/virtualserver/program_test.go
+++ b/internal/virtualserver/program_test.go
@@ -209,11 +209,32 @@
 			client.back send @news(t-1,s-r1,done,one)
 			client expect 200 OK.*one$
 			program wait`},
+		// The socket closes with the end of what is in hand, and call-backs are shut out
+		// with it: what a client sends on a connection that is still open is refused, not
+		// sent on for a result that can't come.
+		"refuses what comes once the socket is closed": {1, `
+			program expect serving
+			client send @job(group-ticket,t-1,20)
+			r1 expect X-Call-Id: t-1.*body
+			program close
+			program expect draining
+			client.live send @get(/health/live)
+			client.live expect 200
+			client.live wait
+			client.late send POST /place-hold HTTP/1.1\r\n
+			client.after send @get(/health/live)
+			client.after expect 200
+			client.back send @news(t-1,s-r1,done,one)
+			client expect 200 OK.*one$
+			program expect closing
+			client.late send Host: app\r\nX-Call-Id: h-2\r\nX-Budget: 9\r\nContent-Length: 0\r\n\r\n
+			client.late expect ^HTTP/1.1 503
+			program wait`},
 		// A connection to discovery that falls silent looks like one on which nothing
 		// changes: it is given up soon, and the watch goes on where it was.
 		"notices a silent discovery": {1, `
 			discovery expect GET /registry/instances\?index=41&wait=2000 HTTP
-			program expect a call to discovery failed
+			program expect discovery fell silent and is asked anew
 			discovery.next expect GET /registry/instances\?index=41&wait=2000 HTTP`},
 		// A malformed list changes nothing and is a failed call; a drain is kept.
 		"follows discovery": {1, `
--- a/internal/virtualserver/virtualserver.go
+++ b/internal/virtualserver/virtualserver.go
@@ -57,6 +57,7 @@
 	server   *http.Server
 	draining atomic.Bool
 	inHand   atomic.Int64
+	limited  atomic.Pointer[limited] // what is served; nil: nothing yet
 	// Elsewhere hands on news of a job that is not in hand here: with a socket
 	// shared by two processes of one dispatcher, a member's call-back may reach
 	// the other one. Nil: none.
@@ -99,7 +100,8 @@
 func (s *Server) Serve(l net.Listener, most int) error {
 	limited := newLimited(l, most)
 	s.server.ConnState = limited.state
-	if err := s.server.Serve(limited); err != http.ErrServerClosed {
+	s.limited.Store(limited)
+	if err := s.server.Serve(limited); err != http.ErrServerClosed && !limited.over() {
 		return fmt.Errorf("serving %s: %w", l.Addr(), err)
 	}
 	return nil
@@ -124,8 +126,23 @@
 func (s *Server) InHand() int { return int(s.inHand.Load()) }
 
 // Shutdown closes the listener and waits for connections in use. It shuts
-// call-backs out first, so it may be called only once nothing is in hand.
+// call-backs out first, so it may be called only once nothing is in hand. What
+// still comes on open connections is answered: net/http's own Shutdown closes a
+// connection without a word on which it reads a request from then on, so it is
+// called only when none is left.
 func (s *Server) Shutdown(ctx context.Context) error {
+	if l := s.limited.Load(); l != nil {
+		l.Close()
+		tick := time.NewTicker(5 * time.Millisecond)
+		defer tick.Stop()
+		for s.Part(); l.holds() > 0; s.Part() { // those that have become idle since
+			select {
+			case <-ctx.Done():
+				return fmt.Errorf("shutting the virtual server down: %w", ctx.Err())
+			case <-tick.C:
+			}
+		}
+	}
 	if err := s.server.Shutdown(ctx); err != nil {
 		return fmt.Errorf("shutting the virtual server down: %w", err)
 	}
