--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -236,9 +236,13 @@
 // Leaving tells that the program ends. What arrived late is answered by the end:
 // what can't be done by then is refused at once, and what is not done then is
 // answered, since nothing can be after that. What came before keeps its deadline.
+// Told again it sets another end; what counted as late still does.
 func (c *Core) Leaving(late, end time.Time) {
 	c.post(func() {
-		c.late, c.leaves = late, end
+		if c.late.IsZero() {
+			c.late = late
+		}
+		c.leaves = end
 		c.timers.add(end, func() {
 			for _, t := range c.open {
 				if t.answered || !c.comesLate(t) {
--- a/internal/core/ledger_test.go
+++ b/internal/core/ledger_test.go
@@ -153,6 +153,7 @@
 				hint := map[string]time.Duration{"short": time.Millisecond, "long": time.Minute}[id]
 				c.Submit(&Transaction{ID: id, Class: "ticket", Hint: hint, Arrived: now.Add(1), Deadline: tx.Deadline, Client: told{p, id}})
 			}
+			c.Leaving(now.Add(2), now.Add(time.Second)) // as the socket closes, with one just taken
 			c.post(func() {
 				for due := c.timers.due(now.Add(time.Second)); due != nil; due = c.timers.due(now.Add(time.Second)) {
 					c.handle(posted{do: due})
