Count what is in hand at the end of a restart's time; order idle connections in a test

TestLimited once failed on a busy machine: a client had its answer before its connection was idle, so that a later one was idle first. The script waits for both to be idle now.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -244,8 +244,15 @@
 		}
 		c.leaves = end
 		c.timers.add(end, func() {
+			early, held := 0, 0
 			for _, t := range c.open {
 				if t.answered || !c.comesLate(t) {
+					if !t.answered {
+						early++
+						if t.live == nil {
+							held++
+						}
+					}
 					continue
 				}
 				a := Answer{Verdict: Failed, Reason: account.Stopped}
@@ -255,6 +262,9 @@
 				c.answer(t, a)
 				c.decisions.Gone(c.clock(c.now), t.ID)
 			}
+			if early > 0 {
+				c.log.WithFields(logrus.Fields{"early": early, "held": held}).Info("jobs in hand at the end")
+			}
 		})
 	})
 }
--- a/internal/virtualserver/limited_test.go
+++ b/internal/virtualserver/limited_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"testing"
 	"time"
 
@@ -24,10 +25,10 @@
 			c.1 expect 200 OK.*ok
 			c.2 send @live()
 			c.2 expect 200 OK.*ok
-			c.3 send @live()
+			c.3 send @idle(2)@live()
 			c.3 expect 200 OK.*ok
 			c.1 wait
-			c.4 send @live()
+			c.4 send @idle(2)@live()
 			c.4 expect 200 OK.*ok
 			c.2 wait`,
 		"nobody is waited for": `
@@ -52,6 +53,15 @@
 			defer s.server.Close()
 			began := time.Now()
 			scenario.Play(t, scenario.Cast{"c": scenario.Dial(l.Addr().String())}, scenario.Words{
+				"idle": func(n ...string) string { // an answer comes before its connection is idle
+					require.Eventually(t, func() bool {
+						l := s.limited.Load()
+						l.mu.Lock()
+						defer l.mu.Unlock()
+						return strconv.Itoa(l.spare.Len()) == n[0]
+					}, 20*time.Second, time.Millisecond)
+					return ""
+				},
 				"live": func(...string) string { return `GET /health/live HTTP/1.1\r\nHost: app\r\n\r\n` },
 			}, script)
 			require.Less(t, time.Since(began), 12*time.Second, "each is closed in its time")
