--- a/internal/virtualserver/limited_test.go
+++ b/internal/virtualserver/limited_test.go
@@ -23,12 +23,15 @@
 		"an idle one makes room": `
 			c.1 send @live()
 			c.1 expect 200 OK.*ok
+			c.1 send @idle(1)
 			c.2 send @live()
 			c.2 expect 200 OK.*ok
-			c.3 send @idle(2)@live()
+			c.2 send @idle(2)
+			c.3 send @live()
 			c.3 expect 200 OK.*ok
 			c.1 wait
-			c.4 send @idle(2)@live()
+			c.3 send @idle(2)
+			c.4 send @live()
 			c.4 expect 200 OK.*ok
 			c.2 wait`,
 		"nobody is waited for": `
