--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -271,25 +271,60 @@
 // Leaving tells that the program ends. What arrived late is answered by the end:
 // what can't be done by then is refused at once, and what is not done then is
 // answered, since nothing can be after that. What came before keeps its deadline.
+// Told again it sets another end; what counted as late still does.
 func (c *Core) Leaving(late, end time.Time) {
 	c.post(func() {
-		c.late, c.leaves = late, end
+		if c.late.IsZero() {
+			c.late = late
+		}
+		c.leaves = end
 		c.timers.add(end, func() {
+			early, held := 0, 0
 			for _, t := range c.open {
 				if t.answered || !c.comesLate(t) {
+					if !t.answered {
+						early++
+						if t.live == nil {
+							held++
+						}
+					}
 					continue
 				}
 				a := Answer{Verdict: Failed, Reason: account.Stopped}
-				if t.sends == 0 {
+				if c.harmless(t) {
 					a = Answer{Verdict: Refused, Reason: account.GoingAway, RetryAt: c.now}
 				}
 				c.answer(t, a)
 				c.decisions.Gone(c.clock(c.now), t.ID)
 			}
+			if early > 0 {
+				c.log.WithFields(logrus.Fields{"early": early, "held": held}).Info("jobs in hand at the end")
+			}
 		})
 	})
 }
 
+// Longest is the longest deadline of any class. It may be called by Run's goroutine
+// only, such as in a Sync.
+func (c *Core) Longest() (longest time.Duration) {
+	for _, class := range c.settings.Classes {
+		longest = max(longest, class.GiveUp)
+	}
+	return longest
+}
+
+// harmless tells whether a client may try a transaction again that has no result: it
+// was never sent on, no attempt may have run, or its class lets it run twice. Such a
+// one is refused, not failed, as the module itself does.
+func (c *Core) harmless(t *Transaction) bool {
+	for _, class := range c.settings.Classes {
+		if class.Name == t.Class && (class.Effect == basaltloft.Safe || class.Effect == basaltloft.Keyed && class.Group == basaltloft.GroupAll) {
+			return true
+		}
+	}
+	return t.live == nil && !t.ran
+}
+
 func (c *Core) comesLate(t *Transaction) bool { return !c.late.IsZero() && t.Arrived.After(c.late) }
 
 // request is the stage's view of the transaction, on the module's clock.
@@ -345,7 +380,11 @@
 		return
 	}
 	c.log.WithField("transaction", t.ID).Error("no final answer by the deadline")
-	c.answer(t, Answer{Verdict: Failed, Reason: account.OverTime})
+	a := Answer{Verdict: Failed, Reason: account.OverTime}
+	if c.harmless(t) {
+		a = Answer{Verdict: Refused, Reason: account.Declined, RetryAt: c.now}
+	}
+	c.answer(t, a)
 	c.decisions.Gone(c.clock(c.now), t.ID)
 }
 
@@ -354,7 +393,7 @@
 	if t.answered {
 		return
 	}
-	a.Sends, a.MayHaveRun, a.Last, a.Member, a.Said = t.sends, t.mayRun || t.live != nil, t.last, t.at, t.said
+	a.Sends, a.MayHaveRun, a.Last, a.Member, a.Said = t.sends, t.ran || t.live != nil, t.last, t.at, t.said
 	c.close(t)
 	c.stages.Book(t, a, c.now)
 	t.Client.Answer(a)
@@ -395,7 +434,7 @@
 	})
 	c.timers.drop(f.due)
 	c.release(f, s)
-	t.last, t.mayRun = s, t.mayRun || !c.settings.Rules.NeverRan(s)
+	t.last, t.ran = s, t.ran || !c.settings.Rules.NeverRan(s)
 	if s == basaltloft.Error {
 		t.said = result
 	}
--- a/internal/core/transaction.go
+++ b/internal/core/transaction.go
@@ -33,8 +33,8 @@
 	short    bool // another attempt was not to be had of the fleet's budget
 	live     *Flow
 	answered bool
+	ran      bool              // an attempt that has ended may have run
 	last     basaltloft.Status // how the last flow ended
-	mayRun   bool              // some flow that ended may have run
 	at       string            // the member of the last flow
 	said     []byte            // with the last error of a member
 	due      *timer            // its deadline
--- a/internal/service/program_test.go
+++ b/internal/service/program_test.go
@@ -5,8 +5,10 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"basaltloft/internal/scenario"
+	"basaltloft/internal/service"
 
 	"github.com/stretchr/testify/require"
 )
@@ -54,6 +56,39 @@
 	require.Equal(t, text, after)
 }
 
+// TestFirstMoment: what the agent has counts as told from a process's first moment, so
+// nothing is served before its list is in hand, however old the one in the file. An
+// agent that is silent, as while discovery is down, is not waited for for long.
+func TestFirstMoment(t *testing.T) {
+	const list = `{"generation":44,"reset":false,"instances":[{"instanceId":"s-r1","hostPort":"127.0.0.1:9","lifecycle":"leaving"}]}`
+	for name, script := range map[string]string{
+		"in hand": fmt.Sprintf(`
+			discovery expect ^GET /registry/instances HTTP
+			discovery send HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s
+			program expect listed as draining.*msg=serving
+			discovery expect GET /registry/instances\?index=44&wait=1000 HTTP`, len(list), list),
+		"silent": `
+			discovery expect ^GET /registry/instances HTTP
+			program expect msg=serving` + served,
+	} {
+		t.Run(name, func(t *testing.T) { scenario.Play(t, scenario.StartPushed(t, 1), nil, script) })
+	}
+}
+
+// TestPlannedEnd: all that comes up to the end by force is answered before it, however
+// short the longest deadline is, and nothing closes while clients still connect.
+func TestPlannedEnd(t *testing.T) {
+	began := time.Now()
+	for longest, want := range map[time.Duration][3]int{ // Stays, Parts, Dismiss, in milliseconds
+		25 * time.Second: {2400, 2500, 3300}, 3 * time.Second: {2400, 2500, 3300}, time.Second: {400, 500, 1300}, 300 * time.Millisecond: {400, 500, 600},
+	} {
+		e := service.PlannedEnd(began, longest)
+		for i, at := range []time.Time{e.Stays, e.Parts, e.Dismiss} {
+			require.Equal(t, time.Duration(want[i])*time.Millisecond, at.Sub(began), "%v %d", longest, i)
+		}
+	}
+}
+
 // TestOneFolder: a second dispatcher does not write where the first one does.
 func TestOneFolder(t *testing.T) {
 	dir := t.TempDir()
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -18,6 +18,14 @@
 	require.Equal(t, List{Generation: 7, Whole: true, Entries: []Entry{
 		{ID: "a", Addr: "h:1", Cell: 3, Started: time.UnixMilli(1500)}, {ID: "b", State: basaltloft.Removed},
 	}}, l)
+	// Whitespace changes nothing, in discovery's answer or the configuration.
+	const spaced = "\n{\r\n\t\"generation\" : 7,\n \"reset\" : true , \"instances\" : [\n\t{\"instanceId\" : \"a\", \"hostPort\": \"h:1\",\n\"lifecycle\" : \"active\", \"startedAtMs\": 1500 ,\"cell\" : 3 } , { \"instanceId\":\"b\" ,\"lifecycle\":\"left\"\n} ]\n}\n"
+	got, err := DecodeList([]byte(spaced))
+	require.NoError(t, err)
+	require.Equal(t, l, got)
+	c, err := DecodeConfig([]byte(`{ "settings" : {"registry_mode":"push"}, "known" : ` + spaced + `}`))
+	require.NoError(t, err)
+	require.Equal(t, l, c.Known)
 	for _, bad := range []string{`[]`, `{}`, `{"instances":5}`, `{"generation":"x","instances":[]}`, `{"generation":1.5,"instances":[]}`,
 		`{"instances":[` + good + `,{}]}`, `{"instances":[{"instanceId":"a","hostPort":"none","lifecycle":"active"}]}`} {
 		_, err := DecodeList([]byte(bad))
