--- a/internal/fleet/planrun/book_test.go
+++ b/internal/fleet/planrun/book_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"basaltloft"
+	"basaltloft/internal/fleet/codec"
 	"basaltloft/internal/fleet/plan"
 
 	"github.com/stretchr/testify/require"
@@ -282,6 +283,73 @@
 	}
 }
 
+// TestSharedHandedOn: an output that is being made is taken on by another when its
+// maker gives up or dies, and one made anew for a newcomer is no loss of the old one.
+func TestSharedHandedOn(t *testing.T) {
+	for _, dies := range []bool{true, false} {
+		c := begin(t, booking(1), "r1")
+		first, second := c.fence, c.start(booking(1), "r2", "n3").Fence
+		c.open(0, 1, "tour")
+		require.NoError(t, c.send(0, 0))
+		c.run, c.fence = "r2", second
+		c.open(0, 1, "tour")
+		require.ErrorIs(t, c.send(0, 0), ErrElsewhere)
+		if dies {
+			c.apply(c.at, gone{"n1", 1})
+		} else {
+			c.apply(c.at, Abandon{Run: "r1", Fence: first, Stage: -1, End: plan.Failed})
+		}
+		c.runs(0, 0)
+		c.open(1, 1, "")
+		require.NoError(t, c.send(1, 0)) // with generation 1
+		c.at += 1100 * ms                // over SharedFor: who comes now has it made anew
+		c.run, c.fence = "r3", c.start(booking(1), "r3", "n3").Fence
+		c.open(0, 1, "tour")
+		c.runs(0, 0)
+		require.EqualValues(t, 2, c.view().Run.Stages[0].Gen)
+		c.run, c.fence = "r2", second
+		require.EqualValues(t, 1, c.view().Run.Stages[0].Gen, "it goes on with what it has")
+		require.False(t, c.ended(1, 0, plan.Lost, &LostInput{0, 1}).Fresh)
+		require.Equal(t, []uint64{2}, c.sending(1, 0).Inputs)
+		old := c.sending(1, 0)
+		old.Inputs = []uint64{1}
+		_, err := c.apply(c.at, old)
+		require.ErrorIs(t, err, ErrStale)
+		c.runs(1, 0)
+		c.runs(2, 0)
+		require.Equal(t, Served, c.runs(3, 0).Answer.Outcome)
+		c.alike(t)
+	}
+}
+
+// TestUndoneLastFirst: undos wait for what is out, and go against the order of stages.
+func TestUndoneLastFirst(t *testing.T) {
+	s := booking(1)
+	s.Stages[2].Undo, s.Stages[2].Effect = &UndoShape{Class: "refund", Most: 1}, basaltloft.Keyed
+	c := begin(t, s, "r")
+	c.open(0, 1, "tour")
+	c.runs(0, 0)
+	c.open(1, 1, "")
+	c.runs(1, 0)
+	require.NoError(t, c.send(2, 0))
+	c.apply(c.at, Abandon{Run: "r", Fence: c.fence, Stage: -1, End: plan.Failed})
+	undo := func(stage int) error {
+		_, err := c.apply(c.at, Sending{Run: "r", Fence: c.fence, Stage: stage, Undo: true, Attempt: 1})
+		return err
+	}
+	require.ErrorIs(t, undo(2), ErrStale, "its job is out")
+	c.ended(2, 0, plan.Done, nil)
+	require.ErrorIs(t, undo(1), ErrStale, "the ticket first")
+	require.NoError(t, undo(2))
+	require.ErrorIs(t, undo(1), ErrStale, "the ticket's undo is out")
+	c.apply(c.at, Ended{Run: "r", Fence: c.fence, Stage: 2, Undo: true, Attempt: 1, End: plan.Done})
+	require.NoError(t, undo(1))
+	c.apply(c.at, Ended{Run: "r", Fence: c.fence, Stage: 1, Undo: true, Attempt: 1, End: plan.Done})
+	a := c.answer()
+	require.Equal(t, Failed, a.Outcome)
+	require.Empty(t, a.Left)
+}
+
 // TestHardCases: one way each to an end that must not be what it looks like.
 func TestHardCases(t *testing.T) {
 	two := func(first basaltloft.Effect, most int) Shape {
@@ -347,3 +415,46 @@
 		})
 	}
 }
+
+func TestShapeAndView(t *testing.T) {
+	p := &plan.Plan{Most: 9, Within: time.Minute, Stages: []*plan.Stage{
+		{Name: "a", Class: "x", Effect: basaltloft.Keyed, Cost: 100 * ms, Undo: &plan.Undo{Class: "u", Effect: basaltloft.Unsafe, Most: 1, Wait: ms}},
+		{Name: "b", Class: "y", After: []string{"a"}, AtLeast: 1, Retries: []plan.Retry{{On: []plan.End{plan.Full}, Most: 2, Jitter: 0.25}},
+			Reruns: []plan.Rerun{{Of: "a", Most: 3}}},
+	}}
+	s := ShapeOf(p)
+	require.Equal(t, Shape{Most: 9, Within: time.Minute, Stages: []StageShape{
+		{Name: "a", Class: "x", Effect: basaltloft.Keyed, Cost: 100 * ms, Undo: &UndoShape{"u", basaltloft.Unsafe, 1, ms}},
+		{Name: "b", Class: "y", After: []int{0}, AtLeast: 1, Retries: []RetryShape{{On: []plan.End{plan.Full}, Most: 2, Jitter: 250}}, Reruns: []RerunShape{{0, 3}}},
+	}}, s)
+	c := begin(t, s, "r")
+	text, err := codec.Encode(c.view())
+	require.NoError(t, err)
+	var far View // as a coordinator that is no keeper has it
+	require.NoError(t, codec.Decode(text, &far))
+	require.Equal(t, Next(c.at, 0, c.view()), Next(c.at, 0, far))
+
+	e := new(Estimate)
+	require.Equal(t, 100*ms, e.Rest(c.at, far))
+	for range 50 {
+		e.Ran("x", 40*ms)
+		e.Ran("y", 30*ms)
+	}
+	require.InDelta(t, 70*ms, e.Rest(c.at, far), float64(ms))
+	require.NoError(t, c.send(0, 0))
+	c.at += 30 * ms
+	require.InDelta(t, 40*ms, e.Rest(c.at, c.view()), float64(ms))
+	for _, bad := range []func(s *Shape){
+		func(s *Shape) { s.Stages[0].After = []int{1} }, func(s *Shape) { s.Stages[1].Reruns[0].Of = 1 }, func(s *Shape) { s.Most = 0 },
+		func(s *Shape) { s.Stages[0].Effect, s.Stages[0].Shared = basaltloft.Unsafe, true },
+		func(s *Shape) { s.Stages[1].Each, s.Stages[1].MostEach = true, 9999 },
+	} {
+		s := ShapeOf(p)
+		bad(&s)
+		_, err := c.apply(c.at, Start{Run: "bad", Shape: s, Before: c.at + time.Second})
+		require.ErrorIs(t, err, ErrShape)
+	}
+	v2, err := codec.Encode(form{Version: 2})
+	require.NoError(t, err)
+	require.ErrorContains(t, c.replicas[0].Decode(v2), "version 2")
+}
--- a/internal/fleet/planrun/run.go
+++ b/internal/fleet/planrun/run.go
@@ -23,6 +23,7 @@
 
 // Try is one job or undo, over all its attempts.
 type Try struct {
+	_         struct{} `cbor:",toarray"` // written by position: there are many
 	State     TryState
 	Attempt   uint32 // number of the last one, from 1; it never goes back
 	Fence     uint64 // under which that was sent
@@ -35,7 +36,8 @@
 
 // Item is one item of a stage; a stage without a list has one.
 type Item struct {
-	Value  []byte // of the list, JSON
+	_      struct{} `cbor:",toarray"` // written by position: there are many
+	Value  []byte   // of the list, JSON
 	Job    Try
 	Gen    uint64   // of its stage, when the last attempt was sent
 	Inputs []uint64 // generations of the stages upstream that it was given
@@ -48,9 +50,10 @@
 
 // Stage is the progress of a stage.
 type Stage struct {
-	Gen    uint64 // of its output, which is there if Joined and else yet to be made; from 1
-	Lost   uint64 // its generations up to this one were reported lost in this run
-	Again  int    // how often such a report had it run again
+	_      struct{} `cbor:",toarray"` // written by position: there are many
+	Gen    uint64   // of its output, which is there if Joined and else yet to be made; from 1
+	Lost   uint64   // its generations up to this one were reported lost in this run
+	Again  int      // how often such a report had it run again
 	Opened bool
 	Joined bool
 	Key    string   // of a shared output
