Plans: what a coordinator must remember, and one typed entry of the log

Need: whoever drives a run must send an attempt at most once for its Sending, though replies are lost, and not after its lease; that was test code of the simulation, and the lead would write it again beside the I/O. The log needs one form of entry. Ruled out: to let the caller send when Sending is told "again": right only if it remembers, so the memory is here; what is out and was never sent is told as unsent, and never sent after that. Change: Coordinator (Drive, Tasks, Accepted, Answered), Command, Reply and Book.Apply; refusals keep their kind over the network. The simulation and all tests go through them.

--- a/internal/fleet/planrun/book_test.go
+++ b/internal/fleet/planrun/book_test.go
@@ -25,43 +25,22 @@
 	return r
 }
 
-// apply gives a command to each; their replies and errors must be alike.
-func (r replicas) apply(at time.Duration, command any) (reply any, err error) {
+// apply gives a command to each; their replies must be alike.
+func (r replicas) apply(at time.Duration, command any) (reply Reply, err error) {
+	var c Command
+	if command != nil {
+		p := reflect.New(reflect.TypeOf(command))
+		p.Elem().Set(reflect.ValueOf(command))
+		reflect.ValueOf(&c).Elem().FieldByName(p.Elem().Type().Name()).Set(p)
+	}
 	for i, b := range r {
-		var got any
-		var bad error
-		switch c := command.(type) {
-		case Start:
-			got, bad = b.Start(at, c)
-		case Claim:
-			got = b.Claim(at, c)
-		case Open:
-			bad = b.Open(at, c)
-		case Sending:
-			got, bad = b.Sending(at, c)
-		case Ended:
-			got, bad = b.Ended(at, c)
-		case Abandon:
-			bad = b.Abandon(at, c)
-		case Finish:
-			got, bad = b.Finish(at, c)
-		case gone:
-			b.Lost(at, c.process, c.incarnation)
-		case nil:
-			b.Advance(at)
-		}
-		if i == 0 {
-			reply, err = got, bad
-		} else if !reflect.DeepEqual(got, reply) || fmt.Sprint(bad) != fmt.Sprint(err) {
-			panic(fmt.Sprintf("%T: replica %d replied %+v, %v; replica 0 %+v, %v", command, i, got, bad, reply, err))
+		if got := b.Apply(at, c); i == 0 {
+			reply = got
+		} else if !reflect.DeepEqual(got, reply) {
+			panic(fmt.Sprintf("%T: replica %d replied %+v; replica 0 %+v", command, i, got, reply))
 		}
 	}
-	return reply, err
-}
-
-type gone struct {
-	process     string
-	incarnation uint64
+	return reply, reply.Err()
 }
 
 // alike compares the bytes of the replicas, one of them after a decode.
@@ -110,7 +89,7 @@
 func (c *script) start(s Shape, run, process string) Started {
 	reply, err := c.apply(c.at, Start{Run: run, Plan: "p", Shape: s, Before: c.at + 10*time.Second, Process: process, Incarnation: 1})
 	require.NoError(c.t, err)
-	return reply.(Started)
+	return *reply.Started
 }
 
 func (c *script) view() View {
@@ -136,7 +115,7 @@
 	j := c.view().Run.Stages[stage].Items[item].Job
 	reply, err := c.apply(c.at, Ended{Run: c.run, Fence: j.Fence, Stage: stage, Item: item, Attempt: j.Attempt, End: end, Result: []byte(`1`), Lost: lost})
 	require.NoError(c.t, err)
-	return reply.(Counted)
+	return *reply.Counted
 }
 
 func (c *script) runs(stage, item int) Counted {
@@ -151,9 +130,9 @@
 
 // takeOver has another coordinator claim all.
 func (c *script) takeOver() {
-	c.apply(c.at, gone{"n1", 1})
+	c.apply(c.at, Gone{"n1", 1})
 	reply, _ := c.apply(c.at, Claim{Process: "n2", Incarnation: 1, Most: 100})
-	for _, k := range reply.([]Claimed) {
+	for _, k := range reply.Claimed {
 		if k.Run == c.run {
 			c.fence = k.Fence
 		}
@@ -164,7 +143,7 @@
 	c.alike(c.t)
 	reply, err := c.apply(c.at, Finish{c.run})
 	require.NoError(c.t, err)
-	return reply.(*Answer)
+	return reply.Answer
 }
 
 func TestServedOnceAndKnown(t *testing.T) {
@@ -202,7 +181,7 @@
 		old.Attempt--
 		reply, err := c.apply(c.at, old)
 		require.NoError(t, err)
-		require.Equal(t, Sent{Again: true}, reply, "the reply was lost")
+		require.Equal(t, Sent{Again: true}, *reply.Sent, "the reply was lost")
 		c.takeOver()
 		_, err = c.apply(c.at, old)
 		require.ErrorIs(t, err, ErrFence)
@@ -295,7 +274,7 @@
 		c.open(0, 1, "tour")
 		require.ErrorIs(t, c.send(0, 0), ErrElsewhere)
 		if dies {
-			c.apply(c.at, gone{"n1", 1})
+			c.apply(c.at, Gone{"n1", 1})
 		} else {
 			c.apply(c.at, Abandon{Run: "r1", Fence: first, Stage: -1, End: plan.Failed})
 		}
--- /dev/null
+++ b/internal/fleet/planrun/coordinator.go
@@ -0,0 +1,147 @@
+package planrun
+
+import (
+	"errors"
+	"time"
+
+	"basaltloft/internal/fleet/plan"
+)
+
+// Coordinator is what one incarnation of a process remembers of the runs that it
+// drives: the part that is not replicated. It sees to it that an attempt is sent at
+// most once for its Sending, whatever replies were lost, and never after its lease.
+// It does no I/O; whoever holds it asks the keepers, evaluates and sends. It must not
+// be used concurrently, and not be kept over a new incarnation.
+type Coordinator struct {
+	Estimate Estimate
+	grace    time.Duration
+	runs     map[string]*driven
+}
+
+// driven is a run under a fence of this process.
+type driven struct {
+	fence uint64
+	tries map[TryID]memory
+}
+
+// TryID names one attempt of a run.
+type TryID struct {
+	Stage, Item int
+	Undo        bool
+	Attempt     uint32
+}
+
+// memory says what this process did about an attempt.
+type memory struct {
+	asked bool // a command about it is on its way
+	spent bool // it was sent, or told to be unsent: it is never sent from here on
+}
+
+// NewCoordinator returns one that drives nothing. Grace is Limits.Grace.
+func NewCoordinator(grace time.Duration) *Coordinator {
+	return &Coordinator{grace: grace, runs: make(map[string]*driven)}
+}
+
+// Drive takes on a run that a Start or Claim gave to this process, under its fence.
+func (c *Coordinator) Drive(run string, fence uint64) {
+	if d := c.runs[run]; d == nil || d.fence != fence {
+		c.runs[run] = &driven{fence, make(map[TryID]memory)}
+	}
+}
+
+// Drop forgets a run: it has ended, or another process has it.
+func (c *Coordinator) Drop(run string) { delete(c.runs, run) }
+
+// Drives tells whether it drives a run.
+func (c *Coordinator) Drives(run string) bool { return c.runs[run] != nil }
+
+// Task is something to do for a run now.
+type Task struct {
+	Action
+	ID      TryID
+	Open    *Open    // to be filled with the key and items that were evaluated, and asked
+	Sending *Sending // to be asked, once a share is there for it if Extra
+	Ended   *Ended   // to be asked until there is a reply: an attempt that is out and that nobody sends any more
+}
+
+// Tasks lists what is to be done for a run now, and when to look again; what is on
+// its way is left out. A view under another fence ends the drive. Each Task is
+// answered by Answered (or, a Sending, by Accepted) once.
+func (c *Coordinator) Tasks(at time.Duration, v View) (list []Task, wake time.Duration) {
+	d := c.runs[v.Run.ID]
+	if d == nil || v.Run.Fence != d.fence || v.Run.Orphan {
+		c.Drop(v.Run.ID)
+		return nil, 0
+	}
+	var rest time.Duration
+	for _, a := range Next(at, c.grace, v) {
+		if a.What == WaitUntil {
+			wake = a.At
+			continue
+		}
+		id := TryID{a.Stage, a.Item, a.Undo, a.Attempt}
+		m, t := d.tries[id], Task{Action: a, ID: id}
+		if m.asked || a.What == AwaitEnd && m.spent {
+			continue
+		}
+		switch a.What {
+		case OpenStage:
+			t.Open = &Open{Run: v.Run.ID, Fence: d.fence, Stage: a.Stage}
+		case AwaitEnd: // its Sending was let, the reply lost: time has passed, so it is not sent
+			m.spent = true
+			t.Ended = &Ended{Run: v.Run.ID, Fence: d.fence, Stage: a.Stage, Item: a.Item, Undo: a.Undo, Attempt: a.Attempt, End: plan.Unsent}
+		default:
+			if rest == 0 {
+				rest = c.Estimate.Rest(at, v)
+			}
+			t.Sending = &Sending{
+				Run: v.Run.ID, Fence: d.fence, Stage: a.Stage, Item: a.Item, Undo: a.Undo, Generation: a.Generation,
+				Inputs: a.Inputs, Attempt: a.Attempt, Rest: rest,
+			}
+		}
+		m.asked = true
+		d.tries[id] = m
+		list = append(list, t)
+	}
+	return list, wake
+}
+
+// Answered takes in that a task is done with: there was a reply, or none in time.
+func (c *Coordinator) Answered(run string, id TryID) {
+	if d := c.runs[run]; d != nil {
+		m := d.tries[id]
+		if m.asked = false; m == (memory{}) {
+			delete(d.tries, id)
+			return
+		}
+		d.tries[id] = m
+	}
+}
+
+// Accepted is Answered for a Sending, and tells whether the attempt is to be sent now.
+// Leased says that this process's own lease holds at this moment; the send must
+// follow at once. A caller that gave up waiting for the reply passes an error, and
+// doesn't call again when the reply comes after all.
+func (c *Coordinator) Accepted(s Sending, id TryID, err error, leased bool) bool {
+	d := c.runs[s.Run]
+	if d == nil || d.fence != s.Fence {
+		return false
+	}
+	m := d.tries[id]
+	send := err == nil && leased && !m.spent
+	m.spent = m.spent || send
+	d.tries[id] = m
+	if c.Answered(s.Run, id); errors.Is(err, ErrFence) || errors.Is(err, ErrEnded) {
+		c.Drop(s.Run)
+	}
+	return send
+}
+
+// End makes the command that says how an attempt ended which this process has sent.
+// It is asked until there is a reply, also after the run was dropped: it counts once.
+func (s Sending) End(end plan.End, result []byte, member string, lost *LostInput) Ended {
+	return Ended{
+		Run: s.Run, Fence: s.Fence, Stage: s.Stage, Item: s.Item, Undo: s.Undo, Attempt: s.Attempt,
+		End: end, Result: result, Member: member, Lost: lost,
+	}
+}
--- a/internal/fleet/planrun/model_test.go
+++ b/internal/fleet/planrun/model_test.go
@@ -43,7 +43,7 @@
 		send := func(t *rapid.T, c Sending, v *Run) {
 			id := c.Run
 			reply, err := r.apply(at, c)
-			if err != nil || reply.(Sent).Again {
+			if err != nil || reply.Sent.Again {
 				return
 			}
 			require.Equal(t, fence[id], c.Fence, "an older fence")
@@ -80,7 +80,7 @@
 			}
 			before := view(id)
 			reply, err := r.apply(at, e)
-			if c := reply.(Counted); err == nil && c.Once {
+			if c := *reply.Counted; err == nil && c.Once {
 				require.True(t, h.counted == 0 && (!h.overtook || e.End == plan.Done) || e.End == plan.Done && h.end != plan.Done, "counted twice")
 				h.end = e.End
 				h.counted++
@@ -126,7 +126,7 @@
 				id := run(t)
 				known := view(id) != nil || answers[id] != nil
 				reply, err := r.apply(at, Start{Run: id, Plan: "p", Shape: shape, Before: at + 2*time.Second, Seed: 1, Process: "n1", Incarnation: 1})
-				if x := reply.(Started); err == nil {
+				if x := *reply.Started; err == nil {
 					require.Equal(t, known, x.Known)
 					if require.Equal(t, answers[id], x.Answer); x.Fence > 0 {
 						fence[id] = x.Fence
@@ -176,9 +176,9 @@
 				if draw(t, "rarely", 3) > 0 {
 					t.Skip()
 				}
-				r.apply(at, gone{"n1", 1})
+				r.apply(at, Gone{"n1", 1})
 				reply, _ := r.apply(at, Claim{Process: "n1", Incarnation: 1, Most: draw(t, "most", 3)})
-				for _, c := range reply.([]Claimed) {
+				for _, c := range reply.Claimed {
 					require.Greater(t, c.Fence, fence[c.Run])
 					fence[c.Run] = c.Fence
 					for _, h := range history[c.Run] {
@@ -203,9 +203,9 @@
 						if a := r[0].Answer(id); old.Cut != a.Cut {
 							old.Results, old.Cut = nil, true // the oldest answers lose their results
 						}
-						require.Equal(t, old, a)
+						require.Equal(t, old, r[0].Answer(id))
 					} else if err == nil {
-						answers[id] = a.(*Answer)
+						answers[id] = a.Answer
 						hold(t, answers[id], history[id])
 						met[answers[id].Outcome]++
 					} else if v := view(id); v != nil {
--- a/internal/fleet/planrun/sim_test.go
+++ b/internal/fleet/planrun/sim_test.go
@@ -76,11 +76,8 @@
 	rate        float64
 	frozen      time.Duration // until then
 	lease       time.Duration // by its own clock, good until then
-	fences      map[string]uint64
-	sent        map[try]bool
-	busy        map[try]bool
+	co          *Coordinator
 	wakes       map[string]bool
-	estimate    Estimate
 }
 
 func (s *sim) after(d time.Duration, f func()) {
@@ -129,9 +126,9 @@
 var errNoReply = errors.New("no reply")
 
 // ask proposes a command. The reply is told once, a lost one as errNoReply.
-func (p *proc) ask(command any, reply func(any, error)) {
+func (p *proc) ask(command any, reply func(Reply, error)) {
 	s, epoch, told := p.s, p.epoch, false
-	tell := func(r any, err error) {
+	tell := func(r Reply, err error) {
 		if !told {
 			told = true
 			reply(r, err)
@@ -152,33 +149,33 @@
 	if s.chance(0.03) {
 		s.after(s.net(), arrive)
 	}
-	p.after(80*ms, func() { tell(nil, errNoReply) })
+	p.after(80*ms, func() { tell(Reply{}, errNoReply) })
 }
 
 // commit enters a command into the log.
-func (s *sim) commit(command any) (any, error) {
+func (s *sim) commit(command any) (Reply, error) {
 	s.n.commands++
 	r, err := s.books.apply(s.fleet(), command)
 	switch c := command.(type) {
 	case Sending:
-		if k := (try{job{c.Run, c.Stage, c.Item, c.Undo}, c.Attempt}); err == nil && !r.(Sent).Again {
+		if k := (try{job{c.Run, c.Stage, c.Item, c.Undo}, c.Attempt}); err == nil && !r.Sent.Again {
 			if s.tries[k] != nil {
 				s.fault("%v was let twice", k)
 			}
 			s.tries[k] = &seen{try: k, fence: c.Fence}
 		}
 	case Ended:
-		if k := s.tries[try{job{c.Run, c.Stage, c.Item, c.Undo}, c.Attempt}]; err == nil && r.(Counted).Once {
+		if k := s.tries[try{job{c.Run, c.Stage, c.Item, c.Undo}, c.Attempt}]; err == nil && r.Counted.Once {
 			if k.end != "" && (c.End != plan.Done || k.end == plan.Done) {
 				s.fault("%v ended twice, %v and %v", k.try, k.end, c.End)
 			}
-			if r.(Counted).Fresh {
+			if r.Counted.Fresh {
 				s.n.fresh++
 			}
 			k.end = c.End
 		}
 	case Claim:
-		for _, x := range r.([]Claimed) {
+		for _, x := range r.Claimed {
 			s.n.takeovers++
 			for _, k := range s.tries {
 				if k.run == x.Run && k.end == "" {
@@ -200,8 +197,8 @@
 
 func (p *proc) start(run string) {
 	s := p.s
-	p.ask(Start{Run: run, Plan: "booking", Shape: s.shapes[run], Seed: s.rng.Uint64(), Before: 10 * time.Second, Process: p.name, Incarnation: p.incarnation}, func(r any, err error) {
-		x, _ := r.(Started)
+	p.ask(Start{Run: run, Plan: "booking", Shape: s.shapes[run], Seed: s.rng.Uint64(), Before: 10 * time.Second, Process: p.name, Incarnation: p.incarnation}, func(r Reply, err error) {
+		x := r.Started
 		switch {
 		case err != nil && s.now < 2*time.Second: // its client asks another
 			other := s.procs[s.rng.IntN(len(s.procs))]
@@ -209,7 +206,7 @@
 		case x.Answer != nil:
 			s.heard(x.Answer)
 		case x.Fence > 0:
-			p.fences[run] = x.Fence
+			p.co.Drive(run, x.Fence)
 			p.pump(run)
 		}
 	})
@@ -217,101 +214,85 @@
 
 // pump does what is next for a run.
 func (p *proc) pump(run string) {
-	s, fence := p.s, p.fences[run]
+	s := p.s
 	v, err := s.books[0].View(run)
 	if errors.Is(err, ErrEnded) {
 		s.heard(s.books[0].Answer(run))
 	}
-	if err != nil || v.Run.Fence != fence {
-		delete(p.fences, run)
+	if err != nil {
+		p.co.Drop(run)
 		return
 	}
-	for _, a := range Next(s.fleet(), s.books[0].limits.Grace, v) {
-		k := try{job{run, a.Stage, a.Item, a.Undo}, a.Attempt}
-		if a.What == WaitUntil {
-			if !p.wakes[run] {
-				p.wakes[run] = true
-				p.after(time.Duration(float64(max(ms, min(a.At-s.fleet(), 100*ms)))/p.rate), func() { p.wakes[run] = false; p.pump(run) })
-			}
-			continue
-		}
-		if p.busy[k] {
-			continue
-		}
-		p.busy[k] = true
-		done := func(any, error) { delete(p.busy, k); p.pump(run) }
+	tasks, wake := p.co.Tasks(s.fleet(), v)
+	if wake > 0 && !p.wakes[run] {
+		p.wakes[run] = true
+		p.after(time.Duration(float64(max(ms, min(wake-s.fleet(), 100*ms)))/p.rate), func() { p.wakes[run] = false; p.pump(run) })
+	}
+	for _, t := range tasks {
 		switch {
-		case a.What == OpenStage:
-			o := Open{Run: run, Fence: fence, Stage: a.Stage, Items: [][]byte{nil}}
-			if sh := v.Shape.Stages[a.Stage]; sh.Each {
-				o.Items = make([][]byte, sh.MostEach)
-			} else if sh.Shared {
-				o.Key = "tour"
+		case t.Open != nil:
+			if t.Open.Items = [][]byte{nil}; v.Shape.Stages[t.Stage].Each {
+				t.Open.Items = make([][]byte, v.Shape.Stages[t.Stage].MostEach)
+			} else {
+				t.Open.Key = "tour"
 			}
-			p.ask(o, done)
-		case a.What == AwaitEnd && p.sent[k]:
-			delete(p.busy, k)
-		case a.What == AwaitEnd && s.chance(0.5):
-			p.sent[k] = true // it must not send it once it has told so
-			p.tell(k, Ended{Fence: fence, End: plan.Unsent})
-		default: // also again, where the reply was lost
-			p.ask(Sending{Run: run, Fence: fence, Stage: a.Stage, Item: a.Item, Undo: a.Undo, Generation: a.Generation,
-				Inputs: v.Run.inputs(v.Shape, a.Stage), Attempt: a.Attempt, Rest: p.estimate.Rest(s.fleet(), v)}, func(r any, err error) {
-				if err == nil && !p.sent[k] && p.clock() < p.lease {
-					p.sent[k] = true
-					if a := s.tries[k]; s.chance(0.01) { // it freezes between its look at the lease and the send
+			p.ask(*t.Open, func(Reply, error) { p.co.Answered(run, t.ID); p.pump(run) })
+		case t.Ended != nil:
+			p.tell(t.ID, *t.Ended)
+		default:
+			p.ask(*t.Sending, func(_ Reply, err error) {
+				if p.co.Accepted(*t.Sending, t.ID, err, p.clock() < p.lease) {
+					a := s.tries[try{job{run, t.Stage, t.Item, t.Undo}, t.Attempt}]
+					if s.chance(0.01) { // it freezes between its look at the lease and the send
 						p.frozen, a.unchecked = s.now+time.Duration(s.rng.IntN(1500))*ms, true
-						p.after(0, func() { p.send(a, v.Run.inputs(v.Shape, k.stage)) })
-					} else {
-						p.send(a, v.Run.inputs(v.Shape, k.stage))
-						if s.chance(0.01) { // a crash between the send and its end
-							p.after(s.net(), p.join)
-						}
+						p.after(0, func() { p.send(a, *t.Sending, t.ID) })
+					} else if p.send(a, *t.Sending, t.ID); s.chance(0.01) { // a crash between the send and its end
+						p.after(s.net(), p.join)
 					}
 				}
-				done(r, err)
+				p.pump(run)
 			})
 		}
 	}
 }
 
 // tell reports an end until there is a reply.
-func (p *proc) tell(k try, e Ended) {
-	e.Run, e.Stage, e.Item, e.Undo, e.Attempt, e.Result = k.run, k.stage, k.item, k.undo, k.attempt, []byte(`{}`)
-	p.ask(e, func(r any, err error) {
+func (p *proc) tell(id TryID, e Ended) {
+	e.Result = []byte(`{}`)
+	p.ask(e, func(r Reply, err error) {
 		if errors.Is(err, errNoReply) {
-			p.tell(k, e)
+			p.tell(id, e)
 			return
 		}
-		if x, _ := r.(Counted); x.Answer != nil {
-			p.s.heard(x.Answer)
+		if r.Counted.Answer != nil {
+			p.s.heard(r.Counted.Answer)
 		}
-		delete(p.busy, k)
-		p.pump(k.run)
+		p.co.Answered(e.Run, id)
+		p.pump(e.Run)
 	})
 }
 
 // send has a member run an attempt, perhaps.
-func (p *proc) send(a *seen, inputs []uint64) {
+func (p *proc) send(a *seen, c Sending, id TryID) {
 	s, epoch, told := p.s, p.epoch, false
 	if s.n.sends++; a.end == plan.MayRun && !a.unchecked {
 		s.fault("%v was sent when another had the run", a.try)
 	}
 	sh := s.shapes[a.run].Stages[a.stage]
-	tell := func(d time.Duration, e Ended) {
+	tell := func(d time.Duration, end plan.End, lost *LostInput) {
 		p.within(epoch, d, func() {
-			if e.Fence = a.fence; !told || e.End == plan.Done { // an answer that came late is told too, and one that came twice
+			if !told || end == plan.Done { // an answer that came late is told too, and one that came twice
 				told = true
-				p.tell(a.try, e)
+				p.tell(id, c.End(end, nil, "m", lost))
 			}
 		})
 	}
-	tell(150*ms, Ended{End: plan.Late})
+	tell(150*ms, plan.Late, nil)
 	switch x := s.rng.Float64(); {
 	case x < 0.04:
-		tell(ms, Ended{End: plan.Unsent})
+		tell(ms, plan.Unsent, nil)
 	case x < 0.07:
-		tell(3*ms, Ended{End: plan.Full})
+		tell(3*ms, plan.Full, nil)
 	default:
 		s.after(s.net(), func() {
 			s.begin(a, sh)
@@ -326,21 +307,21 @@
 						break
 					}
 				}
-				e := Ended{End: plan.Done, Member: "m"}
-				if len(sh.Reruns) > 0 && !a.undo && inputs[0] <= s.lost {
-					e.End, e.Lost = plan.Lost, &LostInput{0, inputs[0]}
+				end, lost := plan.Done, (*LostInput)(nil)
+				if len(sh.Reruns) > 0 && !a.undo && c.Inputs[0] <= s.lost {
+					end, lost = plan.Lost, &LostInput{0, c.Inputs[0]}
 				} else if s.chance(0.04) {
-					e.End = plan.Failed
+					end = plan.Failed
 				} else {
-					p.estimate.Ran(sh.Class, took)
+					p.co.Estimate.Ran(sh.Class, took)
 				}
 				switch x := s.rng.Float64(); {
 				case x < 0.03:
 				case x < 0.05:
-					tell(ms, Ended{End: plan.Reset})
+					tell(ms, plan.Reset, nil)
 				default:
-					if tell(s.net(), e); s.chance(0.03) {
-						tell(s.net(), e)
+					if tell(s.net(), end, lost); s.chance(0.03) {
+						tell(s.net(), end, lost)
 					}
 				}
 			})
@@ -401,12 +382,10 @@
 		})
 	}
 	if p.clock() < p.lease {
-		p.ask(Claim{Process: p.name, Incarnation: p.incarnation, Most: 3}, func(r any, err error) {
-			if list, _ := r.([]Claimed); err == nil {
-				for _, c := range list {
-					p.fences[c.Run] = c.Fence
-					p.pump(c.Run)
-				}
+		p.ask(Claim{Process: p.name, Incarnation: p.incarnation, Most: 3}, func(r Reply, _ error) {
+			for _, c := range r.Claimed {
+				p.co.Drive(c.Run, c.Fence)
+				p.pump(c.Run)
 			}
 		})
 	}
@@ -417,7 +396,7 @@
 func (p *proc) join() {
 	p.epoch++
 	p.incarnation++
-	p.lease, p.fences, p.sent, p.busy, p.wakes = 0, map[string]uint64{}, map[try]bool{}, map[try]bool{}, map[string]bool{}
+	p.lease, p.co, p.wakes = 0, NewCoordinator(500*ms), map[string]bool{}
 	p.after(p.s.net(), p.live)
 }
 
@@ -429,7 +408,7 @@
 				id := fmt.Sprintf("%s %d", p.name, i)
 				if until, ok := s.leases[id]; ok && until >= 0 && until <= s.fleet() || ok && until >= 0 && i < p.incarnation {
 					s.leases[id] = -1
-					s.commit(gone{p.name, i})
+					s.commit(Gone{p.name, i})
 				}
 			}
 		}
