--- a/internal/fleet/planrun/book_test.go
+++ b/internal/fleet/planrun/book_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"basaltloft"
+	"basaltloft/internal/fleet/codec"
 	"basaltloft/internal/fleet/plan"
 
 	"github.com/stretchr/testify/require"
@@ -24,52 +25,30 @@
 	return r
 }
 
-// apply gives a command to each; their replies and errors must be alike.
-func (r replicas) apply(at time.Duration, command any) (reply any, err error) {
+// apply gives a command to each; their replies must be alike.
+func (r replicas) apply(at time.Duration, command any) (reply Reply, err error) {
+	var c Command
+	if command != nil {
+		p := reflect.New(reflect.TypeOf(command))
+		p.Elem().Set(reflect.ValueOf(command))
+		reflect.ValueOf(&c).Elem().FieldByName(p.Elem().Type().Name()).Set(p)
+	}
 	for i, b := range r {
-		var got any
-		var bad error
-		switch c := command.(type) {
-		case Start:
-			got, bad = b.Start(at, c)
-		case Claim:
-			got = b.Claim(at, c)
-		case Open:
-			bad = b.Open(at, c)
-		case Sending:
-			got, bad = b.Sending(at, c)
-		case Ended:
-			got, bad = b.Ended(at, c)
-		case Abandon:
-			bad = b.Abandon(at, c)
-		case Finish:
-			got, bad = b.Finish(at, c)
-		case gone:
-			b.Lost(at, c.process, c.incarnation)
-		case nil:
-			b.Advance(at)
-		}
-		if i == 0 {
-			reply, err = got, bad
-		} else if !reflect.DeepEqual(got, reply) || fmt.Sprint(bad) != fmt.Sprint(err) {
-			panic(fmt.Sprintf("%T: replica %d replied %+v, %v; replica 0 %+v, %v", command, i, got, bad, reply, err))
+		if got := b.Apply(at, c); i == 0 {
+			reply = got
+		} else if !reflect.DeepEqual(got, reply) {
+			panic(fmt.Sprintf("%T: replica %d replied %+v; replica 0 %+v", command, i, got, reply))
 		}
 	}
-	return reply, err
-}
-
-type gone struct {
-	process     string
-	incarnation uint64
+	return reply, reply.Err()
 }
 
 // alike compares the bytes of the replicas, one of them after a decode.
-func (r replicas) alike(t require.TestingT) {
+func (r *replicas) alike(t require.TestingT) {
 	want, err := r[0].Encode()
 	require.NoError(t, err)
 	back := NewBook(Limits{})
 	require.NoError(t, back.Decode(want))
-	back.planted = r[0].planted
 	for _, b := range []*Book{r[1], r[2], back} {
 		got, err := b.Encode()
 		require.NoError(t, err)
@@ -110,7 +89,7 @@
 func (c *script) start(s Shape, run, process string) Started {
 	reply, err := c.apply(c.at, Start{Run: run, Plan: "p", Shape: s, Before: c.at + 10*time.Second, Process: process, Incarnation: 1})
 	require.NoError(c.t, err)
-	return reply.(Started)
+	return *reply.Started
 }
 
 func (c *script) view() View {
@@ -136,7 +115,7 @@
 	j := c.view().Run.Stages[stage].Items[item].Job
 	reply, err := c.apply(c.at, Ended{Run: c.run, Fence: j.Fence, Stage: stage, Item: item, Attempt: j.Attempt, End: end, Result: []byte(`1`), Lost: lost})
 	require.NoError(c.t, err)
-	return reply.(Counted)
+	return *reply.Counted
 }
 
 func (c *script) runs(stage, item int) Counted {
@@ -151,9 +130,9 @@
 
 // takeOver has another coordinator claim all.
 func (c *script) takeOver() {
-	c.apply(c.at, gone{"n1", 1})
+	c.apply(c.at, Gone{"n1", 1})
 	reply, _ := c.apply(c.at, Claim{Process: "n2", Incarnation: 1, Most: 100})
-	for _, k := range reply.([]Claimed) {
+	for _, k := range reply.Claimed {
 		if k.Run == c.run {
 			c.fence = k.Fence
 		}
@@ -164,7 +143,7 @@
 	c.alike(c.t)
 	reply, err := c.apply(c.at, Finish{c.run})
 	require.NoError(c.t, err)
-	return reply.(*Answer)
+	return reply.Answer
 }
 
 func TestServedOnceAndKnown(t *testing.T) {
@@ -202,7 +181,7 @@
 		old.Attempt--
 		reply, err := c.apply(c.at, old)
 		require.NoError(t, err)
-		require.Equal(t, Sent{Again: true}, reply, "the reply was lost")
+		require.Equal(t, Sent{Again: true}, *reply.Sent, "the reply was lost")
 		c.takeOver()
 		_, err = c.apply(c.at, old)
 		require.ErrorIs(t, err, ErrFence)
@@ -256,7 +235,7 @@
 		fresh, made := 0, 0
 		each(func() {
 			for i := range seats {
-				if !c.ended(1, i, plan.Lost, &LostInput{0, 1}).Known {
+				if c.ended(1, i, plan.Lost, &LostInput{0, 1}).Fresh {
 					fresh++
 				}
 			}
@@ -283,6 +262,73 @@
 	}
 }
 
+// TestSharedHandedOn: an output that is being made is taken on by another when its
+// maker gives up or dies, and one made anew for a newcomer is no loss of the old one.
+func TestSharedHandedOn(t *testing.T) {
+	for _, dies := range []bool{true, false} {
+		c := begin(t, booking(1), "r1")
+		first, second := c.fence, c.start(booking(1), "r2", "n3").Fence
+		c.open(0, 1, "tour")
+		require.NoError(t, c.send(0, 0))
+		c.run, c.fence = "r2", second
+		c.open(0, 1, "tour")
+		require.ErrorIs(t, c.send(0, 0), ErrElsewhere)
+		if dies {
+			c.apply(c.at, Gone{"n1", 1})
+		} else {
+			c.apply(c.at, Abandon{Run: "r1", Fence: first, Stage: -1, End: plan.Failed})
+		}
+		c.runs(0, 0)
+		c.open(1, 1, "")
+		require.NoError(t, c.send(1, 0)) // with generation 1
+		c.at += 1100 * ms                // over SharedFor: who comes now has it made anew
+		c.run, c.fence = "r3", c.start(booking(1), "r3", "n3").Fence
+		c.open(0, 1, "tour")
+		c.runs(0, 0)
+		require.EqualValues(t, 2, c.view().Run.Stages[0].Gen)
+		c.run, c.fence = "r2", second
+		require.EqualValues(t, 1, c.view().Run.Stages[0].Gen, "it goes on with what it has")
+		require.False(t, c.ended(1, 0, plan.Lost, &LostInput{0, 1}).Fresh)
+		require.Equal(t, []uint64{2}, c.sending(1, 0).Inputs)
+		old := c.sending(1, 0)
+		old.Inputs = []uint64{1}
+		_, err := c.apply(c.at, old)
+		require.ErrorIs(t, err, ErrStale)
+		c.runs(1, 0)
+		c.runs(2, 0)
+		require.Equal(t, Served, c.runs(3, 0).Answer.Outcome)
+		c.alike(t)
+	}
+}
+
+// TestUndoneLastFirst: undos wait for what is out, and go against the order of stages.
+func TestUndoneLastFirst(t *testing.T) {
+	s := booking(1)
+	s.Stages[2].Undo, s.Stages[2].Effect = &UndoShape{Class: "refund", Most: 1}, basaltloft.Keyed
+	c := begin(t, s, "r")
+	c.open(0, 1, "tour")
+	c.runs(0, 0)
+	c.open(1, 1, "")
+	c.runs(1, 0)
+	require.NoError(t, c.send(2, 0))
+	c.apply(c.at, Abandon{Run: "r", Fence: c.fence, Stage: -1, End: plan.Failed})
+	undo := func(stage int) error {
+		_, err := c.apply(c.at, Sending{Run: "r", Fence: c.fence, Stage: stage, Undo: true, Attempt: 1})
+		return err
+	}
+	require.ErrorIs(t, undo(2), ErrStale, "its job is out")
+	c.ended(2, 0, plan.Done, nil)
+	require.ErrorIs(t, undo(1), ErrStale, "the ticket first")
+	require.NoError(t, undo(2))
+	require.ErrorIs(t, undo(1), ErrStale, "the ticket's undo is out")
+	c.apply(c.at, Ended{Run: "r", Fence: c.fence, Stage: 2, Undo: true, Attempt: 1, End: plan.Done})
+	require.NoError(t, undo(1))
+	c.apply(c.at, Ended{Run: "r", Fence: c.fence, Stage: 1, Undo: true, Attempt: 1, End: plan.Done})
+	a := c.answer()
+	require.Equal(t, Failed, a.Outcome)
+	require.Empty(t, a.Left)
+}
+
 // TestHardCases: one way each to an end that must not be what it looks like.
 func TestHardCases(t *testing.T) {
 	two := func(first basaltloft.Effect, most int) Shape {
@@ -348,3 +394,46 @@
 		})
 	}
 }
+
+func TestShapeAndView(t *testing.T) {
+	p := &plan.Plan{Most: 9, Within: time.Minute, Stages: []*plan.Stage{
+		{Name: "a", Class: "x", Effect: basaltloft.Keyed, Cost: 100 * ms, Undo: &plan.Undo{Class: "u", Effect: basaltloft.Unsafe, Most: 1, Wait: ms}},
+		{Name: "b", Class: "y", After: []string{"a"}, AtLeast: 1, Retries: []plan.Retry{{On: []plan.End{plan.Full}, Most: 2, Jitter: 0.25}},
+			Reruns: []plan.Rerun{{Of: "a", Most: 3}}},
+	}}
+	s := ShapeOf(p)
+	require.Equal(t, Shape{Most: 9, Within: time.Minute, Stages: []StageShape{
+		{Name: "a", Class: "x", Effect: basaltloft.Keyed, Cost: 100 * ms, Undo: &UndoShape{"u", basaltloft.Unsafe, 1, ms}},
+		{Name: "b", Class: "y", After: []int{0}, AtLeast: 1, Retries: []RetryShape{{On: []plan.End{plan.Full}, Most: 2, Jitter: 250}}, Reruns: []RerunShape{{0, 3}}},
+	}}, s)
+	c := begin(t, s, "r")
+	text, err := codec.Encode(c.view())
+	require.NoError(t, err)
+	var far View // as a coordinator that is no keeper has it
+	require.NoError(t, codec.Decode(text, &far))
+	require.Equal(t, Next(c.at, 0, c.view()), Next(c.at, 0, far))
+
+	e := new(Estimate)
+	require.Equal(t, 100*ms, e.Rest(c.at, far))
+	for range 50 {
+		e.Ran("x", 40*ms)
+		e.Ran("y", 30*ms)
+	}
+	require.InDelta(t, 70*ms, e.Rest(c.at, far), float64(ms))
+	require.NoError(t, c.send(0, 0))
+	c.at += 30 * ms
+	require.InDelta(t, 40*ms, e.Rest(c.at, c.view()), float64(ms))
+	for _, bad := range []func(s *Shape){
+		func(s *Shape) { s.Stages[0].After = []int{1} }, func(s *Shape) { s.Stages[1].Reruns[0].Of = 1 }, func(s *Shape) { s.Most = 0 },
+		func(s *Shape) { s.Stages[0].Effect, s.Stages[0].Shared = basaltloft.Unsafe, true },
+		func(s *Shape) { s.Stages[1].Each, s.Stages[1].MostEach = true, 9999 },
+	} {
+		s := ShapeOf(p)
+		bad(&s)
+		_, err := c.apply(c.at, Start{Run: "bad", Shape: s, Before: c.at + time.Second})
+		require.ErrorIs(t, err, ErrShape)
+	}
+	v2, err := codec.Encode(form{Version: 2})
+	require.NoError(t, err)
+	require.ErrorContains(t, c.replicas[0].Decode(v2), "version 2")
+}
