--- a/internal/fleet/shares/book.go
+++ b/internal/fleet/shares/book.go
@@ -190,7 +190,7 @@
 // shrink by their next renewal and acknowledge at once (Purse.Due), and it gets what
 // is free by its next. That is two thirds of a lease and the calls' trips, where
 // there are as many seats (Burst; whole jobs under way) as processes with demand;
-// where there are fewer they take turns of a lease.
+// where there are fewer they take turns of two leases.
 func (b *Book) Renew(at time.Duration, r Renewal) (Grant, error) {
 	if r.Process == "" || r.Incarnation == 0 {
 		return Grant{}, fmt.Errorf("renewing %q, %d: %w", r.Process, r.Incarnation, ErrNoName)
--- a/internal/fleet/shares/book_divide.go
+++ b/internal/fleet/shares/book_divide.go
@@ -99,16 +99,19 @@
 	return min(max(d, 0), s.Whole)
 }
 
+// turns is how many leases a seat is kept where others wait for one.
+const turns = 2
+
 // seat leaves in who those that get a share where one cannot be cut small enough
 // for all: a token bucket needs 1 of the burst, and a job is whole. Who wants
-// something and has had a seat for less than a lease keeps it, then come those
+// something and has had a seat for less than a turn keeps it, then come those
 // that wait, the longest first, then who has had one for longest.
 func (b *Book) seat(i int, s *standing, seats, wanting int) {
 	class := func(k int) int {
 		h := b.Holders[k]
 		l := &h.Lines[i]
 		switch wants := b.wants(i, s, h) > 0; {
-		case wants && l.Seated && b.At-l.Since < b.Lease:
+		case wants && l.Seated && b.At-l.Since < turns*b.Lease:
 			return 0
 		case wants && !l.Seated:
 			return 1
@@ -133,7 +136,7 @@
 		}
 	}
 	if seats < wanting {
-		s.Turn = b.At + b.Lease
+		s.Turn = b.At + turns*b.Lease
 		b.due = min(b.due, s.Turn)
 	}
 	b.who = b.who[:seats]
--- /dev/null
+++ b/internal/fleet/shares/book_test.go
@@ -0,0 +1,322 @@
+package shares
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"basaltloft/internal/fleet/codec"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// plain is what a process may be using, kept plainly: every grant that it was ever sent.
+type plain struct {
+	ends   time.Duration
+	bound  uint64
+	grants []Grant
+	under  float64         // said with the last acknowledgement
+	before []time.Duration // of a Part: what it gave up counts until then
+	gave   []float64
+}
+
+func (m *plain) most(i int, of func(Share) float64) (x float64) {
+	for _, g := range m.grants {
+		if g.Number >= m.bound {
+			x = max(x, of(g.Shares[i]))
+		}
+	}
+	return x
+}
+
+func amount(s Share) float64 { return s.Amount }
+
+// held is what it may be using of budget i at a time.
+func (m *plain) held(b Budget, i int, at time.Duration) float64 {
+	all, floor := m.most(i, amount), m.most(i, func(s Share) float64 { return s.Floor })
+	if b.Kind == UnderWay {
+		all = max(all, m.under)
+	}
+	for k, until := range m.before {
+		if b.Kind == Part && at < until {
+			all = max(all, m.gave[k])
+		}
+	}
+	linger := rests(b.Linger)
+	switch {
+	case at < m.ends+linger:
+		return all
+	case floor > 0 && at < m.ends+b.FloorFor+linger:
+		return floor
+	}
+	return 0
+}
+
+// TestBookAgainstPlain: whatever renewals come, in whatever order, all that may
+// be in use, counted plainly, is no more than the whole; and a copy by encoding
+// goes on alike.
+func TestBookAgainstPlain(t *testing.T) {
+	budgets := []Budget{
+		{Name: "p", Kind: Part, Whole: 10, Floors: 1, Floor: 1, FloorFor: time.Second, Linger: 400 * time.Millisecond},
+		{Name: "r", Kind: Rate, Whole: 30, Burst: 3, Floors: 1, Floor: 5, FloorFor: 2 * time.Second},
+		{Name: "u", Kind: UnderWay, Whole: 5, Floors: 2, Floor: 1, FloorFor: time.Second, Linger: 700 * time.Millisecond},
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		b, at := NewBook(), time.Duration(0)
+		require.NoError(t, b.Configure(0, Config{Lease: time.Second, Budgets: budgets}))
+		type key struct {
+			name string
+			inc  uint64
+		}
+		all, newest := map[key]*plain{}, map[string]uint64{}
+		draw := func() (key, *plain) {
+			name := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "process")
+			inc := max(newest[name], 1)
+			if inc > 1 && rapid.IntRange(0, 4).Draw(t, "older") == 0 {
+				inc--
+			}
+			return key{name, inc}, all[key{name, inc}]
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"restart": func(t *rapid.T) {
+				newest[rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "process")]++
+			},
+			"pass": func(t *rapid.T) {
+				at += time.Duration(rapid.IntRange(1, 700).Draw(t, "ms")) * time.Millisecond
+				b.Advance(at)
+			},
+			"renew": func(t *rapid.T) {
+				k, m := draw()
+				r := Renewal{Process: k.name, Incarnation: k.inc, Uses: map[string]Use{}}
+				next := plain{}
+				if m != nil {
+					next = *m
+					if n := len(m.grants); n > 0 && rapid.IntRange(0, 5).Draw(t, "says") > 0 {
+						r.Bound = m.grants[rapid.IntRange(max(0, n-2), n-1).Draw(t, "bound")].Number
+					}
+				}
+				for i, budget := range budgets {
+					u := Use{Demand: float64(rapid.IntRange(0, 40).Draw(t, "demand"))}
+					if budget.Kind == UnderWay && m != nil {
+						u.UnderWay = float64(rapid.IntRange(0, int(max(m.most(i, amount), m.under))).Draw(t, "under"))
+					}
+					r.Uses[budget.Name] = u
+				}
+				if r.Bound > next.bound && r.Bound == next.grants[len(next.grants)-1].Number {
+					was := next.most(0, amount)
+					next.bound, next.under = r.Bound, r.Uses["u"].UnderWay
+					next.before, next.gave = append(next.before, at+rests(budgets[0].Linger)), append(next.gave, was)
+				}
+				g, err := b.Renew(at, r)
+				if err != nil {
+					require.ErrorIs(t, err, ErrFenced)
+					require.Greater(t, newest[k.name], uint64(1))
+					return
+				}
+				if m != nil && at >= m.ends { // it is a new holder, that waits beside the old one's rest
+					next.under, next.before, next.gave = 0, nil, nil
+					all[key{k.name + " before " + fmt.Sprint(at), k.inc}] = m
+					next.grants, next.bound = nil, 0
+				}
+				next.ends = at + time.Second
+				next.grants = append(next.grants, g)
+				all[k] = &next
+				newest[k.name] = max(newest[k.name], k.inc)
+			},
+			"leave": func(t *rapid.T) {
+				k, m := draw()
+				if m == nil || at >= m.ends {
+					return
+				}
+				require.NoError(t, b.Leave(at, k.name, k.inc, map[string]Left{"u": {UnderWay: 1, Latest: 300 * time.Millisecond}}))
+				parts := m.held(budgets[0], 0, at)
+				delete(all, k)
+				all[key{k.name + " left " + fmt.Sprint(at), k.inc}] = &plain{ends: at, grants: []Grant{{Shares: []Share{{Amount: parts}, {}, {}}}}}
+			},
+			"": func(t *rapid.T) {
+				for i, budget := range budgets {
+					sum := 0.0
+					for _, m := range all {
+						sum += m.held(budget, i, at)
+					}
+					require.LessOrEqual(t, sum, budget.Whole+1e-5, budget.Name)
+				}
+				text, err := b.Encode()
+				require.NoError(t, err)
+				held := b.Standings()
+				again := NewBook()
+				require.NoError(t, again.Decode(text))
+				require.Equal(t, held, again.Standings(), "sums drifted")
+				require.Equal(t, digest(b), digest(again))
+				b = again
+			},
+		})
+	})
+}
+
+// TestDivide: every way keeps to the total; max-min leaves nobody short beside one
+// that has more by weight, and uses the total up.
+func TestDivide(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		asks, demand := make([]Ask, rapid.IntRange(1, 20).Draw(t, "holders")), 0.0
+		for i := range asks {
+			asks[i] = Ask{float64(rapid.IntRange(0, 30).Draw(t, "demand")), float64(rapid.IntRange(1, 3).Draw(t, "weight"))}
+			demand += asks[i].Demand
+		}
+		total, out := float64(rapid.IntRange(0, 300).Draw(t, "total")), make([]float64, len(asks))
+		for _, way := range []Way{Equal, Proportional, Loan, MaxMin} { // MaxMin last: its out is looked at
+			way(total, asks, out)
+			sum := 0.0
+			for _, x := range out {
+				require.GreaterOrEqual(t, x, 0.0)
+				sum += x
+			}
+			require.InDelta(t, total, sum, 1e-6)
+		}
+		for i, a := range asks {
+			if total >= demand {
+				require.GreaterOrEqual(t, out[i], a.Demand-1e-9)
+				continue
+			}
+			require.LessOrEqual(t, out[i], a.Demand+1e-9)
+			for k, other := range asks {
+				if out[i] < a.Demand-1e-9 { // short: nobody has more by weight
+					require.LessOrEqual(t, out[k]/other.Weight, out[i]/a.Weight+1e-9)
+				}
+			}
+		}
+	})
+}
+
+// fleet renews for many, in rounds of a third of a lease.
+type fleet struct {
+	*Book
+	at    time.Duration
+	bound map[string]uint64
+}
+
+const lease = 3 * time.Second
+
+func newFleet(t *testing.T, budgets ...Budget) *fleet {
+	f := &fleet{Book: NewBook(), bound: map[string]uint64{}}
+	require.NoError(t, f.Configure(0, Config{Lease: lease, Budgets: budgets}))
+	return f
+}
+
+// ask renews one that wants so much and acknowledges what it had.
+func (f *fleet) ask(name string, demand float64) Grant {
+	g, err := f.Renew(f.at, Renewal{Process: name, Incarnation: 1, Bound: f.bound[name], Uses: map[string]Use{"x": {Demand: demand}}})
+	must(err)
+	f.bound[name] = g.Number
+	return g
+}
+
+// TestNewcomer: others hold all and want all; a newcomer has a share by its third renewal.
+func TestNewcomer(t *testing.T) {
+	for _, b := range []Budget{
+		{Name: "x", Kind: Rate, Whole: 100, Burst: 40}, {Name: "x", Kind: UnderWay, Whole: 60, Linger: time.Second},
+		{Name: "x", Kind: Part, Whole: 10, Linger: 100 * time.Millisecond},
+	} {
+		f := newFleet(t, b)
+		round := func() {
+			for k := range 29 {
+				f.ask(fmt.Sprint("old", k), 1000)
+			}
+			f.at += lease / 3
+		}
+		for range 4 {
+			round()
+		}
+		require.InDelta(t, b.Whole, f.Standings()[0].Held, 1e-3, b.Kind)
+		var got Share
+		for range 3 {
+			got = f.ask("new", 1000).Shares[0]
+			round()
+		}
+		require.Greater(t, got.Amount, b.Whole/30*0.9-1, b.Kind)
+		require.Greater(t, got.Amount, 0.0)
+		require.True(t, b.Kind != Rate || got.Burst >= 1)
+	}
+}
+
+// TestSteady: demand that wavers by less than a tenth changes no share, and one
+// that changes by more does.
+func TestSteady(t *testing.T) {
+	f := newFleet(t, Budget{Name: "x", Kind: Rate, Whole: 100, Burst: 40})
+	round := func(k int, waver float64) {
+		for n := range 10 {
+			f.ask(fmt.Sprint(n), 20*(1+waver*math.Sin(float64(7*k+n))))
+		}
+		f.at += lease / 3
+	}
+	for k := range 5 {
+		round(k, 0)
+	}
+	number := f.Number
+	for k := range 50 {
+		round(k, 0.09)
+	}
+	require.Equal(t, number, f.Number)
+	round(1, 0.9)
+	round(1, 0.9)
+	require.Greater(t, f.Number, number)
+}
+
+// TestTurns: with fewer seats than want one, each has one in turn.
+func TestTurns(t *testing.T) {
+	for _, b := range []Budget{
+		{Name: "x", Kind: Rate, Whole: 100, Burst: 3}, {Name: "x", Kind: UnderWay, Whole: 3, Linger: time.Second},
+	} {
+		f, had := newFleet(t, b), map[string]int{}
+		for range 180 {
+			for n := range 9 {
+				if name := fmt.Sprint(n); f.ask(name, 50).Shares[0].Amount > 0 {
+					had[name]++
+				}
+			}
+			f.at += lease / 3
+		}
+		for n := range 9 {
+			require.InDelta(t, 50, had[fmt.Sprint(n)], 18, "%v of %v", b.Kind, had)
+		}
+	}
+}
+
+// TestRefused: bad commands and states are errors that change nothing.
+func TestRefused(t *testing.T) {
+	f := newFleet(t, Budget{Name: "x", Kind: Rate, Whole: 10, Burst: 4, Floors: 1, Floor: 1})
+	f.ask("a", 1)
+	before := digest(f.Book)
+	good := Budget{Name: "x", Kind: UnderWay, Whole: 10, Linger: time.Second}
+	for what, wrong := range map[string]func(b *Budget){
+		"no name": func(b *Budget) { b.Name = "" }, "kind": func(b *Budget) { b.Kind = 9 },
+		"below 0": func(b *Budget) { b.Whole = -1 }, "no number": func(b *Budget) { b.Whole = math.NaN() },
+		"half a job": func(b *Budget) { b.Whole = 1.5 }, "half a floor": func(b *Budget) { b.Floor = 0.5 },
+		"floors over the whole": func(b *Budget) { b.Floors, b.Floor = 11, 1 }, "no linger": func(b *Budget) { b.Linger = 0 },
+		"no burst": func(b *Budget) { b.Kind = Rate }, "floors take the burst": func(b *Budget) { b.Kind, b.Burst, b.Floors, b.Floor = Rate, 2, 2, 1 },
+		"weight": func(b *Budget) { b.Weights = map[string]float64{"a": 0} }, "burst": func(b *Budget) { b.Burst = 3 },
+	} {
+		b := good
+		wrong(&b)
+		require.Error(t, f.Configure(f.at, Config{Lease: lease, Budgets: []Budget{b}}), what)
+	}
+	require.Error(t, f.Configure(f.at, Config{Lease: 0, Budgets: nil}))
+	require.Error(t, f.Configure(f.at, Config{Lease: lease, Budgets: []Budget{good, good}}))
+	for _, r := range []Renewal{{Process: "a"}, {Incarnation: 1}, {Process: "a", Incarnation: 1, Uses: map[string]Use{"x": {Demand: math.Inf(1)}}}} {
+		_, err := f.Renew(f.at, r)
+		require.Error(t, err)
+	}
+	require.Error(t, f.Leave(f.at, "a", 1, map[string]Left{"x": {UnderWay: -1}}))
+	require.NoError(t, f.Leave(f.at, "nobody", 1, nil))
+	text, err := f.Encode()
+	require.NoError(t, err)
+	later := f.image
+	later.Version++
+	newer, err := codec.Encode(&later)
+	require.NoError(t, err)
+	require.ErrorContains(t, f.Decode(newer), "version 2, not 1")
+	require.Error(t, f.Decode(text[:len(text)-1]))
+	require.Equal(t, before, digest(f.Book))
+}
--- /dev/null
+++ b/internal/fleet/shares/purse_test.go
@@ -0,0 +1,143 @@
+package shares
+
+import (
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const second = time.Second
+
+// one is a grant of a rate, a count and a part, with floors.
+func one(number uint64, amount float64) Grant {
+	return Grant{Process: "n1", Incarnation: 1, Number: number, Lease: 10 * second, Shares: []Share{
+		{Name: "p", Kind: Part, Amount: amount, Floor: 1, FloorFor: 10 * second, Linger: second},
+		{Name: "r", Kind: Rate, Amount: amount, Burst: amount, Floor: 2, FloorFor: 10 * second},
+		{Name: "u", Kind: UnderWay, Amount: amount, Floor: 1, FloorFor: 10 * second, Linger: 100 * second},
+	}}
+}
+
+func drain(t *Tap, now time.Duration) (n int) {
+	for n < 1000 && t.Take(now) {
+		n++
+	}
+	return n
+}
+
+func begin(t *Tap, now time.Duration) (n int) {
+	for n < 1000 && t.Begin(now, now+second) {
+		n++
+	}
+	return n
+}
+
+// TestPurse: what a process may spend, from before its first grant to after its floor.
+func TestPurse(t *testing.T) {
+	p := NewPurse()
+	p.Expect("r", "u")
+	p.Become("n1", 1)
+	r, u, part, other := p.Tap("r"), p.Tap("u"), p.Tap("p"), p.Tap("other")
+	require.Equal(t, []int{0, 0, 1000, 1000}, []int{drain(r, 0), begin(u, 0), drain(other, 0), begin(other, 0)})
+	for range 1000 {
+		other.End()
+	}
+	require.Equal(t, p.Due(0), p.Due(second), "no lease yet: due at once")
+	require.Less(t, p.Due(0), time.Duration(0))
+	require.True(t, p.Apply(0, second, one(2, 8)), "p was open: less than before")
+	require.Zero(t, drain(r, second), "a new share begins empty")
+	require.InDelta(t, 8, drain(r, 9*second-1), 0, "its burst, however long ago")
+	amount, ok := part.Amount(9*second - 1)
+	require.True(t, ok)
+	require.EqualValues(t, 8, amount)
+	require.Equal(t, 8, begin(u, 2*second))
+	require.False(t, u.Begin(2*second, 103*second), "outlasts what the fleet waits for")
+
+	require.False(t, p.Apply(5*second, 8*second, one(1, 100)), "older")
+	g := one(3, 100)
+	g.Incarnation = 2
+	require.False(t, p.Apply(5*second, 8*second, g), "another's")
+	require.Zero(t, drain(r, 9*second-1))
+
+	// Cut off: the share until 0.9 of the lease from when it was asked, then the
+	// floor with 1 of the burst, then nothing.
+	require.LessOrEqual(t, drain(r, 9*second), 1)
+	require.InDelta(t, 1, drain(r, 17*second), 0)
+	amount, _ = part.Amount(17 * second)
+	require.EqualValues(t, 1, amount)
+	require.Zero(t, begin(u, 17*second), "more under way than the floor")
+	for range 8 {
+		u.End()
+	}
+	require.Equal(t, 1, begin(u, 17*second))
+	u.End()
+	require.Equal(t, []int{0, 0}, []int{drain(r, 18*second), begin(u, 18*second)})
+	require.Equal(t, 10*second/3, r.ComeBack(18*second))
+
+	// It is back: with nothing in the bucket, and a shrink is to be acknowledged soon.
+	require.True(t, p.Apply(19*second, 20*second, one(4, 4)))
+	require.Zero(t, drain(r, 20*second))
+	require.InDelta(t, 4, drain(r, 22*second), 0)
+	require.InDelta(t, float64(second)/(4*Pace)*5, float64(r.ComeBack(22*second)), float64(6*second))
+	require.EqualValues(t, 4, p.Renewal(22*second).Bound)
+	require.Equal(t, 22*second+10*second/3, p.Due(22*second))
+
+	// Demand is what came, let in or not, and a change of it is told before its turn.
+	for range 60 {
+		r.Take(22 * second)
+	}
+	require.Equal(t, 22*second+10*second/12, p.Due(23*second))
+	require.InDelta(t, 30, p.Renewal(24 * second).Uses["r"].Demand, 0)
+	require.Equal(t, 4, begin(u, 24*second))
+	use := p.Renewal(24*second + second/2).Uses["u"]
+	require.InDelta(t, 5, use.Demand, 1, "those let in, and one turned away; falling by halves")
+	require.Equal(t, Use{Demand: use.Demand, UnderWay: 4, Latest: second / 2}, use)
+
+	left := p.Close(24 * second)
+	require.Equal(t, Left{UnderWay: 4, Latest: second}, left["u"])
+	require.False(t, p.Apply(25*second, 25*second, one(5, 100)))
+	require.Equal(t, []int{0, 0, 0}, []int{drain(r, 26*second), begin(u, 26*second), drain(p.Tap("new"), 26*second)})
+	p.Become("n1", 2)
+	require.False(t, other.Take(26*second))
+}
+
+// TestManyThreads: by eight threads that share a clock, while the share changes, no
+// more is taken than the most that the shares let, and never more at once.
+func TestManyThreads(t *testing.T) {
+	p := NewPurse()
+	p.Become("n1", 1)
+	p.Apply(0, 0, one(1, 100))
+	r, u := p.Tap("r"), p.Tap("u")
+	var now, taken, under, over atomic.Int64
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			for range 20000 {
+				at := time.Duration(now.Add(int64(20 * time.Microsecond)))
+				if r.Take(at) {
+					taken.Add(1)
+				}
+				if u.Begin(at, at+second) {
+					if under.Add(1) > 100 {
+						over.Add(1)
+					}
+					under.Add(-1)
+					u.End()
+				}
+			}
+		})
+	}
+	for k := range 50 {
+		at := time.Duration(now.Load())
+		p.Apply(at, at, one(uint64(k+2), float64(50+50*(k%2))))
+		p.Renewal(at)
+	}
+	wg.Wait()
+	all := time.Duration(now.Load()).Seconds()
+	require.LessOrEqual(t, float64(taken.Load()), 100*Pace*all+1)
+	require.Greater(t, float64(taken.Load()), 40*Pace*all, "of a share of 50 at least")
+	require.Zero(t, over.Load())
+	require.Zero(t, u.under.Load())
+}
--- /dev/null
+++ b/internal/fleet/shares/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package shares
+
+func init() { *seeds = 250 } // the race detector makes a run ten times as long
