--- a/internal/fleet/shares/purse.go
+++ b/internal/fleet/shares/purse.go
@@ -67,7 +67,7 @@
 // Apply takes in a grant: sent is when the renewal that it answers was sent, now
 // the time of the own clock. It tells whether the process should renew at once
 // (a share shrank, and others wait for the acknowledgement). A grant of another
-// incarnation, or older than the one applied, changes nothing.
+// incarnation, older than the one applied, or that Check turns down, changes nothing.
 //
 // The lease is counted from sent, and Margin of its length: by the fleet's clock it
 // began later and lasts longer. A grown share begins with what its bucket holds, a
@@ -76,7 +76,7 @@
 func (p *Purse) Apply(sent, now time.Duration, g Grant) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if g.Process != p.process || g.Incarnation != p.incarnation || g.Number < p.number || p.closed {
+	if g.Check() != nil || g.Process != p.process || g.Incarnation != p.incarnation || g.Number < p.number || p.closed {
 		return false
 	}
 	fresh := g.Number > p.number
--- a/internal/fleet/shares/purse_test.go
+++ b/internal/fleet/shares/purse_test.go
@@ -60,6 +60,9 @@
 	g.Incarnation = 2
 	require.False(t, p.Apply(5*second, 8*second, g), "another's")
 	require.Zero(t, drain(r, 9*second-1))
+	require.Equal(t, []Reason{Spent, Spent, TooLong}, []Reason{r.Why(9*second-1, Rate, 0), u.Why(8*second, UnderWay, 0), u.Why(0, UnderWay, 101*second)})
+	require.Equal(t, Figure{Name: "u", Kind: UnderWay, Mode: OnFloor, Amount: 1, For: second, Admitted: 8, Turned: u.turned.Load(), UnderWay: 8},
+		p.Figures(17 * second)[3])
 
 	// Cut off: the share until 0.9 of the lease from when it was asked, then the
 	// floor with 1 of the burst, then nothing.
@@ -73,7 +76,15 @@
 	}
 	require.Equal(t, 1, begin(u, 17*second))
 	u.End()
+	r.mu.Lock() // whoever is at filling the bucket, nobody takes after the end
+	r.fill(18*second - 1)
+	require.Equal(t, r.taken.Load()+1, r.ceiling.Load())
 	require.Equal(t, []int{0, 0}, []int{drain(r, 18*second), begin(u, 18*second)})
+	r.mu.Unlock()
+	for kind, tap := range map[Kind]*Tap{Rate: r, UnderWay: u, Part: part} {
+		require.Equal(t, []Reason{NotOfOne, Cut}, []Reason{tap.Why(18*second, (kind+1)%3, 0), tap.Why(18*second, kind, 0)})
+	}
+	require.Equal(t, Figure{Name: "r", Mode: OnNothing, Admitted: r.taken.Load(), Turned: r.turned.Load()}, p.Figures(18 * second)[2])
 	require.Equal(t, 10*second/3, r.ComeBack(18*second))
 
 	// It is back: with nothing in the bucket, and a shrink is to be acknowledged soon.
--- a/internal/fleet/shares/shares.go
+++ b/internal/fleet/shares/shares.go
@@ -125,7 +125,8 @@
 // exact whatever their order.
 const unit = 1_000_000
 
-const mostWhole = 1e9
+// mostWhole keeps the sums of ten thousand holders that each may hold it within 63 bits.
+const mostWhole = 1e8
 
 func millionths(x float64) int64 { return int64(math.Floor(float64(x*unit) + 1e-3)) }
 func figure(n int64) float64     { return float64(n) / unit }
@@ -134,6 +135,23 @@
 // process's clock is surely over.
 func rests(span time.Duration) time.Duration { return time.Duration(float64(span) / Margin) }
 
+// Check names what is wrong with a grant that came from outside.
+func (g Grant) Check() error {
+	if g.Lease <= 0 {
+		return fmt.Errorf("grant %d: a lease of %v", g.Number, g.Lease)
+	}
+	for i, s := range g.Shares {
+		bad := s.Name == "" || s.Kind > Part || s.FloorFor < 0 || s.Linger < 0 || i > 0 && g.Shares[i-1].Name >= s.Name
+		for _, x := range []float64{s.Amount, s.Burst, s.Floor} {
+			bad = bad || !(x >= 0 && x <= mostWhole)
+		}
+		if bad || s.Floor > s.Amount {
+			return fmt.Errorf("grant %d: share %d: %+v", g.Number, i, s)
+		}
+	}
+	return nil
+}
+
 // Check names what is wrong with a configuration.
 func (c Config) Check() error {
 	if c.Lease < 100*time.Millisecond || c.Lease > time.Hour {
--- a/internal/fleet/shares/tap.go
+++ b/internal/fleet/shares/tap.go
@@ -63,7 +63,7 @@
 }
 
 // fill brings the bucket to now: first what the share fills in until the lease's
-// end, then the floor until its own. What was taken since the last filling is
+// end, then the floor until its own, clipped to the floor's burst. What was taken since the last filling is
 // subtracted after the clip to the burst, as if it had been taken last: never too much is left.
 func (t *Tap) fill(now time.Duration) {
 	s := t.terms.Load()
@@ -72,7 +72,6 @@
 	}
 	t.step(min(now, s.ends), s.amount, s.burst)
 	if now >= s.ends {
-		t.level = min(t.level, s.floorBurst)
 		t.step(min(now, s.floorEnds), s.floor, s.floorBurst)
 	}
 	valid := s.ends
