Fleet budgets: the study becomes a model of its own, with calls' cost and times to divide anew

Playing it in internal/lab was ruled out: its model has no keepers and no calls between dispatchers.

--- a/internal/fleet/shares/book.go
+++ b/internal/fleet/shares/book.go
@@ -22,7 +22,7 @@
 	image
 	current map[string]*holder // the incarnation in force, by process
 	due     time.Duration      // no lease, rest or turn ends before
-	way     Way                // MaxMin, but in studies
+	way     Way
 	twice   bool               // the planted bug
 
 	asks []Ask // kept for the next division
@@ -115,8 +115,11 @@
 
 // NewBook returns a book without budgets, at fleet time 0. Until it is
 // configured, renewals are granted for no time at all.
-func NewBook() *Book {
-	return &Book{image: image{Version: version}, current: map[string]*holder{}, due: math.MaxInt64, way: MaxMin, twice: plantTwice}
+func NewBook() *Book { return NewBookBy(MaxMin) }
+
+// NewBookBy returns a book that divides another way, for studies. All replicas divide alike.
+func NewBookBy(way Way) *Book {
+	return &Book{image: image{Version: version}, current: map[string]*holder{}, due: math.MaxInt64, way: way, twice: plantTwice}
 }
 
 // Configure sets the lease's length and the budgets. A budget that is there
--- /dev/null
+++ b/internal/fleet/shares/sharelab/sharelab.go
@@ -0,0 +1,250 @@
+// Package sharelab is a model of a fleet that shares one Rate, in virtual time: how
+// well the whole is used when demand is skewed and moves, what the calls
+// cost, and how long it takes to divide anew. It is for choosing a way to divide
+// and for figures in the documents; nothing that serves uses it.
+package sharelab
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"basaltloft/internal/fleet/codec"
+	"basaltloft/internal/fleet/shares"
+)
+
+// Fleet is what is modelled. All times are true ones; clocks run alike.
+type Fleet struct {
+	Holders int
+	Way     shares.Way
+	Rate    float64       // of the whole a second and holder
+	Burst   time.Duration // of the whole, at its rate
+	Offered float64       // all traffic, as a part of the whole
+	Heavy   float64       // the part of the traffic that one holder has
+	Every   time.Duration // how often another holder becomes that one; 0: never
+	Lease   time.Duration
+	Trip    time.Duration // of a call, one way
+	Seed    uint64
+}
+
+// Result is what a run came to.
+type Result struct {
+	Use      float64 // admitted, as a part of the whole
+	Others   float64 // of what came to the others than the heavy one, the part admitted
+	Renewals float64 // a second and holder
+	Bytes    float64 // of renewals and grants, encoded, a second and holder
+}
+
+// step is how far the model goes at a time. Jobs come at any instant within it.
+const step = 10 * time.Millisecond
+
+type model struct {
+	Fleet
+	*rand.Rand
+	now     time.Duration
+	book    *shares.Book
+	holders []*holder
+	later   map[time.Duration][]func()
+	heavy   int
+
+	counting                       bool
+	admitted, came, othersIn, asks int
+	bytes                          int
+}
+
+type holder struct {
+	name  string
+	purse *shares.Purse
+	tap   *shares.Tap
+	at    time.Duration // within a step, when it looks whether to renew
+	down  bool
+	begun time.Duration // when it was started
+	first time.Duration // its first job admitted; 0: none yet
+}
+
+func newModel(f Fleet) (*model, error) {
+	m := &model{Fleet: f, Rand: rand.New(rand.NewPCG(f.Seed, uint64(f.Holders))), book: shares.NewBookBy(f.Way), later: map[time.Duration][]func(){}}
+	budget := shares.Budget{Name: "x", Kind: shares.Rate, Whole: m.whole(), Burst: m.whole() * f.Burst.Seconds()}
+	if err := m.book.Configure(0, shares.Config{Lease: f.Lease, Budgets: []shares.Budget{budget}}); err != nil {
+		return nil, fmt.Errorf("modelling a fleet: %w", err)
+	}
+	for range f.Holders {
+		m.join()
+	}
+	return m, nil
+}
+
+func (m *model) whole() float64 { return m.Rate * float64(m.Fleet.Holders) }
+
+func (m *model) join() *holder {
+	h := &holder{name: fmt.Sprintf("n%05d", len(m.holders)), purse: shares.NewPurse(), begun: m.now}
+	h.at = time.Duration(len(m.holders)%100) * step / 100
+	h.purse.Expect("x")
+	h.purse.Become(h.name, 1)
+	h.tap = h.purse.Tap("x")
+	m.holders = append(m.holders, h)
+	return h
+}
+
+// rate is how many come to a holder a second.
+func (m *model) rate(i int) float64 {
+	all := m.whole() * m.Offered
+	if i == m.heavy {
+		return all * m.Heavy
+	}
+	return all * (1 - m.Heavy) / float64(m.Fleet.Holders-1)
+}
+
+// run goes on for a while, or until done tells so; it tells how long that was.
+func (m *model) run(length time.Duration, done func() bool) (time.Duration, error) {
+	begin := m.now
+	for ; m.now < begin+length && !(done != nil && done()); m.now += step {
+		for _, do := range m.later[m.now] {
+			do()
+		}
+		delete(m.later, m.now)
+		m.book.Advance(m.now)
+		if m.Every > 0 {
+			m.heavy = int(m.now/m.Every) * 7 % m.Fleet.Holders
+		}
+		for i, h := range m.holders {
+			if h.down {
+				continue
+			}
+			m.jobs(i, h)
+			if h.purse.Due(m.now) <= m.now+h.at {
+				if err := m.renew(h); err != nil {
+					return 0, err
+				}
+			}
+		}
+	}
+	return m.now - begin, nil
+}
+
+func (m *model) jobs(i int, h *holder) {
+	rate := m.rate(i)
+	for at := m.ExpFloat64() / rate; at < step.Seconds(); at += m.ExpFloat64() / rate {
+		now := m.now + time.Duration(at*float64(time.Second))
+		in := h.tap.Take(now)
+		if in && h.first == 0 {
+			h.first = now
+		}
+		if !m.counting {
+			continue
+		}
+		if in {
+			m.admitted++
+		}
+		if i != m.heavy {
+			m.came++
+			if in {
+				m.othersIn++
+			}
+		}
+	}
+}
+
+func (m *model) renew(h *holder) error {
+	sent, r := m.now, h.purse.Renewal(m.now)
+	if err := m.count(r); err != nil {
+		return err
+	}
+	there, back := sent+m.Trip.Round(step), sent+2*m.Trip.Round(step)
+	m.later[there] = append(m.later[there], func() {
+		g, err := m.book.Renew(there, r)
+		if err != nil {
+			return // it left meanwhile
+		}
+		_ = m.count(g)
+		m.later[back] = append(m.later[back], func() {
+			if !h.down {
+				h.purse.Apply(sent, back, g)
+			}
+		})
+	})
+	return nil
+}
+
+func (m *model) count(call any) error {
+	if !m.counting {
+		return nil
+	}
+	text, err := codec.Encode(call)
+	m.bytes += len(text)
+	if _, ok := call.(shares.Renewal); ok {
+		m.asks++
+	}
+	return err
+}
+
+// Run models a fleet for a while, after it has settled for warm.
+func Run(f Fleet, warm, length time.Duration) (Result, error) {
+	m, err := newModel(f)
+	if err != nil {
+		return Result{}, err
+	}
+	if _, err := m.run(warm, nil); err != nil {
+		return Result{}, err
+	}
+	m.counting = true
+	if _, err := m.run(length, nil); err != nil {
+		return Result{}, err
+	}
+	each := length.Seconds() * float64(f.Holders)
+	return Result{
+		Use:    float64(m.admitted) / (m.whole() * length.Seconds()),
+		Others: float64(m.othersIn) / float64(max(m.came, 1)), Renewals: float64(m.asks) / each, Bytes: float64(m.bytes) / each,
+	}, nil
+}
+
+// Times are how long it takes until what changed is divided anew.
+type Times struct {
+	Join  time.Duration // from a process's start to its first job
+	Leave time.Duration // from the heavy holder's planned end until the others hold 0.95 of the whole
+	Kill  time.Duration // the same from its death
+}
+
+// Change models a fleet that wants more than the whole (Offered above 1), and one
+// change of each kind after it has settled for warm.
+func Change(f Fleet, warm time.Duration) (Times, error) {
+	var out Times
+	for _, kind := range []string{"join", "leave", "kill"} {
+		m, err := newModel(f)
+		if err != nil {
+			return out, err
+		}
+		if _, err = m.run(warm, nil); err != nil {
+			return out, err
+		}
+		heavy := m.holders[m.heavy]
+		divided := func() bool {
+			held := 0.0
+			for _, h := range m.book.Holdings("x") {
+				if h.Process != heavy.name {
+					held += h.Offered
+				}
+			}
+			return held >= 0.95*m.whole()
+		}
+		switch kind {
+		case "join":
+			h := m.join()
+			_, err = m.run(time.Minute, func() bool { return h.first > 0 })
+			out.Join = h.first - h.begun
+		case "leave":
+			heavy.down = true
+			left := heavy.purse.Close(m.now)
+			if err = m.book.Leave(m.now+m.Trip, heavy.name, 1, left); err == nil {
+				out.Leave, err = m.run(time.Minute, divided)
+			}
+		case "kill":
+			heavy.down = true
+			out.Kill, err = m.run(time.Minute, divided)
+		}
+		if err != nil {
+			return out, err
+		}
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/fleet/shares/sharelab/sharelab_test.go
@@ -0,0 +1,43 @@
+package sharelab
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	"basaltloft/internal/fleet/shares"
+
+	"github.com/stretchr/testify/require"
+)
+
+var whole = flag.Bool("study", false, "the study at 300 and 3000 holders too")
+
+// TestStudy: how well the whole is used by each way when one holder has half the traffic
+// and another every 10 s, and how soon what changes is divided anew.
+func TestStudy(t *testing.T) {
+	ways, fleets := []string{"equal", "proportional", "loan", "max-min"}, []int{30}
+	if *whole {
+		fleets = []int{30, 300, 3000}
+	}
+	for _, n := range fleets {
+		f := Fleet{Holders: n, Rate: 100, Burst: time.Second / 2, Heavy: 0.5, Lease: 3 * time.Second, Trip: 20 * time.Millisecond, Seed: 1}
+		for k, way := range []shares.Way{shares.Equal, shares.Proportional, shares.Loan, shares.MaxMin} {
+			for _, f.Offered = range []float64{1, 1.5} {
+				f.Way, f.Every = way, 10*time.Second
+				r, err := Run(f, 10*time.Second, 60*time.Second)
+				require.NoError(t, err)
+				t.Logf("%4d holders, offered %.1f, %-12s: %.3f used; %.3f of the others' let in; a second and holder %.2f renewals, %.0f bytes",
+					n, f.Offered, ways[k], r.Use, r.Others, r.Renewals, r.Bytes)
+				require.True(t, k < 3 || r.Use >= 0.9, "max-min uses %v", r.Use)
+				require.True(t, k > 0 || r.Use < 0.8, "an equal split uses %v", r.Use)
+			}
+		}
+		f.Every = 0
+		times, err := Change(f, 10*time.Second)
+		require.NoError(t, err)
+		t.Logf("%4d holders, max-min: %+v", n, times)
+		require.Less(t, times.Join, f.Lease)
+		require.Less(t, times.Leave, f.Lease)
+		require.Less(t, times.Kill, 2*f.Lease)
+	}
+}
