--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -51,6 +51,7 @@
 	joined  atomic.Int64 // how often
 	renewed atomic.Int64 // the own clock when the last renewal that was granted was sent
 	members atomic.Int64
+	leased  atomic.Int64 // the own clock when the lease ends here
 }
 
 // New returns an agent that has not joined. Until its first grant it admits nothing
@@ -155,6 +156,7 @@
 		a.s.Log.WithField("part", part).Warn("the fleet refuses what a renewal says: " + why)
 	}
 	a.renewed.Store(int64(sent))
+	a.leased.Store(int64(sent + time.Duration(shares.Margin*float64(told.Lease))))
 	a.members.Store(int64(told.Members))
 	var g shares.Grant
 	if text := told.Parts[parts.BudgetsName]; text != nil {
@@ -171,6 +173,9 @@
 	return nil
 }
 
+// Leased tells whether this process's lease holds, by its own clock.
+func (a *Agent) Leased() bool { return int64(a.now()) < a.leased.Load() && a.session.Load() != nil }
+
 // Leave says that this process ends as planned, and what it leaves under way. What
 // it can't say by the deadline the fleet finds out by the lease.
 func (a *Agent) Leave(ctx context.Context) error {
--- a/internal/fleet/coordinator/coordinator.go
+++ b/internal/fleet/coordinator/coordinator.go
@@ -44,6 +44,8 @@
 	Session() *call.Session // nil: it has none just now
 	// Again takes an attempt beyond the first of the fleet's budget of a class.
 	Again(request, class string) bool
+	// Leased tells whether this process's lease holds, by its own clock.
+	Leased() bool
 	// ComeBack is when another is worth asking for.
 	ComeBack(class string, now time.Time) time.Time
 }
@@ -70,20 +72,19 @@
 	fleet Fleet
 	jobs  Dispatcher
 	log   logrus.FieldLogger
-	grace time.Duration
 
-	mu       sync.Mutex
-	named    map[string]*plan.Plan // in use
-	digests  map[uint64]*plan.Plan // those, and older ones that runs may have
-	runs     map[string]*run
-	estimate planrun.Estimate
-	life     context.Context // nil: not running
-	all      sync.WaitGroup
+	mu      sync.Mutex
+	named   map[string]*plan.Plan // in use
+	digests map[uint64]*plan.Plan // those, and older ones that runs may have
+	runs    map[string]*run
+	memory  *planrun.Coordinator // of what was done about each attempt
+	life    context.Context      // nil: not running
+	all     sync.WaitGroup
 }
 
 // New returns a coordinator without plans.
 func New(f Fleet, d Dispatcher, log logrus.FieldLogger) *Coordinator {
-	return &Coordinator{fleet: f, jobs: d, log: log, grace: planrun.DefaultLimits().Grace,
+	return &Coordinator{fleet: f, jobs: d, log: log, memory: planrun.NewCoordinator(planrun.DefaultLimits().Grace),
 		named: map[string]*plan.Plan{}, digests: map[uint64]*plan.Plan{}, runs: map[string]*run{}}
 }
 
@@ -142,7 +143,7 @@
 		return err
 	}
 	var r parts.PlanReply
-	if err := s.Order(ctx2, parts.PlansClaim, claim, &r); err != nil {
+	if err := s.Order(ctx2, parts.PlansDo, planrun.Command{Claim: &claim}, &r); err != nil {
 		return err
 	}
 	for _, one := range r.Claimed {
@@ -202,8 +203,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if look.Answer != nil || look.Run != nil {
-		return look.Answer, nil
+	if look.Ended != nil || look.Run != nil {
+		return look.Ended, nil
 	}
 	if a.Within <= 0 || a.Within > p.Within {
 		a.Within = p.Within
@@ -211,16 +212,16 @@
 	var r parts.PlanReply
 	start := planrun.Start{Run: a.Run, Plan: p.Name, Tenant: a.Tenant, Digest: p.Digest, Shape: planrun.ShapeOf(p), Input: a.Input,
 		Seed: codec.Digest([]byte(a.Run)), Before: look.At + a.Within}
-	if err := s.Order(ctx, parts.PlansStart, start, &r); err != nil {
+	if err := s.Order(ctx, parts.PlansDo, planrun.Command{Start: &start}, &r); err != nil {
 		return nil, err
 	}
-	switch {
-	case r.No != "":
-		return nil, fmt.Errorf("%w: %s", ErrRefused, r.No)
-	case r.Answer == nil && r.Started.Fence != 0:
+	if err := r.Err(); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrRefused, err)
+	}
+	if r.Run != nil && r.Started.Fence != 0 {
 		c.drive(life, r.Started.Fence, r)
 	}
-	return r.Answer, nil
+	return r.Ended, nil
 }
 
 // Look tells how a run stands: its final answer, or nil while it is under way.
@@ -230,10 +231,10 @@
 		return nil, ErrNoFleet
 	}
 	r, err := c.look(ctx, s, id)
-	if err == nil && r.Run == nil && r.Answer == nil {
+	if err == nil && r.Run == nil && r.Ended == nil {
 		err = ErrUnknown
 	}
-	return r.Answer, err
+	return r.Ended, err
 }
 
 // drive goes on with a run under a fence of this process's.
@@ -245,30 +246,26 @@
 		return
 	}
 	shape := planrun.ShapeOf(p)
-	d := &run{c: c, id: r.Run.ID, fence: fence, plan: p, shape: &shape, busy: map[try]bool{}, wake: make(chan struct{}, 1), life: ctx}
+	d := &run{c: c, id: r.Run.ID, fence: fence, plan: p, shape: &shape, wake: make(chan struct{}, 1), life: ctx}
 	d.see(r)
 	c.runs[d.id] = d
+	c.memory.Drive(d.id, fence)
 	c.all.Go(func() {
 		d.drive(ctx)
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		if c.runs[d.id] == d {
 			delete(c.runs, d.id)
+			c.memory.Drop(d.id)
 		}
 	})
 }
 
-// ran learns how long a job of a class ran.
-func (c *Coordinator) ran(class string, took time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.estimate.Ran(class, took)
-}
-
-func (c *Coordinator) rest(at time.Duration, v planrun.View) time.Duration {
+// remember lets a function use what is remembered of attempts.
+func (c *Coordinator) remember(what func(*planrun.Coordinator)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.estimate.Rest(at, v)
+	what(c.memory)
 }
 
 // gone tells whether an error means that this process no longer drives a run.
--- a/internal/fleet/coordinator/run.go
+++ b/internal/fleet/coordinator/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"errors"
 	"fmt"
 	"slices"
 	"sync"
@@ -14,7 +15,6 @@
 	"basaltloft/internal/fleet/parts"
 	"basaltloft/internal/fleet/plan"
 	"basaltloft/internal/fleet/planrun"
-	"basaltloft/internal/fleet/state"
 
 	"github.com/sirupsen/logrus"
 )
@@ -35,16 +35,6 @@
 	at    time.Duration // fleet time of the view
 	seen  time.Time     // when it came
 	over  bool          // it has its answer, or another fence
-	busy  map[try]bool  // what this process is about
-}
-
-// try is one thing to do, once.
-type try struct {
-	what        planrun.What
-	stage, item int
-	undo        bool
-	attempt     uint32
-	gen         uint64
 }
 
 // see takes in what a reply tells of the run.
@@ -52,7 +42,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	defer r.rouse()
-	if p.Answer != nil || p.Run != nil && p.Run.Fence != r.fence {
+	if p.Ended != nil || p.Run != nil && p.Run.Fence != r.fence {
 		r.over = true
 		return
 	}
@@ -85,35 +75,29 @@
 	defer timer.Stop()
 	for {
 		v, at, over := r.now()
+		var tasks []planrun.Task
+		var wake time.Duration
+		r.c.remember(func(m *planrun.Coordinator) {
+			if tasks, wake = m.Tasks(at, v); !m.Drives(r.id) {
+				over = true
+			}
+		})
 		if over || ctx.Err() != nil {
 			return
 		}
-		wait := lookEvery
-		waits := false
-		for _, a := range planrun.Next(at, r.c.grace, v) {
-			if a.What == planrun.WaitUntil {
-				wait = a.At - at
-				continue
-			}
-			key := try{a.What, a.Stage, a.Item, a.Undo, a.Attempt, a.Generation}
-			if a.What == planrun.SendJob || a.What == planrun.SendUndo || a.What == planrun.AwaitEnd {
-				key.what, key.gen = planrun.AwaitEnd, 0
-			}
-			if r.begin(key) {
-				r.c.all.Go(func() {
-					r.do(ctx, a, v, at)
-					r.end(key)
-				})
-			}
+		for _, t := range tasks {
+			r.c.all.Go(func() {
+				r.do(ctx, t, v, at)
+				r.rouse()
+			})
 		}
+		wait := max(wake-at, time.Millisecond)
 		for i := range v.Run.Stages { // an output that another run makes comes unasked
-			st := &v.Run.Stages[i]
-			waits = waits || st.Key != "" && !st.Joined && v.Makes&(1<<i) == 0
-		}
-		if waits {
-			wait = min(wait, lookEvery)
+			if st := &v.Run.Stages[i]; st.Key != "" && !st.Joined && v.Makes&(1<<i) == 0 {
+				wait = min(wait, lookEvery)
+			}
 		}
-		timer.Reset(max(wait, time.Millisecond))
+		timer.Reset(wait)
 		select {
 		case <-ctx.Done():
 			return
@@ -124,23 +108,6 @@
 	}
 }
 
-func (r *run) begin(key try) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.busy[key] {
-		return false
-	}
-	r.busy[key] = true
-	return true
-}
-
-func (r *run) end(key try) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	delete(r.busy, key)
-	r.rouse()
-}
-
 // refresh asks how the run stands.
 func (r *run) refresh(ctx context.Context) {
 	s := r.c.fleet.Session()
@@ -154,24 +121,25 @@
 	}
 }
 
-// order has a command carried out, however often it must be asked, until the run is
-// over or another's. The book takes each of these commands once.
-func (r *run) order(ctx context.Context, kind state.Kind, body any) (p parts.PlanReply, ok bool) {
-	for ctx.Err() == nil {
+// order has a command carried out, however often it must be asked. The book takes
+// each of these commands once. An error that is not the book's says that this process
+// has given up waiting, since the run or the process is out of force, or ends.
+func (r *run) order(ctx context.Context, do planrun.Command) error {
+	for {
+		var p parts.PlanReply
 		s := r.c.fleet.Session()
 		err := ErrNoFleet
 		if s != nil {
-			p = parts.PlanReply{}
 			once, cancel := context.WithDeadline(ctx, time.Now().Add(orderFor))
-			err = s.Order(once, kind, body, &p)
+			err = s.Order(once, parts.PlansDo, do, &p)
 			cancel()
 		}
 		if err == nil {
 			r.see(p)
-			return p, p.No == ""
+			return p.Err()
 		}
-		if kind == parts.PlansSending && gone(err) { // under another incarnation it is not this run's any more
-			return p, false
+		if ctx.Err() != nil || do.Sending != nil && gone(err) { // under another incarnation it is not this run's any more
+			return err
 		}
 		r.c.log.WithError(err).WithField("run", r.id).Debug("a command for a plan was not answered")
 		select {
@@ -179,18 +147,19 @@
 		case <-time.After(tryEvery):
 		}
 	}
-	return p, false
 }
 
-// do carries out one action.
-func (r *run) do(ctx context.Context, a planrun.Action, v planrun.View, at time.Duration) {
-	switch a.What {
-	case planrun.OpenStage:
-		r.open(ctx, a, v)
-	case planrun.AwaitEnd: // taken over by nobody, and never sent here: its Sending was answered late
-		r.order(ctx, parts.PlansEnded, planrun.Ended{Run: r.id, Fence: r.fence, Stage: a.Stage, Item: a.Item, Undo: a.Undo, Attempt: a.Attempt, End: plan.Unsent})
-	case planrun.SendJob, planrun.SendUndo:
-		r.send(ctx, a, v, at)
+// do carries out one task.
+func (r *run) do(ctx context.Context, t planrun.Task, v planrun.View, at time.Duration) {
+	if t.Sending != nil {
+		r.send(ctx, t, v, at)
+		return
+	}
+	defer r.c.remember(func(m *planrun.Coordinator) { m.Answered(r.id, t.ID) })
+	if t.Open != nil {
+		r.open(ctx, *t.Open, v)
+	} else {
+		r.order(ctx, planrun.Command{Ended: t.Ended})
 	}
 }
 
@@ -214,9 +183,9 @@
 }
 
 // open fixes a stage's items and its shared key.
-func (r *run) open(ctx context.Context, a planrun.Action, v planrun.View) {
-	st, vals := r.plan.Stages[a.Stage], r.values(v, a.Stage, nil)
-	o := planrun.Open{Run: r.id, Fence: r.fence, Stage: a.Stage, Items: [][]byte{nil}}
+func (r *run) open(ctx context.Context, o planrun.Open, v planrun.View) {
+	st, vals := r.plan.Stages[o.Stage], r.values(v, o.Stage, nil)
+	o.Items = [][]byte{nil}
 	var err error
 	if st.Each != nil {
 		var items []plan.Item
@@ -229,90 +198,96 @@
 	if err == nil && st.Shared != nil {
 		o.Key, err = st.SharedKey(vals)
 	}
-	if err != nil {
-		r.abandon(ctx, a.Stage, err)
-		return
-	}
-	if p, ok := r.order(ctx, parts.PlansOpen, o); !ok && p.No == planrun.ErrTooLarge.Error() {
-		r.abandon(ctx, a.Stage, planrun.ErrTooLarge)
+	if err == nil {
+		err = r.order(ctx, planrun.Command{Open: &o})
+		if !errors.Is(err, planrun.ErrTooLarge) && !errors.Is(err, planrun.ErrNoSuch) {
+			return
+		}
 	}
+	r.abandon(ctx, o.Stage, err)
 }
 
 // abandon gives the run up: what it says can't be evaluated.
 func (r *run) abandon(ctx context.Context, stage int, why error) {
 	r.c.log.WithError(why).WithField("run", r.id).Error("a plan can't go on")
-	r.order(ctx, parts.PlansAbandon, planrun.Abandon{Run: r.id, Fence: r.fence, Stage: stage, End: plan.Failed, Reason: why.Error()})
+	r.order(ctx, planrun.Command{Abandon: &planrun.Abandon{Run: r.id, Fence: r.fence, Stage: stage, End: plan.Failed, Reason: why.Error()}})
 }
 
-// send sends an attempt, once the state has it written down, and tells its end.
-func (r *run) send(ctx context.Context, a planrun.Action, v planrun.View, at time.Duration) {
+// job makes the job of an attempt.
+func (r *run) job(a planrun.Action, v planrun.View, at time.Duration) (j Job, err error) {
 	st, it := r.plan.Stages[a.Stage], &v.Run.Stages[a.Stage].Items[a.Item]
-	j := Job{Class: a.Class, Tenant: v.Run.Tenant, Hint: st.Cost, Plan: r.plan.Name, Stage: st.Name, Until: time.Now().Add(a.At - at)}
-	var err error
+	j = Job{ID: jobID(r.id, a), Class: a.Class, Tenant: v.Run.Tenant, Hint: st.Cost, Plan: r.plan.Name, Stage: st.Name, Until: time.Now().Add(a.At - at)}
 	if vals := r.values(v, a.Stage, it.Value); a.Undo {
 		j.Path, j.Body, j.Key, err = st.Undo.Render(vals)
 	} else {
 		j.Path, j.Body, j.Key, err = st.Render(vals)
 	}
-	if err != nil {
-		r.abandon(ctx, a.Stage, err)
-		return
-	}
 	if a.Where != plan.Anywhere {
 		j.NotMember, j.NotItsZone = a.Member, a.Where == plan.OtherZone
 	}
-	if a.Extra && !r.pay(ctx, a.Class, j.Until) {
-		return
+	return j, err
+}
+
+// send sends an attempt, once the state has it written down, and tells its end.
+func (r *run) send(ctx context.Context, t planrun.Task, v planrun.View, at time.Duration) {
+	j, err := r.job(t.Action, v, at)
+	if err != nil {
+		r.abandon(ctx, t.Stage, err)
+	} else if !t.Extra || r.pay(ctx, t.Class, j.Until) {
+		err = r.order(ctx, planrun.Command{Sending: t.Sending})
+	} else {
+		err = ErrNoFleet
 	}
-	p, ok := r.order(ctx, parts.PlansSending, planrun.Sending{
-		Run: r.id, Fence: r.fence, Stage: a.Stage, Item: a.Item, Undo: a.Undo, Generation: a.Generation, Inputs: a.Inputs, Attempt: a.Attempt, Rest: r.c.rest(at, v),
-	})
-	if !ok || p.Sent == nil || ctx.Err() != nil {
+	may := false
+	r.c.remember(func(m *planrun.Coordinator) { may = m.Accepted(*t.Sending, t.ID, err, r.c.fleet.Leased()) })
+	if !may {
 		return
 	}
-	j.ID = jobID(r.id, a)
-	done := make(chan core.Answer, 1)
-	sent := time.Now()
-	ended := planrun.Ended{Run: r.id, Fence: r.fence, Stage: a.Stage, Item: a.Item, Undo: a.Undo, Attempt: a.Attempt}
+	done, sent := make(chan core.Answer, 1), time.Now()
 	if err := r.c.jobs.Submit(j, func(answer core.Answer) { done <- answer }); err != nil {
 		r.c.log.WithError(err).WithField("run", r.id).Error("a stage of a plan is no job that can be taken")
-		ended.End = plan.Unsent
-	} else {
-		// An end is told even when another drives the run by then: it may still count.
-		answer := <-done
-		ended.End, ended.Member = endOf(answer), answer.Member
-		said := answer.Said
-		r.c.log.WithFields(logrus.Fields{"run": r.id, "job": j.ID, "stage": st.Name, "end": ended.End, "reason": answer.Reason.String(), "flows": answer.Sends}).Debug("a stage's job ended")
-		if ended.End == plan.Done {
-			r.c.ran(a.Class, time.Since(sent))
-			said, ended.Result = answer.Body, answer.Body
-		}
-		if !a.Undo {
-			r.lost(&ended, st, a, said)
+		r.tell(t.Sending.End(plan.Unsent, nil, "", nil))
+		return
+	}
+	answer := <-done
+	end, result, said := endOf(answer), []byte(nil), answer.Said
+	r.c.log.WithFields(logrus.Fields{"run": r.id, "job": j.ID, "stage": j.Stage, "end": end, "reason": answer.Reason.String(), "flows": answer.Sends}).Debug("a stage's job ended")
+	if end == plan.Done {
+		r.c.remember(func(m *planrun.Coordinator) { m.Estimate.Ran(t.Class, time.Since(sent)) })
+		result, said = answer.Body, answer.Body
+	}
+	var lost *planrun.LostInput
+	if !t.Undo {
+		if lost = r.lost(end, t, said); lost != nil {
+			end, result = plan.Lost, nil
 		}
 	}
-	if p, _ := r.order(r.life, parts.PlansEnded, ended); p.No == planrun.ErrTooLarge.Error() {
-		ended.End, ended.Result = plan.Failed, nil
-		r.order(r.life, parts.PlansEnded, ended)
+	r.tell(t.Sending.End(end, result, answer.Member, lost))
+}
+
+// tell tells an end, also when another drives the run by then: it may still count.
+func (r *run) tell(e planrun.Ended) {
+	if err := r.order(r.life, planrun.Command{Ended: &e}); errors.Is(err, planrun.ErrTooLarge) {
+		e.End, e.Result = plan.Failed, nil
+		r.order(r.life, planrun.Command{Ended: &e})
 	}
 }
 
 // lost holds an end against the rules for what was lost upstream.
-func (r *run) lost(e *planrun.Ended, st *plan.Stage, a planrun.Action, result []byte) {
-	upstream := r.shape.Upstream(a.Stage)
+func (r *run) lost(end plan.End, t planrun.Task, said []byte) *planrun.LostInput {
+	st, upstream := r.plan.Stages[t.Stage], r.shape.Upstream(t.Stage)
 	for i := range st.Reruns {
-		holds, err := st.Reruns[i].Holds(e.End, result)
+		holds, err := st.Reruns[i].Holds(end, said)
 		if err != nil {
 			r.c.log.WithError(err).WithField("run", r.id).Warn("a rerun's condition can't be evaluated and does not hold")
 			continue
 		}
-		of := r.shape.Stages
-		at := slices.IndexFunc(upstream, func(u int) bool { return of[u].Name == st.Reruns[i].Of })
-		if holds && at >= 0 && at < len(a.Inputs) {
-			e.End, e.Result, e.Lost = plan.Lost, nil, &planrun.LostInput{Stage: upstream[at], Generation: a.Inputs[at]}
-			return
+		at := slices.IndexFunc(upstream, func(u int) bool { return r.shape.Stages[u].Name == st.Reruns[i].Of })
+		if holds && at >= 0 && at < len(t.Inputs) {
+			return &planrun.LostInput{Stage: upstream[at], Generation: t.Inputs[at]}
 		}
 	}
+	return nil
 }
 
 // pay takes an attempt beyond the first of the fleet's budget, and waits for one while
