--- a/internal/fleet/shares/book.go
+++ b/internal/fleet/shares/book.go
@@ -23,7 +23,7 @@
 	current map[string]*holder // the incarnation in force, by process
 	due     time.Duration      // no lease, rest or turn ends before
 	way     Way
-	twice   bool               // the planted bug
+	twice   bool // the planted bug
 
 	asks []Ask // kept for the next division
 	outs []float64
