--- a/internal/fleet/plan/check.go
+++ b/internal/fleet/plan/check.go
@@ -245,7 +245,7 @@
 			if len(c.problems) > before {
 				continue
 			}
-			_, diags := e.Value(unknown(slices.Concat(e.names, c.others(s)), nil))
+			_, diags := value(e, unknown(slices.Concat(e.names, c.others(s)), nil))
 			c.diagnose(diags)
 			if len(diags) > 0 || len(e.Variables()) > 0 || e.fits == nil {
 				continue
@@ -288,7 +288,7 @@
 // may tells whether a condition may hold, and whether it must, at an end with any
 // result. Where that can't be told it may.
 func (r *Rerun) may(e End) (may, must bool) {
-	v, diags := r.When.Value(unknown([]string{"result"}, map[string]cty.Value{"end": cty.StringVal(string(e))}))
+	v, diags := value(r.When, unknown([]string{"result"}, map[string]cty.Value{"end": cty.StringVal(string(e))}))
 	if diags.HasErrors() || v.IsNull() || v.Type() != cty.Bool {
 		return true, false
 	}
@@ -359,7 +359,7 @@
 	if !ok || v.Traversal.RootName() != "end" || len(b.Variables()) > 0 {
 		return
 	}
-	word, diags := b.Value(unknown(nil, nil))
+	word, diags := value(b, unknown(nil, nil))
 	switch {
 	case diags.HasErrors() || word.IsNull() || !word.IsKnown() || word.Type() != cty.String:
 		c.fail(b.Range(), "end is compared with text: one of %s", strings.Join(endWords, ", "))
@@ -432,6 +432,8 @@
 		c.keyed(i, s.Key, s.Class, s.Effect, s.Range)
 		if u := s.Undo; u != nil {
 			c.keyed(i, u.Key, u.Class, u.Effect, u.Range)
+			c.there(s, u.Path)
+			c.there(s, u.Body)
 			if s.Key != nil && u.Key != nil && s.Class == u.Class && c.source(s.Key) == c.source(u.Key) {
 				c.fail(u.Key.Range(), "the undo has the key and the class of %q, so that it would be dropped as a repeat: give it another", s.Name)
 			}
@@ -487,6 +489,19 @@
 	}
 }
 
+// there: what an undo uses is there when the plan gives up. The result of a stage that
+// is being run again is not.
+func (c *checker) there(s *Stage, e hcl.Expression) {
+	if e == nil {
+		return
+	}
+	for _, t := range e.Variables() {
+		if name := t.RootName(); c.changes(name) {
+			c.fail(t.SourceRange(), "the undo of %q uses the result of %q, which may be gone by then, when a rerun has set it back: make it of input, item, or stages that no rerun runs again", s.Name, name)
+		}
+	}
+}
+
 func (c *checker) changes(name string) bool {
 	return c.plan.ByName[name] != nil && c.anew.has(c.at(name))
 }
--- a/internal/fleet/plan/check_test.go
+++ b/internal/fleet/plan/check_test.go
@@ -141,6 +141,7 @@
 		{stages("k keyed: each = input.l; most = 2; key = ~input.k"), "make item part of it"},
 		{stages("k keyed: key = input.k; undo {; class = \"keyed\"; path = \"/\"; key = ~input.k; }"), "dropped as a repeat"},
 		{stages("k safe: ~undo {; class = \"keyed\"; path = \"/\"; }"), "drops repeats by key"},
+		{stages("a safe:", "b safe a: "+again+"; undo {; class = \"safe\"; path = \"/\"; body = [input, ~a.id]; }"), `the undo of "b" uses the result of "a", which may be gone by then`},
 		{stages("k zoned: key = input.k; retry {; on = [\"full\", ~\"late\"]; most = 1; where = \"other_zone\"; }"), `the key of "zoned" holds in its zone`},
 		{stages("k keyed: key = input.k; retry {; on = [\"late\"]; most = 1; where = \"other_zone\"; }"), ""},
 		{stages("a safe: shared = ~input.k; shared_for = \"1s\"; each = input.l; most = 2"), "which plans can't share"},
--- a/internal/fleet/plan/eval.go
+++ b/internal/fleet/plan/eval.go
@@ -203,12 +203,7 @@
 }
 
 // evaluate computes an expression over names. It decodes only those in use.
-func evaluate(e hcl.Expression, names map[string][]byte) (made cty.Value, err error) {
-	defer func() { // the library's own guard against values that no check foresees
-		if r := recover(); r != nil {
-			made, err = cty.NilVal, fmt.Errorf("can't be evaluated: %v", r)
-		}
-	}()
+func evaluate(e hcl.Expression, names map[string][]byte) (cty.Value, error) {
 	ctx, weight := &hcl.EvalContext{Variables: map[string]cty.Value{}, Functions: functions}, 0
 	for _, t := range e.Variables() {
 		name := t.RootName()
@@ -220,12 +215,14 @@
 			return cty.NilVal, fmt.Errorf("%s has %d bytes, and the values in use have %d; at most %d and %d are used", name, len(text), weight, mostValue, mostWeight)
 		}
 		if _, done := ctx.Variables[name]; !done {
-			if ctx.Variables[name], err = decode(text); err != nil {
+			v, err := decode(text)
+			if err != nil {
 				return cty.NilVal, fmt.Errorf("%s: %w", name, err)
 			}
+			ctx.Variables[name] = v
 		}
 	}
-	made, diags := e.Value(ctx)
+	made, diags := value(e, ctx)
 	for _, d := range diags {
 		if d.Severity == hcl.DiagError {
 			return cty.NilVal, fmt.Errorf("%s:%d:%d: %s", d.Subject.Filename, d.Subject.Start.Line, d.Subject.Start.Column, oneLine(d))
@@ -237,6 +234,17 @@
 	return made, nil
 }
 
+// value computes an expression. Where the library panics, over values that it did not
+// foresee, that is an error of the expression.
+func value(e hcl.Expression, ctx *hcl.EvalContext) (v cty.Value, diags hcl.Diagnostics) {
+	defer func() {
+		if r := recover(); r != nil {
+			v, diags = cty.DynamicVal, hcl.Diagnostics{{Severity: hcl.DiagError, Summary: "Can't be evaluated", Detail: fmt.Sprint(r), Subject: e.Range().Ptr()}}
+		}
+	}()
+	return e.Value(ctx)
+}
+
 // decode reads JSON.
 func decode(text []byte) (cty.Value, error) {
 	if text == nil {
--- a/internal/fleet/plan/file.go
+++ b/internal/fleet/plan/file.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"fmt"
 	"strings"
 
 	"basaltloft"
@@ -12,7 +13,7 @@
 func CheckFile(name, text string, classes []basaltloft.Class) (lines []string, ok bool) {
 	plans, problems := Parse(name, []byte(text), Classes(classes))
 	for _, p := range problems {
-		lines = append(lines, strings.Replace(p.String(), ": ", ": error: ", 1))
+		lines = append(lines, fmt.Sprintf("%s:%d:%d: error: %s", p.File, p.Line, p.Column, p.Text))
 	}
 	if len(problems) > 0 {
 		return lines, false
--- a/internal/fleet/plan/model.go
+++ b/internal/fleet/plan/model.go
@@ -19,7 +19,7 @@
 const (
 	Done    End = "done"         // it ran and gave a result
 	Refused End = "refused"      // the dispatcher turned it away: it never ran
-	Full    End = "full"         // members turned it away: it never ran
+	Full    End = "full"         // members turned it away: it never ran; where that proves nothing (Rules.FullMayHaveRun) it is Failed
 	Unsent  End = "unsent"       // no member was reached: it never ran
 	Late    End = "late"         // no answer by the deadline: it may have run
 	Failed  End = "failed"       // a member answered with an error: it may have run
@@ -95,7 +95,7 @@
 	Most       int           // further tries by this rule, for a run of the stage
 	Wait       time.Duration // before the first, doubled for each further one
 	WaitAtMost time.Duration
-	Jitter     float64 // the wait varies by this share of itself, either way
+	Jitter     float64 // the wait varies by this share of itself, in thousandths, either way
 	Where      Place
 	Range      hcl.Range
 
--- a/internal/fleet/plan/parse.go
+++ b/internal/fleet/plan/parse.go
@@ -278,7 +278,7 @@
 	r.Most = b.whole("most", true, 1, mostTries, 0)
 	r.Wait = b.span("wait", false, 0, longest, 0)
 	r.WaitAtMost = b.span("wait_at_most", false, r.Wait, longest, longest)
-	r.Jitter = b.share("jitter")
+	r.Jitter = math.Round(b.share("jitter")*1000) / 1000
 	r.Where = Place(b.word("where", string(Anywhere), []string{string(Anywhere), string(OtherMember), string(OtherZone)}))
 	b.rest()
 	return r
@@ -438,7 +438,7 @@
 		b.fail(e.Range(), "%s must be written out, not computed: %s", name, right)
 		return cty.NilVal, hcl.Range{}, false
 	}
-	v, diags := e.Value(nil)
+	v, diags := value(e, nil)
 	if diags.HasErrors() {
 		b.diagnose(diags)
 		return cty.NilVal, hcl.Range{}, false
@@ -521,7 +521,7 @@
 		return nil, nil
 	}
 	for _, one := range list.Exprs {
-		if v, diags := one.Value(nil); !diags.HasErrors() && !v.IsNull() && v.Type() == cty.String && v.IsKnown() {
+		if v, diags := value(one, nil); !diags.HasErrors() && !v.IsNull() && v.Type() == cty.String && v.IsKnown() {
 			words, at = append(words, v.AsString()), append(at, one.Range())
 			continue
 		}
--- a/internal/fleet/plan/worst.go
+++ b/internal/fleet/plan/worst.go
@@ -29,7 +29,7 @@
 	d := times(s.GiveUp, s.tries())
 	for _, r := range s.Retries {
 		for k := range r.Most {
-			d = plus(d, r.Longest(k))
+			d = plus(d, r.Pause(k, 1))
 		}
 	}
 	return d
@@ -47,9 +47,6 @@
 	return wait + time.Duration(float64(wait)*r.Jitter*min(max(share, -1), 1))
 }
 
-// Longest is the longest that Pause may be.
-func (r *Retry) Longest(k int) time.Duration { return r.Pause(k, 1) }
-
 // span is how long all tries of a compensation take at most.
 func (u *Undo) span() time.Duration { return plus(times(u.GiveUp, u.Most), times(u.Wait, u.Most-1)) }
 
