--- a/internal/fleet/plan/check.go
+++ b/internal/fleet/plan/check.go
@@ -236,7 +236,9 @@
 	for i, s := range c.plan.Stages {
 		for _, e := range c.expressions(i) {
 			before := len(c.problems)
-			c.plain(e.Expression)
+			if !c.plain(e.Expression) {
+				continue
+			}
 			for _, t := range e.Variables() {
 				if name := t.RootName(); !slices.Contains(e.names, name) && !(c.vague[s] && c.plan.ByName[name] != nil) {
 					c.fail(t.SourceRange(), "%s", c.misuse(s, e, name))
--- a/internal/fleet/plan/check_test.go
+++ b/internal/fleet/plan/check_test.go
@@ -78,6 +78,8 @@
 		{strings.Replace(stages("x safe:", "y safe:"), `stage "y"`, `~stage "x"`, 1), `stage "x" is there twice`},
 		{stages("a safe: body = " + strings.Repeat("[", 30) + "~[" + strings.Repeat("]", 31)), "nested more than 32 deep"},
 		{stages("a safe: body = " + "~" + strings.Repeat("1 + ", 300) + "1"), "an expression of more than 512 parts"},
+		{stages("a safe: body = input~[*][*].x"), "[*] within [*] has no place in a plan"},
+		{stages("a safe: body = <<E\n" + strings.Repeat("x\n", 512) + "~x\nE"), "a text of more than 512 lines"},
 		{stages("a safe: body = ~[for x in input : x]"), "for has no place in a plan"},
 		{stages("a safe: body = \"~%{ if true }x%{ endif }\""), "%{ } has no place in a plan"},
 		// Names.
@@ -113,6 +115,7 @@
 		{stages("a safe:", "b safe a: rerun \"a\" {; when = end == ~\"lost_input\"; most = 1; }"), "that is what an end becomes"},
 		{stages("a safe:", "b safe a: rerun \"a\" {; when = ~end == \"late\" && end == \"full\"; most = 1; }"), "when never holds"},
 		{stages("a safe:", "b safe a: rerun \"a\" {; when = ~end != \"late\"; most = 1; }"), "could never end well"},
+		{stages("a safe:", "b safe a: rerun \"a\" {; when = length(present([result])) == 1; most = 1; }"), ""},
 		{stages("a safe:", "b safe a: rerun \"a\" {; when = ~input.x; most = 1; }"), `when knows only end and result, not "input"`},
 		{stages("a safe:", "b safe a: "+again+"; rerun ~\"a\" {; when = end == \"full\"; most = 1; }"), "run again by two rules"},
 		{stages("a safe:", "b safe:", "c safe a: rerun ~\"b\" {; when = end == \"full\"; most = 1; }"), `stage "c" does not come after "b"`},
--- a/internal/fleet/plan/eval.go
+++ b/internal/fleet/plan/eval.go
@@ -28,6 +28,7 @@
 	mostValue   = 1 << 20 // bytes of JSON, in and out
 	mostWeight  = 8 << 20 // bytes of JSON that one expression may go over
 	mostDeep    = 32      // lists and objects within one another
+	mostEntries = 1 << 15 // of all of them together
 	longestPath = 2048
 	longestKey  = 256
 	largest     = 1e300 // of a number
@@ -254,13 +255,17 @@
 	if err != nil {
 		return cty.StringVal(string(text)), nil
 	}
-	return from(v, mostDeep)
+	left := mostEntries
+	return from(v, mostDeep, &left)
 }
 
-func from(v *fastjson.Value, deep int) (cty.Value, error) {
+func from(v *fastjson.Value, deep int, left *int) (cty.Value, error) {
 	if deep == 0 {
 		return cty.NilVal, fmt.Errorf("lists and objects are nested more than %d deep", mostDeep)
 	}
+	if *left--; *left < 0 {
+		return cty.NilVal, fmt.Errorf("lists and objects have more than %d entries", mostEntries)
+	}
 	switch v.Type() {
 	case fastjson.TypeTrue, fastjson.TypeFalse:
 		return cty.BoolVal(v.GetBool()), nil
@@ -273,9 +278,12 @@
 		}
 		return cty.ParseNumberVal(string(text))
 	case fastjson.TypeArray:
+		if n := len(v.GetArray()); n > mostItems { // the library compares types of entries, each with each
+			return cty.NilVal, fmt.Errorf("a list of %d entries; at most %d are used", n, mostItems)
+		}
 		var list []cty.Value
 		for _, one := range v.GetArray() {
-			made, err := from(one, deep-1)
+			made, err := from(one, deep-1, left)
 			if err != nil {
 				return cty.NilVal, err
 			}
@@ -283,9 +291,12 @@
 		}
 		return cty.TupleVal(list), nil
 	case fastjson.TypeObject:
+		if n := v.GetObject().Len(); n > mostItems {
+			return cty.NilVal, fmt.Errorf("an object of %d fields; at most %d are used", n, mostItems)
+		}
 		fields, err := map[string]cty.Value{}, error(nil)
 		v.GetObject().Visit(func(name []byte, one *fastjson.Value) {
-			made, bad := from(one, deep-1)
+			made, bad := from(one, deep-1, left)
 			err = errors.Join(err, bad)
 			fields[string(name)] = made
 		})
@@ -331,13 +342,13 @@
 		to = append(to, quoted(v.AsString())...)
 	case t.IsObjectType() || t.IsMapType():
 		to = append(to, '{')
-		for i, name := range slices.Sorted(maps.Keys(v.AsValueMap())) {
+		fields := v.AsValueMap() // a copy
+		for i, name := range slices.Sorted(maps.Keys(fields)) {
 			if i > 0 {
 				to = append(to, ',')
 			}
 			to = append(append(to, quoted(name)...), ':')
-			one := v.AsValueMap()[name]
-			if to, err = appendValue(to, one); err != nil {
+			if to, err = appendValue(to, fields[name]); err != nil {
 				return nil, err
 			}
 		}
@@ -382,7 +393,7 @@
 	"coalesce":   stdlib.CoalesceFunc,
 	"contains":   stdlib.ContainsFunc,
 	"format":     guarded(stdlib.FormatFunc, formatFits),
-	"join":       guarded(stdlib.JoinFunc, joinFits),
+	"join":       joinFunc,
 	"jsonencode": stdlib.JSONEncodeFunc,
 	"length":     stdlib.LengthFunc,
 	"lower":      stdlib.LowerFunc,
@@ -420,12 +431,34 @@
 	return nil
 }
 
-func joinFits(between string) error {
-	if len(between) > longestName {
-		return fmt.Errorf("what goes between has at most %d letters", longestName)
-	}
-	return nil
-}
+// joinFunc takes lists of any texts and numbers: the library's would first find one
+// type for all entries, in a time that grows with the square of their number.
+var joinFunc = function.New(&function.Spec{
+	Params: []function.Parameter{{Name: "between", Type: cty.String}, {Name: "list", Type: cty.DynamicPseudoType}},
+	Type:   function.StaticReturnType(cty.String),
+	Impl: func(args []cty.Value, _ cty.Type) (cty.Value, error) {
+		between := args[0].AsString()
+		if len(between) > longestName {
+			return cty.NilVal, function.NewArgErrorf(0, "what goes between has at most %d letters", longestName)
+		}
+		if t := args[1].Type(); !t.IsTupleType() && !t.IsListType() {
+			return cty.NilVal, function.NewArgErrorf(1, "a list is needed, not %s", kind(args[1]))
+		}
+		var words []string
+		for it := args[1].ElementIterator(); it.Next(); {
+			_, one := it.Element()
+			if !one.IsKnown() { // in the check
+				return cty.UnknownVal(cty.String), nil
+			}
+			text, err := convert.Convert(one, cty.String)
+			if err != nil || text.IsNull() {
+				return cty.NilVal, function.NewArgErrorf(1, "entry %d is not text but %s", len(words), kind(one))
+			}
+			words = append(words, text.AsString())
+		}
+		return cty.StringVal(strings.Join(words, between)), nil
+	},
+})
 
 // presentFunc is a list without its nulls.
 var presentFunc = function.New(&function.Spec{
@@ -439,7 +472,11 @@
 		}
 		var kept []cty.Value
 		for it := args[0].ElementIterator(); it.Next(); {
-			if _, one := it.Element(); !one.IsNull() {
+			_, one := it.Element()
+			if !one.IsKnown() { // in the check
+				return cty.DynamicVal, nil
+			}
+			if !one.IsNull() {
 				kept = append(kept, one)
 			}
 		}
@@ -463,11 +500,14 @@
 // plain tells whether an expression is of the allowed kinds, and within bounds; if
 // not, it says why.
 func (f *file) plain(e hcl.Expression) bool {
-	before, nodes := len(f.problems), 0
+	before, nodes, splats := len(f.problems), 0, false
 	_ = hclsyntax.VisitAll(e.(hclsyntax.Expression), func(n hclsyntax.Node) hcl.Diagnostics {
 		if nodes++; nodes == mostNodes {
 			f.fail(e.Range(), "an expression of more than %d parts: make it smaller", mostNodes)
 		}
+		if nodes >= mostNodes { // nothing of it is looked at again
+			return nil
+		}
 		switch n := n.(type) {
 		case *hclsyntax.ForExpr:
 			f.fail(n.Range(), "for has no place in a plan: each runs a stage for each item, and list[*].name takes a field of all")
@@ -476,8 +516,12 @@
 				f.fail(n.NameRange, "unknown function %q%s", n.Name, instead(n.Name, slices.Sorted(maps.Keys(functions))))
 			}
 		case *hclsyntax.SplatExpr:
+			if splats { // told already
+				return nil
+			}
 			_ = hclsyntax.VisitAll(n.Each, func(in hclsyntax.Node) hcl.Diagnostics {
-				if s, nested := in.(*hclsyntax.SplatExpr); nested {
+				if s, nested := in.(*hclsyntax.SplatExpr); nested && !splats {
+					splats = true
 					f.fail(s.Range(), "[*] within [*] has no place in a plan: let the stage return the list")
 				}
 				return nil
--- a/internal/fleet/plan/parse.go
+++ b/internal/fleet/plan/parse.go
@@ -122,7 +122,7 @@
 		f.fail(words[mostTokens].Range, "the file has more than %d words and signs: split it", mostTokens)
 		return false
 	}
-	var depth, prefixes int
+	var depth, prefixes, lines int
 	for _, w := range words {
 		switch w.Type {
 		case hclsyntax.TokenOBrace, hclsyntax.TokenOBrack, hclsyntax.TokenOParen, hclsyntax.TokenTemplateInterp,
@@ -136,6 +136,13 @@
 			return false
 		}
 		switch w.Type {
+		case hclsyntax.TokenOHeredoc:
+			lines = 0
+		case hclsyntax.TokenStringLit: // the library joins them one by one
+			if lines++; lines > mostNodes {
+				f.fail(w.Range, "a text of more than %d lines: send what is that long as a result or as input", mostNodes)
+				return false
+			}
 		case hclsyntax.TokenBang, hclsyntax.TokenMinus, hclsyntax.TokenQuestion:
 			prefixes++
 		case hclsyntax.TokenEqual, hclsyntax.TokenComma:
@@ -520,6 +527,10 @@
 		b.fail(e.Range(), `%s must be a list of texts, as in ["a", "b"]`, name)
 		return nil, nil
 	}
+	if len(list.Exprs) > mostStages {
+		b.fail(e.Range(), "%s has at most %d entries", name, mostStages)
+		return nil, nil
+	}
 	for _, one := range list.Exprs {
 		if v, diags := value(one, nil); !diags.HasErrors() && !v.IsNull() && v.Type() == cty.String && v.IsKnown() {
 			words, at = append(words, v.AsString()), append(at, one.Range())
