Plans: lists of at most 1,024 entries, so that a condition over two costs 0.2 s at most

Ruled out: no conditions on lists (a plan may well choose between two). Change: 1,024 entries of a list or object, and items of a stage; 4,096 over a plan as before.

--- a/internal/fleet/plan/eval.go
+++ b/internal/fleet/plan/eval.go
@@ -28,6 +28,7 @@
 	mostValue   = 1 << 20 // bytes of JSON, in and out
 	mostWeight  = 8 << 20 // bytes of JSON that one expression may go over
 	mostDeep    = 32      // lists and objects within one another
+	mostList    = 1 << 10 // entries of one list or object, and items of a stage
 	mostEntries = 1 << 15 // of all of them together
 	longestPath = 2048
 	longestKey  = 256
@@ -278,8 +279,8 @@
 		}
 		return cty.ParseNumberVal(string(text))
 	case fastjson.TypeArray:
-		if n := len(v.GetArray()); n > mostItems { // the library compares types of entries, each with each
-			return cty.NilVal, fmt.Errorf("a list of %d entries; at most %d are used", n, mostItems)
+		if n := len(v.GetArray()); n > mostList { // the library compares types of entries, each with each
+			return cty.NilVal, fmt.Errorf("a list of %d entries; at most %d are used", n, mostList)
 		}
 		var list []cty.Value
 		for _, one := range v.GetArray() {
@@ -291,8 +292,8 @@
 		}
 		return cty.TupleVal(list), nil
 	case fastjson.TypeObject:
-		if n := v.GetObject().Len(); n > mostItems {
-			return cty.NilVal, fmt.Errorf("an object of %d fields; at most %d are used", n, mostItems)
+		if n := v.GetObject().Len(); n > mostList {
+			return cty.NilVal, fmt.Errorf("an object of %d fields; at most %d are used", n, mostList)
 		}
 		fields, err := map[string]cty.Value{}, error(nil)
 		v.GetObject().Visit(func(name []byte, one *fastjson.Value) {
--- a/internal/fleet/plan/parse.go
+++ b/internal/fleet/plan/parse.go
@@ -235,7 +235,7 @@
 	s.Path, s.Body, s.Key = b.expr("path", true), b.expr("body", false), b.expr("key", false)
 	s.Cost = b.span("cost", false, 0, longest, 0)
 	if s.Each = b.expr("each", false); s.Each != nil {
-		s.MostEach = b.whole("most", true, 1, mostItems, 0)
+		s.MostEach = b.whole("most", true, 1, mostList, 0)
 		s.AtLeast = b.whole("at_least", false, 1, max(s.MostEach, 1), 0)
 	} else {
 		for _, name := range []string{"most", "at_least"} {
