--- a/internal/fleet/plan/parse.go
+++ b/internal/fleet/plan/parse.go
@@ -122,7 +122,7 @@
 		f.fail(words[mostTokens].Range, "the file has more than %d words and signs: split it", mostTokens)
 		return false
 	}
-	var depth, prefixes int
+	var depth, prefixes, lines int
 	for _, w := range words {
 		switch w.Type {
 		case hclsyntax.TokenOBrace, hclsyntax.TokenOBrack, hclsyntax.TokenOParen, hclsyntax.TokenTemplateInterp,
@@ -136,6 +136,13 @@
 			return false
 		}
 		switch w.Type {
+		case hclsyntax.TokenOHeredoc:
+			lines = 0
+		case hclsyntax.TokenStringLit: // the library joins them one by one
+			if lines++; lines > mostNodes {
+				f.fail(w.Range, "a text of more than %d lines: send what is that long as a result or as input", mostNodes)
+				return false
+			}
 		case hclsyntax.TokenBang, hclsyntax.TokenMinus, hclsyntax.TokenQuestion:
 			prefixes++
 		case hclsyntax.TokenEqual, hclsyntax.TokenComma:
@@ -228,7 +235,7 @@
 	s.Path, s.Body, s.Key = b.expr("path", true), b.expr("body", false), b.expr("key", false)
 	s.Cost = b.span("cost", false, 0, longest, 0)
 	if s.Each = b.expr("each", false); s.Each != nil {
-		s.MostEach = b.whole("most", true, 1, mostItems, 0)
+		s.MostEach = b.whole("most", true, 1, mostList, 0)
 		s.AtLeast = b.whole("at_least", false, 1, max(s.MostEach, 1), 0)
 	} else {
 		for _, name := range []string{"most", "at_least"} {
@@ -278,7 +285,7 @@
 	r.Most = b.whole("most", true, 1, mostTries, 0)
 	r.Wait = b.span("wait", false, 0, longest, 0)
 	r.WaitAtMost = b.span("wait_at_most", false, r.Wait, longest, longest)
-	r.Jitter = b.share("jitter")
+	r.Jitter = math.Round(b.share("jitter")*1000) / 1000
 	r.Where = Place(b.word("where", string(Anywhere), []string{string(Anywhere), string(OtherMember), string(OtherZone)}))
 	b.rest()
 	return r
@@ -438,7 +445,7 @@
 		b.fail(e.Range(), "%s must be written out, not computed: %s", name, right)
 		return cty.NilVal, hcl.Range{}, false
 	}
-	v, diags := e.Value(nil)
+	v, diags := value(e, nil)
 	if diags.HasErrors() {
 		b.diagnose(diags)
 		return cty.NilVal, hcl.Range{}, false
@@ -520,8 +527,12 @@
 		b.fail(e.Range(), `%s must be a list of texts, as in ["a", "b"]`, name)
 		return nil, nil
 	}
+	if len(list.Exprs) > mostStages {
+		b.fail(e.Range(), "%s has at most %d entries", name, mostStages)
+		return nil, nil
+	}
 	for _, one := range list.Exprs {
-		if v, diags := one.Value(nil); !diags.HasErrors() && !v.IsNull() && v.Type() == cty.String && v.IsKnown() {
+		if v, diags := value(one, nil); !diags.HasErrors() && !v.IsNull() && v.Type() == cty.String && v.IsKnown() {
 			words, at = append(words, v.AsString()), append(at, one.Range())
 			continue
 		}
