--- a/internal/fleet/coordinator/run.go
+++ b/internal/fleet/coordinator/run.go
@@ -197,6 +197,7 @@
 	}
 	if err == nil && st.Shared != nil {
 		o.Key, err = st.SharedKey(vals)
+		o.Key = fmt.Sprintf("%016x %s %s", r.plan.Digest, st.Name, o.Key) // one plan's stage: others mean something else by it
 	}
 	if err == nil {
 		err = r.order(ctx, planrun.Command{Open: &o})
