Records: what the fleet keeps of finished jobs, decided by rules, holds and cuts

The deciding package holds the small part of the state: rules, holds, a mark for each tenant and lane (failures apart), how far each process's spool was taken in, and sums of the records by lane; the records are in a Store. Deleting by each replica's own clock was ruled out: two replicas would differ.

Tests: a rapid machine of three replicas against a plain model, every order of rule, hold and cut, refusals, fuzzed decoding. With the tag faults a planted resurrection trips the audit.

--- /dev/null
+++ b/internal/fleet/records/encode.go
@@ -0,0 +1,175 @@
+package records
+
+import (
+	"bytes"
+	"cmp"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"basaltloft/internal/fleet/codec"
+)
+
+const stateVersion = 1 // stands before the encoded state
+
+// saved is the form in which a State is kept.
+type saved struct {
+	Wall      int64
+	CutAt     time.Duration
+	Edition   uint64
+	Ruled     uint64
+	Turn      string
+	Rules     []Rule
+	Holds     []Hold
+	Tenants   []tenant
+	Processes []process
+	Counts    Counts
+}
+
+// Encode writes the small part of the state. The same commands give the same bytes.
+func (s *State) Encode() ([]byte, error) {
+	v := saved{
+		Wall: s.wall, CutAt: s.cutAt, Edition: s.edition, Ruled: s.ruled, Turn: s.turn, Rules: s.rules, Holds: s.holds,
+		Tenants: make([]tenant, 0, len(s.names)), Processes: make([]process, 0, len(s.processes)), Counts: s.counts,
+	}
+	if len(v.Rules) == 0 { // nil and empty have two forms
+		v.Rules = []Rule{}
+	}
+	if len(v.Holds) == 0 {
+		v.Holds = []Hold{}
+	}
+	for _, name := range s.names {
+		v.Tenants = append(v.Tenants, *s.tenants[name])
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.processes)) {
+		v.Processes = append(v.Processes, *s.processes[name])
+	}
+	text, err := codec.Encode(v)
+	return append([]byte{stateVersion}, text...), err
+}
+
+// Decode reads what Encode wrote. On an error nothing is changed. What the process
+// knows by Know stays.
+func (s *State) Decode(text []byte) error {
+	var v saved
+	if len(text) == 0 || text[0] != stateVersion {
+		return fmt.Errorf("the state of records: %w", ErrVersion)
+	}
+	if err := codec.Decode(text[1:], &v); err != nil {
+		return fmt.Errorf("the state of records: %w", err)
+	}
+	n := New()
+	n.wall, n.cutAt, n.edition, n.ruled, n.turn, n.counts = v.Wall, v.CutAt, v.Edition, v.Ruled, v.Turn, v.Counts
+	rules, err := checkRules(v.Rules)
+	if err != nil {
+		return err
+	}
+	n.rules = rules
+	for i := range v.Holds {
+		if err := checkHold(&v.Holds[i]); err != nil {
+			return err
+		}
+	}
+	n.holds = v.Holds
+	for i := range v.Tenants {
+		t := &v.Tenants[i]
+		n.tenants[t.Name], n.names = t, append(n.names, t.Name)
+		for _, l := range t.Lanes {
+			if l.Below.Count < 0 || l.All.Count < l.Below.Count || l.All.Bytes < l.Below.Bytes {
+				return fmt.Errorf("the state of records: the counts of tenant %q: %w", t.Name, ErrInvalid)
+			}
+		}
+	}
+	for i := range v.Processes {
+		p := &v.Processes[i]
+		if !rising(p.Epochs, func(a, b epoch) int { return cmp.Compare(a.Epoch, b.Epoch) }) || len(p.Epochs) > mostEpochs {
+			return fmt.Errorf("the state of records: the epochs of process %q: %w", p.Name, ErrInvalid)
+		}
+		n.processes[p.Name] = p
+	}
+	again, err := n.Encode()
+	if err != nil {
+		return err
+	}
+	if !rising(n.names, strings.Compare) || !rising(n.holds, func(a, b Hold) int { return strings.Compare(a.Name, b.Name) }) || !bytes.Equal(again, text) {
+		return fmt.Errorf("the state of records: not in the form it is written in: %w", ErrInvalid)
+	}
+	n.fence = s.fence
+	*s = *n
+	return nil
+}
+
+func rising[T any](all []T, compare func(a, b T) int) bool {
+	for i := 1; i < len(all); i++ {
+		if compare(all[i-1], all[i]) >= 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Digest sums up the small part of the state, and with it, by the sums of each
+// tenant, all records.
+func (s *State) Digest() (uint64, error) {
+	text, err := s.Encode()
+	return codec.Digest(text), err
+}
+
+// Usage returns what a tenant's records come to, by lane: all that are stored, and
+// of these what is kept below the mark.
+func (s *State) Usage(name string) (all, below [Lanes]Usage) {
+	if t := s.tenants[name]; t != nil {
+		for l := range Lanes {
+			all[l], below[l] = t.Lanes[l].All, t.Lanes[l].Below
+		}
+	}
+	return all, below
+}
+
+// Tenants are the names that records are kept under, sorted.
+func (s *State) Tenants() []string { return slices.Clone(s.names) }
+
+// Counts are the counts so far.
+func (s *State) Counts() Counts { return s.counts }
+
+// CutAt is the fleet time of the last cut.
+func (s *State) CutAt() time.Duration { return s.cutAt }
+
+// Rules and Holds are those in force.
+func (s *State) Rules() []Rule { return slices.Clone(s.rules) }
+func (s *State) Holds() []Hold { return slices.Clone(s.holds) }
+
+// Audit reads the whole store and says what is in it that must not be, or that the
+// state counts otherwise. It is the checker of this part: it trusts no count of the
+// state's, only its marks and holds.
+func (s *State) Audit(st Reader) (wrong []string, err error) {
+	for _, name := range s.names {
+		t := s.tenants[name]
+		var found, below [Lanes]Usage
+		var last Order
+		err = errors.Join(err, st.Range(name, last, func(r *Record, text []byte) bool {
+			found[r.Lane()].add(text)
+			if t.below(r) {
+				below[r.Lane()].add(text)
+			}
+			switch o := r.Order(); {
+			case o.Compare(last) <= 0:
+				wrong = append(wrong, fmt.Sprintf("tenant %s: record %s out of order", name, r.ID))
+			case t.below(r) && !s.held(r) && !(t.Sweeping && o.Compare(t.Swept) >= 0):
+				wrong = append(wrong, fmt.Sprintf("tenant %s: record %s of process %s is back below the mark", name, r.ID, r.Process))
+			}
+			last = r.Order()
+			return len(wrong) < 100
+		}))
+		for l := range Lanes {
+			if k := t.Lanes[l]; (found[l] != k.All || below[l] != k.Below) && len(wrong) < 100 {
+				wrong = append(wrong, fmt.Sprintf("tenant %s, lane %d: %d records stored and %d of them below the mark, counted %d and %d, sums %x and %x",
+					name, l, found[l].Count, below[l].Count, k.All.Count, k.Below.Count, found[l].Sum, k.All.Sum))
+			}
+		}
+	}
+	return wrong, err
+}
--- /dev/null
+++ b/internal/fleet/records/plan.go
@@ -0,0 +1,78 @@
+package records
+
+import (
+	"slices"
+	"strings"
+)
+
+// Plan computes the next cut at a time, in nanoseconds since 1970: what the rules
+// no longer keep, at most as many records looked at as most says, so that no cut
+// holds the store for long. It changes nothing. None is needed if it returns false.
+// While there is more to cut than one cut may, each plan begins with another tenant.
+func (s *State) Plan(st Reader, now int64, most int) (c Cut, needed bool, err error) {
+	c = Cut{At: now, Rules: s.ruled, Sweep: most, Turn: s.turn}
+	for i := range s.holds {
+		needed = needed || s.holds[i].Until != 0 && s.holds[i].Until <= now
+	}
+	from, _ := slices.BinarySearch(s.names, s.turn)
+	rest := max(most, 1)
+	for n := 0; n < len(s.names) && rest > 0; n++ {
+		t := s.tenants[s.names[(from+n)%len(s.names)]]
+		rule := s.rule(t.Name)
+		for l, limits := range []Limits{Ordinary: rule.Keep, Failures: rule.Failed} {
+			m, seen, err := s.planLane(st, t, Lane(l), limits, now, rest)
+			if err != nil {
+				return Cut{}, false, err
+			}
+			rest -= seen
+			if m.Compare(t.Lanes[l].Mark) > 0 {
+				c.Marks = append(c.Marks, Mark{t.Name, Lane(l), m})
+			}
+		}
+		c.Turn = s.names[(from+n+1)%len(s.names)]
+	}
+	for _, t := range s.tenants {
+		needed = needed || t.Sweeping
+	}
+	slices.SortFunc(c.Marks, compareMarks)
+	return c, needed || len(c.Marks) > 0, nil
+}
+
+func (s *State) rule(name string) Rule {
+	for _, of := range []string{name, Others} {
+		if i, ok := slices.BinarySearchFunc(s.rules, of, func(r Rule, of string) int { return strings.Compare(r.Tenant, of) }); ok {
+			return s.rules[i]
+		}
+	}
+	return Rule{}
+}
+
+// planLane walks from the lane's mark over what must go, and returns the mark above that.
+func (s *State) planLane(st Reader, t *tenant, of Lane, limits Limits, now int64, most int) (mark Order, seen int, err error) {
+	l := &t.Lanes[of]
+	mark = l.Mark
+	var count, bytes int64 // beyond the bounds
+	if limits.Count > 0 {
+		count = l.All.Count - l.Below.Count - limits.Count
+	}
+	if limits.Bytes > 0 {
+		bytes = l.All.Bytes - l.Below.Bytes - limits.Bytes
+	}
+	if limits.For == 0 && count <= 0 && bytes <= 0 || l.All.Count == l.Below.Count {
+		return mark, 0, nil
+	}
+	err = st.Range(t.Name, l.Mark, func(r *Record, text []byte) bool {
+		tooOld := limits.For > 0 && r.Ended < now-limits.For
+		if seen == most || !tooOld && count <= 0 && bytes <= 0 {
+			return false
+		}
+		seen++
+		mark = r.Order().next()
+		if r.Lane() == of {
+			count--
+			bytes -= int64(len(text))
+		}
+		return true
+	})
+	return mark, seen, err
+}
--- /dev/null
+++ b/internal/fleet/records/planted_test.go
@@ -0,0 +1,29 @@
+//go:build faults
+
+package records
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestPlantedResurrection: the audit finds a record that came back.
+func TestPlantedResurrection(t *testing.T) {
+	for _, planted := range []bool{false, true} {
+		plantResurrected = planted
+		s, shelf := New(), shelf(nil)
+		ship := func(first uint64, ended int64) {
+			_, err := s.Ship(0, &shelf, Ship{Process: "n1", Epoch: first, First: 1, Records: []Record{{ID: "j", Tenant: "hrad", Ended: ended}}})
+			require.NoError(t, err)
+		}
+		ship(1, 100)
+		_, err := s.Cut(0, &shelf, Cut{Marks: []Mark{{Tenant: "hrad", Below: Order{Ended: 200}}}})
+		require.NoError(t, err)
+		ship(2, 150) // from a folder that was away
+		wrong, err := s.Audit(&shelf)
+		require.NoError(t, err)
+		require.Equal(t, planted, len(wrong) > 0, "%v", wrong)
+	}
+	plantResurrected = false
+}
--- /dev/null
+++ b/internal/fleet/records/records_test.go
@@ -0,0 +1,550 @@
+package records
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// shelf is a store in memory, in the order of tenant and place.
+type shelf []Record
+
+func (s shelf) find(tenant string, o Order) int {
+	i, _ := slices.BinarySearchFunc(s, o, func(r Record, o Order) int {
+		if c := strings.Compare(r.Tenant, tenant); c != 0 {
+			return c
+		}
+		return r.Order().Compare(o)
+	})
+	return i
+}
+
+func (s shelf) each(yield func(*Record, []byte) bool, in []Record) error {
+	for _, r := range in {
+		if text, _ := r.Encode(); !yield(&r, text) {
+			break
+		}
+	}
+	return nil
+}
+
+func (s shelf) Range(tenant string, from Order, yield func(*Record, []byte) bool) error {
+	return s.each(yield, s[s.find(tenant, from):s.find(tenant, lastOrder)])
+}
+
+func (s shelf) Back(tenant string, before Order, yield func(*Record, []byte) bool) error {
+	in := slices.Clone(s[s.find(tenant, Order{}):s.find(tenant, before)])
+	slices.Reverse(in)
+	return s.each(yield, in)
+}
+
+func (s shelf) ByID(id string, yield func(*Record, []byte) bool) error {
+	return s.each(yield, slices.DeleteFunc(slices.Clone(s), func(r Record) bool { return r.ID != id }))
+}
+
+func (s *shelf) Put(r *Record, _ []byte) error {
+	*s = slices.Insert(*s, s.find(r.Tenant, r.Order()), *r)
+	return nil
+}
+
+func (s *shelf) Delete(r *Record) error {
+	i := s.find(r.Tenant, r.Order())
+	if i == len(*s) || (*s)[i].Order() != r.Order() {
+		return fmt.Errorf("%v is not there", r.Order())
+	}
+	*s = slices.Delete(*s, i, i+1)
+	return nil
+}
+
+// replica is a state that has taken in the log up to at.
+type replica struct {
+	*State
+	shelf shelf
+	at    int
+}
+
+func (r *replica) take(t require.TestingT, command any) (err error) {
+	r.at++
+	before, errBefore := r.Digest()
+	switch c := command.(type) {
+	case Ship:
+		_, err = r.Ship(0, &r.shelf, c)
+	case SetRules:
+		err = r.SetRules(0, c)
+	case SetHold:
+		err = r.Hold(0, &r.shelf, c)
+	case Lift:
+		err = r.Lift(0, c)
+	case Cut:
+		_, err = r.Cut(0, &r.shelf, c)
+	}
+	require.NotErrorIs(t, err, ErrStore)
+	if after, errAfter := r.Digest(); err != nil {
+		require.Equal(t, before, after, "refused, and changed something")
+		require.NoError(t, errBefore)
+		require.NoError(t, errAfter)
+	}
+	return err
+}
+
+// pages reads all of a tenant through a replica's view.
+func (r *replica) pages(t require.TestingT, q Query) (all []Record) {
+	for {
+		p, err := r.View().Page(r.shelf, q)
+		require.NoError(t, err)
+		require.LessOrEqual(t, len(p.Records), q.Most)
+		all = append(all, p.Records...)
+		if q.After = p.Next; q.After == "" {
+			return all
+		}
+	}
+}
+
+// plain is the model: all that ever came, and what is left of it. It removes at
+// once what no hold keeps, and counts nothing.
+type plain struct {
+	through map[string]uint64
+	live    map[Order]Record // of all tenants: places differ in process, epoch or number
+	dead    map[Order]bool
+	marks   map[string]Order
+	holds   map[string]Hold
+	wall    int64
+}
+
+func laneOf(r Record) string { return fmt.Sprint(r.Tenant, r.Lane()) }
+
+func (m *plain) below(r Record) bool {
+	for _, h := range m.holds {
+		if h.covers(&r) {
+			return false
+		}
+	}
+	return r.Order().Compare(m.marks[laneOf(r)]) < 0
+}
+
+func (m *plain) take(command any) {
+	switch c := command.(type) {
+	case Ship:
+		at := fmt.Sprint(c.Process, c.Epoch)
+		for i, r := range c.Records {
+			if seq := c.First + uint64(i); seq > m.through[at] {
+				m.through[at] = seq
+				r.Process, r.Epoch, r.Seq = c.Process, c.Epoch, seq
+				m.live[r.Order()] = r
+			}
+		}
+	case SetHold:
+		m.wall = max(m.wall, c.At)
+		m.expire()
+		m.holds[c.Hold.Name] = c.Hold
+	case Lift:
+		m.wall = max(m.wall, c.At)
+		delete(m.holds, c.Name)
+		m.expire()
+	case SetRules:
+		m.wall = max(m.wall, c.At)
+	case Cut:
+		m.wall = max(m.wall, c.At)
+		m.expire()
+		for _, k := range c.Marks {
+			if at := fmt.Sprint(k.Tenant, k.Lane); k.Below.Compare(m.marks[at]) > 0 {
+				m.marks[at] = k.Below
+			}
+		}
+	}
+	for o, r := range m.live {
+		if m.below(r) {
+			delete(m.live, o)
+			m.dead[o] = true
+		}
+	}
+}
+
+func (m *plain) expire() {
+	for name, h := range m.holds {
+		if h.Until != 0 && h.Until <= m.wall {
+			delete(m.holds, name)
+		}
+	}
+}
+
+func (m *plain) of(tenant string) (all []Record) {
+	for _, r := range m.live {
+		if r.Tenant == tenant {
+			all = append(all, r)
+		}
+	}
+	slices.SortFunc(all, func(a, b Record) int { return a.Order().Compare(b.Order()) })
+	return all
+}
+
+var names = []string{"hrad", "kamenec", "lodenice"}
+
+// TestReplicas: three replicas take the same log; one lags or is restored from an
+// old snapshot, knowing what its process knew. Whatever the order of ships, rules,
+// holds and cuts, they hold what the plain model holds, digests are equal, and
+// nothing that is dead is ever served.
+func TestReplicas(t *testing.T) { rapid.Check(t, replicas) }
+
+func replicas(t *rapid.T) {
+	var log []any
+	model := &plain{through: map[string]uint64{}, live: map[Order]Record{}, dead: map[Order]bool{}, marks: map[string]Order{}, holds: map[string]Hold{}}
+	all := []*replica{{State: New()}, {State: New()}, {State: New()}}
+	lead, away := all[0], all[2]
+	type snapshot struct {
+		state []byte
+		shelf shelf
+		at    int
+	}
+	snapshots := []snapshot{{nil, nil, 0}}
+	var planned []Cut
+	epochs := map[string]uint64{"n1": 1, "n2": 1}
+	var clock int64 = 1000
+	// A reader that goes on from page to page through all of it.
+	var query Query
+	var read []Record
+	var there map[Order]Record
+
+	do := func(command any) error {
+		log = append(log, command)
+		err := lead.take(t, command)
+		require.Equal(t, err, all[1].take(t, command), "replicas answer alike")
+		if err == nil {
+			model.take(command)
+		}
+		away.Know(lead.Fence())
+		return err
+	}
+	tenant := func() string { return rapid.SampledFrom(names).Draw(t, "tenant") }
+	plan := func(most int) (Cut, bool) {
+		c, needed, err := lead.Plan(lead.shelf, clock, most)
+		require.NoError(t, err)
+		return c, needed
+	}
+	_ = do(SetRules{Rules: []Rule{{Tenant: Others, Keep: Limits{For: 150, Count: 9}, Failed: Limits{For: 400, Count: 5}}}})
+	ship := func(t *rapid.T) {
+		clock += rapid.Int64Range(0, 60).Draw(t, "time")
+		for range rapid.IntRange(1, 3).Draw(t, "ships") {
+			name := rapid.SampledFrom([]string{"n1", "n2"}).Draw(t, "process")
+			first := model.through[fmt.Sprint(name, epochs[name])] + 1
+			back := rapid.Uint64Range(0, first-1).Draw(t, "sent again") % 4
+			c := Ship{Process: name, Epoch: epochs[name], First: first - back}
+			for range rapid.IntRange(int(back), int(back)+6).Draw(t, "records") {
+				r := Record{ID: fmt.Sprintf("%s-%d", name, rapid.IntRange(0, 20).Draw(t, "id")), Tenant: tenant(), Class: "hold", Outcome: "served"}
+				if rapid.IntRange(0, 2).Draw(t, "failed") == 0 {
+					r.Outcome, r.Body = "failed", bytes.Repeat([]byte{7}, rapid.IntRange(1, 40).Draw(t, "body"))
+				}
+				r.Ended = clock - rapid.Int64Range(0, 300).Draw(t, "ago")
+				c.Records = append(c.Records, r)
+			}
+			require.NoError(t, do(c))
+		}
+	}
+	hold := func(t *rapid.T) {
+		h := Hold{Name: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "hold"), Tenant: tenant(), Owner: "audit", Reason: "asked for"}
+		switch rapid.IntRange(0, 3).Draw(t, "what") {
+		case 0:
+			h.ID = fmt.Sprintf("n1-%d", rapid.IntRange(0, 20).Draw(t, "id"))
+		case 1:
+			h.From, h.To = clock-200, clock
+		}
+		if rapid.Bool().Draw(t, "ends") {
+			h.Until = clock + 150
+		}
+		_ = do(SetHold{At: clock, Hold: h})
+	}
+	lift := func(t *rapid.T) {
+		_ = do(Lift{At: clock, Name: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "hold")})
+	}
+	cut := func(t *rapid.T) {
+		if c, needed := plan(rapid.IntRange(1, 30).Draw(t, "most")); needed {
+			require.NoError(t, do(c))
+			planned = append(planned, c)
+		}
+	}
+	t.Repeat(map[string]func(*rapid.T){
+		"ship": ship, "ship more": ship, "cut": cut, "cut more": cut, "cut yet more": cut,
+		"gap": func(t *rapid.T) {
+			name := "n1"
+			c := Ship{Process: name, Epoch: epochs[name], First: model.through[fmt.Sprint(name, epochs[name])] + 2, Records: []Record{{ID: "x"}}}
+			require.ErrorIs(t, do(c), ErrGap)
+		},
+		"restart": func(t *rapid.T) { epochs[rapid.SampledFrom([]string{"n1", "n2"}).Draw(t, "process")]++ },
+		"pass":    func(t *rapid.T) { clock += rapid.Int64Range(1, 200).Draw(t, "time") },
+		"rules": func(t *rapid.T) {
+			limit := func() Limits {
+				return Limits{For: rapid.SampledFrom([]int64{0, 100, 400}).Draw(t, "for"), Count: rapid.SampledFrom([]int64{0, 3, 9}).Draw(t, "count"), Bytes: rapid.SampledFrom([]int64{0, 500}).Draw(t, "bytes")}
+			}
+			require.NoError(t, do(SetRules{At: clock, Rules: []Rule{{Tenant: tenant(), Keep: limit(), Failed: limit()}, {Tenant: Others, Keep: limit()}}}))
+		},
+		"hold": hold, "hold more": hold, "lift": lift, "lift more": lift,
+		"plan": func(t *rapid.T) {
+			if c, needed := plan(rapid.IntRange(1, 12).Draw(t, "most")); needed {
+				planned = append(planned, c)
+			}
+		},
+		"old cut": func(t *rapid.T) { // which may have been planned long ago, or have been done already
+			if len(planned) > 0 {
+				c := rapid.SampledFrom(planned).Draw(t, "cut")
+				if err := do(c); c.Rules != lead.ruled {
+					require.ErrorIs(t, err, ErrStale)
+				}
+			}
+		},
+		"snapshot": func(t *rapid.T) {
+			text, err := lead.Encode()
+			require.NoError(t, err)
+			snapshots = append(snapshots, snapshot{text, slices.Clone(lead.shelf), lead.at})
+		},
+		"restore": func(t *rapid.T) {
+			s := rapid.SampledFrom(snapshots).Draw(t, "snapshot")
+			fresh := &replica{State: New(), shelf: slices.Clone(s.shelf), at: s.at}
+			if s.state != nil {
+				require.NoError(t, fresh.Decode(s.state))
+			}
+			fresh.Know(lead.Fence())
+			all[2], away = fresh, fresh
+		},
+		"catch up": func(t *rapid.T) {
+			for to := rapid.IntRange(away.at, len(log)).Draw(t, "to"); away.at < to; {
+				_ = away.take(t, log[away.at])
+			}
+		},
+		"read on": func(t *rapid.T) {
+			if there == nil {
+				query, read, there = Query{Tenant: tenant(), Most: rapid.IntRange(1, 4).Draw(t, "most"), Last: rapid.Bool().Draw(t, "last")}, nil, map[Order]Record{}
+				for _, r := range model.of(query.Tenant) {
+					there[r.Order()] = r
+				}
+			}
+			p, err := all[rapid.IntRange(0, 1).Draw(t, "replica")].View().Page(all[1].shelf, query)
+			require.NoError(t, err)
+			read = append(read, p.Records...)
+			if query.After = p.Next; p.Next != "" {
+				return
+			}
+			seen := map[Order]bool{}
+			for _, r := range read {
+				require.False(t, seen[r.Order()], "read twice")
+				seen[r.Order()] = true
+			}
+			for o := range there {
+				if _, still := model.live[o]; still {
+					require.True(t, seen[o], "left out")
+				}
+			}
+			there = nil
+		},
+		"": func(t *rapid.T) {
+			for _, r := range all {
+				for _, name := range names {
+					served := r.pages(t, Query{Tenant: name, Most: 5})
+					back := r.pages(t, Query{Tenant: name, Most: 3, Last: true})
+					slices.Reverse(back)
+					require.Equal(t, served, back)
+					for _, x := range served {
+						require.False(t, model.dead[x.Order()], "a dead record is served: %s %v", x.ID, x.Order())
+					}
+					if r.at == len(log) {
+						require.Equal(t, model.of(name), served)
+					}
+				}
+				for _, id := range []string{"n1-3", "n2-5"} {
+					found, err := r.View().ByID(r.shelf, id, 100)
+					require.NoError(t, err)
+					for _, x := range found {
+						require.False(t, model.dead[x.Order()], "a dead record is served by id")
+					}
+				}
+				wrong, err := r.Audit(r.shelf)
+				require.NoError(t, err)
+				require.Empty(t, wrong)
+				if r.at == len(log) {
+					a, err := lead.Encode()
+					require.NoError(t, err)
+					b, err := r.Encode()
+					require.NoError(t, err)
+					require.Equal(t, a, b, "digests")
+				}
+			}
+		},
+	})
+	// At the end all that was asked for is done, in steps.
+	for range 1000 {
+		c, needed := plan(3)
+		if !needed {
+			break
+		}
+		require.NoError(t, do(c))
+	}
+	for _, name := range lead.Tenants() {
+		rule := lead.rule(name)
+		live, below := lead.Usage(name)
+		for l, limits := range []Limits{rule.Keep, rule.Failed} {
+			require.True(t, limits.Count == 0 || live[l].Count-below[l].Count <= limits.Count)
+			require.True(t, limits.Bytes == 0 || live[l].Bytes-below[l].Bytes <= limits.Bytes)
+		}
+		require.Len(t, lead.shelf[lead.shelf.find(name, Order{}):lead.shelf.find(name, lastOrder)], len(model.of(name)), "ended holds are swept")
+	}
+}
+
+// TestOneOrder: a rule that is changed, a hold set and a prune under way, in every
+// order: the held record survives all three, and replicas agree on the rest.
+func TestOneOrder(t *testing.T) {
+	fresh := func() *replica {
+		r := &replica{State: New()}
+		var all []Record
+		for i := range 6 {
+			all = append(all, Record{ID: fmt.Sprint("j", i), Tenant: "hrad", Ended: int64(100 + i)})
+		}
+		require.NoError(t, r.take(t, SetRules{Rules: []Rule{{Tenant: Others, Keep: Limits{Count: 2}}}}))
+		require.NoError(t, r.take(t, Ship{Process: "n1", Epoch: 1, First: 1, Records: all}))
+		return r
+	}
+	ids := func(r *replica) string {
+		var ids []string
+		for _, x := range r.pages(t, Query{Tenant: "hrad", Most: 2}) {
+			ids = append(ids, x.ID)
+		}
+		return strings.Join(ids, " ")
+	}
+	for order, want := range map[string]string{
+		"hold cut": "j0 j4 j5", "cut hold": "j4 j5", "hold rule cut": "j0 j1 j2 j3 j4 j5", "hold cut rule cut": "j0 j4 j5",
+		"rule cut hold cut": "j3 j4 j5", "rule hold cut": "j0 j3 j4 j5", "hold rule plan cut": "j0 j3 j4 j5", "cut rule hold cut": "j4 j5",
+		"hold cut lift": "j4 j5", "hold cut lift hold": "j4 j5", "hold cut lift hold cut cut": "j4 j5", "hold lift cut": "j4 j5",
+	} {
+		r := fresh()
+		stale, _, err := r.Plan(r.shelf, 200, 100) // under way while the others come
+		require.NoError(t, err)
+		planned := strings.HasPrefix(order, "rule cut") || strings.HasPrefix(order, "rule hold") || strings.Contains(order, "plan")
+		for _, c := range strings.Fields(order) {
+			switch c {
+			case "rule":
+				require.NoError(t, r.take(t, SetRules{Rules: []Rule{{Tenant: Others, Keep: Limits{Count: 3}}}}))
+			case "hold":
+				require.NoError(t, r.take(t, SetHold{Hold: Hold{Name: "h", Tenant: "hrad", ID: "j0", Owner: "o", Reason: "r"}}))
+			case "lift":
+				require.NoError(t, r.take(t, Lift{Name: "h"}))
+			case "cut":
+				if planned || strings.Contains(order, "cut cut") {
+					stale, _, err = r.Plan(r.shelf, 200, 100)
+					require.NoError(t, err)
+				}
+				err = r.take(t, stale)
+				require.True(t, err == nil || stale.Rules != r.ruled, "%s: %v", order, err)
+			}
+		}
+		require.Equal(t, want, ids(r), order)
+		wrong, err := r.Audit(r.shelf)
+		require.NoError(t, err)
+		require.Empty(t, wrong)
+	}
+	// What is held takes no room from the rest: three new ones, and only those make room.
+	r := fresh()
+	require.NoError(t, r.take(t, SetHold{Hold: Hold{Name: "h", Tenant: "hrad", To: 104, Owner: "o", Reason: "r"}}))
+	for range 2 {
+		c, _, err := r.Plan(r.shelf, 200, 100)
+		require.NoError(t, err)
+		require.NoError(t, r.take(t, c))
+	}
+	require.Equal(t, "j0 j1 j2 j3 j4 j5", ids(r))
+}
+
+// TestRefusals: what a command is refused for.
+func TestRefusals(t *testing.T) {
+	r := &replica{State: New()}
+	good := Hold{Name: "h", Tenant: "hrad", Owner: "o", Reason: "r"}
+	require.NoError(t, r.take(t, SetHold{At: 10, Hold: good}))
+	require.NoError(t, r.take(t, SetHold{At: 10, Hold: good}), "set again")
+	require.NoError(t, r.take(t, Ship{Process: "n1", Incarnation: 2, Epoch: 7, First: 1, Records: []Record{{ID: "a", Tenant: "hrad"}}}))
+	with := func(change func(*Hold)) SetHold {
+		h := good
+		change(&h)
+		return SetHold{At: 10, Hold: h}
+	}
+	for _, c := range []struct {
+		command any
+		err     error
+	}{
+		{with(func(h *Hold) { h.ID = "x" }), ErrHoldTaken},
+		{with(func(h *Hold) { h.Name, h.Owner = "g", "" }), ErrInvalid},
+		{with(func(h *Hold) { h.Name, h.Until = "g", 10 }), ErrInvalid},
+		{with(func(h *Hold) { h.Name, h.From, h.To = "g", 5, 5 }), ErrInvalid},
+		{with(func(h *Hold) { h.Name, h.Key = "g", "\xff" }), ErrInvalid},
+		{Lift{Name: "g"}, ErrNoHold},
+		{SetRules{Rules: []Rule{{Tenant: "a"}, {Tenant: "a"}}}, ErrInvalid},
+		{SetRules{Rules: []Rule{{Tenant: "a", Failed: Limits{Bytes: -1}}}}, ErrInvalid},
+		{Cut{Rules: 9}, ErrStale},
+		{Cut{Marks: []Mark{{Tenant: "nobody"}}}, ErrInvalid},
+		{Ship{Process: "n1", Incarnation: 1, Epoch: 7, First: 2}, ErrIncarnation},
+		{Ship{Process: "n1", Incarnation: 2, Epoch: 7, First: 3}, ErrGap},
+		{Ship{Process: "n1", Incarnation: 2, Epoch: 8, First: 2}, ErrGap},
+		{Ship{Process: "n\x001", Epoch: 8, First: 1}, ErrInvalid},
+		{Ship{Process: "n1", Incarnation: 2, Epoch: 8}, ErrInvalid},
+		{Ship{Process: "n1", Incarnation: 2, Epoch: 8, First: 1<<64 - 1, Records: make([]Record, 2)}, ErrInvalid},
+	} {
+		require.ErrorIs(t, r.take(t, c.command), c.err, "%+v", c.command)
+	}
+	done, err := r.Ship(0, &r.shelf, Ship{Process: "n1", Incarnation: 3, Epoch: 7, First: 4, Lost: true, Records: []Record{{ID: "\xff", Body: make([]byte, mostRecord)}, {ID: "\xff", Body: []byte{}}}})
+	require.NoError(t, err)
+	require.Equal(t, Shipped{Through: 5, Taken: 1, Missing: 2, TooLarge: 1}, done)
+	for epoch := range uint64(40) { // of a process that starts again and again, the last are remembered
+		_, err := r.Ship(0, &r.shelf, Ship{Process: "n1", Incarnation: 4, Epoch: 100 + epoch, First: 1, Records: []Record{{ID: "b"}}})
+		require.NoError(t, err)
+	}
+	done, err = r.Ship(0, &r.shelf, Ship{Process: "n1", Incarnation: 4, Epoch: 7, First: 6, Records: []Record{{ID: "c"}}})
+	require.NoError(t, err)
+	require.Equal(t, Shipped{Through: 6, Again: 1}, done)
+	_, err = r.View().Page(r.shelf, Query{Tenant: "hrad", After: "AAAA"})
+	require.ErrorIs(t, err, ErrCursor)
+	require.Equal(t, Record{Key: strings.Repeat("k", mostText), Members: []string{}}, func() Record {
+		x := Trim(Record{Key: strings.Repeat("k", 2000), Members: make([]string, 20), Body: []byte("four")}, 3)
+		require.Len(t, x.Members, mostMembers)
+		x.Members = []string{}
+		return x
+	}())
+}
+
+// FuzzDecode: whatever bytes are given as a state are refused, or are just those
+// that the state is written as; and a refusal changes nothing.
+func FuzzDecode(f *testing.F) {
+	r := &replica{State: New()}
+	for _, c := range []any{
+		SetRules{Rules: []Rule{{Tenant: Others, Keep: Limits{Count: 2}}}}, SetHold{Hold: Hold{Name: "h", Tenant: "hrad", Owner: "o", Reason: "r"}},
+		Ship{Process: "n1", Epoch: 1, First: 1, Records: []Record{{ID: "a", Tenant: "hrad"}, {ID: "b", Outcome: "failed"}}},
+	} {
+		require.NoError(f, r.take(f, c))
+	}
+	text, err := r.Encode()
+	require.NoError(f, err)
+	f.Add(text)
+	newer := bytes.Clone(text)
+	newer[0]++
+	require.ErrorIs(f, New().Decode(newer), ErrVersion)
+	for i := range text { // no byte may be lost or changed unseen, but for counts
+		require.Error(f, New().Decode(text[:i]))
+		if i%7 == 0 {
+			changed := bytes.Clone(text)
+			changed[i] ^= 0x41
+			f.Add(changed)
+		}
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		s := New()
+		before, _ := s.Encode()
+		err := s.Decode(text)
+		after, _ := s.Encode()
+		if err != nil {
+			require.Equal(t, before, after)
+			return
+		}
+		require.Equal(t, text, after)
+		s.View()
+		_, _ = s.Digest()
+	})
+}
--- /dev/null
+++ b/internal/fleet/records/view.go
@@ -0,0 +1,198 @@
+package records
+
+import (
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"slices"
+
+	"basaltloft/internal/fleet/codec"
+)
+
+// Fence is what a process knows of how far the records were cut, whatever state it
+// has been given since: it is kept apart from that. A replica whose state is older
+// serves nothing that is below the fence's marks.
+type Fence struct {
+	Edition uint64 // commands other than Ship
+	Marks   []Mark // sorted; all that there are
+}
+
+// View is an immutable picture of what decides which records are served. A read of
+// records that were stored at the same time or later never serves one that was cut.
+type View struct {
+	edition uint64
+	marks   map[string][Lanes]Order
+	holds   []Hold
+	fence   map[string][Lanes]Order // nil: the state is as new as the fence
+	missing uint64
+}
+
+// Fence is the state's own.
+func (s *State) Fence() Fence {
+	f := Fence{Edition: s.edition}
+	for _, name := range s.names {
+		for l := range Lanes {
+			if m := s.tenants[name].Lanes[l].Mark; m != (Order{}) {
+				f.Marks = append(f.Marks, Mark{name, l, m})
+			}
+		}
+	}
+	return f
+}
+
+// Know takes in a fence, from this process's folder or from a peer. It is no part
+// of the replicated state; the newest counts.
+func (s *State) Know(f Fence) {
+	if f.Edition > s.fence.Edition {
+		s.fence, s.view = f, nil
+	}
+}
+
+// View returns the present view. Any goroutine may use it.
+func (s *State) View() *View {
+	if s.view != nil {
+		return s.view
+	}
+	v := &View{edition: s.edition, marks: byTenant(s.Fence().Marks), holds: slices.Clone(s.holds)}
+	if s.fence.Edition > s.edition {
+		v.fence, v.missing = byTenant(s.fence.Marks), s.fence.Edition-s.edition
+	}
+	s.view = v
+	return v
+}
+
+func byTenant(marks []Mark) map[string][Lanes]Order {
+	m := make(map[string][Lanes]Order)
+	for _, k := range marks {
+		if k.Lane < Lanes {
+			lanes := m[k.Tenant]
+			lanes[k.Lane] = k.Below
+			m[k.Tenant] = lanes
+		}
+	}
+	return m
+}
+
+// Edition tells how many commands other than Ship the view has seen, and how many
+// more this process knows of. A reader that has seen an answer of a later edition
+// must ask another replica.
+func (v *View) Edition() (seen, missing uint64) { return v.edition, v.missing }
+
+func (v *View) serves(r *Record) bool {
+	o, lane := r.Order(), r.Lane()
+	if v.fence != nil && o.Compare(v.fence[r.Tenant][lane]) < 0 {
+		return false
+	}
+	return o.Compare(v.marks[r.Tenant][lane]) >= 0 || held(v.holds, r)
+}
+
+// ByID returns the records of an id, at most so many: an id may have come to an end
+// more than once.
+func (v *View) ByID(st Reader, id string, most int) (found []Record, err error) {
+	err = st.ByID(id, func(r *Record, _ []byte) bool {
+		if v.serves(r) {
+			found = append(found, *r)
+		}
+		return len(found) < most
+	})
+	return found, err
+}
+
+// Query asks for a tenant's records by the time of their end.
+type Query struct {
+	Tenant   string
+	From, To int64  // nanoseconds since 1970: From or later, and before To; To 0: no bound
+	Last     bool   // the last first
+	After    string // what the page before gave as Next; empty: from the beginning
+	Most     int    // records, and at least 1
+}
+
+// Page is a part of an answer.
+type Page struct {
+	Records []Record
+	Next    string // to be asked for with After; empty: there are no more
+	Missing uint64 // this replica knows of so many commands that it has not seen
+}
+
+// ErrCursor says that a cursor was not given by this query.
+var ErrCursor = errors.New("not a place that this query gave")
+
+type cursor struct {
+	_      struct{} `cbor:",toarray"`
+	Tenant string
+	Last   bool
+	At     Order
+}
+
+// mostSeen is how many records are looked at for one page.
+const mostSeen = 100_000
+
+// Page returns the next page of an answer. A cursor is a place in the tenant's
+// order, not a count: through cuts and arrivals no record comes twice, and none
+// that is there throughout is left out. A page may be short, even empty, and have a
+// Next: so much was looked at that was not to be served.
+func (v *View) Page(st Reader, q Query) (p Page, err error) {
+	p.Missing = v.missing
+	first, end := Order{Ended: q.From}, Order{Ended: q.To}
+	if q.After != "" {
+		c, err := q.place()
+		if err != nil {
+			return p, err
+		}
+		switch {
+		case !q.Last && c.Compare(first) > 0:
+			first = c
+		case q.Last && (q.To == 0 || c.Compare(end) < 0):
+			end = c
+		}
+	}
+	seen, more := 0, false
+	var next Order
+	yield := func(r *Record, _ []byte) bool {
+		o := r.Order()
+		switch {
+		case !q.Last && q.To != 0 && o.Compare(end) >= 0, q.Last && o.Compare(first) < 0:
+			return false
+		case len(p.Records) >= max(q.Most, 1) || seen == mostSeen:
+			more = true
+			return false
+		}
+		seen++
+		if next = o; !q.Last {
+			next = o.next()
+		}
+		if v.serves(r) {
+			p.Records = append(p.Records, *r)
+		}
+		return true
+	}
+	switch {
+	case !q.Last:
+		err = st.Range(q.Tenant, first, yield)
+	case q.To == 0 && q.After == "":
+		err = st.Back(q.Tenant, lastOrder, yield)
+	default:
+		err = st.Back(q.Tenant, end, yield)
+	}
+	if err != nil || !more {
+		return p, err
+	}
+	text, err := codec.Encode(cursor{Tenant: q.Tenant, Last: q.Last, At: next})
+	p.Next = base64.RawURLEncoding.EncodeToString(text)
+	return p, err
+}
+
+// lastOrder is above every place: no process has such a name.
+var lastOrder = Order{1<<63 - 1, "\xff", 1<<64 - 1, 1<<64 - 1}
+
+func (q *Query) place() (Order, error) {
+	text, err := base64.RawURLEncoding.DecodeString(q.After)
+	if err != nil {
+		return Order{}, ErrCursor
+	}
+	var c cursor
+	if err := codec.Decode(text, &c); err != nil || c.Tenant != q.Tenant || c.Last != q.Last {
+		return Order{}, fmt.Errorf("%.80q: %w", q.After, ErrCursor)
+	}
+	return c.At, nil
+}
