Record store: finished-job records in a bbolt file that is a cache of the log

They are in one bbolt file, keyed by tenant and place, with an index by id; one transaction a batch keeps the log's index with it. Trusting bbolt's own page checks was ruled out: they do not see a changed value. The fence (how far cuts are known) is kept apart, synced.

--- /dev/null
+++ b/internal/fleet/recordstore/snapshot.go
@@ -0,0 +1,253 @@
+package recordstore
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+
+	"basaltloft/internal/fleet/codec"
+	"basaltloft/internal/fleet/records"
+
+	"github.com/cespare/xxhash/v2"
+	bolt "go.etcd.io/bbolt"
+)
+
+// A snapshot is a header, the small part of the state, the file of records, and a
+// checksum of all that.
+const (
+	magic      = "BASALTFR"
+	version    = 1
+	headerSize = 36 // magic, version, length of the small part, of the file, checksum
+	mostSmall  = 1 << 30
+)
+
+// ErrSnapshot says that something is no snapshot, or is not whole.
+var ErrSnapshot = errors.New("not a sound snapshot of records")
+
+// ErrNewer says that a snapshot was written by a newer program.
+var ErrNewer = errors.New("written by a newer version of the program")
+
+// Snapshot is one consistent state of a store, which goes on meanwhile.
+type Snapshot struct {
+	s     *Store
+	file  *held
+	tx    *bolt.Tx
+	small []byte
+}
+
+// Snapshot takes the state as it is now, together with the small part that belongs
+// to it. It must be released.
+func (s *Store) Snapshot(small []byte) (*Snapshot, error) {
+	f, err := s.use()
+	if err != nil {
+		return nil, err
+	}
+	tx, err := f.db.Begin(false)
+	if err != nil {
+		s.letGo(f)
+		return nil, fmt.Errorf("a snapshot of records: %w", err)
+	}
+	return &Snapshot{s, f, tx, small}, nil
+}
+
+// Index is the index of the last log entry that is in the snapshot.
+func (s *Snapshot) Index() uint64 { return appliedIndex(s.tx) }
+
+// WriteTo writes the snapshot.
+func (s *Snapshot) WriteTo(w io.Writer) (int64, error) {
+	sum := xxhash.New()
+	both := bufio.NewWriterSize(io.MultiWriter(w, sum), 1<<20)
+	header := append(make([]byte, 0, headerSize), magic...)
+	header = binary.LittleEndian.AppendUint32(header, version)
+	header = binary.LittleEndian.AppendUint64(header, uint64(len(s.small)))
+	header = binary.LittleEndian.AppendUint64(header, uint64(s.tx.Size()))
+	header = binary.LittleEndian.AppendUint64(header, xxhash.Sum64(header))
+	both.Write(append(header, s.small...)) // an error is told by Flush
+	n, err := s.tx.WriteTo(both)
+	n += int64(len(header) + len(s.small))
+	if err == nil {
+		err = both.Flush()
+	}
+	if err == nil {
+		_, err = w.Write(binary.LittleEndian.AppendUint64(nil, sum.Sum64()))
+		n += 8
+	}
+	if err != nil {
+		return n, fmt.Errorf("writing a snapshot of records: %w", err)
+	}
+	return n, nil
+}
+
+// Release ends the snapshot.
+func (s *Snapshot) Release() {
+	if s.tx != nil {
+		s.tx.Rollback()
+		s.tx = nil
+		s.s.letGo(s.file)
+	}
+}
+
+// Restore puts a snapshot in the place of what is stored, and returns the small part
+// of the state and the index of the last log entry in it. On an error the store is
+// as it was; ErrNewer and ErrSnapshot tell what is wrong with the snapshot. Reads
+// that are open go on with what they began with.
+func (s *Store) Restore(r io.Reader) (small []byte, index uint64, err error) {
+	fail := func(err error) ([]byte, uint64, error) {
+		os.Remove(s.at(newName))
+		return nil, 0, fmt.Errorf("restoring records: %w", err)
+	}
+	if small, err = s.receive(r); err != nil {
+		return fail(err)
+	}
+	db, index, err := check(s.at(newName))
+	if err != nil {
+		return fail(err)
+	}
+	if err := os.Rename(s.at(newName), s.at(fileName)); err != nil {
+		db.Close()
+		return fail(err)
+	}
+	s.replace(&held{db: db})
+	if err := syncFolder(s.folder); err != nil {
+		return nil, 0, fmt.Errorf("restoring records: %w", err)
+	}
+	return small, index, nil
+}
+
+// receive writes the file of a snapshot beside the present one.
+func (s *Store) receive(r io.Reader) (small []byte, err error) {
+	sum := xxhash.New()
+	in := io.TeeReader(r, sum)
+	header := make([]byte, headerSize)
+	if _, err := io.ReadFull(in, header); err != nil {
+		return nil, fmt.Errorf("its header: %w: %w", ErrSnapshot, err)
+	}
+	if string(header[:8]) != magic || xxhash.Sum64(header[:headerSize-8]) != binary.LittleEndian.Uint64(header[headerSize-8:]) {
+		return nil, fmt.Errorf("its header: %w", ErrSnapshot)
+	}
+	if v := binary.LittleEndian.Uint32(header[8:]); v != version {
+		return nil, fmt.Errorf("version %d, this program knows %d: %w", v, version, ErrNewer)
+	}
+	sizes := [2]uint64{binary.LittleEndian.Uint64(header[12:]), binary.LittleEndian.Uint64(header[20:])}
+	if sizes[0] > mostSmall || sizes[1] > 1<<40 {
+		return nil, fmt.Errorf("its header: %w", ErrSnapshot)
+	}
+	if small, err = io.ReadAll(io.LimitReader(in, int64(sizes[0]))); err != nil || uint64(len(small)) != sizes[0] {
+		return nil, fmt.Errorf("it is torn: %w", errors.Join(ErrSnapshot, err))
+	}
+	file, err := os.Create(s.at(newName))
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	if _, err := io.CopyN(file, in, int64(sizes[1])); err != nil {
+		if errors.Is(err, io.EOF) {
+			err = fmt.Errorf("it is torn: %w", ErrSnapshot)
+		}
+		return nil, err
+	}
+	want, got := sum.Sum64(), make([]byte, 8)
+	if _, err := io.ReadFull(r, got); err != nil || binary.LittleEndian.Uint64(got) != want {
+		return nil, fmt.Errorf("its checksum: %w", ErrSnapshot)
+	}
+	if n, _ := r.Read(make([]byte, 1)); n != 0 {
+		return nil, fmt.Errorf("more follows it: %w", ErrSnapshot)
+	}
+	if err := file.Sync(); err != nil {
+		return nil, err
+	}
+	return small, nil
+}
+
+// check opens a received file and sees that it is one of ours.
+func check(path string) (db *bolt.DB, index uint64, err error) {
+	if db, err = open(path); err != nil {
+		return nil, 0, fmt.Errorf("%w: %w", ErrSnapshot, err)
+	}
+	err = db.View(func(tx *bolt.Tx) error {
+		for _, name := range [][]byte{byOrder, byID, meta} {
+			if tx.Bucket(name) == nil {
+				return fmt.Errorf("it has no %s: %w", name, ErrSnapshot)
+			}
+		}
+		index = appliedIndex(tx)
+		return nil
+	})
+	if err != nil {
+		db.Close()
+	}
+	return db, index, err
+}
+
+func syncFolder(path string) error {
+	d, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer d.Close()
+	return d.Sync()
+}
+
+// fence is what is kept of a records.Fence, with the fleet that it is of.
+type fence struct {
+	Version int
+	Fleet   string
+	Fence   records.Fence
+}
+
+// ErrFleet says that a fence is another fleet's.
+var ErrFleet = errors.New("of another fleet")
+
+// KeepFence writes down, safe from a power loss, how far this process knows that the
+// records of a fleet were cut. It outlasts the store.
+func KeepFence(folder, fleet string, f records.Fence) error {
+	text, err := codec.Encode(fence{version, fleet, f})
+	if err != nil {
+		return err
+	}
+	text = binary.LittleEndian.AppendUint64(text, xxhash.Sum64(text))
+	path := filepath.Join(folder, "fence")
+	file, err := os.Create(path + ".new")
+	if err != nil {
+		return fmt.Errorf("the fence of records: %w", err)
+	}
+	_, err = file.Write(text)
+	err = errors.Join(err, file.Sync(), file.Close())
+	if err == nil {
+		err = os.Rename(path+".new", path)
+	}
+	if err == nil {
+		err = syncFolder(folder)
+	}
+	if err != nil {
+		return fmt.Errorf("the fence of records: %w", err)
+	}
+	return nil
+}
+
+// ReadFence reads what KeepFence wrote; there may be none.
+func ReadFence(folder, fleet string) (records.Fence, error) {
+	text, err := os.ReadFile(filepath.Join(folder, "fence"))
+	if errors.Is(err, os.ErrNotExist) {
+		return records.Fence{}, nil
+	}
+	if err != nil {
+		return records.Fence{}, fmt.Errorf("the fence of records: %w", err)
+	}
+	var f fence
+	n := len(text) - 8
+	if n < 0 || xxhash.Sum64(text[:n]) != binary.LittleEndian.Uint64(text[n:]) {
+		return records.Fence{}, fmt.Errorf("the fence of records is damaged: %w", ErrSnapshot)
+	}
+	if err := codec.Decode(text[:n], &f); err != nil || f.Version != version {
+		return records.Fence{}, fmt.Errorf("the fence of records, version %d: %w", f.Version, errors.Join(ErrNewer, err))
+	}
+	if f.Fleet != fleet {
+		return records.Fence{}, fmt.Errorf("the fence of records: fleet %q: %w", f.Fleet, ErrFleet)
+	}
+	return f.Fence, nil
+}
--- /dev/null
+++ b/internal/fleet/recordstore/store_test.go
@@ -0,0 +1,171 @@
+package recordstore
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"os"
+	"testing"
+
+	"basaltloft/internal/fleet/records"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/stretchr/testify/require"
+)
+
+func open1(t testing.TB) *Store {
+	s, err := Open(t.TempDir())
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, s.Close()) })
+	return s
+}
+
+// fill ships n records of three tenants, with equal times, ids that come again and
+// names of tenants that begin alike.
+func fill(t testing.TB, s *Store, st *records.State, n int) {
+	c := records.Ship{Process: "n1", Epoch: 1, First: 1}
+	for i := range n {
+		c.Records = append(c.Records, records.Record{
+			ID: fmt.Sprint("j", i%50), Tenant: []string{"h", "hr", "hrad"}[i%3], Outcome: []string{"served", "failed"}[i%2], Ended: int64(i / 4),
+		})
+	}
+	require.NoError(t, s.Update(7, func(in records.Store) error {
+		_, err := st.Ship(0, in, c)
+		return err
+	}))
+}
+
+// image is all that a store serves.
+func image(t testing.TB, s *Store, st *records.State) (all []records.Record) {
+	require.NoError(t, s.View(func(in records.Reader) error {
+		for _, name := range st.Tenants() {
+			for _, last := range []bool{false, true} {
+				for q := (records.Query{Tenant: name, Most: 7, Last: last}); ; {
+					p, err := st.View().Page(in, q)
+					require.NoError(t, err)
+					all = append(all, p.Records...)
+					if q.After = p.Next; q.After == "" {
+						break
+					}
+				}
+			}
+		}
+		found, err := st.View().ByID(in, "j7", 100)
+		all = append(all, found...)
+		wrong, err2 := st.Audit(in)
+		require.NoError(t, err2)
+		require.Empty(t, wrong)
+		return err
+	}))
+	return all
+}
+
+func TestSnapshots(t *testing.T) {
+	s, st := open1(t), records.New()
+	fill(t, s, st, 300)
+	want := image(t, s, st)
+	require.Len(t, want, 606)
+	small, err := st.Encode()
+	require.NoError(t, err)
+	snap, err := s.Snapshot(small)
+	require.NoError(t, err)
+	// The store goes on, and the snapshot does not see it.
+	require.NoError(t, st.SetRules(0, records.SetRules{Rules: []records.Rule{{Tenant: records.Others, Keep: records.Limits{Count: 1}}}}))
+	require.NoError(t, s.Update(9, func(in records.Store) error {
+		c, needed, err := st.Plan(in, 0, 1000)
+		require.True(t, needed)
+		require.NoError(t, err)
+		done, err := st.Cut(0, in, c)
+		require.Equal(t, 147, done.Removed)
+		return err
+	}))
+	require.Len(t, image(t, s, st), 2*153+6)
+	var text bytes.Buffer
+	n, err := snap.WriteTo(&text)
+	require.NoError(t, err)
+	require.EqualValues(t, text.Len(), n)
+	snap.Release()
+
+	other, fresh := open1(t), records.New()
+	whole := text.Bytes()
+	_, _, err = other.Restore(bytes.NewReader(whole))
+	require.NoError(t, err)
+	fill(t, s, st, 1)
+	// What is torn, damaged, foreign or newer is refused, and nothing is lost.
+	newer := bytes.Clone(whole)
+	newer[8]++
+	bad := map[string][]byte{"newer, its checksum wrong": newer, "foreign": []byte("SQLite format 3"), "longer": append(bytes.Clone(whole), 0), "empty": nil}
+	for i := 0; i < len(whole); i += 1 + len(whole)/60 {
+		changed := bytes.Clone(whole)
+		changed[i] ^= 1
+		bad[fmt.Sprint("torn at ", i)], bad[fmt.Sprint("changed at ", i)] = whole[:i], changed
+	}
+	for name, text := range bad {
+		_, _, err := other.Restore(bytes.NewReader(text))
+		require.ErrorIs(t, err, ErrSnapshot, name)
+		index, err := other.Index()
+		require.NoError(t, err, name)
+		require.EqualValues(t, 7, index, name)
+		require.NoFileExists(t, other.at(newName))
+	}
+	copy(newer[headerSize-8:], binary.LittleEndian.AppendUint64(nil, xxhash.Sum64(newer[:headerSize-8])))
+	_, _, err = other.Restore(bytes.NewReader(newer))
+	require.ErrorIs(t, err, ErrNewer)
+	require.NoError(t, fresh.Decode(small))
+	require.Equal(t, want, image(t, other, fresh))
+
+	// A reader that is open goes on, through a restore and the end.
+	require.NoError(t, other.View(func(in records.Reader) error {
+		_, index, err := other.Restore(bytes.NewReader(whole))
+		require.NoError(t, err)
+		require.EqualValues(t, 7, index)
+		found, err := fresh.View().ByID(in, "j7", 100)
+		require.Len(t, found, 6)
+		return err
+	}))
+}
+
+func TestFolder(t *testing.T) {
+	folder := t.TempDir()
+	s, err := Open(folder)
+	require.NoError(t, err)
+	st := records.New()
+	fill(t, s, st, 10)
+	_, err = Open(folder)
+	require.ErrorIs(t, err, ErrInUse)
+	failed := fmt.Errorf("no")
+	require.ErrorIs(t, s.Update(8, func(in records.Store) error {
+		require.NoError(t, in.Put(&records.Record{Tenant: "h"}, nil))
+		return failed
+	}), failed)
+	require.Len(t, image(t, s, st), 21)
+	require.NoError(t, s.Close())
+	_, err = s.Index()
+	require.ErrorIs(t, err, ErrClosed)
+	s, err = Open(folder)
+	require.NoError(t, err)
+	defer s.Close()
+	index, err := s.Index()
+	require.NoError(t, err)
+	require.Zero(t, index)
+	require.NoError(t, s.View(func(in records.Reader) error {
+		return in.Range("h", records.Order{}, func(*records.Record, []byte) bool { t.Error("another run's record"); return false })
+	}))
+
+	f := records.Fence{Edition: 3, Marks: []records.Mark{{Tenant: "h", Lane: 1, Below: records.Order{Ended: 5, Process: "n1"}}}}
+	got, err := ReadFence(folder, "f1")
+	require.NoError(t, err)
+	require.Zero(t, got)
+	require.NoError(t, KeepFence(folder, "f1", f))
+	got, err = ReadFence(folder, "f1")
+	require.NoError(t, err)
+	require.Equal(t, f, got)
+	_, err = ReadFence(folder, "f2")
+	require.ErrorIs(t, err, ErrFleet)
+	text, err := os.ReadFile(folder + "/fence")
+	require.NoError(t, err)
+	text[3]++
+	require.NoError(t, os.WriteFile(folder+"/fence", text, 0o640))
+	_, err = ReadFence(folder, "f1")
+	require.ErrorIs(t, err, ErrSnapshot)
+}
