--- a/internal/fleet/recordstore/store_test.go
+++ b/internal/fleet/recordstore/store_test.go
@@ -26,7 +26,7 @@
 	c := records.Ship{Process: "n1", Epoch: 1, First: 1}
 	for i := range n {
 		c.Records = append(c.Records, records.Record{
-			ID: fmt.Sprint("j", i%50), Tenant: []string{"h", "hr", "hrad"}[i%3], Outcome: []string{"served", "failed"}[i%2], Ended: int64(i / 4),
+			ID: fmt.Sprint("j", i%50), Tenant: []string{"h", "hr", "hrad"}[i%3], Outcome: []string{"served", "failed"}[i%2], Ended: int64(1000 - i/4),
 		})
 	}
 	require.NoError(t, s.Update(7, func(in records.Store) error {
@@ -50,7 +50,7 @@
 				}
 			}
 		}
-		found, err := st.View().ByID(in, "j7", 100)
+		found, err := st.View().ByID(in, "j8", 100)
 		all = append(all, found...)
 		wrong, err2 := st.Audit(in)
 		require.NoError(t, err2)
@@ -79,7 +79,7 @@
 		require.Equal(t, 147, done.Removed)
 		return err
 	}))
-	require.Len(t, image(t, s, st), 2*153+6)
+	require.Len(t, image(t, s, st), 2*153)
 	var text bytes.Buffer
 	n, err := snap.WriteTo(&text)
 	require.NoError(t, err)
@@ -119,7 +119,7 @@
 		_, index, err := other.Restore(bytes.NewReader(whole))
 		require.NoError(t, err)
 		require.EqualValues(t, 7, index)
-		found, err := fresh.View().ByID(in, "j7", 100)
+		found, err := fresh.View().ByID(in, "j8", 100)
 		require.Len(t, found, 6)
 		return err
 	}))
--- a/internal/journal/format.go
+++ b/internal/journal/format.go
@@ -16,6 +16,7 @@
 	"fmt"
 
 	"basaltloft/internal/account"
+	"basaltloft/internal/segment"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -24,11 +25,25 @@
 // no groups of members.
 const Version = 2
 
+// Folder and File are where segments are kept, and one that is being written.
+type (
+	Folder = segment.Folder
+	File   = segment.File
+)
+
+// ErrInUse says that another process writes to a folder.
+var ErrInUse = segment.ErrInUse
+
+// OpenFolder opens a folder for writing, as segment.OpenFolder does.
+func OpenFolder(path string) (Folder, error) { return segment.OpenFolder(path) }
+
+// ReadFolder opens a folder for reading, also while a process writes to it.
+func ReadFolder(path string) (Folder, error) { return segment.ReadFolder(path) }
+
 const (
 	magic      = "BASALTFG"
 	headerSize = 36 // magic, version, epoch, index, created, checksum
-	frameSize  = 16 // of a batch: length, check of the length, checksum
-	mostBatch  = 64 << 20
+	frameSize  = segment.FrameSize
 )
 
 // Kind is the kind of a record.
@@ -84,7 +99,7 @@
 }
 
 // ErrNewer says that a segment was written by a newer program.
-var ErrNewer = errors.New("written by a newer version of the program")
+var ErrNewer = segment.ErrNewer
 
 func decodeHeader(b []byte) (Header, error) {
 	if len(b) < headerSize {
@@ -126,24 +141,10 @@
 // batch closes the batch and returns its bytes, which hold until the next record.
 func (e *encoder) batch() []byte {
 	payload := e.buf[frameSize:]
-	frame(e.buf, payload, e.chain)
-	e.chain = binary.LittleEndian.Uint64(e.buf[8:])
+	e.chain = segment.Frame(e.buf, payload, e.chain)
 	return e.buf
 }
 
-func frame(into, payload []byte, chain uint64) {
-	binary.LittleEndian.PutUint32(into, uint32(len(payload)))
-	binary.LittleEndian.PutUint32(into[4:], uint32(xxhash.Sum64(into[:4])))
-	binary.LittleEndian.PutUint64(into[8:], checksum(payload, chain))
-}
-
-func checksum(payload []byte, chain uint64) uint64 {
-	var d xxhash.Digest
-	d.ResetWithSeed(chain)
-	d.Write(payload)
-	return d.Sum64()
-}
-
 // name returns the number that a text has in this segment, and gives it one.
 func (e *encoder) name(text string) uint64 {
 	if n, ok := e.names[text]; ok {
@@ -223,7 +224,7 @@
 
 var (
 	errTorn    = errors.New("the end is torn")
-	errNoSense = errors.New("a record makes no sense")
+	errNoSense = segment.ErrNoSense
 )
 
 // decoder reads the records of one segment.
@@ -351,45 +352,15 @@
 
 // Scan reads a segment, batch by batch. It stops at the first that is not
 // whole and sound. An error of yield ends it and is returned.
-func Scan(segment []byte, yield func(*Record) error) (s Scanned, err error) {
-	if s.Header, s.Err = decodeHeader(segment); s.Err != nil {
+func Scan(text []byte, yield func(*Record) error) (s Scanned, err error) {
+	if s.Header, s.Err = decodeHeader(text); s.Err != nil {
 		if errors.Is(s.Err, errTorn) {
 			s.Torn, s.Err = true, nil
 		}
 		return s, nil
 	}
 	d := &decoder{version: s.Header.Version, at: s.Header.Created}
-	chain := xxhash.Sum64(segment[:headerSize])
-	for s.Valid = headerSize; s.Valid < len(segment); s.Batches++ {
-		rest := segment[s.Valid:]
-		if len(rest) < frameSize {
-			s.Torn = true
-			return s, nil
-		}
-		size := binary.LittleEndian.Uint32(rest)
-		switch {
-		case uint32(xxhash.Sum64(rest[:4])) != binary.LittleEndian.Uint32(rest[4:]) || size == 0 || size > mostBatch:
-			s.Err = fmt.Errorf("the length of a batch at byte %d is damaged", s.Valid)
-			return s, nil
-		case len(rest) < frameSize+int(size):
-			s.Torn = true
-			return s, nil
-		}
-		payload := rest[frameSize : frameSize+int(size)]
-		sum := binary.LittleEndian.Uint64(rest[8:])
-		if checksum(payload, chain) != sum {
-			s.Err = fmt.Errorf("a batch at byte %d is damaged", s.Valid)
-			return s, nil
-		}
-		chain = sum
-		switch err := d.records(payload, yield); {
-		case errors.Is(err, errNoSense):
-			s.Err = fmt.Errorf("a batch at byte %d: %w", s.Valid, err)
-			return s, nil
-		case err != nil:
-			return s, err
-		}
-		s.Valid += frameSize + int(size)
-	}
-	return s, nil
+	read, err := segment.Scan(text, headerSize, xxhash.Sum64(text[:headerSize]), func(payload []byte) error { return d.records(payload, yield) })
+	s.Batches, s.Valid, s.Torn, s.Err = read.Batches, read.Valid, read.Torn, read.Err
+	return s, err
 }
--- a/internal/journal/folder.go
+++ b/internal/segment/folder.go
@@ -1,4 +1,8 @@
-package journal
+// Package segment is what the journal and the spool have in common: a folder of
+// segments that one process writes, and batches in them that are written whole or
+// not at all. A batch's checksum is seeded with that of the one before it, so that
+// none can be missing, moved or torn unseen.
+package segment
 
 import (
 	"errors"
