--- a/internal/fleet/records/state.go
+++ b/internal/fleet/records/state.go
@@ -269,6 +269,8 @@
 	i, taken := s.findHold(h.Name)
 	switch {
 	case taken && s.holds[i] == h:
+		s.turned(c.At)
+		s.expire()
 		return nil
 	case taken && (s.holds[i].Until == 0 || s.holds[i].Until > c.At):
 		return fmt.Errorf("hold %q: %w", h.Name, ErrHoldTaken)
