Records of finished jobs: spooled here, kept by the fleet, cut alike, read on the door

Need: each final answer leaves one record, at every replica the same, through crashes. Ruled out: records in the keepers' memory (a million of them), waiting for a record on a job's path. Change: parts/records over the bbolt store, a recorder beside the account, the leader's cuts as commands, fences kept in the keeper's folder, door calls GET /records and POST or DELETE /holds; a frozen state is released whatever becomes of it; planned ends hand over the lead.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -61,6 +61,7 @@
 	flowing      int64     // flows that are out
 	late, leaves time.Time // see Leaving
 	spending     Spending  // nil: nothing is shared
+	trails       bool      // see KeepTrails
 
 	unanswered atomic.Int64
 	known      atomic.Bool
@@ -101,6 +102,10 @@
 	End()
 }
 
+// KeepTrails makes each answer tell the members that its flows went to. It must be
+// called before Run.
+func (c *Core) KeepTrails() { c.trails = true }
+
 // release gives back the place of a flow that was under way. What may run on at its
 // member though nobody waits keeps its place to the deadline.
 func (c *Core) release(f *Flow, s basaltloft.Status) {
@@ -393,7 +398,7 @@
 	if t.answered {
 		return
 	}
-	a.Sends, a.MayHaveRun, a.Last, a.Member, a.Said = t.sends, t.ran || t.live != nil, t.last, t.at, t.said
+	a.Sends, a.MayHaveRun, a.Last, a.Member, a.Said, a.Went = t.sends, t.ran || t.live != nil, t.last, t.at, t.said, t.went
 	c.close(t)
 	c.stages.Book(t, a, c.now)
 	t.Client.Answer(a)
--- a/internal/core/host.go
+++ b/internal/core/host.go
@@ -38,6 +38,9 @@
 	f := c.stages.Send(t, m, t.sends, c.now, until)
 	t.sends++
 	t.live, t.at, f.place = f, m.ID, place
+	if c.trails {
+		t.went = append(t.went, m.ID)
+	}
 	c.flowing++
 	f.due = c.timers.add(f.Deadline, func() {
 		if !f.ended {
--- a/internal/core/transaction.go
+++ b/internal/core/transaction.go
@@ -23,6 +23,7 @@
 	Once              bool   // an error ends it; see basaltloft.Request
 	NotMember         string // not to be sent there, or, with NotItsZone, anywhere in that one's zone
 	NotItsZone        bool
+	Plan, Stage       string // that it is a part of; empty: none
 	Needs             string // only members that offer it may have this one; empty: any
 	Retry             bool
 	First             bool // known to be no retry; see basaltloft.Request
@@ -37,6 +38,7 @@
 	last     basaltloft.Status // how the last flow ended
 	at       string            // the member of the last flow
 	said     []byte            // with the last error of a member
+	went     []string          // see Answer.Went
 	due      *timer            // its deadline
 }
 
@@ -80,6 +82,7 @@
 	Last       basaltloft.Status // how the last flow ended; of no meaning without flows
 	Member     string            // that the last flow went to
 	Said       []byte            // with the last error of a member
+	Went       []string          // the members of all flows, where the core was told to keep them
 }
 
 // Flow is a server-side flow: one attempt of a transaction at a pool member.
--- a/internal/door/fleet.go
+++ b/internal/door/fleet.go
@@ -22,6 +22,28 @@
 	StartPlan(ctx context.Context, a PlanAsk) ([]byte, error)
 	// Run tells how a run stands, like StartPlan.
 	Run(ctx context.Context, id string) ([]byte, error)
+	// Record tells as JSON the records of an id, Records a page of a tenant's.
+	Record(ctx context.Context, id string) ([]byte, error)
+	Records(ctx context.Context, q RecordsAsk) ([]byte, error)
+	// Hold sets a hold on records, or lifts one.
+	Hold(ctx context.Context, h HoldAsk) error
+}
+
+// RecordsAsk asks for a page of a tenant's records, by the time of their ends.
+type RecordsAsk struct {
+	Tenant   string
+	From, To int64 // nanoseconds since 1970; To 0: no bound
+	Last     bool  // the last first
+	After    string
+	Most     int
+}
+
+// HoldAsk is a hold on records.
+type HoldAsk struct {
+	Name, Tenant, ID, Key, Class string
+	From, To, Until              int64 // nanoseconds since 1970; 0: no bound
+	Owner, Reason                string
+	Lift                         bool
 }
 
 // PlanAsk is a plan that somebody wants run.
@@ -45,7 +67,8 @@
 // With lets the door ask the fleet layer. It must be called before Serve.
 func (d *Door) With(f Fleet) { d.fleet = f }
 
-// askFleet serves the fleet's calls: GET /fleet, POST /plans/NAME?run=ID, GET /runs/ID.
+// askFleet serves the fleet's calls: GET /fleet, POST /plans/NAME?run=ID, GET /runs/ID,
+// GET /records/ID, GET /records?tenant=T, POST and DELETE /holds/NAME.
 // It reports false for other paths.
 func (d *Door) askFleet(w http.ResponseWriter, r *http.Request) bool {
 	if d.fleet == nil {
@@ -77,12 +100,86 @@
 			return true
 		}
 		d.startPlan(ctx, w, r, strings.TrimPrefix(path, "/plans/"))
+	case path == "/records" || strings.HasPrefix(path, "/records/"):
+		if !read {
+			d.refuse(w, r, http.StatusMethodNotAllowed, "read with GET")
+			return true
+		}
+		d.readRecords(ctx, w, r, strings.TrimPrefix(strings.TrimPrefix(path, "/records"), "/"))
+	case strings.HasPrefix(path, "/holds/"):
+		d.hold(ctx, w, r, strings.TrimPrefix(path, "/holds/"))
 	default:
 		return false
 	}
 	return true
 }
 
+// moment reads a time of a query in RFC 3339, as nanoseconds since 1970; absent: 0.
+func moment(r *http.Request, name string) (int64, error) {
+	text := r.URL.Query().Get(name)
+	if text == "" {
+		return 0, nil
+	}
+	at, err := time.Parse(time.RFC3339Nano, text)
+	if err != nil {
+		return 0, fmt.Errorf("%w: %s must be a time in RFC 3339, such as 2026-01-31T12:00:00Z", ErrBadCall, name)
+	}
+	return at.UnixNano(), nil
+}
+
+// pageUsual is how many records a page has that does not say.
+const pageUsual = 100
+
+func (d *Door) readRecords(ctx context.Context, w http.ResponseWriter, r *http.Request, id string) {
+	if id != "" {
+		text, err := d.fleet.Record(ctx, id)
+		d.tell(w, r, text, err)
+		return
+	}
+	v := r.URL.Query()
+	q := RecordsAsk{Tenant: v.Get("tenant"), Last: v.Get("last") == "1", After: v.Get("after"), Most: pageUsual}
+	var errs [3]error
+	q.From, errs[0] = moment(r, "from")
+	q.To, errs[1] = moment(r, "to")
+	if text := v.Get("most"); text != "" {
+		n, err := strconv.Atoi(text)
+		if q.Most = n; err != nil || n <= 0 {
+			errs[2] = fmt.Errorf("%w: most must be a number above 0", ErrBadCall)
+		}
+	}
+	err := errors.Join(errs[:]...)
+	if err == nil && q.Tenant == "" {
+		err = fmt.Errorf("%w: whose? ?tenant=T", ErrBadCall)
+	}
+	var text []byte
+	if err == nil {
+		text, err = d.fleet.Records(ctx, q)
+	}
+	d.tell(w, r, text, err)
+}
+
+func (d *Door) hold(ctx context.Context, w http.ResponseWriter, r *http.Request, name string) {
+	v := r.URL.Query()
+	h := HoldAsk{Name: name, Tenant: v.Get("tenant"), ID: v.Get("id"), Key: v.Get("key"), Class: v.Get("class"), Owner: v.Get("owner"), Reason: v.Get("reason")}
+	var errs [3]error
+	switch r.Method {
+	case http.MethodDelete:
+		h.Lift = true
+	case http.MethodPost:
+		h.From, errs[0] = moment(r, "from")
+		h.To, errs[1] = moment(r, "to")
+		h.Until, errs[2] = moment(r, "until")
+	default:
+		d.refuse(w, r, http.StatusMethodNotAllowed, "holds are set with POST and lifted with DELETE")
+		return
+	}
+	err := errors.Join(errs[:]...)
+	if err == nil {
+		err = d.fleet.Hold(ctx, h)
+	}
+	d.tell(w, r, []byte(`{"done":true}`), err)
+}
+
 func (d *Door) startPlan(ctx context.Context, w http.ResponseWriter, r *http.Request, name string) {
 	q := r.URL.Query()
 	a := PlanAsk{Run: q.Get("run"), Plan: name, Tenant: q.Get("tenant")}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -409,3 +410,88 @@
 	require.EqualValues(t, 2, lists.Load(), "the list was made anew once for fifty reports")
 	t.Logf("%d attempts", a.Attempts)
 }
+
+// kept are all records of a tenant, by pages of a process's door.
+func kept(t *testing.T, p *rig.Process, tenant string) (ids []string) {
+	t.Helper()
+	after := ""
+	for {
+		var page struct {
+			Records []struct{ ID, Outcome string }
+			Next    string
+		}
+		require.Eventually(t, func() bool {
+			code, text := ask(p, http.MethodGet, "/records?most=200&tenant="+tenant+"&after="+after, "")
+			return code == http.StatusOK && json.Unmarshal([]byte(text), &page) == nil
+		}, 20*time.Second, 20*time.Millisecond)
+		for _, r := range page.Records {
+			ids = append(ids, r.ID)
+		}
+		if after = page.Next; after == "" {
+			return ids
+		}
+	}
+}
+
+// TestRecordsThroughFaults: each final answer leaves one record, through a killed
+// process that ships its spool when it is back, a killed leader with its folder wiped,
+// and one frozen; what is beyond a tenant's rule is cut, what is held is not.
+func TestRecordsThroughFaults(t *testing.T) {
+	const most = 50
+	rules := fmt.Sprintf(`,"records":{"tenants":{%q:{"count":%d},"*":{"days":30}}}`, demo.Tenants[2], most)
+	r := found(t, 4, demo.Load{Rate: 150, Members: 6, Slots: 8, Run: 5 * time.Millisecond, Seed: 21}, rules)
+	code, text := ask(r.Processes[0], http.MethodPost, "/holds/case-1?tenant="+demo.Tenants[2]+"&class=group-ticket&owner=desk&reason=a+complaint", "")
+	require.Equal(t, http.StatusOK, code, text)
+	r.Begin()
+	served(t, r, 150)
+	require.NoError(t, r.Processes[3].Kill())
+	killed := map[string]time.Time{r.Processes[3].Addr("listen"): time.Now()}
+	served(t, r, 100)
+	require.NoError(t, r.Processes[3].Start())
+	joined(t, r.Processes[3])
+	lead := leader(t, r)
+	require.NoError(t, r.Processes[lead].Freeze())
+	time.Sleep(2 * time.Second) // the fault itself
+	require.NoError(t, r.Processes[lead].Thaw())
+	served(t, r, 150)
+	r.End()
+	// All that is spooled is shipped.
+	for _, p := range r.Processes {
+		require.Eventually(t, func() bool {
+			code, text := ask(p, http.MethodGet, "/fleet", "")
+			var s struct {
+				Spool struct{ Unsent, Dropped, Lost int }
+			}
+			return code == http.StatusOK && json.Unmarshal([]byte(text), &s) == nil && s.Spool.Unsent == 0 && s.Spool.Dropped == 0 && s.Spool.Lost == 0
+		}, 40*time.Second, 20*time.Millisecond, "%s has shipped its records", p.Name)
+	}
+	for i, tenant := range demo.Tenants {
+		var want, tickets, spared []string
+		for _, c := range r.Calls() {
+			if at, was := killed[c.Addr]; c.Tenant != tenant || c.Status == 0 {
+				continue
+			} else if was && c.Ended.After(at.Add(-200*time.Millisecond)) && c.Ended.Before(at) {
+				spared = append(spared, c.ID) // it had 10 ms to be written, and the kill took some time
+				continue
+			}
+			want = append(want, c.ID)
+			if c.Class == "group-ticket" {
+				tickets = append(tickets, c.ID)
+			}
+		}
+		got := kept(t, r.Processes[1], tenant)
+		missing, extra, back := rig.Records(want, nil, got)
+		extra = slices.DeleteFunc(extra, func(id string) bool { return slices.Contains(spared, id) })
+		if i != 2 {
+			require.Empty(t, missing, "%s", tenant)
+			require.Empty(t, back)
+			require.LessOrEqual(t, len(extra), 20, "only what had no answer that arrived") // answered, and the link or process gone
+			continue
+		}
+		missing, _, _ = rig.Records(tickets, nil, got)
+		require.Empty(t, missing, "what is held is kept")
+		require.Less(t, len(got), len(want), "the rest is cut")
+		require.LessOrEqual(t, len(got)-len(tickets), most+20)
+	}
+	alike(t, r)
+}
--- a/internal/fleet/keeper/enter.go
+++ b/internal/fleet/keeper/enter.go
@@ -108,11 +108,15 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	sums := make(chan state.SumsBody, 1)
-	told := make(chan struct{}, 1)
+	told, broken := make(chan struct{}, 1), make(chan struct{}, 1)
 	k.fsm.mu.Lock()
 	k.fsm.summed = func(index uint64, parts map[string]uint64, err error) {
-		if err != nil {
+		if err != nil { // it is wrong for sure: nobody needs to be asked
 			k.log.WithError(err).Error("the state can't be summed up")
+			select {
+			case broken <- struct{}{}:
+			default:
+			}
 			return
 		}
 		select {
@@ -149,6 +153,9 @@
 			if k.compare(n) {
 				return true
 			}
+		case <-broken:
+			k.serveNot(n, []string{"unsound"})
+			return true
 		}
 	}
 }
@@ -258,6 +265,12 @@
 	if len(differs) == 0 {
 		return false
 	}
+	k.serveNot(n, differs)
+	return true
+}
+
+// serveNot keeps this replica from serving anything until it has taken the state anew.
+func (k *Keeper) serveNot(n *node, differs []string) {
 	k.mu.Lock()
 	k.differs = differs
 	k.mu.Unlock()
@@ -267,5 +280,4 @@
 			k.log.WithError(err).Debug("the lead could not be handed over")
 		}
 	}
-	return true
 }
--- a/internal/fleet/keeper/keeper.go
+++ b/internal/fleet/keeper/keeper.go
@@ -36,8 +36,9 @@
 	Votes    net.Listener    // where the others' votes and logs arrive
 	Election time.Duration   // a leader that was silent for so long is replaced
 	SumEvery time.Duration   // the replicas' digests are compared so often
-	Machine  func() (*state.Machine, error)
-	Log      *logrus.Logger
+	// Machine makes an empty state; the one before it is not used any more.
+	Machine func() (*state.Machine, error)
+	Log     *logrus.Logger
 }
 
 // idleTick: fleet time goes on at least so often.
@@ -87,11 +88,7 @@
 			others[name] = p.Calls
 		}
 	}
-	m, err := s.Machine()
-	if err != nil {
-		return nil, fmt.Errorf("the fleet's state: %w", err)
-	}
-	return &Keeper{s: s, log: s.Log.WithField("keeper", s.Name), peers: call.New(others), fsm: &machine{m: m, applied: make(chan struct{})}, empty: true}, nil
+	return &Keeper{s: s, log: s.Log.WithField("keeper", s.Name), peers: call.New(others), fsm: &machine{m: state.New(), applied: make(chan struct{})}, empty: true}, nil
 }
 
 // Run takes part until the context ends. It returns an error if the folder can't be
@@ -332,8 +329,8 @@
 func (f *machine) Snapshot() (raft.FSMSnapshot, error) {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
-	write, err := f.m.Freeze()
-	return frozen{write}, err
+	now, err := f.m.Freeze()
+	return frozen{now}, err
 }
 
 // Restore implements raft.FSM.
@@ -374,11 +371,11 @@
 	}
 }
 
-type frozen struct{ write func(io.Writer) error }
+type frozen struct{ state.Frozen }
 
 // Persist implements raft.FSMSnapshot.
 func (s frozen) Persist(to raft.SnapshotSink) error {
-	if err := s.write(to); err != nil {
+	if err := s.Write(to); err != nil {
 		to.Cancel()
 		return fmt.Errorf("writing a snapshot: %w", err)
 	}
@@ -386,7 +383,7 @@
 }
 
 // Release implements raft.FSMSnapshot.
-func (frozen) Release() {}
+func (s frozen) Release() { s.Let() }
 
 // propose puts a command into the log and waits for what it comes to. An error says
 // that it may have been carried out, or may yet be.
--- a/internal/fleet/keeper/keeper_test.go
+++ b/internal/fleet/keeper/keeper_test.go
@@ -50,9 +50,9 @@
 	}
 	return codec.Decode(text, &c.N)
 }
-func (c *counter) Freeze() (func(io.Writer) error, error) {
+func (c *counter) Freeze() (state.Frozen, error) {
 	text, err := codec.Encode(c.N)
-	return func(w io.Writer) error { _, err := w.Write(text); return err }, err
+	return state.Frozen{Write: func(w io.Writer) error { _, err := w.Write(text); return err }}, err
 }
 
 // fleet is three keepers in this process.
--- a/internal/fleet/keeper/serve.go
+++ b/internal/fleet/keeper/serve.go
@@ -207,6 +207,31 @@
 // a large one would leave a majority that is far behind.
 const voteWithin = 64
 
+// Retire hands the lead over, if this keeper has it: a planned end costs the fleet no
+// election.
+func (k *Keeper) Retire() {
+	k.mu.Lock()
+	n, leads := k.node, k.lead != nil
+	k.mu.Unlock()
+	if n == nil || !leads {
+		return
+	}
+	if err := n.raft.LeadershipTransfer().Error(); err != nil {
+		k.log.WithError(err).Info("the lead could not be handed over")
+	}
+}
+
+// Leads tells whether this keeper leads.
+func (k *Keeper) Leads() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.lead != nil
+}
+
+// Look lets a function see the state as it is here. It must be short: no command is
+// applied meanwhile.
+func (k *Keeper) Look(see func(*state.Machine)) { k.fsm.read(see) }
+
 // Status tells how this keeper stands, as JSON.
 func (k *Keeper) Status(arena *fastjson.Arena) *fastjson.Value {
 	a := k.about()
--- a/internal/fleet/parts/budgets.go
+++ b/internal/fleet/parts/budgets.go
@@ -94,7 +94,7 @@
 }
 
 // Freeze implements state.Part.
-func (b *Budgets) Freeze() (func(io.Writer) error, error) { return encoded(b.book.Encode()) }
+func (b *Budgets) Freeze() (state.Frozen, error) { return encoded(b.book.Encode()) }
 
 // Thaw implements state.Part.
 func (b *Budgets) Thaw(r io.Reader) error { return decoded(r, b.book.Decode) }
@@ -102,11 +102,11 @@
 // Digest implements state.Part.
 func (b *Budgets) Digest() (uint64, error) { return b.book.Digest() }
 
-func encoded(text []byte, err error) (func(io.Writer) error, error) {
-	return func(w io.Writer) error {
+func encoded(text []byte, err error) (state.Frozen, error) {
+	return state.Frozen{Write: func(w io.Writer) error {
 		_, err := w.Write(text)
 		return err
-	}, err
+	}}, err
 }
 
 func decoded(r io.Reader, decode func([]byte) error) error {
--- a/internal/fleet/parts/plans.go
+++ b/internal/fleet/parts/plans.go
@@ -118,7 +118,7 @@
 }
 
 // Freeze implements state.Part.
-func (p *Plans) Freeze() (func(io.Writer) error, error) { return encoded(p.book.Encode()) }
+func (p *Plans) Freeze() (state.Frozen, error) { return encoded(p.book.Encode()) }
 
 // Thaw implements state.Part.
 func (p *Plans) Thaw(r io.Reader) error { return decoded(r, p.book.Decode) }
--- /dev/null
+++ b/internal/fleet/parts/records.go
@@ -0,0 +1,259 @@
+package parts
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"basaltloft/internal/fleet/codec"
+	"basaltloft/internal/fleet/records"
+	"basaltloft/internal/fleet/recordstore"
+	"basaltloft/internal/fleet/state"
+)
+
+// RecordsName is the part of the records of finished jobs. Its settings are a
+// records.SetRules.
+const RecordsName = "records"
+
+// Kinds of commands and queries of records.
+const (
+	RecordsShip state.Kind = "records/ship" // a records.Ship, answered with a RecordsShipped
+	RecordsCut  state.Kind = "records/cut"  // a records.Cut, answered with a records.Cuts
+	RecordsHold state.Kind = "records/hold" // a records.SetHold
+	RecordsLift state.Kind = "records/lift" // a records.Lift
+
+	RecordsPlan  state.Kind = "records/plan"  // a query with a time: a RecordsPlanned
+	RecordsFind  state.Kind = "records/find"  // a query with an id: []records.Record
+	RecordsPage  state.Kind = "records/page"  // a records.Query: a records.Page
+	RecordsStand state.Kind = "records/stand" // a query: a RecordsStanding
+)
+
+// RecordsShipped answers a Ship. With Gap the number counts too.
+type RecordsShipped struct {
+	records.Shipped
+	Gap bool
+}
+
+// RecordsPlanned is the next cut, if one is needed.
+type RecordsPlanned struct {
+	Needed bool
+	Cut    records.Cut
+}
+
+// RecordsStanding is what is kept.
+type RecordsStanding struct {
+	Counts records.Counts
+	Holds  []records.Hold
+	Usage  map[string]records.Usage // by tenant, over its lanes
+	Bytes  int64                    // on this keeper's disk
+}
+
+// mostFound records of one id are told; mostLooked are looked at for one cut.
+const (
+	mostFound  = 64
+	mostLooked = 20_000
+)
+
+// Records is the part of the records. The small part of its state is in memory, the
+// records themselves in a store that the log fills.
+type Records struct {
+	state  *records.State
+	store  *recordstore.Store
+	broken error // of the store in the middle of a command: this replica's state is wrong
+}
+
+// NewRecords returns an empty part over an empty store, of which it takes no more care
+// than to use it.
+func NewRecords(s *recordstore.Store, known records.Fence) *Records {
+	r := &Records{state: records.New(), store: s}
+	r.state.Know(known)
+	return r
+}
+
+// Name implements state.Part.
+func (*Records) Name() string { return RecordsName }
+
+// Check implements state.Part.
+func (*Records) Check(settings []byte) error {
+	var c records.SetRules
+	if err := codec.Decode(settings, &c); err != nil {
+		return err
+	}
+	return records.New().SetRules(0, c)
+}
+
+// Set implements state.Part.
+func (p *Records) Set(at time.Duration, settings []byte) error {
+	var c records.SetRules
+	if err := codec.Decode(settings, &c); err != nil {
+		return err
+	}
+	return p.state.SetRules(at, c)
+}
+
+// Apply implements state.Part.
+func (p *Records) Apply(c state.Command, index uint64) (body []byte, err error) {
+	err = p.store.Update(index, func(st records.Store) error {
+		var reply any
+		if reply, err = p.carryOut(c, st); errors.Is(err, records.ErrStore) {
+			return err // nothing of it is kept
+		}
+		if err == nil {
+			body, err = codec.Encode(reply)
+		}
+		return nil
+	})
+	if errors.Is(err, records.ErrStore) {
+		p.broken = err
+	}
+	return body, err
+}
+
+func (p *Records) carryOut(c state.Command, st records.Store) (any, error) {
+	switch c.Kind {
+	case RecordsShip:
+		b, err := read[records.Ship](c)
+		if err != nil {
+			return nil, err
+		}
+		b.Process, b.Incarnation = c.Process, c.Incarnation
+		done, err := p.state.Ship(c.At, st, b)
+		if errors.Is(err, records.ErrGap) {
+			return RecordsShipped{done, true}, nil
+		}
+		return RecordsShipped{Shipped: done}, err
+	case RecordsCut:
+		b, err := read[records.Cut](c)
+		if err != nil {
+			return nil, err
+		}
+		return p.state.Cut(c.At, st, b)
+	case RecordsHold:
+		b, err := read[records.SetHold](c)
+		if err != nil {
+			return nil, err
+		}
+		return nil, p.state.Hold(c.At, st, b)
+	case RecordsLift:
+		b, err := read[records.Lift](c)
+		if err != nil {
+			return nil, err
+		}
+		return nil, p.state.Lift(c.At, b)
+	}
+	return nil, fmt.Errorf("%w: no record command %q", state.ErrBad, c.Kind)
+}
+
+func read[T any](c state.Command) (v T, err error) {
+	if err := codec.Decode(c.Body, &v); err != nil {
+		return v, fmt.Errorf("%w: %w", state.ErrBad, err)
+	}
+	return v, nil
+}
+
+// Renewed implements state.Part: a renewal says nothing to this part.
+func (*Records) Renewed(state.Command, []byte) ([]byte, error) {
+	return nil, errors.New("records are not renewed")
+}
+
+// Gone implements state.Part. What a process left in its spool comes when it is back.
+func (*Records) Gone(time.Duration, string, uint64, state.Going) {}
+
+// Advance implements state.Part: nothing goes but by a cut.
+func (*Records) Advance(time.Duration) {}
+
+// Ask implements state.Asked.
+func (p *Records) Ask(kind state.Kind, body []byte) (text []byte, err error) {
+	if p.broken != nil {
+		return nil, p.broken
+	}
+	var reply any
+	err = p.store.View(func(st records.Reader) (err error) {
+		switch kind {
+		case RecordsPlan:
+			var now int64
+			if err := codec.Decode(body, &now); err != nil {
+				return err
+			}
+			c, needed, err := p.state.Plan(st, now, mostLooked)
+			reply = RecordsPlanned{needed, c}
+			return err
+		case RecordsFind:
+			var id string
+			if err := codec.Decode(body, &id); err != nil {
+				return err
+			}
+			reply, err = p.state.View().ByID(st, id, mostFound)
+			return err
+		case RecordsPage:
+			var q records.Query
+			if err := codec.Decode(body, &q); err != nil {
+				return err
+			}
+			reply, err = p.state.View().Page(st, q)
+			return err
+		case RecordsStand:
+			reply, err = p.standing()
+			return err
+		}
+		return fmt.Errorf("no record query %q", kind)
+	})
+	if err != nil {
+		return nil, err
+	}
+	return codec.Encode(reply)
+}
+
+func (p *Records) standing() (s RecordsStanding, err error) {
+	s = RecordsStanding{Counts: p.state.Counts(), Holds: p.state.Holds(), Usage: map[string]records.Usage{}}
+	for _, name := range p.state.Tenants() {
+		all, _ := p.state.Usage(name)
+		u := all[records.Ordinary]
+		u.Count += all[records.Failures].Count
+		u.Bytes += all[records.Failures].Bytes
+		s.Usage[name] = u
+	}
+	s.Bytes, err = p.store.Size()
+	return s, err
+}
+
+// Fence is how far this replica knows that records were cut.
+func (p *Records) Fence() records.Fence { return p.state.Fence() }
+
+// Freeze implements state.Part.
+func (p *Records) Freeze() (state.Frozen, error) {
+	if p.broken != nil {
+		return state.Frozen{}, p.broken
+	}
+	small, err := p.state.Encode()
+	if err != nil {
+		return state.Frozen{}, err
+	}
+	snap, err := p.store.Snapshot(small)
+	if err != nil {
+		return state.Frozen{}, err
+	}
+	return state.Frozen{Release: snap.Release, Write: func(w io.Writer) error {
+		_, err := snap.WriteTo(w)
+		return err
+	}}, nil
+}
+
+// Thaw implements state.Part.
+func (p *Records) Thaw(r io.Reader) error {
+	small, _, err := p.store.Restore(r)
+	if err != nil {
+		return err
+	}
+	return p.state.Decode(small)
+}
+
+// Digest implements state.Part: an error where the store has failed, so that this
+// replica finds no majority with its own.
+func (p *Records) Digest() (uint64, error) {
+	if p.broken != nil {
+		return 0, p.broken
+	}
+	return p.state.Digest()
+}
--- a/internal/fleet/state/snapshot.go
+++ b/internal/fleet/state/snapshot.go
@@ -60,33 +60,40 @@
 	return all, nil
 }
 
-// Freeze takes the state as it is; the function returned writes it, and may be
-// called while later commands are applied.
-func (m *Machine) Freeze() (func(io.Writer) error, error) {
+// Freeze takes the state as it is, while later commands are applied.
+func (m *Machine) Freeze() (Frozen, error) {
 	own, err := m.own()
 	if err != nil {
-		return nil, err
+		return Frozen{}, err
 	}
-	writers := make([]func(io.Writer) error, len(m.parts))
-	for i, p := range m.parts {
-		if writers[i], err = p.Freeze(); err != nil {
-			return nil, fmt.Errorf("freezing %s: %w", p.Name(), err)
+	var all []Frozen
+	release := func() {
+		for _, f := range all {
+			f.Let()
+		}
+	}
+	for _, p := range m.parts {
+		f, err := p.Freeze()
+		if err != nil {
+			release()
+			return Frozen{}, fmt.Errorf("freezing %s: %w", p.Name(), err)
 		}
+		all = append(all, f)
 	}
-	return func(w io.Writer) error {
+	return Frozen{Release: release, Write: func(w io.Writer) error {
 		if _, err := w.Write(magic); err != nil {
 			return err
 		}
 		if err := writeChunks(w, func(w io.Writer) error { _, err := w.Write(own); return err }); err != nil {
 			return err
 		}
-		for _, write := range writers {
-			if err := writeChunks(w, write); err != nil {
+		for _, f := range all {
+			if err := writeChunks(w, f.Write); err != nil {
 				return err
 			}
 		}
 		return nil
-	}, nil
+	}}, nil
 }
 
 // Thaw replaces the state by a snapshot. On an error the state is as it was, or
--- a/internal/fleet/state/state.go
+++ b/internal/fleet/state/state.go
@@ -103,15 +103,27 @@
 	Gone(at time.Duration, process string, incarnation uint64, how Going)
 	// Advance carries out what falls due by fleet time.
 	Advance(at time.Duration)
-	// Freeze takes the part as it is now; the function returned writes that, and
-	// may be called while later commands are applied.
-	Freeze() (func(io.Writer) error, error)
+	// Freeze takes the part as it is now, while later commands are applied.
+	Freeze() (Frozen, error)
 	// Thaw replaces the part by what Freeze wrote. On an error nothing has changed.
 	Thaw(io.Reader) error
 	// Digest sums the part up.
 	Digest() (uint64, error)
 }
 
+// Frozen is a state as it was at one command.
+type Frozen struct {
+	Write   func(io.Writer) error
+	Release func() // once it is not needed any more; nil: nothing is held
+}
+
+// Let releases it.
+func (f Frozen) Let() {
+	if f.Release != nil {
+		f.Release()
+	}
+}
+
 // Going says how an incarnation went out of force.
 type Going uint8
 
@@ -324,6 +336,16 @@
 	Ask(kind Kind, body []byte) ([]byte, error)
 }
 
+// Part is the part of a name; nil: there is none.
+func (m *Machine) Part(name string) Part {
+	for _, p := range m.parts {
+		if p.Name() == name {
+			return p
+		}
+	}
+	return nil
+}
+
 // Ask answers a query.
 func (m *Machine) Ask(kind Kind, body []byte) ([]byte, error) {
 	for _, p := range m.parts {
--- a/internal/fleet/state/state_test.go
+++ b/internal/fleet/state/state_test.go
@@ -47,9 +47,9 @@
 	t.Went = append(t.Went, fmt.Sprintf("%s %d %d %s", process, incarnation, how, at))
 }
 func (t *tally) Advance(at time.Duration) { t.At = at }
-func (t *tally) Freeze() (func(io.Writer) error, error) {
+func (t *tally) Freeze() (Frozen, error) {
 	text, err := codec.Encode(t)
-	return func(w io.Writer) error { _, err := w.Write(text); return err }, err
+	return Frozen{Write: func(w io.Writer) error { _, err := w.Write(text); return err }}, err
 }
 func (t *tally) Thaw(r io.Reader) error {
 	text, err := io.ReadAll(r)
@@ -152,9 +152,9 @@
 				first[who]++
 			}
 			if len(l.entries) == cut {
-				write, err := l.m.Freeze()
+				now, err := l.m.Freeze()
 				require.NoError(t, err)
-				require.NoError(t, write(&frozen))
+				require.NoError(t, now.Write(&frozen))
 			}
 		}
 		for who, all := range sent {
@@ -224,10 +224,10 @@
 func FuzzThaw(f *testing.F) {
 	l := newLog(f)
 	l.join(0, "n1", "a")
-	write, err := l.m.Freeze()
+	now, err := l.m.Freeze()
 	require.NoError(f, err)
 	var b bytes.Buffer
-	require.NoError(f, write(&b))
+	require.NoError(f, now.Write(&b))
 	f.Add(b.Bytes())
 	f.Fuzz(func(t *testing.T, text []byte) {
 		m := New(newTally())
--- a/internal/service/assembly.go
+++ b/internal/service/assembly.go
@@ -44,20 +44,26 @@
 	counted := account.DefaultLimits()
 	counted.Tenants, counted.Asks = c.Tenants, o.Operator.Figures.Asks
 	s.keeper = figures.NewKeeper(counted)
-	s.chain = stage.New(c.Settings, s.limits, s.keeper, s.log)
 	var err error
+	var books stage.Books = s.keeper
 	var spending core.Spending
 	if f := o.Operator.Fleet; f != nil {
 		if s.fleet, err = s.newFleet(f); err != nil {
 			return nil, err
 		}
+		books, spending = s.fleet.recorder, s.fleet.agent
+	}
+	s.chain = stage.New(c.Settings, s.limits, books, s.log)
+	if s.fleet != nil {
 		s.chain.Share(s.fleet.agent)
-		spending = s.fleet.agent
 	}
 	if s.hub, err = core.New(c.Settings, s.chain, spending, s.log); err != nil {
 		return nil, err
 	}
 	s.hub.Bound(o.Operator.Behind)
+	if s.fleet != nil && s.fleet.recorder.spool != nil {
+		s.hub.KeepTrails()
+	}
 	carrier := poolmember.New(s.hub, poolmember.Figures{DialWithin: c.DialWithin, Settle: settle, Most: s.sockets / 4, Stats: c.Reports})
 	s.follower = pool.New(ctx, c.Discovery, s.hub, carrier, s.log)
 	s.hub.Follow(s.follower)
@@ -113,6 +119,9 @@
 		})
 	}
 	s.openJournal()
+	if s.fleet != nil {
+		defer func() { s.components = append(s.components, s.fleet.components...) }()
+	}
 	if at := o.Operator.Figures.Listen; at != "" {
 		x := &figures.Exporter{Name: c.Name, Started: s.began, Keeper: s.keeper, Hub: s.hub, Auditor: s.auditor, Journal: s.journal}
 		s.components = append(s.components, &component{name: "figures", listen: at, serve: x.Serve})
--- a/internal/service/fleet.go
+++ b/internal/service/fleet.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -13,19 +17,27 @@
 	"basaltloft/internal/fleet/codec"
 	"basaltloft/internal/fleet/keeper"
 	"basaltloft/internal/fleet/parts"
+	"basaltloft/internal/fleet/records"
+	"basaltloft/internal/fleet/recordstore"
 	"basaltloft/internal/fleet/shares"
 	"basaltloft/internal/fleet/state"
 	"basaltloft/internal/settings"
 
+	"github.com/sirupsen/logrus"
 	"github.com/valyala/fastjson"
 )
 
 // fleet is this process's part in a fleet: always an agent, and a keeper where the
 // operator's file says so.
 type fleet struct {
-	agent  *agent.Agent
-	plans  *plans
-	keeper atomic.Pointer[keeper.Keeper] // nil: this process keeps nothing for others, or not yet
+	agent    *agent.Agent
+	plans    *plans
+	recorder *recorder
+	store    *recordstore.Store // of its keeper; nil: none is open
+	log      *logrus.Entry
+
+	components []*component                  // they stop after all others, in this order
+	keeper     atomic.Pointer[keeper.Keeper] // nil: this process keeps nothing for others, or not yet
 }
 
 // leaveWithin is how long a planned end waits to say that this process leaves.
@@ -54,11 +66,14 @@
 	for name, k := range f.Keepers {
 		calls[name] = k.Calls
 	}
-	out := &fleet{agent: agent.New(agent.Settings{Process: f.Name, Version: "1", Keepers: calls, Set: set, Expect: expect, Log: s.log.WithField("fleet", f.Name)})}
-	if keeps {
-		s.keep(f, out)
+	out := &fleet{log: s.log.WithField("fleet", f.Name), agent: agent.New(agent.Settings{Process: f.Name, Version: "1", Keepers: calls, Set: set, Expect: expect, Log: s.log.WithField("fleet", f.Name)})}
+	if out.recorder, err = s.newRecorder(f, out); err != nil {
+		return nil, err
+	}
+	if out.plans, err = s.newPlans(f, out); err != nil {
+		return nil, err
 	}
-	s.components = append(s.components, &component{
+	out.components = append(out.components, &component{
 		name: "fleet agent",
 		serve: func(ctx context.Context, _ net.Listener) error {
 			go s.tellTraffic(ctx, out.agent)
@@ -73,8 +88,8 @@
 			return nil
 		},
 	})
-	if out.plans, err = s.newPlans(f, out); err != nil {
-		return nil, err
+	if keeps {
+		s.keep(f, out)
 	}
 	return out, nil
 }
@@ -87,6 +102,17 @@
 // Run implements door.Fleet.
 func (f *fleet) Run(ctx context.Context, id string) ([]byte, error) { return f.plans.Run(ctx, id) }
 
+// Record, Records and Hold implement door.Fleet.
+func (f *fleet) Record(ctx context.Context, id string) ([]byte, error) {
+	return f.recorder.Record(ctx, id)
+}
+
+func (f *fleet) Records(ctx context.Context, q door.RecordsAsk) ([]byte, error) {
+	return f.recorder.Records(ctx, q)
+}
+
+func (f *fleet) Hold(ctx context.Context, h door.HoldAsk) error { return f.recorder.Hold(ctx, h) }
+
 // Status implements door.Fleet.
 func (f *fleet) Status(context.Context) ([]byte, error) {
 	a := f.agent.Status()
@@ -97,6 +123,18 @@
 	o.Set("joined", arena.NewNumberString(fmt.Sprint(a.Joined)))
 	o.Set("members", arena.NewNumberString(fmt.Sprint(a.Members)))
 	o.Set("renewed_ms", arena.NewNumberString(fmt.Sprint(a.RenewedMS)))
+	if p := f.recorder.spool; p != nil {
+		r, now := p.Read(), time.Now()
+		spooled := arena.NewObject()
+		for name, n := range map[string]int64{"added": r.Added, "dropped": r.Dropped, "shipped": r.Shipped, "lost": r.Lost, "unsent": r.Unsent,
+			"failures": r.Failures, "bytes": r.Bytes, "lag_ms": r.Lag(now).Milliseconds()} {
+			spooled.Set(name, arena.NewNumberString(fmt.Sprint(n)))
+		}
+		if r.Why != "" {
+			spooled.Set("why", arena.NewString(r.Why))
+		}
+		o.Set("spool", spooled)
+	}
 	if k := f.keeper.Load(); k != nil {
 		o.Set("keeper", k.Status(&arena))
 	}
@@ -113,16 +151,37 @@
 	ready := make(chan *keeper.Keeper, 1)
 	votes.serve = func(ctx context.Context, l net.Listener) error {
 		k, err := keeper.New(keeper.Settings{
-			Name: f.Name, Folder: f.Folder, Peers: peers, Votes: l, Election: f.Election, SumEvery: f.SumEvery, Machine: newMachine, Log: s.log,
+			Name: f.Name, Folder: f.Folder, Peers: peers, Votes: l, Election: f.Election, SumEvery: f.SumEvery, Log: s.log,
+			Machine: func() (*state.Machine, error) {
+				kept, err := out.openStore(f.Folder)
+				if err != nil {
+					return nil, err
+				}
+				return state.New(parts.NewBudgets(), parts.NewPlans(), kept), nil
+			},
 		})
 		if err != nil {
 			return err
 		}
 		ready <- k
 		defer l.Close()
-		return k.Run(ctx)
+		var all sync.WaitGroup
+		defer all.Wait()
+		all.Go(func() { out.recorder.cut(ctx) })
+		all.Go(func() { out.keepFence(ctx, f.Folder) })
+		err = k.Run(ctx)
+		if out.store != nil {
+			err = errors.Join(err, out.store.Close())
+		}
+		return err
 	}
-	s.components = append(s.components, votes, &component{
+	votes.stop = func(context.Context) error {
+		if k := out.keeper.Load(); k != nil {
+			k.Retire()
+		}
+		return nil
+	}
+	out.components = append(out.components, votes, &component{
 		name: "fleet calls", listen: f.Calls,
 		serve: func(ctx context.Context, l net.Listener) error {
 			select {
@@ -142,11 +201,6 @@
 	})
 }
 
-// newMachine is the state that every keeper of this version has.
-func newMachine() (*state.Machine, error) {
-	return state.New(parts.NewBudgets(), parts.NewPlans()), nil
-}
-
 // fleetSettings are what the operator's file says for the whole fleet, and the
 // budgets that it names.
 func fleetSettings(f *settings.Fleet) (set state.SetBody, expect []string, err error) {
@@ -171,7 +225,15 @@
 	if err != nil {
 		return set, nil, err
 	}
-	return state.SetBody{Revision: f.Revision, Lease: f.Lease, Parts: map[string][]byte{parts.BudgetsName: text}}, expect, nil
+	set = state.SetBody{Revision: f.Revision, Lease: f.Lease, Parts: map[string][]byte{parts.BudgetsName: text}}
+	if f.Records != nil {
+		rules := recordRules(f.Records)
+		slices.SortFunc(rules.Rules, func(a, b records.Rule) int { return strings.Compare(a.Tenant, b.Tenant) })
+		if set.Parts[parts.RecordsName], err = codec.Encode(rules); err != nil {
+			return set, nil, err
+		}
+	}
+	return set, expect, nil
 }
 
 // tellTraffic tells how many jobs a second come here, by the account.
--- a/internal/service/plans.go
+++ b/internal/service/plans.go
@@ -49,7 +49,7 @@
 	if err := p.read(s.options.Config); err != nil {
 		return nil, err
 	}
-	s.components = append(s.components, &component{
+	fl.components = append(fl.components, &component{
 		name: "plans",
 		serve: func(ctx context.Context, _ net.Listener) error {
 			return p.coord.Run(ctx)
@@ -85,7 +85,7 @@
 func (p *plans) Submit(j coordinator.Job, done func(core.Answer)) error {
 	tx, err := p.s.chain.TakeIn(stage.Arrival{
 		ID: j.ID, Class: j.Class, Tenant: j.Tenant, Target: j.Path, Key: j.Key, Body: j.Body, Front: planFront, GivesUp: j.Until, Hint: j.Hint,
-		First: true, NotMember: j.NotMember, NotItsZone: j.NotItsZone,
+		First: true, Plan: j.Plan, Stage: j.Stage, NotMember: j.NotMember, NotItsZone: j.NotItsZone,
 	}, time.Now(), planClient{p, done})
 	if err != nil {
 		return fmt.Errorf("stage %s of plan %s: %w", j.Stage, j.Plan, err)
--- /dev/null
+++ b/internal/service/records.go
@@ -0,0 +1,326 @@
+package service
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"basaltloft/internal/core"
+	"basaltloft/internal/door"
+	"basaltloft/internal/fleet/call"
+	"basaltloft/internal/fleet/codec"
+	"basaltloft/internal/fleet/coordinator"
+	"basaltloft/internal/fleet/parts"
+	"basaltloft/internal/fleet/records"
+	"basaltloft/internal/fleet/recordstore"
+	"basaltloft/internal/fleet/spool"
+	"basaltloft/internal/fleet/state"
+	"basaltloft/internal/segment"
+	"basaltloft/internal/settings"
+	"basaltloft/internal/stage"
+
+	"github.com/valyala/fastjson"
+)
+
+// recorder writes a record of each final answer into this process's spool, and
+// answers the door's questions about those that the fleet has.
+type recorder struct {
+	stage.Books
+	s     *Service
+	fleet *fleet
+	body  int
+	spool *spool.Spool // nil: no records are kept by this process
+}
+
+const (
+	cutEvery  = time.Second
+	keepFence = 2 * time.Second
+	cutFor    = 3 * time.Second // how long a cut, or a batch of records, is asked for
+	closeFor  = time.Second     // what a planned end waits for the last records to be shipped
+	pageMost  = 1000
+)
+
+// newRecorder opens the spool where records are kept.
+func (s *Service) newRecorder(f *settings.Fleet, fl *fleet) (*recorder, error) {
+	r := &recorder{Books: s.keeper, s: s, fleet: fl}
+	if f.Records == nil {
+		return r, nil
+	}
+	r.body = f.Records.Body
+	folder, err := segment.OpenFolder(filepath.Join(f.Folder, "spool"))
+	if err != nil {
+		return nil, fmt.Errorf("the spool of records: %w", err)
+	}
+	r.spool, err = spool.Open(folder, spool.Settings{
+		Process: f.Name, Waiting: 8192, Batch: 256, Body: r.body, SegmentBytes: 4 << 20, MostBytes: 1 << 30,
+		WriteWithin: 10 * time.Millisecond, SyncWithin: time.Second, Retry: 250 * time.Millisecond,
+	}, time.Now(), s.log.WithField("part", "spool"), r.ship)
+	if err != nil {
+		folder.Close()
+		return nil, err
+	}
+	fl.components = append(fl.components, &component{
+		name: "records",
+		serve: func(ctx context.Context, _ net.Listener) error {
+			<-ctx.Done()
+			return r.spool.Close(ctx)
+		},
+		stop: func(ctx context.Context) error {
+			ctx, cancel := context.WithDeadline(ctx, time.Now().Add(closeFor))
+			defer cancel()
+			if err := r.spool.Close(ctx); err != nil {
+				s.log.WithError(err).Error("closing the spool of records")
+			}
+			return nil
+		},
+	})
+	return r, nil
+}
+
+// ship brings records to the fleet.
+func (r *recorder) ship(ctx context.Context, batch records.Ship) (through uint64, err error) {
+	s := r.fleet.agent.Session()
+	if s == nil {
+		return 0, coordinator.ErrNoFleet
+	}
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(cutFor))
+	defer cancel()
+	var done parts.RecordsShipped
+	if err := s.Order(ctx, parts.RecordsShip, batch, &done); err != nil {
+		return 0, err
+	}
+	if done.Gap {
+		return done.Through, records.ErrGap
+	}
+	return done.Through, nil
+}
+
+// End implements stage.Books. It never waits: without room in the spool the record is
+// dropped and counted, and the job has its answer all the same.
+func (r *recorder) End(t *core.Transaction, a core.Answer, now time.Time) {
+	r.Books.End(t, a, now)
+	if r.spool == nil {
+		return
+	}
+	rec := records.Record{
+		ID: t.ID, Key: t.Key, Tenant: t.Tenant, Class: t.Class, Plan: t.Plan, Stage: t.Stage, Outcome: a.Verdict.Outcome().String(), Reason: a.Reason.String(),
+		Arrived: t.Arrived.UnixNano(), Ended: now.UnixNano(), Attempts: a.Sends, Members: a.Went,
+	}
+	if len(a.Body) <= r.body {
+		rec.Body = a.Body
+	}
+	r.spool.Add(rec)
+}
+
+// cut has what the rules no longer keep removed, while this process's keeper leads.
+func (r *recorder) cut(ctx context.Context) {
+	tick := time.NewTicker(cutEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		k, s := r.fleet.keeper.Load(), r.fleet.agent.Session()
+		if k == nil || s == nil || !k.Leads() {
+			continue
+		}
+		for more := true; more; {
+			var err error
+			if more, err = r.cutOnce(ctx, s); err != nil && ctx.Err() == nil {
+				r.s.log.WithError(err).Debug("records could not be cut")
+			}
+		}
+	}
+}
+
+func (r *recorder) cutOnce(ctx context.Context, s *call.Session) (more bool, err error) {
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(cutFor))
+	defer cancel()
+	var p parts.RecordsPlanned
+	if err := r.ask(ctx, s, parts.RecordsPlan, time.Now().UnixNano(), &p); err != nil || !p.Needed {
+		return false, err
+	}
+	var done records.Cuts
+	err = s.Order(ctx, parts.RecordsCut, p.Cut, &done)
+	return err == nil && done.Removed > 0, err
+}
+
+// ask asks the leader.
+func (r *recorder) ask(ctx context.Context, s *call.Session, kind state.Kind, body, into any) error {
+	if s == nil {
+		return coordinator.ErrNoFleet
+	}
+	text, err := codec.Encode(body)
+	if err != nil {
+		return err
+	}
+	a, err := s.Read(ctx, call.Query{Kind: kind, Body: text})
+	if err != nil {
+		return err
+	}
+	return codec.Decode(a.Body, into)
+}
+
+// Record implements door.Fleet.
+func (r *recorder) Record(ctx context.Context, id string) ([]byte, error) {
+	var found []records.Record
+	if err := r.ask(ctx, r.fleet.agent.Session(), parts.RecordsFind, id, &found); err != nil {
+		return nil, inDoorsWords(err)
+	}
+	if len(found) == 0 {
+		return nil, fmt.Errorf("%w: no record of %q is kept", door.ErrNotThere, id)
+	}
+	var a fastjson.Arena
+	return recordsJSON(&a, found).MarshalTo(nil), nil
+}
+
+// Records implements door.Fleet.
+func (r *recorder) Records(ctx context.Context, q door.RecordsAsk) ([]byte, error) {
+	var p records.Page
+	ask := records.Query{Tenant: q.Tenant, From: q.From, To: q.To, Last: q.Last, After: q.After, Most: min(q.Most, pageMost)}
+	if err := r.ask(ctx, r.fleet.agent.Session(), parts.RecordsPage, ask, &p); err != nil {
+		return nil, inDoorsWords(err)
+	}
+	var a fastjson.Arena
+	o := a.NewObject()
+	o.Set("records", recordsJSON(&a, p.Records))
+	if p.Next != "" {
+		o.Set("next", a.NewString(p.Next))
+	}
+	if p.Missing > 0 {
+		o.Set("missing", a.NewNumberString(fmt.Sprint(p.Missing)))
+	}
+	return o.MarshalTo(nil), nil
+}
+
+// Hold implements door.Fleet.
+func (r *recorder) Hold(ctx context.Context, h door.HoldAsk) error {
+	s := r.fleet.agent.Session()
+	if s == nil {
+		return inDoorsWords(coordinator.ErrNoFleet)
+	}
+	at := time.Now().UnixNano()
+	if h.Lift {
+		return inDoorsWords(s.Order(ctx, parts.RecordsLift, records.Lift{At: at, Name: h.Name}, nil))
+	}
+	return inDoorsWords(s.Order(ctx, parts.RecordsHold, records.SetHold{At: at, Hold: records.Hold{
+		Name: h.Name, Tenant: h.Tenant, ID: h.ID, Key: h.Key, Class: h.Class, From: h.From, To: h.To, Owner: h.Owner, Reason: h.Reason, Until: h.Until,
+	}}, nil))
+}
+
+// inDoorsWords tells errors of the fleet apart for the door.
+func inDoorsWords(err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, state.ErrRefused) && strings.Contains(err.Error(), records.ErrNoHold.Error()):
+		return fmt.Errorf("%w: %w", door.ErrNotThere, err)
+	case errors.Is(err, state.ErrRefused):
+		return fmt.Errorf("%w: %w", door.ErrRefused, err)
+	case errors.Is(err, call.ErrNobody), errors.Is(err, coordinator.ErrNoFleet), errors.Is(err, state.ErrFenced):
+		return fmt.Errorf("%w: %w", door.ErrAway, err)
+	}
+	return err
+}
+
+// recordsJSON are records as JSON. A body that is no text goes in with what is not
+// replaced.
+func recordsJSON(a *fastjson.Arena, all []records.Record) *fastjson.Value {
+	list := a.NewArray()
+	for i, r := range all {
+		o, members := a.NewObject(), a.NewArray()
+		for name, text := range map[string]string{
+			"id": r.ID, "key": r.Key, "tenant": r.Tenant, "class": r.Class, "plan": r.Plan, "stage": r.Stage, "outcome": r.Outcome, "reason": r.Reason, "process": r.Process,
+		} {
+			if text != "" {
+				o.Set(name, a.NewString(text))
+			}
+		}
+		o.Set("arrived", a.NewString(time.Unix(0, r.Arrived).UTC().Format(time.RFC3339Nano)))
+		o.Set("ended", a.NewString(time.Unix(0, r.Ended).UTC().Format(time.RFC3339Nano)))
+		o.Set("attempts", a.NewNumberInt(r.Attempts))
+		for n, m := range r.Members {
+			members.SetArrayItem(n, a.NewString(m))
+		}
+		o.Set("members", members)
+		if r.Body != nil {
+			o.Set("body", a.NewString(strings.ToValidUTF8(string(r.Body), "\uFFFD")))
+		}
+		list.SetArrayItem(i, o)
+	}
+	return list
+}
+
+// openStore opens the keeper's store of records anew, and what it knows of cuts.
+func (f *fleet) openStore(folder string) (*parts.Records, error) {
+	if f.store != nil {
+		if err := f.store.Close(); err != nil {
+			return nil, fmt.Errorf("the store of records: %w", err)
+		}
+	}
+	var err error
+	if f.store, err = recordstore.Open(filepath.Join(folder, "records")); err != nil {
+		return nil, err
+	}
+	known, err := recordstore.ReadFence(folder, fleetName)
+	if err != nil {
+		f.log.WithError(err).Error("what is known of cut records can't be read and is left out")
+	}
+	return parts.NewRecords(f.store, known), nil
+}
+
+// fleetName is what a fence is marked with: a folder belongs to one fleet.
+const fleetName = "fleet"
+
+// keepFence writes down how far this keeper knows that records were cut.
+func (f *fleet) keepFence(ctx context.Context, folder string) {
+	tick := time.NewTicker(keepFence)
+	defer tick.Stop()
+	var last uint64
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		k := f.keeper.Load()
+		if k == nil {
+			continue
+		}
+		var fence records.Fence
+		k.Look(func(m *state.Machine) {
+			if p, ok := m.Part(parts.RecordsName).(*parts.Records); ok {
+				fence = p.Fence()
+			}
+		})
+		if fence.Edition <= last {
+			continue
+		}
+		if err := recordstore.KeepFence(folder, fleetName, fence); err != nil {
+			f.log.WithError(err).Error("what is known of cut records can't be kept")
+			continue
+		}
+		last = fence.Edition
+	}
+}
+
+// recordRules are the fleet's rules of what the operator's file says.
+func recordRules(f *settings.FleetRecords) records.SetRules {
+	const day = float64(24 * time.Hour)
+	var set records.SetRules
+	for name, r := range f.Tenants {
+		keep := records.Limits{For: int64(r.Days * day), Count: int64(r.Count), Bytes: int64(r.Megabytes) << 20}
+		failed := keep
+		if longer := int64(r.FailureDays * day); keep.For > 0 && longer > keep.For {
+			failed.For = longer
+		}
+		set.Rules = append(set.Rules, records.Rule{Tenant: name, Keep: keep, Failed: failed})
+	}
+	return set
+}
--- a/internal/stage/takein.go
+++ b/internal/stage/takein.go
@@ -38,6 +38,7 @@
 	First                          bool
 	Once                           bool
 	Needs                          string // see core.Transaction
+	Plan, Stage                    string
 	NotMember                      string
 	NotItsZone                     bool
 }
@@ -67,7 +68,7 @@
 	return &core.Transaction{
 		ID: a.ID, Class: a.Class, Tenant: a.Tenant, Front: a.Front, Target: a.Target, Key: a.Key, Body: a.Body, Form: a.Form,
 		Arrived: now, Deadline: a.GivesUp.Add(-early), Hint: a.Hint, Slots: a.Slots, Memory: a.Memory, Retry: a.Retry, Needs: a.Needs, Once: a.Once, Client: client,
-		First: a.First, NotMember: a.NotMember, NotItsZone: a.NotItsZone,
+		First: a.First, Plan: a.Plan, Stage: a.Stage, NotMember: a.NotMember, NotItsZone: a.NotItsZone,
 	}, nil
 }
 
