Plans: what falls due next follows from the encoded state, also after a run gave up

When fleet time jumped over both, two runs ended in another order at a restored replica, and the older answer lost its results there. Found by the state machine with a replica that goes on from decoded bytes, in one of some 3,000 checks. Change: giving up moves the run at once.

--- a/internal/fleet/planrun/book.go
+++ b/internal/fleet/planrun/book.go
@@ -563,9 +563,6 @@
 			b.finish(at, r)
 			continue
 		}
-		b.due.Remove(r.place)
-		r.due = r.Deadline + b.limits.Grace
-		b.due.Push(r)
 		b.giveUp(r, -1, plan.Late, "its deadline passed")
 		b.settle(at, r)
 	}
--- a/internal/fleet/planrun/end.go
+++ b/internal/fleet/planrun/end.go
@@ -234,6 +234,9 @@
 		reason = reason[:b.limits.ReasonSize]
 	}
 	r.Gave = &GiveUp{stage, end, reason}
+	b.due.Remove(r.place) // at once: what falls due, and in which order, follows from the encoded state
+	r.due = r.Deadline + b.limits.Grace
+	b.due.Push(r)
 	b.leave(r)
 }
 
