Plans: a coordinator's memory is tested by itself; the fuzz seed is made by commands

Need: two deliberate breaks of the Coordinator (a spent attempt forgotten, a task given twice) went unseen by the simulation, whose callers keep to the contract. Change: a test of its own, which sees both; the seed of FuzzDecode has a shared output and an attempt out, and does not run a simulation in each worker.

--- a/internal/fleet/planrun/book_test.go
+++ b/internal/fleet/planrun/book_test.go
@@ -437,3 +437,28 @@
 	require.NoError(t, err)
 	require.ErrorContains(t, c.replicas[0].Decode(v2), "version 2")
 }
+
+// TestCoordinatorRemembers: one task at a time for an attempt, and none is sent that
+// was told as unsent, though its reply comes after all.
+func TestCoordinatorRemembers(t *testing.T) {
+	s := booking(1)
+	s.Stages = s.Stages[3:]
+	s.Stages[0].After = nil
+	c := begin(t, s, "r")
+	co := NewCoordinator(time.Second)
+	co.Drive("r", c.fence)
+	tasks, _ := co.Tasks(c.at, c.view())
+	require.Len(t, tasks, 1)
+	again, wake := co.Tasks(c.at, c.view())
+	require.Empty(t, again)
+	require.Equal(t, 3*time.Second, wake)
+	_, err := c.apply(c.at, *tasks[0].Sending)
+	require.NoError(t, err)
+	require.False(t, co.Accepted(*tasks[0].Sending, tasks[0].ID, errNoReply, true))
+	told, _ := co.Tasks(c.at, c.view())
+	require.Equal(t, plan.Unsent, told[0].Ended.End)
+	require.False(t, co.Accepted(*tasks[0].Sending, tasks[0].ID, nil, true))
+	co.Drive("r", c.fence+1)
+	co.Tasks(c.at, c.view())
+	require.False(t, co.Drives("r"), "the view is another's")
+}
--- a/internal/fleet/planrun/model_test.go
+++ b/internal/fleet/planrun/model_test.go
@@ -247,12 +247,11 @@
 }
 
 func FuzzDecode(f *testing.F) {
-	s := simulate(3, 3, 3)
-	text, _ := s.books[0].Encode()
-	f.Add(text)
 	b := NewBook(DefaultLimits())
-	b.Start(0, Start{Run: "r", Shape: booking(2), Before: time.Second, Process: "n"})
-	text, _ = b.Encode()
+	x, _ := b.Start(0, Start{Run: "r", Shape: booking(2), Before: time.Second, Process: "n"})
+	b.Open(0, Open{Run: "r", Fence: x.Fence, Stage: 0, Key: "tour", Items: [][]byte{nil}})
+	b.Sending(0, Sending{Run: "r", Fence: x.Fence, Generation: 1, Attempt: 1})
+	text, _ := b.Encode()
 	f.Add(text)
 	f.Fuzz(func(t *testing.T, text []byte) {
 		b := NewBook(DefaultLimits())
