Fleet budgets: the checker of admissions is a package, for tests of started processes too

The checker stood in the simulation's test; tests that start processes have to hold the same invariants against what members saw. sharecheck has one checker a kind, which knows nothing of shares: a draining bucket for all windows of a rate, a count, and a window of parts.

--- a/internal/fleet/shares/book_test.go
+++ b/internal/fleet/shares/book_test.go
@@ -37,11 +37,10 @@
 	if b.Kind == UnderWay {
 		all = max(all, m.under)
 	}
-	linger := rests(b.Linger)
-	switch {
-	case at < m.ends+linger:
+	switch ends := m.ends + rests(b.Linger); {
+	case at < ends:
 		return all
-	case floor > 0 && at < m.ends+b.FloorFor+linger:
+	case at < ends+b.FloorFor:
 		return floor
 	}
 	return 0
@@ -64,8 +63,9 @@
 			inc  uint64
 		}
 		all, newest := map[key]*plain{}, map[string]uint64{}
+		names := rapid.SampledFrom([]string{"a", "b", "c", "d"})
 		draw := func() (key, *plain) {
-			name := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "process")
+			name := names.Draw(t, "process")
 			inc := max(newest[name], 1)
 			if inc > 1 && rapid.IntRange(0, 4).Draw(t, "older") == 0 {
 				inc--
@@ -73,9 +73,7 @@
 			return key{name, inc}, all[key{name, inc}]
 		}
 		t.Repeat(map[string]func(*rapid.T){
-			"restart": func(t *rapid.T) {
-				newest[rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "process")]++
-			},
+			"restart": func(t *rapid.T) { newest[names.Draw(t, "process")]++ },
 			"pass": func(t *rapid.T) {
 				at += time.Duration(rapid.IntRange(1, 700).Draw(t, "ms")) * time.Millisecond
 				b.Advance(at)
--- /dev/null
+++ b/internal/fleet/shares/sharecheck/sharecheck.go
@@ -0,0 +1,97 @@
+// Package sharecheck tells from outside whether a budget was overspent: from a log
+// in true time of what was admitted by all processes together. It knows nothing of
+// shares. It is for simulations, and for tests of started processes.
+package sharecheck
+
+import (
+	"fmt"
+	"time"
+)
+
+// Rate checks that in every interval of length t at most whole x t + burst are
+// admitted. That is so exactly if the level of a bucket that rises by 1 with each
+// and drains by the whole a second never is above the burst, so one pass
+// does for all pairs of times.
+type Rate struct {
+	whole, burst, level float64
+	last                time.Duration
+}
+
+// Set changes the whole and the burst from a time on, when the change binds. Spans
+// before and after a lowered burst are looked at apart.
+func (r *Rate) Set(at time.Duration, whole, burst float64) {
+	r.drain(at)
+	if burst < r.burst {
+		r.level = 0
+	}
+	r.whole, r.burst = whole, burst
+}
+
+func (r *Rate) drain(at time.Duration) {
+	r.level = max(0, r.level-r.whole*(at-r.last).Seconds())
+	r.last = at
+}
+
+// Admit takes in one, admitted at a time no earlier than the last; an error: there is
+// an interval that ends now with too many.
+func (r *Rate) Admit(at time.Duration) error {
+	r.drain(at)
+	if r.level++; r.level > r.burst+1e-6 {
+		return fmt.Errorf("at %v: %.3f more than %v a second admits, burst %v", at, r.level, r.whole, r.burst)
+	}
+	return nil
+}
+
+// UnderWay checks that at most the whole is under way.
+type UnderWay struct {
+	Whole float64 // as it binds now
+	Fill  float64 // the most that was under way, as a part of the whole
+
+	now int
+}
+
+// Add takes in that n began, or ended (below 0).
+func (u *UnderWay) Add(at time.Duration, n int) error {
+	u.now += n
+	u.Fill = max(u.Fill, float64(u.now)/u.Whole)
+	if n > 0 && float64(u.now) > u.Whole {
+		return fmt.Errorf("at %v: %d under way of %v", at, u.now, u.Whole)
+	}
+	return nil
+}
+
+// Part checks that what different ones used within any window sums to at most the
+// whole, where each counts with the most that it used.
+type Part struct {
+	Window time.Duration
+	Whole  float64 // as it binds now
+	Fill   float64 // the most that was used, as a part of the whole
+
+	used []used
+}
+
+type used struct {
+	who    uint64
+	amount float64
+	at     time.Duration
+}
+
+// Use takes in that one used so much at a time no earlier than the last.
+func (p *Part) Use(at time.Duration, who uint64, amount float64) error {
+	p.used = append(p.used, used{who, amount, at})
+	for p.used[0].at <= at-p.Window {
+		p.used = p.used[1:]
+	}
+	most, sum := map[uint64]float64{}, 0.0
+	for _, u := range p.used {
+		if more := u.amount - most[u.who]; more > 0 {
+			most[u.who] += more
+			sum += more
+		}
+	}
+	p.Fill = max(p.Fill, sum/p.Whole)
+	if sum > p.Whole+1e-4 {
+		return fmt.Errorf("at %v: %.3f used within a window, of %v", at, sum, p.Whole)
+	}
+	return nil
+}
--- a/internal/fleet/shares/sim_test.go
+++ b/internal/fleet/shares/sim_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"basaltloft/internal/fleet/shares/sharecheck"
 	"basaltloft/internal/heap"
 
 	"github.com/stretchr/testify/require"
@@ -64,32 +65,26 @@
 	w.events.Push(&event{w.now + max(d, 0), w.order, do})
 }
 
-func (w *world) span(most time.Duration) time.Duration {
-	return time.Duration(w.Float64() * float64(most))
-}
-func (w *world) chance(p float64) bool { return w.Float64() < p }
-func (w *world) clock() float64        { return 0.975 + 0.05*w.Float64() }
-func (w *world) at() time.Duration {
-	return w.fleet + time.Duration(w.rate*float64(w.now-w.since))
-}
-func (p *proc) own() time.Duration { return p.off + time.Duration(p.rate*float64(p.now)) }
+func (w *world) span(m time.Duration) time.Duration { return time.Duration(w.Float64() * float64(m)) }
+func (w *world) chance(p float64) bool              { return w.Float64() < p }
+func (w *world) clock() float64                     { return 0.975 + 0.05*w.Float64() }
+func (w *world) at() time.Duration                  { return w.fleet + time.Duration(w.rate*float64(w.now-w.since)) }
+func (p *proc) own() time.Duration                  { return p.off + time.Duration(p.rate*float64(p.now)) }
 
 const simLease, simLife = 900 * time.Millisecond, 700 * time.Millisecond
 
 func newWorld(seed uint64, full, twice bool) *world {
 	w := &world{Rand: rand.New(rand.NewPCG(seed, 7)), rate: 1, full: full, twice: twice, faults: counts{}}
-	w.events = heap.New(func(a, b *event) bool {
-		return a.at < b.at || a.at == b.at && a.order < b.order
-	}, nil)
+	w.events = heap.New(func(a, b *event) bool { return a.at < b.at || a.at == b.at && a.order < b.order }, nil)
 	w.config = Config{Lease: simLease, Budgets: []Budget{
 		{Name: "p", Kind: Part, Whole: 100, Floors: 2, Floor: 5, FloorFor: simLease, Linger: 500 * time.Millisecond},
 		{Name: "r", Kind: Rate, Whole: 120, Burst: 24, Floors: 2, Floor: 6, FloorFor: 2 * simLease, Weights: map[string]float64{"n1": 3}},
 		{Name: "u", Kind: UnderWay, Whole: 24, Floors: 3, Floor: 2, FloorFor: simLease, Linger: simLife},
 	}}
+	w.check.part.Window = 500 * time.Millisecond
 	w.book, w.follower = NewBook(), NewBook()
 	w.book.twice, w.follower.twice = twice, twice
 	w.command(func(b *Book) { must(b.Configure(w.at(), w.config)) })
-	w.check.bind(w)
 	return w
 }
 
@@ -152,7 +147,8 @@
 		if !p.r.Take(p.own()) {
 			break
 		}
-		p.check.admit(p.world, p.now)
+		p.faults["admitted"]++
+		p.check.see(p.check.rate.Admit(p.now))
 	}
 	for range p.IntN(1 + int(8*p.busy)) {
 		life := p.span(simLife)
@@ -160,13 +156,13 @@
 		if !tap.Begin(own, own+life) {
 			break
 		}
-		p.check.underWay(p.world, 1)
+		p.check.see(p.check.under.Add(p.now, 1))
 		really := time.Duration(float64(life) / p.rate)
 		if p.chance(0.3) {
 			really = p.span(really)
 		}
 		p.after(really, func() { // at its member, whatever became of the dispatcher
-			p.check.underWay(p.world, -1)
+			p.check.see(p.check.under.Add(p.now, -1))
 			p.after(max(p.frozen-p.now, 0), func() {
 				if p.purse == purse {
 					tap.End()
@@ -176,7 +172,7 @@
 	}
 	p.p.Want(p.using)
 	if amount, ok := p.p.Amount(p.own()); ok && p.chance(0.5) {
-		p.check.use(p.world, p.inc, amount)
+		p.check.see(p.check.part.Use(p.now, p.inc, amount))
 	}
 }
 
@@ -307,7 +303,7 @@
 		e.do()
 	}
 	if a, b := digest(w.book), digest(w.follower); a != b {
-		w.check.fail(w, "digests %x and %x", a, b)
+		w.check.see(fmt.Errorf("digests %x and %x", a, b))
 	}
 	return w
 }
@@ -318,86 +314,34 @@
 	return d
 }
 
-// checker sees what was admitted, in true time and from outside. A window with too
-// much in it is there exactly if the level of a bucket that drains by the whole a
-// second rises above the burst. A lowered whole counts from when it binds.
+// checker sees what was admitted, in true time and from outside. A lowered whole
+// counts from when it binds.
 type checker struct {
-	wrong         string
-	whole         [3]float64 // of p, r, u
-	burst         float64
-	level         float64
-	last          time.Duration
-	running       int
-	used          []used
-	under, parted float64 // the most seen, as a part of the whole
+	wrong string
+	whole [3]float64 // of p, r, u
+	burst float64
+	rate  sharecheck.Rate
+	under sharecheck.UnderWay
+	part  sharecheck.Part
 }
 
-type used struct {
-	inc    uint64
-	amount float64
-	at     time.Duration
-}
-
-func (c *checker) fail(w *world, form string, args ...any) {
-	if c.wrong == "" {
-		c.wrong = fmt.Sprintf("at %v: ", w.now) + fmt.Sprintf(form, args...)
+func (c *checker) see(err error) {
+	if err != nil && c.wrong == "" {
+		c.wrong = err.Error()
 	}
 }
 
 func (c *checker) bind(w *world) {
 	for i, s := range w.book.Standings() {
-		if i == 1 {
-			c.drain(w.now)
-			if s.Bound && s.Burst < c.burst {
-				c.level = 0 // each span apart
-			}
-			if s.Bound || s.Burst > c.burst {
-				c.burst = s.Burst
-			}
-		}
 		if s.Bound || s.Whole > c.whole[i] {
 			c.whole[i] = s.Whole
 		}
-	}
-}
-
-func (c *checker) drain(now time.Duration) {
-	c.level = max(0, c.level-c.whole[1]*(now-c.last).Seconds())
-	c.last = now
-}
-
-func (c *checker) admit(w *world, now time.Duration) {
-	w.faults["admitted"]++
-	c.drain(now)
-	if c.level++; c.level > c.burst+1e-6 {
-		c.fail(w, "%.3f more than %v a second admits, burst %v", c.level, c.whole[1], c.burst)
-	}
-}
-
-func (c *checker) underWay(w *world, n int) {
-	c.running += n
-	c.under = max(c.under, float64(c.running)/c.whole[2])
-	if n > 0 && float64(c.running) > c.whole[2] {
-		c.fail(w, "%d under way of %v", c.running, c.whole[2])
-	}
-}
-
-func (c *checker) use(w *world, inc uint64, amount float64) {
-	c.used = append(c.used, used{inc, amount, w.now})
-	for c.used[0].at <= w.now-500*time.Millisecond {
-		c.used = c.used[1:]
-	}
-	most, sum := map[uint64]float64{}, 0.0
-	for _, u := range c.used {
-		if d := u.amount - most[u.inc]; d > 0 {
-			most[u.inc] += d
-			sum += d
+		if i == 1 && (s.Bound || s.Burst > c.burst) {
+			c.burst = s.Burst
 		}
 	}
-	c.parted = max(c.parted, sum/c.whole[0])
-	if sum > c.whole[0]+1e-4 {
-		c.fail(w, "%.3f used within the window of %v", sum, c.whole[0])
-	}
+	c.part.Whole, c.under.Whole = c.whole[0], c.whole[2]
+	c.rate.Set(w.now, c.whole[1], c.burst)
 }
 
 // simulate runs worlds until one is found wrong; it tells how many were.
@@ -413,7 +357,7 @@
 				for what, count := range w.faults {
 					all[what] += count
 				}
-				under, parted = max(under, w.check.under), max(parted, w.check.parted)
+				under, parted = max(under, w.check.under.Fill), max(parted, w.check.part.Fill)
 				if w.check.wrong != "" {
 					wrong = append(wrong, fmt.Sprintf("seed %d %s", seed, w.check.wrong))
 				}
