--- a/internal/fleet/recordstore/study_test.go
+++ b/internal/fleet/recordstore/study_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"os"
+	"regexp"
 	"runtime"
 	"slices"
 	"testing"
@@ -48,6 +49,9 @@
 		}))
 	}
 	took := time.Since(begun)
+	status, err := os.ReadFile("/proc/self/status")
+	require.NoError(t, err)
+	t.Logf("resident memory, the file's pages included: %s", regexp.MustCompile(`(?m)^(VmRSS|RssAnon|RssFile|RssShmem):.*$`).FindAll(status, -1))
 	size, err := s.Size()
 	require.NoError(t, err)
 	t.Logf("into the store, %d a transaction: %.0f records a second; file %.0f bytes a record, heap %.1f MB more", batch, float64(n)/took.Seconds(), float64(size)/float64(n), memory()-before)
