Rig: what a process's door says, and whom clients ask

Tests of the fleet read its state at the operators' door and start plans there; paths, bodies and patterns are the test's own strings, since the door of the fleet is not there yet. Says waits for what a door says, in place of each test's own loop. Rig.To lets a test skew or move the demand between processes.

--- a/internal/fleet/rig/process.go
+++ b/internal/fleet/rig/process.go
@@ -6,10 +6,14 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"text/template"
@@ -159,6 +163,43 @@
 	return demo.Ready(context.Background(), p.Addr("listen"), ended)
 }
 
+// Ask asks its operators' door, and returns the status and text of the answer.
+func (p *Process) Ask(method, path, body string, until time.Time) (status int, text string, err error) {
+	ctx, cancel := context.WithDeadline(context.Background(), until)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+p.Addr("admin")+path, strings.NewReader(body))
+	if err != nil {
+		return 0, "", err
+	}
+	req.Close = true
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	got, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(got), err
+}
+
+// Says asks its door again and again until what is there matches a pattern, and
+// returns the match and its groups.
+func (p *Process) Says(path, pattern string, until time.Time) ([]string, error) {
+	re, err := regexp.Compile("(?s)" + pattern)
+	if err != nil {
+		return nil, err
+	}
+	for {
+		_, text, err := p.Ask(http.MethodGet, path, "", until)
+		if m := re.FindStringSubmatch(text); m != nil && err == nil {
+			return m, nil
+		}
+		if time.Now().After(until) {
+			return nil, errors.Join(fmt.Errorf("%s does not say %s at %s: %q", p.Name, pattern, path, text), err)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
 // Runs tells whether it runs, or is frozen.
 func (p *Process) Runs() bool {
 	p.mu.Lock()
--- a/internal/fleet/rig/rig.go
+++ b/internal/fleet/rig/rig.go
@@ -39,6 +39,7 @@
 	Processes []*Process // n1, n2 and so on
 	Till      *standin.Till
 	Answers   standin.Answers
+	To        func() *Process // whom a client's try goes to; nil: any, by chance
 
 	t       testing.TB
 	binary  string
@@ -117,7 +118,7 @@
 	}
 }
 
-// Begin lets clients ask: each try goes to any process, running or not.
+// Begin lets clients ask.
 func (r *Rig) Begin() {
 	ctx, stop := context.WithCancel(context.Background())
 	r.stop = stop
@@ -127,7 +128,11 @@
 		r.calls = append(r.calls, c)
 	}}
 	r.all.Go(func() {
-		standin.HTTPClients(ctx, func() string { return r.Processes[r.draw(len(r.Processes))].Addr("listen") }, "h", mix, &r.Answers)
+		to := r.To
+		if to == nil {
+			to = func() *Process { return r.Processes[r.draw(len(r.Processes))] }
+		}
+		standin.HTTPClients(ctx, func() string { return to().Addr("listen") }, "h", mix, &r.Answers)
 	})
 }
 
--- a/internal/fleet/rig/rig_test.go
+++ b/internal/fleet/rig/rig_test.go
@@ -41,6 +41,14 @@
 	own, err := two.Reach("n2", "listen")
 	require.NoError(t, err)
 	require.Equal(t, two.Addr("listen"), own)
+	status, _, err := two.Ask(http.MethodPost, "/nowhere", "x", time.Now().Add(patience))
+	require.NoError(t, err)
+	require.Equal(t, http.StatusNotFound, status)
+	said, err := two.Says("/healthcheck", "^(.*)$", time.Now().Add(patience))
+	require.NoError(t, err)
+	require.Len(t, said, 2)
+	_, err = two.Says("/healthcheck", "nothing like it", time.Now())
+	require.ErrorContains(t, err, "does not say")
 	link := r.Links(0, 1)[0]
 	for name, silent := range map[string]bool{"is cut from": true, "is cut off": true, "is refused by": true, "is not heard by": true, "is late at": false,
 		"is slow at": true, "has its calls reset by": false, "has its calls twice at": false} {
