--- a/internal/core/transaction.go
+++ b/internal/core/transaction.go
@@ -21,15 +21,21 @@
 	Hint              time.Duration
 	Slots, Memory     float64
 	Once              bool   // an error ends it; see basaltloft.Request
+	NotMember         string // not to be sent there, or, with NotItsZone, anywhere in that one's zone
+	NotItsZone        bool
 	Needs             string // only members that offer it may have this one; empty: any
 	Retry             bool
 	Client            Client
 	Booked            any // the books' own
 
 	sends    int
+	short    bool // another attempt was not to be had of the fleet's budget
 	live     *Flow
 	answered bool
 	last     basaltloft.Status // how the last flow ended
+	mayRun   bool              // some flow that ended may have run
+	at       string            // the member of the last flow
+	said     []byte            // with the last error of a member
 	due      *timer            // its deadline
 }
 
@@ -66,6 +72,13 @@
 	RetryAt time.Time // Refused: when to come back; zero: no advice
 	Reason  account.Reason
 	Ran     bool // Refused: a member has run it and called it failed, which its class lets be repeated
+
+	// What came before it, for who decides what follows; the core sets them.
+	Sends      int               // flows
+	MayHaveRun bool              // at some member, or may yet
+	Last       basaltloft.Status // how the last flow ended; of no meaning without flows
+	Member     string            // that the last flow went to
+	Said       []byte            // with the last error of a member
 }
 
 // Flow is a server-side flow: one attempt of a transaction at a pool member.
@@ -81,6 +94,7 @@
 	Load basaltloft.Report
 
 	ended bool
+	place Place  // among what is under way in the fleet; nil: none is needed
 	due   *timer // its deadline
 }
 
--- a/internal/service/assembly.go
+++ b/internal/service/assembly.go
@@ -46,7 +46,15 @@
 	s.keeper = figures.NewKeeper(counted)
 	s.chain = stage.New(c.Settings, s.limits, s.keeper, s.log)
 	var err error
-	if s.hub, err = core.New(c.Settings, s.chain, s.log); err != nil {
+	var spending core.Spending
+	if f := o.Operator.Fleet; f != nil {
+		if s.fleet, err = s.newFleet(f); err != nil {
+			return nil, err
+		}
+		s.chain.Share(s.fleet.agent)
+		spending = s.fleet.agent
+	}
+	if s.hub, err = core.New(c.Settings, s.chain, spending, s.log); err != nil {
 		return nil, err
 	}
 	s.hub.Bound(o.Operator.Behind)
@@ -56,6 +64,9 @@
 
 	http := virtualserver.New(s.hub, s.chain, s.log)
 	desks := []*account.Desk{&http.Desk}
+	if s.fleet != nil {
+		desks = append(desks, &s.fleet.plans.desk)
+	}
 	s.operators = newOperators(s, http)
 	front := &component{
 		name: "virtual server", listen: c.Listen, inherit: c.AcceptFD,
@@ -72,6 +83,9 @@
 	if c.Admin != "" {
 		http.Elsewhere = s.operators.elsewhere
 		d := door.New(s.operators, s.log)
+		if s.fleet != nil {
+			d.With(s.fleet)
+		}
 		s.components = append(s.components, &component{name: "operators' door", listen: c.Admin, serve: d.Serve})
 	}
 	if f := o.Operator.Faktory; f != nil {
