Soak of a joined fleet: a budget under faults of all kinds, digests compared

Overspends are counted from clients and members alone; digests are what keepers say of their state at the same place of the log, during the soak and at its end. Counts takes the functions of what only a part of the fleet has; plans and records have none yet and are "not counted".

--- a/internal/fleet/rig/rig.go
+++ b/internal/fleet/rig/rig.go
@@ -26,11 +26,12 @@
 // Settings are what a rig is to be.
 type Settings struct {
 	Processes int
-	Load      demo.Load // Members, Slots, Run, Troubles, Rate and Seed
-	Operator  string    // the template of the operators' files, see Process; empty: none
-	Tags      string    // build tags of the program
-	Env       []string  // more of the processes' environment
-	Args      []string  // more of their arguments
+	Load      demo.Load           // Members, Slots, Run, Troubles, Rate and Seed
+	Operator  string              // the template of the operators' files, see Process; empty: none
+	Tags      string              // build tags of the program
+	Env       []string            // more of the processes' environment
+	Args      []string            // more of their arguments
+	To        func(*Rig) *Process // whom a client's try goes to; nil: any, by chance
 }
 
 // Rig is processes and what is around them.
@@ -39,7 +40,6 @@
 	Processes []*Process // n1, n2 and so on
 	Till      *standin.Till
 	Answers   standin.Answers
-	To        func() *Process // whom a client's try goes to; nil: any, by chance
 
 	t       testing.TB
 	binary  string
@@ -128,11 +128,12 @@
 		r.calls = append(r.calls, c)
 	}}
 	r.all.Go(func() {
-		to := r.To
-		if to == nil {
-			to = func() *Process { return r.Processes[r.draw(len(r.Processes))] }
-		}
-		standin.HTTPClients(ctx, func() string { return to().Addr("listen") }, "h", mix, &r.Answers)
+		standin.HTTPClients(ctx, func() string {
+			if r.To != nil {
+				return r.To(r).Addr("listen")
+			}
+			return r.Any().Addr("listen")
+		}, "h", mix, &r.Answers)
 	})
 }
 
@@ -210,10 +211,11 @@
 	return l.Addr(), nil
 }
 
-func (r *Rig) draw(n int) int {
+// Any is one of the processes, by chance.
+func (r *Rig) Any() *Process {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.random.IntN(n)
+	return r.Processes[r.random.IntN(len(r.Processes))]
 }
 
 func (r *Rig) close() {
--- a/internal/fleet/rig/rig_test.go
+++ b/internal/fleet/rig/rig_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -143,7 +144,37 @@
 func today(processes int, seed uint64) Soak {
 	load := demo.Load{Members: 6, Rate: 60, Seed: seed}
 	load.Troubles.TurnAway, load.Troubles.Fail, load.Troubles.Break, load.Troubles.Again = 0.02, 0.01, 0.005, 0.1
-	return Soak{Settings: Settings{Processes: processes, Load: load}, Kinds: []string{"is killed", "is frozen", "is asked to end"}, Counts: Counts()}
+	return Soak{Settings: Settings{Processes: processes, Load: load}, Kinds: []string{"is killed", "is frozen", "is asked to end"}, Counts: Counts(nil)}
+}
+
+// joined is a soak of a fleet of three keepers and two more, with a budget for a
+// tenant who asks for more, under faults of all kinds. Half of the demand is at one
+// process, and moves.
+func joined(seed uint64) Soak {
+	const rate, burst = 12, 6
+	s, digests := today(5, seed), new(Digests)
+	s.Kinds, s.Load.Rate = nil, 120
+	began := time.Now()
+	s.To = func(r *Rig) *Process {
+		if p := r.Any(); p.place > 1 {
+			return p
+		}
+		return r.Processes[int(time.Since(began)/(7*time.Second))%len(r.Processes)]
+	}
+	s.Operator = `{"fleet":{"name":"{{.Name}}","folder":"{{.Folder}}",{{if le .Name "n3"}}"calls":"{{.Addr "calls"}}","votes":"{{.Addr "votes"}}",{{end}}
+"keepers":{{.Peers 3 "calls" "votes"}},"lease_ms":1500,"election_ms":400,"compare_every_ms":500,
+"budgets":[{"of":"jobs","name":"` + demo.Tenants[0] + fmt.Sprintf(`","whole":%d,"burst":%d}]}}`, rate, burst)
+	s.Beside = append(s.Beside, digests.Watch)
+	s.Counts = Counts(map[string]func(*Rig) ([]string, error){
+		"overspends": func(r *Rig) (over []string, _ error) {
+			if by, window := Overspent(r.Admitted(demo.Tenants[0]), rate, burst); by > 0 {
+				over = append(over, fmt.Sprintf("by %.2f in the %v from %v", by, window.To.Sub(window.From), window.From))
+			}
+			return over, nil
+		},
+		"digests that differed": func(r *Rig) ([]string, error) { return digests.Differed(r, 3) },
+	})
+	return s
 }
 
 // TestFaults is the short form of the soak.
@@ -154,5 +185,5 @@
 	if *soakFor == 0 {
 		t.Skip("it takes as long as -args -soak says")
 	}
-	t.Log(today(5, *soakSeed).Run(t, *soakFor))
+	t.Log(joined(*soakSeed).Run(t, *soakFor))
 }
--- a/internal/fleet/rig/soak.go
+++ b/internal/fleet/rig/soak.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -28,10 +31,10 @@
 	Of   func(*Rig) ([]string, error) // which; nil: nothing counts them, which is said
 }
 
-// Counts are those of a soak of any processes. What has no way to count it yet
-// belongs to a part of the fleet that a test of that part adds.
-func Counts() []Count {
-	return []Count{
+// Counts are those of a soak of any processes, and with them those that are told
+// apart by name: what only a part of the fleet has is counted by its test.
+func Counts(more map[string]func(*Rig) ([]string, error)) []Count {
+	all := []Count{
 		{"overspends", true, nil},
 		{"plans ended once", false, nil},
 		{"plans ended never or otherwise", true, nil},
@@ -51,6 +54,93 @@
 		{"resurrected", true, nil},
 		{"digests that differed", true, nil},
 	}
+	for i := range all {
+		if of := more[all[i].Name]; of != nil {
+			all[i].Of = of
+		}
+	}
+	return all
+}
+
+// Admitted are the times within which each try of a tenant was admitted: after
+// its client sent it, and before a member got it.
+func (r *Rig) Admitted(tenant string) (all []Span) {
+	first := make(map[string]time.Time)
+	for _, a := range r.Till.Arrivals() {
+		if at, ok := first[a.ID]; !ok || a.At.Before(at) {
+			first[a.ID] = a.At
+		}
+	}
+	for _, c := range r.Calls() {
+		if at, ok := first[c.ID]; ok && c.Tenant == tenant {
+			all = append(all, Span{c.Sent, at})
+		}
+	}
+	return all
+}
+
+// Digests are what keepers said of their state, by how much of the log it had.
+type Digests struct {
+	mu   sync.Mutex
+	said map[uint64]map[string]string // by part
+	last map[string]uint64            // by process
+	diff []string
+}
+
+// Watch asks all processes until the context ends. It is for Soak.Beside.
+func (d *Digests) Watch(ctx context.Context, r *Rig) {
+	for ctx.Err() == nil {
+		for _, p := range r.Processes {
+			d.look(p)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(200 * time.Millisecond):
+		}
+	}
+}
+
+func (d *Digests) look(p *Process) {
+	var s struct {
+		Keeper *struct {
+			Index   uint64
+			Digests map[string]string
+		}
+	}
+	_, text, err := p.Ask("GET", "/fleet", "", time.Now().Add(time.Second))
+	if err != nil || json.Unmarshal([]byte(text), &s) != nil || s.Keeper == nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.said == nil {
+		d.said, d.last = make(map[uint64]map[string]string), make(map[string]uint64)
+	}
+	at := s.Keeper.Index
+	d.last[p.Name] = at
+	if was := d.said[at]; was == nil {
+		d.said[at] = s.Keeper.Digests
+	} else if !maps.Equal(was, s.Keeper.Digests) {
+		d.diff = append(d.diff, fmt.Sprintf("%s at %d: %v, before %v", p.Name, at, s.Keeper.Digests, was))
+	}
+}
+
+// Differed waits until so many keepers have told of the same state, and returns
+// all that were seen to differ.
+func (d *Digests) Differed(r *Rig, keepers int) ([]string, error) {
+	for until := time.Now().Add(patience); time.Now().Before(until); {
+		for _, p := range r.Processes {
+			d.look(p)
+		}
+		d.mu.Lock()
+		ends := slices.Compact(slices.Sorted(maps.Values(d.last)))
+		diff, told := slices.Clone(d.diff), len(d.last)
+		d.mu.Unlock()
+		if told == keepers && len(ends) == 1 {
+			return diff, nil
+		}
+	}
+	return nil, fmt.Errorf("%d keepers did not come to the same state: %v", keepers, d.last)
 }
 
 // Run soaks for a time with faults that end within it, and returns the line of
