Rig: digests that differ are found by a test of their own

Two doors that tell of planted digests: alike, different at one place of the log, alike again, and never at one place. Differed takes the time until which it waits.

--- a/internal/fleet/rig/check_test.go
+++ b/internal/fleet/rig/check_test.go
@@ -1,6 +1,10 @@
 package rig
 
 import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -134,3 +138,34 @@
 		require.Equal(t, c.good, err == nil, "%s: %v", name, err)
 	}
 }
+
+// TestDigests: keepers that differ at one place of the log are found, also when
+// they are alike again later; so are keepers that never come to one place.
+func TestDigests(t *testing.T) {
+	r := new(Rig)
+	say := make([]string, 2)
+	for i := range say {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, say[i]) }))
+		defer s.Close()
+		r.Processes = append(r.Processes, &Process{Name: fmt.Sprintf("n%d", i+1), addrs: map[string]string{"admin": s.Listener.Addr().String()}})
+	}
+	keeper := func(index int, digest string) string {
+		return fmt.Sprintf(`{"Process":"n","Keeper":{"Index":%d,"Digests":{"members":%q}}}`, index, digest)
+	}
+	var d Digests
+	for _, c := range []struct {
+		one, two string
+		differ   int
+	}{{keeper(5, "aa"), keeper(5, "aa"), 0}, {keeper(7, "bb"), keeper(7, "cc"), 1}, {keeper(8, "dd"), keeper(8, "dd"), 1}} {
+		say[0], say[1] = c.one, c.two
+		got, err := d.Differed(r, 2, time.Now().Add(patience))
+		require.NoError(t, err)
+		require.Len(t, got, c.differ)
+	}
+	say[1] = keeper(9, "ee")
+	_, err := d.Differed(r, 2, time.Now().Add(50*time.Millisecond))
+	require.Error(t, err)
+	say[1] = `{"Process":"n"}` // no keeper: it tells of nothing
+	_, err = new(Digests).Differed(r, 2, time.Now().Add(50*time.Millisecond))
+	require.Error(t, err)
+}
--- a/internal/fleet/rig/rig_test.go
+++ b/internal/fleet/rig/rig_test.go
@@ -172,7 +172,7 @@
 			}
 			return over, nil
 		},
-		"digests that differed": func(r *Rig) ([]string, error) { return digests.Differed(r, 3) },
+		"digests that differed": func(r *Rig) ([]string, error) { return digests.Differed(r, 3, time.Now().Add(patience)) },
 	})
 	return s
 }
--- a/internal/fleet/rig/soak.go
+++ b/internal/fleet/rig/soak.go
@@ -127,8 +127,8 @@
 
 // Differed waits until so many keepers have told of the same state, and returns
 // all that were seen to differ.
-func (d *Digests) Differed(r *Rig, keepers int) ([]string, error) {
-	for until := time.Now().Add(patience); time.Now().Before(until); {
+func (d *Digests) Differed(r *Rig, keepers int, until time.Time) ([]string, error) {
+	for time.Now().Before(until) {
 		for _, p := range r.Processes {
 			d.look(p)
 		}
