--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -5,13 +5,17 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"basaltloft/internal/demo"
 	"basaltloft/internal/faultlink"
 	"basaltloft/internal/fleet/rig"
+	"basaltloft/internal/standin"
 
 	"github.com/stretchr/testify/require"
 )
@@ -22,9 +26,18 @@
 {{if le .Name "n3"}}"calls":"{{.Addr "calls"}}","votes":"{{.Addr "votes"}}",{{end}}
 "keepers":{{.Peers 3 "calls" "votes"}},"lease_ms":1500,"election_ms":400,"compare_every_ms":500%s}}`
 
+// logs are further arguments of the processes.
+var logs = strings.Fields(os.Getenv("BASALTLOFT_ARGS"))
+
 func found(t *testing.T, processes int, load demo.Load, more string) *rig.Rig {
 	t.Helper()
-	r := rig.New(t, rig.Settings{Processes: processes, Load: load, Operator: fmt.Sprintf(section, more)})
+	return foundWith(t, rig.Settings{Processes: processes, Load: load}, more)
+}
+
+func foundWith(t *testing.T, s rig.Settings, more string) *rig.Rig {
+	t.Helper()
+	s.Operator, s.Args = fmt.Sprintf(section, more), logs
+	r := rig.New(t, s)
 	r.Start()
 	for _, p := range r.Processes {
 		joined(t, p)
@@ -181,3 +194,218 @@
 	require.Empty(t, r.Till.Twice())
 	alike(t, r)
 }
+
+// bookings is a plan of three stages; its ticket must never run twice. The sid of each
+// job is what it is for, over all attempts.
+const bookings = `
+plan "booking" {
+  within   = "6m" # the worst case of the check; each run asks for less
+  attempts = 60
+  stage "hold" {
+    class = "place-hold"
+    each  = input.seats
+    most  = 3
+    path  = "/place-hold?sid=${segment(input.booking)}-${item}"
+    body  = { seat = item }
+    key   = "${input.booking}-${item}"
+    retry {
+      on   = ["refused", "full", "unsent", "late", "reset"]
+      most = 4
+      wait = "50ms"
+    }
+    undo {
+      class = "place-hold"
+      path  = "/place-hold?sid=${segment(input.booking)}-${item}-release"
+      key   = "${input.booking}-${item}-release"
+      most  = 2
+      wait  = "100ms"
+    }
+  }
+  stage "ticket" {
+    class = "group-ticket"
+    after = ["hold"]
+    path  = "/group-ticket?sid=${segment(input.booking)}"
+    body  = { seats = length(hold) }
+    retry {
+      on   = ["refused", "full", "unsent"]
+      most = 4
+      wait = "50ms"
+    }
+  }
+  stage "notice" {
+    class = "send-notice"
+    after = ["ticket"]
+    path  = "/send-notice?sid=${segment(input.booking)}"
+    retry {
+      on   = ["refused", "full", "unsent", "late", "failed", "reset"]
+      most = 4
+      wait = "50ms"
+    }
+  }
+}
+`
+
+// begin begins a run at some process, asking again elsewhere until it is known to have
+// begun.
+func begin(t *testing.T, r *rig.Rig, at int, run string) {
+	t.Helper()
+	input := fmt.Sprintf(`{"booking":%q,"seats":[1,2,3]}`, run)
+	for until := time.Now().Add(30 * time.Second); time.Now().Before(until); at++ {
+		p := r.Processes[at%len(r.Processes)]
+		if code, _ := ask(p, http.MethodPost, "/plans/booking?within_ms=25000&tenant="+demo.Tenants[0]+"&run="+run, input); code == http.StatusAccepted || code == http.StatusOK {
+			return
+		}
+	}
+	t.Fatalf("run %s could not be begun", run)
+}
+
+// ends asks each process for the final answers of runs until all have one.
+func ends(t *testing.T, r *rig.Rig, runs []string) (all []rig.End) {
+	t.Helper()
+	for i, p := range r.Processes {
+		for _, run := range runs {
+			require.Eventually(t, func() bool {
+				code, text := ask(p, http.MethodGet, "/runs/"+run, "")
+				if code == http.StatusOK {
+					all = append(all, rig.End{ID: run, Text: text})
+				}
+				return code == http.StatusOK
+			}, 60*time.Second, 20*time.Millisecond, "%s tells the end of %s", p.Name, run)
+			if i > 0 && run > runs[0] {
+				break // one is enough of each other process
+			}
+		}
+	}
+	return all
+}
+
+// TestPlansThroughFaults: coordinators are killed, frozen and cut off while their plans
+// run. Each plan ends once, with one answer whoever is asked; no ticket runs twice.
+func TestPlansThroughFaults(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "plans.hcl")
+	require.NoError(t, os.WriteFile(file, []byte(bookings), 0o600))
+	r := found(t, 5, demo.Load{Members: 6, Slots: 8, Run: 60 * time.Millisecond, Seed: 11, Troubles: standin.Troubles{TurnAway: 0.1}},
+		fmt.Sprintf(`,"plans":[%q]`, file))
+	var runs []string
+	more := func(n int) {
+		for range n {
+			run := fmt.Sprintf("b%03d", len(runs))
+			begin(t, r, len(runs), run)
+			runs = append(runs, run)
+		}
+	}
+	more(15)
+	require.NoError(t, r.Processes[4].Kill())
+	more(10)
+	require.NoError(t, r.Processes[3].Freeze())
+	more(6)
+	time.Sleep(2 * time.Second) // the fault itself: others take its plans over meanwhile
+	require.NoError(t, r.Processes[3].Thaw())
+	lead := leader(t, r)
+	more(6)
+	require.NoError(t, r.Processes[lead].Kill())
+	require.NoError(t, r.Processes[lead].Wipe())
+	more(6)
+	require.NoError(t, r.Processes[lead].Start())
+	require.NoError(t, r.Processes[4].Start())
+	joined(t, r.Processes[lead])
+	joined(t, r.Processes[4])
+	more(4)
+	told := rig.Ended(runs, ends(t, r, runs))
+	require.Empty(t, told.Never)
+	require.Empty(t, told.Differ)
+	require.Empty(t, rig.Twice(r.Till.Arrivals(), demo.Once), "no ticket twice")
+	outcomes := map[string]int{}
+	for _, run := range runs {
+		_, text := ask(r.Processes[0], http.MethodGet, "/runs/"+run, "")
+		var a struct{ Outcome, Stage, End, Reason string }
+		require.NoError(t, json.Unmarshal([]byte(text), &a))
+		outcomes[a.Outcome]++
+		if a.Outcome == "served" {
+			continue
+		}
+		t.Log(run, text)
+	}
+	require.Greater(t, outcomes["served"], len(runs)/2, "%v", outcomes)
+	alike(t, r)
+}
+
+// coach shares a price list among its seats; each seat that was given an older one than
+// the members have says so.
+const coach = `
+plan "coach" {
+  within   = "20m"
+  attempts = 800
+  stage "prices" {
+    class = "send-notice"
+    path  = "/send-notice?sid=prices"
+    retry {
+      on   = ["refused", "full", "unsent", "late", "failed", "reset"]
+      most = 2
+      wait = "50ms"
+    }
+  }
+  stage "hold" {
+    class = "place-hold"
+    after = ["prices"]
+    each  = input.seats
+    most  = 50
+    path  = "/place-hold?sid=seat-${item}"
+    body  = { list = prices.list }
+    key   = "${input.booking}-${item}"
+    rerun "prices" {
+      when = end == "failed" && try(result.stale, "") == "prices"
+      most = 2
+    }
+    retry {
+      on   = ["refused", "full", "unsent", "late", "reset"]
+      most = 4
+      wait = "50ms"
+    }
+  }
+}
+`
+
+// TestFiftyLoseOneOutput: fifty jobs on many members report at once that what they were
+// given is stale, while the keepers' leader is killed. It is made anew once, for all.
+func TestFiftyLoseOneOutput(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "plans.hcl")
+	require.NoError(t, os.WriteFile(file, []byte(coach), 0o600))
+	var lists, stale atomic.Int64
+	some := make(chan struct{}) // closed once some have reported
+	r := foundWith(t, rig.Settings{Processes: 4, Load: demo.Load{Members: 8, Slots: 8, Run: 20 * time.Millisecond, Seed: 3},
+		Ends: func(class, _ string, body []byte) (string, string) {
+			switch {
+			case class == "send-notice":
+				return "done", fmt.Sprintf(`{"list":%d}`, lists.Add(1))
+			case strings.Contains(string(body), `"list":1`):
+				if stale.Add(1) == 10 {
+					close(some)
+				}
+				return "failed", `{"stale":"prices"}`
+			}
+			return "done", `{}`
+		}}, fmt.Sprintf(`,"plans":[%q]`, file))
+	seats := make([]int, 50)
+	for i := range seats {
+		seats[i] = i
+	}
+	text, err := json.Marshal(map[string]any{"booking": "c1", "seats": seats})
+	require.NoError(t, err)
+	code, answer := ask(r.Processes[3], http.MethodPost, "/plans/coach?run=c1&within_ms=60000&tenant="+demo.Tenants[0], string(text))
+	require.Equal(t, http.StatusAccepted, code, answer)
+	<-some
+	require.NoError(t, r.Processes[leader(t, r)].Kill())
+	var a struct {
+		Outcome  string
+		Attempts int
+	}
+	require.Eventually(t, func() bool {
+		code, answer = ask(r.Processes[3], http.MethodGet, "/runs/c1", "")
+		return code == http.StatusOK
+	}, 60*time.Second, 20*time.Millisecond)
+	require.NoError(t, json.Unmarshal([]byte(answer), &a))
+	require.Equal(t, "served", a.Outcome, answer)
+	require.EqualValues(t, 2, lists.Load(), "the list was made anew once for fifty reports")
+	t.Logf("%d attempts", a.Attempts)
+}
