Soak: bookings run beside the clients, and their ends are asked for twice

Plans are on the fleet now. A booking is begun five times a second at any process, at another until one says that it is begun, and its final answer is asked for at two processes once all is quiet: ended once, never, or with another text each time. What differs is shown.

--- a/internal/fleet/rig/check.go
+++ b/internal/fleet/rig/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"basaltloft/internal/standin"
@@ -94,8 +95,8 @@
 
 // Ends is what became of what was asked.
 type Ends struct {
-	Once                          int      // asked, and ended with one text
-	Never, Again, Differ, Unasked []string // no end; more than one, as the same; as others; nobody asked
+	Once                          []string // asked, and ended with one text
+	Never, Again, Differ, Unasked []string // no end; more than one, as the same; as others, with their texts; nobody asked
 }
 
 // Ended holds final answers against what was asked. Again is wrong of a call,
@@ -114,16 +115,16 @@
 	}
 	for _, id := range slices.Compact(slices.Sorted(slices.Values(asked))) {
 		all := texts[id]
-		switch kinds := len(slices.Compact(slices.Sorted(slices.Values(all)))); {
-		case kinds == 0:
+		switch kinds := slices.Compact(slices.Sorted(slices.Values(all))); {
+		case len(kinds) == 0:
 			e.Never = append(e.Never, id)
-		case kinds > 1:
-			e.Differ = append(e.Differ, id)
+		case len(kinds) > 1:
+			e.Differ = append(e.Differ, id+": "+strings.Join(kinds, " | "))
 		case len(all) > 1:
 			e.Again = append(e.Again, id)
 			fallthrough
 		default:
-			e.Once++
+			e.Once = append(e.Once, id)
 		}
 	}
 	return e
--- a/internal/fleet/rig/check_test.go
+++ b/internal/fleet/rig/check_test.go
@@ -63,7 +63,7 @@
 	require.Equal(t, 3, MostAtOnce([]Span{{ms(0), ms(10)}, {ms(9), ms(20)}, {From: ms(1)}}))
 
 	e := Ended([]string{"a", "b", "c", "d"}, []End{{"a", "sold"}, {"b", "sold"}, {"b", "sold"}, {"c", "sold"}, {"c", "gave up"}, {"x", "sold"}})
-	require.Equal(t, Ends{Once: 2, Never: []string{"d"}, Again: []string{"b"}, Differ: []string{"c"}, Unasked: []string{"x"}}, e)
+	require.Equal(t, Ends{Once: []string{"a", "b"}, Never: []string{"d"}, Again: []string{"b"}, Differ: []string{"c: gave up | sold"}, Unasked: []string{"x"}}, e)
 
 	ticket, hold := "group-ticket", "place-hold"
 	log := []standin.Arrival{
--- a/internal/fleet/rig/rig_test.go
+++ b/internal/fleet/rig/rig_test.go
@@ -149,10 +149,16 @@
 
 // joined is a soak of a fleet of three keepers and two more, with a budget for a
 // tenant who asks for more, under faults of all kinds. Half of the demand is at one
-// process, and moves.
+// process, and moves. Bookings run beside it.
 func joined(seed uint64) Soak {
 	const rate, burst = 12, 6
+	plans, err := filepath.Abs("testdata/booking.hcl")
+	if err != nil {
+		panic(err)
+	}
 	s, digests := today(5, seed), new(Digests)
+	runs := &Bookings{Plan: "booking", Query: "within_ms=25000&tenant=" + demo.Tenants[1], Every: 200 * time.Millisecond}
+	var told Ends // once all is quiet
 	s.Kinds, s.Load.Rate = nil, 120
 	began := time.Now()
 	s.To = func(r *Rig) *Process {
@@ -163,8 +169,8 @@
 	}
 	s.Operator = `{"fleet":{"name":"{{.Name}}","folder":"{{.Folder}}",{{if le .Name "n3"}}"calls":"{{.Addr "calls"}}","votes":"{{.Addr "votes"}}",{{end}}
 "keepers":{{.Peers 3 "calls" "votes"}},"lease_ms":1500,"election_ms":400,"compare_every_ms":500,
-"budgets":[{"of":"jobs","name":"` + demo.Tenants[0] + fmt.Sprintf(`","whole":%d,"burst":%d}]}}`, rate, burst)
-	s.Beside = append(s.Beside, digests.Watch)
+"budgets":[{"of":"jobs","name":"` + demo.Tenants[0] + fmt.Sprintf(`","whole":%d,"burst":%d}],"plans":[%q]}}`, rate, burst, plans)
+	s.Beside = append(s.Beside, digests.Watch, runs.Begin)
 	s.Counts = Counts(map[string]func(*Rig) ([]string, error){
 		"overspends": func(r *Rig) (over []string, _ error) {
 			if by, window := Overspent(r.Admitted(demo.Tenants[0]), rate, burst); by > 0 {
@@ -172,7 +178,12 @@
 			}
 			return over, nil
 		},
-		"digests that differed": func(r *Rig) ([]string, error) { return digests.Differed(r, 3, time.Now().Add(patience)) },
+		"plans ended once": func(r *Rig) ([]string, error) {
+			told = runs.Told(r, time.Now().Add(2*patience))
+			return told.Once, nil
+		},
+		"plans ended never or otherwise": func(*Rig) ([]string, error) { return append(told.Never, told.Differ...), nil },
+		"digests that differed":          func(r *Rig) ([]string, error) { return digests.Differed(r, 3, time.Now().Add(patience)) },
 	})
 	return s
 }
--- a/internal/fleet/rig/soak.go
+++ b/internal/fleet/rig/soak.go
@@ -177,3 +177,46 @@
 	}
 	return strings.Join(line, ", ")
 }
+
+// Bookings begins runs of a plan, and holds what it is told of their ends.
+type Bookings struct {
+	Plan, Query string        // of the call that begins one
+	Every       time.Duration // from one to the next
+	begun       []string      // by Begin, until its end
+}
+
+// Begin begins runs until the context ends, each at any process, and at another
+// as long as nobody has said that it is begun. It is for Soak.Beside.
+func (b *Bookings) Begin(ctx context.Context, r *Rig) {
+	for n := 0; ctx.Err() == nil; n++ {
+		run := fmt.Sprintf("run-%05d", n)
+		b.begun = append(b.begun, run)
+		for until := time.Now().Add(patience); time.Now().Before(until); { // also past the context's end
+			path := "/plans/" + b.Plan + "?run=" + run + "&" + b.Query
+			status, _, err := r.Any().Ask("POST", path, fmt.Sprintf(`{"booking":%q}`, run), time.Now().Add(2*time.Second))
+			if err == nil && (status == 200 || status == 202) {
+				break
+			}
+			time.Sleep(b.Every / 8)
+		}
+		time.Sleep(b.Every)
+	}
+}
+
+// Told asks two processes for the end of each run, until a time at the latest.
+func (b *Bookings) Told(r *Rig, until time.Time) Ends {
+	var ends []End
+	for _, run := range b.begun {
+		for range 2 {
+			for p := r.Any(); time.Now().Before(until); p = r.Any() {
+				status, text, err := p.Ask("GET", "/runs/"+run, "", time.Now().Add(2*time.Second))
+				if err == nil && status == 200 {
+					ends = append(ends, End{run, text})
+					break
+				}
+				time.Sleep(5 * time.Millisecond)
+			}
+		}
+	}
+	return Ended(b.begun, ends)
+}
