A plan's final answer is the same text whoever is asked

The soak's bookings were told "end" before "stage" by one process and after it by another: the answer's fields were set in a map's order. They are set in one order now.

--- a/internal/service/plans.go
+++ b/internal/service/plans.go
@@ -145,9 +145,9 @@
 	o.Set("plan", arena.NewString(a.Plan))
 	o.Set("outcome", arena.NewString(a.Outcome.String()))
 	o.Set("attempts", arena.NewNumberInt(a.Attempts))
-	for name, text := range map[string]string{"stage": a.Stage, "end": string(a.End), "reason": a.Reason} {
-		if text != "" {
-			o.Set(name, arena.NewString(text))
+	for _, f := range [][2]string{{"stage", a.Stage}, {"end", string(a.End)}, {"reason", a.Reason}} {
+		if f[1] != "" {
+			o.Set(f[0], arena.NewString(f[1]))
 		}
 	}
 	if len(a.Left) > 0 {
--- /dev/null
+++ b/internal/service/plans_test.go
@@ -0,0 +1,17 @@
+package service
+
+import (
+	"testing"
+
+	"basaltloft/internal/fleet/planrun"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestAnswerText: a final answer is the same text whoever is asked, and how often.
+func TestAnswerText(t *testing.T) {
+	a := &planrun.Answer{Run: "r", Plan: "booking", Stage: "ticket", End: "may_have_run", Reason: "its coordinator died", Left: []string{"ticket"}}
+	for range 100 {
+		require.Equal(t, string(answerText(a)), string(answerText(a)))
+	}
+}
