--- a/internal/fleet/rig/rig.go
+++ b/internal/fleet/rig/rig.go
@@ -32,6 +32,7 @@
 	Env       []string                                                    // more of the processes' environment
 	Args      []string                                                    // more of their arguments
 	Ends      func(class, ask string, body []byte) (state, result string) // see standin.MemberSettings
+	To        func(*Rig) *Process                                         // whom a client's try goes to; nil: any, by chance
 }
 
 // Rig is processes and what is around them.
@@ -118,7 +119,7 @@
 	}
 }
 
-// Begin lets clients ask: each try goes to any process, running or not.
+// Begin lets clients ask.
 func (r *Rig) Begin() {
 	ctx, stop := context.WithCancel(context.Background())
 	r.stop = stop
@@ -128,7 +129,12 @@
 		r.calls = append(r.calls, c)
 	}}
 	r.all.Go(func() {
-		standin.HTTPClients(ctx, func() string { return r.Processes[r.draw(len(r.Processes))].Addr("listen") }, "h", mix, &r.Answers)
+		standin.HTTPClients(ctx, func() string {
+			if r.To != nil {
+				return r.To(r).Addr("listen")
+			}
+			return r.Any().Addr("listen")
+		}, "h", mix, &r.Answers)
 	})
 }
 
@@ -206,10 +212,11 @@
 	return l.Addr(), nil
 }
 
-func (r *Rig) draw(n int) int {
+// Any is one of the processes, by chance.
+func (r *Rig) Any() *Process {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.random.IntN(n)
+	return r.Processes[r.random.IntN(len(r.Processes))]
 }
 
 func (r *Rig) close() {
--- a/internal/fleet/rig/rig_test.go
+++ b/internal/fleet/rig/rig_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"flag"
+	"fmt"
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
@@ -26,8 +28,11 @@
 	one, two := r.Processes[0], r.Processes[1]
 	transport := &http.Transport{DisableKeepAlives: true}
 	defer transport.CloseIdleConnections()
-	asks := func(addr string) error { // until the answer, or for a little while
-		client := http.Client{Transport: transport, Timeout: 250 * time.Millisecond}
+	asks := func(addr string, quiet ...bool) error { // until the answer, or for a little while where none is to come
+		client := http.Client{Transport: transport, Timeout: patience}
+		if slices.Contains(quiet, true) {
+			client.Timeout = 250 * time.Millisecond
+		}
 		resp, err := client.Get("http://" + addr + "/health/ready")
 		if err == nil {
 			resp.Body.Close()
@@ -41,6 +46,14 @@
 	own, err := two.Reach("n2", "listen")
 	require.NoError(t, err)
 	require.Equal(t, two.Addr("listen"), own)
+	status, _, err := two.Ask(http.MethodPost, "/nowhere", "x", time.Now().Add(patience))
+	require.NoError(t, err)
+	require.Equal(t, http.StatusNotFound, status)
+	said, err := two.Says("/healthcheck", "^(.*)$", time.Now().Add(patience))
+	require.NoError(t, err)
+	require.Len(t, said, 2)
+	_, err = two.Says("/healthcheck", "nothing like it", time.Now())
+	require.ErrorContains(t, err, "does not say")
 	link := r.Links(0, 1)[0]
 	for name, silent := range map[string]bool{"is cut from": true, "is cut off": true, "is refused by": true, "is not heard by": true, "is late at": false,
 		"is slow at": true, "has its calls reset by": false, "has its calls twice at": false} {
@@ -48,7 +61,7 @@
 			f := Fault{For: 80 * time.Millisecond, Kind: name, Who: who, Whom: 1 - who, Rate: 50}
 			was := link.Counts()
 			require.NoError(t, kinds[name].begin(r, f))
-			require.Equal(t, silent, asks(addr) != nil, f)
+			require.Equal(t, silent, asks(addr, silent) != nil, f)
 			if name == "is not heard by" {
 				require.Equal(t, who == 0, link.Counts().Lost[faultlink.Forth] > was.Lost[faultlink.Forth], f)
 			}
@@ -58,7 +71,7 @@
 		}
 	}
 	require.NoError(t, two.Freeze())
-	require.Error(t, asks(own))
+	require.Error(t, asks(own, true))
 	require.NoError(t, two.Thaw())
 	require.Eventually(t, func() bool { return asks(own) == nil }, patience, time.Millisecond)
 
@@ -131,7 +144,48 @@
 func today(processes int, seed uint64) Soak {
 	load := demo.Load{Members: 6, Rate: 60, Seed: seed}
 	load.Troubles.TurnAway, load.Troubles.Fail, load.Troubles.Break, load.Troubles.Again = 0.02, 0.01, 0.005, 0.1
-	return Soak{Settings: Settings{Processes: processes, Load: load}, Kinds: []string{"is killed", "is frozen", "is asked to end"}, Counts: Counts()}
+	return Soak{Settings: Settings{Processes: processes, Load: load}, Kinds: []string{"is killed", "is frozen", "is asked to end"}, Counts: Counts(nil)}
+}
+
+// joined is a soak of a fleet of three keepers and two more, with a budget for a
+// tenant who asks for more, under faults of all kinds. Half of the demand is at one
+// process, and moves. Bookings run beside it.
+func joined(seed uint64) Soak {
+	const rate, burst = 12, 6
+	plans, err := filepath.Abs("testdata/booking.hcl")
+	if err != nil {
+		panic(err)
+	}
+	s, digests := today(5, seed), new(Digests)
+	runs := &Bookings{Plan: "booking", Query: "within_ms=25000&tenant=" + demo.Tenants[1], Every: 200 * time.Millisecond}
+	var told Ends // once all is quiet
+	s.Kinds, s.Load.Rate = nil, 120
+	began := time.Now()
+	s.To = func(r *Rig) *Process {
+		if p := r.Any(); p.place > 1 {
+			return p
+		}
+		return r.Processes[int(time.Since(began)/(7*time.Second))%len(r.Processes)]
+	}
+	s.Operator = `{"fleet":{"name":"{{.Name}}","folder":"{{.Folder}}",{{if le .Name "n3"}}"calls":"{{.Addr "calls"}}","votes":"{{.Addr "votes"}}",{{end}}
+"keepers":{{.Peers 3 "calls" "votes"}},"lease_ms":1500,"election_ms":400,"compare_every_ms":500,
+"budgets":[{"of":"jobs","name":"` + demo.Tenants[0] + fmt.Sprintf(`","whole":%d,"burst":%d}],"plans":[%q]}}`, rate, burst, plans)
+	s.Beside = append(s.Beside, digests.Watch, runs.Begin)
+	s.Counts = Counts(map[string]func(*Rig) ([]string, error){
+		"overspends": func(r *Rig) (over []string, _ error) {
+			if by, window := Overspent(r.Admitted(demo.Tenants[0]), rate, burst); by > 0 {
+				over = append(over, fmt.Sprintf("by %.2f in the %v from %v", by, window.To.Sub(window.From), window.From))
+			}
+			return over, nil
+		},
+		"plans ended once": func(r *Rig) ([]string, error) {
+			told = runs.Told(r, time.Now().Add(2*patience))
+			return told.Once, nil
+		},
+		"plans ended never or otherwise": func(*Rig) ([]string, error) { return append(told.Never, told.Differ...), nil },
+		"digests that differed":          func(r *Rig) ([]string, error) { return digests.Differed(r, 3, time.Now().Add(patience)) },
+	})
+	return s
 }
 
 // TestFaults is the short form of the soak.
@@ -142,5 +196,5 @@
 	if *soakFor == 0 {
 		t.Skip("it takes as long as -args -soak says")
 	}
-	t.Log(today(5, *soakSeed).Run(t, *soakFor))
+	t.Log(joined(*soakSeed).Run(t, *soakFor))
 }
