--- a/internal/fleet/parts/records.go
+++ b/internal/fleet/parts/records.go
@@ -52,7 +52,7 @@
 // mostFound records of one id are told; mostLooked are looked at for one cut.
 const (
 	mostFound  = 64
-	mostLooked = 20_000
+	mostLooked = 1_000
 )
 
 // Records is the part of the records. The small part of its state is in memory, the
