Faktory: a job whose custom object names a plan is run as that plan

Such a job waits like any other (schedule, pauses, expiry, unique locks, batches) and is begun when it comes first in its queue; no worker fetches it, and it is no transaction at the front's desk: its stages are counted by the front "plans". Its run has the jid as its id, and "#n" behind that after n runs that have ended without anything having run, so that a push of the same jid to another process joins the run instead of beginning a second one. What may have run is dead, and queued again only with known_not_run. Ruled out: a transaction with a member of its own for plans, which the decisions would hold against times of a class and admission of a job that is no job of a member. Where this process is in no fleet, or the plan is not in use, the PUSH says so.

coordinator.Finish begins a run and waits: it hears the ends of runs that this process drives, and looks at those that another took over, 100 ms to 2 s apart. A start that no keeper answered is made again under its id for half of the time that an answer is kept; what can't be told by then has perhaps run.

--- a/internal/faktory/backlog.go
+++ b/internal/faktory/backlog.go
@@ -42,6 +42,7 @@
 	set    *settings.Faktory
 	log    logrus.FieldLogger
 	desk   *account.Desk
+	plans  Plans // nil: none can be run
 
 	mu      sync.Mutex
 	workers *workers
@@ -73,6 +74,7 @@
 	pushing bool // its PUSH has not been answered: if it is refused now, it is not taken
 	failed  *failure
 	answer  *core.Answer // final
+	plan    *planned     // it is run as; nil: it is fetched
 	said    *said        // by its worker
 	at      time.Time
 }
@@ -194,12 +196,12 @@
 // then, it is not taken, and its client is told when to come back. A jid that is
 // known joins its first push.
 func (b *backlog) push(v *fastjson.Value, owner string, now time.Time) error {
-	j, err := readJob(v, b.set, now)
+	j, err := b.read(v, now)
 	if err != nil {
 		return broken(err)
 	}
 	effect, ok := b.intake.Effect(j.arrival.Class)
-	if !ok {
+	if !ok && j.plan == "" {
 		return broken(fmt.Errorf("unknown class %q", j.arrival.Class))
 	}
 	t, err := b.enter(j, effect, owner, now)
@@ -227,7 +229,8 @@
 	if b.ending {
 		return nil, refused(core.Answer{})
 	}
-	if known := b.tasks[j.id]; known != nil && !(known.state == final && retryable(known.answer.Verdict)) {
+	known := b.tasks[j.id]
+	if known != nil && !(known.state == final && retryable(known.answer.Verdict)) {
 		return nil, nil
 	}
 	waiting := j.waiting()
@@ -246,7 +249,7 @@
 	case err != nil:
 		return nil, broken(err)
 	}
-	t := &task{of: b, job: waiting, id: j.id, batch: j.batch, effect: effect, at: now}
+	t := &task{of: b, job: waiting, id: j.id, batch: j.batch, effect: effect, at: now, plan: newPlanned(j.plan, known)}
 	waiting.Data = t
 	b.tasks[j.id] = t
 	b.pushed++
@@ -254,9 +257,9 @@
 		b.batches.Add(j.batch, j.id)
 	}
 	if waiting.Where() == sets.Queued {
-		t.pushing = true
+		t.pushing = t.plan == nil
 		b.feed(j.queue)
-		if t.state == isOut {
+		if t.state == isOut && t.pushing {
 			return t, nil
 		}
 		t.pushing = false
@@ -267,10 +270,11 @@
 }
 
 // feed hands jobs of a queue to the core while somebody waits for them: a FETCH
-// for each, or members of other fronts.
+// for each, or members of other fronts. Plans begin as soon as they are the first.
 func (b *backlog) feed(queue string) {
 	for b.mayFeed(queue) && b.feedOne(queue) != "" {
 	}
+	b.feedPlans(queue)
 }
 
 func (b *backlog) mayFeed(queue string) bool {
@@ -282,13 +286,15 @@
 	now := time.Now()
 	for {
 		w, expired := b.book.Take(now, queue)
-		for _, gone := range expired {
-			b.conclude(gone.Data.(*task), core.Answer{Verdict: core.Refused, Body: []byte("the job has expired\n")})
-		}
+		b.expire(expired)
 		if w == nil {
 			return ""
 		}
 		t := w.Data.(*task)
+		if t.plan != nil {
+			b.begin(t, now)
+			continue
+		}
 		v, err := fastjson.ParseBytes(w.Body)
 		if err == nil {
 			var j job
@@ -302,6 +308,7 @@
 					b.desk.Begin()
 					b.hub.Submit(tx)
 					b.desk.Handed()
+					b.feedPlans(queue)
 					return w.ID
 				}
 			}
@@ -311,6 +318,13 @@
 	}
 }
 
+// expire concludes jobs that waited too long.
+func (b *backlog) expire(gone []*sets.Job) {
+	for _, j := range gone {
+		b.conclude(j.Data.(*task), core.Answer{Verdict: core.Refused, Body: []byte("the job has expired\n")})
+	}
+}
+
 // fetched tells that a job of a queue is not to be fetched any more: it was, or
 // it has its answer.
 func (b *backlog) fetched(queue string) {
@@ -435,7 +449,7 @@
 	v.Get("custom").Set("_bid", a.NewString(c.Batch))
 	v.Get("custom").Set("_cb", a.NewString(string(c.Kind)))
 	now := time.Now()
-	j, err := readJob(v, b.set, now)
+	j, err := b.read(v, now)
 	if err != nil {
 		return err
 	}
@@ -448,7 +462,7 @@
 	if err := b.book.Push(now, w); err != nil {
 		return err
 	}
-	t := &task{of: b, job: w, id: j.id, batch: j.batch, effect: effect, at: now}
+	t := &task{of: b, job: w, id: j.id, batch: j.batch, effect: effect, at: now, plan: newPlanned(j.plan, nil)}
 	w.Data = t
 	b.tasks[j.id] = t
 	b.pushed++
@@ -497,7 +511,7 @@
 
 // revive makes a task whose job was dead one that waits again.
 func (b *backlog) revive(dead *task, j *sets.Job) {
-	t := &task{of: b, job: j, id: dead.id, batch: dead.batch, effect: dead.effect, at: time.Now()}
+	t := &task{of: b, job: j, id: dead.id, batch: dead.batch, effect: dead.effect, at: time.Now(), plan: dead.plan}
 	j.Data = t
 	b.tasks[t.id] = t
 	if t.batch != "" {
--- a/internal/faktory/commands.go
+++ b/internal/faktory/commands.go
@@ -331,7 +331,7 @@
 		v.Set("failure", failureJSON(&a, t.job.Failure))
 	}
 	switch {
-	case t.state == isOut && t.of.workers.held[t.id] != nil:
+	case t.state == isOut && (t.plan != nil || t.of.workers.held[t.id] != nil):
 		state = "working"
 	case t.state == waits && t.job != nil && t.job.Where() != sets.Queued:
 		when("retry_at", t.job.When())
@@ -408,7 +408,7 @@
 			var a fastjson.Arena
 			at.Set("jid", a.NewString(newID()))
 		}
-		if _, err := readJob(at, s.set, time.Now()); err != nil {
+		if _, err := s.back.read(at, time.Now()); err != nil {
 			return fault("%s: %v", kind, err)
 		}
 		d.Callbacks[kind] = jsontext.Append(nil, at)
--- a/internal/faktory/job.go
+++ b/internal/faktory/job.go
@@ -39,6 +39,7 @@
 	unique          uint64
 	uniqueFor       time.Duration
 	uniqueUntil     sets.Until
+	plan            string // it is run as; empty: it is fetched
 	arrival         stage.Arrival
 }
 
@@ -88,7 +89,10 @@
 			as = set.Default
 		}
 	}
-	if as.Class == "" {
+	if j.plan, err = planOf(v, j.id); err != nil {
+		return j, err
+	}
+	if as.Class == "" && j.plan == "" {
 		return j, fmt.Errorf("neither jobtype %q nor queue %q is set up here", j.kind, j.queue)
 	}
 	j.arrival = stage.Arrival{
--- a/internal/faktory/server.go
+++ b/internal/faktory/server.go
@@ -66,6 +66,9 @@
 	return s
 }
 
+// With lets jobs name a plan that they are run as. It is called before Serve.
+func (s *Server) With(p Plans) { s.back.plans = p }
+
 // Serve serves connections until the context ends or the listener fails.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	stop := context.AfterFunc(ctx, func() {
--- a/internal/faktory/sets/book.go
+++ b/internal/faktory/sets/book.go
@@ -249,6 +249,11 @@
 // Take takes the first job of a queue that is not paused, or returns nil. What
 // has expired goes, and is returned beside.
 func (b *Book) Take(now time.Time, name string) (j *Job, expired []*Job) {
+	return b.TakeIf(now, name, func(*Job) bool { return true })
+}
+
+// TakeIf is Take, of a first job that may go; one that may not stays the first.
+func (b *Book) TakeIf(now time.Time, name string, may func(*Job) bool) (j *Job, expired []*Job) {
 	now = b.moment(now)
 	q := b.queues[name]
 	if q == nil || q.Paused {
@@ -256,8 +261,13 @@
 	}
 	for q.first != nil {
 		j = q.first
+		at := j.rare().ExpiresAt
+		live := at.IsZero() || at.After(now)
+		if live && !may(j) {
+			return nil, expired
+		}
 		b.forget(j)
-		if at := j.rare().ExpiresAt; at.IsZero() || at.After(now) {
+		if live {
 			return j, expired
 		}
 		b.Expired++
--- a/internal/fleet/coordinator/coordinator.go
+++ b/internal/fleet/coordinator/coordinator.go
@@ -80,6 +80,7 @@
 	memory  *planrun.Coordinator // of what was done about each attempt
 	life    context.Context      // nil: not running
 	all     sync.WaitGroup
+	ends    waiters
 }
 
 // New returns a coordinator without plans.
@@ -186,6 +187,13 @@
 // that wraps call.ErrNobody leaves open whether it has begun: the same ask may be
 // made again, here or at another process.
 func (c *Coordinator) Start(ctx context.Context, a Ask) (*planrun.Answer, error) {
+	answer, _, err := c.start(ctx, a)
+	return answer, err
+}
+
+// start is Start. Where a command went out, it also tells the fleet time up to which
+// that may begin the run.
+func (c *Coordinator) start(ctx context.Context, a Ask) (answer *planrun.Answer, before time.Duration, err error) {
 	c.mu.Lock()
 	p := c.named[a.Plan]
 	full, life := len(c.runs) >= mostRuns, c.life
@@ -193,18 +201,18 @@
 	s := c.fleet.Session()
 	switch {
 	case p == nil:
-		return nil, fmt.Errorf("%w: %q", ErrNoPlan, a.Plan)
+		return nil, 0, fmt.Errorf("%w: %q", ErrNoPlan, a.Plan)
 	case s == nil || life == nil:
-		return nil, ErrNoFleet
+		return nil, 0, ErrNoFleet
 	case full:
-		return nil, fmt.Errorf("%w: this process drives %d runs", ErrRefused, mostRuns)
+		return nil, 0, fmt.Errorf("%w: this process drives %d runs", ErrRefused, mostRuns)
 	}
 	look, err := c.look(ctx, s, a.Run)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	if look.Ended != nil || look.Run != nil {
-		return look.Ended, nil
+		return look.Ended, 0, nil
 	}
 	if a.Within <= 0 || a.Within > p.Within {
 		a.Within = p.Within
@@ -213,15 +221,15 @@
 	start := planrun.Start{Run: a.Run, Plan: p.Name, Tenant: a.Tenant, Digest: p.Digest, Shape: planrun.ShapeOf(p), Input: a.Input,
 		Seed: codec.Digest([]byte(a.Run)), Before: look.At + a.Within}
 	if err := s.Order(ctx, parts.PlansDo, planrun.Command{Start: &start}, &r); err != nil {
-		return nil, err
+		return nil, start.Before, err
 	}
 	if err := r.Err(); err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrRefused, err)
+		return nil, start.Before, fmt.Errorf("%w: %w", ErrRefused, err)
 	}
 	if r.Run != nil && r.Started.Fence != 0 {
 		c.drive(life, r.Started.Fence, r)
 	}
-	return r.Ended, nil
+	return r.Ended, start.Before, nil
 }
 
 // Look tells how a run stands: its final answer, or nil while it is under way.
--- /dev/null
+++ b/internal/fleet/coordinator/finish.go
@@ -0,0 +1,161 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"basaltloft/internal/fleet/planrun"
+)
+
+// ErrLost says that nobody could tell in time how a run ended: it may have run.
+var ErrLost = errors.New("how the run ended is not known")
+
+const (
+	lookAtMost = 2 * time.Second  // between looks at a run that another process drives
+	tellWithin = 30 * time.Second // after its deadline and grace nobody waits longer for a run's answer
+)
+
+// waiters are told the answers of runs that this process drives.
+type waiters struct {
+	mu sync.Mutex
+	by map[string][]chan *planrun.Answer
+}
+
+func (w *waiters) wait(run string) (heard chan *planrun.Answer, forget func()) {
+	heard = make(chan *planrun.Answer, 1)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.by == nil {
+		w.by = map[string][]chan *planrun.Answer{}
+	}
+	w.by[run] = append(w.by[run], heard)
+	return heard, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.by[run] = slices.DeleteFunc(w.by[run], func(c chan *planrun.Answer) bool { return c == heard }); len(w.by[run]) == 0 {
+			delete(w.by, run)
+		}
+	}
+}
+
+func (w *waiters) tell(a *planrun.Answer) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, heard := range w.by[a.Run] {
+		select {
+		case heard <- a:
+		default: // it was told before
+		}
+	}
+}
+
+// InUse tells whether a plan is in use here: nil, or an ErrNoPlan.
+func (c *Coordinator) InUse(plan string) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.named[plan] == nil {
+		return fmt.Errorf("%w: %q", ErrNoPlan, plan)
+	}
+	return nil
+}
+
+// Finish begins a run, or finds it, and tells its final answer once, by a goroutine of
+// its own; not at all if this process ends first. Until is its deadline, zero for the
+// plan's own, and never beyond that. An error that wraps ErrLost says that the run may
+// have run; any other, that nothing has.
+func (c *Coordinator) Finish(a Ask, until time.Time, done func(*planrun.Answer, error)) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p, life := c.named[a.Plan], c.life
+	switch {
+	case p == nil:
+		return fmt.Errorf("%w: %q", ErrNoPlan, a.Plan)
+	case life == nil || life.Err() != nil:
+		return ErrNoFleet
+	}
+	if most := time.Now().Add(p.Within); until.IsZero() || until.After(most) {
+		until = most
+	}
+	c.all.Go(func() {
+		if answer, err := c.finish(life, a, until); life.Err() == nil {
+			done(answer, err)
+		}
+	})
+	return nil
+}
+
+// finish asks for the start until it is known to be in the state, and then waits.
+func (c *Coordinator) finish(ctx context.Context, a Ask, until time.Time) (*planrun.Answer, error) {
+	heard, forget := c.ends.wait(a.Run)
+	defer forget()
+	began, keep := time.Now(), planrun.DefaultLimits().KeepFor
+	stop := began.Add(keep / 2) // a later start could begin it anew, were its answer forgotten
+	if until.Before(stop) {
+		stop = until
+	}
+	var before time.Duration // a start that was ordered counts up to then; 0: none was
+	err := fmt.Errorf("%w: its deadline has passed", ErrRefused)
+	for now := time.Now(); now.Before(stop); now = time.Now() {
+		by := now.Add(orderFor)
+		if stop.Before(by) {
+			by = stop
+		}
+		once, cancel := context.WithDeadline(ctx, by)
+		a.Within = until.Sub(now)
+		var answer *planrun.Answer
+		var upTo time.Duration
+		answer, upTo, err = c.start(once, a)
+		cancel()
+		if !errors.Is(err, ErrRefused) { // a refusal is the state's word that this start has begun nothing
+			before = max(before, upTo)
+		}
+		if answer != nil {
+			return answer, nil
+		}
+		if err == nil || errors.Is(err, ErrRefused) || errors.Is(err, ErrNoPlan) {
+			break
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(tryEvery):
+		}
+	}
+	if err != nil && before == 0 {
+		return nil, err
+	}
+	lost := until.Add(planrun.DefaultLimits().Grace + tellWithin)
+	for wait := lookEvery; time.Now().Before(lost); {
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case answer := <-heard:
+			return answer, nil
+		case <-time.After(wait):
+		}
+		if s := c.fleet.Session(); s != nil && !c.drives(a.Run) {
+			once, cancel := context.WithDeadline(ctx, time.Now().Add(orderFor))
+			r, bad := c.look(once, s, a.Run)
+			cancel()
+			switch {
+			case bad != nil:
+			case r.Ended != nil:
+				return r.Ended, nil
+			case r.Run == nil && r.At > before && time.Since(began) < keep-keep/10: // no answer of it can have been forgotten by now
+				return nil, fmt.Errorf("%w: it was never begun", ErrRefused)
+			}
+		}
+		wait = min(2*wait, lookAtMost)
+	}
+	return nil, fmt.Errorf("run %s: %w", a.Run, ErrLost)
+}
+
+func (c *Coordinator) drives(run string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.runs[run] != nil
+}
--- a/internal/fleet/coordinator/run.go
+++ b/internal/fleet/coordinator/run.go
@@ -42,6 +42,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	defer r.rouse()
+	if p.Ended != nil {
+		r.c.ends.tell(p.Ended)
+	}
 	if p.Ended != nil || p.Run != nil && p.Run.Fence != r.fence {
 		r.over = true
 		return
--- a/internal/service/assembly.go
+++ b/internal/service/assembly.go
@@ -95,6 +95,9 @@
 		s.chain.Need(func(class string) string { return faktory.QueueOf(class, f) })
 		second := faktory.New(s.hub, s.chain, f, s.log)
 		desks = append(desks, &second.Desk)
+		if s.fleet != nil {
+			second.With(s.fleet.plans)
+		}
 		s.components = append(s.components, &component{
 			name: "faktory", listen: f.Listen, serve: second.Serve, drain: func(End) { second.Drain() },
 		})
--- a/internal/service/plans.go
+++ b/internal/service/plans.go
@@ -108,6 +108,36 @@
 	c.done(a)
 }
 
+// InUse implements faktory.Plans.
+func (p *plans) InUse(plan string) error { return p.coord.InUse(plan) }
+
+// comeBack is advice with a run of which nothing has run.
+const comeBack = time.Second
+
+// Begin implements faktory.Plans.
+func (p *plans) Begin(run, plan, tenant string, input []byte, until time.Time, done func(core.Answer)) error {
+	return p.coord.Finish(coordinator.Ask{Run: run, Plan: plan, Tenant: tenant, Input: input}, until, func(a *planrun.Answer, err error) {
+		done(asJob(plan, a, err))
+	})
+}
+
+// asJob is the end of a run as that of a job that named the plan.
+func asJob(plan string, a *planrun.Answer, err error) core.Answer {
+	switch {
+	case errors.Is(err, coordinator.ErrLost):
+		return core.Answer{Verdict: core.Failed, Body: []byte(err.Error() + "\n"), MayHaveRun: true}
+	case err != nil:
+		return core.Answer{Verdict: core.Refused, Body: []byte(err.Error() + "\n"), RetryAt: time.Now().Add(comeBack)}
+	case a.Plan != plan:
+		return core.Answer{Verdict: core.Denied, Body: fmt.Appendf(nil, "the id %s is that of a run of plan %q\n", a.Run, a.Plan)}
+	case a.Outcome == planrun.Served:
+		return core.Answer{Verdict: core.Served, Body: answerText(a)}
+	case a.Outcome == planrun.Refused:
+		return core.Answer{Verdict: core.Refused, Body: answerText(a), RetryAt: time.Now().Add(comeBack)}
+	}
+	return core.Answer{Verdict: core.Failed, Body: answerText(a), MayHaveRun: true}
+}
+
 // StartPlan implements door.Fleet.
 func (p *plans) StartPlan(ctx context.Context, a door.PlanAsk) ([]byte, error) {
 	if err := fastjson.ValidateBytes(a.Input); err != nil {
