--- /dev/null
+++ b/internal/fleet/faktory_test.go
@@ -0,0 +1,76 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"basaltloft/internal/demo"
+	"basaltloft/internal/faktory/client"
+	"basaltloft/internal/fleet/rig"
+	"basaltloft/internal/standin"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestFaktoryJobsAsPlans: jobs that name a plan are pushed, every other one to a process
+// that is killed at once, and pushed again to another, as their clients would. That one
+// tells one end of each, also of those that it did not begin; no ticket runs twice.
+func TestFaktoryJobsAsPlans(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "plans.hcl")
+	require.NoError(t, os.WriteFile(file, []byte(strings.ReplaceAll(bookings, "input.", "input.custom.")), 0o600))
+	r := found(t, 5, demo.Load{Members: 6, Slots: 8, Run: 60 * time.Millisecond, Seed: 13},
+		fmt.Sprintf(`,"plans":[%q]},"faktory":{"listen":"{{.Addr "faktory"}}","default":{"tenant":%q,"deadline_ms":25000}`, file, demo.Tenants[0]))
+	const patience = 60 * time.Second
+	at := func(p *rig.Process) *client.Conn {
+		c, err := client.Dial(p.Addr("faktory"), "", time.Now().Add(patience))
+		require.NoError(t, err)
+		t.Cleanup(func() { c.Close() })
+		return c
+	}
+	stays, dies := at(r.Processes[3]), at(r.Processes[4])
+	jobs := make([]string, 10)
+	push := func(c *client.Conn, i int) {
+		jobs[i] = fmt.Sprintf("booking-%d", i)
+		_, err := c.Do(fmt.Sprintf(`PUSH {"jid":%[1]q,"jobtype":"Booking","args":[],"custom":{"plan":"booking","booking":%[1]q,"seats":[1,2,3]}}`, jobs[i]), time.Now().Add(patience))
+		require.NoError(t, err)
+	}
+	for i := 1; i < len(jobs); i += 2 {
+		push(dies, i)
+	}
+	require.Eventually(t, func() bool {
+		return slices.ContainsFunc(r.Till.Arrivals(), func(a standin.Arrival) bool { return demo.Once(a.Class) && !a.Ran.IsZero() })
+	}, patience, time.Millisecond, "a ticket has run; others are under way")
+	for i := range jobs {
+		push(stays, i)
+	}
+	require.NoError(t, r.Processes[4].Kill())
+	outcomes := map[string]int{}
+	for _, jid := range jobs {
+		var told struct{ State, Outcome, Result string }
+		require.Eventually(t, func() bool {
+			require.NoError(t, stays.Ask("TRACK GET "+jid, &told, time.Now().Add(patience)))
+			return told.State == "success" || told.State == "failed"
+		}, patience, 20*time.Millisecond, "%s has ended: %+v", jid, &told)
+		outcomes[told.Outcome]++
+		var answer struct{ Run, Outcome string }
+		require.NoError(t, json.Unmarshal([]byte(told.Result), &answer), told.Result)
+		require.True(t, answer.Run == jid || strings.HasPrefix(answer.Run, jid+"#"), answer.Run)
+		require.Equal(t, told.State == "success", answer.Outcome == "served", told.Result)
+		for _, p := range r.Processes[:4] {
+			code, text := ask(p, http.MethodGet, "/runs/"+url.PathEscape(answer.Run), "")
+			require.Equal(t, http.StatusOK, code)
+			require.JSONEq(t, told.Result, text, "one end, whoever is asked")
+		}
+	}
+	require.Greater(t, outcomes["served"], 4, "%v", outcomes)
+	require.Empty(t, rig.Twice(r.Till.Arrivals(), demo.Once), "no ticket twice")
+	t.Log(outcomes)
+}
