Cold chance is drawn by rank too: one job number no longer decides for all dispatchers

Seen: with 300 dispatchers and one cold worker told to all, the new test sent it no work at all for one worker number, while others get several times their part. Cause: the chance at a cold worker in coldRoom is a hash of the job's number and the worker's, and every dispatcher counts its jobs from 1, so that all hold the same card for their k-th job. It was meant to be one draw a dispatcher.

The rank is mixed into the draw. TestColdBudgetOfAllTogether plays 300 dispatchers over four mixes of classes and holds the sum of any window to N + 3 x root of N + 3 requests of mean work, and the worker to more than nothing.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -482,7 +482,7 @@
 	capacity := max(1, 0.8*w.kind.slots) / w.pace() * float64(d.Rules.FallFor)
 	whole := coldSafety * d.Rules.FallMultiple * d.share(w, start) * capacity
 	switch {
-	case d.blind() && w.chance(j.seq)*d.mine(j) > coldFair*whole/float64(d.Instances):
+	case d.blind() && w.chance(j.seq+uint64(d.Rank)<<20)*d.mine(j) > coldFair*whole/float64(d.Instances):
 		return 0
 	case d.blind():
 		whole *= coldOwn
--- a/scale_test.go
+++ b/scale_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -360,3 +362,93 @@
 		}
 	}
 }
+
+// TestColdBudgetOfAllTogether plays 300 dispatchers that are all told of one cold worker, whose jobs have no other
+// place to go, over several mixes of classes. Whatever they send in any window of the rule stays under
+// N + 3 x root of N + 3 requests of mean work, N being what the settings let the worker have then.
+func TestColdBudgetOfAllTogether(t *testing.T) {
+	for name, mix := range map[string]struct {
+		wide   float64 // the share of jobs that are tickets, of 3.2 s and 1, 2 or 4 slots
+		report bool
+	}{"holds": {0, false}, "bookings": {0.28, false}, "tickets": {1, false}, "reports": {0.28, true}} {
+		t.Run(name, func(t *testing.T) {
+			rng, s := rand.New(rand.NewPCG(3, 4)), settings()
+			s.Instances, s.TellsStart, s.Limits.SecondCopies, s.Limits.Probes = 300, true, false, mix.report
+			s.Rules.ColdFrom, s.Rules.ColdFor, s.Rules.FallMultiple, s.Rules.FallFor = 0.12, 24*time.Second, 4, 3*time.Second
+			benches, rate, held := make([]*bench, 300), make([]float64, 300), make([][]basaltloft.Request, 300)
+			cold := member(9, "a")
+			for i := range benches { // each knows the kind: four slots
+				s.Rank, s.Seed, rate[i] = i, uint64(i), rng.ExpFloat64()*1.3
+				b := newBench(t, s, 1)
+				b.Probed(b.now, full(1, 4))
+				for k := range 12 {
+					id := fmt.Sprint("w", k)
+					if b.request(id, "unsafe", 800*ms); b.sends[id] > 0 {
+						b.Note(b.now, basaltloft.Note{Request: id, Worker: 1, Topic: basaltloft.NoteStarted})
+					}
+				}
+				b.now += time.Second
+				for k := range 12 {
+					if id := fmt.Sprint("w", k); b.sends[id] > 0 {
+						b.outcome(id, basaltloft.OK)
+					}
+				}
+				cold.Since = b.now
+				benches[i] = b
+				b.Members(b.now, basaltloft.ListWhole, []basaltloft.Member{cold})
+			}
+			type load struct{ at, work float64 }
+			var sent []load
+			ends, asked, jobs := make(map[int][]func()), 0.0, 0.0
+			for tick := range int(s.Rules.ColdFor / (20 * ms)) {
+				for _, end := range ends[tick] {
+					end()
+				}
+				at := float64(tick) * 0.02
+				for i, b := range benches {
+					b.now = cold.Since + time.Duration(tick)*20*ms
+					b.Dispatcher.Timer(b.now, "tick")
+					if rng.Float64() < rate[i]*0.02 {
+						r := basaltloft.Request{ID: fmt.Sprint("r", tick), Class: "unsafe", Hint: 770 * ms, Slots: 1, Expires: b.now + 10*time.Second}
+						if rng.Float64() < mix.wide {
+							r.Hint, r.Slots = 3200*ms, []float64{1, 1, 1, 2, 4}[rng.IntN(5)]
+						}
+						asked, jobs = asked+r.Hint.Seconds()*r.Slots, jobs+1
+						held[i] = append(held[i], r)
+						b.Request(b.now, r)
+					}
+					held[i] = slices.DeleteFunc(held[i], func(r basaltloft.Request) bool {
+						if b.sends[r.ID] == 0 {
+							return b.now >= r.Expires
+						}
+						sent = append(sent, load{at, r.Hint.Seconds() * r.Slots})
+						b.Note(b.now, basaltloft.Note{Request: r.ID, Worker: 9, Topic: basaltloft.NoteStarted})
+						done := tick + int(r.Hint/(20*ms))
+						ends[done] = append(ends[done], func() {
+							b.now = cold.Since + time.Duration(done)*20*ms
+							b.outcome(r.ID, basaltloft.OK)
+						})
+						return true
+					})
+				}
+			}
+			mean, total := asked/jobs, 0.0
+			for i, last := range sent {
+				sum, share := 0.0, s.Rules.ColdFrom+(1-s.Rules.ColdFrom)*max(0, last.at-3)/24
+				for _, l := range sent[:i+1] {
+					if l.at > last.at-3 {
+						sum += l.work / mean
+					}
+				}
+				n := s.Rules.FallMultiple * share * 4 * 3 / mean
+				if total += last.work; sum > n+3*math.Sqrt(n)+3 {
+					t.Fatalf("%.1f s after its start: %.1f requests of mean work in a window, %.1f allowed", last.at, sum, n+3*math.Sqrt(n)+3)
+				}
+			}
+			t.Logf("%.0f s of work sent to it, of %.0f asked", total, asked)
+			if total < 12 {
+				t.Errorf("the cold worker got %.1f s of work while it warmed up: it is left idle", total)
+			}
+		})
+	}
+}
