Cold members by chance in a throng also where load is reported, weighed by what they take

Cause: where reports come, coldRoom still goes by turns, of which one dispatcher of hundreds holds one at a time and seldom has a job just then; only fleets without reports (blind) went by chance. The extended test shows it: of 960 jobs 120 reach the cold half by turns.

From 16 dispatchers on it is the chance in both.

TestColdWorkersAreNotLeftIdle/reports fails with turns.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -460,8 +460,8 @@
 
 // turn counts the turns of a cold worker from its start, and those until the next one of this instance.
 func (d *Dispatcher) turn(w *worker) (now, wait int) {
-	now = int(max(0, d.now-w.coldFrom) / max(1, d.Rules.FallFor))
-	return now, one(!d.blind()) * ((d.Rank + d.Instances - (now+int(w.Worker>>1))%d.Instances) % d.Instances)
+	now, n := int(max(0, d.now-w.coldFrom)/max(1, d.Rules.FallFor)), d.Instances
+	return now, one(!d.thronged()) * ((d.Rank + n - (now+int(w.Worker>>1))%n) % n)
 }
 
 // share is the part of its capacity that a worker has at least, at an age.
@@ -475,16 +475,16 @@
 // coldRoom is the cost that a cold worker may still get from this instance. By rank and the told start, n
 // share a turn as long as the rule's window, and each turn changes one: any window meets n+1, and as many
 // parts, of some jobs each, keep the sum. Slots seen at its kind, at its pace, stand for the capacity. In a
-// crowd most turns would pass unused: there jobs go by chance, so that all send their part on average.
+// throng most turns would pass unused: there jobs go by chance, so that all send their part on average.
 func (d *Dispatcher) coldRoom(w *worker, j *job) float64 {
 	turn, wait := d.turn(w)
 	start := time.Duration(turn) * d.Rules.FallFor
 	capacity := max(1, 0.8*w.kind.slots) / w.pace() * float64(d.Rules.FallFor)
 	whole := coldSafety * d.Rules.FallMultiple * d.share(w, start) * capacity
 	switch {
-	case d.blind() && w.chance(j.seq+uint64(d.Rank)<<20)*d.mine(j) > coldFair*whole/float64(d.Instances):
+	case d.thronged() && w.chance(j.seq+uint64(d.Rank)<<20)*d.mine(j) > coldFair*whole/float64(d.Instances):
 		return 0
-	case d.blind():
+	case d.thronged():
 		whole *= coldOwn
 	case d.Instances > 1:
 		n := max(1, min(int(whole/(turnMeans*d.mean))-1, d.Instances-1))
@@ -520,10 +520,10 @@
 	if d.cold(w) {
 		left := d.coldRoom(w, j)
 		inTurn := j.cost <= left && w.out+j.cost <= max(w.budget, j.cost)
-		if d.crowded && !d.blind() { // a turn is better evidence of room than a report that many see
+		if d.crowded && !d.thronged() { // a turn is better evidence of room than a report that many see
 			return turnFirst + left/w.pace(), inTurn
 		}
-		room, fits = min(room, left), fits && inTurn
+		room, fits = min(room, left)/d.chilled(w), fits && inTurn
 	}
 	if d.blind() {
 		room = d.odds(w, j) * (w.budget - w.out)
@@ -532,7 +532,7 @@
 }
 
 // blind tells whether only the starts of own jobs show room: many share the workers, and nobody reports.
-func (d *Dispatcher) blind() bool { return d.Instances >= throng && !d.asks }
+func (d *Dispatcher) blind() bool { return d.thronged() && !d.asks }
 
 // odds weigh a worker by how likely a job starts there at once, as own ones did of late, there or at all warm
 // or cold ones. Who stays with one until a job waits keeps off the others (Gibbens, Kelly and Key, Dynamic
--- a/scale_test.go
+++ b/scale_test.go
@@ -280,9 +280,17 @@
 // dispatchers send to the new ones together grows as those warm up. By turns alone, which the few jobs of a
 // dispatcher seldom met, they stood idle for all the time in which they were called cold.
 func TestColdWorkersAreNotLeftIdle(t *testing.T) {
+	t.Run("starts", func(t *testing.T) { coldHalf(t, "") })
+	t.Run("reports", func(t *testing.T) { coldHalf(t, basaltloft.FreeSlots) })
+}
+
+func coldHalf(t *testing.T, report string) {
 	cold, all := 0, 0
 	for rank := range 80 {
-		b := blindFleet(t, rank, 20)
+		s := settings()
+		s.Instances, s.Rank, s.Seed, s.TellsStart, s.ReportX0 = 80, rank, uint64(rank), report == "", report
+		s.Limits.SecondCopies = false
+		b := newBench(t, s, 20)
 		var list []basaltloft.Member
 		for id := range uint32(20) {
 			m := member(id+1, "a")
@@ -295,6 +303,18 @@
 		for i := range 12 {
 			id := fmt.Sprint("r", i)
 			b.request(id, "unsafe", 100*ms)
+			for k := len(b.acts) - 1; k < len(b.acts) && b.sends[id] == 0; k++ {
+				var w uint32
+				if n, _ := fmt.Sscanf(b.acts[k], "probe %d", &w); n == 1 {
+					b.Probed(b.now, full(w, 2))
+				}
+				if k == len(b.acts)-1 {
+					b.pass(20 * ms)
+				}
+			}
+			if b.sends[id] == 0 {
+				b.pass(200 * ms)
+			}
 			w := b.sentTo(id)
 			if all++; w <= 10 {
 				cold++
--- a/state.go
+++ b/state.go
@@ -306,6 +306,9 @@
 	d.host.Timer(in, trialToken)
 }
 
+// thronged tells whether so many share the workers that few of their turns at a cold one meet a job.
+func (d *Dispatcher) thronged() bool { return d.Instances >= throng }
+
 func (d *Dispatcher) probe(w *worker) {
 	w.probing, w.probedAt = true, d.now
 	d.host.Probe(w.Worker)
