--- a/internal/fleet/rig/rig.go
+++ b/internal/fleet/rig/rig.go
@@ -242,7 +242,7 @@
 	}
 }
 
-const mostShown = 4000 // bytes of a log
+const mostShown = 16000 // bytes of a log
 
 // patience is how long an exit or a process's readiness may take.
 const patience = 40 * time.Second
--- a/internal/fleet/rig/soak.go
+++ b/internal/fleet/rig/soak.go
@@ -140,7 +140,12 @@
 			return diff, nil
 		}
 	}
-	return nil, fmt.Errorf("%d keepers did not come to the same state: %v", keepers, d.last)
+	var said []string
+	for _, p := range r.Processes {
+		_, text, err := p.Ask("GET", "/fleet", "", time.Now().Add(time.Second))
+		said = append(said, fmt.Sprintf("%s: %s (%v)", p.Name, text, err))
+	}
+	return nil, fmt.Errorf("%d keepers did not come to the same state: %v\n%s", keepers, d.last, strings.Join(said, "\n"))
 }
 
 // Run soaks for a time with faults that end within it, and returns the line of
