--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -36,6 +36,7 @@
 		"version --log-level loud":            `no level is called "loud"`,
 		"demo --for 0s":                       `--for must be more than nothing`,
 		"demo --for soon":                     `invalid argument "soon"`,
+		"demo --processes 31":                 `--processes must be 1 to 30`,
 		"figures report":                      `--folder is needed`,
 		"figures report --folder . --by moon": `not by "moon"`,
 		"figures report --folder . --from yesterday":                  `neither a date nor a time`,
--- a/internal/cli/tools.go
+++ b/internal/cli/tools.go
@@ -16,23 +16,38 @@
 	"github.com/spf13/cobra"
 )
 
+// mostProcesses bounds the processes of a demo.
+const mostProcesses = 30
+
 func demoCommand(sh *shared) *cobra.Command {
 	var span time.Duration
+	var processes int
 	c := &cobra.Command{
 		Use: "demo", Short: "serve stand-in clients and members in one process, and show the account", Args: none,
 		RunE: func(c *cobra.Command, _ []string) error {
 			if span <= 0 {
 				return misuse{errors.New("--for must be more than nothing")}
 			}
+			if processes < 0 || processes > mostProcesses {
+				return misuse{fmt.Errorf("--processes must be 1 to %d", mostProcesses)}
+			}
 			if !c.Flags().Changed("log-level") && sh.level == "info" {
 				sh.level = "warn" // the progress is shown in its place
 			}
 			ctx, stop := signal.NotifyContext(c.Context(), syscall.SIGINT, syscall.SIGTERM)
 			defer stop()
+			if processes > 0 {
+				program, err := os.Executable()
+				if err != nil {
+					return err
+				}
+				return demo.RunFleet(ctx, demo.FleetSettings{Program: program, Processes: processes, Until: time.Now().Add(span)}, sh.out, sh.err)
+			}
 			return demo.Run(ctx, time.Now().Add(span), sh.logger(), sh.out, sh.err)
 		},
 	}
 	c.Flags().DurationVar(&span, "for", 10*time.Second, "how `long` to serve")
+	c.Flags().IntVar(&processes, "processes", 0, "serve by so `many` processes, joined as one fleet, in place of one")
 	return c
 }
 
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -104,20 +104,15 @@
 			return nil, err
 		}
 	}
+	l.Slots = cmp.Or(l.Slots, 4)
+	var err error
+	if w.members, err = l.NewMembers(standin.MemberSettings{Reports: func() string { return w.Addr }, Till: w.Till}); err != nil {
+		return nil, err
+	}
 	var listed []standin.Listed
-	for i := range l.Members {
-		m, err := standin.NewMember(standin.MemberSettings{
-			ID: fmt.Sprintf("s-%d", i+1), Cell: i / 4, Slots: cmp.Or(l.Slots, 4), Run: l.Running(uint64(i)), Troubles: l.Troubles,
-			Reports: func() string { return w.Addr }, Till: w.Till, Once: Once, Seed: l.Seed + uint64(i),
-		})
-		if err != nil {
-			w.Close()
-			return nil, err
-		}
-		w.members = append(w.members, m)
+	for _, m := range w.members {
 		listed = append(listed, m.Listed())
 	}
-	var err error
 	if w.Discovery, err = standin.NewDiscovery(listed...); err != nil {
 		w.Close()
 		return nil, err
@@ -125,6 +120,24 @@
 	return w, nil
 }
 
+// NewMembers starts the members of a load, each as one is set up and with an id, cell,
+// and chances of its own.
+func (l Load) NewMembers(one standin.MemberSettings) (all []*standin.Member, err error) {
+	one.Slots, one.Troubles, one.Once = l.Slots, l.Troubles, Once
+	for i := range l.Members {
+		one.ID, one.Cell, one.Run, one.Seed = fmt.Sprintf("s-%d", i+1), i/4, l.Running(uint64(i)), l.Seed+uint64(i)
+		m, err := standin.NewMember(one)
+		if err != nil {
+			for _, m := range all {
+				m.Close()
+			}
+			return nil, err
+		}
+		all = append(all, m)
+	}
+	return all, nil
+}
+
 // Once tells the classes that must never run twice.
 func Once(class string) bool { return class == "group-ticket" || class == "IssueTicket" }
 
--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"basaltloft/internal/scenario"
+
 	"github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
@@ -25,3 +27,16 @@
 	require.Contains(t, out.String(), "0 things in it do not add up")
 	require.Contains(t, out.String(), " 0 tickets of them twice")
 }
+
+// TestFleetDemo: three processes of the program serve as one fleet, and end when told to.
+func TestFleetDemo(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	defer http.DefaultClient.CloseIdleConnections()
+	program, err := scenario.Build()
+	require.NoError(t, err)
+	var out bytes.Buffer
+	require.NoError(t, RunFleet(context.Background(), FleetSettings{Program: program, Processes: 3, Until: time.Now().Add(4 * time.Second)}, &out, io.Discard))
+	for _, want := range []string{`n3: [1-9]\d* jobs taken.*adds up`, `"process":"n1".*"members":3`, `[1-9]\d* plans of 42 seats: [1-9]`, `; 0 tickets ran twice`} {
+		require.Regexp(t, want, out.String())
+	}
+}
--- a/internal/fleet/rig/process.go
+++ b/internal/fleet/rig/process.go
@@ -96,28 +96,22 @@
 
 // Start writes its files and starts it. It does nothing if it runs.
 func (p *Process) Start() error {
-	args := append([]string{"--log-level", "info"}, p.rig.Args...)
-	config, operator := filepath.Join(p.Home, "config.json"), filepath.Join(p.Home, "operator.json")
-	text := demo.Dispatcher{
-		Name: p.Name, Listen: p.Addr("listen"), Discovery: p.discovery.Addr(), Admin: p.Addr("admin"),
-		Rank: p.place, Of: len(p.rig.Processes), Known: p.known,
-	}.Configuration()
-	if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
-		return err
-	}
+	var operator bytes.Buffer
 	if p.Operator != "" {
 		form, err := template.New("operator").Parse(p.Operator)
 		if err != nil {
 			return err
 		}
-		var filled bytes.Buffer
-		if err := form.Execute(&filled, p); err != nil {
-			return err
-		}
-		if err := os.WriteFile(operator, filled.Bytes(), 0o600); err != nil {
+		if err := form.Execute(&operator, p); err != nil {
 			return err
 		}
-		args = append(args, "--operator", operator)
+	}
+	cmd, err := demo.Dispatcher{
+		Name: p.Name, Listen: p.Addr("listen"), Discovery: p.discovery.Addr(), Admin: p.Addr("admin"),
+		Rank: p.place, Of: len(p.rig.Processes), Known: p.known,
+	}.Command(p.rig.binary, p.Home, operator.String(), append([]string{"--log-level", "info"}, p.rig.Args...)...)
+	if err != nil {
+		return err
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -129,8 +123,6 @@
 		return err
 	}
 	defer log.Close()
-	cmd := exec.Command(p.rig.binary, args...)
-	cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+config, "ROUTER_LISTEN=", "ROUTER_DISCOVERY=", "ROUTER_NAME=", "ROUTER_ADMIN=", "TMPDIR="+filepath.Join(p.Home, "tmp"))
 	cmd.Env = append(cmd.Env, p.rig.Env...)
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
--- a/internal/fleet/rig/rig.go
+++ b/internal/fleet/rig/rig.go
@@ -76,32 +76,19 @@
 	r.Till.Log()
 	dir := t.TempDir()
 	t.Cleanup(r.close) // before the folders go
-	for i := range s.Load.Members {
-		m, err := standin.NewMember(standin.MemberSettings{
-			ID: fmt.Sprintf("s-%d", i+1), Cell: i / 4, Slots: max(1, s.Load.Slots), Run: s.Load.Running(uint64(i)), Troubles: s.Load.Troubles,
-			Till: r.Till, Ends: s.Ends, Once: demo.Once, Seed: s.Load.Seed + uint64(i),
-		})
-		require.NoError(t, err)
-		r.members = append(r.members, m)
-	}
+	load := s.Load
+	load.Slots = max(1, load.Slots)
+	r.members, err = load.NewMembers(standin.MemberSettings{Till: r.Till, Ends: s.Ends})
+	require.NoError(t, err)
 	for i := range s.Processes {
 		name := fmt.Sprintf("n%d", i+1)
 		p := &Process{
 			Name: name, Home: filepath.Join(dir, name), Operator: s.Operator, rig: r, place: i, addrs: make(map[string]string), reached: make(map[string]string),
 		}
 		p.Folder, p.Log = filepath.Join(p.Home, "folder"), filepath.Join(p.Home, "log")
-		for _, dir := range []string{p.Folder, filepath.Join(p.Home, "tmp")} {
-			require.NoError(t, os.MkdirAll(dir, 0o700))
-		}
-		var known []standin.Listed
-		for _, m := range r.members {
-			listed, err := m.Door(name, func() string { return p.Addr("listen") })
-			require.NoError(t, err)
-			known = append(known, listed)
-		}
-		p.discovery, err = standin.NewDiscovery(known...)
+		require.NoError(t, os.MkdirAll(p.Folder, 0o700))
+		p.known, p.discovery, err = demo.Doors(r.members, name, func() string { return p.Addr("listen") })
 		require.NoError(t, err)
-		p.known = known
 		r.Processes = append(r.Processes, p)
 	}
 	return r
