Plans: what waits for a run is held to lost starts and answers, on a slow fleet clock

coordinator.Finish had only the tests over processes, which lose no call on purpose. A state behind calls that are lost on their way in or out now shows that "nothing has run" is said only once the state can't begin the run any more by its own clock, here at half the rate, and that a run which was begun without an answer is found by looking. A refusal of the state is told at once.

--- /dev/null
+++ b/internal/fleet/coordinator/finish_test.go
@@ -0,0 +1,139 @@
+package coordinator
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"basaltloft"
+	"basaltloft/internal/core"
+	"basaltloft/internal/fleet/call"
+	"basaltloft/internal/fleet/codec"
+	"basaltloft/internal/fleet/parts"
+	"basaltloft/internal/fleet/plan"
+	"basaltloft/internal/fleet/planrun"
+	"basaltloft/internal/fleet/state"
+
+	"github.com/sirupsen/logrus/hooks/test"
+	"github.com/stretchr/testify/require"
+)
+
+// keeper is the state behind calls that may be lost on their way in or out.
+type keeper struct {
+	mu      sync.Mutex
+	machine *state.Machine
+	began   time.Time
+	lostIn  bool // commands of plans do not arrive
+	lostOut bool // their answers do not
+
+}
+
+// at is fleet time, which may run slow.
+func (k *keeper) at() time.Duration { return time.Since(k.began) / 2 }
+
+func (k *keeper) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	body, _ := io.ReadAll(r.Body)
+	at, n := k.at(), k.machine.Index()+1
+	lost, answer := false, any(nil)
+	if r.URL.Path == call.Do {
+		c, _ := state.Decode(body)
+
+		if c.Kind == parts.PlansDo && k.lostIn {
+			panic(http.ErrAbortHandler)
+		}
+		lost, c.At = c.Kind == parts.PlansDo && k.lostOut, at
+		text, _ := codec.Encode(c)
+		answer = k.machine.Apply(n, text)
+	} else {
+		tick, _ := codec.Encode(state.Command{V: state.Version, Kind: state.Tick, At: at})
+		k.machine.Apply(n, tick)
+		var q call.Query
+		codec.Decode(body, &q)
+		text, _ := k.machine.Ask(q.Kind, q.Body)
+		answer = call.Answer{Index: n, At: at, Body: text}
+	}
+	if lost {
+		panic(http.ErrAbortHandler)
+	}
+	text, _ := codec.Encode(answer)
+	w.Write(text)
+}
+
+// process is a place in the fleet, and a dispatcher that serves all.
+type process struct{ session *call.Session }
+
+func (p process) Session() *call.Session                   { return p.session }
+func (process) Again(string, string) bool                  { return true }
+func (process) Leased() bool                               { return true }
+func (process) ComeBack(_ string, now time.Time) time.Time { return now }
+func (process) Submit(_ Job, done func(core.Answer)) error {
+	go done(core.Answer{Body: []byte("1")})
+	return nil
+}
+
+// TestFinish: whoever waits for a run is told its end; that nothing has run only where
+// the state can't begin it any more.
+func TestFinish(t *testing.T) {
+	all, problems := plan.Parse("p.hcl", []byte("plan \"one\" {\n within = \"10m\"\n attempts = 9\n stage \"s\" {\n class = \"safe\"\n path = \"/s\"\n }\n}"),
+		plan.Classes([]basaltloft.Class{{Name: "safe", Effect: basaltloft.Safe, GiveUp: time.Second}}))
+	require.Empty(t, problems)
+	for name, at := range map[string]struct {
+		in, out bool // what is lost
+		ask     Ask
+		within  time.Duration
+		outcome planrun.Outcome
+		err     error // in place of the outcome
+	}{
+		"served":                          {within: time.Hour, ask: Ask{Plan: "one"}},
+		"refused by the state":            {within: time.Hour, ask: Ask{Plan: "one", Tenant: strings.Repeat("x", 300)}, err: ErrRefused},
+		"late":                            {within: -time.Second, ask: Ask{Plan: "one"}, err: ErrRefused},
+		"starts do not arrive":            {in: true, within: 300 * time.Millisecond, ask: Ask{Plan: "one"}, err: ErrRefused},
+		"begun, and the answers are lost": {out: true, within: 300 * time.Millisecond, ask: Ask{Plan: "one"}, outcome: planrun.Refused},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			k := &keeper{machine: state.New(parts.NewPlans()), began: time.Now(), lostIn: at.in, lostOut: at.out}
+			server := httptest.NewServer(k)
+			defer server.Close()
+			client := call.New(map[string]string{"k": strings.TrimPrefix(server.URL, "http://")})
+			defer client.Close()
+			ctx, stop := context.WithCancel(context.Background())
+			session, _, err := client.Join(ctx, "p", "1", "1")
+			require.NoError(t, err)
+			log, _ := test.NewNullLogger()
+			c := New(process{session}, process{}, log)
+			c.Use(all)
+			require.ErrorIs(t, c.Finish(Ask{Plan: "two"}, time.Time{}, nil), ErrNoPlan)
+			require.ErrorIs(t, c.Finish(at.ask, time.Time{}, nil), ErrNoFleet, "it does not run yet")
+			var running sync.WaitGroup
+			running.Go(func() { c.Run(ctx) })
+			defer running.Wait()
+			defer stop()
+			type end struct {
+				answer *planrun.Answer
+				err    error
+			}
+			ended := make(chan end, 2)
+			at.ask.Run = "r"
+			until := time.Now().Add(at.within)
+			require.Eventually(t, func() bool {
+				return c.Finish(at.ask, until, func(a *planrun.Answer, err error) { ended <- end{a, err} }) == nil
+			}, 10*time.Second, time.Millisecond)
+			got := <-ended
+			require.False(t, (at.in || at.out) && k.at() < at.within, "a start that is on its way may begin it yet")
+			if at.err != nil {
+				require.ErrorIs(t, got.err, at.err)
+				return
+			}
+			require.NoError(t, got.err)
+			require.Equal(t, at.outcome, got.answer.Outcome, "%+v", got.answer)
+		})
+	}
+}
