A keeper that was put out while it lives asks to come back

Seen: a ten minutes' soak ended with one keeper at index 0 that logged nothing after its restart. Cause (read, then caused by a test): its call to be taken in with an empty folder can arrive twice, since calls are asked again and links may play them again; the late copy puts the living keeper out of the configuration, raft ends itself there (ShutdownOnRemove), and who is out hears of nothing; so after a leader that failed between putting out and taking in. Change: raft stays up; a keeper that no leader has turned to for four elections, or that has no vote, asks; the leader takes in one that is out and gives the vote to one that has caught up.

--- a/internal/fleet/keeper/enter.go
+++ b/internal/fleet/keeper/enter.go
@@ -221,29 +221,37 @@
 	return err
 }
 
-// askForVote asks the leader to let this keeper vote again, once it has caught up.
+// askForVote asks the leader to let this keeper vote again, once it has caught up. It
+// also asks when no leader has turned to it for long: a late copy of its own call to
+// be taken in, or a leader that failed half-way, may have put it out of the
+// configuration, and who is out hears of nothing.
 func (k *Keeper) askForVote(ctx context.Context, n *node) {
 	f := n.raft.GetConfiguration()
-	if f.Error() != nil || n.raft.State() == raft.Leader {
+	if f.Error() != nil || n.raft.State() == raft.Leader || len(k.s.Peers) == 1 {
 		return
 	}
+	votes := false
 	for _, s := range f.Configuration().Servers {
-		if string(s.ID) != k.s.Name || s.Suffrage == raft.Voter {
-			continue
-		}
-		self, err := codec.Encode(readyBody{k.s.Name, n.raft.AppliedIndex()})
-		if err != nil {
-			return
-		}
-		ctx, cancel := context.WithDeadline(ctx, time.Now().Add(k.s.Election))
-		defer cancel()
-		var ok bool
-		if err := k.peers.Leader(ctx, call.Ready, self, &ok); err == nil && ok {
-			k.log.Info("votes again")
-		}
+		votes = votes || string(s.ID) == k.s.Name && s.Suffrage == raft.Voter
+	}
+	if votes && time.Since(n.raft.LastContact()) < unheard*k.s.Election {
+		return
+	}
+	self, err := codec.Encode(readyBody{k.s.Name, n.raft.AppliedIndex()})
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(k.s.Election))
+	defer cancel()
+	var ok bool
+	if err := k.peers.Leader(ctx, call.Ready, self, &ok); err == nil && ok && !votes {
+		k.log.Info("votes again")
 	}
 }
 
+// unheard elections without a leader: then a keeper asks whether it was put out.
+const unheard = 4
+
 type readyBody struct {
 	Name  string
 	Index uint64
--- a/internal/fleet/keeper/keeper.go
+++ b/internal/fleet/keeper/keeper.go
@@ -185,6 +185,7 @@
 	c.MaxAppendEntries, c.BatchApplyCh = 256, true
 	c.SnapshotInterval, c.SnapshotThreshold, c.TrailingLogs = 20*time.Second, 8192, 4096
 	c.NoLegacyTelemetry = true
+	c.ShutdownOnRemove = false // one put out by a late copy of its own call asks to come back
 	c.Logger = k.quiet()
 	return c
 }
--- a/internal/fleet/keeper/keeper_test.go
+++ b/internal/fleet/keeper/keeper_test.go
@@ -18,6 +18,7 @@
 	"basaltloft/internal/fleet/codec"
 	"basaltloft/internal/fleet/state"
 
+	"github.com/hashicorp/raft"
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
@@ -291,6 +292,25 @@
 		f.same(name)
 		require.Eventually(t, func() bool { return f.up[f.leader()].about().Boots[name] == 1 }, 10*time.Second, 10*time.Millisecond, "taken in anew")
 	})
+	t.Run("a late copy of its call to be taken in", func(t *testing.T) {
+		f := found(t)
+		f.order(3)
+		lead := f.leader()
+		name := f.other(lead)
+		self, err := codec.Encode(name)
+		require.NoError(t, err)
+		var ok bool
+		_, err = f.client.Post(f.ctx(), lead, call.Rejoin, self, &ok)
+		require.NoError(t, err)
+		f.order(3)
+		f.same(name)
+		// And one of a leader that failed half-way: it is out, and was restarted since.
+		require.NoError(t, f.up[lead].node.raft.RemoveServer(raft.ServerID(name), 0, 0).Error())
+		require.NoError(t, f.stops[name]())
+		f.start(name)
+		f.order(3)
+		f.same(name)
+	})
 	t.Run("the folder of another", func(t *testing.T) {
 		f := found(t)
 		f.order(1)
--- a/internal/fleet/keeper/serve.go
+++ b/internal/fleet/keeper/serve.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"basaltloft/internal/fleet/call"
@@ -193,13 +194,29 @@
 	return n.raft.AddNonvoter(id, raft.ServerAddress(b.Name), 0, 0).Error()
 }
 
-// letVote lets a keeper vote that has all that is committed by now.
+// letVote lets a keeper vote that has all that is committed by now. One that is not
+// in the configuration is taken in first: it has not forgotten anything.
 func (k *Keeper) letVote(n *node, b readyBody) error {
-	if b.Index+voteWithin < n.raft.CommitIndex() {
+	f := n.raft.GetConfiguration()
+	if err := f.Error(); err != nil {
+		return err
+	}
+	id, addr := raft.ServerID(b.Name), raft.ServerAddress(b.Name)
+	at := slices.IndexFunc(f.Configuration().Servers, func(s raft.Server) bool { return s.ID == id })
+	switch {
+	case at < 0:
+		k.log.WithField("keeper", b.Name).Warn("a keeper that was put out comes back: it has no vote until it has caught up")
+		if err := n.raft.AddNonvoter(id, addr, 0, 0).Error(); err != nil {
+			return err
+		}
+		return errors.New("it is taken in, and has yet to catch up")
+	case f.Configuration().Servers[at].Suffrage == raft.Voter:
+		return nil
+	case b.Index+voteWithin < n.raft.CommitIndex():
 		return errors.New("it has not caught up yet")
 	}
 	k.log.WithField("keeper", b.Name).Info("a keeper has caught up and votes again")
-	return n.raft.AddVoter(raft.ServerID(b.Name), raft.ServerAddress(b.Name), 0, 0).Error()
+	return n.raft.AddVoter(id, addr, 0, 0).Error()
 }
 
 // voteWithin entries of the log: a keeper that lacks no more has caught up. It is
