--- a/internal/fleet/rig/plan.go
+++ b/internal/fleet/rig/plan.go
@@ -71,7 +71,7 @@
 	"gets the folder of": {two: true, folder: true, begin: func(r *Rig, f Fault) error {
 		p, other := r.who(f), r.Processes[f.Whom]
 		taken := filepath.Join(p.Home, "taken")
-		return errors.Join(p.Kill(), os.RemoveAll(aside(r, f)), os.Rename(p.Folder, aside(r, f)), other.Copy(taken), p.Put(taken), p.Start())
+		return errors.Join(p.Kill(), os.RemoveAll(aside(r, f)), os.Rename(p.Folder, aside(r, f)), other.Copy(taken), p.Put(taken), p.Start(), p.mayEnd())
 	}, end: func(r *Rig, f Fault) error {
 		return errors.Join(r.who(f).Kill(), r.who(f).Put(aside(r, f)), start(r, f))
 	}},
--- a/internal/fleet/rig/process.go
+++ b/internal/fleet/rig/process.go
@@ -147,6 +147,14 @@
 	return nil
 }
 
+// mayEnd says that its end is no surprise: it was given a folder that it must refuse.
+func (p *Process) mayEnd() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.asked = true
+	return nil
+}
+
 // Ready waits until it serves.
 func (p *Process) Ready() error {
 	p.mu.Lock()
@@ -304,3 +312,27 @@
 func (p *Process) Put(from string) error {
 	return errors.Join(os.RemoveAll(p.Folder), os.CopyFS(p.Folder, os.DirFS(from)))
 }
+
+// CPU is the processor time that its process has used so far, as /proc tells it.
+func (p *Process) CPU() (time.Duration, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return 0, fmt.Errorf("%s does not run", p.Name)
+	}
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	if err != nil {
+		return 0, err
+	}
+	_, rest, _ := bytes.Cut(text, []byte(") "))
+	var user, system int64
+	fields := bytes.Fields(rest)
+	if len(fields) < 13 {
+		return 0, fmt.Errorf("/proc tells %q of %s", text, p.Name)
+	}
+	if _, err := fmt.Sscan(string(fields[11])+" "+string(fields[12]), &user, &system); err != nil {
+		return 0, err
+	}
+	const tick = 10 * time.Millisecond // USER_HZ is 100 on every Linux
+	return time.Duration(user+system) * tick, nil
+}
--- a/internal/fleet/rig/soak.go
+++ b/internal/fleet/rig/soak.go
@@ -225,3 +225,111 @@
 	}
 	return Ended(b.begun, ends)
 }
+
+// Kept watches what records the fleet keeps of a tenant whose rule cuts them, and holds
+// at the end those of others against what clients were told.
+type Kept struct {
+	Cut    string   // the tenant with a rule
+	Whole  []string // those without
+	Lag    time.Duration
+	gone   map[string]bool
+	had    map[string]bool
+	back   []string
+	misses []string
+	extra  []string
+}
+
+// list are the ids of all records of a tenant, by pages of a door.
+func (k *Kept) list(r *Rig, tenant string, until time.Time) (ids []string, err error) {
+	after := ""
+	for {
+		var page struct {
+			Records []struct{ ID string }
+			Next    string
+		}
+		status, text, err := r.Any().Ask("GET", "/records?most=1000&tenant="+tenant+"&after="+after, "", time.Now().Add(2*time.Second))
+		if err != nil || status != 200 || json.Unmarshal([]byte(text), &page) != nil {
+			if time.Now().After(until) {
+				return nil, fmt.Errorf("records of %s: %d %s (%v)", tenant, status, text, err)
+			}
+			time.Sleep(20 * time.Millisecond)
+			continue
+		}
+		for _, one := range page.Records {
+			ids = append(ids, one.ID)
+		}
+		if after = page.Next; after == "" {
+			return ids, nil
+		}
+	}
+}
+
+// Watch looks what comes and goes until the context ends. It is for Soak.Beside.
+func (k *Kept) Watch(ctx context.Context, r *Rig) {
+	k.gone, k.had = make(map[string]bool), make(map[string]bool)
+	for ctx.Err() == nil {
+		if ids, err := k.list(r, k.Cut, time.Now().Add(patience)); err == nil {
+			k.look(ids)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(300 * time.Millisecond):
+		}
+	}
+}
+
+func (k *Kept) look(ids []string) {
+	now := make(map[string]bool, len(ids))
+	for _, id := range ids {
+		if now[id] = true; k.gone[id] {
+			k.back = append(k.back, id)
+		}
+	}
+	for id := range k.had {
+		if !now[id] {
+			k.gone[id] = true
+		}
+	}
+	k.had = now
+}
+
+// Judge waits until every spool is empty, and holds the records against the calls. What
+// a process answered within Lag before it went out of service may have gone with it.
+func (k *Kept) Judge(r *Rig) error {
+	for _, p := range r.Processes {
+		if _, err := p.Says("/fleet", `"unsent":0[,}]`, time.Now().Add(2*patience)); err != nil {
+			return err
+		}
+	}
+	for _, tenant := range k.Whole {
+		ids, err := k.list(r, tenant, time.Now().Add(patience))
+		if err != nil {
+			return err
+		}
+		got, asked := make(map[string]int), make(map[string]bool)
+		for _, id := range ids {
+			got[id]++
+		}
+		for _, c := range r.Calls() {
+			asked[c.ID] = true
+			if c.Tenant == tenant && c.Status != 0 && got[c.ID] == 0 && !r.wentOut(c.Addr, c.Ended, k.Lag) {
+				k.misses = append(k.misses, c.ID)
+			}
+		}
+		for id, n := range got {
+			if n > 1 || !asked[id] && !strings.HasPrefix(id, "plan-") {
+				k.extra = append(k.extra, id)
+			}
+		}
+	}
+	return nil
+}
+
+// wentOut tells whether a process went out of service within a time after a moment.
+func (r *Rig) wentOut(addr string, at time.Time, within time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.ContainsFunc(r.outs, func(o out) bool {
+		return o.addr == addr && o.From.Before(at.Add(within)) && (o.To.IsZero() || o.To.After(at))
+	})
+}
