--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -115,23 +115,6 @@
 	require.Eventually(t, func() bool { return r.Answers.Served.Load() >= from+more }, 40*time.Second, 10*time.Millisecond, "%d more are served", more)
 }
 
-// admitted are the times within which each try of a tenant was admitted: after its
-// client sent it, and before a member got it.
-func admitted(r *rig.Rig, tenant string) (all []rig.Span) {
-	first := map[string]time.Time{}
-	for _, a := range r.Till.Arrivals() {
-		if at, ok := first[a.ID]; !ok || a.At.Before(at) {
-			first[a.ID] = a.At
-		}
-	}
-	for _, c := range r.Calls() {
-		if at, ok := first[c.ID]; ok && c.Tenant == tenant {
-			all = append(all, rig.Span{From: c.Sent, To: at})
-		}
-	}
-	return all
-}
-
 // alike waits until the keepers that run have the same state to the byte.
 func alike(t *testing.T, r *rig.Rig) {
 	t.Helper()
@@ -188,7 +171,7 @@
 	for _, p := range r.Processes {
 		require.Empty(t, p.Died(), p.Name)
 	}
-	spans := admitted(r, demo.Tenants[0])
+	spans := r.Admitted(demo.Tenants[0])
 	over, window := rig.Overspent(spans, rate, burst)
 	require.LessOrEqual(t, over, 0.0, "overspent in the %s from %s", window.To.Sub(window.From), window.From)
 	require.Greater(t, len(spans), 100, "the tenant with a budget is served")
