A process that ends in order leaves its plans to others; what it has let is sent and told

Cause (read): plans went on being driven during a planned end, so that it would wait for whole plans, and what was out at the end would have counted as may have run. Change: from the signal on the coordinator begins, takes over and pays for nothing more; tasks under way end and are told before the process leaves, and others take the runs over.

--- a/internal/fleet/coordinator/coordinator.go
+++ b/internal/fleet/coordinator/coordinator.go
@@ -79,13 +79,14 @@
 	runs    map[string]*run
 	memory  *planrun.Coordinator // of what was done about each attempt
 	life    context.Context      // nil: not running
+	leaving chan struct{}        // closed: nothing more is begun here
 	all     sync.WaitGroup
 	ends    waiters
 }
 
 // New returns a coordinator without plans.
 func New(f Fleet, d Dispatcher, log logrus.FieldLogger) *Coordinator {
-	return &Coordinator{fleet: f, jobs: d, log: log, memory: planrun.NewCoordinator(planrun.DefaultLimits().Grace),
+	return &Coordinator{fleet: f, jobs: d, log: log, memory: planrun.NewCoordinator(planrun.DefaultLimits().Grace), leaving: make(chan struct{}),
 		named: map[string]*plan.Plan{}, digests: map[uint64]*plan.Plan{}, runs: map[string]*run{}}
 }
 
@@ -121,6 +122,19 @@
 	}
 }
 
+// Drain begins nothing more, at a planned end: what is under way ends here and is told,
+// and the runs go on at other processes once this one has left.
+func (c *Coordinator) Drain() { close(c.leaving) }
+
+func (c *Coordinator) left() bool {
+	select {
+	case <-c.leaving:
+		return true
+	default:
+		return false
+	}
+}
+
 // claim takes over runs of plans that this process knows.
 func (c *Coordinator) claim(ctx context.Context) error {
 	s := c.fleet.Session()
@@ -130,7 +144,7 @@
 		claim.Plans = append(claim.Plans, digest)
 	}
 	c.mu.Unlock()
-	if s == nil || len(claim.Plans) == 0 || claim.Most <= 0 {
+	if s == nil || c.left() || len(claim.Plans) == 0 || claim.Most <= 0 {
 		return nil
 	}
 	ctx2, cancel := context.WithDeadline(ctx, time.Now().Add(orderFor))
@@ -202,7 +216,7 @@
 	switch {
 	case p == nil:
 		return nil, 0, fmt.Errorf("%w: %q", ErrNoPlan, a.Plan)
-	case s == nil || life == nil:
+	case s == nil || life == nil || c.left():
 		return nil, 0, ErrNoFleet
 	case full:
 		return nil, 0, fmt.Errorf("%w: this process drives %d runs", ErrRefused, mostRuns)
--- a/internal/fleet/coordinator/run.go
+++ b/internal/fleet/coordinator/run.go
@@ -29,6 +29,8 @@
 	wake  chan struct{}   // the view is newer, or something has ended
 	life  context.Context // of the coordinator: ends are told also when the run is another's
 
+	tasks sync.WaitGroup // that are being done
+
 	mu    sync.Mutex
 	view  planrun.View
 	index uint64
@@ -88,8 +90,14 @@
 		if over || ctx.Err() != nil {
 			return
 		}
+		if r.c.left() { // what was let is sent, and its end told
+			r.tasks.Wait()
+			return
+		}
 		for _, t := range tasks {
+			r.tasks.Add(1)
 			r.c.all.Go(func() {
+				defer r.tasks.Done()
 				r.do(ctx, t, v, at)
 				r.rouse()
 			})
@@ -104,6 +112,7 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-r.c.leaving:
 		case <-r.wake:
 		case <-timer.C:
 			r.refresh(ctx)
@@ -307,7 +316,7 @@
 			return false
 		case <-time.After(max(time.Millisecond, time.Until(at))):
 		}
-		if _, _, over := r.now(); over || !time.Now().Before(until) {
+		if _, _, over := r.now(); over || r.c.left() || !time.Now().Before(until) {
 			return false
 		}
 	}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -285,6 +285,11 @@
 	more(6)
 	time.Sleep(2 * time.Second) // the fault itself: others take its plans over meanwhile
 	require.NoError(t, r.Processes[3].Thaw())
+	joined(t, r.Processes[3])
+	more(6)
+	require.NoError(t, r.Processes[3].Term()) // it ends in order, and leaves its plans to others
+	require.NoError(t, r.Processes[3].Wait(time.Now().Add(15*time.Second)))
+	require.NoError(t, r.Processes[3].Start())
 	lead := leader(t, r)
 	more(6)
 	require.NoError(t, r.Processes[lead].Kill())
--- a/internal/service/plans.go
+++ b/internal/service/plans.go
@@ -54,6 +54,7 @@
 		serve: func(ctx context.Context, _ net.Listener) error {
 			return p.coord.Run(ctx)
 		},
+		drain: func(End) { p.coord.Drain() },
 	})
 	return p, nil
 }
