A keeper that takes the state anew spares the spool; digests are told with their index

Cause 1: /fleet read the index and the digests at two moments, so that both were of different commands (every part differed, budgets and members too). Cause 2: clearing a keeper's folder took the spool of the process's records with it (its log: the spool's file is gone). Change: what a keeper clears is a folder of its own, keeper/ in the fleet's; index and digests are read at one command, and a keeper without a state is not compared.

--- a/internal/fleet/keeper/serve.go
+++ b/internal/fleet/keeper/serve.go
@@ -262,15 +262,15 @@
 	}
 	flag("leads", a.Leads)
 	flag("empty", a.Empty)
-	o.Set("index", arena.NewNumberString(fmt.Sprint(a.Index)))
-	o.Set("at_ms", arena.NewNumberString(fmt.Sprint(a.At.Milliseconds())))
 	differs, names := arena.NewArray(), arena.NewArray()
 	for i, name := range a.Differs {
 		differs.SetArrayItem(i, arena.NewString(name))
 	}
 	o.Set("differs", differs)
 	digests := arena.NewObject()
-	k.fsm.read(func(m *state.Machine) {
+	k.fsm.read(func(m *state.Machine) { // at one command: digests are compared by its index
+		o.Set("index", arena.NewNumberString(fmt.Sprint(m.Index())))
+		o.Set("at_ms", arena.NewNumberString(fmt.Sprint(m.At().Milliseconds())))
 		for i, who := range m.Members() {
 			names.SetArrayItem(i, arena.NewString(who.Process))
 		}
--- a/internal/fleet/rig/soak.go
+++ b/internal/fleet/rig/soak.go
@@ -108,7 +108,7 @@
 		}
 	}
 	_, text, err := p.Ask("GET", "/fleet", "", time.Now().Add(time.Second))
-	if err != nil || json.Unmarshal([]byte(text), &s) != nil || s.Keeper == nil {
+	if err != nil || json.Unmarshal([]byte(text), &s) != nil || s.Keeper == nil || s.Keeper.Index == 0 { // it has no state yet
 		return
 	}
 	d.mu.Lock()
--- a/internal/service/fleet.go
+++ b/internal/service/fleet.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -151,7 +152,7 @@
 	ready := make(chan *keeper.Keeper, 1)
 	votes.serve = func(ctx context.Context, l net.Listener) error {
 		k, err := keeper.New(keeper.Settings{
-			Name: f.Name, Folder: f.Folder, Peers: peers, Votes: l, Election: f.Election, SumEvery: f.SumEvery, Log: s.log,
+			Name: f.Name, Folder: filepath.Join(f.Folder, "keeper"), Peers: peers, Votes: l, Election: f.Election, SumEvery: f.SumEvery, Log: s.log,
 			Machine: func() (*state.Machine, error) {
 				kept, err := out.openStore(f.Folder)
 				if err != nil {
