--- a/internal/fleet/records/records_test.go
+++ b/internal/fleet/records/records_test.go
@@ -139,6 +139,7 @@
 	case SetHold:
 		m.wall = max(m.wall, c.At)
 		m.expire()
+		m.bury() // what only a hold kept that has ended is gone, though one of its name is set now
 		m.holds[c.Hold.Name] = c.Hold
 	case Lift:
 		m.wall = max(m.wall, c.At)
@@ -155,6 +156,11 @@
 			}
 		}
 	}
+	m.bury()
+}
+
+// bury takes out what is below a mark and not held.
+func (m *plain) bury() {
 	for o, r := range m.live {
 		if m.below(r) {
 			delete(m.live, o)
