A command that nobody answered no longer keeps all later answers in the state

Cause (read again): a session never acknowledged a command for which it gave up, so the state kept the answers to the last 1,024 commands of that process, views of plans among them, until it joined anew. Ruled out: asking it again under its number for good (the callers ask anew, and the books take each once). Change: it counts as answered; a late copy is refused from the next command on.

--- a/internal/fleet/call/call.go
+++ b/internal/fleet/call/call.go
@@ -225,14 +225,14 @@
 	s.open[seq] = true
 	s.mu.Unlock()
 	r, err := s.Do(ctx, state.Command{Process: s.Process, Incarnation: s.Incarnation, Seq: seq, Acked: acked, Kind: kind, Body: text})
-	if !errors.Is(err, ErrNobody) { // else a copy of it may still be on its way
-		s.mu.Lock()
-		delete(s.open, seq)
-		for s.acked < s.seq && !s.open[s.acked+1] {
-			s.acked++
-		}
-		s.mu.Unlock()
+	// One that nobody answered counts as answered too: a late copy of it is refused from
+	// the next command on, and the state need not keep all later answers for its sake.
+	s.mu.Lock()
+	delete(s.open, seq)
+	for s.acked < s.seq && !s.open[s.acked+1] {
+		s.acked++
 	}
+	s.mu.Unlock()
 	if err != nil || into == nil {
 		return err
 	}
