--- a/basaltloft.go
+++ b/basaltloft.go
@@ -124,6 +124,9 @@
 	SecondCopies  bool // two attempts of one request may be out together; one is all this module keeps out
 	RetryAfter    bool // clients are told how long to wait
 	MaxRetryAfter time.Duration
+	// ConnectWithin is how long an attempt may take to reach its worker, which counts
+	// against a key's window; 0: whoever carries attempts holds them to it.
+	ConnectWithin time.Duration
 }
 
 // Rules are the figures of the rules that no run may break.
@@ -186,6 +189,8 @@
 type Request struct {
 	ID      string
 	Class   string
+	Subject string        // jobs of one need the same, which workers may keep; empty: not told
+	Unkeyed bool          // of a keyed class, but workers are told no key that they could know a repeat by
 	Hint    time.Duration // estimated work; 0: not told
 	Expires time.Duration // when the client gives up
 	Slots   float64       // slots it takes; 0 counts as 1
--- a/cmd/basaltloft-load/main.go
+++ b/cmd/basaltloft-load/main.go
@@ -63,10 +63,10 @@
 	f.BoolVar(&c.plan.Even, "even", false, "asks evenly apart, and not a Poisson stream")
 	f.Uint64Var(&c.plan.Seed, "seed", 1, "of the random numbers")
 	f.StringVar(&c.trace, "trace", "", "a `file` with a line for each ask: when it is due, in milliseconds")
-	f.StringVar(&c.job.Class, "class", "place-hold", "the class, or the jobtype of Faktory jobs")
+	f.StringVar(&c.job.Class, "class", "", "the `class`, or the jobtype of Faktory jobs")
 	f.StringVar(&c.job.Queue, "queue", "default", "of Faktory jobs")
 	f.StringVar(&c.job.Tenant, "tenant", "", "who asks")
-	f.DurationVar(&c.job.Cost, "cost", 20*time.Millisecond, "the told cost; 0: not told")
+	f.DurationVar(&c.job.Cost, "cost", 0, "the told cost; 0: not told")
 	f.DurationVar(&c.job.Budget, "budget", 10*time.Second, "how long a client waits")
 	f.IntVar(&c.job.Body, "body", 64, "bytes of a body")
 	f.StringVar(&c.format, "format", "table", "table or json")
@@ -85,6 +85,8 @@
 		return c, fmt.Errorf("-at: %w", err)
 	case !local && !c.anywhere:
 		return c, fmt.Errorf("%s is not this machine's own: say -anywhere if that is meant", c.at)
+	case c.job.Class == "":
+		return c, errors.New("-class must name a class that the dispatcher's settings have")
 	case c.front != "http" && c.front != "faktory":
 		return c, fmt.Errorf("-front is http or faktory, not %q", c.front)
 	case c.format != "table" && c.format != "json":
--- a/cmd/basaltloft-load/main_test.go
+++ b/cmd/basaltloft-load/main_test.go
@@ -31,7 +31,7 @@
 		"-trace " + trace: "3 asks",
 	} {
 		var out, errs bytes.Buffer
-		require.NoError(t, run(context.Background(), append(strings.Fields(args), "-at", served.Listener.Addr().String()), &out, &errs), args)
+		require.NoError(t, run(context.Background(), append(strings.Fields(args), "-class", "c", "-at", served.Listener.Addr().String()), &out, &errs), args)
 		require.Contains(t, out.String(), want, args)
 	}
 	text, err := os.ReadFile(filepath.Join(dir, "p.svg"))
@@ -39,7 +39,7 @@
 	require.Contains(t, string(text), "<svg")
 
 	var out bytes.Buffer
-	err = run(context.Background(), strings.Fields("-rate 200 -for 50ms -even -at "+busy.Listener.Addr().String()), &out, &bytes.Buffer{})
+	err = run(context.Background(), strings.Fields("-class c -rate 200 -for 50ms -even -at "+busy.Listener.Addr().String()), &out, &bytes.Buffer{})
 	require.ErrorContains(t, err, "nothing was served")
 	require.Contains(t, out.String(), "refused, come back later 10 (100.00%)")
 }
@@ -49,17 +49,18 @@
 	bad := filepath.Join(dir, "bad")
 	require.NoError(t, os.WriteFile(bad, []byte("1\nx\n"), 0o600))
 	for args, want := range map[string]string{
-		"":                                      "-at",
-		"-at 10.0.0.1:80":                       "-anywhere",
-		"-at 127.0.0.1:1 more":                  "one argument too many",
-		"-at 127.0.0.1:1 -front smtp":           "-front is",
-		"-at 127.0.0.1:1 -format xml":           "-format is",
-		"-at 127.0.0.1:1 -rate -1":              "rates must not be below 0",
-		"-at 127.0.0.1:1 -for 0s":               "length",
-		"-at 127.0.0.1:1 -connections 0":        "-connections",
-		"-at 127.0.0.1:1 -plot x.gif":           ".svg or .png",
-		"-at 127.0.0.1:1 -trace " + bad:         "line 2",
-		"-at 127.0.0.1:1 -trace " + dir + "/no": "no such file",
+		"":                                               "-at",
+		"-at 10.0.0.1:80":                                "-anywhere",
+		"-at 127.0.0.1:1":                                "-class must name a class",
+		"-class c -at 127.0.0.1:1 more":                  "one argument too many",
+		"-class c -at 127.0.0.1:1 -front smtp":           "-front is",
+		"-class c -at 127.0.0.1:1 -format xml":           "-format is",
+		"-class c -at 127.0.0.1:1 -rate -1":              "rates must not be below 0",
+		"-class c -at 127.0.0.1:1 -for 0s":               "length",
+		"-class c -at 127.0.0.1:1 -connections 0":        "-connections",
+		"-class c -at 127.0.0.1:1 -plot x.gif":           ".svg or .png",
+		"-class c -at 127.0.0.1:1 -trace " + bad:         "line 2",
+		"-class c -at 127.0.0.1:1 -trace " + dir + "/no": "no such file",
 	} {
 		err := run(context.Background(), strings.Fields(args), &bytes.Buffer{}, &bytes.Buffer{})
 		require.ErrorContains(t, err, want, args)
--- a/cmd/wirehost/main_test.go
+++ b/cmd/wirehost/main_test.go
@@ -4,6 +4,10 @@
 	"bytes"
 	"strings"
 	"testing"
+
+	"basaltloft/internal/wire"
+
+	"github.com/stretchr/testify/require"
 )
 
 const conf = `{"balancers":1,"registry_mode":"push","worth_by":"work","zone":"a","shapes":["k"],"brand_new_key":[1],` +
@@ -86,6 +90,21 @@
 	}
 }
 
+// TestReadsSubjects: what a request is about reaches the decisions, and may be absent.
+func TestReadsSubjects(t *testing.T) {
+	for line, want := range map[string]string{
+		"INGRESS\ttxn=r-1\tentity=91f0 3b\texpires=9\tclass=c\nEOB\n": "91f0 3b", "INGRESS\ttxn=r-1\texpires=9\tclass=c\nEOB\n": "",
+	} {
+		d, found := wire.NewDecoder(strings.NewReader(begin+line)), false
+		for e, err := d.Next(); !found; e, err = d.Next() {
+			require.NoError(t, err)
+			if found = e.Request.ID == "r-1"; found {
+				require.Equal(t, want, e.Request.Subject)
+			}
+		}
+	}
+}
+
 func TestReadsEveryEvent(t *testing.T) {
 	rest := "COMPLETED\ttxn=r-1\tended=1\tcopy=0\tstate_code=0\tduration=5\tworker=5\tserver_stats=throughput:140,x0:0.4,new:1\n" +
 		"STATUS_BACK\tworker=5\tstate_code=253\tduration=1400000\n" +
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -29,7 +29,7 @@
 	agingMultiple = 2.0 // a job is passed by shorter ones until it has waited this many of its costs
 	hope          = 0.8 // the share of the expected run time in which a job may end with luck
 
-	turnFirst   = 1e13        // outweighs any room
+	coldFirst   = 1e13        // outweighs any room
 	nearFirst   = 1e15        // outweighs that
 	subsetLeast = 10.0        // workers in a subset, at least
 	subsetEach  = 2.0         // and for each job in hand
@@ -61,10 +61,10 @@
 	unsafeTrial  = 8 * time.Second        // left alone so long, it is tried with any job
 	evidenceFor  = 2 * time.Second        // a sign of life counts against a list for this long
 	keepGone     = time.Minute            // a worker called gone is remembered for this long
-	turnMeans    = 2.5                    // mean costs that each of those who share a turn may send
-	coldSafety   = 0.6                    // share of the cold rule's budget that is used
-	coldFair     = 0.3                    // without turns, the part of that which all send on average
-	coldOwn      = 0.35                   // and what one may send at most
+	coldSure     = 0.6                    // share of the cold rule's budget that even parts use
+	coldSafety   = 0.7                    // share of its bound, with chance, that won draws make up
+	coldEven     = 1.3                    // where few share it, what one may take beside its even part
+	coldOwn      = 0.2                    // the share of the bound that one job may take
 	overloadFor  = time.Second            // how long a job lost for want of room means overload
 
 	tickEvery = 20 * time.Millisecond
@@ -181,11 +181,11 @@
 func (d *Dispatcher) Timer(now time.Duration, token string) {
 	d.start(now)
 	d.ticking = d.ticking && token != tickToken
-	if (token == "due" || token == "start") && len(d.busy) >= many && now-d.lookedAt < tickEvery {
-		d.tick() // which looks at what is due
-		return
+	if len(d.busy) < many || token == tickToken {
+		d.lookAll()
+	} else if d.tick(); token == "due" || token == "start" {
+		return // the tick looks at what is due
 	}
-	d.lookAll()
 	for i := 0; token == trialToken && i < len(d.subset); i++ {
 		if w := d.subset[i]; w.suspect && now >= w.trial {
 			d.trialIn(w, d.jitter(w.trialWait))
@@ -227,11 +227,10 @@
 	c, w := a.job.class, a.worker
 	ratio := min(max(run/(a.run*w.pace()*d.common*d.chilled(w)), 1/outlier), outlier)
 	weight := min(1, a.run/max(1, d.mean)) // short runs are mostly network
-	d.common *= 1 + (ratio-1)*weight/paceWindow
+	d.common *= 1 + (ratio-1)*weight/paceWindow*d.counted(a.job)
 	c.perHint *= 1 + (ratio-1)*weight/costWindow
-	c.plain = cmp.Or(c.plain, a.run*ratio)
-	c.plain += (a.run*ratio - c.plain) / costWindow
-	d.known += (a.run*ratio - d.known) / costWindow
+	c.plain += (a.run*ratio - c.plain) / c.runs
+	d.known += (a.run*ratio - d.known) / d.runs
 	if d.cold(w) {
 		d.warmer(w, ratio, weight)
 	} else {
@@ -267,14 +266,14 @@
 			d.index(w)
 		}
 	case Full:
-		w.news = d.now
+		d.heard(w)
 		d.cutBudget(w, a.at)
 		w.free, w.reportAt, w.wary = 0, d.now, d.now+waryFor
 	case Error:
 		a.failed = true
 		d.failed(w)
 	case Unfit: // says nothing of the worker: else one client's bad input shuts one worker after the other
-		w.news = d.now
+		d.heard(w)
 	case Moot:
 		a.called = true // it never arrived, which proves little, but others are tried first
 	case TimedOut, ConnectFailed, Reset: // one broke: whether the process died shows when the next one fails
@@ -287,7 +286,7 @@
 // failed takes in an error. A worker that fails all, or many, looks idle and fast, and would draw all work:
 // it is on probation then, whatever single jobs end well between.
 func (d *Dispatcher) failed(w *worker) {
-	w.news = d.now
+	d.heard(w)
 	w.countEnd(1)
 	if w.failing = d.worse(w); w.failing {
 		d.doubt(w, false)
@@ -303,7 +302,7 @@
 // probation tells whether a worker that fails many of its jobs is no place for this one: it gets one at a
 // time, of those that may be sent again elsewhere, until its share has fallen.
 func (d *Dispatcher) probation(w *worker, j *job) bool {
-	return w.failing && (len(w.attempts) > 0 || j.class.Effect == Unsafe && d.now < w.sentAt+unsafeTrial)
+	return w.failing && (len(w.attempts) > 0 || j.effect() == Unsafe && d.now < w.sentAt+unsafeTrial)
 }
 
 // ownFault tells whether an error is the request's: it failed at another worker too, or many do everywhere.
@@ -326,7 +325,7 @@
 
 // trust ends a suspicion: there is news.
 func (d *Dispatcher) trust(w *worker) {
-	w.news = d.now
+	d.heard(w)
 	if w.suspect && w.down { // it may have come back as a new, cold process before the list tells
 		d.log("worker %d answers again", w.Worker)
 		w.down, w.coldFrom = false, d.now
@@ -340,6 +339,7 @@
 func (d *Dispatcher) doubt(w *worker, down bool) {
 	if w.down = w.down || down; !w.suspect {
 		w.suspect = true
+		d.unheard(w)
 		d.log("worker %d is silent, down or failing: no new work, %d jobs out", w.Worker, len(w.attempts))
 	}
 	w.trialWait = min(max(2*w.trialWait, trialFirst), trialLast)
@@ -374,7 +374,7 @@
 // is asked back runs on there.
 func (d *Dispatcher) rescue(a *attempt) {
 	j := a.job
-	if a.called || a.started != 0 || j.done || !d.watches() || !d.Limits.Cancel || j.class.Effect == Unsafe ||
+	if a.called || a.started != 0 || j.done || !d.watches() || !d.Limits.Cancel || j.effect() == Unsafe ||
 		d.tied(j) || len(j.attempts) >= j.most {
 		return
 	}
@@ -401,12 +401,6 @@
 	return !d.asks && d.TellsStart && d.Limits.SecondCopies && d.Limits.Cancel && j.class.Effect == Safe
 }
 
-// started keeps the first copy that starts, and calls off the others.
-func (d *Dispatcher) started(a *attempt) {
-	a.job.running = cmp.Or(a.job.running, a)
-	d.callOffBut(a.job, a.job.running)
-}
-
 // tie sends a further copy of a job that does not start soon. One that waits at workers until it is hopeless
 // is given up like a held one: late work would fill their queues for good.
 func (d *Dispatcher) tie(j *job) {
@@ -458,12 +452,6 @@
 	return w.coldFrom != 0 && d.now-w.coldFrom < d.Rules.ColdFor
 }
 
-// turn counts the turns of a cold worker from its start, and those until the next one of this instance.
-func (d *Dispatcher) turn(w *worker) (now, wait int) {
-	now, n := int(max(0, d.now-w.coldFrom)/max(1, d.Rules.FallFor)), d.Instances
-	return now, one(!d.thronged()) * ((d.Rank + n - (now+int(w.Worker>>1))%n) % n)
-}
-
 // share is the part of its capacity that a worker has at least, at an age.
 func (d *Dispatcher) share(w *worker, age time.Duration) float64 {
 	if !d.cold(w) {
@@ -472,29 +460,25 @@
 	return d.Rules.ColdFrom + (1-d.Rules.ColdFrom)*min(1, float64(age)/float64(max(1, d.Rules.ColdFor)))
 }
 
-// coldRoom is the cost that a cold worker may still get from this instance. By rank and the told start, n
-// share a turn as long as the rule's window, and each turn changes one: any window meets n+1, and as many
-// parts, of some jobs each, keep the sum. Slots seen at its kind, at its pace, stand for the capacity. In a
-// throng most turns would pass unused: there jobs go by chance, so that all send their part on average.
+// coldRoom is the cost that a cold worker may still get from this instance. Slots seen at its kind, at its
+// pace, stand for its capacity at the window's start. Even parts, where they take the job, keep the
+// sum for sure. Where many share they don't: there each draws, once a window, what it may send.
 func (d *Dispatcher) coldRoom(w *worker, j *job) float64 {
-	turn, wait := d.turn(w)
-	start := time.Duration(turn) * d.Rules.FallFor
 	capacity := max(1, 0.8*w.kind.slots) / w.pace() * float64(d.Rules.FallFor)
-	whole := coldSafety * d.Rules.FallMultiple * d.share(w, start) * capacity
-	switch {
-	case d.divided(&whole):
-	case d.thronged() && w.chance(j.seq+uint64(d.Rank)<<20)*d.mine(j) > coldFair*whole/float64(d.Instances):
-		return 0
-	case d.thronged():
-		whole *= coldOwn
-	case d.Instances > 1:
-		n := max(1, min(int(whole/(turnMeans*d.mean))-1, d.Instances-1))
-		if wait >= n || w.coldFrom < d.born && w.coldFrom+start-d.Rules.FallFor < d.born {
-			return 0 // others' turn, or one that this instance may have used before it restarted
-		}
-		whole /= float64(n + 1)
+	whole := d.Rules.FallMultiple * d.share(w, max(0, d.now-w.coldFrom-d.Rules.FallFor)) * capacity
+	got := w.sentSince(d.now - d.Rules.FallFor)
+	if d.divided(&whole) {
+		return coldSure*whole - got
+	}
+	part := coldSure * whole / float64(d.Instances)
+	whole += 2*math.Sqrt(whole*d.mean) + 2*d.mean // what the rule puts down to chance
+	most := max(d.mean, coldOwn*whole)
+	each := coldSafety * whole / 2 / float64(d.Instances)
+	if j.cost <= part || j.cost > most || got+d.drawn(w)*j.cost > each ||
+		d.Instances < crowd && got+j.cost > coldEven*part { // few make no distribution
+		return part - got
 	}
-	return whole - w.sentSince(d.now-d.Rules.FallFor)
+	return most
 }
 
 // load is what a job counts against a budget: its cost, but one far heavier than the mean holds no more
@@ -521,8 +505,8 @@
 	if d.cold(w) {
 		left := d.coldRoom(w, j)
 		inTurn := j.cost <= left && w.out+j.cost <= max(w.budget, j.cost)
-		if d.crowded && !d.thronged() { // a turn is better evidence of room than a report that many see
-			return turnFirst + left/w.pace(), inTurn
+		if d.crowded && !d.blind() { // a draw is better evidence of room than a report that many see
+			return coldFirst + left/w.pace(), inTurn
 		}
 		room, fits = min(room, left)/d.chilled(w), fits && inTurn
 	}
@@ -582,15 +566,29 @@
 	return d.place(j)
 }
 
-// place is choose without a look at whether the job may be sent. Of many it weighs the first that the job
-// fits, from a random one on, among those that may have room at all.
+// place is choose without a look at whether the job may be sent: first at the homes of its subject,
+// then among all, or of many those that may have room.
 func (d *Dispatcher) place(j *job) *worker {
-	chosen, most := [2]*worker{}, [2]float64{} // of those that serve, of the suspects
-	among, serving, enough := d.subset, 1, len(d.subset)
+	for more := 0; j.subject != nil && more < 2; more++ {
+		if homes, _ := d.search(j, d.homes(j, more), many); homes[0] != nil {
+			return homes[0]
+		}
+	}
+	among, enough := d.subset, len(d.subset)
 	if enough >= many {
 		among, enough = d.vacant.All(), sample
 	}
 	d.searches++
+	chosen, serving := d.search(j, among, enough)
+	if serving == 1 && chosen[1] != nil && len(d.subset) >= many && d.serves(j) {
+		return nil // others are only full
+	}
+	return chosen[serving]
+}
+
+// search weighs, from a random one on, enough workers that the job fits, and tells whether any serves.
+func (d *Dispatcher) search(j *job, among []*worker, enough int) (chosen [2]*worker, _ int) {
+	serving, most := 1, [2]float64{} // of those that serve, of the suspects
 	from := d.rng.IntN(len(among) + 1)
 	for i := 0; i < len(among) && enough > 0; i++ {
 		w := among[(from+i)%len(among)]
@@ -600,7 +598,7 @@
 		of := one(d.dubious(w, j))
 		serving = min(serving, of)
 		late := float64(d.now)+hope*j.run*w.pace()*d.common*d.chilled(w) > float64(j.aim)
-		if late || j.ran != nil && j.class.Effect == Keyed && !j.class.Group.same(j.ran.worker, w) {
+		if late || j.ran != nil && j.class.Effect == Keyed && !j.class.Group.same(j.ran.to, w.Member) {
 			continue
 		}
 		room, fits := d.room(w, j)
@@ -612,10 +610,7 @@
 			chosen[of], most[of] = w, room
 		}
 	}
-	if serving == 1 && chosen[1] != nil && len(d.subset) >= many && d.serves(j) {
-		return nil // others are only full
-	}
-	return chosen[serving]
+	return chosen, serving
 }
 
 // dueAt is when an attempt is overdue: where starts are told, soon for one that has not started.
@@ -658,11 +653,11 @@
 	return min(start, j.Expires-2*tickEvery) // held jobs are answered by the tick
 }
 
-// end gives the final answer to a job that was not served: refused where a retry by the client can do no
-// harm, else failed.
+// end answers a job that was not served: refused where the client's retry can do no harm, else failed.
 func (d *Dispatcher) end(j *job) {
 	c := j.class
-	if j.ran == nil && j.outs == 0 || c.Effect == Safe || c.Effect == Keyed && c.Group == GroupAll {
+	known := c.Group == GroupAll && d.remembered(j, d.Limits.MaxRetryAfter) // yet, when it comes again
+	if j.ran == nil && j.outs == 0 || c.Effect == Safe || known {
 		d.host.Refuse(j.ID, d.Limits.MaxRetryAfter)
 	} else {
 		d.host.Fail(j.ID)
@@ -672,8 +667,7 @@
 
 // mayResend tells whether a further attempt is allowed anywhere: an effect must not happen twice.
 func (d *Dispatcher) mayResend(j *job) bool {
-	known := j.ran == nil || j.class.Effect == Safe ||
-		j.class.Effect == Keyed && d.now-j.ran.at < j.class.Window
+	known := j.ran == nil || j.class.Effect == Safe || d.remembered(j, d.Limits.ConnectWithin)
 	free := j.outs == 0 || j.running == nil && d.tied(j)
 	return known && free && len(j.attempts) < j.most
 }
@@ -753,10 +747,9 @@
 // want is the size of the subset: half where each worker is learned by jobs that wait there, not by reports.
 func (d *Dispatcher) want() int { return int(max(subsetLeast, subsetEach*d.peak)) >> one(d.blind()) }
 
-// joinCold takes a cold worker into the subset if this instance has a turn there soon.
+// joinCold takes a cold worker into the subset.
 func (d *Dispatcher) joinCold(w *worker) {
-	_, wait := d.turn(w)
-	if !w.member && d.cold(w) && d.usable(w) && time.Duration(wait)*d.Rules.FallFor < d.Rules.ColdFor {
+	if d.cold(w) {
 		d.join(w)
 	}
 }
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -264,6 +264,78 @@
 	}
 }
 
+// TestGroupIsThatOfTheSend: a key is known where the first attempt went. A worker that is listed in another zone since
+// then takes no key along: a repeat goes to the zone that the attempt was sent to, or nowhere.
+func TestGroupIsThatOfTheSend(t *testing.T) {
+	for _, stays := range []bool{false, true} {
+		b := newBench(t, settings(), 0)
+		b.Members(b.now, basaltloft.ListWhole, []basaltloft.Member{member(1, "a"), member(2, "b")})
+		b.request("r", "keyed", 100*ms)
+		first := b.sentTo("r")
+		zones := map[uint32]string{1: "a", 2: "b"}
+		list := []basaltloft.Member{member(first, zones[3-first]), member(3-first, zones[3-first])}
+		if stays { // somebody else has come to where it was
+			list = append(list, member(3, zones[first]))
+		}
+		b.Members(b.now, basaltloft.ListWhole, list)
+		b.outcome("r", basaltloft.Reset)
+		if stays && (b.sends["r"] != 2 || b.sentTo("r") != 3) {
+			t.Errorf("worker 3 of its zone did not get it again: %v", b.acts)
+		}
+		if !stays && b.sends["r"] != 1 {
+			t.Errorf("resent outside the group it was sent to: %v", b.acts)
+		}
+	}
+}
+
+// TestKeyedWithoutAKey: a job of a keyed class that brought no key is known nowhere by it. It is sent again only if it
+// never ran, and a client is not told that it may come again.
+func TestKeyedWithoutAKey(t *testing.T) {
+	for _, c := range []struct {
+		unkeyed bool
+		status  basaltloft.Status
+		sends   int
+	}{{true, basaltloft.Reset, 1}, {true, basaltloft.Error, 1}, {true, basaltloft.ConnectFailed, 2}, {false, basaltloft.Reset, 2}} {
+		s := settings()
+		s.Classes[1].Group = basaltloft.GroupAll
+		b := newBench(t, s, 3)
+		b.Request(b.now, basaltloft.Request{ID: "r", Class: "keyed", Unkeyed: c.unkeyed, Hint: 100 * ms, Expires: b.now + 5*time.Second})
+		b.outcome("r", c.status)
+		if b.sends["r"] != c.sends || c.sends == 1 && (b.has("refuse r") || !b.has("fail r")) {
+			t.Errorf("unkeyed %t, status %d: %v", c.unkeyed, c.status, b.acts)
+		}
+	}
+}
+
+// TestKeyedWindowCountsTheWay: a repeat that would reach its worker after the key's window is not sent, and a
+// job whose key may be forgotten before its client can come again is failed, not refused.
+func TestKeyedWindowCountsTheWay(t *testing.T) {
+	for name, c := range map[string]struct {
+		after, dial time.Duration
+		sends       int
+		end         string
+	}{
+		"in time, with the way": {500 * ms, time.Second, 2, ""},
+		"late by the way":       {2500 * ms, time.Second, 1, "fail r"},
+		"late by the way alone": {2500 * ms, 400 * ms, 2, ""},
+		"just known":            {900 * ms, 3 * time.Second, 1, "refuse r"},
+		"not known by then":     {1100 * ms, 3 * time.Second, 1, "fail r"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := settings()
+			s.Classes[1].Aim, s.Classes[1].Group = 4*time.Second, basaltloft.GroupAll
+			s.Limits.ConnectWithin, s.Limits.RetryAfter, s.Limits.MaxRetryAfter = c.dial, true, 2*time.Second
+			b := newBench(t, s, 3)
+			b.request("r", "keyed", 100*ms)
+			b.now += c.after
+			b.outcome("r", basaltloft.Reset)
+			if b.sends["r"] != c.sends || c.end != "" && !b.has(c.end) {
+				t.Errorf("%d sends: %v", b.sends["r"], b.acts)
+			}
+		})
+	}
+}
+
 // TestFullMayHaveRun fails where 'full' counts as proof that nothing ran, though it is stated to be none.
 func TestFullMayHaveRun(t *testing.T) {
 	s := settings()
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -31,6 +31,10 @@
 }
 
 func serve(ctx context.Context, sh *shared, operator string) error {
+	// First of all: until then a signal kills the process.
+	told, reloads := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(told, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(reloads, syscall.SIGHUP)
 	over := map[string]string{}
 	for _, name := range []string{"ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY", "ROUTER_ADMIN"} {
 		over[name] = os.Getenv(name)
@@ -53,9 +57,6 @@
 	if extra.Fleet != nil && os.Getenv("ROUTER_NAME") != "" && os.Getenv("ROUTER_LISTEN") != "" {
 		return errors.New("operator's file: fleet: the platform that sets ROUTER_NAME and ROUTER_LISTEN has no lasting folder and no talk among dispatchers: take the section out")
 	}
-	told, reloads := make(chan os.Signal, 1), make(chan os.Signal, 1)
-	signal.Notify(told, syscall.SIGTERM, syscall.SIGINT)
-	signal.Notify(reloads, syscall.SIGHUP)
 	service.Fit(c)
 	return service.Run(ctx, service.Options{
 		Config: c, Operator: extra, OperatorDir: filepath.Dir(operator), Log: sh.logger(),
--- a/internal/cli/tools.go
+++ b/internal/cli/tools.go
@@ -150,7 +150,7 @@
 // plots are for a tool alone. What it takes is its own to check.
 func loadCommand(sh *shared) *cobra.Command {
 	return &cobra.Command{
-		Use:   "load -at ADDRESS [-front http|faktory] [-rate N] [-to N] [-for 10s] [-trace FILE] [-format table|json] [-plot FILE.svg]",
+		Use:   "load -at ADDRESS -class CLASS [-front http|faktory] [-rate N] [-to N] [-for 10s] [-trace FILE] [-format table|json] [-plot FILE.svg]",
 		Short: "send an open-loop load to a dispatcher, and tell what became of it", DisableFlagParsing: true,
 		RunE: func(c *cobra.Command, args []string) error {
 			if len(args) == 0 || args[0] == "--help" || args[0] == "-h" {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -51,7 +51,7 @@
 	timers       timers
 	asked        map[moment]bool // timers of the module's that are set
 	open         map[string]*Transaction
-	left         map[string]time.Time // ids whose client left while a flow was out: until then the member may not have heard
+	left         map[string]calledOff // ids that were closed while an attempt was out, or may have run: see remember
 	members      map[string]*Member
 	numbers      map[uint32]*Member
 	held         map[string]bool      // members out by hand
@@ -60,6 +60,7 @@
 	gauge        lag.Gauge // of what events wait
 	flowing      int64     // flows that are out
 	late, leaves time.Time // see Leaving
+	closed       bool      // see Close
 	spending     Spending  // nil: nothing is shared
 	trails       bool      // see KeepTrails
 
@@ -73,7 +74,7 @@
 	c := &Core{
 		settings: s, stages: stages, log: log, base: time.Now(),
 		posted: make(chan struct{}, 1), stopped: make(chan struct{}),
-		open: make(map[string]*Transaction), left: make(map[string]time.Time), members: make(map[string]*Member), numbers: make(map[uint32]*Member),
+		open: make(map[string]*Transaction), left: make(map[string]calledOff), members: make(map[string]*Member), numbers: make(map[uint32]*Member),
 		sources: make(map[string]int), listed: make(map[string]bool), held: make(map[string]bool), warmFrom: make(map[string]time.Time), timers: newTimers(), asked: make(map[moment]bool),
 	}
 	if c.spending = spending; spending != nil {
@@ -140,7 +141,9 @@
 		for _, event := range c.taken() {
 			c.handle(event)
 		}
-		for due := c.timers.due(time.Now()); due != nil; due = c.timers.due(time.Now()) {
+		// What comes due meanwhile waits for the events that came meanwhile.
+		now := time.Now()
+		for due := c.timers.due(now); due != nil; due = c.timers.due(now) {
 			c.handle(posted{do: due})
 		}
 	}
@@ -234,11 +237,17 @@
 	c.unanswered.Add(1)
 	c.post(func() {
 		c.stages.Enter(t, c.now)
-		if c.open[t.ID] != nil || c.now.Before(c.left[t.ID]) { // an id names one transaction: the module would drop the second in silence
+		t.class = c.class(t.Class)
+		if t.class.Effect == basaltloft.Keyed && t.Key == "" {
+			t.class.Effect = basaltloft.Unsafe // members know no repeat of it
+		}
+		if first := c.open[t.ID]; first != nil && first.Gone() { // and Leave is still under way
+			c.leave(first)
+		}
+		if a := c.twice(t); a != nil {
 			c.unanswered.Add(-1)
-			a := Answer{Verdict: Denied, Reason: account.IDInHand, Body: []byte("this id is in hand already\n")}
-			c.stages.Book(t, a, c.now)
-			t.Client.Answer(a)
+			c.stages.Book(t, *a, c.now)
+			t.Client.Answer(*a)
 			return
 		}
 		c.open[t.ID] = t
@@ -252,7 +261,7 @@
 			c.answer(t, *a)
 			return
 		}
-		if c.comesLate(t) && c.now.Add(t.Hint).After(c.leaves) {
+		if c.closed || c.comesLate(t) && c.now.Add(t.Hint).After(c.leaves) {
 			c.answer(t, Answer{Verdict: Refused, Reason: account.GoingAway, RetryAt: c.now})
 			return
 		}
@@ -261,6 +270,35 @@
 	})
 }
 
+// twice is the answer to a transaction whose id is that of another that is open, or
+// whose client left: the module would drop it in silence, and its attempt could run
+// beside the other's. It may come again once the other is called off, where running
+// twice is harmless; else it is denied. Nil: its id is its own.
+func (c *Core) twice(t *Transaction) *Answer {
+	first, left := c.left[t.ID]
+	if left = left && c.now.Before(first.until); c.open[t.ID] == nil && !left {
+		return nil
+	}
+	if t.ranFrom = first.ranFrom; left && c.harmless(t) {
+		back := c.now.Add(c.settings.Limits.MaxRetryAfter)
+		if back.After(first.until) {
+			back = first.until
+		}
+		return &Answer{Verdict: Refused, Reason: account.Declined, RetryAt: back}
+	}
+	return &Answer{Verdict: Denied, Reason: account.IDInHand, Body: []byte("this id is in hand already\n")}
+}
+
+// class is a class as the settings have it now.
+func (c *Core) class(name string) basaltloft.Class {
+	for _, class := range c.settings.Classes {
+		if class.Name == name {
+			return class
+		}
+	}
+	return basaltloft.Class{Effect: basaltloft.Unsafe} // gone with a reload since it was taken in: nothing is promised of it
+}
+
 // Retune takes new settings of classes and limits for what comes from now on;
 // what is under way keeps its own. It tells once the decisions have them, or why
 // they were turned down.
@@ -276,13 +314,9 @@
 // Leaving tells that the program ends. What arrived late is answered by the end:
 // what can't be done by then is refused at once, and what is not done then is
 // answered, since nothing can be after that. What came before keeps its deadline.
-// Told again it sets another end; what counted as late still does.
 func (c *Core) Leaving(late, end time.Time) {
 	c.post(func() {
-		if c.late.IsZero() {
-			c.late = late
-		}
-		c.leaves = end
+		c.late, c.leaves = late, end
 		c.timers.add(end, func() {
 			early, held := 0, 0
 			for _, t := range c.open {
@@ -309,6 +343,20 @@
 	})
 }
 
+// Close takes no more transactions, all that come are refused, if nothing is in hand in
+// that moment, and tells whether that is so: no result is owed from then on, and the
+// way on which results come may be shut.
+func (c *Core) Close() (done bool) {
+	done = true // by Run's end, if that came before
+	c.Sync(func() { done = c.shut() })
+	return done
+}
+
+func (c *Core) shut() bool {
+	c.closed = c.closed || c.load.Open == 0
+	return c.closed
+}
+
 // Longest is the longest deadline of any class. It may be called by Run's goroutine
 // only, such as in a Sync.
 func (c *Core) Longest() (longest time.Duration) {
@@ -322,12 +370,31 @@
 // was never sent on, no attempt may have run, or its class lets it run twice. Such a
 // one is refused, not failed, as the module itself does.
 func (c *Core) harmless(t *Transaction) bool {
-	for _, class := range c.settings.Classes {
-		if class.Name == t.Class && (class.Effect == basaltloft.Safe || class.Effect == basaltloft.Keyed && class.Group == basaltloft.GroupAll) {
-			return true
-		}
+	since := t.ranFrom
+	if since.IsZero() && t.live != nil {
+		since = t.live.SentAt
 	}
-	return t.live == nil && !t.ran
+	switch {
+	case since.IsZero(), t.class.Effect == basaltloft.Safe:
+		return true
+	case t.class.Effect == basaltloft.Keyed && t.class.Group == basaltloft.GroupAll: // if the key is known yet when it comes again
+		return c.now.Add(c.settings.Limits.MaxRetryAfter).Before(since.Add(t.class.Window))
+	}
+	return false
+}
+
+// repeatMargin is by how much sooner than a key's window ends a repeat has to be
+// with its member: the way there may take longer than the first one's did.
+const repeatMargin = 50 * time.Millisecond
+
+// latest is when the next flow of a transaction must have reached its member; zero:
+// no matter. A key's window counts from the first flow that may have run, at the
+// soonest from its sending.
+func (t *Transaction) latest() time.Time {
+	if t.class.Effect != basaltloft.Keyed || t.ranFrom.IsZero() {
+		return time.Time{}
+	}
+	return t.ranFrom.Add(t.class.Window - repeatMargin)
 }
 
 func (c *Core) comesLate(t *Transaction) bool { return !c.late.IsZero() && t.Arrived.After(c.late) }
@@ -335,7 +402,7 @@
 // request is the stage's view of the transaction, on the module's clock.
 func (c *Core) request(t *Transaction) basaltloft.Request {
 	r := c.stages.Route(t)
-	r.Expires = c.clock(t.Deadline)
+	r.Expires, r.Unkeyed = c.clock(t.Deadline), t.Key == ""
 	if m := c.members[t.NotMember]; m != nil {
 		if r.NotWorker = m.number; t.NotItsZone {
 			r.NotZone = m.Zone
@@ -353,9 +420,7 @@
 	if t.answered || c.open[t.ID] != t {
 		return
 	}
-	if t.live != nil {
-		c.remember(t.ID)
-	}
+	c.remember(t)
 	c.close(t)
 	c.stages.Book(t, Answer{Verdict: Failed, Reason: account.ClientLeft}, c.now)
 	c.decisions.Gone(c.clock(c.now), t.ID)
@@ -364,15 +429,29 @@
 // hearing is how long a member may take to hear that a flow is abandoned.
 const hearing = 2 * time.Second
 
-// remember keeps the id of a transaction whose client left while a flow was out.
-// The flow ends here at once, and its member hears of it later: a client that
-// sends the same id again on another connection meanwhile, as one does whose
-// connection was closed on it, would have two attempts at once.
-func (c *Core) remember(id string) {
-	until := c.now.Add(hearing)
-	c.left[id] = until
+// calledOff is what is remembered of a transaction that was closed early.
+type calledOff struct {
+	until   time.Time
+	ranFrom time.Time // since when an attempt may have run
+}
+
+// remember keeps the id of a transaction that is closed, by its client's leaving or by
+// an answer, while an attempt is out, or after one that must not be repeated. The
+// flow ends here at once, and its member hears of it later: a client that sends the
+// same id again on another connection meanwhile, as one does whose connection was
+// closed on it, would have two attempts at once, or one too many.
+func (c *Core) remember(t *Transaction) {
+	if t.live == nil && c.harmless(t) {
+		return
+	}
+	since := t.ranFrom
+	if since.IsZero() {
+		since = t.live.SentAt
+	}
+	id, until := t.ID, c.now.Add(hearing)
+	c.left[id] = calledOff{until, since}
 	c.timers.add(until, func() {
-		if !c.now.Before(c.left[id]) {
+		if !c.now.Before(c.left[id].until) {
 			delete(c.left, id)
 		}
 	})
@@ -398,7 +477,10 @@
 	if t.answered {
 		return
 	}
-	a.Sends, a.MayHaveRun, a.Last, a.Member, a.Said, a.Went = t.sends, t.ran || t.live != nil, t.last, t.at, t.said, t.went
+	a.Sends, a.MayHaveRun, a.Last, a.Member, a.Said, a.Went = t.sends, !t.ranFrom.IsZero() || t.live != nil, t.last, t.at, t.said, t.went
+	if t.live != nil {
+		c.remember(t)
+	}
 	c.close(t)
 	c.stages.Book(t, a, c.now)
 	t.Client.Answer(a)
@@ -426,6 +508,17 @@
 	c.post(func() { c.end(f, s, result) })
 }
 
+// EndWith is End with the load report of the answer that ended the flow. Like any
+// end it may come when the flow has ended, by its deadline: then it counts nothing.
+func (c *Core) EndWith(f *Flow, s basaltloft.Status, load basaltloft.Report) {
+	c.post(func() {
+		if !f.ended {
+			f.Load = load
+			c.end(f, s, nil)
+		}
+	})
+}
+
 func (c *Core) end(f *Flow, s basaltloft.Status, result []byte) {
 	t := f.Transaction
 	if f.ended {
@@ -439,7 +532,9 @@
 	})
 	c.timers.drop(f.due)
 	c.release(f, s)
-	t.last, t.ran = s, t.ran || !c.settings.Rules.NeverRan(s)
+	if t.last = s; t.ranFrom.IsZero() && !c.settings.Rules.NeverRan(s) {
+		t.ranFrom = f.SentAt
+	}
 	if s == basaltloft.Error {
 		t.said = result
 	}
@@ -508,6 +603,7 @@
 	switch {
 	case n.Ended:
 		t.live.Load = n.Load
+		t.live.Member.Carrier.Release(t.live)
 		c.end(t.live, n.Status, n.Result)
 	case n.Started:
 		c.note(t.live, basaltloft.NoteStarted, 0)
--- a/internal/core/host.go
+++ b/internal/core/host.go
@@ -23,6 +23,16 @@
 		h.unsent(t, worker)
 		return
 	}
+	if t.Gone() { // and Leave is still under way
+		c.later = append(c.later, func() { c.leave(t) })
+		h.unsent(t, worker)
+		return
+	}
+	latest := t.latest()
+	if !latest.IsZero() && !c.now.Before(latest) { // its key may be forgotten by the time that it is there
+		h.unsent(t, worker)
+		return
+	}
 	until := t.Deadline
 	if timeout != 0 {
 		until = c.now.Add(timeout)
@@ -36,6 +46,7 @@
 		}
 	}
 	f := c.stages.Send(t, m, t.sends, c.now, until)
+	f.Latest = latest
 	t.sends++
 	t.live, t.at, f.place = f, m.ID, place
 	if c.trails {
@@ -144,10 +155,10 @@
 func (h host) Timer(in time.Duration, token string) {
 	c := h.c
 	if c.flowing < together {
-		c.timers.add(c.now.Add(in), func() { c.decisions.Timer(c.clock(c.now), token) })
+		c.timers.add(time.Now().Add(in), func() { c.decisions.Timer(c.clock(c.now), token) })
 		return
 	}
-	due := moment{c.now.Add(in+time.Millisecond-1).Sub(c.base) / time.Millisecond, token}
+	due := moment{time.Now().Add(in+time.Millisecond-1).Sub(c.base) / time.Millisecond, token}
 	if c.asked[due] {
 		return
 	}
--- a/internal/core/ledger_test.go
+++ b/internal/core/ledger_test.go
@@ -35,6 +35,7 @@
 func (p *tape) Book(t *Transaction, a Answer, _ time.Time) { p.say("book", t.ID) }
 func (p *tape) Start(f *Flow)                              { p.flows = append(p.flows, f); p.say("start", f.Transaction.ID) }
 func (p *tape) Abandon(f *Flow)                            { p.say("abandon", f.Transaction.ID) }
+func (p *tape) Release(f *Flow)                            { p.say("release", f.Transaction.ID) }
 func (p *tape) Recall(f *Flow)                             { p.say("recall", f.Transaction.ID) }
 func (p *tape) Probe(*Member)                              {}
 func (p *tape) Watch(bool)                                 {}
@@ -48,8 +49,8 @@
 	}
 	return nil
 }
-func (p *tape) Send(t *Transaction, m *Member, n int, _, until time.Time) *Flow {
-	return &Flow{Transaction: t, Member: m, Number: n, Deadline: until}
+func (p *tape) Send(t *Transaction, m *Member, n int, now, until time.Time) *Flow {
+	return &Flow{Transaction: t, Member: m, Number: n, SentAt: now, Deadline: until}
 }
 
 type told struct {
@@ -59,6 +60,14 @@
 
 func (c told) Answer(a Answer) { c.p.say(a.Verdict.String(), c.id) }
 
+// leaver is a client that has gone before the core is told of it.
+type leaver struct {
+	told
+	gone bool
+}
+
+func (c *leaver) Gone() bool { return c.gone }
+
 // TestLedger drives the core by hand, without its goroutine: what may happen
 // at most once does, whoever tries to make it happen again.
 func TestLedger(t *testing.T) {
@@ -69,7 +78,8 @@
 		c, err := New(basaltloft.Settings{
 			Instances: 1, TellsStart: true, Limits: basaltloft.Limits{MaxAttempts: 3, Cancel: true},
 			Classes: []basaltloft.Class{{Name: "ticket", Effect: basaltloft.Unsafe, Aim: time.Second, Stretch: 2, GiveUp: time.Minute, Worth: 1, Kind: -1},
-				{Name: "notice", Effect: basaltloft.Safe, Aim: time.Second, Stretch: 2, GiveUp: time.Minute, Worth: 1, Kind: -1}},
+				{Name: "notice", Effect: basaltloft.Safe, Aim: time.Second, Stretch: 2, GiveUp: time.Minute, Worth: 1, Kind: -1},
+				{Name: "hold", Effect: basaltloft.Keyed, Group: basaltloft.GroupCell, Window: 10 * time.Second, Aim: time.Second, Stretch: 2, GiveUp: time.Minute, Worth: 1, Kind: -1}},
 		}, p, nil, log)
 		require.NoError(t, err)
 		c.Follow(p)
@@ -93,6 +103,11 @@
 			c.End(p.flows[0], basaltloft.OK, nil)
 			c.End(p.flows[0], basaltloft.Full, nil)
 		}, `["start t","book t","served t"]`},
+		"a report that comes after the end counts nothing": {func(c *Core, p *tape, _ *Transaction) {
+			c.End(p.flows[0], basaltloft.TimedOut, nil)
+			c.EndWith(p.flows[0], basaltloft.Error, basaltloft.Report{Has: basaltloft.HasX0, X0: 1})
+			c.post(func() { require.Zero(p.t, p.flows[0].Load) })
+		}, `["start t","book t","failed t"]`},
 		// What it has in hand goes on all the while.
 		"what comes while events are late is turned away, until one is in time": {func(c *Core, p *tape, tx *Transaction) {
 			c.Bound(lag.Bounds{Target: time.Millisecond, For: time.Second})
@@ -134,6 +149,75 @@
 				again()
 			})
 		}, `["start t","book t","abandon t","book t","denied again","start t"]`},
+		// A leave that was handed over behind other events counts from the first.
+		"a client that has gone gets no further attempt": {func(c *Core, p *tape, tx *Transaction) {
+			c.List("test", basaltloft.ListChange, []*Member{{ID: "b", Carrier: p}})
+			tx.Client = &leaver{told{p, "t"}, true}
+			c.End(p.flows[0], basaltloft.ConnectFailed, nil)
+			c.Leave(tx)
+		}, `["start t","book t"]`},
+		"a client that has gone gets no first attempt": {func(c *Core, p *tape, tx *Transaction) {
+			x := &Transaction{ID: "x", Class: "ticket", Hint: time.Second, Deadline: tx.Deadline, Client: &leaver{told{p, "x"}, true}}
+			c.Submit(x)
+			c.Leave(x)
+		}, `["start t","book x"]`},
+		"clients that leave in a burst while they are held get none once there is room": {func(c *Core, p *tape, tx *Transaction) {
+			var held []*Transaction
+			out := 0 // flows
+			for n := range 50 {
+				held = append(held, &Transaction{ID: fmt.Sprint("x", n), Class: "ticket", Hint: time.Second, Deadline: tx.Deadline, Client: &leaver{told{p, "x"}, false}})
+				c.Submit(held[n])
+			}
+			c.post(func() {
+				out = len(p.flows)
+				for _, x := range held { // as one, before the first is told of
+					x.Client.(*leaver).gone = true
+				}
+			})
+			c.End(p.flows[0], basaltloft.OK, nil)
+			c.post(func() { c.end(p.flows[1], basaltloft.ConnectFailed, nil) })
+			c.post(func() { require.Len(p.t, p.flows, out) })
+			for _, x := range held {
+				c.Leave(x)
+			}
+			c.post(func() {
+				require.Empty(p.t, c.open)
+				require.Equal(p.t, 0, c.Unanswered())
+				p.said = nil
+			})
+		}, `null`},
+		"hundreds of one id at once are one job": {func(c *Core, p *tape, tx *Transaction) {
+			for range 300 {
+				c.Submit(&Transaction{ID: "t", Class: "ticket", Deadline: tx.Deadline, Client: told{p, "again"}})
+			}
+			c.post(func() {
+				require.Len(p.t, p.flows, 1)
+				require.Equal(p.t, 1, c.Unanswered())
+				p.said = p.said[len(p.said)-1:]
+			})
+		}, `["denied again"]`},
+		// The first is called off before the second is looked at, whatever order their
+		// connections are read in; what may run twice may come again.
+		"an id comes again on another connection before the leave is told": {func(c *Core, p *tape, tx *Transaction) {
+			x := &Transaction{ID: "x", Class: "notice", Hint: time.Second, Deadline: tx.Deadline, Client: &leaver{told{p, "x"}, false}}
+			c.List("test", basaltloft.ListChange, []*Member{{ID: "b", Carrier: p}})
+			c.Submit(x)
+			c.post(func() { x.Client.(*leaver).gone = true })
+			c.Submit(&Transaction{ID: "x", Class: "notice", Hint: time.Second, Deadline: tx.Deadline, Client: told{p, "again"}})
+			c.Leave(x)
+		}, `["start t","start x","book x","abandon x","book x","refused again"]`},
+		"an id comes again after an attempt that must not be repeated": {func(c *Core, p *tape, tx *Transaction) {
+			x := &Transaction{ID: "x", Class: "hold", Key: "k", Hint: time.Second, Deadline: tx.Deadline, Client: &leaver{told{p, "x"}, false}}
+			c.List("test", basaltloft.ListChange, []*Member{{ID: "b", Carrier: p}})
+			c.Submit(x)
+			c.post(func() { x.Client.(*leaver).gone = true; c.end(p.flows[1], basaltloft.Reset, nil) })
+			c.Submit(&Transaction{ID: "x", Class: "hold", Key: "k", Hint: time.Second, Deadline: tx.Deadline, Client: told{p, "again"}})
+			c.Leave(x)
+		}, `["start t","start x","book x","book x","denied again"]`},
+		"an id comes again while the flow of one that was answered is called off": {func(c *Core, p *tape, tx *Transaction) {
+			c.post(func() { c.expire(tx) })
+			c.Submit(&Transaction{ID: "t", Class: "ticket", Hint: time.Second, Deadline: tx.Deadline, Client: told{p, "again"}})
+		}, `["start t","book t","failed t","abandon t","book t","denied again"]`},
 		// A second attempt would run beside the first until the member has heard.
 		"what is asked back goes elsewhere once the member has heard": {func(c *Core, p *tape, tx *Transaction) {
 			c.post(func() { host{c}.Cancel("t", 0); host{c}.Send("t", p.flows[0].Member.number, 0) })
@@ -145,7 +229,7 @@
 			for _, from := range []string{"b", "a", "a", "b"} {
 				c.post(func() { c.report(News{ID: "t", Member: from, Ended: true}) })
 			}
-		}, `["start t","book t","served t"]`},
+		}, `["start t","release t","book t","served t"]`},
 		"what comes late to a program that ends is answered by its end": {func(c *Core, p *tape, tx *Transaction) {
 			now := time.Now()
 			c.Leaving(now, now.Add(time.Second))
@@ -153,13 +237,28 @@
 				hint := map[string]time.Duration{"short": time.Millisecond, "long": time.Minute}[id]
 				c.Submit(&Transaction{ID: id, Class: "ticket", Hint: hint, Arrived: now.Add(1), Deadline: tx.Deadline, Client: told{p, id}})
 			}
-			c.Leaving(now.Add(2), now.Add(time.Second)) // as the socket closes, with one just taken
 			c.post(func() {
 				for due := c.timers.due(now.Add(time.Second)); due != nil; due = c.timers.due(now.Add(time.Second)) {
 					c.handle(posted{do: due})
 				}
 			})
 		}, `["start t","book long","refused long","start short","book short","failed short","abandon short"]`},
+		// However early it came by the clock: no result could come for it.
+		"nothing is sent once the way back is shut, which is not while something is in hand": {func(c *Core, p *tape, tx *Transaction) {
+			now := time.Now()
+			c.Leaving(now.Add(time.Minute), now.Add(time.Hour))
+			come := func(id string) {
+				c.Submit(&Transaction{ID: id, Class: "ticket", Hint: time.Second, Arrived: now, Deadline: tx.Deadline, Client: told{p, id}})
+			}
+			shut := func(want bool) { c.post(func() { require.Equal(p.t, want, c.shut()) }) }
+			shut(false)
+			c.End(p.flows[0], basaltloft.OK, nil)
+			come("x") // between the last answer and the close
+			shut(false)
+			c.post(func() { c.end(p.flows[1], basaltloft.OK, nil) })
+			shut(true)
+			come("y")
+		}, `["start t","book t","served t","start x","book x","served x","book y","refused y"]`},
 		// A refusal says that trying again is harmless: it holds for what no member may
 		// have run, and for what may run twice.
 		"what never ran, or may run twice, is refused by the end": {func(c *Core, p *tape, tx *Transaction) {
@@ -183,6 +282,17 @@
 			c.End(p.flows[0], basaltloft.ConnectFailed, nil)
 			c.post(func() { c.expire(tx) })
 		}, `["start t","book t","refused t"]`},
+		// A result and the deadline in one turn: what is handled first counts, alone.
+		"a result just before the deadline": {func(c *Core, p *tape, tx *Transaction) {
+			c.End(p.flows[0], basaltloft.OK, nil)
+			c.post(func() { p.flows[0].due.do(); c.expire(tx) })
+		}, `["start t","book t","served t"]`},
+		"a result just after the deadline": {func(c *Core, p *tape, tx *Transaction) {
+			c.post(func() { p.flows[0].due.do() })
+			c.End(p.flows[0], basaltloft.OK, nil)
+			c.post(func() { c.report(News{ID: "t", Member: "a", Ended: true}) })
+			c.post(func() { p.flows[0].due.do(); c.expire(tx) })
+		}, `["start t","abandon t","book t","failed t"]`},
 		"what the module still owes after the deadline is answered": {func(c *Core, p *tape, tx *Transaction) {
 			c.post(func() { c.expire(tx); c.expire(tx) })
 		}, `["start t","book t","failed t","abandon t"]`},
--- /dev/null
+++ b/internal/core/starve_test.go
@@ -0,0 +1,49 @@
+package core
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"basaltloft"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+)
+
+// TestTimersLeaveEventsTheirTurn: a timer that is due again as soon as it has come,
+// as of work that takes longer than the time to its next, keeps no event waiting.
+// The module's own times count from when it asks for them, not from the event.
+func TestTimersLeaveEventsTheirTurn(t *testing.T) {
+	log := logrus.New()
+	log.SetLevel(logrus.PanicLevel)
+	c, err := New(basaltloft.Settings{Instances: 1, Limits: basaltloft.Limits{MaxAttempts: 1}, Classes: []basaltloft.Class{
+		{Name: "notice", Effect: basaltloft.Safe, Aim: time.Second, Stretch: 2, GiveUp: time.Minute, Worth: 1, Kind: -1},
+	}}, &tape{t: t}, nil, log)
+	require.NoError(t, err)
+	laps, heard := 0, 0
+	var again func()
+	again = func() {
+		if laps++; laps == 1 {
+			c.post(func() { heard = laps })
+		}
+		if laps < 100 {
+			c.timers.add(time.Now(), again)
+		}
+	}
+	c.timers.add(time.Now(), again)
+	ctx, cancel := context.WithCancel(context.Background())
+	go c.Run(ctx)
+	defer cancel()
+	c.Sync(func() {})
+	for done := false; !done; {
+		c.Sync(func() { done = laps == 100 })
+	}
+	require.LessOrEqual(t, heard, 2, "an event waited for so many timers")
+
+	c.Sync(func() {
+		c.now = time.Now().Add(-time.Minute) // the event has taken a minute so far
+		host{c}.Timer(time.Second, "tick")
+		require.Positive(t, c.timers.wait(time.Now()))
+	})
+}
--- a/internal/core/transaction.go
+++ b/internal/core/transaction.go
@@ -14,6 +14,7 @@
 	Front             string // the front that took it
 	Target            string // path and raw query, where the client's wire has them
 	Key               string // the idempotency key
+	Subject           string // what it is about; empty: not told
 	Body              []byte
 	Form              string // what the body is, in the words of the front that took it; empty: opaque bytes
 	Arrived           time.Time
@@ -34,7 +35,8 @@
 	short    bool // another attempt was not to be had of the fleet's budget
 	live     *Flow
 	answered bool
-	ran      bool              // an attempt that has ended may have run
+	class    basaltloft.Class  // as the settings had it when it came
+	ranFrom  time.Time         // when the first attempt was sent that has ended and may have run; zero: none
 	last     basaltloft.Status // how the last flow ended
 	at       string            // the member of the last flow
 	said     []byte            // with the last error of a member
@@ -47,6 +49,19 @@
 	Answer(Answer)
 }
 
+// Leaver is a Client that can tell, to any goroutine, whether it has left. It is
+// asked where waiting to be told by Leave would be too late. One that says yes is
+// followed by Leave.
+type Leaver interface {
+	Gone() bool
+}
+
+// Gone tells whether the client is known to have left: no attempt may begin any more.
+func (t *Transaction) Gone() bool {
+	c, ok := t.Client.(Leaver)
+	return ok && c.Gone()
+}
+
 // Verdict is the kind of a final answer.
 type Verdict uint8
 
@@ -92,9 +107,13 @@
 	Number      int
 	SentAt      time.Time
 	Deadline    time.Time // nobody waits for it any longer then
-	Carried     any       // the carrier's own; only its Start and Abandon touch it
+	// Latest is when a repeat of a keyed request must have reached its member whole:
+	// later it could be one that the members no longer know, and would run again. A
+	// carrier that is late lets it be and ends the flow as Moot. Zero: no matter.
+	Latest  time.Time
+	Carried any // the carrier's own; only its Start and Abandon touch it
 	// Load is the member's load report that came with the answer that ends the
-	// flow, set by the carrier before End; only the fields in Load.Has were told.
+	// flow; only the fields in Load.Has were told. The core's goroutine alone touches it.
 	Load basaltloft.Report
 
 	ended bool
@@ -102,6 +121,9 @@
 	due   *timer // its deadline
 }
 
+// Stale tells whether it is too late to hand a flow to its member.
+func (f *Flow) Stale(now time.Time) bool { return !f.Latest.IsZero() && !now.Before(f.Latest) }
+
 // Member is a pool member: something that runs jobs.
 type Member struct {
 	ID, Addr, Kind, Zone string
@@ -131,6 +153,9 @@
 	// once the member has heard: until then a second attempt would run beside
 	// it. Where the member can't be told the flow stays.
 	Recall(*Flow)
+	// Release tells that the member has told the end of a flow otherwise than on the
+	// flow's own connection: what is still held for it is given back.
+	Release(*Flow)
 	Probe(*Member)
 }
 
--- /dev/null
+++ b/internal/core/window_test.go
@@ -0,0 +1,68 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"basaltloft"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+)
+
+// TestKeyWindow: a repeat must reach its member before a key's window, counted from
+// the sending of the first attempt that may have run, is over. What can't is not
+// sent; and what may come again after the window is not called harmless.
+func TestKeyWindow(t *testing.T) {
+	for name, c := range map[string]struct {
+		effect basaltloft.Effect
+		key    string
+		ends   basaltloft.Status
+		ago    time.Duration // when the first attempt went out
+		sent   int           // attempts in all
+		bound  bool          // the last one has a latest moment
+		want   Verdict       // once the module gives up
+	}{
+		"inside the window":           {basaltloft.Keyed, "k", basaltloft.Reset, 0, 2, true, Refused},
+		"just inside":                 {basaltloft.Keyed, "k", basaltloft.Reset, 9 * time.Second, 2, true, Failed},
+		"too near its end":            {basaltloft.Keyed, "k", basaltloft.Reset, 10*time.Second - repeatMargin, 1, false, Failed},
+		"the first never ran":         {basaltloft.Keyed, "k", basaltloft.ConnectFailed, 9 * time.Second, 2, false, Refused},
+		"it brought no key":           {basaltloft.Keyed, "", basaltloft.Reset, 0, 1, false, Failed},
+		"no key, but it never ran":    {basaltloft.Keyed, "", basaltloft.ConnectFailed, 0, 2, false, Failed},
+		"may be repeated at any time": {basaltloft.Safe, "", basaltloft.Reset, 9 * time.Second, 2, false, Refused},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p, log := &tape{t: t}, logrus.New()
+			log.SetLevel(logrus.PanicLevel)
+			hub, err := New(basaltloft.Settings{
+				Instances: 1, TellsStart: true, Limits: basaltloft.Limits{MaxAttempts: 3, Cancel: true, RetryAfter: true, MaxRetryAfter: 2 * time.Second},
+				Classes: []basaltloft.Class{{Name: "hold", Effect: c.effect, Window: 10 * time.Second, Aim: time.Minute, GiveUp: time.Hour, Worth: 1, Kind: -1}},
+			}, p, nil, log)
+			require.NoError(t, err)
+			hub.Follow(p)
+			hub.List("test", basaltloft.ListRestored, []*Member{{ID: "a", Carrier: p}, {ID: "b", Carrier: p}})
+			tx := &Transaction{ID: "t", Class: "hold", Key: c.key, Hint: time.Second, Deadline: time.Now().Add(time.Hour), Client: told{p, "t"}}
+			hub.Submit(tx)
+			turn := func() {
+				for _, e := range hub.taken() {
+					hub.handle(posted{do: e.do})
+				}
+			}
+			turn()
+			p.flows[0].SentAt = time.Now().Add(-c.ago)
+			hub.End(p.flows[0], c.ends, nil) // by the module's own clock it was sent just now
+			turn()
+			require.Len(t, p.flows, c.sent)
+			last := p.flows[c.sent-1]
+			if c.bound {
+				require.Equal(t, p.flows[0].SentAt.Add(10*time.Second-repeatMargin), last.Latest)
+			} else {
+				require.Zero(t, last.Latest)
+			}
+			if c.sent > 1 || c.key == "" {
+				require.Equal(t, c.want == Refused, hub.harmless(tx), "an attempt is out")
+			}
+			require.False(t, last.Stale(time.Now()))
+		})
+	}
+}
--- a/internal/faktory/workers.go
+++ b/internal/faktory/workers.go
@@ -247,8 +247,12 @@
 	}
 	w.mailbox = append(w.mailbox, e)
 	// A worker that is busy or stuck does not fetch. What it has not fetched
-	// has not run and may go elsewhere.
-	e.timer = time.AfterFunc(ws.set.FetchIn, func() { ws.drop(e, false, basaltloft.Full) })
+	// has not run and may go elsewhere; one that it fetches too late might run again.
+	until, ends := time.Now().Add(ws.set.FetchIn), basaltloft.Full
+	if f.Stale(until) {
+		until, ends = f.Latest, basaltloft.Moot
+	}
+	e.timer = time.AfterFunc(time.Until(until), func() { ws.drop(e, false, ends) })
 }
 
 // give gives a job to a FETCH that waits. Whoever else waited for this job is
@@ -292,7 +296,7 @@
 			continue
 		}
 		for i, e := range w.mailbox {
-			if e.queue == q {
+			if e.queue == q && !e.flow.Stale(time.Now()) {
 				w.mailbox = slices.Delete(w.mailbox, i, i+1)
 				ws.give(f, e)
 				return
@@ -351,6 +355,9 @@
 	}
 }
 
+// Release implements core.Carrier.
+func (ws *workers) Release(f *core.Flow) { ws.Abandon(f) }
+
 // Recall implements core.Carrier. What was not fetched has not run and comes
 // back at once; a worker can't be told to stop, and its ACK counts.
 func (ws *workers) Recall(f *core.Flow) {
--- a/internal/figures/figures_test.go
+++ b/internal/figures/figures_test.go
@@ -95,6 +95,7 @@
 }
 func (r *rig) Abandon(*core.Flow) {}
 func (r *rig) Recall(*core.Flow)  {}
+func (r *rig) Release(*core.Flow) {}
 func (r *rig) Probe(*core.Member) {}
 func (r *rig) Watch(bool)         {}
 func (r *rig) Fetch()             {}
--- /dev/null
+++ b/internal/knownred/main_test.go
@@ -0,0 +1,136 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// planted is a module whose tests of the same names do different things in two
+// packages.
+var planted = map[string]string{
+	"go.mod": "module planted\n\ngo 1.24\n",
+	"a/a_test.go": `package a
+
+import "testing"
+
+func TestRed(t *testing.T)      { t.Fatal("a is red") }
+func TestRedder(t *testing.T)   { println("redder ran") }
+func TestGreen(t *testing.T)    {}
+func TestParent(t *testing.T) {
+	t.Run("drains at once", func(t *testing.T) { t.Fatal("a sub is red") })
+	t.Run("drains", func(t *testing.T) { println("the other sub ran") })
+}
+`,
+	"b/b_test.go": `package b
+
+import (
+	"os"
+	"testing"
+)
+
+func TestRed(t *testing.T) { println("b's own ran") }
+func TestNew(t *testing.T) {
+	if os.Getenv("PLANTED") != "" {
+		t.Fatal("new")
+	}
+}
+func TestParent(t *testing.T) {
+	t.Run("drains at once", func(t *testing.T) { println("b's sub ran") })
+}
+`,
+}
+
+const (
+	top = "./a TestRed\ta cause\t33\n"
+	sub = "./a TestParent/drains_at_once\tanother cause\t34\n"
+)
+
+// plant writes the module; one for all cases, so that it is built once.
+func plant(t *testing.T) {
+	dir := t.TempDir()
+	for name, text := range planted {
+		path := filepath.Join(dir, name)
+		require.NoError(t, os.MkdirAll(filepath.Dir(path), 0o755))
+		require.NoError(t, os.WriteFile(path, []byte(text), 0o644))
+	}
+	t.Chdir(dir)
+	t.Setenv("GOWORK", "off")
+}
+
+// play runs the check over the planted module with such a file.
+func play(t *testing.T, text string, broken bool) (string, error) {
+	t.Helper()
+	os.Remove(file)
+	if text != "absent" {
+		require.NoError(t, os.WriteFile(file, []byte(text), 0o644))
+	}
+	if broken {
+		t.Setenv("PLANTED", "broken")
+	}
+	var said bytes.Buffer
+	err := run([]string{"go", "test", "-v", "./..."}, &said, &said)
+	return said.String(), err
+}
+
+func TestKnownRed(t *testing.T) {
+	cases := []struct {
+		name, text string
+		broken     bool
+		fails      string   // what the verdict says; none: it passes
+		says       []string // what is printed
+	}{
+		{name: "absent", text: "absent", fails: "exit status 1", says: []string{"a is red", "a sub is red", "ok  \tplanted/b"}},
+		{name: "empty", text: "", fails: "exit status 1", says: []string{"a is red", "a sub is red", "ok  \tplanted/b"}},
+		{name: "known ones fail or pass", text: top + sub + "./a TestGreen\ta race\t5\n", says: []string{
+			"known red fails: ./a TestRed (a cause; issue 33)",
+			"known red fails: ./a TestParent/drains_at_once (another cause; issue 34)",
+			"known red passes: ./a TestGreen (a race; issue 5)",
+			"redder ran", "the other sub ran", "b's own ran", "b's sub ran", "ok  \tplanted/a", "ok  \tplanted/b"}},
+		{name: "others fail", text: top, broken: true, fails: "exit status 1", says: []string{
+			"known red fails: ./a TestRed", "a sub is red", "FAIL\tplanted/a", "FAIL\tplanted/b"}},
+		{name: "too many", text: top + sub + "./a TestGreen\tc\t1\n./b TestRed\tc\t1\n", fails: "4 lines"},
+		{name: "no such package", text: "./c TestRed\tc\t1\n", fails: "no such package"},
+		{name: "no such test", text: "./b TestGreen\tc\t1\n", fails: "no such test: ./b TestGreen"},
+		{name: "the beginning of a name", text: "./a TestRe\tc\t1\n", fails: "no such test: ./a TestRe"},
+		{name: "no such subtest", text: "./a TestParent/drain\tc\t1\n", fails: "no such test: ./a TestParent/drain"},
+		{name: "a pattern is no name", text: "./a Test.*\tc\t1\n", fails: "no such test"},
+		{name: "all packages", text: "./... TestRed\tc\t1\n", fails: "no such package"},
+		{name: "without a package", text: "TestRed\tc\t1\n", fails: "not a package"},
+		{name: "two fields", text: "./a TestRed\tcause 33\n", fails: "not test<TAB>"},
+		{name: "four fields", text: "./a TestRed\tc\t1\t2\n", fails: "not test<TAB>"},
+		{name: "no cause", text: "./a TestRed\t \t1\n", fails: "wants a cause"},
+		{name: "no issue", text: "./a TestRed\tc\tsoon\n", fails: "an issue's number"},
+		{name: "a blank line", text: top + "\n" + sub, fails: "not test<TAB>"},
+		{name: "named twice", text: top + top, fails: "named twice"},
+	}
+	plant(t)
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			said, err := play(t, c.text, c.broken)
+			if c.fails == "" {
+				require.NoError(t, err, said)
+			} else {
+				require.ErrorContains(t, err, c.fails, said)
+			}
+			for _, s := range c.says {
+				require.Contains(t, said, s)
+			}
+		})
+	}
+}
+
+// TestCommand holds what .ci/run runs to the README's test command.
+func TestCommand(t *testing.T) {
+	readme, err := os.ReadFile("../../README.md")
+	require.NoError(t, err)
+	ci, err := os.ReadFile("../../.ci/run")
+	require.NoError(t, err)
+	const command = "go test -race ./..."
+	require.Contains(t, string(readme), "\n    # test\n    "+command+"\n")
+	require.Contains(t, string(ci), "\ngo run ./internal/knownred "+command+"\n")
+	require.Error(t, run([]string{"go", "test"}, nil, nil))
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -3,10 +3,10 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -24,29 +24,8 @@
 const Source = "discovery"
 
 const (
-	// Discovery holds a watch so long when nothing changes. A connection that has
-	// fallen silent looks just like one on which nothing changes, so this is also
-	// how long the pool may be followed blindly.
-	watchFor = 2 * time.Second
-	grace    = 2 * time.Second        // a call fails so long after its answer was due
-	mostList = 8 << 20                // bytes of a list
-	breather = 100 * time.Millisecond // between watches that come back at once with nothing; 200 ms would end the watch
-
-	// A pushed list is read from an agent on this machine, which answers at once
-	// and at no cost and is silent while discovery is down. Its watch is short,
-	// so that a silent call is given up and the agent asked anew well within
-	// the 2 s in which a drain must bind, and a failed call is renewed after a
-	// pause that grows from pauseLeast to pauseMost: never at once, never long.
-	keptWait   = time.Second
-	keptGrace  = 250 * time.Millisecond
-	pauseLeast = 25 * time.Millisecond
-	pauseMost  = 200 * time.Millisecond
-
-	// Where discovery is asked, what a silent call misses counts as told 6 s after
-	// the silence began, and a drain binds 2 s after that. Silent calls are asked
-	// anew by chance between their end and so long after their wait is over, since
-	// many fall silent together and the service takes calls one after another.
-	againBy = 3 * time.Second
+	mostList = 8 << 20               // bytes of a list
+	breather = 50 * time.Millisecond // calls of a watch begin so long apart; a gap of 200 ms would end it
 )
 
 // Lists is told what discovery tells.
@@ -57,6 +36,7 @@
 // Follower asks discovery. It implements core.Lister.
 type Follower struct {
 	ctx     context.Context
+	pace    Pace
 	lists   Lists
 	carrier core.Carrier
 	log     logrus.FieldLogger
@@ -64,11 +44,8 @@
 	heard chan struct{} // closed once a service has answered
 	first sync.Once
 
-	mu       sync.Mutex
-	at       *service
-	on       bool // a watch is wanted
-	kept     bool // lists are pushed: the follower watches by itself, always
-	failures int  // calls failed in a row while kept
+	mu sync.Mutex
+	at *service
 }
 
 // service is one discovery service while it is followed. Its versions mean
@@ -81,20 +58,25 @@
 
 	generation int64
 	known      bool               // generation is this service's own
-	stop       context.CancelFunc // of the watch that runs
+	stop       context.CancelFunc // of the watch, from its begin through all failures on; nil: none is wanted
+	failures   int                // calls failed in a row
 }
 
-// New returns a follower of the discovery service at addr. Calls end with ctx.
-func New(ctx context.Context, addr string, lists Lists, carrier core.Carrier, log logrus.FieldLogger) *Follower {
-	f := &Follower{ctx: ctx, lists: lists, carrier: carrier, log: log, heard: make(chan struct{})}
+// New returns a follower of the discovery service at addr, which is called at a pace.
+// Calls end with ctx.
+func New(ctx context.Context, addr string, pace Pace, lists Lists, carrier core.Carrier, log logrus.FieldLogger) *Follower {
+	f := &Follower{ctx: ctx, pace: pace, lists: lists, carrier: carrier, log: log, heard: make(chan struct{})}
 	f.at = f.service(addr)
 	return f
 }
 
 func (f *Follower) service(addr string) *service {
+	// The transport lets a dial go on whose call was given up, since the next call
+	// may use what comes up late. Those that never come up must not heap up.
+	dialer := &net.Dialer{Timeout: f.pace.By}
 	s := &service{
 		base: url.URL{Scheme: "http", Host: addr, Path: "/registry/instances"},
-		wire: &http.Transport{DisableCompression: true},
+		wire: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true},
 	}
 	s.ctx, s.end = context.WithCancel(f.ctx)
 	return s
@@ -121,7 +103,7 @@
 	}
 	old.end()
 	old.wire.CloseIdleConnections()
-	f.at, f.on = f.service(addr), true
+	f.at = f.service(addr)
 	f.begin(f.at)
 }
 
@@ -135,7 +117,6 @@
 func (f *Follower) Keep() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.kept, f.on = true, true
 	if f.at.stop == nil {
 		f.at.known = false
 		f.begin(f.at)
@@ -156,16 +137,17 @@
 	}
 }
 
-// Watch implements core.Lister. While one watch runs, another is not begun.
+// Watch implements core.Lister. Where a watch is kept, be it that its next call is yet
+// to come, another is not begun.
 func (f *Follower) Watch(on bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.on = on
 	switch s := f.at; {
 	case on && s.stop == nil:
 		f.begin(s)
 	case !on && s.stop != nil:
 		s.stop()
+		s.stop = nil
 	}
 }
 
@@ -182,152 +164,92 @@
 	s := f.at
 	f.mu.Unlock()
 	go func() {
-		l, err := s.call(s.ctx, nil, time.Now().Add(grace))
+		_, until := f.pace.Call(time.Now(), false, false)
+		l, err := s.call(s.ctx, nil, until)
 		if err != nil {
-			f.failed(s, err)
+			f.failed(s.ctx, s, err)
 			return
 		}
-		f.tell(s, l.Generation, func() { f.lists.List(Source, basaltloft.ListWhole, f.members(l)) })
+		f.tell(s.ctx, s, l, basaltloft.ListWhole, true)
 	}()
 }
 
-// watch calls again as soon as it is answered: a gap of over 200 ms would end
-// the watch, and changes in it would count as told. A call that fails is told to
-// the module, which asks anew when the service can bear it; one that falls silent
-// has not burdened it, and is asked anew from here, in time for what it may have
-// missed. A service of which no version is known is asked for its whole list first.
+// watch calls again as soon as it is answered: a gap of over 200 ms would end the
+// watch, and changes in it would count as told. A call that fails is told to the module
+// and made anew from here, at the follower's pace, until the watch is stopped. A service
+// of which no version is known is asked for its whole list first.
 func (f *Follower) watch(ctx context.Context, s *service) {
-	for first := true; ; first = false {
-		wait, late := f.span()
+	for goesOn := false; ctx.Err() == nil; {
 		began, query := time.Now(), url.Values(nil)
-		due := began // when the answer is due
-		if generation, known := f.seen(s); known {
+		generation, known := f.seen(s)
+		wait, until := f.pace.Call(began, known, goesOn)
+		kind := basaltloft.ListWhole
+		if known {
+			kind = basaltloft.ListChange
 			query = url.Values{
 				"index": {strconv.FormatInt(generation, 10)}, "wait": {strconv.FormatInt(wait.Milliseconds(), 10)},
 			}
-			due = due.Add(wait)
 		}
-		l, err := s.call(ctx, query, due.Add(late))
+		l, err := s.call(ctx, query, until)
+		next := began.Add(breather)
 		if err != nil {
-			wanted := ctx.Err() == nil // asked before the watch's own end, which would hide a failure
-			f.mu.Lock()
-			s.stop()
-			s.stop = nil
-			f.mu.Unlock()
-			if !wanted {
-				return
+			next = f.pace.Again(began, time.Now(), f.failed(ctx, s, err), rand.Float64())
+		} else {
+			if l.Whole {
+				kind = basaltloft.ListWhole
 			}
-			if errors.Is(err, context.DeadlineExceeded) && f.again(s) {
-				f.renew(s, Spread(time.Now(), due.Add(againBy), rand.Float64()))
-			} else if failures := f.failed(s, err); failures > 0 {
-				f.renew(s, time.Now().Add(Pause(failures)))
+			quiet := goesOn && kind == basaltloft.ListChange && len(l.Entries) == 0
+			f.tell(ctx, s, l, kind, !quiet)
+			if !goesOn { // a watch ends the sooner the later it goes on
+				next = began
 			}
-			return
-		}
-		kind := basaltloft.ListChange
-		if l.Whole || query == nil {
-			kind = basaltloft.ListWhole
 		}
-		quiet := !first && kind == basaltloft.ListChange && len(l.Entries) == 0
-		f.tell(s, l.Generation, func() {
-			if !quiet {
-				f.lists.List(Source, kind, f.members(l))
-			}
-		})
-		if quiet && time.Since(began) < breather {
+		goesOn = err == nil
+		if pause := time.Until(next); pause > 0 {
 			select {
 			case <-ctx.Done():
-			case <-time.After(breather):
+			case <-time.After(pause):
 			}
 		}
 	}
 }
 
-// span is how long a watch may wait, and how long after that its answer is due.
-func (f *Follower) span() (wait, late time.Duration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.kept {
-		return keptWait, keptGrace
-	}
-	return watchFor, grace
-}
-
-// again tells whether a silent call is the follower's own to make anew: it is where
-// discovery is asked. A kept watch has a pace of its own.
-func (f *Follower) again(s *service) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.kept {
-		return false
-	}
-	if f.at == s {
-		f.log.Info("discovery fell silent and is asked anew")
-	}
-	return true
-}
-
-// failed tells the module of a failed call. Where the watch is kept, it returns how
-// many have failed in a row, since the follower is to make the call anew; it then says
-// so in the log once for a run of failures, not for each renewal.
-func (f *Follower) failed(s *service, err error) (kept int) {
+// failed tells the module of a failed call, and returns how many have failed in a row.
+// The log has it once for a run of failures. A call that was ended, with its watch or
+// with its service, has not failed.
+func (f *Follower) failed(ctx context.Context, s *service, err error) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.at != s {
-		return 0
+	if ctx.Err() != nil {
+		return 1
 	}
-	if f.failures++; !f.kept || f.failures == 1 {
+	if s.failures++; s.failures == 1 {
 		f.log.WithError(err).Warn("a call to discovery failed")
 	}
 	f.lists.List(Source, basaltloft.ListFailed, nil)
-	if !f.kept {
-		return 0
-	}
-	return f.failures
+	return s.failures
 }
 
-// renew begins a watch anew at a time, unless the service was left, a watch runs
-// or none is wanted any more.
-func (f *Follower) renew(s *service, at time.Time) {
-	select {
-	case <-s.ctx.Done():
-		return
-	case <-time.After(time.Until(at)):
-	}
+// tell passes on what a service answered, unless the call was ended meanwhile: a list
+// of a service that was left, under way then, must not undo what the new one has told.
+// The module hears of one without news only where it may have heard of a failure.
+func (f *Follower) tell(ctx context.Context, s *service, l settings.List, kind basaltloft.ListKind, news bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.at == s && f.on && s.stop == nil {
-		f.begin(s)
+	if ctx.Err() != nil {
+		return
 	}
-}
-
-// Spread is when a silent call is made anew: by chance, of which share (0 to 1) is
-// the draw, between now and the time by which it has to be, and now once that is over.
-func Spread(now, by time.Time, share float64) time.Time {
-	return now.Add(time.Duration(share * float64(max(0, by.Sub(now)))))
-}
-
-// Pause is how long a kept watch waits before it is begun anew after the given
-// number of failures in a row (one or more): pauseLeast, doubled for each
-// further failure, at most pauseMost.
-func Pause(failures int) time.Duration {
-	return min(pauseMost, pauseLeast<<min(max(0, failures-1), 8)) // the shift bounded, never past pauseMost
-}
-
-// tell passes on what a service answered, unless another has been followed
-// since: a list of the old one, under way when it was left, must not undo what
-// the new one has told.
-func (f *Follower) tell(s *service, generation int64, what func()) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.at == s {
-		if f.kept && f.failures > 0 {
-			f.log.WithField("failed", f.failures).Info("discovery answers again")
-		}
-		s.generation, s.known, f.failures = generation, true, 0
-		what()
-		f.first.Do(func() { close(f.heard) })
+	if s.failures > 0 {
+		f.log.WithField("failed", s.failures).Info("discovery answers again")
 	}
+	// News up to a version older than the one that they follow are of another life of
+	// the service: what came before them is not known.
+	s.known = kind == basaltloft.ListWhole || l.Generation >= s.generation
+	s.generation, s.failures = l.Generation, 0
+	if news {
+		f.lists.List(Source, kind, f.members(l))
+	}
+	f.first.Do(func() { close(f.heard) })
 }
 
 func (f *Follower) seen(s *service) (int64, bool) {
@@ -364,9 +286,13 @@
 func (f *Follower) members(l settings.List) []*core.Member {
 	members := make([]*core.Member, 0, len(l.Entries))
 	for _, e := range l.Entries {
+		group := "no cell"
+		if e.Cell >= 0 {
+			group = "cell " + strconv.Itoa(e.Cell)
+		}
 		members = append(members, &core.Member{
 			ID: e.ID, Addr: e.Addr, Kind: e.Kind, Zone: e.Zone, Cell: e.Cell, State: e.State, Weight: e.Weight,
-			Started: e.Started, Carrier: f.carrier, Group: "cell " + strconv.Itoa(e.Cell),
+			Started: e.Started, Carrier: f.carrier, Group: group,
 		})
 	}
 	return members
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -2,7 +2,12 @@
 
 import (
 	"context"
+	"fmt"
+	"net"
+	"os"
+	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -37,14 +42,14 @@
 	return append([]string(nil), h.lists...)
 }
 
-// follower begins one on a listener of the test's, from a restored list; it
+// follower begins one at a pace on a listener of the test's, from a restored list; it
 // ends with the test.
-func follower(t *testing.T, restored settings.List) (*Follower, *heard, func() (scenario.End, error)) {
+func follower(t *testing.T, pace Pace, restored settings.List) (*Follower, *heard, func() (scenario.End, error)) {
 	addr, open := scenario.Listen(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	h := &heard{}
-	f := New(ctx, addr, h, nil, logrus.New())
+	f := New(ctx, addr, pace, h, nil, logrus.New())
 	f.Restore(restored)
 	return f, h, open
 }
@@ -56,7 +61,7 @@
 // and one reset before its answer are each begun anew on a new connection,
 // from the last version told, and service goes on.
 func TestPushedListsAreWatched(t *testing.T) {
-	f, h, open := follower(t, settings.List{Generation: 41, Whole: true, Entries: []settings.Entry{{ID: "s-1", Addr: "127.0.0.1:1"}}})
+	f, h, open := follower(t, Pushed(), settings.List{Generation: 41, Whole: true, Entries: []settings.Entry{{ID: "s-1", Addr: "127.0.0.1:1"}}})
 	f.Keep()
 	f.Keep() // a second call begins no second watch
 	require.False(t, f.Heard(time.Now()), "the list that it was started with is none of the agent's")
@@ -84,58 +89,233 @@
 	require.True(t, f.Heard(time.Now().Add(time.Second)))
 }
 
-// TestAskedListsWaitForTheModule: where discovery is a shared service that is
-// asked, the follower calls only when the module says so.
+const few, every = 4, 10 * time.Second // callers of an asked service, and how often the settings want it asked
+
+// TestAskedListsWaitForTheModule: where discovery is a shared service that is asked,
+// the first call comes when the module says so. From then on the follower has the
+// watch: what the module asks while a failed call is yet to be made anew changes nothing.
 func TestAskedListsWaitForTheModule(t *testing.T) {
-	f, h, open := follower(t, settings.List{Generation: 7, Whole: true})
+	pace := Asked(few, every)
+	pace.Least, pace.Most, pace.By = 10*time.Hour, 10*time.Hour, 10*time.Hour
+	addr, open := scenario.Listen(t)
+	h := &heard{}
+	f := New(t.Context(), addr, pace, h, nil, logrus.New())
+	f.Restore(settings.List{Generation: 7, Whole: true})
+	again := make(chan error, 1)
+	f.Watch(true)
 	f.Watch(true)
 	scenario.Play(t, scenario.Cast{"discovery": open}, nil, `
-		discovery.1 expect ^GET /registry/instances\?index=7&wait=2000 HTTP/1.1\r\n
+		discovery.1 expect ^GET /registry/instances\?index=7&wait=1 HTTP/1.1\r\n
 		discovery.1 close`)
 	require.Eventually(t, func() bool { return len(h.told()) == 2 }, 20*time.Second, time.Millisecond)
 	require.Equal(t, []string{"restored", "failed"}, h.told())
-	require.Never(t, func() bool { return len(h.told()) > 2 }, 3*Pause(1), time.Millisecond, "asked again without the module")
+	f.Watch(true)
+	go func() {
+		_, err := open()
+		again <- err
+	}()
+	select {
+	case <-again:
+		t.Fatal("the module's word begins a second watch")
+	case <-time.After(200 * time.Millisecond):
+	}
+	f.Watch(false)
+	f.Watch(true) // at once: the watch that was ended is none
+	require.NoError(t, <-again)
+}
+
+// opening is a peer of which each end is changed when it is opened.
+func opening(open func() (scenario.End, error), change func(*net.TCPConn) scenario.End) func() (scenario.End, error) {
+	return func() (scenario.End, error) {
+		end, err := open()
+		if err != nil {
+			return nil, err
+		}
+		return change(end.(*net.TCPConn)), nil
+	}
+}
+
+// resetting is an end whose close resets the connection.
+func resetting(c *net.TCPConn) scenario.End {
+	c.SetLinger(0)
+	return c
+}
+
+// trickle is an end that goes on, after what is sent, a byte at a time and for good.
+type trickle struct{ *net.TCPConn }
+
+func (c trickle) Write(b []byte) (int, error) {
+	n, err := c.TCPConn.Write(b)
+	go func() {
+		for err := error(nil); err == nil; time.Sleep(10 * time.Millisecond) {
+			_, err = c.TCPConn.Write([]byte{'x'})
+		}
+	}()
+	return n, err
+}
+
+// list is an answer of discovery's, in which \n stands for itself.
+func list(text string) string {
+	return fmt.Sprintf(`HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s`, len(strings.ReplaceAll(text, `\n`, "\n")), text)
+}
+
+// TestFailedCallsAreMadeAnew: whatever becomes of a call, the next one is there within
+// the pace's time from the first one's begin, on a new connection and from the last
+// version told; the watch goes on from its answer, and what was known stays meanwhile.
+func TestFailedCallsAreMadeAnew(t *testing.T) {
+	t.Parallel()
+	const whole = `"reset":false,"instances":[]}`
+	for name, c := range map[string]struct{ peer, then string }{
+		"closed":                   {"discovery", `PEER close`},
+		"reset":                    {"reset", `PEER close`},
+		"reset in the header":      {"reset", "PEER send HTTP/1.1 200 OK\\r\\nContent-\nPEER close"},
+		"reset after the header":   {"reset", "PEER send HTTP/1.1 200 OK\\r\\nContent-Length: 46\\r\\n\\r\\n\nPEER close"},
+		"503":                      {"discovery", `PEER send HTTP/1.1 503 x\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`},
+		"503 with a list":          {"discovery", `PEER send HTTP/1.1 503 x\r\nConnection: close\r\nContent-Length: 46\r\n\r\n{"generation":8,` + whole + ` `},
+		"no HTTP":                  {"discovery", "PEER send {\"generation\":8," + whole + "\\r\\n\\r\\n\nPEER close"},
+		"no list":                  {"discovery", "PEER send HTTP/1.1 200 OK\\r\\n\\r\\n[]\nPEER close"},
+		"no such state":            {"discovery", "PEER send HTTP/1.1 200 OK\\r\\n\\r\\n{\"generation\":8,\"instances\":[{\"instanceId\":\"s-1\",\"lifecycle\":\"lost\"}]}\nPEER close"},
+		"cut":                      {"discovery", "PEER send HTTP/1.1 200 OK\\r\\nContent-Length: 460\\r\\n\\r\\n{\"generation\":8," + whole + "\nPEER close"},
+		"cut without a length":     {"discovery", "PEER send HTTP/1.1 200 OK\\r\\n\\r\\n{\"generation\":8,\nPEER close"},
+		"silent":                   {"discovery", ``},
+		"silent in the header":     {"discovery", `PEER send HTTP/1.1 200 OK\r\nContent-`},
+		"silent after the header":  {"discovery", `PEER send HTTP/1.1 200 OK\r\nContent-Length: 46\r\n\r\n`},
+		"silent in the body":       {"discovery", `PEER send HTTP/1.1 200 OK\r\nContent-Length: 46\r\n\r\n{"generation":8,`},
+		"a header that never ends": {"trickle", `PEER send HTTP/1.1 200 OK\r\nX-`},
+		"a body that never ends":   {"trickle", `PEER send HTTP/1.1 200 OK\r\nContent-Length: 4600000\r\n\r\n{"generation":8,`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			pace := Asked(few, every)
+			f, h, open := follower(t, pace, settings.List{Generation: 7, Whole: true})
+			cast := scenario.Cast{"discovery": open, "reset": opening(open, resetting), "trickle": opening(open, func(c *net.TCPConn) scenario.End { return trickle{c} })}
+			f.Watch(true)
+			began := time.Now()
+			scenario.Play(t, cast, nil, strings.ReplaceAll("PEER expect ^GET /registry/instances\\?index=7&wait=1 HTTP/1.1\\r\\n.*\\r\\n\\r\\n\n"+c.then, "PEER", c.peer+".1")+`
+				discovery.2 expect ^GET /registry/instances\?index=7&wait=1 HTTP/1.1\r\n
+				discovery.2 send `+list(`{"generation":9,`+whole)+`
+				discovery.2 expect GET /registry/instances\?index=9&wait=2000 HTTP/1.1\r\n`)
+			require.Less(t, time.Since(began), told-margin)
+			require.Equal(t, []string{"restored", "failed", "change"}, h.told()[:3])
+		})
+	}
+}
+
+// TestRefusedUntilItIsBack: discovery is down, so that connections to it are refused,
+// and then comes back at its address. It is found within the pace's time.
+func TestRefusedUntilItIsBack(t *testing.T) {
+	t.Parallel()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	addr := l.Addr().String()
+	require.NoError(t, l.Close())
+	pace, h := Asked(few, every), &heard{}
+	f := New(t.Context(), addr, pace, h, nil, logrus.New())
+	f.Restore(settings.List{Generation: 7, Whole: true})
+	f.Watch(true)
+	require.Eventually(t, func() bool { return len(h.told()) > 4 }, 20*time.Second, time.Millisecond)
+	l, err = net.Listen("tcp", addr)
+	require.NoError(t, err)
+	defer l.Close()
+	back := time.Now()
+	scenario.Play(t, scenario.Cast{"discovery": func() (scenario.End, error) { return l.Accept() }}, nil, `
+		discovery expect ^GET /registry/instances\?index=7&wait=1 HTTP/1.1\r\n
+		discovery send `+list(`{"generation":9,"reset":true,"instances":[]}`)+`
+		discovery expect GET /registry/instances\?index=9&wait=2000 HTTP/1.1\r\n`)
+	require.Less(t, time.Since(back), told-margin)
+}
+
+// TestDialsThatNeverComeUp: a machine that has vanished answers no dial. Each call
+// dials anew, and the transport lets dials go on whose calls were given up: they end
+// all the same, and leave descriptors for what else this process does.
+func TestDialsThatNeverComeUp(t *testing.T) {
+	t.Parallel()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	require.NoError(t, err)
+	defer syscall.Close(fd)
+	require.NoError(t, syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	require.NoError(t, syscall.Listen(fd, 0))
+	at, err := syscall.Getsockname(fd)
+	require.NoError(t, err)
+	port := at.(*syscall.SockaddrInet4).Port
+	addr := fmt.Sprintf("127.0.0.1:%d", port)
+	for { // until its queue is full: then the system answers no more
+		c, err := net.DialTimeout("tcp", addr, 300*time.Millisecond)
+		if err != nil {
+			break
+		}
+		defer c.Close()
+	}
+	pace := Pushed()
+	pace.Most = pace.Least
+	h := &heard{}
+	f := New(t.Context(), addr, pace, h, nil, logrus.New())
+	f.Keep()
+	require.Eventually(t, func() bool { return len(h.told()) >= 16 }, 20*time.Second, time.Millisecond)
+	text, err := os.ReadFile("/proc/net/tcp")
+	require.NoError(t, err)
+	dials := strings.Count(string(text), fmt.Sprintf(" 0100007F:%04X 02 ", port))
+	require.Positive(t, dials)
+	require.LessOrEqual(t, dials, int(pace.By/pace.Reply)+1)
 }
 
-// TestSilentCallsAreAskedAnew: what a silent call misses counts as told 6 s after the
-// silence began. The module spreads failed calls over as long as all dispatchers
-// may take, up to 10 s; a silent one is made anew by the follower, before that,
-// on a new connection from the last version told. After a move the whole list is
-// owed sooner, and a silent call for it too is made anew.
-func TestSilentCallsAreAskedAnew(t *testing.T) {
+// TestSilentWatchIsRenewed: a watch that goes on and falls silent is given up and begun
+// anew on a new connection, from the last version told and without a wait, so that an
+// answer is in hand before what was missed counts as told. After a move the whole list
+// is owed, and a silent call for it too is made anew.
+func TestSilentWatchIsRenewed(t *testing.T) {
 	t.Parallel()
-	f, h, open := follower(t, settings.List{Generation: 7, Whole: true})
+	pace := Asked(few, every)
+	f, h, open := follower(t, pace, settings.List{Generation: 7, Whole: true})
 	f.Watch(true)
 	next, opened := scenario.Listen(t)
 	cast := scenario.Cast{"discovery": open, "next": opened}
-	scenario.Play(t, cast, nil, `discovery.1 expect ^GET /registry/instances\?index=7&wait=2000 HTTP/1.1\r\n
-		discovery.1 send HTTP/1.1 200 OK\r\nContent-Length: 46\r\n\r\n{"generation":8,"reset":false,"instances":[]}\n
-		discovery.1 expect GET /registry/instances\?index=8&wait=2000 HTTP/1.1\r\n
-		discovery.2 expect ^GET /registry/instances\?index=8&wait=2000 HTTP/1.1\r\n`)
+	var silent time.Time
+	words := scenario.Words{"now": func(...string) string { silent = time.Now(); return "" }}
+	scenario.Play(t, cast, words, `discovery.1 expect ^GET /registry/instances\?index=7&wait=1 HTTP/1.1\r\n
+		discovery.1 send `+list(`{"generation":8,"reset":false,"instances":[]}`)+`
+		discovery.1 expect GET /registry/instances\?index=8&wait=2000 HTTP/1.1\r\n@now()
+		discovery.2 expect ^GET /registry/instances\?index=8&wait=1 HTTP/1.1\r\n`)
+	require.Less(t, time.Since(silent), told-margin)
 	f.Move(next)
 	moved := time.Now()
 	scenario.Play(t, cast, nil, `next.1 expect ^GET /registry/instances HTTP/1.1\r\n
 		next.2 expect ^GET /registry/instances HTTP/1.1\r\n`)
 	require.Less(t, time.Since(moved), 4*time.Second)
-	require.Equal(t, []string{"restored", "change"}, h.told(), "no failure of discovery's")
+	require.Equal(t, []string{"restored", "change", "failed"}, h.told()[:3])
 }
 
-// TestSpread: a silent call is made anew by chance before what it may have missed counts
-// as told, a second being left for the answer, and at once when that is over.
-func TestSpread(t *testing.T) {
+// TestWatchGoesOn: the gap to the next call is short of what would end the watch, be the
+// answer quiet or at once, whole though changes were asked for, or indented; calls of a
+// watch never follow each other at once. News from a version that is older than the one
+// asked from belong to another life of the service, which is asked whole.
+func TestWatchGoesOn(t *testing.T) {
+	t.Parallel()
+	f, h, open := follower(t, Asked(few, every), settings.List{Generation: 7, Whole: true})
+	f.Watch(true)
+	var at []time.Time
 	began := time.Now()
-	silent, by := began.Add(watchFor+grace), began.Add(watchFor+againBy)
-	require.Equal(t, silent, Spread(silent, by, 0))
-	require.Equal(t, began.Add(4500*time.Millisecond), Spread(silent, by, 0.5))
-	require.Equal(t, by.Add(time.Minute), Spread(by.Add(time.Minute), by, 0.5))
-}
-
-// TestPause: renewals of a kept watch are never at once and never long.
-func TestPause(t *testing.T) {
-	for failures, want := range map[int]time.Duration{
-		1: 25 * time.Millisecond, 2: 50 * time.Millisecond, 3: 100 * time.Millisecond,
-		4: 200 * time.Millisecond, 5: 200 * time.Millisecond, 64: 200 * time.Millisecond, 1 << 30: 200 * time.Millisecond,
-	} {
-		require.Equal(t, want, Pause(failures), "after %d failures", failures)
+	words := scenario.Words{"now": func(...string) string { at = append(at, time.Now()); return "" }}
+	const quiet = `{"generation":8,"reset":false,"instances":[]}`
+	scenario.Play(t, scenario.Cast{"discovery": open}, words, `
+		discovery expect ^GET /registry/instances\?index=7&wait=1 HTTP/1.1\r\n
+		discovery send `+list(quiet)+`
+		discovery expect GET /registry/instances\?index=8&wait=2000 HTTP/1.1\r\n@now()
+		discovery send `+list(quiet)+`
+		discovery expect GET /registry/instances\?index=8&wait=2000 HTTP/1.1\r\n@now()
+		discovery send `+list(`{\n  "generation": 5,\n  "reset": true,\n  "instances": [\n    {\n      "instanceId": "s-1",\n "hostPort": "127.0.0.1:1", "lifecycle": "active"}]\n}`)+`
+		discovery expect GET /registry/instances\?index=5&wait=2000 HTTP/1.1\r\n@now()
+		discovery send `+list(`{"generation":3,"reset":false,"instances":[]}`)+`
+		discovery expect GET /registry/instances HTTP/1.1\r\n@now()
+		discovery send `+list(`{"generation":3,"reset":false,"instances":[]}`)+`
+		discovery expect GET /registry/instances\?index=3&wait=2000 HTTP/1.1\r\n@now()`)
+	at = append(at, time.Now()) // a word is said before its step: now is when the call before came
+	least := time.Hour
+	for n := range at[2:] { // the watch's first answer may have waited for its turn: the next call comes at once
+		gap := at[n+2].Sub(at[n+1])
+		least = min(least, gap)
 	}
+	require.GreaterOrEqual(t, at[len(at)-1].Sub(began), 4*breather)
+	require.Less(t, least, 200*time.Millisecond) // the least, since any one may meet with a busy machine
+	require.Equal(t, []string{"restored", "change", "whole s-1=ready", "whole"}, h.told())
 }
--- a/internal/poolmember/poolmember.go
+++ b/internal/poolmember/poolmember.go
@@ -23,6 +23,7 @@
 // Ends is told what becomes of flows and probes.
 type Ends interface {
 	End(f *core.Flow, s basaltloft.Status, result []byte)
+	EndWith(f *core.Flow, s basaltloft.Status, load basaltloft.Report)
 	Probed(m *core.Member, s basaltloft.Status, r basaltloft.Report, sentAt time.Time)
 }
 
@@ -32,7 +33,14 @@
 	// crossedFor is how long a runner is told so whose 202 may have crossed the
 	// closing of its connection: the job waits for it.
 	crossedFor = 300 * time.Millisecond
-	mostReply  = 64 << 10
+	// readOn is how long an answer is read on that decides nothing any more, and a
+	// 202 waited for that may have crossed a flow's end.
+	readOn    = 100 * time.Millisecond
+	mostReply = 64 << 10
+	// beginWithin is how long after its decision a flow's first byte goes out at the
+	// latest. A member may have been told to drain meanwhile, and nothing may be sent
+	// to it 2 s after that; the half of it is left to the list's own way.
+	beginWithin = time.Second
 )
 
 // Carrier implements core.Carrier for HTTP pool members.
@@ -43,6 +51,7 @@
 	asks  chan struct{} // and by a probe or the end of a flow, which flows must not shut out
 
 	figures Figures
+	readOn  time.Duration
 }
 
 // Figures are what the deployment says of connections to members.
@@ -61,7 +70,7 @@
 
 // New returns a carrier.
 func New(ends Ends, f Figures) *Carrier {
-	return &Carrier{ends: ends, wire: newTransport(f), slots: make(chan struct{}, f.Most), asks: make(chan struct{}, max(1, f.Most/2)), figures: f}
+	return &Carrier{ends: ends, wire: newTransport(f), slots: make(chan struct{}, f.Most), asks: make(chan struct{}, max(1, f.Most/2)), figures: f, readOn: readOn}
 }
 
 // call is the carrier's part of a flow. A flow is abandoned by closing its
@@ -69,6 +78,7 @@
 type call struct {
 	mu                            sync.Mutex
 	accepted, abandoned, recalled bool
+	at                            *conn // once there is one
 	cancel                        context.CancelFunc
 }
 
@@ -87,23 +97,28 @@
 	go func() {
 		defer cancel()
 		defer func() { <-c.slots }()
-		status, taken := c.send(ctx, f)
+		status, taken, load, rest := c.send(ctx, f, k)
 		k.mu.Lock()
 		k.accepted = taken
 		abandoned, recalled := k.abandoned, k.recalled
 		k.mu.Unlock()
 		switch {
 		case !taken && recalled && status == basaltloft.Reset: // by closing the connection, which says nothing of the member
-			// A 202 that crossed the close means that the job runs on there: the
-			// member is told by DELETE as well, before the job may go elsewhere. One
-			// that can't be told has not taken it, as far as the protocol goes.
+			// No 202 has come, so that by the protocol the close has abandoned it. The
+			// member is told by DELETE as well, before the job may go elsewhere: it may
+			// not have noticed the close.
 			c.delete(f, time.Now().Add(crossedFor))
 			c.ends.End(f, basaltloft.Cancelled, nil)
 		case !taken:
-			c.ends.End(f, status, nil)
+			c.ends.EndWith(f, status, load)
 		case abandoned: // while the answer was under way: closing the connection told nobody
 			c.drop(f, recalled)
 		}
+		if rest != nil { // it decides nothing; a close over unread bytes would reset the connection
+			defer time.AfterFunc(c.readOn, func() { k.at.Close() }).Stop()
+			io.Copy(io.Discard, io.LimitReader(rest, mostReply))
+			rest.Close()
+		}
 	}()
 }
 
@@ -124,52 +139,103 @@
 	if k.abandoned {
 		return
 	}
-	if k.abandoned, k.recalled = true, recall; k.accepted {
+	k.abandoned, k.recalled = true, recall
+	switch {
+	case k.accepted:
 		go c.drop(f, recall)
-	} else {
-		k.cancel()
+	case recall && k.whole() && k.at.endWrites() == nil: // a 202 may be on its way, which then binds
+		time.AfterFunc(c.readOn, k.cancel)
+	default:
+		k.close()
+	}
+}
+
+// Release implements core.Carrier. The member has told the end of the flow by
+// call-back: its 202, if it is yet to come, is waited for only so long. A request that
+// isn't whole stays so: what was told is of an earlier attempt at that member.
+func (c *Carrier) Release(f *core.Flow) {
+	k, ok := f.Carried.(*call)
+	if !ok {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	switch {
+	case k.accepted:
+	case k.whole():
+		time.AfterFunc(c.readOn, k.cancel)
+	default:
+		k.abandoned = true
+		k.close()
+	}
+}
+
+// whole tells whether the request's last byte was written or is being written. The
+// lock is held.
+func (k *call) whole() bool { return k.at != nil && k.at.sending.Load() }
+
+// close ends the flow's connection, or its dial, before it returns: the last byte is
+// not written then any more. The lock is held.
+func (k *call) close() {
+	if k.at != nil {
+		k.at.Close()
 	}
+	k.cancel()
 }
 
 // send submits the job. It returns taken if the member answered 202: then the
-// outcome comes by call-back.
-func (c *Carrier) send(ctx context.Context, f *core.Flow) (status basaltloft.Status, taken bool) {
+// outcome comes by call-back. What an answer means its header says; the rest of it, if
+// there was one, is left to the caller to read and close. The load report is that of
+// an answer which ends the flow.
+func (c *Carrier) send(ctx context.Context, f *core.Flow, k *call) (status basaltloft.Status, taken bool, load basaltloft.Report, rest io.ReadCloser) {
 	var at *conn
+	begin, latest := f.SentAt.Add(beginWithin), f.Deadline
+	if f.Stale(latest) {
+		latest = f.Latest
+	}
+	ctx = dialUntil(ctx, begin)
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			if at, _ = info.Conn.(*conn); at != nil {
 				at.begin(len(f.Transaction.Body))
+				at.before(begin, latest)
+				at.unless(f.Transaction.Gone)
+				k.mu.Lock()
+				defer k.mu.Unlock()
+				if k.at = at; k.abandoned {
+					at.Close()
+				}
 			}
 		},
 	})
 	req, err := request(ctx, f)
 	if err != nil {
-		return basaltloft.Moot, false
+		return basaltloft.Moot, false, load, nil
 	}
 	resp, err := c.wire.RoundTrip(req)
-	if err != nil {
-		switch {
-		case at == nil:
-			return basaltloft.ConnectFailed, false
-		case !at.mayHaveSent(): // it came up, so the member is there
-			return basaltloft.Moot, false
-		}
-		return basaltloft.Reset, false
-	}
-	io.Copy(io.Discard, io.LimitReader(resp.Body, mostReply))
-	resp.Body.Close()
-	if resp.StatusCode != http.StatusAccepted { // this answer ends the flow: its report is the member's last word
-		f.Load, _ = loadreport.Parse([]byte(resp.Header.Get("X-Load-Report")))
+	switch {
+	case err != nil && at == nil:
+		return basaltloft.ConnectFailed, false, load, nil
+	case err != nil && !at.mayHaveSent(): // it came up, so the member is there
+		return basaltloft.Moot, false, load, nil
+	case err != nil:
+		return basaltloft.Reset, false, load, nil
+	case resp.StatusCode == http.StatusAccepted && !at.sending.Load() && !at.mayHaveSent(): // it can't have what it took
+		resp.Body.Close()
+		return basaltloft.Moot, false, load, nil
+	case resp.StatusCode == http.StatusAccepted:
+		return basaltloft.OK, true, load, resp.Body
 	}
+	// This answer ends the flow: its report is the member's last word.
+	load, _ = loadreport.Parse([]byte(resp.Header.Get("X-Load-Report")))
+	status = basaltloft.Error
 	switch rejected := resp.Header.Get("X-Rejected") == "1"; {
-	case resp.StatusCode == http.StatusAccepted:
-		return basaltloft.OK, true
 	case rejected && (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout):
-		return basaltloft.Full, false
+		status = basaltloft.Full
 	case slices.Contains(unfit, resp.StatusCode):
-		return basaltloft.Unfit, false
+		status = basaltloft.Unfit
 	}
-	return basaltloft.Error, false
+	return status, false, load, resp.Body
 }
 
 // unfit are the answers that blame the request alone. Others of their hundred
@@ -234,7 +300,7 @@
 	}
 	defer func() { <-c.asks }()
 	u := &url.URL{Scheme: "http", Host: f.Member.Addr, Path: "/jobs/" + f.Transaction.ID}
-	req := (&http.Request{Method: http.MethodDelete, URL: u, Host: u.Host, Header: make(http.Header)}).WithContext(ctx)
+	req := (&http.Request{Method: http.MethodDelete, URL: u, Host: u.Host, Header: make(http.Header)}).WithContext(dialUntil(ctx, until))
 	resp, err := c.wire.RoundTrip(req)
 	if err != nil {
 		return false
@@ -273,7 +339,7 @@
 	}
 	defer func() { <-c.asks }()
 	var connected bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }})
+	ctx = httptrace.WithClientTrace(dialUntil(ctx, until), &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }})
 	u := &url.URL{Scheme: "http", Host: m.Addr, Path: "/health/live"}
 	if c.figures.Stats {
 		u.Path = "/stats"
--- a/internal/poolmember/poolmember_test.go
+++ b/internal/poolmember/poolmember_test.go
@@ -2,10 +2,18 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"regexp"
 	"strconv"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -18,15 +26,19 @@
 )
 
 // driver is an actor that starts a flow for each line "ID BYTES" that it is
-// sent, or a probe for "probe", asks one back for "recall ID", and tells how each
-// ends.
+// sent, or a probe for "probe", asks one back for "recall ID", says for "release ID"
+// that its end was told otherwise, and tells how each ends.
 type driver struct {
 	net.Conn
 	carrier *Carrier
 }
 
 func (d *driver) End(f *core.Flow, s basaltloft.Status, _ []byte) {
-	fmt.Fprintf(d.Conn, "%s %d%s\n", f.Transaction.ID, s, told(f.Load))
+	fmt.Fprintf(d.Conn, "%s %d\n", f.Transaction.ID, s)
+}
+
+func (d *driver) EndWith(f *core.Flow, s basaltloft.Status, load basaltloft.Report) {
+	fmt.Fprintf(d.Conn, "%s %d%s\n", f.Transaction.ID, s, told(load))
 }
 
 func (d *driver) Probed(_ *core.Member, s basaltloft.Status, r basaltloft.Report, _ time.Time) {
@@ -49,12 +61,15 @@
 	return driveWith(addr, Figures{DialWithin: time.Second, Most: most, Settle: append(settle, 0)[0]})
 }
 
-func driveWith(addr string, figures Figures) func() (scenario.End, error) {
+func driveWith(addr string, figures Figures, change ...func(*Carrier)) func() (scenario.End, error) {
 	most := figures.Most
 	return func() (scenario.End, error) {
 		near, far := net.Pipe()
 		d := &driver{Conn: far}
 		d.carrier = New(d, figures)
+		for _, of := range change {
+			of(d.carrier)
+		}
 		go func() {
 			flows := make(map[string]*core.Flow)
 			for in := bufio.NewScanner(far); in.Scan(); {
@@ -68,10 +83,19 @@
 				case "recall":
 					d.carrier.Recall(flows[size])
 					continue
+				case "release":
+					d.carrier.Release(flows[size])
+					continue
 				}
 				f := &core.Flow{
 					Transaction: &core.Transaction{ID: id, Class: "group-ticket", Key: "k", Body: []byte(strings.Repeat("b", n))},
-					Member:      m, Deadline: time.Now().Add(time.Minute),
+					Member:      m, SentAt: time.Now(), Deadline: time.Now().Add(time.Minute),
+				}
+				switch id {
+				case "stale":
+					f.Latest = time.Now()
+				case "late":
+					f.SentAt = f.SentAt.Add(-beginWithin)
 				}
 				if flows[id] = f; most == 0 {
 					go d.carrier.Start(f) // ends before it returns
@@ -177,7 +201,7 @@
 			t.Parallel()
 			addr, open := scenario.Listen(t)
 			scenario.Play(t, scenario.Cast{
-				"r": open, "flow": drive(addr, 4), "none": drive(addr, 0), "slow": drive(addr, 4, time.Second), "nobody": drive("127.0.0.1:1", 4),
+				"r": open, "flow": drive(addr, 4), "none": drive(addr, 0), "slow": drive(addr, 4, time.Second), "nobody": drive(refusing(t), 4),
 			}, nil, script)
 		})
 	}
@@ -213,6 +237,8 @@
 		"a little late": {time.Millisecond},
 		"late once":     {time.Second, 0},
 		"late twice":    {time.Second, 20 * time.Millisecond, 0},
+		// The last moment, 3 s, comes before the fourth end: that is not put off.
+		"late for long": {time.Second, time.Second, 2 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			asked, clock := 0, begin
@@ -223,7 +249,7 @@
 				return clock
 			}
 			ended := make(chan int)
-			stop := patience(begin.Add(10*time.Millisecond), now, func() { ended <- asked - 1 })
+			stop := patience(begin.Add(10*time.Millisecond), begin.Add(3*time.Second), now, func() { ended <- asked - 1 })
 			require.Equal(t, len(late), <-ended)
 			stop()
 		})
@@ -236,8 +262,9 @@
 	got []byte
 }
 
-func (p *pieces) Write(b []byte) (int, error) { p.got = append(p.got, b...); return len(b), nil }
-func (p *pieces) Close() error                { return nil }
+func (p *pieces) Write(b []byte) (int, error)      { p.got = append(p.got, b...); return len(b), nil }
+func (p *pieces) Close() error                     { return nil }
+func (p *pieces) SetWriteDeadline(time.Time) error { return nil }
 
 // TestLastByte: however a request is cut into writes, it may have been sent whole
 // exactly once its last byte was written, and until then it has not.
@@ -274,6 +301,32 @@
 	require.False(t, c.mayHaveSent())
 }
 
+// TestStaleIsNotSent: the repeat of a key is not completed once the members may have
+// forgotten it, however long its connection or this process took; it is told as
+// never sent.
+func TestStaleIsNotSent(t *testing.T) {
+	for name, left := range map[string]time.Duration{"in time": time.Hour, "too late": 0} {
+		t.Run(name, func(t *testing.T) {
+			to := &pieces{}
+			c := &conn{Conn: to, closed: make(chan struct{})}
+			c.begin(2)
+			c.before(time.Time{}, time.Now().Add(left))
+			_, err := c.Write([]byte("POST /x HTTP/1.1\r\n\r\nbb"))
+			require.Equal(t, left == 0, errors.Is(err, errStale))
+			require.Equal(t, left != 0, strings.HasSuffix(string(to.got), "bb"))
+			require.Equal(t, left != 0, c.mayHaveSent())
+		})
+	}
+	addr, open := scenario.Listen(t)
+	scenario.Play(t, scenario.Cast{"r": open, "flow": drive(addr, 4)}, nil, `
+		flow send stale 4\n
+		r expect ^POST /group-ticket HTTP.*\r\n\r\nbbb$
+		r wait
+		flow expect ^stale 7\n
+		flow send t-2 4\n
+		r.next expect ^POST .*\r\n\r\nbbbb$`)
+}
+
 // TestReportsAreRead: where members report their load, the answer that ends a
 // flow carries it in X-Load-Report and a probe asks /stats, whose body is the
 // report; either reaches the core. A report that can't be read is left out and
@@ -303,3 +356,271 @@
 		r.5 send HTTP/1.1 200 x\r\nContent-Length: 15\r\n\r\nTEXT x0=2 x1=64
 		plain.1 expect ^probe 0\n$`)
 }
+
+// TestAnswers: an answer counts by its header, whatever becomes of the rest of it, and
+// what is no answer in so many bytes counts as a break of the connection.
+func TestAnswers(t *testing.T) {
+	words := scenario.Words{"much": func(a ...string) string { return strings.Repeat(a[0], mostReply/len(a[0])+8<<10) }}
+	for name, script := range map[string]string{
+		// It is told by DELETE, which shows that its 202 counted.
+		"takes it, in an answer that never ends": `
+			flow send t-1 4\n
+			r expect bbbb
+			r send HTTP/1.1 202 x\r\nContent-Length: 100\r\n\r\nabc
+			r wait
+			flow send recall t-1\n
+			r.next expect ^DELETE /jobs/t-1 HTTP
+			r.next send HTTP/1.1 204 x\r\n\r\n
+			flow expect ^t-1 6\n`,
+		"takes it, in chunks that are cut": `
+			flow send t-1 4\n
+			r expect bbbb
+			r send HTTP/1.1 202 x\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab
+			r close
+			flow send recall t-1\n
+			r.next expect ^DELETE /jobs/t-1 HTTP
+			r.next send HTTP/1.1 204 x\r\n\r\n
+			flow expect ^t-1 6\n`,
+		"fails, in an answer that never ends": `
+			flow send t-1 4\n
+			r expect bbbb
+			r send HTTP/1.1 500 x\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab
+			flow expect ^t-1 1\n
+			r wait`,
+		"turns away, in an answer that never ends": `
+			flow send t-1 4\n
+			r expect bbbb
+			r send HTTP/1.1 503 x\r\nX-Rejected: 1\r\nContent-Length: 9\r\n\r\n
+			flow expect ^t-1 2\n
+			r wait`,
+		"answers twice": `
+			flow send t-1 4\n
+			r expect bbbb
+			r send HTTP/1.1 503 x\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\nHTTP/1.1 202 x\r\nContent-Length: 0\r\n\r\n
+			flow expect ^t-1 2\n
+			r wait
+			flow send t-2 4\n
+			r.next expect bbbb
+			r.next send HTTP/1.1 502 x\r\n\r\n
+			flow expect ^t-2 1\n$`,
+		"changes the protocol": `
+			flow send t-1 4\n
+			r expect bbbb
+			r send HTTP/1.1 101 x\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n
+			flow expect ^t-1 1\n
+			r wait`,
+		"has a header that never ends": `
+			flow send t-1 4\n
+			r expect bbbb
+			r send HTTP/1.1 202 x\r\nA: @much(a)
+			flow expect ^t-1 5\n`,
+		"goes on being about to answer": `
+			flow send t-1 4\n
+			r expect bbbb
+			r send @much(HTTP/1.1 103 x\r\n\r\n)
+			flow expect ^t-1 5\n`,
+		"is cut in the header": `
+			flow send t-1 4\n
+			r expect bbbb
+			r send HTTP/1.1 202 x\r\nContent-Le
+			r close
+			flow expect ^t-1 5\n`,
+		"speaks no HTTP": `
+			flow send t-1 4\n
+			r expect bbbb
+			r send 220 ready\r\n
+			flow expect ^t-1 5\n`,
+		// It can't have what it took: the last byte is here, and stays.
+		"takes what it does not have": `
+			slow send t-1 4\n
+			r expect bbb$
+			r send HTTP/1.1 202 x\r\nContent-Length: 0\r\n\r\n
+			slow expect ^t-1 7\n
+			r wait`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			addr, open := scenario.Listen(t)
+			scenario.Play(t, scenario.Cast{"r": open, "flow": drive(addr, 4), "slow": drive(addr, 4, time.Minute)}, words, script)
+		})
+	}
+}
+
+// TestCrossing: what a member and this side tell each other at once. Each line of
+// flow's is the next end of a flow, so that none before it is of one that stays.
+func TestCrossing(t *testing.T) {
+	for name, script := range map[string]string{
+		// It has taken the job, and was asked back, and can't be told: it keeps the job.
+		"a 202 and the end of the connection": `
+			flow send t-1 4\n
+			r expect bbbb
+			flow send recall t-1\n
+			r wait
+			r send HTTP/1.1 202 x\r\nContent-Length: 0\r\n\r\n
+			r.next expect ^DELETE /jobs/t-1 HTTP
+			r.next close
+			flow send t-2 4\n
+			r.third expect bbbb
+			r.third send HTTP/1.1 500 x\r\n\r\n
+			flow expect ^t-2 1\n`,
+		"a refusal and the end of the connection": `
+			flow send t-1 4\n
+			r expect bbbb
+			flow send recall t-1\n
+			r wait
+			r send HTTP/1.1 503 x\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n
+			flow expect ^t-1 2\n`,
+		// It saw the end before it took the job: it is told all the same.
+		"the end of the connection from both sides": `
+			flow send t-1 4\n
+			r expect bbbb
+			flow send recall t-1\n
+			r wait
+			r close
+			r.next expect ^DELETE /jobs/t-1 HTTP
+			r.next close
+			flow expect ^t-1 6\n`,
+		// The call-back was of an earlier attempt there: this one stays unwritten.
+		"a call-back and a request that is not whole": `
+			slow send t-1 4\n
+			r expect bbb$
+			slow send release t-1\n
+			r wait
+			slow expect ^t-1 7\n`,
+		"a call-back and an answer that does not come": `
+			brief send t-1 4\n
+			r expect bbbb
+			brief send release t-1\n
+			r wait
+			brief expect ^t-1 5\n`,
+		// Its member may have been told to drain since.
+		"the decision and a dispatcher that is late": `
+			flow send late 4\n
+			flow expect ^late 7\n
+			r wait
+			flow send t-2 4\n
+			r.next expect ^POST .*\r\n\r\nbbbb$`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			addr, open := scenario.Listen(t)
+			figures := Figures{DialWithin: time.Second, Most: 4}
+			long := driveWith(addr, figures, func(c *Carrier) { c.readOn = time.Minute })
+			scenario.Play(t, scenario.Cast{"r": open, "flow": long, "brief": drive(addr, 4), "slow": drive(addr, 4, time.Minute)}, nil, script)
+		})
+	}
+}
+
+// refusing is an address of the test's own that nothing listens on: a fixed one may be
+// listened on by others.
+func refusing(t *testing.T) (addr string) {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	require.NoError(t, err)
+	t.Cleanup(func() { syscall.Close(fd) })
+	require.NoError(t, syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	name, err := syscall.Getsockname(fd)
+	require.NoError(t, err)
+	return fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
+}
+
+// crowded listens, and has no room for a further connection until one is accepted.
+func crowded(t *testing.T) (addr string) {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	require.NoError(t, err)
+	require.NoError(t, syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	require.NoError(t, syscall.Listen(fd, 0))
+	file := os.NewFile(uintptr(fd), "crowded")
+	defer file.Close()
+	l, err := net.FileListener(file)
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	first, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { first.Close() })
+	return l.Addr().String()
+}
+
+// dials counts the connections to an address that are not up yet.
+func dials(t *testing.T, addr string) int {
+	text, err := os.ReadFile("/proc/self/net/tcp")
+	require.NoError(t, err)
+	_, port, _ := net.SplitHostPort(addr)
+	n, _ := strconv.Atoi(port)
+	return len(regexp.MustCompile(fmt.Sprintf(`:\S+ 0100007F:%04X 02 `, n)).FindAll(text, -1))
+}
+
+// TestDialIsCalledOff: a dial ends with its flow, however long it might take: its
+// descriptor is counted with the flow. What comes up later would be of no use.
+func TestDialIsCalledOff(t *testing.T) {
+	addr := crowded(t)
+	figures := Figures{DialWithin: time.Minute, Most: 1}
+	flow, err := driveWith(addr, figures)()
+	require.NoError(t, err)
+	fmt.Fprint(flow, "t-1 4\n")
+	require.Eventually(t, func() bool { return dials(t, addr) == 1 }, 10*time.Second, time.Millisecond)
+	scenario.Play(t, scenario.Cast{"flow": func() (scenario.End, error) { return flow, nil }}, nil, `
+		flow send recall t-1\n
+		flow expect ^t-1 4\n`)
+	require.Eventually(t, func() bool { return dials(t, addr) == 0 }, 10*time.Second, time.Millisecond)
+}
+
+// TestHeldUpByteIsNotSent: a last byte that the other side leaves no room for is not
+// left to go out once there is room.
+func TestHeldUpByteIsNotSent(t *testing.T) {
+	const text = "POST /x HTTP/1.1\r\n\r\nbb"
+	near, far := net.Pipe()
+	defer far.Close()
+	c := &conn{Conn: near, closed: make(chan struct{})}
+	c.begin(2)
+	c.before(time.Time{}, time.Now().Add(50*time.Millisecond))
+	wrote := make(chan error, 1)
+	go func() {
+		_, err := c.Write([]byte(text))
+		wrote <- err
+	}()
+	got := make([]byte, len(text)-1)
+	_, err := io.ReadFull(far, got)
+	require.NoError(t, err)
+	select {
+	case err := <-wrote:
+		require.Error(t, err)
+	case <-time.After(10 * time.Second):
+		t.Fatal("still being written")
+	}
+	require.False(t, c.mayHaveSent())
+}
+
+// ends is a core that hears the end of one flow.
+type ends chan basaltloft.Report
+
+func (e ends) End(*core.Flow, basaltloft.Status, []byte)                            { e <- basaltloft.Report{} }
+func (e ends) EndWith(_ *core.Flow, _ basaltloft.Status, load basaltloft.Report)    { e <- load }
+func (e ends) Probed(*core.Member, basaltloft.Status, basaltloft.Report, time.Time) {}
+
+// TestFlowIsTheCores: an answer's report goes with the end, and not into the flow, which
+// the core may be ending at its deadline just then. The core is a reader here that
+// nothing orders with the carrier; the race detector sees a write beside it.
+func TestFlowIsTheCores(t *testing.T) {
+	member := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Load-Report", "TEXT x0=3")
+		w.WriteHeader(http.StatusInternalServerError)
+	}))
+	defer member.Close()
+	f := &core.Flow{
+		Transaction: &core.Transaction{ID: "j", Class: "c"}, SentAt: time.Now(), Deadline: time.Now().Add(time.Minute),
+		Member: &core.Member{Addr: member.Listener.Addr().String()},
+	}
+	e, read := make(ends, 1), make(chan basaltloft.Report)
+	var over atomic.Bool
+	go func() {
+		var last basaltloft.Report
+		for !over.Load() {
+			last = f.Load
+		}
+		read <- last
+	}()
+	New(e, Figures{DialWithin: time.Second, Most: 1}).Start(f)
+	require.Equal(t, 3.0, (<-e).X0)
+	over.Store(true)
+	require.Zero(t, <-read)
+}
--- a/internal/poolmember/transport.go
+++ b/internal/poolmember/transport.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -22,7 +24,13 @@
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			ctx, cancel := context.WithCancel(ctx)
 			defer cancel()
-			stop := patience(time.Now().Add(f.DialWithin), time.Now, cancel)
+			due := time.Now().Add(f.DialWithin)
+			last := due
+			if of, ok := ctx.Value(dialing{}).(dialing); ok {
+				defer context.AfterFunc(of.request, cancel)()
+				last = of.last
+			}
+			stop := patience(due, last, time.Now, cancel)
 			defer stop()
 			c, err := dialer.DialContext(ctx, network, addr)
 			if err != nil {
@@ -37,19 +45,33 @@
 		// only after the request was written to it: then it may have run. A new
 		// one that does not come up proves that it never ran.
 		DisableKeepAlives: true,
+		// What precedes an answer, 1xx included, is bounded, as its body is.
+		MaxResponseHeaderBytes: mostReply,
 	}
 }
 
+// dialing is what a dial is for, and the latest moment to which it may be given its
+// time again. http.Transport keeps a dial whose request was called off, for requests
+// to come; here none can use it, and its descriptor is counted with its request.
+type dialing struct {
+	request context.Context
+	last    time.Time
+}
+
+// dialUntil makes the dial for a request end with its context.
+func dialUntil(ctx context.Context, last time.Time) context.Context {
+	return context.WithValue(ctx, dialing{}, dialing{ctx, last})
+}
+
 // lateShare is the share of its time by which a dial's end may be noticed late.
 const lateShare = 8
 
 // patience ends a dial once its time is up, unless this process is what was late:
 // an end that is noticed late by more than a part of the dial's time says that
 // what has come up meanwhile was not noticed either. The dial then has its time
-// again, in the same attempt, and the member is not blamed. The flow's own deadline
-// holds all the same. The function that it returns must be called once the dial
-// has ended.
-func patience(due time.Time, now func() time.Time, cancel func()) (stop func()) {
+// again, in the same attempt, up to the last moment, and the member is not blamed.
+// The function that it returns must be called once the dial has ended.
+func patience(due, last time.Time, now func() time.Time, cancel func()) (stop func()) {
 	var mu sync.Mutex
 	var t *time.Timer
 	ended := false
@@ -61,9 +83,11 @@
 		defer mu.Unlock()
 		switch at := now(); {
 		case ended:
-		case at.Sub(due) > within/lateShare:
-			due = at.Add(within)
-			t.Reset(within)
+		case at.Sub(due) > within/lateShare && at.Before(last):
+			if due = at.Add(within); due.After(last) {
+				due = last
+			}
+			t.Reset(due.Sub(at))
 		default:
 			cancel()
 		}
@@ -85,12 +109,32 @@
 	closed chan struct{}
 	once   sync.Once
 
+	sending atomic.Bool // the last byte is being written, or was
+
 	mu            sync.Mutex
+	gone          func() bool // whether the client has left: then nothing goes out, nor the last byte; nil: it stays
+	first, latest time.Time   // the first and the last byte go out before then or not at all; zero: whenever
+	begun         bool
 	body          int // bytes of the request's body that are still to come
 	head          int // how much of the end of its header has come: 4 is all
 	whole, failed bool
 }
 
+// before says when the request's first and its last byte must have gone out; zero: no
+// matter.
+func (c *conn) before(first, latest time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.first, c.latest = first, latest
+}
+
+// unless says how to learn that nobody waits for the request.
+func (c *conn) unless(gone func() bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.gone = gone
+}
+
 // begin tells the size of the request's body. Without it the request has none.
 func (c *conn) begin(body int) {
 	c.mu.Lock()
@@ -120,6 +164,16 @@
 func (c *conn) Write(b []byte) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.gone != nil && c.gone() {
+		c.failed = true
+		return 0, errGone
+	}
+	if !c.begun {
+		if past(c.first) {
+			return 0, errStale
+		}
+		c.begun = true
+	}
 	if !c.ends(b) {
 		n, err := c.Conn.Write(b)
 		c.failed = c.failed || err != nil
@@ -129,6 +183,8 @@
 	n, err := c.Conn.Write(b[:last])
 	if err == nil {
 		if err = c.settled(); err == nil {
+			c.Conn.SetWriteDeadline(c.latest) // the other side may not read: what is held up here mustn't go out later
+			c.sending.Store(true)
 			var more int
 			more, err = c.Conn.Write(b[last:])
 			n += more
@@ -138,7 +194,8 @@
 	return n, err
 }
 
-// settled waits for the last byte's time. It fails if the connection is closed
+// settled waits for the last byte's time. It fails if that is past the latest, for a
+// connection that came up late or a process that was, and if the connection is closed
 // before: by the transport, whose read has found it broken, or since the flow was
 // called off. The byte then stays here, though the system might still take it,
 // and the attempt is known never to have run.
@@ -153,8 +210,34 @@
 	case <-c.closed:
 		return net.ErrClosed
 	default:
-		return nil
 	}
+	if past(c.latest) {
+		return errStale
+	}
+	if c.gone != nil && c.gone() {
+		return errGone
+	}
+	return nil
+}
+
+// errGone says that nobody waits for a request any more.
+var errGone = errors.New("the client has left")
+
+// past tells whether a moment has come; zero: never.
+func past(at time.Time) bool { return !at.IsZero() && !time.Now().Before(at) }
+
+// errStale says that a request came too late to be sent: its member may drain by now
+// or may have forgotten its key, or nobody waits any more.
+var errStale = errors.New("it is too late to send the request")
+
+// endWrites tells the other side that nothing more comes, and leaves what it answers to
+// be read. It fails where a connection can't do that.
+func (c *conn) endWrites() error {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return half.CloseWrite()
 }
 
 // Close implements net.Conn.
--- a/internal/scenario/program.go
+++ b/internal/scenario/program.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -123,6 +124,12 @@
 	return startWith(t, members, "", "", strings.Replace(Settings, `"ask"`, `"push"`, 1))
 }
 
+// StartSettings is Start with other settings.
+func StartSettings(t testing.TB, members int, settings string) Cast {
+	t.Helper()
+	return startWith(t, members, "", "", settings)
+}
+
 // StartDoor is Start with the operators' door, which door in the cast dials.
 func StartDoor(t testing.TB, members int) Cast {
 	t.Helper()
@@ -132,13 +139,30 @@
 	return cast
 }
 
+// StartSmall is Start, or StartPushed, on a machine of so much memory, in MB, and so many
+// descriptors, which the system enforces.
+func StartSmall(t testing.TB, members, memory, sockets int, pushed bool) Cast {
+	t.Helper()
+	settings := Settings
+	if pushed {
+		settings = strings.Replace(settings, `"ask"`, `"push"`, 1)
+	}
+	return startWith(t, members, "", "", settings, memory, sockets)
+}
+
 func start(t testing.TB, members int, operator, admin string) Cast {
 	t.Helper()
 	return startWith(t, members, operator, admin, Settings)
 }
 
-func startWith(t testing.TB, members int, operator, admin, settings string) Cast {
+// startWith starts the program; the machine is its memory and its descriptors, if
+// they are not the usual ones.
+func startWith(t testing.TB, members int, operator, admin, settings string, machine ...int) Cast {
 	t.Helper()
+	memory, sockets := 192, 1024
+	if len(machine) > 0 {
+		memory, sockets = machine[0], machine[1]
+	}
 	binary, err := Build()
 	require.NoError(t, err)
 	dir, cast := t.TempDir(), Cast{}
@@ -155,8 +179,8 @@
 	cast["next"] = open
 	listen := free(t)
 	cast["client"] = Dial(listen)
-	config := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"admin":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":192,"sockets":1024},"known":{"generation":41,"reset":true,"instances":[%s]},"settings":%s}`,
-		listen, next, admin, strings.Join(listed, ","), settings)
+	config := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"admin":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":%d,"sockets":%d},"known":{"generation":41,"reset":true,"instances":[%s]},"settings":%s}`,
+		listen, next, admin, memory, sockets, strings.Join(listed, ","), settings)
 	require.True(t, json.Valid([]byte(config)))
 	var args []string
 	if operator != "" {
@@ -168,10 +192,16 @@
 		}
 		args = []string{"-operator", file(t, dir, "operator.json", strings.NewReplacer(addresses...).Replace(operator))}
 	}
+	if len(machine) > 0 {
+		binary, args = "/bin/sh", append([]string{"-c", `ulimit -n "$0" && exec "$@"`, strconv.Itoa(sockets), binary}, args...)
+	}
 	cast["program"] = Run(t, binary, file(t, dir, "config.json", config), discovery, args...)
 	return cast
 }
 
+// PID is the process's id.
+func (p process) PID() int { return p.cmd.Process.Pid }
+
 // Dump ends the program with the stacks of all goroutines in its log.
 func (p process) Dump() error { return p.cmd.Process.Signal(syscall.SIGQUIT) }
 
--- a/internal/service/assembly.go
+++ b/internal/service/assembly.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"syscall"
 	"time"
 
 	"basaltloft/internal/account"
@@ -14,6 +15,7 @@
 	"basaltloft/internal/journal"
 	"basaltloft/internal/pool"
 	"basaltloft/internal/poolmember"
+	"basaltloft/internal/settings"
 	"basaltloft/internal/stage"
 	"basaltloft/internal/virtualserver"
 )
@@ -28,8 +30,9 @@
 func assemble(ctx context.Context, o Options) (*Service, error) {
 	s := &Service{options: o, log: o.Log, draining: make(chan struct{}), began: time.Now()}
 	c := o.Config
-	if s.sockets = c.Sockets; s.sockets <= 0 {
-		s.sockets = 1024
+	s.sockets = sockets(c)
+	if c.Admin != "" { // its callers have descriptors of their own
+		s.sockets = max(s.sockets/2, s.sockets-door.Most)
 	}
 	if o.Operator.Faktory != nil { // its connections are held beside the others
 		s.sockets = max(s.sockets/2, s.sockets-o.Operator.Faktory.Connections)
@@ -65,10 +68,15 @@
 		s.hub.KeepTrails()
 	}
 	carrier := poolmember.New(s.hub, poolmember.Figures{DialWithin: c.DialWithin, Settle: settle, Most: s.sockets / 4, Stats: c.Reports})
-	s.follower = pool.New(ctx, c.Discovery, s.hub, carrier, s.log)
+	pace := pool.Pushed() // to an agent here: nobody else reads it
+	if c.Settings.AskLists {
+		pace = pool.Asked(c.Settings.Instances, c.Settings.Rules.AskWithin)
+	}
+	s.follower = pool.New(ctx, c.Discovery, pace, s.hub, carrier, s.log)
 	s.hub.Follow(s.follower)
 
 	http := virtualserver.New(s.hub, s.chain, s.log)
+	http.Bound(s.limits.Bytes)
 	desks := []*account.Desk{&http.Desk}
 	if s.fleet != nil {
 		desks = append(desks, &s.fleet.plans.desk)
@@ -132,6 +140,30 @@
 	return s, nil
 }
 
+// socketsPerMB keeps connections within the memory: one on which nothing but a long
+// header has come costs 33 KB, and half of the sockets are clients'.
+const socketsPerMB = 8
+
+// sockets is how many descriptors this process may hold: what it is told, but no more
+// than the system lets it, and no more than its memory bears. Of each 16, clients
+// get 8, flows to members 4, probes and ends of flows 2; the rest is for the
+// program's own: a connection that waits for a place, discovery's old call and its new one, listeners, the
+// log and what the run time needs.
+func sockets(c settings.Config) int {
+	n := c.Sockets
+	if n <= 0 {
+		n = 1024
+	}
+	var may syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &may); err == nil && may.Cur < uint64(n) {
+		n = int(may.Cur)
+	}
+	if c.MemoryMB > 0 {
+		n = min(n, c.MemoryMB*socketsPerMB)
+	}
+	return max(n, 32)
+}
+
 // openJournal begins an epoch where the operator names a folder. A folder that
 // can't be used is complained of; jobs are served without it.
 func (s *Service) openJournal() {
--- a/internal/service/component.go
+++ b/internal/service/component.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"os"
+	"syscall"
 	"time"
+
+	"github.com/sirupsen/logrus"
 )
 
 // End is a planned end: what happens when, in absolute times.
@@ -55,8 +59,13 @@
 	listener net.Listener
 }
 
-// open takes the component's socket.
-func (c *component) open() error {
+// openFor is how long a start tries for an address that another process still has, such
+// as the one whose place it takes.
+const openFor = 5 * time.Second
+
+// open takes the component's socket. Where another process has the address it tries
+// until then, and says so.
+func (c *component) open(ctx context.Context, until time.Time, log logrus.FieldLogger) error {
 	if c.inherit > 0 {
 		l, err := inherited(c.inherit)
 		if err != nil {
@@ -68,12 +77,25 @@
 	if c.listen == "" {
 		return nil
 	}
-	l, err := net.Listen("tcp", c.listen)
-	if err != nil {
-		return fmt.Errorf("%s: listening: %w", c.name, err)
+	tick := time.NewTicker(10 * time.Millisecond)
+	defer tick.Stop()
+	for first := true; ; first = false {
+		l, err := net.Listen("tcp", c.listen)
+		switch {
+		case err == nil:
+			c.listener = l
+			return nil
+		case !errors.Is(err, syscall.EADDRINUSE) || !time.Now().Before(until):
+			return fmt.Errorf("%s: listening: %w", c.name, err)
+		case first:
+			log.WithFields(logrus.Fields{"component": c.name, "listen": c.listen}).Warn("the address is taken: waiting for it")
+		}
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return fmt.Errorf("%s: listening: %w", c.name, err)
+		}
 	}
-	c.listener = l
-	return nil
 }
 
 // inherited makes a listener of a descriptor that this process was handed. It
--- a/internal/service/operators.go
+++ b/internal/service/operators.go
@@ -79,7 +79,19 @@
 	defer o.mu.Unlock()
 	o.http.Drain()
 	if o.parting == nil {
-		o.parting = time.AfterFunc(partAfter, o.http.Part)
+		var due *time.Timer
+		due = time.AfterFunc(partAfter, func() { o.part(due) })
+		o.parting = due
+	}
+}
+
+// part closes connections between requests, unless the drain that wanted it has been
+// undone meanwhile.
+func (o *operators) part(due *time.Timer) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.parting == due {
+		o.http.Part()
 	}
 }
 
--- /dev/null
+++ b/internal/service/operators_test.go
@@ -0,0 +1,42 @@
+package service
+
+import (
+	"net"
+	"testing"
+
+	"basaltloft/internal/scenario"
+	"basaltloft/internal/virtualserver"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+)
+
+// TestUndrainCrossesPart: a drain that is undone just as its time to close connections
+// has come closes none any more.
+func TestUndrainCrossesPart(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	http := virtualserver.New(nil, nil, logrus.New())
+	go http.Serve(l, 8)
+	o := &operators{s: &Service{draining: make(chan struct{})}, http: http}
+	scenario.Play(t, scenario.Cast{"client": scenario.Dial(l.Addr().String())}, scenario.Words{
+		"crossing": func(...string) string {
+			o.Drain()
+			o.mu.Lock()
+			due := o.parting
+			o.mu.Unlock()
+			require.True(t, due.Stop(), "its time comes by hand")
+			o.Undrain()
+			o.part(due)
+			return ""
+		},
+		"live": func(...string) string { return `GET /health/live HTTP/1.1\r\nHost: app\r\n\r\n` },
+	}, `
+		client send @live()
+		client expect ^HTTP/1.1 200 OK.*ok\n
+		client send @crossing()@live()
+		client expect ^HTTP/1.1 200 OK.*ok\n
+		client send @live()
+		client expect ^HTTP/1.1 200 OK.*ok\n`)
+}
--- a/internal/service/program_test.go
+++ b/internal/service/program_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 
@@ -75,12 +76,42 @@
 	}
 }
 
+// TestEndBeforeServing: a signal that comes before anything is served ends the program
+// in order: while it reads its configuration, after which it may have come to serving
+// before the signal has reached it, and at once while it waits for its agent.
+func TestEndBeforeServing(t *testing.T) {
+	t.Run("at its configuration", func(t *testing.T) {
+		binary, err := scenario.Build()
+		require.NoError(t, err)
+		config := filepath.Join(t.TempDir(), "config.json")
+		require.NoError(t, syscall.Mkfifo(config, 0o600))
+		end, err := scenario.Run(t, binary, config, "127.0.0.1:1")()
+		require.NoError(t, err)
+		text, err := os.OpenFile(config, os.O_WRONLY, 0) // it has come to reading it
+		require.NoError(t, err)
+		require.NoError(t, end.Close())
+		_, err = fmt.Fprintf(text, `{"name":"n0","listen":"127.0.0.1:1","settings":%s}`, scenario.Settings)
+		require.NoError(t, err)
+		require.NoError(t, text.Close())
+		scenario.Play(t, scenario.Cast{"program": func() (scenario.End, error) { return end, nil }}, nil, `
+			program expect told to end before serving|msg=done
+			program wait`)
+	})
+	t.Run("at its agent", func(t *testing.T) {
+		scenario.Play(t, scenario.StartPushed(t, 1), nil, `
+			discovery expect ^GET /registry/instances HTTP
+			program close
+			program expect told to end before serving
+			program wait`)
+	})
+}
+
 // TestPlannedEnd: all that comes up to the end by force is answered before it, however
 // short the longest deadline is, and nothing closes while clients still connect.
 func TestPlannedEnd(t *testing.T) {
 	began := time.Now()
 	for longest, want := range map[time.Duration][3]int{ // Stays, Parts, Dismiss, in milliseconds
-		25 * time.Second: {2400, 2500, 3300}, 3 * time.Second: {2400, 2500, 3300}, time.Second: {400, 500, 1300}, 300 * time.Millisecond: {400, 500, 600},
+		25 * time.Second: {2400, 2500, 3300}, 3 * time.Second: {2400, 2500, 3300}, time.Second: {400, 500, 1300}, 500 * time.Millisecond: {400, 500, 800}, 300 * time.Millisecond: {400, 500, 600},
 	} {
 		e := service.PlannedEnd(began, longest)
 		for i, at := range []time.Time{e.Stays, e.Parts, e.Dismiss} {
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -56,13 +56,17 @@
 	began      time.Time
 }
 
+// text is what the program itself takes of the memory beside what the run time counts.
+const text = 16 << 20
+
 // Fit holds the run time of this process to the machine that it is told of.
 func Fit(c settings.Config) {
 	if c.Cores > 0 {
 		runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Cores))))
 	}
 	if c.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(c.MemoryMB) << 20 * 3 / 4)
+		all := int64(c.MemoryMB) << 20
+		debug.SetMemoryLimit(max(all/2, min(all*3/4, all-text)))
 		debug.SetGCPercent(400)
 	}
 }
@@ -87,11 +91,17 @@
 	}
 	s.operators.restore()
 	s.hub.Sync(func() {}) // the pool is known before anybody asks
+	select {
+	case <-told: // nobody could connect yet: nothing is owed
+		s.log.Info("told to end before serving")
+		return nil
+	default:
+	}
 
 	// All sockets are taken before anything is served: an address that can't
 	// be had ends the program with one line.
 	for i, c := range s.components {
-		if err := c.open(); err != nil {
+		if err := c.open(ctx, s.began.Add(openFor), s.log); err != nil {
 			for _, opened := range s.components[:i] {
 				if opened.listener != nil {
 					opened.listener.Close()
@@ -181,9 +191,6 @@
 		}
 	}
 	s.drained(e.Parts)
-	// A socket that closes shuts call-backs out: what comes on a connection that is
-	// still open is refused, since no result could come for it.
-	s.hub.Leaving(time.Now(), time.Now())
 	s.log.Info("closing")
 	for _, c := range s.components {
 		if c.stop != nil {
@@ -203,18 +210,20 @@
 	return d
 }
 
-// drained waits until the time given and then until nothing is in hand.
+// drained waits until the time given and then until nothing is in hand. A socket that
+// closes shuts call-backs out: what comes from here on, on a connection that is still
+// open, is refused, since no result could come for it.
 func (s *Service) drained(from time.Time) {
 	tick := time.NewTicker(10 * time.Millisecond)
 	defer tick.Stop()
 	for now := range tick.C {
-		inHand := s.hub.Unanswered()
+		inHand := 0
 		for _, c := range s.components {
 			if c.inHand != nil {
 				inHand += c.inHand()
 			}
 		}
-		if now.After(from) && inHand == 0 {
+		if now.After(from) && inHand == 0 && s.hub.Close() {
 			return
 		}
 	}
--- /dev/null
+++ b/internal/service/sockets_test.go
@@ -0,0 +1,32 @@
+package service
+
+import (
+	"syscall"
+	"testing"
+
+	"basaltloft/internal/door"
+	"basaltloft/internal/settings"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestSockets: what a process holds at the same time stays within the descriptors it is
+// told of, those the system lets it have, and those its memory bears.
+func TestSockets(t *testing.T) {
+	const own = 3 + 2 + 5 + 1 + 3 + 1 // standard ones, the run time's, listeners, one that waits for a place, calls to discovery, a file
+	for _, n := range []int{256, 300, 512, 1024, 4096} {
+		got := sockets(settings.Config{Sockets: n})
+		require.Equal(t, n, got)
+		require.LessOrEqual(t, got/2+got/4+got/8+own, n, "clients, flows, probes and ends, own")
+		got = max(got/2, got-door.Most) // as for a process with a door
+		require.LessOrEqual(t, got/2+got/4+got/8+door.Most+own, n, "with a door")
+	}
+	require.Equal(t, 1024, sockets(settings.Config{}))
+	require.Equal(t, 1024, sockets(settings.Config{Sockets: 1024, MemoryMB: 192}))
+	require.Equal(t, 256, sockets(settings.Config{Sockets: 1024, MemoryMB: 32}))
+	var was syscall.Rlimit
+	require.NoError(t, syscall.Getrlimit(syscall.RLIMIT_NOFILE, &was))
+	require.NoError(t, syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: 200, Max: was.Max}))
+	defer syscall.Setrlimit(syscall.RLIMIT_NOFILE, &was)
+	require.Equal(t, 200, sockets(settings.Config{Sockets: 1024}))
+}
--- a/internal/settings/config.go
+++ b/internal/settings/config.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"hash/fnv"
 	"net"
 	"strconv"
 	"time"
@@ -38,7 +39,7 @@
 // Entry is one runner of a list.
 type Entry struct {
 	ID, Addr, Kind, Zone string
-	Cell                 int
+	Cell                 int // below 0: not told, and no other member's
 	State                basaltloft.MemberState
 	Weight               float64
 	Started              time.Time // zero: long ago
@@ -75,6 +76,8 @@
 	if c.Settings, err = Decode(r.find("settings")); err != nil {
 		r.take("settings", err)
 	}
+	c.Settings.Limits.ConnectWithin = 0    // the carriers hold attempts to a key's window to the last byte
+	c.Settings.Limits.SecondCopies = false // the ledger keeps one flow of a transaction: another copy would be told as never sent
 	if known := r.find("known"); known != nil {
 		if c.Known, err = decodeList(known); err != nil {
 			r.take("known", err)
@@ -135,6 +138,11 @@
 	if ms := r.number("startedAtMs"); ms > 0 {
 		e.Started = time.UnixMicro(int64(ms * 1000))
 	}
+	if r.find("cell") == nil { // a keyed job that may have run there has no other member to go to
+		h := fnv.New32a()
+		h.Write([]byte(e.ID))
+		e.Cell = -1 - int(h.Sum32())
+	}
 	switch state := r.text("lifecycle"); state {
 	case "active":
 		e.State = basaltloft.Ready
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -44,6 +44,7 @@
 			SecondCopies:  r.flag("limits.second_copies"),
 			RetryAfter:    r.flag("limits.retry_after"),
 			MaxRetryAfter: r.span("limits.max_retry_after"),
+			ConnectWithin: r.span("limits.dial_timeout"),
 		},
 		Rules: basaltloft.Rules{
 			AnswerGrace:       r.span("guarantees.grace_to_answer"),
@@ -88,6 +89,10 @@
 			r.problems = append(r.problems, err...)
 			continue
 		}
+		if slices.ContainsFunc(s.Classes, func(o basaltloft.Class) bool { return o.Name == c.Name }) {
+			r.fail(fmt.Sprintf("lanes[%d].name", i), fmt.Errorf("%q is a class already", c.Name))
+			continue
+		}
 		if i < len(kinds) {
 			c.Kind = kinds[i].GetInt()
 		}
@@ -106,6 +111,9 @@
 		Name: r.text("name"), Window: r.span("repeat_window"), Aim: r.span("promise"),
 		Stretch: r.number("aim_stretch"), GiveUp: r.span("give_up"), Worth: r.number("worth"), Kind: -1,
 	}
+	if c.Name == "" {
+		r.fail("name", errors.New("missing"))
+	}
 	switch effect := r.text("effect"); effect {
 	case "idempotent":
 		c.Effect = basaltloft.Safe
@@ -117,11 +125,11 @@
 		r.fail("effect", fmt.Errorf("unknown effect %q", effect))
 	}
 	switch scope := r.text("key_scope"); scope {
-	case "all", "":
+	case "all":
 		c.Group = basaltloft.GroupAll
 	case "zone":
 		c.Group = basaltloft.GroupZone
-	case "cell":
+	case "cell", "": // a key that nobody says how far it is known is taken to be known nowhere else
 		c.Group = basaltloft.GroupCell
 	default:
 		r.fail("key_scope", fmt.Errorf("unknown scope %q", scope))
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -15,8 +15,9 @@
 	const good = `{"instanceId":"a","hostPort":"h:1","lifecycle":"active","startedAtMs":1500,"cell":3}`
 	l, err := DecodeList([]byte(`{"generation":7,"reset":true,"instances":[` + good + `,{"instanceId":"b","lifecycle":"left"}]}`))
 	require.NoError(t, err)
+	require.Negative(t, l.Entries[1].Cell)
 	require.Equal(t, List{Generation: 7, Whole: true, Entries: []Entry{
-		{ID: "a", Addr: "h:1", Cell: 3, Started: time.UnixMilli(1500)}, {ID: "b", State: basaltloft.Removed},
+		{ID: "a", Addr: "h:1", Cell: 3, Started: time.UnixMilli(1500)}, {ID: "b", Cell: l.Entries[1].Cell, State: basaltloft.Removed},
 	}}, l)
 	// Whitespace changes nothing, in discovery's answer or the configuration.
 	const spaced = "\n{\r\n\t\"generation\" : 7,\n \"reset\" : true , \"instances\" : [\n\t{\"instanceId\" : \"a\", \"hostPort\": \"h:1\",\n\"lifecycle\" : \"active\", \"startedAtMs\": 1500 ,\"cell\" : 3 } , { \"instanceId\":\"b\" ,\"lifecycle\":\"left\"\n} ]\n}\n"
@@ -78,3 +79,39 @@
 		require.Equal(t, want, c.Reports, reporting)
 	}
 }
+
+// TestNotTold: what the settings do not say is never read as leave to repeat.
+func TestNotTold(t *testing.T) {
+	lane := func(more string) string {
+		return `{"registry_mode":"ask","lanes":[{"name":"a","promise":1,"give_up":1000` + more + `}]}`
+	}
+	for name, text := range map[string]string{
+		"no effect":      lane(``),
+		"effect null":    lane(`,"effect":null`),
+		"effect empty":   lane(`,"effect":""`),
+		"effect unknown": lane(`,"effect":"Idempotent"`),
+		"effect no text": lane(`,"effect":0`),
+		"scope unknown":  lane(`,"effect":"deduplicated","key_scope":"any"`),
+		"scope no text":  lane(`,"effect":"deduplicated","key_scope":["all"]`),
+		"window no span": lane(`,"effect":"deduplicated","key_scope":"all","repeat_window":"15s"`),
+		"no name":        `{"registry_mode":"ask","lanes":[{"effect":"idempotent","promise":1,"give_up":1000}]}`,
+		"named twice": `{"registry_mode":"ask","lanes":[{"name":"a","effect":"at_most_once","promise":1,"give_up":1000},
+			{"name":"a","effect":"idempotent","promise":1,"give_up":1000}]}`,
+	} {
+		_, err := Parse([]byte(text))
+		require.ErrorContains(t, err, "lanes[", name)
+	}
+	s, err := Parse([]byte(lane(`,"effect":"deduplicated"`)))
+	require.NoError(t, err)
+	require.Equal(t, basaltloft.GroupCell, s.Classes[0].Group)
+	require.Zero(t, s.Classes[0].Window)
+	require.False(t, s.Limits.SecondCopies)
+
+	// A member whose cell nobody tells shares it with no other.
+	l, err := DecodeList([]byte(`{"instances":[{"instanceId":"a","hostPort":"h:1","lifecycle":"active"},
+		{"instanceId":"b","hostPort":"h:2","lifecycle":"active"},{"instanceId":"c","hostPort":"h:3","lifecycle":"active","cell":0}]}`))
+	require.NoError(t, err)
+	require.NotEqual(t, l.Entries[0].Cell, l.Entries[1].Cell)
+	require.NotEqual(t, l.Entries[0].Cell, l.Entries[2].Cell)
+	require.NotEqual(t, l.Entries[1].Cell, l.Entries[2].Cell)
+}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -175,14 +175,19 @@
 	return n
 }
 
-// watch audits the running dispatcher until a time.
+// watch audits the running dispatcher until a time, and on from there until it has answered once: on a busy machine
+// it may still be starting then, and a kill would meet nothing.
 func (r *Result) watch(at string, until time.Time) {
-	for time.Now().Before(until) {
+	before, latest := r.Audits, until.Add(startsWithin)
+	for now := time.Now(); now.Before(until) || r.Audits == before && now.Before(latest); now = time.Now() {
 		r.audit(at)
-		time.Sleep(max(0, min(200*time.Millisecond, time.Until(until))))
+		time.Sleep(max(10*time.Millisecond, min(200*time.Millisecond, time.Until(until))))
 	}
 }
 
+// startsWithin is how long a start is waited for beyond its time.
+const startsWithin = 20 * time.Second
+
 func (r *Result) audit(at string) {
 	client := http.Client{Timeout: time.Second}
 	resp, err := client.Get("http://" + at + "/audit")
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -36,6 +36,18 @@
 	require.NoError(t, r.Write(io.Discard))
 }
 
+// TestKillsMeetAStart: kills that come due sooner than a process starts wait until it has, so that each meets one.
+func TestKillsMeetAStart(t *testing.T) {
+	binary, err := scenario.Build()
+	require.NoError(t, err)
+	r, err := Run(context.Background(), Settings{
+		Program: binary, Until: time.Now().Add(30 * time.Millisecond), Kills: 3, Rate: 5, Folder: t.TempDir(), Seed: 5,
+	}, io.Discard)
+	require.NoError(t, err)
+	require.Equal(t, 3, r.Kills)
+	require.Equal(t, 4, r.Journal.Epochs)
+}
+
 // TestKill kills the program with jobs in hand: the next start closes exactly
 // those, before it takes anything.
 func TestKill(t *testing.T) {
--- a/internal/stage/admit_test.go
+++ b/internal/stage/admit_test.go
@@ -33,3 +33,11 @@
 		require.Equal(t, &core.Answer{Verdict: core.Refused, Reason: at.want, RetryAt: now.Add(at.wait)}, a, name)
 	}
 }
+
+// TestRoute: the decisions hear what a front read of a request.
+func TestRoute(t *testing.T) {
+	c := New(basaltloft.Settings{Classes: []basaltloft.Class{{Name: "hold", GiveUp: time.Minute}}}, Limits{Open: 2, Bytes: 100}, nil, nil)
+	tx, err := c.TakeIn(Arrival{ID: "1", Class: "hold", Subject: "7f", Hint: time.Second, Slots: 2, Memory: 0.5, Retry: true, Needs: "x"}, time.Now(), nil)
+	require.NoError(t, err)
+	require.Equal(t, basaltloft.Request{ID: "1", Class: "hold", Subject: "7f", Hint: time.Second, Slots: 2, Memory: 0.5, Retry: true, Needs: "x"}, c.Route(tx))
+}
--- a/internal/stage/route.go
+++ b/internal/stage/route.go
@@ -8,5 +8,5 @@
 // Route implements core.Stages: it is all that the decisions learn of a
 // transaction but its deadline, which the core puts on their clock.
 func (c *Chain) Route(t *core.Transaction) basaltloft.Request {
-	return basaltloft.Request{ID: t.ID, Class: t.Class, Hint: t.Hint, Slots: t.Slots, Memory: t.Memory, Retry: t.Retry, First: t.First, Needs: t.Needs, Once: t.Once}
+	return basaltloft.Request{ID: t.ID, Class: t.Class, Subject: t.Subject, Hint: t.Hint, Slots: t.Slots, Memory: t.Memory, Retry: t.Retry, First: t.First, Needs: t.Needs, Once: t.Once}
 }
--- a/internal/stage/takein.go
+++ b/internal/stage/takein.go
@@ -28,6 +28,7 @@
 // Arrival is what a front read of a job, in no wire's terms.
 type Arrival struct {
 	ID, Class, Tenant, Target, Key string
+	Subject                        string // see core.Transaction
 	Front                          string // the front that read it
 	Body                           []byte
 	Form                           string    // see core.Transaction
@@ -66,7 +67,7 @@
 		a.GivesUp = latest
 	}
 	return &core.Transaction{
-		ID: a.ID, Class: a.Class, Tenant: a.Tenant, Front: a.Front, Target: a.Target, Key: a.Key, Body: a.Body, Form: a.Form,
+		ID: a.ID, Class: a.Class, Tenant: a.Tenant, Front: a.Front, Target: a.Target, Key: a.Key, Body: a.Body, Form: a.Form, Subject: a.Subject,
 		Arrived: now, Deadline: a.GivesUp.Add(-early), Hint: a.Hint, Slots: a.Slots, Memory: a.Memory, Retry: a.Retry, Needs: a.Needs, Once: a.Once, Client: client,
 		First: a.First, Plan: a.Plan, Stage: a.Stage, NotMember: a.NotMember, NotItsZone: a.NotItsZone,
 	}, nil
--- a/internal/standin/member.go
+++ b/internal/standin/member.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -20,11 +21,16 @@
 	Fail     float64 // it runs the job and calls it failed
 	Break    float64 // it breaks the connection after having run the job
 	Again    float64 // it tells the end of a job twice
+	Return   float64 // it takes the job, and hands it back unstarted
+	Lose     float64 // it runs the job and calls it lost
+	Hang     float64 // it takes the job, with or without a word, and is never heard of again
 }
 
 // MemberSettings are what a member is.
 type MemberSettings struct {
 	ID       string
+	Zone     string // empty: hall
+	Kind     string // empty: std
 	Cell     int
 	Slots    int
 	Run      func(class string) time.Duration // how long a job runs
@@ -33,6 +39,7 @@
 	Till     *Till
 	Ends     func(class, ask string, body []byte) (state, result string) // how a job ends, before troubles; nil: done
 	Once     func(class string) bool                                     // classes that must not run twice
+	Silent   bool                                                        // it does not tell when a job starts
 	Seed     uint64
 }
 
@@ -82,7 +89,9 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /health/live", func(http.ResponseWriter, *http.Request) {})
-	mux.HandleFunc("DELETE /jobs/{id}", func(http.ResponseWriter, *http.Request) {}) // nothing stops what has begun
+	mux.HandleFunc("DELETE /jobs/{id}", func(_ http.ResponseWriter, r *http.Request) { // nothing stops what has begun
+		m.Till.abandon(r.PathValue("id"), m.ID)
+	})
 	mux.HandleFunc("POST /", m.submit)
 	m.server = &http.Server{Handler: mux}
 	go m.server.Serve(l)
@@ -94,7 +103,7 @@
 
 // Listed is the member's entry on discovery's list.
 func (m *Member) Listed() Listed {
-	return Listed{ID: m.ID, Addr: m.listener.Addr().String(), Zone: "hall", Kind: "std", Cell: m.Cell, Lifecycle: "active", Weight: 1}
+	return Listed{ID: m.ID, Addr: m.listener.Addr().String(), Zone: cmp.Or(m.Zone, "hall"), Kind: cmp.Or(m.Kind, "std"), Cell: m.Cell, Lifecycle: "active", Weight: 1}
 }
 
 // Door is another address of the member, for one more dispatcher, which is told
@@ -128,7 +137,10 @@
 }
 
 func (m *Member) submit(w http.ResponseWriter, r *http.Request) {
-	body, _ := io.ReadAll(r.Body)
+	body, err := io.ReadAll(r.Body)
+	if err != nil { // an attempt counts once its last byte has arrived
+		panic(http.ErrAbortHandler)
+	}
 	id := r.Header.Get("X-Call-Id")
 	class, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	if id == "" {
@@ -143,7 +155,7 @@
 		Ask: r.URL.Query().Get("sid"), Dispatcher: from.dispatcher, Member: m.ID,
 	})
 	full := func() {
-		m.Till.mark(number, func(a *Arrival) { a.TurnedAway = true })
+		m.Till.mark(number, func(a *Arrival) { a.TurnedAway, a.Over = true, time.Now() })
 		w.Header().Set("X-Rejected", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
@@ -153,7 +165,19 @@
 	}
 	if m.chance(m.Troubles.Break) {
 		m.Till.Run(id, m.Once(class))
-		m.Till.mark(number, func(a *Arrival) { a.Ran, a.Ended = a.At, time.Now() })
+		m.Till.mark(number, func(a *Arrival) { a.Ran, a.Ended, a.Over = a.At, time.Now(), time.Now() })
+		panic(http.ErrAbortHandler)
+	}
+	if m.Troubles.Hang > 0 && m.chance(m.Troubles.Hang) {
+		if m.chance(0.5) {
+			w.WriteHeader(http.StatusAccepted)
+			return
+		}
+		select {
+		case <-r.Context().Done():
+			m.Till.mark(number, func(a *Arrival) { a.Over = time.Now() })
+		case <-m.ctx.Done():
+		}
 		panic(http.ErrAbortHandler)
 	}
 	select {
@@ -185,7 +209,14 @@
 			m.tell(j, n[0], n[1])
 		}
 	})
-	news <- [2]string{"started", ""}
+	if m.Troubles.Return > 0 && m.chance(m.Troubles.Return) {
+		m.Till.mark(j.number, func(a *Arrival) { a.TurnedAway, a.Over = true, time.Now() })
+		news <- [2]string{"returned", ""}
+		return
+	}
+	if !m.Silent {
+		news <- [2]string{"started", ""}
+	}
 	m.Till.Run(j.id, m.Once(j.class))
 	m.Till.mark(j.number, func(a *Arrival) { a.Ran = time.Now() })
 	select {
@@ -201,6 +232,10 @@
 	if m.chance(m.Troubles.Fail) {
 		state = "failed"
 	}
+	if m.Troubles.Lose > 0 && m.chance(m.Troubles.Lose) {
+		state = "lost"
+	}
+	m.Till.mark(j.number, func(a *Arrival) { a.Over = time.Now() })
 	news <- [2]string{state, result}
 	if m.chance(m.Troubles.Again) {
 		news <- [2]string{state, "again"}
--- a/internal/standin/till.go
+++ b/internal/standin/till.go
@@ -21,9 +21,10 @@
 type Arrival struct {
 	At, Ran, Ended         time.Time
 	ID, Class, Key, Tenant string
-	Ask                    string // what the client calls it over all its tries, in the target's sid
-	Dispatcher, Member     string // who sent it, by the door it came through; who got it
-	TurnedAway             bool
+	Ask                    string    // what the client calls it over all its tries, in the target's sid
+	Dispatcher, Member     string    // who sent it, by the door it came through; who got it
+	TurnedAway             bool      // or handed back: it never ran
+	Over                   time.Time // just before its dispatcher could learn that it is over, or when it was told that nobody waits
 }
 
 // Log makes the till keep each arrival.
@@ -55,6 +56,20 @@
 	}
 }
 
+// abandon notes that nobody waits for a job at a member any more.
+func (t *Till) abandon(id, member string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i := len(t.log) - 1; i >= 0; i-- {
+		if a := &t.log[i]; a.ID == id && a.Member == member {
+			if a.Over.IsZero() {
+				a.Over = time.Now()
+			}
+			return
+		}
+	}
+}
+
 // NewTill returns an empty till.
 func NewTill() *Till { return &Till{runs: make(map[string]int), once: make(map[string]bool)} }
 
--- /dev/null
+++ b/internal/virtualserver/ahead_test.go
@@ -0,0 +1,139 @@
+package virtualserver
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// served is a connection on which a request is served, as net/http sees it: it looks
+// for the client's leaving with a read of one byte.
+func served(t *testing.T) (c *limitedConn, far net.Conn, left chan bool) {
+	near, far := net.Pipe()
+	t.Cleanup(func() { near.Close(); far.Close() })
+	l := newLimited(nil, 2)
+	c, left = &limitedConn{Conn: near, of: l, since: time.Now()}, make(chan bool, 9)
+	l.enter(c)
+	require.True(t, c.serve(true))
+	require.True(t, c.attend(func() { left <- true }))
+	return c, far, left
+}
+
+// TestReadAhead: what comes while a request is served is kept for the next, to the
+// byte, in pieces of any size; the end behind it is told once, and read last.
+func TestReadAhead(t *testing.T) {
+	c, far, left := served(t)
+	sent := "POST /x HTTP/1.1\r\n"
+	go func() {
+		for _, b := range []byte(sent) {
+			far.Write([]byte{b})
+		}
+		far.Close()
+	}()
+	first := make([]byte, 1)
+	n, err := c.Read(first)
+	require.NoError(t, err)
+	require.Equal(t, 1, n)
+	<-left
+	c.attend(nil)
+	require.False(t, c.attend(nil), "nothing begins for a client that has gone")
+	rest, err := io.ReadAll(c)
+	require.NoError(t, err)
+	require.Equal(t, sent, string(first)+string(rest))
+	require.Empty(t, left)
+}
+
+// TestReadAheadStops: what comes after net/http reads again is read there.
+func TestReadAheadStops(t *testing.T) {
+	c, far, left := served(t)
+	go far.Write([]byte("abc"))
+	b := make([]byte, 1)
+	_, err := c.Read(b)
+	require.NoError(t, err)
+	c.attend(nil)
+	got := string(b)
+	part := make([]byte, 4)
+	for len(got) < 3 {
+		n, err := c.Read(part)
+		require.NoError(t, err)
+		got += string(part[:n])
+	}
+	go far.Write([]byte("def"))
+	for len(got) < 6 {
+		n, err := c.Read(part)
+		require.NoError(t, err)
+		got += string(part[:n])
+	}
+	require.Equal(t, "abcdef", got)
+	require.Nil(t, c.reading)
+	require.Empty(t, left)
+}
+
+// TestReadAheadIsBounded: of one that sends more than a request ahead nothing is kept,
+// its leaving is noticed all the same, and its connection ends.
+func TestReadAheadIsBounded(t *testing.T) {
+	c, far, left := served(t)
+	go c.Read(make([]byte, 1))
+	_, err := far.Write(make([]byte, mostAhead+2))
+	require.NoError(t, err)
+	_, err = far.Write(make([]byte, mostAhead))
+	require.NoError(t, err)
+	require.Empty(t, left)
+	far.Close()
+	<-left
+	c.attend(nil)
+	require.Empty(t, c.unread)
+	_, err = c.Read(make([]byte, 4))
+	require.ErrorIs(t, err, errFlood)
+}
+
+// TestReadAheadOfAll: what lies unread of all connections is bounded, and given back
+// as it is read or its connection ends.
+func TestReadAheadOfAll(t *testing.T) {
+	c, far, _ := served(t)
+	go c.Read(make([]byte, 1))
+	_, err := far.Write(make([]byte, 11))
+	require.NoError(t, err)
+	_, err = far.Write([]byte("x")) // taken once what came before is kept
+	require.NoError(t, err)
+	c.stop()
+	require.Equal(t, 11, c.of.unread)
+	_, err = c.Read(make([]byte, 4))
+	require.NoError(t, err)
+	require.Equal(t, 7, c.of.unread)
+	c.of.unread += mostAheadOfAll - 8
+	require.True(t, c.came([]byte("y"), nil))
+	require.Equal(t, 8, len(c.unread))
+	require.True(t, c.came([]byte("z"), nil))
+	require.Equal(t, mostAheadOfAll-8, c.of.unread, "its own is given back")
+	_, err = c.Read(make([]byte, 4))
+	require.ErrorIs(t, err, errFlood)
+
+	other := &limitedConn{Conn: far, of: c.of, since: time.Now()}
+	c.of.enter(other)
+	require.True(t, other.came([]byte("12345678"), nil))
+	require.Equal(t, mostAheadOfAll, c.of.unread)
+	other.Close()
+	require.Equal(t, mostAheadOfAll-8, c.of.unread)
+}
+
+// TestServedIsNotClosed: net/http takes a connection for idle, a request comes on it,
+// and only then it is closed: its answer still goes out.
+func TestServedIsNotClosed(t *testing.T) {
+	c, far, _ := served(t)
+	require.NoError(t, c.Close())
+	go c.Write([]byte("answer"))
+	b := make([]byte, 6)
+	_, err := io.ReadFull(far, b)
+	require.NoError(t, err)
+	require.Equal(t, "answer", string(b))
+	c.attend(nil)
+	require.Equal(t, 1, c.of.holds())
+	require.NoError(t, c.Close())
+	require.Equal(t, 0, c.of.holds())
+	_, err = far.Read(b)
+	require.ErrorIs(t, err, io.EOF)
+}
--- /dev/null
+++ b/internal/virtualserver/bodies_test.go
@@ -0,0 +1,98 @@
+package virtualserver
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net"
+
+	"strings"
+	"testing"
+	"time"
+
+	"basaltloft/internal/core"
+	"basaltloft/internal/scenario"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// TestRoom: bodies are read whole up to their bound, hold room for what has come and
+// not for what was announced, and never more than there is.
+func TestRoom(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const most = 64 << 10
+		r := room{most: rapid.Int64Range(1, 3*most).Draw(t, "room")}
+		before := rapid.IntRange(0, int(r.most)).Draw(t, "taken before")
+		require.True(t, r.take(before))
+		text := bytes.Repeat([]byte("x"), rapid.IntRange(0, most+100).Draw(t, "bytes"))
+		size := int64(len(text))
+		if rapid.Bool().Draw(t, "in chunks") {
+			size = -1
+		}
+		come := rapid.IntRange(0, len(text)).Draw(t, "come")
+		broken := errors.New("broken")
+		from := io.Reader(bytes.NewReader(text))
+		if come < len(text) {
+			from = io.MultiReader(bytes.NewReader(text[:come]), failing{broken})
+		}
+		body, ok, err := r.read(from, size, most)
+		require.LessOrEqual(t, r.taken.Load(), r.most)
+		require.Equal(t, int64(before+cap(body)), r.taken.Load())
+		require.LessOrEqual(t, cap(body), max(firstPart, 2*come+2))
+		switch {
+		case !ok:
+			require.Greater(t, int64(before)+max(firstPart, 2*int64(cap(body))), r.most)
+		case come < len(text) && come <= most:
+			require.ErrorIs(t, err, broken)
+		default:
+			require.NoError(t, err)
+			require.Len(t, body, min(len(text), most+1))
+		}
+		r.give(cap(body))
+		r.give(before)
+		require.Zero(t, r.taken.Load())
+	})
+}
+
+type failing struct{ error }
+
+func (f failing) Read([]byte) (int, error) { return 0, f.error }
+
+// TestNoRoom: a job with no room for its body is refused at once, with when to come
+// back, and its connection serves on. A call-back is not answered, so that its member
+// repeats it, and is let in once there is room.
+func TestNoRoom(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := New(hears{}, nil, logrus.New())
+	s.Bound(64 << 10)
+	go s.Serve(l, 10)
+	defer s.server.Close()
+	scenario.Play(t, scenario.Cast{"c": scenario.Dial(l.Addr().String())}, scenario.Words{
+		"fill": func(...string) string {
+			require.True(t, s.jobs.take(64<<10))
+			require.True(t, s.told.take(32<<10))
+			return ""
+		},
+		"free": func(...string) string { s.told.give(32 << 10); return "" },
+		"big":  func(...string) string { return strings.Repeat("x", 60000) },
+	}, `
+		c.1 send @fill()POST /send-notice HTTP/1.1\r\nHost: a\r\nContent-Length: 60000\r\n\r\n@big()
+		c.1 expect ^HTTP/1.1 503 .*Retry-After: 1\r\n
+		c.1 expect no room
+		c.1 send GET /health/live HTTP/1.1\r\nHost: a\r\n\r\n
+		c.1 expect ^\S*\s*.*HTTP/1.1 200 OK
+		c.2 send POST /_jobs/news HTTP/1.1\r\nHost: a\r\nContent-Length: 43\r\n\r\n{"id":"h-1","from":"s-r1","state":"started
+		c.2 wait
+		c.3 send @free()POST /_jobs/news HTTP/1.1\r\nHost: a\r\nContent-Length: 44\r\n\r\n{"id":"h-1","from":"s-r1","state":"started"}
+		c.3 expect ^HTTP/1.1 204`)
+	require.Equal(t, int64(64<<10), s.jobs.taken.Load())
+	require.Eventually(t, func() bool { return s.told.taken.Load() == 0 }, 10*time.Second, time.Millisecond)
+}
+
+// hears is a hub to which call-backs are told.
+type hears struct{ Hub }
+
+func (hears) Report(core.News) bool { return true }
--- a/internal/virtualserver/jobs.go
+++ b/internal/virtualserver/jobs.go
@@ -2,12 +2,14 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"basaltloft/internal/account"
@@ -15,14 +17,13 @@
 	"basaltloft/internal/stage"
 )
 
-type arrivedKey struct{}
-
 // job passes a client's job to the reverse proxy, whose transport is the core.
 func (s *Server) job(w http.ResponseWriter, r *http.Request) {
 	if r.Method != http.MethodPost {
 		refuse(w, http.StatusMethodNotAllowed, "jobs are submitted with POST")
 		return
 	}
+	http.NewResponseController(w).SetWriteDeadline(time.Time{}) // set anew once there is an answer
 	s.proxy.ServeHTTP(w, r)
 }
 
@@ -34,29 +35,36 @@
 type client struct {
 	desk   *account.Desk
 	answer chan core.Answer // has room for the one answer
+	ctx    context.Context  // of its request, which ends as the client leaves
+	left   atomic.Bool      // the desk was told
+}
+
+// Gone implements core.Leaver.
+func (c *client) Gone() bool {
+	if c.ctx.Err() == nil {
+		return false
+	}
+	if c.left.CompareAndSwap(false, true) {
+		c.desk.Left()
+	}
+	return true
 }
 
 // Answer implements core.Client.
-func (c client) Answer(a core.Answer) {
+func (c *client) Answer(a core.Answer) {
 	c.desk.Answered(a.Verdict.Outcome())
 	c.answer <- a
 }
 
 // RoundTrip implements http.RoundTripper.
 func (t transactions) RoundTrip(r *http.Request) (*http.Response, error) {
-	var body []byte
-	if r.Body != nil { // the reverse proxy drops an empty one
-		var err error
-		if body, err = io.ReadAll(r.Body); err != nil {
-			return nil, fmt.Errorf("reading a job: %w", err)
-		}
-	}
-	arrived, _ := r.Context().Value(arrivedKey{}).(time.Time)
+	whole, _ := r.Context().Value(requestKey{}).(request)
+	arrived, body := whole.arrived, whole.body
 	arrival, err := read(r, arrived, body)
 	if err != nil {
 		return reply(r, http.StatusBadRequest, []byte(err.Error()+"\n")), nil
 	}
-	mine := client{&t.s.Desk, make(chan core.Answer, 1)}
+	mine := &client{desk: &t.s.Desk, answer: make(chan core.Answer, 1), ctx: r.Context()}
 	tx, err := t.s.intake.TakeIn(arrival, arrived, mine)
 	switch {
 	case errors.Is(err, stage.ErrUnknownClass):
@@ -71,7 +79,7 @@
 	case a := <-mine.answer:
 		return respond(r, a), nil
 	case <-r.Context().Done():
-		t.s.Desk.Left()
+		mine.Gone()
 		t.s.hub.Leave(tx)
 		return nil, r.Context().Err()
 	}
@@ -83,7 +91,7 @@
 	h := r.Header
 	a := stage.Arrival{
 		ID: h.Get("X-Call-Id"), Class: h.Get("X-Call-Class"), Tenant: h.Get("X-Caller"), Target: r.URL.RequestURI(), Front: Front,
-		Key: h.Get("Idempotency-Key"), Body: body, Retry: h.Get("X-Again") == "1",
+		Key: h.Get("Idempotency-Key"), Body: body, Retry: h.Get("X-Again") == "1", Subject: r.URL.Query().Get("sid"),
 	}
 	first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	if a.Class == "" {
--- a/internal/virtualserver/limited_test.go
+++ b/internal/virtualserver/limited_test.go
@@ -96,7 +96,7 @@
 		c, until := l.victim(now)
 		require.Same(t, want, c)
 		if c == nil {
-			require.Equal(t, now.Add(patience), until)
+			require.Equal(t, now.Add(silence), until)
 			continue
 		}
 		c.Close()
--- a/internal/virtualserver/news.go
+++ b/internal/virtualserver/news.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
 
 	"basaltloft"
@@ -22,15 +21,17 @@
 		refuse(w, http.StatusMethodNotAllowed, "news is told with POST")
 		return
 	}
-	text, err := io.ReadAll(r.Body)
+	whole, _ := r.Context().Value(requestKey{}).(request)
+	text := whole.body
 	n, ok := readNews(text)
-	if err != nil || !ok {
+	if !ok {
 		refuse(w, http.StatusBadRequest, "this is no news of a job")
 		return
 	}
 	if !s.hub.Report(n) && s.Elsewhere != nil {
 		s.Elsewhere(text)
 	}
+	s.parted(w.Header())
 	w.WriteHeader(http.StatusNoContent)
 }
 
--- a/internal/virtualserver/news_test.go
+++ b/internal/virtualserver/news_test.go
@@ -1,7 +1,10 @@
 package virtualserver
 
 import (
+	"net/http"
+	"net/http/httptest"
 	"testing"
+	"time"
 
 	"basaltloft"
 	"basaltloft/internal/stage"
@@ -28,6 +31,19 @@
 	}
 }
 
+// TestSubject: what a request is about is read from its query, one that does not read
+// is none.
+func TestSubject(t *testing.T) {
+	for query, want := range map[string]string{"?sid=7f3a": "7f3a", "?a=1&sid=a%20b": "a b", "": "", "?sid=": "", "?sid=%zz": ""} {
+		r := httptest.NewRequest(http.MethodPost, "/hold"+query, nil)
+		r.Header.Set("X-Call-Id", "1")
+		a, err := read(r, time.Now(), nil)
+		require.NoError(t, err, query)
+		require.Equal(t, want, a.Subject, query)
+		require.Equal(t, "/hold"+query, a.Target)
+	}
+}
+
 // TestCallInfoCarriesNeeds: slots and memory that a job needs come in
 // X-Call-Info and reach the arrival, so that the module fits both; other
 // names are skipped and a figure that is no number is a clear error.
--- a/internal/virtualserver/program_test.go
+++ b/internal/virtualserver/program_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -61,6 +62,14 @@
 			client expect ^HTTP/1.1 200 OK\r\n.*\r\n\r\nright$
 			client send @get(/health/ready)
 			client expect ^HTTP/1.1 200 OK`},
+		// It never says 202: what it has told ends the job, and the connection.
+		"ends with a call-back what was not answered": {1, `
+			client send @job(group-ticket,t-1,25)
+			r1 expect X-Call-Id: t-1.*body
+			client.back send @news(t-1,s-r1,done,one)
+			client.back expect 204 No Content
+			client expect ^HTTP/1.1 200 OK\r\n.*\r\n\r\none$
+			r1 wait`},
 		// http.Transport sends a keyed request again by itself when a connection that
 		// it kept breaks: the next thing that the member sees must be the next job.
 		"never sends a ticket again that may have run": {1, `
@@ -84,10 +93,18 @@
 			r2 expect X-Call-Id: h-1.*body
 			client.back send @news(h-1,s-r2,done,second)
 			client expect 200 OK.*second$`},
+		// What a key would tell the two apart by is missing: the first may have run.
+		"does not repeat what came without its key": {2, `
+			client send POST /place-hold HTTP/1.1\r\nHost: app\r\nX-Call-Id: h-1\r\nX-Budget: 9\r\nX-Call-Cost: 400000\r\nContent-Length: 4\r\n\r\nbody
+			r1 expect X-Call-Id: h-1.*body
+			r1 close
+			client expect ^HTTP/1.1 502
+			client.other send @job(send-notice,n-1,20)
+			r2 expect ^POST /send-notice`}, // its first
 		// What does not start is asked back while another member can have it in
 		// time, and goes there once the first one has heard: never two at once.
 		"asks back what does not start": {2, `
-			client send POST /place-hold HTTP/1.1\r\nHost: app\r\nX-Call-Id: h-1\r\nX-Budget: 9\r\nX-Call-Cost: 400000\r\nContent-Length: 0\r\n\r\n
+			client send POST /place-hold HTTP/1.1\r\nHost: app\r\nX-Call-Id: h-1\r\nIdempotency-Key: k-1\r\nX-Budget: 9\r\nX-Call-Cost: 400000\r\nContent-Length: 0\r\n\r\n
 			r1 expect X-Call-Id: h-1
 			r1 send @answer(202)
 			r1.next expect DELETE /jobs/h-1 HTTP/1.1
@@ -230,18 +247,62 @@
 			client.late send Host: app\r\nX-Call-Id: h-2\r\nX-Budget: 9\r\nContent-Length: 0\r\n\r\n
 			client.late expect ^HTTP/1.1 503
 			program wait`},
+		// Nothing that comes in a drain cuts it short: a second signal, a reload, half a
+		// call-back, half an answer of the member.
+		"drains to its end whatever comes": {1, `
+			client send @job(group-ticket,t-1,20)
+			r1 expect X-Call-Id: t-1.*body
+			r1 send HTTP/1.1 20
+			program expect serving
+			program close
+			program expect draining
+			program close
+			program send
+			program expect reloaded
+			client.live send @get(/health/live)
+			client.live expect 200
+			client.live wait
+			client.half send POST /group-ticket HTTP/1.1\r\n
+			client.back send POST /_jobs/news HTTP/1.1\r\nHost: app\r\nContent-Length: 56\r\n\r\n{"id":"t-1","from":"s-r1",
+			program close
+			program send {
+			program expect can't be reloaded
+			client.back send "state":"done","result":"one"}
+			client.back expect ^HTTP/1.1 204 .*Connection: close
+			client expect ^HTTP/1.1 200 OK\r\n.*Connection: close.*one$
+			client wait
+			program expect closing
+			client.half send Host: app\r\nX-Call-Id: t-2\r\nX-Budget: 9\r\nContent-Length: 4\r\n\r\nbo
+			client.half send dy
+			client.half expect ^HTTP/1.1 503.*Connection: close
+			program expect msg=done failed=0 open=0 refused=1 served=1 taken=2
+			program wait`},
+		"is told to end in a reload": {1, `
+			client send @job(group-ticket,t-1,20)
+			r1 expect X-Call-Id: t-1.*body
+			program expect serving
+			program send
+			program close
+			program expect draining
+			client.back send @news(t-1,s-r1,done,one)
+			client.back expect 204
+			client expect 200 OK.*one$
+			program expect msg=done failed=0 open=0 refused=0 served=1 taken=1
+			program wait`},
 		// A connection to discovery that falls silent looks like one on which nothing
 		// changes: it is given up soon, and the watch goes on where it was.
 		"notices a silent discovery": {1, `
-			discovery expect GET /registry/instances\?index=41&wait=2000 HTTP
-			program expect discovery fell silent and is asked anew
-			discovery.next expect GET /registry/instances\?index=41&wait=2000 HTTP`},
+			discovery expect GET /registry/instances\?index=41&wait=1 HTTP
+			discovery send @list({"generation":42,"reset":false,"instances":[]})
+			discovery expect GET /registry/instances\?index=42&wait=2000 HTTP
+			program expect a call to discovery failed.*deadline exceeded
+			discovery.next expect GET /registry/instances\?index=42&wait=1 HTTP`},
 		// A malformed list changes nothing and is a failed call; a drain is kept.
 		"follows discovery": {1, `
-			discovery expect GET /registry/instances\?index=41&wait=2000 HTTP
+			discovery expect GET /registry/instances\?index=41&wait=1 HTTP
 			discovery send @list({"generation":42,"instances":[{"instanceId":"s-r1","lifecycle":"lost"}]})
 			program expect a call to discovery failed
-			discovery expect GET /registry/instances\?index=41&wait=2000 HTTP
+			discovery expect GET /registry/instances\?index=41&wait=1 HTTP
 			discovery send @list({"generation":43,"reset":false,"instances":[{"instanceId":"s-r1","hostPort":"127.0.0.1:9","lifecycle":"leaving"}]})
 			discovery expect GET /registry/instances\?index=43&wait=2000 HTTP
 			client send @job(place-hold,h-1,1)
@@ -250,7 +311,7 @@
 		// versions differ, and drops the old watch and its late answer. Members and
 		// the job in hand stay. A broken file changes nothing.
 		"reloads": {1, `
-			discovery expect GET /registry/instances\?index=41&wait=2000 HTTP
+			discovery expect GET /registry/instances\?index=41&wait=1 HTTP
 			client send @job(group-ticket,t-1,20)
 			r1 expect X-Call-Id: t-1.*body
 			r1 send @answer(202)
@@ -280,6 +341,25 @@
 	}
 }
 
+// TestShortDeadlines: where all deadlines are short the end is near, and the socket
+// closes before any request counts as late. What comes then is refused all the same: no
+// call-back could bring its result.
+func TestShortDeadlines(t *testing.T) {
+	settings := regexp.MustCompile(`"give_up":\d+`).ReplaceAllString(scenario.Settings, `"give_up":900000000`)
+	scenario.Play(t, scenario.StartSettings(t, 1, settings), words, `
+		program expect serving
+		client send POST /place-hold HTTP/1.1\r\n
+		client.new send @get(/health/live)
+		client.new expect 200
+		program close
+		program expect closing
+		client send Host: app\r\nX-Call-Id: h-1\r\nX-Budget: 0.9\r\nContent-Length: 0\r\n\r\n
+		client expect ^HTTP/1.1 503.*Connection: close
+		client wait
+		program expect msg=done failed=0 open=0 refused=1 served=0 taken=1
+		program wait`)
+}
+
 // TestCallBacksGetIn: clients that wait for answers on as many connections as there
 // may be leave room for the call-back that ends a job. Without it no job would be
 // told to have started or ended, and all members would look full for good. The
@@ -319,3 +399,19 @@
 func init() {
 	words["large"] = func(...string) string { return strings.Repeat("x", 65537) }
 }
+
+// TestOneFlowWhateverIsAllowed: where the settings allow second copies, the program still keeps one flow of a
+// transaction, and its decisions know: a job that does not start is asked back, not sent beside itself.
+func TestOneFlowWhateverIsAllowed(t *testing.T) {
+	settings := strings.NewReplacer(`"effect":"deduplicated","key_scope":"cell"`, `"effect":"idempotent"`, `"cancel":true`, `"cancel":true,"second_copies":true`).Replace(scenario.Settings)
+	require.Contains(t, settings, "second_copies")
+	scenario.Play(t, scenario.StartSettings(t, 2, settings), words, `
+		client send POST /place-hold HTTP/1.1\r\nHost: app\r\nX-Call-Id: h-1\r\nX-Budget: 9\r\nX-Call-Cost: 400000\r\nContent-Length: 0\r\n\r\n
+		r1 expect X-Call-Id: h-1
+		r1 send @answer(202)
+		r1.next expect DELETE /jobs/h-1 HTTP/1.1
+		r1.next send @answer(200)
+		r2 expect X-Call-Id: h-1
+		client.back send @news(h-1,s-r2,done,second)
+		client expect 200 OK.*second$`)
+}
--- a/internal/virtualserver/virtualserver.go
+++ b/internal/virtualserver/virtualserver.go
@@ -56,8 +56,11 @@
 	proxy    *httputil.ReverseProxy
 	server   *http.Server
 	draining atomic.Bool
+	parting  atomic.Bool // see Part
 	inHand   atomic.Int64
 	limited  atomic.Pointer[limited] // what is served; nil: nothing yet
+	jobs     room                    // bodies of jobs
+	told     room                    // and of call-backs, which jobs must not shut out
 	// Elsewhere hands on news of a job that is not in hand here: with a socket
 	// shared by two processes of one dispatcher, a member's call-back may reach
 	// the other one. Nil: none.
@@ -75,7 +78,7 @@
 			p.Out.URL.Scheme, p.Out.URL.Host = "http", "pool"
 			p.Out.URL.RawQuery = p.In.URL.RawQuery
 		},
-		ModifyResponse: answering,
+		ModifyResponse: s.answering,
 		Transport:      transactions{s},
 		ErrorHandler:   s.unanswered,
 		ErrorLog:       quiet,
@@ -96,9 +99,14 @@
 	return len(text), nil
 }
 
+// Bound bounds the memory that bodies of jobs take at a time, in bytes, and those of
+// call-backs to half as much beside them. It is called before Serve.
+func (s *Server) Bound(bytes int) { s.jobs.most, s.told.most = int64(bytes), int64(bytes/2) }
+
 // Serve serves up to so many connections at a time until Shutdown.
 func (s *Server) Serve(l net.Listener, most int) error {
 	limited := newLimited(l, most)
+	limited.parting = &s.parting
 	s.server.ConnState = limited.state
 	s.limited.Store(limited)
 	if err := s.server.Serve(limited); err != http.ErrServerClosed && !limited.over() {
@@ -115,12 +123,18 @@
 // on and connections are kept again.
 func (s *Server) Undrain() {
 	s.draining.Store(false)
-	s.server.SetKeepAlivesEnabled(true)
+	s.parting.Store(false)
 }
 
 // Part closes connections between requests from here on. The listener stays
-// open for the call-backs that still bring results.
-func (s *Server) Part() { s.server.SetKeepAlivesEnabled(false) }
+// open for the call-backs that still bring results. net/http's own way to do so,
+// SetKeepAlivesEnabled, also closes one whose next request has just been read.
+func (s *Server) Part() {
+	s.parting.Store(true)
+	if l := s.limited.Load(); l != nil {
+		l.part()
+	}
+}
 
 // InHand is how many jobs are being taken in or wait for their answer.
 func (s *Server) InHand() int { return int(s.inHand.Load()) }
@@ -129,14 +143,15 @@
 // call-backs out first, so it may be called only once nothing is in hand. What
 // still comes on open connections is answered: net/http's own Shutdown closes a
 // connection without a word on which it reads a request from then on, so it is
-// called only when none is left.
+// never called. Connections end by themselves, each when nothing is owed on it.
 func (s *Server) Shutdown(ctx context.Context) error {
 	if l := s.limited.Load(); l != nil {
 		l.Close()
+		s.Part()
+		defer time.AfterFunc(trickling, l.cut).Stop()
 		tick := time.NewTicker(5 * time.Millisecond)
 		defer tick.Stop()
-		late := time.Now().Add(trickling)
-		for s.Part(); l.holds() > 0 && (s.InHand() > 0 || time.Now().Before(late)); s.Part() { // those that have become idle since
+		for last := time.Now().Add(trickling + 2*answerFor); l.holds() > 0 && time.Now().Before(last); {
 			select {
 			case <-ctx.Done():
 				return fmt.Errorf("shutting the virtual server down: %w", ctx.Err())
@@ -144,7 +159,7 @@
 			}
 		}
 	}
-	s.server.Close() // what is left has sent half a request, and nothing of it was taken
+	s.server.Close() // what is left does not take its answer
 	return nil
 }
 
@@ -154,11 +169,19 @@
 // connKey is a request's way to its connection.
 type connKey struct{}
 
+// request is what was read of one that is whole.
+type request struct {
+	arrived time.Time
+	body    []byte
+}
+
+type requestKey struct{}
+
 // ServeHTTP implements http.Handler. What is asked is served only once it is
 // whole, and in the time a client has for that.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
-	most, serve := int64(0), s.ready
+	most, serve, room, ctx := int64(0), s.ready, &s.told, r.Context()
 	switch r.URL.Path {
 	case "/health/ready":
 	case "/health/live":
@@ -168,30 +191,43 @@
 	default:
 		s.inHand.Add(1)
 		defer s.inHand.Add(-1)
-		most, serve = stage.MaxBody, s.job
+		most, serve, room = stage.MaxBody, s.job, &s.jobs
 	}
-	body, ok := whole(w, r, most)
+	// Whoever does not take what is said on the way to the answer is not waited for.
+	http.NewResponseController(w).SetWriteDeadline(arrived.Add(requestFor + answerFor))
+	body, ok := whole(w, r, most, room)
+	defer room.give(cap(body))
 	if !ok {
 		return
 	}
-	if c, ok := r.Context().Value(connKey{}).(*limitedConn); ok && !c.serve(most > 0) {
-		panic(http.ErrAbortHandler) // closed for another's sake: nobody is there
+	if c, ok := ctx.Value(connKey{}).(*limitedConn); ok {
+		if !c.serve(most > 0) {
+			panic(http.ErrAbortHandler) // closed for another's sake: nobody is there
+		}
+		var leave context.CancelFunc
+		ctx, leave = context.WithCancel(ctx)
+		defer leave()
+		defer c.attend(nil)
+		if !c.attend(leave) {
+			leave()
+		}
 	}
 	// The server goes on reading to learn whether the client leaves: with the
 	// deadline still set it would take a patient one for gone.
 	http.NewResponseController(w).SetReadDeadline(time.Time{})
-	http.NewResponseController(w).SetWriteDeadline(time.Time{})
+	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(answerFor))
 	r.Body = io.NopCloser(bytes.NewReader(body))
-	serve(w, r.WithContext(context.WithValue(r.Context(), arrivedKey{}, arrived)))
+	serve(w, r.WithContext(context.WithValue(ctx, requestKey{}, request{arrived, body})))
 }
 
-// whole reads a request's body, or answers what is wrong with it. A body in
+// whole reads a request's body, or answers what is wrong with it; what it returns
+// holds room either way. A body in
 // chunks is read whole, up to most, and goes on to members with a length of its
 // own. Where a Content-Length came beside the chunks, net/http has deleted it
 // and reads the chunks, as RFC 9112 asks; the connection is closed after the
 // answer, so that no request that one reader would find and another not can
 // follow on it.
-func whole(w http.ResponseWriter, r *http.Request, most int64) ([]byte, bool) {
+func whole(w http.ResponseWriter, r *http.Request, most int64, room *room) ([]byte, bool) {
 	if len(r.TransferEncoding) > 0 {
 		w.Header().Set("Connection", "close")
 	}
@@ -199,22 +235,33 @@
 		refuse(w, http.StatusRequestEntityTooLarge, stage.ErrTooLarge.Error())
 		return nil, false
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, most+1))
+	if r.ContentLength == 0 {
+		return nil, true
+	}
+	body, fits, err := room.read(r.Body, r.ContentLength, most)
 	switch {
+	case !fits && most == mostNews: // a member repeats what is not answered
+		room.give(cap(body))
+		panic(http.ErrAbortHandler)
+	case !fits: // the rest is read by net/http, piece by piece, and dropped
+		room.give(cap(body))
+		w.Header().Set("Retry-After", "1")
+		http.Error(w, "no room for the body now", http.StatusServiceUnavailable)
+		return nil, false
 	case err != nil:
 		refuse(w, http.StatusBadRequest, "the body could not be read")
-		return nil, false
+		return body, false
 	case int64(len(body)) > most:
 		refuse(w, http.StatusRequestEntityTooLarge, stage.ErrTooLarge.Error())
-		return nil, false
+		return body, false
 	}
 	return body, true
 }
 
 // answering is told of a job's answer before it is written. Bad input ends its
 // connection, and whoever does not take its answer is not waited for.
-func answering(resp *http.Response) error {
-	if bad(resp.StatusCode) {
+func (s *Server) answering(resp *http.Response) error {
+	if s.parted(resp.Header); bad(resp.StatusCode) {
 		resp.Header.Set("Connection", "close")
 	}
 	if c, ok := resp.Request.Context().Value(connKey{}).(net.Conn); ok {
@@ -223,6 +270,13 @@
 	return nil
 }
 
+// parted tells the client, with an answer, if its connection ends with that.
+func (s *Server) parted(h http.Header) {
+	if s.parting.Load() {
+		h.Set("Connection", "close")
+	}
+}
+
 func bad(status int) bool { return status >= 400 && status < 500 }
 
 func (s *Server) ready(w http.ResponseWriter, r *http.Request) {
@@ -232,6 +286,7 @@
 func (s *Server) live(w http.ResponseWriter, r *http.Request) { s.health(w, r, true) }
 
 func (s *Server) health(w http.ResponseWriter, r *http.Request, well bool) {
+	s.parted(w.Header())
 	switch {
 	case r.Method != http.MethodGet && r.Method != http.MethodHead:
 		w.Header().Set("Allow", "GET, HEAD")
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -416,6 +416,8 @@
 	keep(e)
 	r.Class, e = d.word("class")
 	keep(e)
+	subject, _ := d.get("entity")
+	r.Subject = string(subject)
 	n, e = d.optionalInt("cost_guess")
 	r.Hint = time.Duration(n)
 	keep(e)
--- a/internal_test.go
+++ b/internal_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 )
@@ -44,8 +46,10 @@
 			id := fmt.Sprint(round, "-", i)
 			d.Request(now, Request{ID: id, Class: "c", Hint: 50 * time.Millisecond, Expires: now + 5*time.Second})
 			now += 300 * time.Millisecond
-			if j := d.jobs[id]; j != nil && j.outs > 0 {
-				d.Outcome(now, Outcome{Request: id, Worker: j.attempts[0].worker.Worker, Ended: true})
+			for _, id := range slices.Sorted(maps.Keys(d.jobs)) { // also one that was held before
+				if j := d.jobs[id]; j.outs > 0 {
+					d.Outcome(now, Outcome{Request: id, Worker: j.attempts[0].worker.Worker, Ended: true})
+				}
 			}
 			d.Timer(now, tickToken)
 		}
@@ -74,3 +78,32 @@
 		}
 	}
 }
+
+// TestDrawsOfAWindowLieEvenly: the draws of all instances for a cold worker and a window of the rule lie one in each
+// part of as many equal ones, so that a chance of k in n is won by k of n; and who wins changes with the window.
+func TestDrawsOfAWindowLieEvenly(t *testing.T) {
+	const windows = 40
+	for _, n := range []int{1, 2, 3, 5, 16, 17, 80, 300} {
+		for _, id := range []uint32{1, 2, 77, 1 << 30} {
+			first := make(map[int]bool) // the ranks that draw the least
+			for window := 1; window <= windows; window++ {
+				taken := make([]bool, n)
+				for rank := range n {
+					w := &worker{Member: Member{Worker: id}, coldFrom: time.Minute}
+					d := &Dispatcher{Settings: Settings{Instances: n, Rank: rank, Rules: Rules{ColdFor: time.Hour, FallFor: 3 * time.Second}}}
+					d.now = w.coldFrom + time.Duration((float64(window)+0.5-w.chance(uint64(rank)))*float64(d.Rules.FallFor))
+					part := int(d.drawn(w) * float64(n))
+					if taken[part] {
+						t.Fatalf("%d instances, worker %d, window %d: two draws in part %d", n, id, window, part)
+					}
+					if taken[part] = true; part == 0 {
+						first[rank] = true
+					}
+				}
+			}
+			if len(first) < min(n, windows)/2 {
+				t.Errorf("%d instances, worker %d: only %d of them ever draw the least", n, id, len(first))
+			}
+		}
+	}
+}
--- a/learning_test.go
+++ b/learning_test.go
@@ -66,6 +66,51 @@
 	}
 }
 
+// TestWithoutHintsAnIdleFleetServes fails where what jobs without hints take, of which nothing is known at first, is
+// put down to a slowness of all: their aims, which grow with their work, look too near then, and idle workers get none.
+func TestWithoutHintsAnIdleFleetServes(t *testing.T) {
+	for name, kinds := range map[string][]string{"one kind": {"k"}, "two kinds": {"k", "twin"}} {
+		t.Run(name, func(t *testing.T) {
+			s := settings()
+			s.Kinds, s.ReportX0, s.TellsStart, s.Limits.SecondCopies = kinds, "", true, false
+			runs := []time.Duration{700 * ms, 900 * ms, 1100 * ms} // far over half an aim, which is the first guess
+			for i := range s.Classes {
+				s.Classes[i].Aim, s.Classes[i].Stretch, s.Classes[i].GiveUp = 300*ms, 1, 12*time.Second
+			}
+			b := newBench(t, s, 0)
+			var list []basaltloft.Member
+			for i := range uint32(6) {
+				m := member(i+1, "a")
+				m.Kind = kinds[int(i)%len(kinds)]
+				list = append(list, m)
+			}
+			b.Members(b.now, basaltloft.ListWhole, list)
+			sent := 0
+			for round := range 50 {
+				ids := make([]string, 0, 3)
+				for at := range 3 {
+					id := fmt.Sprint("r", round, "-", at)
+					b.Request(b.now, basaltloft.Request{ID: id, Class: s.Classes[at].Name, Expires: b.now + 12*time.Second})
+					if b.sends[id] > 0 {
+						b.Note(b.now, basaltloft.Note{Request: id, Worker: b.sentTo(id), Topic: basaltloft.NoteStarted})
+						sent++
+						ids = append(ids, id)
+					}
+				}
+				before := b.now
+				for at, id := range ids { // they run side by side, now long, now short
+					b.pass(max(0, before+runs[at]*time.Duration(60+(round*37)%81)/100-b.now))
+					b.outcome(id, basaltloft.OK)
+				}
+				b.pass(200 * ms)
+			}
+			if sent < 148 {
+				t.Errorf("%d of 150 jobs were sent, each to an idle fleet", sent)
+			}
+		})
+	}
+}
+
 // keepFull lets worker 1 alone serve n jobs, all told to start at once, and returns the most out at a time.
 func keepFull(t *testing.T, n int) (b *bench, most int) {
 	s := settings()
--- a/purse_test.go
+++ b/purse_test.go
@@ -71,7 +71,7 @@
 	}
 }
 
-// What a dispatcher sends to a cold worker goes by its part, where it has one, and not by its turn.
+// What a dispatcher sends to a cold worker goes by its part, where it has one, and not by its draw.
 func TestColdWorkerByParts(t *testing.T) {
 	sent := func(part float64) int {
 		p := &purse{room: 1, cold: part}
--- a/random_test.go
+++ b/random_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -12,19 +13,20 @@
 
 // world plays random but legal events to a dispatcher and checks the four rules at every action.
 type world struct {
-	t       *testing.T
-	rng     *rand.Rand
-	s       basaltloft.Settings
-	d       *basaltloft.Dispatcher
-	now     time.Duration
-	seq     int
-	workers map[uint32]*basaltloft.Member
-	told    map[uint32]basaltloft.Member // what the dispatcher was last told
-	sent    map[uint32][]load            // to workers that are cold and told to be
-	reqs    map[string]*req
-	order   []*req
-	due     []due
-	log     []string
+	subjects bool // jobs tell theirs
+	t        *testing.T
+	rng      *rand.Rand
+	s        basaltloft.Settings
+	d        *basaltloft.Dispatcher
+	now      time.Duration
+	seq      int
+	workers  map[uint32]*basaltloft.Member
+	told     map[uint32]basaltloft.Member // what the dispatcher was last told
+	sent     map[uint32][]load            // to workers that are cold and told to be
+	reqs     map[string]*req
+	order    []*req
+	due      []due
+	log      []string
 }
 
 type load struct {
@@ -277,6 +279,9 @@
 	if w.rng.IntN(5) == 0 {
 		r.Hint *= 20
 	}
+	if w.subjects {
+		r.Subject = fmt.Sprint(int(w.rng.ExpFloat64() * 3))
+	}
 	w.reqs[r.ID] = r
 	w.order = append(w.order, r)
 	w.d.Request(w.now, r.Request)
@@ -343,11 +348,11 @@
 	}
 }
 
-func play(t *testing.T, seed uint64, spoil func(*basaltloft.Settings)) []string {
+func play(t *testing.T, seed uint64, subjects bool, spoil func(*basaltloft.Settings)) []string {
 	s := settings()
 	s.CrossZonePrice = 0.02
 	spoil(&s)
-	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 7)), s: s, now: time.Hour, workers: map[uint32]*basaltloft.Member{},
+	w := &world{t: t, subjects: subjects, rng: rand.New(rand.NewPCG(seed, 7)), s: s, now: time.Hour, workers: map[uint32]*basaltloft.Member{},
 		told: map[uint32]basaltloft.Member{}, sent: map[uint32][]load{}, reqs: map[string]*req{}}
 	for id := uint32(1); id <= 8; id++ {
 		w.workers[id] = &basaltloft.Member{Worker: id, Kind: "k", Zone: string(rune('a' + id%3)), Cell: int(id % 5)}
@@ -380,19 +385,24 @@
 			s.Limits.Probes, s.TellsStart, s.Rules.OnlyDrainingBinds = false, true, true
 		},
 		"all, no probes": func(s *basaltloft.Settings) { s.Classes[1].Group, s.Limits.Probes = basaltloft.GroupAll, false },
+		"subjects, push": func(*basaltloft.Settings) {},
+		"subjects, cell": func(s *basaltloft.Settings) { s.Classes[1].Group, s.TellsStart = basaltloft.GroupCell, true },
+		"subjects, wrong lists, no probes": func(s *basaltloft.Settings) {
+			s.Limits.Probes, s.TellsStart, s.Rules.OnlyDrainingBinds, s.ReportX0 = false, true, true, ""
+		},
 	}
 	for name, spoil := range worlds {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(6) {
-				play(t, seed, spoil)
+				play(t, seed, strings.HasPrefix(name, "subjects"), spoil)
 			}
 		})
 	}
 }
 
 func TestEqualEventsGiveEqualActions(t *testing.T) {
-	a := play(t, 42, func(*basaltloft.Settings) {})
-	b := play(t, 42, func(*basaltloft.Settings) {})
+	a := play(t, 42, true, func(*basaltloft.Settings) {})
+	b := play(t, 42, true, func(*basaltloft.Settings) {})
 	if len(a) < 1000 || !slices.Equal(a, b) {
 		t.Errorf("two runs of the same events differ (%d and %d actions)", len(a), len(b))
 	}
--- a/scale_test.go
+++ b/scale_test.go
@@ -320,8 +320,9 @@
 				cold++
 				b.Note(b.now, basaltloft.Note{Request: id, Worker: w, Topic: basaltloft.NoteStarted})
 			}
-			b.pass(500 * ms)
+			b.pass(100 * ms) // as its hint says: a longer run would ask for more than the rule allows
 			b.outcome(id, basaltloft.OK)
+			b.pass(400 * ms)
 		}
 	}
 	if cold < all/4 || cold > all*3/4 {
@@ -385,7 +386,7 @@
 
 // TestColdBudgetOfAllTogether plays 300 dispatchers that are all told of one cold worker, whose jobs have no other
 // place to go, over several mixes of classes. Whatever they send in any window of the rule stays under
-// N + 3 x root of N + 3 requests of mean work, N being what the settings let the worker have then.
+// N + 2 x root of N + 2 requests of mean work, N being what the settings let the worker have then.
 func TestColdBudgetOfAllTogether(t *testing.T) {
 	for name, mix := range map[string]struct {
 		wide   float64 // the share of jobs that are tickets, of 3.2 s and 1, 2 or 4 slots
@@ -461,8 +462,8 @@
 					}
 				}
 				n := s.Rules.FallMultiple * share * 4 * 3 / mean
-				if total += last.work; sum > n+3*math.Sqrt(n)+3 {
-					t.Fatalf("%.1f s after its start: %.1f requests of mean work in a window, %.1f allowed", last.at, sum, n+3*math.Sqrt(n)+3)
+				if total += last.work; sum > n+2*math.Sqrt(n)+2 {
+					t.Fatalf("%.1f s after its start: %.1f requests of mean work in a window, %.1f allowed", last.at, sum, n+2*math.Sqrt(n)+2)
 				}
 			}
 			t.Logf("%.0f s of work sent to it, of %.0f asked", total, asked)
--- a/search_test.go
+++ b/search_test.go
@@ -23,7 +23,7 @@
 		of := one(d.dubious(w, j))
 		serving = min(serving, of)
 		late := float64(d.now)+hope*j.run*w.pace()*d.common*d.chilled(w) > float64(j.aim)
-		if late || j.ran != nil && j.class.Effect == Keyed && !j.class.Group.same(j.ran.worker, w) {
+		if late || j.ran != nil && j.class.Effect == Keyed && !j.class.Group.same(j.ran.to, w.Member) {
 			continue
 		}
 		room, fits := d.room(w, j)
@@ -323,3 +323,50 @@
 	require.LessOrEqual(t, most(2, -1), 4)
 	require.LessOrEqual(t, most(1, 1), 6, "it was cut once")
 }
+
+// TestLooksAreATickApart: with many members busy all that is due waits for the tick,
+// however long ago the last look was: a look that takes longer than a tick would
+// else be due again at once, for each attempt out.
+func TestLooksAreATickApart(t *testing.T) {
+	h := &looked{}
+	d, err := New(Settings{
+		Instances: 1, Kinds: []string{"a"}, TellsStart: true, Limits: Limits{MaxAttempts: 1},
+		Classes: []Class{{Name: "safe", Effect: Safe, Aim: time.Second, Stretch: 2, GiveUp: 5 * time.Second, Kind: -1}},
+	}, h)
+	require.NoError(t, err)
+	var list []Member
+	for i := range 2 * many {
+		list = append(list, Member{Worker: uint32(i), Kind: "a"})
+	}
+	now := time.Minute
+	d.Members(now, ListWhole, list)
+	d.peak = 2 * many
+	d.fill()
+	for i := range 2 * many {
+		d.Request(now, Request{ID: fmt.Sprint(i), Class: "safe", Hint: 50 * time.Millisecond, Slots: 1, Expires: now + time.Minute})
+	}
+	require.Greater(t, len(d.busy), many)
+	overdue := func() (n int) {
+		for _, w := range d.subset {
+			n += w.silent
+		}
+		return n
+	}
+	now += 30 * time.Second
+	for _, token := range []string{"due", "start", "chance", watchToken} {
+		d.ticking, h.ticks = false, 0
+		d.Timer(now, token)
+		require.Zero(t, overdue(), token)
+		require.Equal(t, 1, h.ticks, token)
+	}
+	d.Timer(now, tickToken)
+	require.Greater(t, overdue(), many)
+}
+
+// looked is a host that counts the ticks asked for.
+type looked struct {
+	mute
+	ticks int
+}
+
+func (l *looked) Timer(_ time.Duration, token string) { l.ticks += one(token == tickToken) }
