--- a/state.go
+++ b/state.go
@@ -20,6 +20,7 @@
 	Class
 	perHint, plain float64 // at the fleet's mean pace
 	patience       time.Duration
+	runs           float64 // how many runs the averages are of, up to costWindow
 }
 
 // worker is what this dispatcher knows of a worker.
@@ -124,6 +125,7 @@
 type attempt struct {
 	job              *job
 	worker           *worker
+	to               Member // as it was listed when this was sent: who remembers a key lies by that
 	n                int
 	at, due, started time.Duration
 	run, cost, slots float64
@@ -138,6 +140,7 @@
 type job struct {
 	Request
 	class     *typeCost
+	subject   *subject      // nil: not told
 	run, cost float64       // expected run time at the fleet's mean pace; times slots
 	worth     float64       // worth per cost
 	aim       time.Duration // an answer after this is worth nothing
@@ -156,6 +159,26 @@
 	done      bool // it has its final answer, or a stream that is the client's
 }
 
+// effect is that of the job's class, but that a repeat is known by nothing where no key is told.
+func (j *job) effect() Effect {
+	if j.class.Effect == Keyed && j.Unkeyed {
+		return Unsafe
+	}
+	return j.class.Effect
+}
+
+// remembered tells whether workers drop a repeat of a job that comes in so much later. What they remember it
+// by counts from its first attempt that may have run, at the soonest from the send.
+func (d *Dispatcher) remembered(j *job, in time.Duration) bool {
+	first := j.ran
+	for i := 0; first == nil && i < len(j.attempts); i++ {
+		if a := j.attempts[i]; a.out {
+			first = a
+		}
+	}
+	return j.effect() == Keyed && first != nil && d.now+in-first.at < j.class.Window
+}
+
 // waitsAt tells whether a job has an attempt out at a worker.
 func (j *job) waitsAt(w *worker) bool {
 	return slices.ContainsFunc(j.attempts, func(a *attempt) bool { return a.out && a.worker == w })
@@ -189,44 +212,47 @@
 // each is given the present time, which never runs backward. They must not be called concurrently.
 type Dispatcher struct {
 	Settings
-	host     Host
-	rng      *rand.Rand
-	now      time.Duration
-	classes  map[string]*typeCost
-	workers  []*worker // in the order of their ids
-	byID     map[uint32]*worker
-	jobs     map[string]*job
-	queues   []*queue // by kind, the last is for any kind; behind them those of needs
-	needed   map[need]*queue
-	known    float64    // mean run time of the types learned
-	mean     float64    // mean cost of the jobs that came in
-	prompt   [2]float64 // share of the jobs that start soon, at warm and at cold workers
-	common   float64    // how slow all are beside their paces, of late
-	kinds    map[string]*kind
-	busy     []*worker // with attempts out
-	lookedAt time.Duration
-	subset   []*worker            // those it works with
-	vacant   vacancy.Set[*worker] // and of them those that may have room
-	searches uint64
-	gone     bool    // some in the table are called gone
-	peak     float64 // jobs in hand, falling slowly
-	filledAt time.Duration
-	crowded  bool // so many share a worker that own sums say little of it
-	asks     bool // free slots are told, to probes
-	born     time.Duration
-	ticking  bool    // a tick is set
-	needs    []int   // the kinds that classes require, -1 for any
-	chill    float64 // see chilled
-	best     float64 // pace of the fastest worker in use
-	out      int
-	seq      uint64
-	came     float64 // jobs that came, fading, as of cameAt
-	cameAt   time.Duration
-	probes   float64       // probes that may be sent
-	lostAt   time.Duration // when a job was last given up for want of room
-	slotsX0  bool
-	memX1    bool
-	backoff  time.Duration
+	host      Host
+	rng       *rand.Rand
+	now       time.Duration
+	classes   map[string]*typeCost
+	workers   []*worker // in the order of their ids
+	byID      map[uint32]*worker
+	jobs      map[string]*job
+	queues    []*queue // by kind, the last is for any kind; behind them those of needs
+	needed    map[need]*queue
+	known     float64    // mean run time of the types learned
+	runs      float64    // that it is of, up to costWindow
+	mean      float64    // mean cost of the jobs that came in
+	prompt    [2]float64 // share of the jobs that start soon, at warm and at cold workers
+	common    float64    // how slow all are beside their paces, of late
+	kinds     map[string]*kind
+	busy      []*worker            // with attempts out
+	subset    []*worker            // those it works with
+	vacant    vacancy.Set[*worker] // and of them those that may have room
+	searches  uint64
+	gone      bool    // some in the table are called gone
+	peak      float64 // jobs in hand, falling slowly
+	filledAt  time.Duration
+	crowded   bool // so many share a worker that own sums say little of it
+	asks      bool // free slots are told, to probes
+	born      time.Duration
+	ticking   bool    // a tick is set
+	needs     []int   // the kinds that classes require, -1 for any
+	chill     float64 // see chilled
+	best      float64 // pace of the fastest worker in use
+	out       int
+	seq       uint64
+	probes    float64       // probes that may be sent
+	lostAt    time.Duration // when a job was last given up for want of room
+	slotsX0   bool
+	memX1     bool
+	backoff   time.Duration
+	subjects  map[uint32]*subject // by hash
+	told      float64             // jobs that they are of, fading
+	lists     uint64              // counts changes of who is in the table of workers
+	home      []*worker           // room for homes
+	unheardOf map[string]int      // by zone, workers found silent since one gave a sign of life
 }
 
 // New returns a dispatcher that acts through the host. It fails if a setting is invalid, and names it.
@@ -237,7 +263,7 @@
 	d := &Dispatcher{
 		Settings: s, host: h, rng: rand.New(rand.NewPCG(s.Seed, s.Seed^0x9e3779b97f4a7c15)),
 		classes: make(map[string]*typeCost), byID: make(map[uint32]*worker), jobs: make(map[string]*job),
-		kinds: make(map[string]*kind), needed: make(map[need]*queue), common: 1, best: 1, chill: 0.25, prompt: [2]float64{1, 1},
+		kinds: make(map[string]*kind), subjects: make(map[uint32]*subject), unheardOf: make(map[string]int), needed: make(map[need]*queue), common: 1, best: 1, chill: 0.25, prompt: [2]float64{1, 1},
 		slotsX0: s.ReportX0 == FreeSlots, memX1: s.ReportX1 == FreeMemory,
 		vacant: vacancy.New(func(w *worker) *vacancy.Place { return &w.place }),
 	}
@@ -276,7 +302,7 @@
 	for _, c := range s.Classes {
 		t := &typeCost{Class: c, perHint: 1}
 		if old := d.classes[c.Name]; old != nil {
-			t.perHint, t.plain, t.patience = old.perHint, old.plain, old.patience
+			t.perHint, t.plain, t.patience, t.runs = old.perHint, old.plain, old.patience, old.runs
 		}
 		classes[c.Name] = t
 		if !slices.Contains(d.needs, c.Kind) {
@@ -307,7 +333,7 @@
 	d.host.Timer(in, trialToken)
 }
 
-// thronged tells whether so many share the workers that few of their turns at a cold one meet a job.
+// thronged tells whether so many share the workers that own sums say nothing of them.
 func (d *Dispatcher) thronged() bool { return d.Instances >= throng }
 
 func (d *Dispatcher) probe(w *worker) {
@@ -321,8 +347,25 @@
 // near tells whether sends to the worker cost nothing extra.
 func (d *Dispatcher) near(w *worker) bool { return d.CrossZonePrice == 0 || w.Zone == d.Zone }
 
-// join makes a worker a member of the subset.
+// heard takes in a sign of life.
+func (d *Dispatcher) heard(w *worker) {
+	w.news = d.now
+	delete(d.unheardOf, w.Zone)
+}
+
+// unheard takes in that a worker gives no sign of life, and sees to its trials.
+func (d *Dispatcher) unheard(w *worker) {
+	d.unheardOf[w.Zone]++
+	if d.told > 0 { // it may be a home outside the subset
+		d.join(w)
+	}
+}
+
+// join makes a usable worker a member of the subset.
 func (d *Dispatcher) join(w *worker) {
+	if w.member || !d.usable(w) {
+		return
+	}
 	d.subset, w.member = append(d.subset, w), true
 	d.index(w)
 	if w.suspect {
@@ -363,7 +406,6 @@
 
 // lookAll looks at all workers with attempts out, and forgets those that have none any more.
 func (d *Dispatcher) lookAll() {
-	d.lookedAt = d.now
 	n := 0
 	for _, w := range d.busy { // looking sends jobs, which makes others busy: those come behind
 		d.look(w)
@@ -534,10 +576,11 @@
 		all = append(all, w)
 	}
 	d.workers = append(all, added...)
+	d.lists++
 }
 
 func (d *Dispatcher) newAttempt(j *job, w *worker) *attempt {
-	return &attempt{job: j, worker: w, n: len(j.attempts), at: d.now, run: j.run, cost: d.load(j), slots: j.Slots,
+	return &attempt{job: j, worker: w, to: w.Member, n: len(j.attempts), at: d.now, run: j.run, cost: d.load(j), slots: j.Slots,
 		out: true}
 }
 
@@ -675,7 +718,7 @@
 }
 
 // same tells whether two workers are of one group.
-func (g Group) same(a, b *worker) bool {
+func (g Group) same(a, b Member) bool {
 	return g == GroupAll || a.Zone == b.Zone && (g == GroupZone || a.Cell == b.Cell)
 }
 
@@ -721,6 +764,7 @@
 			forgotten := d.forgotten(w)
 			if forgotten {
 				delete(d.byID, w.Worker)
+				d.lists++
 				w.closed = true
 			}
 			d.gone = d.gone || w.State == Removed && !forgotten
@@ -741,31 +785,37 @@
 	if a == nil {
 		return
 	}
-	a.worker.news = now
+	d.heard(a.worker)
 	if n.Topic == NoteStarted && a.started == 0 {
 		a.started = now
 		a.due = d.dueAt(a)
 		d.host.Timer(a.due-now, "due")
 		d.countStart(a)
-		d.started(a)
+		a.job.running = cmp.Or(a.job.running, a) // the first copy that starts is kept
+		d.callOffBut(a.job, a.job.running)
 	}
 }
 
-// rate is how many jobs come a second, by the last ones.
-func (d *Dispatcher) rate() float64 {
-	over := math.Min(rateWindow, (d.now - d.born).Seconds())
-	return d.came * math.Exp((d.cameAt-d.now).Seconds()/rateWindow) / max(1, over)
-}
-
-// mine is the work that this dispatcher would send to a cold worker in the rule's window if it had only such jobs
-// and they went to all workers evenly.
-func (d *Dispatcher) mine(j *job) float64 {
-	return d.rate() * d.Rules.FallFor.Seconds() * j.cost / float64(max(1, len(d.subset)))
+// drawn is this instance's draw for a cold worker, from 0 to 1, the same for as long as the rule's window and whatever
+// it asks for; the draws of the instances change one after the other. Those of one window lie evenly: that many win
+// as the mean says, and no more. One that began before this instance was started may have been used: it does not win.
+func (d *Dispatcher) drawn(w *worker) float64 {
+	each := max(1, float64(d.Rules.FallFor))
+	phase := w.chance(uint64(d.Rank)) * each
+	n := math.Floor((float64(d.now-w.coldFrom) + phase) / each)
+	if began := w.coldFrom + time.Duration(n*each-phase); began < d.born && w.coldFrom < d.born {
+		return math.Inf(1)
+	}
+	window := 3 * uint64(max(0, n))
+	in, stride := uint64(d.Instances), 1+int(w.chance(1<<32+window)*float64(d.Instances))
+	for gcd(stride, d.Instances) > 1 {
+		stride++
+	}
+	first := w.chance(1<<32 + window + 1)
+	place := (uint64(d.Rank)*uint64(stride) + uint64(first*float64(in))) % in
+	return (float64(place) + w.chance(1<<32+window+2)) / float64(in)
 }
 
-// rateWindow is how long a job counts in the rate, in seconds.
-const rateWindow = 10.0
-
 // chance is a number from 0 to 1, even over numbers and workers. By that of a job it is the same however often
 // the job asks while it is held, by 0 it is the same at all instances.
 func (w *worker) chance(of uint64) float64 {
@@ -779,12 +829,10 @@
 func (d *Dispatcher) newJob(c *typeCost, r Request) *job {
 	d.seq++
 	r.Slots = max(1, r.Slots)
-	j := &job{Request: r, class: c, seq: d.seq, run: d.expect(c, r.Hint), most: d.Limits.MaxAttempts}
+	j := &job{Request: r, class: c, subject: d.about(r), seq: d.seq, run: d.expect(c, r.Hint), most: d.Limits.MaxAttempts}
 	j.cost = j.run * r.Slots
 	d.mean += (j.cost - d.mean) / min(float64(d.seq), costWindow)
 	d.jobs[r.ID] = j
-	d.came = d.came*math.Exp((d.cameAt-d.now).Seconds()/rateWindow) + 1
-	d.cameAt = d.now
 	return j
 }
 
@@ -846,3 +894,27 @@
 	}
 	return 0
 }
+
+// counted takes in one more run of a type, and tells how much of it is put down to how slow all are. Of a type
+// without hints little is known at first: what its first runs took is its own, else a start at a wrong guess would
+// count as a slowness of all, and stay. Nor do the paces of the kinds, that are set beside each other, drift together.
+func (d *Dispatcher) counted(j *job) float64 {
+	c := j.class
+	c.runs, d.runs = min(c.runs+1, costWindow), min(d.runs+1, costWindow)
+	if j.Hint > 0 {
+		return 1
+	}
+	mean := 0.0
+	for _, name := range d.Kinds {
+		mean += math.Log(d.kindOf(name).pace) / float64(len(d.Kinds))
+	}
+	mean = math.Exp(mean)
+	for _, name := range d.Kinds {
+		d.kindOf(name).pace /= mean
+	}
+	d.known *= mean
+	for _, c := range d.classes {
+		c.perHint, c.plain = c.perHint*mean, c.plain*mean
+	}
+	return c.runs / costWindow
+}
--- /dev/null
+++ b/subjects_test.go
@@ -0,0 +1,204 @@
+package basaltloft
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// ended is a host at which each job ends as soon as it is sent, at all but the
+// workers that say nothing.
+type ended struct {
+	mute
+	at    map[uint32]int // jobs sent, by worker
+	sent  []Outcome
+	quiet map[uint32]bool
+}
+
+func (h *ended) Send(id string, w uint32, _ time.Duration) {
+	h.at[w]++
+	if !h.quiet[w] {
+		h.sent = append(h.sent, Outcome{Request: id, Worker: w, Status: OK, Ended: true})
+	}
+}
+
+// subjectsFleet is dispatchers of one zone each, with their hosts, over workers of three.
+func subjectsFleet(t *testing.T, instances, workers int) (fleet []*Dispatcher, hosts []*ended) {
+	var list []Member
+	for i := range workers {
+		list = append(list, Member{Worker: uint32(1 + i*7919), Kind: "a", Zone: string(rune('a' + i%3))})
+	}
+	for rank := range instances {
+		h := &ended{at: make(map[uint32]int), quiet: make(map[uint32]bool)}
+		d, err := New(Settings{
+			Seed: uint64(rank), Instances: instances, Rank: rank, Zone: string(rune('a' + rank%3)), CrossZonePrice: 0.03, TellsStart: true, Kinds: []string{"a"},
+			Limits:  Limits{MaxAttempts: 3, Cancel: true},
+			Classes: []Class{{Name: "safe", Effect: Safe, Aim: time.Second, Stretch: 2, GiveUp: 5 * time.Second, Worth: 1, Kind: -1}},
+			Rules:   Rules{ColdFrom: 0.3, ColdFor: 8 * time.Second, FallMultiple: 2.5, FallFor: 2 * time.Second},
+		}, h)
+		require.NoError(t, err)
+		d.Members(time.Minute, ListWhole, list)
+		fleet, hosts = append(fleet, d), append(hosts, h)
+	}
+	return fleet, hosts
+}
+
+// ask has a dispatcher serve a job and forgets where the one before went.
+func ask(d *Dispatcher, h *ended, now time.Duration, id, subject string) {
+	clear(h.at)
+	d.Request(now, Request{ID: id, Class: "safe", Subject: subject, Hint: 50 * time.Millisecond, Expires: now + 5*time.Second})
+	for len(h.sent) > 0 {
+		o := h.sent[0]
+		h.sent = h.sent[1:]
+		d.Outcome(now+50*time.Millisecond, o)
+	}
+}
+
+// TestJobsOfOneSubjectMeet: jobs that name a subject go to few workers, the same ones
+// at all dispatchers: one where it is rare, and as many as its share of the jobs asks
+// for where it is not. Those that name none go wherever there is room.
+func TestJobsOfOneSubjectMeet(t *testing.T) {
+	const instances, workers, rounds = 30, 90, 400
+	fleet, hosts := subjectsFleet(t, instances, workers)
+	went := map[string]map[uint32]int{"rare": {}, "half": {}, "": {}}
+	now := time.Minute
+	for n := range rounds {
+		for i, d := range fleet {
+			now += time.Millisecond
+			subject := fmt.Sprint("other ", n%200)
+			switch {
+			case n%2 == 0:
+				subject = "half"
+			case n%100 == 51:
+				subject = "rare"
+			case n%100 == 1:
+				subject = ""
+			}
+			ask(d, hosts[i], now, fmt.Sprint(n, " ", i), subject)
+			for w, jobs := range hosts[i].at {
+				if went[subject] != nil && n > rounds/2 {
+					went[subject][w] += jobs
+				}
+			}
+		}
+	}
+	require.LessOrEqual(t, len(went["rare"]), 3, "%v", went["rare"])
+	require.GreaterOrEqual(t, len(went[""]), workers/4)
+	require.GreaterOrEqual(t, len(went["half"]), workers/4) // of its homes those that started the last ones soon come first
+	require.LessOrEqual(t, len(went["half"]), workers*6/10)
+}
+
+// TestHomesPass: the next in a subject's order takes the place of a home that drains,
+// was started a moment ago, or is silent; where those of another zone are silent in
+// a row, that zone is taken for cut off until one of it is heard of.
+func TestHomesPass(t *testing.T) {
+	now := time.Minute
+	begin := func() (*Dispatcher, *ended, []*worker) {
+		fleet, hosts := subjectsFleet(t, 1, 30)
+		d := fleet[0]
+		for n := range 300 {
+			ask(d, hosts[0], now, fmt.Sprint("other ", n), fmt.Sprint("other ", n))
+		}
+		ask(d, hosts[0], now, "first", "x")
+		return d, hosts[0], d.subjects[d.about(Request{Subject: "x"}).hash].ranks
+	}
+	home := func(d *Dispatcher) *worker {
+		return d.homes(&job{subject: d.about(Request{Subject: "x"}), class: d.classes["safe"]}, 0)[0]
+	}
+	for name, out := range map[string]func(d *Dispatcher, w *worker){
+		"drains": func(d *Dispatcher, w *worker) {
+			m := w.Member
+			m.State = Draining
+			d.Members(now, ListChange, []Member{m})
+		},
+		"started anew": func(d *Dispatcher, w *worker) {
+			m := w.Member
+			m.Since = now
+			d.Members(now, ListChange, []Member{m})
+		},
+		"gone": func(d *Dispatcher, w *worker) {
+			m := w.Member
+			m.State = Removed
+			d.Members(now, ListChange, []Member{m})
+		},
+		"silent": func(d *Dispatcher, w *worker) { d.doubt(w, false) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			d, _, ranks := begin()
+			require.Same(t, ranks[0], home(d))
+			out(d, ranks[0])
+			require.Same(t, ranks[1], home(d))
+		})
+	}
+	t.Run("a newcomer that comes first in the order", func(t *testing.T) {
+		d, _, ranks := begin()
+		hash := uint64(d.about(Request{Subject: "x"}).hash)
+		id := uint32(1 << 20)
+		for (&worker{Member: Member{Worker: id}}).chance(hash) <= ranks[0].chance(hash) {
+			id++
+		}
+		d.Members(now, ListChange, []Member{{Worker: id, Kind: "a", Zone: "a"}})
+		require.Equal(t, id, home(d).Worker)
+	})
+	t.Run("a zone", func(t *testing.T) {
+		d, _, ranks := begin()
+		first := ranks[0]
+		d.Zone = "elsewhere"
+		n := 0
+		for _, w := range d.workers {
+			if w != first && w.Zone == first.Zone && n < zoneCut {
+				require.Same(t, first, home(d))
+				d.doubt(w, false)
+				n++
+			}
+		}
+		require.NotEqual(t, first.Zone, home(d).Zone)
+		for _, w := range d.workers {
+			if w != first && w.Zone == first.Zone {
+				d.trust(w)
+				break
+			}
+		}
+		require.Same(t, first, home(d))
+		d.Zone = first.Zone
+		for _, w := range d.workers {
+			if w != first && w.Zone == first.Zone {
+				d.doubt(w, false)
+			}
+		}
+		require.Same(t, first, home(d), "the own zone is never taken for cut off")
+	})
+}
+
+// TestSilentHomesAreTried: a home outside the subset that falls silent is tried again,
+// as those of the subset are, and becomes the home again.
+func TestSilentHomesAreTried(t *testing.T) {
+	fleet, hosts := subjectsFleet(t, 1, 300)
+	d, h, now := fleet[0], hosts[0], time.Minute
+	for n := range 300 {
+		ask(d, h, now, fmt.Sprint("other ", n), fmt.Sprint("other ", n))
+	}
+	var home *worker
+	for n := 0; home == nil || home.member; n++ { // one outside the subset
+		home = d.homes(&job{subject: d.about(Request{Subject: fmt.Sprint("x", n)}), class: d.classes["safe"]}, 0)[0]
+	}
+	d.doubt(home, true)
+	require.True(t, home.suspect && home.member)
+	for range 100 {
+		now += 50 * time.Millisecond
+		d.Timer(now, trialToken)
+	}
+	require.False(t, home.suspect, "without probes a job is the trial")
+}
+
+// TestSubjectsAreForgotten: what is kept of subjects is bounded, however many there are.
+func TestSubjectsAreForgotten(t *testing.T) {
+	fleet, hosts := subjectsFleet(t, 1, 10)
+	for n := range 20000 {
+		ask(fleet[0], hosts[0], time.Minute, fmt.Sprint(n), fmt.Sprint("s", n))
+		require.LessOrEqual(t, len(fleet[0].subjects), int(subjectsFor))
+	}
+	require.Less(t, fleet[0].told, subjectsFor)
+}
