--- /dev/null
+++ b/coord/replica/replica.go
@@ -0,0 +1,372 @@
+// Package replica is a replicated log's state machine: election, leader lease, replication,
+// commitment, change of membership and transfer of snapshots. It does no I/O and keeps no
+// clock: each input brings the time of the caller's steady clock, and what is to be sent,
+// written and applied is collected in an Output.
+//
+// The agreement is Raft's, with a vote before the vote, a leader lease and joint changes of
+// membership. A leader may act alone while its lease lasts: a majority has promised, at the
+// time when the leader sent the message that they answered, to vote for nobody else for
+// Timing.Promise. The lease ends at the holder after Timing.Lease, which is shorter.
+package replica
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Role is what a replica is in its group at present.
+type Role uint8
+
+// Roles.
+const (
+	Follower Role = iota
+	PreCandidate
+	Candidate
+	Leader
+)
+
+// EntryKind tells what an entry of the log holds.
+type EntryKind uint8
+
+// Kinds of entries.
+const (
+	EntryCommand    EntryKind = iota // Data is for the state machine above
+	EntryNoop                        // a new leader's first entry
+	EntryMembership                  // Membership is in force from the append on
+)
+
+// Entry is one place of the log.
+type Entry struct {
+	Index      uint64
+	Term       uint64
+	Kind       EntryKind
+	Data       []byte
+	Membership *Membership
+}
+
+// HardState is what a replica must not forget: its term, and whom it voted for in it.
+type HardState struct {
+	Term uint64
+	Vote string
+}
+
+// Snapshot stands for all entries up to Index.
+type Snapshot struct {
+	Index      uint64
+	Term       uint64
+	Membership Membership
+	Data       []byte
+}
+
+// MessageKind tells what a message asks or answers.
+type MessageKind uint8
+
+// Kinds of messages.
+const (
+	AskPreVote MessageKind = iota
+	AnswerPreVote
+	AskVote
+	AnswerVote
+	Append
+	AnswerAppend
+	InstallSnapshot
+	TimeoutNow // the leader hands the lead over: the receiver is to stand at once
+)
+
+// Message is what one replica tells another.
+type Message struct {
+	Kind      MessageKind
+	Group     string
+	From, To  string // IDs of members
+	Term      uint64
+	Index     uint64 // Append: place before Entries; votes: the candidate's last; answers: matched or wanted
+	LogTerm   uint64 // term of the entry at Index
+	Commit    uint64
+	Entries   []Entry
+	Reject    bool
+	SentAt    time.Duration // the leader's clock at an Append, returned by its answer
+	Handover  bool          // AskVote: the leader gave its lease up for this
+	Snapshot  *Snapshot
+	Addresses []Member // AskVote, Append: where the sender's membership is unknown to the receiver
+}
+
+// Timing are the spans of a group. Promise must be longer than Lease by more than the
+// clocks' drift.
+type Timing struct {
+	Heartbeat time.Duration
+	Lease     time.Duration
+	Promise   time.Duration // a follower hears no other candidate for so long after its leader
+	Spread    time.Duration // candidates stand up to so long after Promise
+}
+
+// Output is what a step of the machine asks of its driver. The driver sends Send at once,
+// writes State and Entries, and after their sync sends AfterSync and calls Synced.
+type Output struct {
+	State     *HardState // nil: unchanged
+	Entries   []Entry    // to be appended; the first one's index cuts off what was there
+	Install   *Snapshot  // replaces all state and log
+	Send      []Message
+	AfterSync []Message
+	Apply     []Entry // newly committed, in order
+}
+
+// Empty tells whether nothing is asked.
+func (o *Output) Empty() bool {
+	return o.State == nil && len(o.Entries) == 0 && o.Install == nil && len(o.Send) == 0 && len(o.AfterSync) == 0 && len(o.Apply) == 0
+}
+
+// maxAppendBytes bounds the entries of one message, beyond its first entry.
+const maxAppendBytes = 256 << 10
+
+// resendAfter is how long a leader waits for an answer before it sends entries again.
+const resendAfter = 600 * time.Millisecond
+
+// progress is what a leader knows of another member.
+type progress struct {
+	match, next uint64
+	heardAt     time.Duration // sending time of the last message that it answered
+	answeredAt  time.Duration // when its last answer came
+	sentAt      time.Duration // when entries were last sent
+}
+
+// Machine is one replica. Its methods must not be called concurrently.
+type Machine struct {
+	id     string
+	group  string
+	timing Timing
+	random *rand.Rand
+
+	state   HardState
+	role    Role
+	leader  string
+	log     log
+	commit  uint64
+	applied uint64
+
+	lastHeard   time.Duration // from a leader; a promise runs from here
+	standAt     time.Duration
+	votes       map[string]bool
+	peers       map[string]*progress
+	heartbeatAt time.Duration
+	lease       time.Duration // end of the leader's lease
+	firstOwn    uint64        // a leader's no-op
+	leading     time.Duration // since when it leads
+	handingOver string
+
+	out Output
+}
+
+// Restored is what a replica found on its disk.
+type Restored struct {
+	State    HardState
+	Snapshot Snapshot
+	Entries  []Entry
+}
+
+// New returns a replica as it was left on disk. It votes for nobody for a promise's length,
+// since it may have made one before its restart.
+func New(id, group string, timing Timing, found Restored, seed uint64, now time.Duration) *Machine {
+	m := &Machine{id: id, group: group, timing: timing, random: rand.New(rand.NewPCG(seed, uint64(len(group))))}
+	m.state = found.State
+	m.log.reset(found.Snapshot)
+	m.log.append(found.Entries)
+	m.log.stable = m.log.last()
+	m.commit, m.applied = found.Snapshot.Index, found.Snapshot.Index
+	m.lastHeard = now
+	m.rest(now)
+	return m
+}
+
+// Role returns what the replica is.
+func (m *Machine) Role() Role { return m.role }
+
+// Term returns the current term.
+func (m *Machine) Term() uint64 { return m.state.Term }
+
+// LeaderID returns the member that leads as far as this one knows, or nothing.
+func (m *Machine) LeaderID() string { return m.leader }
+
+// Members returns the newest membership of the log.
+func (m *Machine) Members() Membership { return m.log.membership() }
+
+// Applied returns the last index handed out for applying.
+func (m *Machine) Applied() uint64 { return m.applied }
+
+// LastIndex returns the last index of the log.
+func (m *Machine) LastIndex() uint64 { return m.log.last() }
+
+// LeaseUntil returns when this replica's lease as a leader ends; zero: it has none. A
+// leader holds it only once an entry of its own term is applied, so that all that was
+// committed before is too.
+func (m *Machine) LeaseUntil() time.Duration {
+	if m.role != Leader || m.handingOver != "" || m.applied < m.firstOwn {
+		return 0
+	}
+	return m.lease
+}
+
+// Take returns what the steps since the last Take ask for.
+func (m *Machine) Take() Output {
+	m.collectCommitted()
+	out := m.out
+	m.out = Output{}
+	return out
+}
+
+func (m *Machine) collectCommitted() {
+	if m.applied >= m.commit {
+		return
+	}
+	m.out.Apply = append(m.out.Apply, m.log.slice(m.applied+1, m.commit)...)
+	m.applied = m.commit
+}
+
+// Propose appends a command. It returns the place it will have if it is committed, or
+// false where this replica does not lead.
+func (m *Machine) Propose(now time.Duration, data []byte) (index, term uint64, ok bool) {
+	if m.role != Leader || m.handingOver != "" {
+		return 0, 0, false
+	}
+	return m.lead(now, Entry{Kind: EntryCommand, Data: data}), m.state.Term, true
+}
+
+// ChangeMembers proposes a membership. Only one change may be under way.
+func (m *Machine) ChangeMembers(now time.Duration, next Membership) bool {
+	if m.role != Leader || m.handingOver != "" || m.log.membershipIndex() > m.commit || m.applied < m.firstOwn {
+		return false
+	}
+	m.lead(now, Entry{Kind: EntryMembership, Membership: &next})
+	return true
+}
+
+// CaughtUp tells whether a member has all entries but the last few.
+func (m *Machine) CaughtUp(id string, within uint64) bool {
+	peer := m.peers[id]
+	return m.role == Leader && peer != nil && peer.match > 0 && peer.match+within >= m.commit
+}
+
+// SilentFor returns how long a member has not answered this leader.
+func (m *Machine) SilentFor(id string, now time.Duration) time.Duration {
+	peer := m.peers[id]
+	if peer == nil {
+		return 0
+	}
+	return now - max(peer.answeredAt, m.leading)
+}
+
+// HandOver gives the lead to the voter that has most of the log. The lease ends at once.
+func (m *Machine) HandOver(now time.Duration) bool {
+	if m.role != Leader {
+		return false
+	}
+	best, bestMatch := "", uint64(0)
+	for _, voter := range m.Members().Voters {
+		peer := m.peers[voter.ID]
+		if peer != nil && peer.match >= bestMatch && m.SilentFor(voter.ID, now) < 2*m.timing.Heartbeat {
+			best, bestMatch = voter.ID, peer.match
+		}
+	}
+	if best == "" {
+		return false
+	}
+	m.handingOver = best
+	m.handOverIfReady()
+	return true
+}
+
+func (m *Machine) handOverIfReady() {
+	if m.handingOver == "" || m.peers[m.handingOver].match < m.log.last() {
+		return
+	}
+	m.send(Message{Kind: TimeoutNow, To: m.handingOver})
+}
+
+// Synced tells that all entries up to that one are on this replica's disk. It says nothing
+// where the log has meanwhile another entry there.
+func (m *Machine) Synced(now time.Duration, index, term uint64) {
+	if m.log.term(index) != term {
+		return
+	}
+	m.log.stable = max(m.log.stable, index)
+	if m.role == Leader {
+		m.advance(now)
+	}
+}
+
+// Compact forgets the entries that a snapshot stands for, but for the last keep of them.
+func (m *Machine) Compact(snapshot Snapshot, keep uint64) { m.log.compact(snapshot, keep) }
+
+// SnapshotAt returns a snapshot's head at the last applied index.
+func (m *Machine) SnapshotAt() Snapshot {
+	return Snapshot{Index: m.applied, Term: m.log.term(m.applied), Membership: m.log.membershipAt(m.applied)}
+}
+
+// Tick lets time pass.
+func (m *Machine) Tick(now time.Duration) {
+	if m.role == Leader {
+		m.tickLeader(now)
+		return
+	}
+	if now < m.standAt {
+		return
+	}
+	if m.Members().Votes(m.id) {
+		m.stand(now, PreCandidate, false)
+		return
+	}
+	m.rest(now)
+}
+
+func (m *Machine) tickLeader(now time.Duration) {
+	m.renewLease()
+	if now > m.lease+m.timing.Promise && now > m.leading+2*m.timing.Promise {
+		m.follow(now, "")
+		return
+	}
+	if now < m.heartbeatAt {
+		return
+	}
+	m.heartbeatAt = now + m.timing.Heartbeat
+	for id := range m.peers {
+		m.replicate(now, id, true)
+	}
+}
+
+// NextTick returns when Tick has something to do.
+func (m *Machine) NextTick() time.Duration {
+	if m.role == Leader {
+		return m.heartbeatAt
+	}
+	return m.standAt
+}
+
+func (m *Machine) rest(now time.Duration) {
+	m.standAt = now + m.timing.Promise + time.Duration(m.random.Int64N(int64(m.timing.Spread)))
+}
+
+func (m *Machine) follow(now time.Duration, leader string) {
+	m.role, m.leader, m.votes, m.peers, m.handingOver = Follower, leader, nil, nil, ""
+	m.rest(now)
+}
+
+func (m *Machine) setState(term uint64, vote string) {
+	m.state = HardState{Term: term, Vote: vote}
+	state := m.state
+	m.out.State = &state
+}
+
+func (m *Machine) send(message Message) {
+	m.out.Send = append(m.out.Send, m.stamped(message))
+}
+
+func (m *Machine) sendAfterSync(message Message) {
+	m.out.AfterSync = append(m.out.AfterSync, m.stamped(message))
+}
+
+func (m *Machine) stamped(message Message) Message {
+	message.Group, message.From = m.group, m.id
+	if message.Term == 0 {
+		message.Term = m.state.Term
+	}
+	return message
+}
--- /dev/null
+++ b/coord/replica/step.go
@@ -0,0 +1,364 @@
+package replica
+
+import "time"
+
+// Step takes in a message.
+func (m *Machine) Step(now time.Duration, message Message) {
+	switch message.Kind {
+	case AskPreVote, AskVote:
+		m.answerCandidate(now, message)
+		return
+	case AnswerPreVote:
+		m.countPreVote(now, message)
+		return
+	}
+	if message.Term < m.state.Term {
+		m.answerOutdated(message)
+		return
+	}
+	if message.Term > m.state.Term {
+		m.setState(message.Term, "")
+		m.follow(now, "")
+	}
+	switch message.Kind {
+	case AnswerVote:
+		m.countVote(now, message)
+	case Append:
+		m.takeAppend(now, message)
+	case AnswerAppend:
+		m.takeAnswer(now, message)
+	case InstallSnapshot:
+		m.install(now, message)
+	case TimeoutNow:
+		m.stand(now, Candidate, true)
+	}
+}
+
+// answerOutdated tells an older leader of the newer term.
+func (m *Machine) answerOutdated(message Message) {
+	if message.Kind == Append || message.Kind == InstallSnapshot {
+		m.send(Message{Kind: AnswerAppend, To: message.From, Reject: true, Index: m.log.last()})
+	}
+}
+
+// stand begins an election, or the vote before it.
+func (m *Machine) stand(now time.Duration, role Role, handover bool) {
+	if !m.Members().Votes(m.id) {
+		return
+	}
+	term, kind := m.state.Term+1, AskPreVote
+	if role == Candidate {
+		m.setState(term, m.id)
+		kind = AskVote
+	}
+	m.role, m.leader, m.peers = role, "", nil
+	m.votes = map[string]bool{m.id: true}
+	m.rest(now)
+	for _, member := range m.Members().Everyone() {
+		if member.ID == m.id || !m.Members().Votes(member.ID) {
+			continue
+		}
+		m.sendAfterSync(Message{Kind: kind, To: member.ID, Term: term, Index: m.log.last(), LogTerm: m.log.term(m.log.last()), Handover: handover})
+	}
+	m.countVotes(now)
+}
+
+// promised tells whether a leader was heard so lately that no other may be helped.
+func (m *Machine) promised(now time.Duration, message Message) bool {
+	if message.Handover {
+		return false
+	}
+	return m.role == Leader && now < m.lease+m.timing.Promise-m.timing.Lease || now < m.lastHeard+m.timing.Promise
+}
+
+func (m *Machine) upToDate(message Message) bool {
+	last := m.log.last()
+	lastTerm := m.log.term(last)
+	return message.LogTerm > lastTerm || message.LogTerm == lastTerm && message.Index >= last
+}
+
+func (m *Machine) answerCandidate(now time.Duration, message Message) {
+	if m.promised(now, message) {
+		return
+	}
+	if message.Kind == AskPreVote {
+		m.answerPreVote(message)
+		return
+	}
+	if message.Term < m.state.Term {
+		return
+	}
+	if message.Term > m.state.Term {
+		m.setState(message.Term, "")
+		m.follow(now, "")
+	}
+	free := m.state.Vote == "" || m.state.Vote == message.From
+	if !free || !m.upToDate(message) {
+		return
+	}
+	if m.state.Vote == "" {
+		m.setState(m.state.Term, message.From)
+	}
+	m.rest(now)
+	m.sendAfterSync(Message{Kind: AnswerVote, To: message.From})
+}
+
+// answerPreVote tells a candidate of an older term the newer one: without it, a candidate
+// with the better log could wait for ever on a voter with the newer term.
+func (m *Machine) answerPreVote(message Message) {
+	switch {
+	case message.Term <= m.state.Term:
+		m.send(Message{Kind: AnswerPreVote, To: message.From, Reject: true})
+	case m.upToDate(message):
+		m.send(Message{Kind: AnswerPreVote, To: message.From, Term: message.Term})
+	}
+}
+
+func (m *Machine) countPreVote(now time.Duration, message Message) {
+	if message.Reject {
+		if message.Term > m.state.Term {
+			m.setState(message.Term, "")
+			m.follow(now, "")
+		}
+		return
+	}
+	if m.role != PreCandidate || message.Term != m.state.Term+1 {
+		return
+	}
+	m.votes[message.From] = true
+	m.countVotes(now)
+}
+
+func (m *Machine) countVote(now time.Duration, message Message) {
+	if m.role != Candidate {
+		return
+	}
+	m.votes[message.From] = true
+	m.countVotes(now)
+}
+
+func (m *Machine) countVotes(now time.Duration) {
+	won := m.Members().quorum(func(id string) int64 {
+		if m.votes[id] {
+			return 1
+		}
+		return 0
+	})
+	if won == 0 {
+		return
+	}
+	if m.role == PreCandidate {
+		m.stand(now, Candidate, false)
+		return
+	}
+	m.becomeLeader(now)
+}
+
+func (m *Machine) becomeLeader(now time.Duration) {
+	m.role, m.leader, m.votes = Leader, m.id, nil
+	m.lease, m.leading, m.handingOver = 0, now, ""
+	m.peers = map[string]*progress{}
+	m.followMembers()
+	m.firstOwn = m.lead(now, Entry{Kind: EntryNoop})
+	m.heartbeatAt = now + m.timing.Heartbeat
+}
+
+// followMembers keeps a progress for each other member.
+func (m *Machine) followMembers() {
+	members := m.Members()
+	for _, member := range members.Everyone() {
+		if member.ID != m.id && m.peers[member.ID] == nil {
+			m.peers[member.ID] = &progress{next: m.log.last() + 1}
+		}
+	}
+	for id := range m.peers {
+		if _, ok := members.Find(id); !ok {
+			delete(m.peers, id)
+		}
+	}
+}
+
+// lead appends an entry of this leader's and sends it on.
+func (m *Machine) lead(now time.Duration, entry Entry) uint64 {
+	entry.Index, entry.Term = m.log.last()+1, m.state.Term
+	m.record([]Entry{entry})
+	if entry.Kind == EntryMembership {
+		m.followMembers()
+	}
+	for id := range m.peers {
+		m.replicate(now, id, false)
+	}
+	return entry.Index
+}
+
+func (m *Machine) record(entries []Entry) {
+	m.log.append(entries)
+	m.out.Entries = cutAndAppend(m.out.Entries, entries)
+}
+
+// cutAndAppend adds entries to what is yet to be written, whose tail they may replace.
+func cutAndAppend(waiting, entries []Entry) []Entry {
+	for len(waiting) > 0 && waiting[len(waiting)-1].Index >= entries[0].Index {
+		waiting = waiting[:len(waiting)-1]
+	}
+	return append(waiting, entries...)
+}
+
+// replicate sends a member what it lacks; an empty message is sent as a heartbeat only.
+func (m *Machine) replicate(now time.Duration, id string, heartbeat bool) {
+	peer := m.peers[id]
+	if peer.next <= m.log.last() && peer.next > peer.match+1 && now > peer.sentAt+resendAfter {
+		peer.next = peer.match + 1
+	}
+	before := peer.next - 1
+	if before != 0 && m.log.term(before) == 0 || peer.next < m.log.first {
+		m.sendSnapshot(now, id, heartbeat)
+		return
+	}
+	entries := m.log.batch(peer.next)
+	if len(entries) == 0 && !heartbeat {
+		return
+	}
+	if len(entries) > 0 {
+		peer.sentAt = now
+		peer.next = entries[len(entries)-1].Index + 1
+	}
+	m.send(Message{Kind: Append, To: id, Index: before, LogTerm: m.log.term(before), Commit: m.commit, Entries: entries, SentAt: now, Addresses: m.introduction(peer)})
+}
+
+// introduction names the members to one that has never answered.
+func (m *Machine) introduction(peer *progress) []Member {
+	if peer.match > 0 {
+		return nil
+	}
+	return m.Members().Everyone()
+}
+
+// sendSnapshot asks the driver, by an empty snapshot, to send its newest one.
+func (m *Machine) sendSnapshot(now time.Duration, id string, heartbeat bool) {
+	peer := m.peers[id]
+	if peer.sentAt != 0 && now < peer.sentAt+resendAfter {
+		if heartbeat {
+			m.send(Message{Kind: Append, To: id, Index: m.commit, LogTerm: m.log.term(m.commit), SentAt: now, Addresses: m.introduction(peer)})
+		}
+		return
+	}
+	peer.sentAt = now
+	m.send(Message{Kind: InstallSnapshot, To: id, SentAt: now, Snapshot: &Snapshot{}})
+}
+
+func (m *Machine) takeAppend(now time.Duration, message Message) {
+	if m.role != Follower || m.leader != message.From {
+		m.follow(now, message.From)
+	}
+	m.lastHeard = now
+	m.rest(now)
+	answer := Message{Kind: AnswerAppend, To: message.From, SentAt: message.SentAt}
+	if !m.log.has(message.Index, message.LogTerm) {
+		answer.Reject, answer.Index = true, min(m.log.last(), message.Index-1)
+		m.send(answer)
+		return
+	}
+	end := message.Index + uint64(len(message.Entries))
+	if fresh := m.log.conflict(message.Entries); len(fresh) > 0 {
+		m.record(fresh)
+	}
+	m.commit = max(m.commit, min(message.Commit, end, m.log.last()))
+	answer.Index = end
+	if end <= m.log.stable {
+		m.send(answer)
+		return
+	}
+	if len(message.Entries) == 0 {
+		answer.Index = min(end, m.log.stable)
+		m.send(answer)
+		return
+	}
+	m.sendAfterSync(answer)
+}
+
+func (m *Machine) takeAnswer(now time.Duration, message Message) {
+	peer := m.peers[message.From]
+	if m.role != Leader || peer == nil {
+		return
+	}
+	peer.heardAt = max(peer.heardAt, message.SentAt)
+	peer.answeredAt = now
+	m.renewLease()
+	if message.Reject {
+		peer.next = max(peer.match+1, min(message.Index+1, m.log.last()+1))
+		m.replicate(now, message.From, false)
+		return
+	}
+	peer.match = max(peer.match, message.Index)
+	peer.next = max(peer.next, peer.match+1)
+	m.advance(now)
+	if peer.next <= m.log.last() {
+		m.replicate(now, message.From, false)
+	}
+	m.handOverIfReady()
+}
+
+func (m *Machine) renewLease() {
+	heard := m.Members().quorum(func(id string) int64 {
+		if id == m.id {
+			return 1<<63 - 1
+		}
+		if peer := m.peers[id]; peer != nil {
+			return int64(peer.heardAt)
+		}
+		return 0
+	})
+	if heard == 1<<63-1 { // it is alone
+		m.lease = 1<<63 - 1 - 2*m.timing.Promise
+		return
+	}
+	if heard > 0 {
+		m.lease = max(m.lease, time.Duration(heard)+m.timing.Lease)
+	}
+}
+
+// advance commits what a majority has on disk, and ends a change of membership.
+func (m *Machine) advance(now time.Duration) {
+	reached := uint64(m.Members().quorum(func(id string) int64 {
+		if id == m.id {
+			return int64(m.log.stable)
+		}
+		if peer := m.peers[id]; peer != nil {
+			return int64(peer.match)
+		}
+		return 0
+	}))
+	if reached <= m.commit || m.log.term(reached) != m.state.Term {
+		return
+	}
+	m.commit = reached
+	if m.Members().Joint() && m.log.membershipIndex() <= m.commit {
+		m.lead(now, Entry{Kind: EntryMembership, Membership: pointer(m.Members().Settled())})
+		return
+	}
+	if m.log.membershipIndex() <= m.commit && !m.Members().Votes(m.id) {
+		m.follow(now, "")
+	}
+}
+
+func pointer[T any](value T) *T { return &value }
+
+func (m *Machine) install(now time.Duration, message Message) {
+	if m.role != Follower || m.leader != message.From {
+		m.follow(now, message.From)
+	}
+	m.lastHeard = now
+	m.rest(now)
+	answer := Message{Kind: AnswerAppend, To: message.From, SentAt: message.SentAt, Index: message.Snapshot.Index}
+	if message.Snapshot.Index <= m.commit {
+		answer.Index = min(m.commit, m.log.stable)
+		m.send(answer)
+		return
+	}
+	m.log.reset(*message.Snapshot)
+	m.commit, m.applied = message.Snapshot.Index, message.Snapshot.Index
+	m.out.Entries, m.out.Apply = nil, nil
+	m.out.Install = message.Snapshot
+	m.sendAfterSync(answer)
+}
--- /dev/null
+++ b/coord/ringlog/ring.go
@@ -0,0 +1,477 @@
+package ringlog
+
+import (
+	"bytes"
+	"encoding/binary"
+	"encoding/gob"
+	"fmt"
+	"hash/crc32"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"basaltloft/coord/replica"
+)
+
+// Sizes of a ring.
+type Sizes struct {
+	SegmentBytes int
+	Segments     int // at the start; the ring grows by one where none is free
+}
+
+// File is what the ring does with a file. *os.File is one.
+type File interface {
+	WriteAt(p []byte, offset int64) (int, error)
+	Sync() error
+	Close() error
+}
+
+// Files opens and reads the files of a ring. Faults are injected here by the tests.
+type Files interface {
+	Open(path string) (File, error)
+	ReadFile(path string) ([]byte, error)
+	SyncFolder(path string) error
+}
+
+// ErrDamaged is a log that lacks synced records: the replica must join anew, with an empty
+// folder and another ID.
+var ErrDamaged = errors.New("the log on disk is damaged: empty this replica's folder, so that it joins its group anew")
+
+// segment is one file of the ring.
+type segment struct {
+	path      string
+	file      File
+	begun     bool
+	first     uint64 // number of its first record
+	lastIndex uint64 // highest index of an entry in it
+}
+
+// Ring is an open log. Its methods must not be called concurrently; they block on the disk.
+type Ring struct {
+	files    Files
+	folder   string
+	sizes    Sizes
+	segments []*segment // in the order of their use; the last is written to
+	free     []*segment
+	offset   int
+	number   uint64 // of the next record
+	state    replica.HardState
+	base     uint64 // index of the newest snapshot
+	baseTerm uint64
+	slot     int // where the next snapshot goes
+	buffer   []byte
+	used     int // bytes written since the newest snapshot
+}
+
+// OSFiles are the files of the operating system.
+type OSFiles struct{}
+
+// Open implements Files.
+func (OSFiles) Open(path string) (File, error) {
+	return os.OpenFile(path, os.O_RDWR|os.O_CREATE, 0o644)
+}
+
+// ReadFile implements Files.
+func (OSFiles) ReadFile(path string) ([]byte, error) { return os.ReadFile(path) }
+
+// SyncFolder implements Files.
+func (OSFiles) SyncFolder(path string) error {
+	folder, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer folder.Close()
+	return folder.Sync()
+}
+
+// Open reads what the folder holds, creating it where it is not there.
+func Open(files Files, folder string, sizes Sizes) (*Ring, replica.Restored, error) {
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return nil, replica.Restored{}, errors.Wrap(err, "make the log's folder")
+	}
+	r := &Ring{files: files, folder: folder, sizes: sizes, number: 1}
+	found, err := r.recover()
+	if err != nil {
+		return nil, replica.Restored{}, err
+	}
+	if err := r.preallocate(); err != nil {
+		return nil, replica.Restored{}, err
+	}
+	// What a loss of power tore may leave whole records behind the torn one. They must never
+	// follow a new record: each life writes to a segment of its own.
+	if err := r.beginSegment(); err != nil {
+		return nil, replica.Restored{}, err
+	}
+	return r, found, nil
+}
+
+func (r *Ring) segmentPath(n int) string {
+	return filepath.Join(r.folder, fmt.Sprintf("segment-%02d", n))
+}
+
+// preallocate makes the files that are not there yet, filled with zeros.
+func (r *Ring) preallocate() error {
+	for n := len(r.segments) + len(r.free); n < r.sizes.Segments; n++ {
+		if err := r.addSegment(n); err != nil {
+			return err
+		}
+	}
+	return errors.Wrap(r.files.SyncFolder(r.folder), "sync the log's folder")
+}
+
+func (r *Ring) addSegment(n int) error {
+	path := r.segmentPath(n)
+	file, err := r.files.Open(path)
+	if err != nil {
+		return errors.Wrap(err, "open a segment")
+	}
+	if _, err := file.WriteAt(make([]byte, r.sizes.SegmentBytes), 0); err != nil {
+		return errors.Wrap(err, "preallocate a segment")
+	}
+	if err := file.Sync(); err != nil {
+		return errors.Wrap(err, "sync a new segment")
+	}
+	r.free = append(r.free, &segment{path: path, file: file})
+	return nil
+}
+
+// recover reads the newest snapshot and the records after it.
+func (r *Ring) recover() (replica.Restored, error) {
+	found := replica.Restored{}
+	snapshot, slot, ok := r.newestSnapshot()
+	if ok {
+		found.Snapshot, r.base, r.baseTerm, r.slot = snapshot, snapshot.Index, snapshot.Term, 1-slot
+	}
+	if err := r.openSegments(); err != nil {
+		return found, err
+	}
+	for i, s := range r.segments {
+		if err := r.replay(s, &found); err != nil {
+			return found, errors.Wrapf(err, "segment %d", i)
+		}
+	}
+	found.State = r.state
+	if len(found.Entries) > 0 && found.Entries[0].Index != found.Snapshot.Index+1 {
+		return found, ErrDamaged
+	}
+	return found, nil
+}
+
+// openSegments finds the segments in use, in the order of their records.
+func (r *Ring) openSegments() error {
+	for n := 0; ; n++ {
+		path := r.segmentPath(n)
+		content, err := r.files.ReadFile(path)
+		if errors.Is(err, os.ErrNotExist) {
+			break
+		}
+		if err != nil {
+			return errors.Wrap(err, "read a segment")
+		}
+		file, err := r.files.Open(path)
+		if err != nil {
+			return errors.Wrap(err, "open a segment")
+		}
+		s := &segment{path: path, file: file}
+		if s.first, s.begun = readHeader(content); s.begun {
+			r.segments = append(r.segments, s)
+		} else {
+			r.free = append(r.free, s)
+		}
+	}
+	slices.SortFunc(r.segments, func(a, b *segment) int { return int(int64(a.first) - int64(b.first)) })
+	if len(r.segments) > 0 {
+		r.number = r.segments[0].first
+	}
+	return nil
+}
+
+// replay reads a segment's records, up to the first that does not check.
+func (r *Ring) replay(s *segment, found *replica.Restored) error {
+	if s.first != r.number {
+		return ErrDamaged
+	}
+	content, err := r.files.ReadFile(s.path)
+	if err != nil {
+		return errors.Wrap(err, "read a segment")
+	}
+	rest := content[headerBytes:]
+	for {
+		next, after, ok := readRecord(rest, r.number)
+		if !ok {
+			return nil
+		}
+		if !r.replayRecord(s, next, found) {
+			return ErrDamaged
+		}
+		r.number++
+		rest = after
+	}
+}
+
+func (r *Ring) replayRecord(s *segment, next record, found *replica.Restored) bool {
+	switch next.kind {
+	case recordState:
+		state, ok := decodeState(next.payload)
+		r.state = state
+		return ok
+	case recordBase:
+		if len(next.payload) < 8 {
+			return false
+		}
+		if binary.LittleEndian.Uint64(next.payload) <= found.Snapshot.Index {
+			found.Entries = nil
+		}
+		return true
+	case recordEntry:
+		entry, ok := decodeEntry(next.payload)
+		if !ok {
+			return false
+		}
+		s.lastIndex = max(s.lastIndex, entry.Index)
+		r.used += len(next.payload)
+		return replayEntry(found, entry)
+	}
+	return false
+}
+
+// replayEntry takes an entry in; its index cuts off what was there.
+func replayEntry(found *replica.Restored, entry replica.Entry) bool {
+	if entry.Index <= found.Snapshot.Index {
+		found.Entries = nil
+		return true
+	}
+	if len(found.Entries) == 0 {
+		found.Entries = append(found.Entries, entry)
+		return true
+	}
+	first := found.Entries[0].Index
+	switch {
+	case entry.Index < first:
+		found.Entries = []replica.Entry{entry}
+	case entry.Index <= first+uint64(len(found.Entries)):
+		found.Entries = append(found.Entries[:entry.Index-first], entry)
+	default:
+		return false
+	}
+	return true
+}
+
+// Append writes records and syncs them. After an error the same call may be made again.
+func (r *Ring) Append(state *replica.HardState, entries []replica.Entry) error {
+	if state != nil {
+		r.state = *state
+	}
+	for {
+		now, rest := r.split(entries)
+		if err := r.appendPart(state, now); err != nil {
+			return err
+		}
+		if len(rest) == 0 {
+			return nil
+		}
+		state, entries = nil, rest
+	}
+}
+
+// split cuts off as many entries as half a segment takes.
+func (r *Ring) split(entries []replica.Entry) (now, rest []replica.Entry) {
+	size := 0
+	for i, entry := range entries {
+		size += framingBytes + 17 + len(entry.Data)
+		if i > 0 && size > r.sizes.SegmentBytes/2 {
+			return entries[:i], entries[i:]
+		}
+	}
+	return entries, nil
+}
+
+func (r *Ring) appendPart(state *replica.HardState, entries []replica.Entry) error {
+	r.buffer = r.buffer[:0]
+	if err := r.room(entries); err != nil {
+		return err
+	}
+	start, number, current := r.offset, r.number, r.segments[len(r.segments)-1]
+	if state != nil {
+		r.put(recordState, encodeState(*state))
+	}
+	for _, entry := range entries {
+		payload, err := encodeEntry(entry)
+		if err != nil {
+			return errors.Wrap(err, "encode an entry")
+		}
+		r.put(recordEntry, payload)
+		current.lastIndex = max(current.lastIndex, entry.Index)
+	}
+	if err := r.flush(current, start); err != nil {
+		r.number, r.offset = number, start
+		return err
+	}
+	r.used += len(r.buffer)
+	return nil
+}
+
+func (r *Ring) put(kind recordKind, payload []byte) {
+	r.buffer = appendRecord(r.buffer, record{number: r.number, kind: kind, payload: payload})
+	r.number++
+}
+
+func (r *Ring) flush(current *segment, at int) error {
+	if _, err := current.file.WriteAt(r.buffer, int64(at)); err != nil {
+		return errors.Wrap(err, "write to the log")
+	}
+	if err := current.file.Sync(); err != nil {
+		return errors.Wrap(err, "sync the log")
+	}
+	r.offset = at + len(r.buffer)
+	return nil
+}
+
+// room makes sure that the current segment takes the records, beginning the next if not.
+func (r *Ring) room(entries []replica.Entry) error {
+	need := framingBytes + 8 + 64
+	for _, entry := range entries {
+		need += framingBytes + 17 + len(entry.Data)
+		if entry.Membership != nil {
+			need += 1024 + 128*len(entry.Membership.Everyone())
+		}
+	}
+	if len(r.segments) > 0 && r.offset+need <= r.sizes.SegmentBytes {
+		return nil
+	}
+	return r.beginSegment()
+}
+
+// beginSegment takes a free segment, or one whose entries are all in a snapshot, or a new
+// one, and begins it with the hard state.
+func (r *Ring) beginSegment() error {
+	r.reclaim()
+	if len(r.free) == 0 {
+		if err := r.addSegment(len(r.segments)); err != nil {
+			return err
+		}
+		if err := r.files.SyncFolder(r.folder); err != nil {
+			return errors.Wrap(err, "sync the log's folder")
+		}
+	}
+	next := r.free[0]
+	content := appendHeader(nil, r.number)
+	content = appendRecord(content, record{number: r.number, kind: recordState, payload: encodeState(r.state)})
+	if _, err := next.file.WriteAt(content, 0); err != nil {
+		return errors.Wrap(err, "begin a segment")
+	}
+	if err := next.file.Sync(); err != nil {
+		return errors.Wrap(err, "sync a segment")
+	}
+	next.begun, next.first, next.lastIndex = true, r.number, 0
+	r.free = r.free[1:]
+	r.segments = append(r.segments, next)
+	r.number++
+	r.offset = len(content)
+	return nil
+}
+
+// reclaim frees the oldest segments as far as the newest snapshot stands for them.
+func (r *Ring) reclaim() {
+	for len(r.segments) > 1 && r.segments[0].lastIndex <= r.base {
+		r.free = append(r.free, r.segments[0])
+		r.segments = r.segments[1:]
+	}
+}
+
+// Used returns the bytes of entries written since the newest snapshot.
+func (r *Ring) Used() int { return r.used }
+
+// SaveSnapshot writes a snapshot into the older of the two slots and syncs it.
+func (r *Ring) SaveSnapshot(snapshot replica.Snapshot) error {
+	var body bytes.Buffer
+	if err := gob.NewEncoder(&body).Encode(snapshot); err != nil {
+		return errors.Wrap(err, "encode a snapshot")
+	}
+	head := binary.LittleEndian.AppendUint32(nil, magic)
+	head = binary.LittleEndian.AppendUint32(head, crc32.Checksum(body.Bytes(), table))
+	head = binary.LittleEndian.AppendUint64(head, uint64(body.Len()))
+	if err := r.writeSlot(append(head, body.Bytes()...)); err != nil {
+		return err
+	}
+	r.slot = 1 - r.slot
+	r.base, r.baseTerm, r.used = snapshot.Index, snapshot.Term, 0
+	return nil
+}
+
+func (r *Ring) slotPath(slot int) string {
+	return filepath.Join(r.folder, fmt.Sprintf("snapshot-%d", slot))
+}
+
+func (r *Ring) writeSlot(content []byte) error {
+	file, err := r.files.Open(r.slotPath(r.slot))
+	if err != nil {
+		return errors.Wrap(err, "open a snapshot's slot")
+	}
+	defer file.Close()
+	if _, err := file.WriteAt(content, 0); err != nil {
+		return errors.Wrap(err, "write a snapshot")
+	}
+	if err := file.Sync(); err != nil {
+		return errors.Wrap(err, "sync a snapshot")
+	}
+	return errors.Wrap(r.files.SyncFolder(r.folder), "sync the log's folder")
+}
+
+// newestSnapshot returns the newer of the two slots that checks.
+func (r *Ring) newestSnapshot() (newest replica.Snapshot, slot int, ok bool) {
+	for at := range 2 {
+		snapshot, checks := r.readSlot(at)
+		if checks && (!ok || snapshot.Index > newest.Index) {
+			newest, slot, ok = snapshot, at, true
+		}
+	}
+	return newest, slot, ok
+}
+
+func (r *Ring) readSlot(slot int) (snapshot replica.Snapshot, ok bool) {
+	content, err := r.files.ReadFile(r.slotPath(slot))
+	if err != nil || len(content) < 16 || binary.LittleEndian.Uint32(content) != magic {
+		return snapshot, false
+	}
+	length := binary.LittleEndian.Uint64(content[8:])
+	if length > uint64(len(content)-16) {
+		return snapshot, false
+	}
+	body := content[16 : 16+length]
+	if crc32.Checksum(body, table) != binary.LittleEndian.Uint32(content[4:]) {
+		return snapshot, false
+	}
+	return snapshot, gob.NewDecoder(bytes.NewReader(body)).Decode(&snapshot) == nil
+}
+
+// Reset begins the log anew after a snapshot that was installed from another replica.
+func (r *Ring) Reset(snapshot replica.Snapshot) error {
+	if err := r.SaveSnapshot(snapshot); err != nil {
+		return err
+	}
+	for _, s := range r.segments {
+		s.lastIndex = 0
+	}
+	if err := r.beginSegment(); err != nil {
+		return err
+	}
+	r.buffer = r.buffer[:0]
+	r.put(recordBase, binary.LittleEndian.AppendUint64(nil, snapshot.Index))
+	return r.flush(r.segments[len(r.segments)-1], r.offset)
+}
+
+// Crowded tells whether most of the ring is in use, so that a snapshot is due.
+func (r *Ring) Crowded() bool {
+	r.reclaim()
+	return len(r.segments) > r.sizes.Segments/2
+}
+
+// Close closes the files.
+func (r *Ring) Close() {
+	for _, s := range append(slices.Clone(r.segments), r.free...) {
+		s.file.Close()
+	}
+}
--- /dev/null
+++ b/coord/rpc/server.go
@@ -0,0 +1,59 @@
+package rpc
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+)
+
+// Handler takes the messages of peers. Its methods are called concurrently.
+type Handler interface {
+	// Call answers a call. Each runs in a goroutine of its own.
+	Call(body any) any
+	// Cast takes a message that has no answer. It is called in the order of a
+	// connection's messages and must not block.
+	Cast(body any)
+}
+
+// Server serves upgraded connections; it is an http.Handler for Path.
+type Server struct{ Handler Handler }
+
+// ServeHTTP takes over a connection that asks for the upgrade.
+func (s Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get("Upgrade") != protocol {
+		http.Error(w, "only "+protocol+" is spoken here", http.StatusUpgradeRequired)
+		return
+	}
+	conn, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		http.Error(w, "the connection can't be upgraded", http.StatusInternalServerError)
+		return
+	}
+	if _, err := io.WriteString(conn, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: "+protocol+"\r\n\r\n"); err != nil {
+		conn.Close()
+		return
+	}
+	s.serve(conn, buffered.Reader)
+}
+
+// hijacked reads what was buffered before the upgrade first.
+type hijacked struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+func (h hijacked) Read(p []byte) (int, error) { return h.reader.Read(p) }
+
+func (s Server) serve(conn net.Conn, reader *bufio.Reader) {
+	stream := newStream(hijacked{Conn: conn, reader: reader})
+	stream.read(func(f frame) {
+		if f.Kind == frameCast {
+			s.Handler.Cast(f.Body)
+			return
+		}
+		go func() {
+			_ = stream.put(frame{ID: f.ID, Kind: frameAnswer, Body: s.Handler.Call(f.Body)})
+		}()
+	})
+}
--- /dev/null
+++ b/internal/admission/budget.go
@@ -0,0 +1,62 @@
+package admission
+
+import "time"
+
+// Tunables of a runner's budget. None depends on a deployment.
+const (
+	startMeans  = 4.0  // a new runner's budget, in mean costs
+	leastMeans  = 0.5  // least budget, in mean costs
+	growShare   = 0.5  // part of a good run's cost by which a fully used budget grows
+	shrinkPart  = 0.75 // what remains after a time-out, a slowing or a refusal
+	costsWindow = 200.0
+)
+
+// Means is the moving mean of the costs of what was started, which budgets are counted in.
+type Means struct{ cost Average }
+
+// Add takes in the cost of a task that was started.
+func (m *Means) Add(cost float64) { m.cost.Add(cost, costsWindow) }
+
+// Mean returns the mean cost; 1 while nothing is known.
+func (m *Means) Mean() float64 {
+	if !m.cost.Known() {
+		return 1
+	}
+	return m.cost.Value
+}
+
+// Budget bounds the sum of the estimated costs that are out at one runner.
+type Budget struct {
+	amount  float64 // 0: not yet set
+	full    bool    // it has held work back since it last grew
+	lastCut time.Duration
+}
+
+// Room returns what the budget leaves beside what is out.
+func (b *Budget) Room(out float64, means *Means) float64 {
+	if b.amount == 0 {
+		b.amount = startMeans * means.Mean()
+	}
+	return b.amount - out
+}
+
+// HeldBack notes that the budget kept work from its runner.
+func (b *Budget) HeldBack() { b.full = true }
+
+// Grow lets a budget that was fully used grow by a run that ended well, up to a bound.
+func (b *Budget) Grow(cost, most float64) {
+	if !b.full {
+		return
+	}
+	b.full = false
+	b.amount = min(b.amount+growShare*cost+growShare*b.amount, max(b.amount, most))
+}
+
+// Shrink cuts the budget, once for all that was sent in one round trip.
+func (b *Budget) Shrink(sentAt, now time.Duration, means *Means) {
+	if sentAt < b.lastCut {
+		return
+	}
+	b.amount = Shrunk(b.amount, shrinkPart, leastMeans*means.Mean())
+	b.lastCut = now
+}
--- /dev/null
+++ b/internal/controlplane/core.go
@@ -0,0 +1,270 @@
+// Package controlplane assembles a process of the core: its replicas of the configuration's
+// group and of the jobs' shards, the schedulers of the shards that it owns, the reader of the
+// platform's list, and the operator's interface.
+package controlplane
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"basaltloft/coord/group"
+	"basaltloft/coord/replica"
+	"basaltloft/coord/ringlog"
+	"basaltloft/coord/rpc"
+	"basaltloft/internal/boot"
+	"basaltloft/internal/protocol"
+	"basaltloft/internal/scheduler"
+)
+
+// timing of all groups. A follower's promise outlasts the leader's lease by more than any
+// drift of the clocks.
+var timing = replica.Timing{
+	Heartbeat: 200 * time.Millisecond,
+	Lease:     1000 * time.Millisecond,
+	Promise:   1200 * time.Millisecond,
+	Spread:    600 * time.Millisecond,
+}
+
+// Sizes of the groups' logs.
+const (
+	segmentBytes  = 1 << 20
+	segments      = 4
+	snapshotAfter = 2 << 20 // bytes of log
+)
+
+// Core is one process of the core.
+type Core struct {
+	settings boot.Settings
+	log      *slog.Logger
+	started  time.Time
+	identity identity
+	self     replica.Member
+	peers    *peers
+	config   *configuration
+	shards   []*shard
+	groups   map[string]*group.Group
+	reader   *reader
+	stop     chan struct{}
+	founding atomic.Pointer[replica.Membership]
+	running  atomic.Bool
+	mu       sync.Mutex // guards settings.Seeds
+}
+
+// New opens a process's state. It does not serve yet.
+func New(settings boot.Settings, log *slog.Logger) (*Core, error) {
+	if settings.DataDir == "" {
+		return nil, errors.New("data_dir is empty: run the core on machines with a disk")
+	}
+	c := &Core{settings: settings, log: log, started: time.Now(), groups: map[string]*group.Group{}, stop: make(chan struct{})}
+	if err := c.open(); err != nil {
+		if !errors.Is(err, ringlog.ErrDamaged) {
+			return nil, err
+		}
+		log.Error("the state on disk is damaged and is dropped: this process joins anew", "error", err)
+		if err := empty(settings.DataDir); err != nil {
+			return nil, err
+		}
+		if err := c.open(); err != nil {
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+func (c *Core) now() time.Duration { return time.Since(c.started) + time.Hour }
+
+func (c *Core) open() error {
+	found, err := loadIdentity(c.settings.DataDir)
+	if err != nil {
+		return err
+	}
+	c.identity = found
+	c.founding.Store(found.Founding)
+	c.self = replica.Member{ID: found.ID, Address: c.settings.InternalAddress(c.settings.IP)}
+	c.peers = newPeers(c.self.Address)
+	c.peers.own = c.receive
+	c.config = newConfiguration(c)
+	if err := c.openGroup(protocol.ConfigGroup, c.config); err != nil {
+		return err
+	}
+	c.config.group = c.groups[protocol.ConfigGroup]
+	bounds := c.schedulerBounds()
+	runners := newRunnerClient()
+	c.shards = nil
+	for number := range protocol.Shards {
+		s := newShard(number, bounds, runners, c.now, c.log)
+		if err := c.openGroup(protocol.ShardGroup(number), s); err != nil {
+			return err
+		}
+		s.group = c.groups[protocol.ShardGroup(number)]
+		s.takeConfig(c.config.register.Current())
+		c.shards = append(c.shards, s)
+	}
+	c.reader = newReader(c)
+	return nil
+}
+
+func (c *Core) schedulerBounds() scheduler.Bounds {
+	b := c.settings.Bounds
+	return scheduler.Bounds{
+		HoldMax: b.HoldMax(), StopMs: b.StopMs, FarX: b.FarX,
+		Restore: time.Duration(b.RestoreMs) * time.Millisecond,
+		Status:  time.Duration(b.StatusS * float64(time.Second)),
+	}
+}
+
+func (c *Core) openGroup(name string, states group.StateMachine) error {
+	opened, err := group.Open(group.Settings{
+		Name: name, Self: c.self, Timing: timing, Size: 2*c.settings.FaultTolerance.Machines + 1,
+		Seed: seedOf(c.self.ID), Snapshot: snapshotAfter,
+	}, filepath.Join(c.settings.DataDir, name), ringlog.Sizes{SegmentBytes: segmentBytes, Segments: segments}, ringlog.OSFiles{}, states, c.peers, c.now, c.log)
+	if err != nil {
+		return errors.Wrapf(err, "open group %s", name)
+	}
+	c.groups[name] = opened
+	return nil
+}
+
+func seedOf(id string) (seed uint64) {
+	for _, letter := range []byte(id) {
+		seed = seed*131 + uint64(letter)
+	}
+	return seed
+}
+
+// Run serves until the context ends, and then hands over what this process leads.
+func (c *Core) Run(ctx context.Context) error {
+	internal, operators := c.servers()
+	failed := make(chan error, 2)
+	for _, server := range []*http.Server{internal, operators} {
+		go func() { failed <- server.ListenAndServe() }()
+	}
+	go c.join()
+	select {
+	case err := <-failed:
+		return errors.Wrap(err, "serve")
+	case <-ctx.Done():
+	}
+	c.handOver()
+	close(c.stop)
+	operators.Close()
+	internal.Close()
+	return nil
+}
+
+func (c *Core) servers() (internal, operators *http.Server) {
+	private := http.NewServeMux()
+	private.Handle(rpc.Path, rpc.Server{Handler: c})
+	public := http.NewServeMux()
+	public.HandleFunc("POST /-/config/replace", c.config.serveReplace)
+	public.HandleFunc("GET /-/config/get", c.config.serveGet)
+	const headerWithin = 5 * time.Second
+	internal = &http.Server{Addr: c.self.Address, Handler: private, ReadHeaderTimeout: headerWithin}
+	operators = &http.Server{Addr: c.settings.Listen.Control, Handler: public, ReadHeaderTimeout: headerWithin}
+	return internal, operators
+}
+
+// handOverWithin bounds how long a process that ends waits for others to take its leads.
+const handOverWithin = 1500 * time.Millisecond
+
+// handOver gives away what this process leads, so that a planned end costs no election.
+func (c *Core) handOver() {
+	if !c.running.Load() {
+		return
+	}
+	for _, g := range c.groups {
+		g.HandOver()
+	}
+	for end := time.Now().Add(handOverWithin); time.Now().Before(end) && c.leadsAny(); {
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func (c *Core) leadsAny() bool {
+	for _, g := range c.groups {
+		if g.Leader().ID == c.self.ID {
+			return true
+		}
+	}
+	return false
+}
+
+// start runs all replicas, once their first membership is known or they wait to be taken in.
+func (c *Core) start() {
+	if c.running.Swap(true) {
+		return
+	}
+	for _, g := range c.groups {
+		g.Run()
+	}
+	for _, s := range c.shards {
+		go s.run()
+	}
+	go c.reader.run()
+}
+
+// receive hands a replica's message to its group.
+func (c *Core) receive(message replica.Message) {
+	if g := c.groups[message.Group]; g != nil && c.running.Load() {
+		g.Receive(message)
+	}
+}
+
+// Cast implements rpc.Handler.
+func (c *Core) Cast(body any) {
+	switch message := body.(type) {
+	case replica.Message:
+		c.receive(message)
+	case protocol.Join:
+		c.takeJoin(message)
+	case protocol.Runners:
+		c.reader.take(message)
+	}
+}
+
+// Call implements rpc.Handler.
+func (c *Core) Call(body any) any {
+	switch request := body.(type) {
+	case protocol.Submit:
+		return c.shard(request.Shard, func(s *shard) protocol.Answer { return s.submit(request) })
+	case protocol.Ask:
+		return c.shard(request.Shard, func(s *shard) protocol.Answer { return s.ask(request) })
+	case protocol.Feed:
+		return c.config.feed(request)
+	case protocol.Operate:
+		return c.config.operate(request)
+	case protocol.Hello:
+		return protocol.HelloAnswer{Member: c.self, Founding: c.founding.Load()}
+	}
+	return protocol.Answer{Status: http.StatusBadRequest, Reason: "this message is not known here: run the same version everywhere"}
+}
+
+func (c *Core) shard(number int, do func(*shard) protocol.Answer) protocol.Answer {
+	if number < 0 || number >= len(c.shards) || !c.running.Load() {
+		return protocol.Answer{}
+	}
+	return do(c.shards[number])
+}
+
+// cores lists where the members of the configuration's group hear other processes.
+func (c *Core) cores() []string {
+	var addresses []string
+	for _, member := range c.config.group.Members().Everyone() {
+		addresses = append(addresses, member.Address)
+	}
+	return addresses
+}
+
+// Reload takes in settings that have changed: the seeds.
+func (c *Core) Reload(settings boot.Settings) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.settings.Seeds = settings.Seeds
+}
--- /dev/null
+++ b/internal/job/store.go
@@ -0,0 +1,400 @@
+package job
+
+import (
+	"bytes"
+	"encoding/gob"
+	"math/bits"
+
+	"github.com/cockroachdb/errors"
+)
+
+// State is what a client is told of its job.
+type State uint8
+
+// States of jobs.
+const (
+	Pending State = iota
+	Running
+	Completed
+	FailedState
+	Canceled
+)
+
+// String returns the state's name in the protocol.
+func (s State) String() string {
+	return [...]string{"pending", "running", "completed", "failed", "canceled"}[s]
+}
+
+// Over tells whether nothing more is to run.
+func (s State) Over() bool { return s >= Completed }
+
+// Run is one run of a task that may be under way: it was ordered, and is not known to be over.
+type Run struct {
+	Attempt int
+	Runner  string
+	Address string
+}
+
+// Task is the state of one task.
+type Task struct {
+	Attempt int    // the last number used
+	Failed  int    // runs that ended by a failure
+	Listed  uint64 // bit N: the end of attempt N was listed and counted
+	Done    bool
+	Saved   string
+	Runs    []Run
+}
+
+// StepRun is the state of one step of one time.
+type StepRun struct {
+	Tasks []Task
+	Done  int
+	Saved string // of a gang: any member's is good for all
+	Fails uint64 // of a gang, bit N: its attempt N ended by a failure
+}
+
+// Complete tells whether all its tasks ended done.
+func (s *StepRun) Complete() bool { return s.Done == len(s.Tasks) }
+
+// Time is the state of one time that a job's steps run.
+type Time struct {
+	Steps []StepRun // none once it is complete and nothing runs
+	Open  int       // steps that are not complete
+}
+
+// Job is one job.
+type Job struct {
+	New
+	State      State
+	Times      []*Time // those that are due; the others are not there yet
+	OpenTimes  int
+	Live       int // runs that may be under way
+	AcceptedMs int64
+	EndedMs    int64
+}
+
+// Ready tells whether a step's tasks may start: all steps that it depends on are complete.
+func (j *Job) Ready(time *Time, step int) bool {
+	for _, before := range j.Spec.Steps[step].DependsOn {
+		if !time.Steps[before].Complete() {
+			return false
+		}
+	}
+	return true
+}
+
+// Store holds the jobs of a shard.
+type Store struct {
+	Jobs    map[string]*Job
+	Pending map[string]int // jobs in state pending, by queue
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store { return &Store{Jobs: map[string]*Job{}, Pending: map[string]int{}} }
+
+// Snapshot returns the whole state.
+func (s *Store) Snapshot() ([]byte, error) {
+	var body bytes.Buffer
+	err := gob.NewEncoder(&body).Encode(s)
+	return body.Bytes(), errors.Wrap(err, "encode the jobs")
+}
+
+// Restore replaces the whole state.
+func (s *Store) Restore(content []byte) error {
+	next := NewStore()
+	if err := gob.NewDecoder(bytes.NewReader(content)).Decode(next); err != nil {
+		return errors.Wrap(err, "decode the jobs")
+	}
+	*s = *next
+	return nil
+}
+
+// Lookup returns a job of a queue.
+func (s *Store) Lookup(queue, id string) (*Job, bool) {
+	j, ok := s.Jobs[id]
+	if !ok || j.Queue != queue {
+		return nil, false
+	}
+	return j, true
+}
+
+// Outcome says what a command did.
+type Outcome uint8
+
+// Outcomes.
+const (
+	Applied  Outcome = iota + 1
+	Known            // nothing changed: it had been done before
+	Rejected         // nothing changed: the state does not allow it
+)
+
+// Apply carries out a command.
+func (s *Store) Apply(c Command) Outcome {
+	if c.Kind == Accept {
+		return s.accept(c)
+	}
+	j := s.Jobs[c.Task.Job]
+	if j == nil {
+		return Rejected
+	}
+	switch c.Kind {
+	case Due:
+		return s.due(j, c)
+	case Start:
+		return s.start(j, c)
+	case End:
+		return s.end(j, c)
+	case Save:
+		return s.save(j, c)
+	case Cancel:
+		return s.cancel(j, c)
+	case Forget:
+		return s.forget(j)
+	}
+	return Rejected
+}
+
+func (s *Store) accept(c Command) Outcome {
+	if old := s.Jobs[c.New.ID]; old != nil {
+		if old.Queue == c.New.Queue {
+			return Known
+		}
+		return Rejected
+	}
+	j := &Job{New: *c.New, AcceptedMs: c.AtMs}
+	j.OpenTimes = j.Spec.Times()
+	s.Jobs[j.ID] = j
+	s.Pending[j.Queue]++
+	if j.Spec.Repeats == 0 {
+		j.begin(0)
+	}
+	return Applied
+}
+
+// begin makes the tasks of the next time.
+func (j *Job) begin(time int) {
+	steps := make([]StepRun, len(j.Spec.Steps))
+	for at, step := range j.Spec.Steps {
+		steps[at].Tasks = make([]Task, step.Count)
+	}
+	for len(j.Times) <= time {
+		j.Times = append(j.Times, nil)
+	}
+	j.Times[time] = &Time{Steps: steps, Open: len(steps)}
+}
+
+func (s *Store) due(j *Job, c Command) Outcome {
+	if j.State.Over() || c.Task.Time != len(j.Times) || c.Task.Time >= j.Spec.Times() {
+		return Rejected
+	}
+	j.begin(c.Task.Time)
+	return Applied
+}
+
+// Task returns a task's state, and that of its step; nil: there is none, or none any more.
+func (j *Job) Task(ref TaskRef) (*Task, *StepRun) {
+	if ref.Time >= len(j.Times) || j.Times[ref.Time] == nil || ref.Step >= len(j.Times[ref.Time].Steps) {
+		return nil, nil
+	}
+	step := &j.Times[ref.Time].Steps[ref.Step]
+	if ref.Index >= len(step.Tasks) {
+		return nil, nil
+	}
+	return &step.Tasks[ref.Index], step
+}
+
+// mayStart tells whether the state allows that run.
+func (j *Job) mayStart(task *Task, c Command) bool {
+	step := j.Spec.Steps[c.Task.Step]
+	switch {
+	case j.State.Over(), task.Done, c.Attempt <= task.Attempt:
+		return false
+	case len(task.Runs) > 0 && !step.Speculative:
+		return false
+	case task.Failed >= j.Retries && !step.LongRunning:
+		return false
+	}
+	return j.Ready(j.Times[c.Task.Time], c.Task.Step)
+}
+
+func (s *Store) start(j *Job, c Command) Outcome {
+	task, _ := j.Task(c.Task)
+	if task == nil || !j.mayStart(task, c) {
+		return Rejected
+	}
+	task.Attempt = c.Attempt
+	task.Runs = append(task.Runs, Run{Attempt: c.Attempt, Runner: c.Runner, Address: c.Address})
+	j.Live++
+	s.enter(j, Running, c.AtMs)
+	return Applied
+}
+
+// enter changes a job's state.
+func (s *Store) enter(j *Job, state State, atMs int64) {
+	if j.State == state || j.State.Over() {
+		return
+	}
+	if j.State == Pending {
+		s.Pending[j.Queue]--
+		if s.Pending[j.Queue] == 0 {
+			delete(s.Pending, j.Queue)
+		}
+	}
+	j.State = state
+	if state.Over() {
+		j.EndedMs = atMs
+	}
+}
+
+func (s *Store) end(j *Job, c Command) Outcome {
+	task, step := j.Task(c.Task)
+	if task == nil {
+		return Rejected
+	}
+	live := task.take(c.Attempt)
+	if live {
+		j.Live--
+	}
+	listed := c.How != Refused && c.How != Lost
+	if !live && (!listed || task.counted(c.Attempt)) {
+		j.trim()
+		return Known
+	}
+	if listed {
+		task.count(c.Attempt)
+	}
+	task.keep(step, j.Spec.Steps[c.Task.Step], c.Saved)
+	switch c.How {
+	case Done:
+		s.taskDone(j, task, step, c)
+	case Failed:
+		task.Failed++
+		step.Fails |= 1 << min(c.Attempt, 63)
+		s.failIfSpent(j, task, step, c)
+	}
+	j.trim()
+	return Applied
+}
+
+// take removes a run that may be under way.
+func (t *Task) take(attempt int) bool {
+	for at, run := range t.Runs {
+		if run.Attempt == attempt {
+			t.Runs = append(t.Runs[:at:at], t.Runs[at+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+func (t *Task) counted(attempt int) bool { return attempt < 64 && t.Listed>>attempt&1 == 1 }
+
+func (t *Task) count(attempt int) {
+	if attempt < 64 {
+		t.Listed |= 1 << attempt
+	}
+}
+
+// keep notes saved progress.
+func (t *Task) keep(step *StepRun, spec Step, saved string) {
+	switch {
+	case saved == "":
+	case spec.Gang:
+		step.Saved = saved
+	default:
+		t.Saved = saved
+	}
+}
+
+func (s *Store) taskDone(j *Job, task *Task, step *StepRun, c Command) {
+	if task.Done || j.Spec.Steps[c.Task.Step].LongRunning {
+		return
+	}
+	if j.Spec.Steps[c.Task.Step].Gang {
+		for at := range step.Tasks { // one such end stands for all
+			step.finish(&step.Tasks[at])
+		}
+	} else {
+		step.finish(task)
+	}
+	if !step.Complete() {
+		return
+	}
+	time := j.Times[c.Task.Time]
+	time.Open--
+	if time.Open > 0 {
+		return
+	}
+	j.OpenTimes--
+	if j.OpenTimes == 0 {
+		s.enter(j, Completed, c.AtMs)
+	}
+}
+
+func (s *StepRun) finish(task *Task) {
+	if !task.Done {
+		task.Done = true
+		s.Done++
+	}
+}
+
+// failIfSpent fails the job once a task, or a gang, has failed as often as it may.
+func (s *Store) failIfSpent(j *Job, task *Task, step *StepRun, c Command) {
+	spec := j.Spec.Steps[c.Task.Step]
+	if spec.LongRunning || task.Done {
+		return
+	}
+	failed := task.Failed
+	if spec.Gang {
+		failed = bits.OnesCount64(step.Fails)
+	}
+	if failed >= j.Retries {
+		s.enter(j, FailedState, c.AtMs)
+	}
+}
+
+// trim drops what is not needed any more of times that are over.
+func (j *Job) trim() {
+	if j.Live > 0 {
+		return
+	}
+	for at, time := range j.Times {
+		if time != nil && (time.Open == 0 || j.State.Over()) {
+			j.Times[at] = &Time{}
+		}
+	}
+	if j.State.Over() {
+		j.Times, j.Spec = nil, Spec{Repeats: j.Spec.Repeats}
+	}
+}
+
+func (s *Store) save(j *Job, c Command) Outcome {
+	task, step := j.Task(c.Task)
+	if task == nil || task.Done {
+		return Rejected
+	}
+	for _, run := range task.Runs {
+		if run.Attempt == c.Attempt {
+			task.keep(step, j.Spec.Steps[c.Task.Step], c.Saved)
+			return Applied
+		}
+	}
+	return Rejected
+}
+
+func (s *Store) cancel(j *Job, c Command) Outcome {
+	if j.State.Over() {
+		return Known
+	}
+	s.enter(j, Canceled, c.AtMs)
+	j.trim()
+	return Applied
+}
+
+func (s *Store) forget(j *Job) Outcome {
+	if !j.State.Over() || j.Live > 0 {
+		return Rejected
+	}
+	delete(s.Jobs, j.ID)
+	return Applied
+}
--- /dev/null
+++ b/internal/opconfig/config.go
@@ -0,0 +1,147 @@
+// Package opconfig is the operator's configuration: its form, its checks, the routes that it
+// names, and the replicated register that holds the newest one.
+package opconfig
+
+import (
+	"bytes"
+	_ "embed"
+	"encoding/json"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/santhosh-tekuri/jsonschema/v6"
+)
+
+// Route is a queue: where clients hand jobs in, and which service's runners run them.
+type Route struct {
+	Name       string  `json:"name"`
+	Host       string  `json:"host"`
+	PathPrefix string  `json:"path_prefix"`
+	TimeoutMs  int64   `json:"timeout_ms"`
+	TargetMs   float64 `json:"target_ms"`
+	Priority   int     `json:"priority"`
+	Backend    string  `json:"backend"`
+	Retries    int     `json:"retries"`
+	Extension  float64 `json:"extension"`
+}
+
+// Queue names the route by what clients see of it.
+func (r *Route) Queue() string { return r.Host + r.PathPrefix }
+
+// Service is a set of runners.
+type Service struct {
+	Name   string `json:"name"`
+	Guards bool   `json:"guards"` // its runners reject what does not fit
+}
+
+// Limits are bounds on clients' requests.
+type Limits struct {
+	MaxHeaderBytes  int   `json:"max_header_bytes"`
+	MaxBodyBytes    int64 `json:"max_body_bytes"`
+	HeaderTimeoutMs int64 `json:"header_timeout_ms"`
+	IdleTimeoutMs   int64 `json:"idle_timeout_ms"`
+}
+
+// Config is one configuration. It is not changed once it is parsed.
+type Config struct {
+	Version  int64     `json:"version"`
+	Routes   []Route   `json:"routes"`
+	Services []Service `json:"services"`
+	Limits   Limits    `json:"limits"`
+
+	byQueue map[string]*Route
+}
+
+//go:embed schema.json
+var schemaText []byte
+
+var schema = mustCompile()
+
+func mustCompile() *jsonschema.Schema {
+	document, err := jsonschema.UnmarshalJSON(bytes.NewReader(schemaText))
+	if err != nil {
+		panic(err)
+	}
+	compiler := jsonschema.NewCompiler()
+	if err := compiler.AddResource("config.json", document); err != nil {
+		panic(err)
+	}
+	return compiler.MustCompile("config.json")
+}
+
+// ErrInvalid marks every error of Parse.
+var ErrInvalid = errors.New("the configuration is invalid: correct it and send it again")
+
+// Parse reads a configuration and checks it.
+func Parse(content []byte) (*Config, error) {
+	document, err := jsonschema.UnmarshalJSON(bytes.NewReader(content))
+	if err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "not whole JSON"), ErrInvalid)
+	}
+	if err := schema.Validate(document); err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "not of the form that the schema gives"), ErrInvalid)
+	}
+	return Read(content)
+}
+
+// Read reads a configuration that was checked before.
+func Read(content []byte) (*Config, error) {
+	c := &Config{}
+	if err := json.Unmarshal(content, c); err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "not whole JSON"), ErrInvalid)
+	}
+	if err := c.index(); err != nil {
+		return nil, errors.Mark(err, ErrInvalid)
+	}
+	return c, nil
+}
+
+func (c *Config) index() error {
+	services := map[string]bool{}
+	for _, service := range c.Services {
+		if services[service.Name] {
+			return errors.Newf("service %q stands twice: keep one", service.Name)
+		}
+		services[service.Name] = true
+	}
+	c.byQueue = map[string]*Route{}
+	for at := range c.Routes {
+		route := &c.Routes[at]
+		if !services[route.Backend] {
+			return errors.Newf("route %q names the unknown service %q: add the service, or name another", route.Name, route.Backend)
+		}
+		if c.byQueue[route.Queue()] != nil {
+			return errors.Newf("two routes have host %q and prefix %q: change or remove one", route.Host, route.PathPrefix)
+		}
+		c.byQueue[route.Queue()] = route
+	}
+	return nil
+}
+
+// Route returns the route of a queue.
+func (c *Config) Route(queue string) (*Route, bool) {
+	route, ok := c.byQueue[queue]
+	return route, ok
+}
+
+// Match finds the route of that host with the longest prefix of the path.
+func (c *Config) Match(host, path string) (*Route, bool) {
+	for end := len(path); end > 0; {
+		if route, ok := c.byQueue[host+path[:end]]; ok {
+			return route, true
+		}
+		end = strings.LastIndexByte(path[:end-1], '/') + 1
+	}
+	return c.matchAny(host, path)
+}
+
+// matchAny looks at prefixes that do not end with a slash.
+func (c *Config) matchAny(host, path string) (best *Route, ok bool) {
+	for at := range c.Routes {
+		route := &c.Routes[at]
+		if route.Host == host && strings.HasPrefix(path, route.PathPrefix) && (best == nil || len(route.PathPrefix) > len(best.PathPrefix)) {
+			best = route
+		}
+	}
+	return best, best != nil
+}
--- /dev/null
+++ b/internal/placement/placement.go
@@ -0,0 +1,125 @@
+// Package placement finds the runner for a task: it filters by labels, capacity and budget
+// and takes the roomiest that is left, near the task's data where it can. It does no I/O.
+package placement
+
+import (
+	"slices"
+
+	"basaltloft/internal/job"
+)
+
+// Candidate is a runner that takes work now, as the scheduler sees it at this moment.
+type Candidate struct {
+	Key      int // the caller's name for it
+	Service  string
+	Labels   []string
+	Capacity job.Resources
+	Free     job.Resources
+	Room     float64 // of its budget, in cost
+	Idle     bool
+	Reserved bool    // kept for work that has waited long
+	Pace     float64 // its run times beside the others'; 1 is usual
+	Doubtful bool    // it fails more than the others do
+}
+
+// Ask is what a task wants.
+type Ask struct {
+	Service     string
+	Need        job.Resources
+	Cost        float64
+	Constraints []string
+	Rack        string // label of the rack where its data lies; empty: no matter
+	NearOnly    bool   // it rather waits than run far from its data
+	Excluded    func(key int) bool
+}
+
+// Result says why no runner was found.
+type Result uint8
+
+// Results.
+const (
+	Found      Result = iota
+	NoBudget          // some runner has the capacity free, and no budget for it
+	NoCapacity        // no suitable runner has the capacity free
+	Unsuitable        // no runner suits at all, whatever is free
+)
+
+// suits tells whether a runner could ever take the task.
+func suits(ask *Ask, c *Candidate) bool {
+	if ask.Service != c.Service || !ask.Need.Fits(c.Capacity) {
+		return false
+	}
+	for _, label := range ask.Constraints {
+		if !slices.Contains(c.Labels, label) {
+			return false
+		}
+	}
+	return true
+}
+
+func near(ask *Ask, c *Candidate) bool {
+	return ask.Rack == "" || slices.Contains(c.Labels, ask.Rack)
+}
+
+// Choose returns the place of the best candidate.
+func Choose(ask *Ask, candidates []Candidate) (best int, result Result) {
+	best, result = -1, Unsuitable
+	for at := range candidates {
+		c := &candidates[at]
+		if !suits(ask, c) || ask.Excluded != nil && ask.Excluded(c.Key) {
+			continue
+		}
+		result = better(result, NoCapacity)
+		if c.Reserved || !ask.Need.Fits(c.Free) || ask.NearOnly && !near(ask, c) {
+			continue
+		}
+		if !c.Idle && c.Room < ask.Cost {
+			result = better(result, NoBudget)
+			continue
+		}
+		if best < 0 || prefers(ask, c, &candidates[best]) {
+			best = at
+		}
+	}
+	if best >= 0 {
+		return best, Found
+	}
+	return -1, result
+}
+
+// better keeps the reason that says most.
+func better(a, b Result) Result { return min(a, b) }
+
+// prefers tells whether a is to be taken rather than b: a sound one, near the data, usual in
+// its pace, and then the roomiest.
+func prefers(ask *Ask, a, b *Candidate) bool {
+	switch {
+	case a.Doubtful != b.Doubtful:
+		return b.Doubtful
+	case near(ask, a) != near(ask, b):
+		return near(ask, a)
+	case slow(a) != slow(b):
+		return slow(b)
+	}
+	return roomier(a, b)
+}
+
+// slowBeyond is the pace from which on a runner is taken last.
+const slowBeyond = 1.6
+
+func slow(c *Candidate) bool { return c.Pace > slowBeyond }
+
+// roomier compares what is left of the budgets, and of the capacities where these are alike.
+func roomier(a, b *Candidate) bool {
+	if a.Room != b.Room {
+		return a.Room > b.Room
+	}
+	return a.Free.CPU > b.Free.CPU
+}
+
+// Take notes at a candidate that a task goes there.
+func (c *Candidate) Take(ask *Ask) {
+	c.Free = c.Free.Minus(ask.Need)
+	c.Room -= ask.Cost
+	c.Idle = false
+}
--- /dev/null
+++ b/internal/protocol/protocol.go
@@ -0,0 +1,144 @@
+// Package protocol has the messages between the processes of the system, and the map from
+// services to shards. They travel by package rpc, encoded by encoding/gob.
+package protocol
+
+import (
+	"hash/fnv"
+	"strconv"
+
+	"basaltloft/coord/replica"
+	"basaltloft/coord/rpc"
+	"basaltloft/internal/job"
+	"basaltloft/internal/opconfig"
+)
+
+// ConfigGroup is the group that holds the configuration.
+const ConfigGroup = "config"
+
+// Shards is how many shards the jobs are spread over, by a hash of their service's name.
+const Shards = 4
+
+// ShardGroup returns the group of a shard.
+func ShardGroup(shard int) string { return "jobs-" + strconv.Itoa(shard) }
+
+// ShardOf returns the shard of a service.
+func ShardOf(service string) int {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(service))
+	sum := hash.Sum64()
+	return int((sum ^ sum>>32) % Shards)
+}
+
+// Status is how a request of a client fared, in the numbers of HTTP.
+type Status int
+
+// Submit hands a job in.
+type Submit struct {
+	Shard   int
+	Queue   string
+	ID      string
+	Body    []byte
+	Version int64 // of the configuration that Route is of
+	Route   opconfig.Route
+}
+
+// Verb says what a client asks of a job.
+type Verb uint8
+
+// Verbs.
+const (
+	AskState Verb = iota + 1
+	CancelJob
+	CountPending
+)
+
+// Ask asks for a job's state or its cancelling, or for a queue's count.
+type Ask struct {
+	Verb  Verb
+	Shard int
+	Queue string
+	ID    string
+}
+
+// Answer is the owner's answer to a Submit or an Ask.
+type Answer struct {
+	Status       Status // 0: this process does not own the shard, and nothing was done
+	State        job.State
+	Pending      int
+	RetryAfterMs int64
+	Owner        string // where Status is 0: who may own it
+	Reason       string
+	Unknown      bool // it may have been done: ask again under the same ID
+}
+
+// Feed asks for the configuration from a version on, and renews the asking dispatcher's lease.
+type Feed struct {
+	Node   string
+	Have   int64
+	WaitMs int64
+}
+
+// FeedAnswer is what the owner of the configuration answers.
+type FeedAnswer struct {
+	Leads    bool // the answering process owned the configuration when it answered
+	Leader   string
+	Version  int64
+	Content  []byte              // empty where Have is the newest
+	Backends map[string][]string // queues that were sent to more than one service
+	Cores    []string
+	Owners   []string // by shard; empty: not known
+}
+
+// Operate passes an operator's call on to the owner of the configuration.
+type Operate struct {
+	Replace bool // else: read
+	Base    int64
+	Content []byte
+}
+
+// OperateAnswer is the owner's answer.
+type OperateAnswer struct {
+	Status  Status // 0: this process does not own the configuration
+	Leader  string
+	Content []byte
+	Reason  string
+}
+
+// Hello introduces a core process before the groups are formed.
+type Hello struct{ Member replica.Member }
+
+// HelloAnswer introduces the other one; Founding is the first membership, once it is decided.
+type HelloAnswer struct {
+	Member   replica.Member
+	Founding *replica.Membership
+}
+
+// Join asks for a place in a group.
+type Join struct {
+	Group   string
+	Member  replica.Member
+	Relayed bool
+}
+
+// Runners is the platform's list as its reader got it.
+type Runners struct {
+	Epoch    uint64 // of the reader
+	Sequence uint64
+	List     []Runner
+}
+
+// Runner is an entry of the platform's list.
+type Runner struct {
+	ID          string
+	Service     string
+	Address     string
+	Labels      []string
+	Capacity    job.Resources
+	Draining    bool
+	RemainingMs int64
+}
+
+func init() {
+	rpc.Register(replica.Message{}, Submit{}, Ask{}, Answer{}, Feed{}, FeedAnswer{}, Operate{}, OperateAnswer{},
+		Hello{}, HelloAnswer{}, Join{}, Runners{})
+}
--- /dev/null
+++ b/internal/scheduler/hold.go
@@ -0,0 +1,255 @@
+package scheduler
+
+import (
+	"time"
+
+	"basaltloft/internal/job"
+)
+
+const (
+	holdWaitMs   = 700                    // how long a runner may wait for an end
+	holdRetry    = 150 * time.Millisecond // pause after a hold without an answer
+	holdRetryMax = 900 * time.Millisecond
+	commitWait   = time.Second // a hold is renewed at the latest so long after the last answer
+	mostListed   = 500         // ends that one answer lists at the most
+)
+
+// holdIfDue sends a hold where none is out.
+func (o *Owner) holdIfDue(s *session) {
+	if s.holdOut || s.over || o.now < s.holdAt || !s.listed && len(s.runs) == 0 && s.fenced {
+		return
+	}
+	order := Order{Kind: OrderHold, Runner: s.id, Address: s.address, LastSeen: s.lastSeen}
+	if s.fenced {
+		order.DeadlineMs = s.clockNow(o.now) + o.bounds.HoldMax.Milliseconds() - holdMargin
+		order.WaitMs = holdWaitMs
+		s.extend(order.DeadlineMs)
+	}
+	s.holdOut = true
+	o.order(order)
+}
+
+// ListedRun is a run that a runner says it has.
+type ListedRun struct {
+	Task    job.TaskRef
+	Attempt int
+	Saved   string
+	Percent int
+}
+
+// ListedEnd is an end that a runner lists.
+type ListedEnd struct {
+	Number  uint64
+	Task    job.TaskRef
+	Attempt int
+	How     job.How
+	Saved   string
+}
+
+// Look is a runner's answer to a hold.
+type Look struct {
+	ClockMs     int64
+	Running     []ListedRun
+	Finished    []ListedEnd
+	RemainingMs int64 // of a runner that drains; 0: not told
+}
+
+// HoldReply is how a runner answered a hold.
+type HoldReply uint8
+
+// Replies to holds.
+const (
+	HoldTaken    HoldReply = iota + 1
+	HoldOtherOne           // 421
+	HoldFenced             // 409: a newer owner is there
+	HoldUnknown            // no answer
+)
+
+// HoldAnswered takes in the answer to a hold.
+func (o *Owner) HoldAnswered(now time.Duration, order Order, reply HoldReply, look Look) {
+	o.now = now
+	s := o.sessions[order.Runner]
+	if s == nil {
+		return
+	}
+	s.holdOut = false
+	switch reply {
+	case HoldOtherOne:
+		o.lifeOver(s)
+		return
+	case HoldFenced:
+		s.holdAt = now + holdRetryMax
+		return
+	case HoldUnknown:
+		s.failures++
+		s.holdAt = now + min(holdRetryMax, time.Duration(s.failures)*holdRetry)
+		return
+	}
+	o.takeLook(s, look)
+}
+
+func (o *Owner) takeLook(s *session, look Look) {
+	first := !s.fenced
+	s.fenced = true
+	s.heard(o.now, look.ClockMs)
+	if look.RemainingMs > 0 {
+		s.draining = true
+		s.leavesAt = o.now + time.Duration(look.RemainingMs)*time.Millisecond
+	}
+	named := map[runKey]bool{}
+	o.takeEnds(s, look, named)
+	for _, listed := range look.Running {
+		o.takeRunning(s, listed, named)
+	}
+	if len(look.Finished) < mostListed {
+		o.findAbsent(s, look.ClockMs, named)
+	}
+	if first {
+		o.dirty = true
+	}
+	o.holdIfDue(s)
+}
+
+// takeEnds proposes the ends that are new. Until they are committed the runner is not told
+// that they were seen, and the next hold waits for that.
+func (o *Owner) takeEnds(s *session, look Look, named map[runKey]bool) {
+	s.holdAt = o.now
+	for _, end := range look.Finished {
+		key := runKey{task: end.Task, attempt: end.Attempt}
+		named[key] = true
+		if end.Number <= s.taken {
+			continue
+		}
+		s.taken = end.Number
+		if r := s.runs[key]; r != nil {
+			r.ending = true
+		}
+		o.propose(job.Command{Kind: job.End, Task: end.Task, Attempt: end.Attempt, Runner: s.id, How: end.How, Saved: end.Saved})
+	}
+	if s.taken > s.lastSeen {
+		o.notes[o.batch] = append(o.notes[o.batch], endNote{session: s, upTo: s.taken})
+		s.holdAt = o.now + commitWait
+	}
+}
+
+func (o *Owner) takeRunning(s *session, listed ListedRun, named map[runKey]bool) {
+	key := runKey{task: listed.Task, attempt: listed.Attempt}
+	named[key] = true
+	r := s.runs[key]
+	if r == nil {
+		o.order(Order{Kind: OrderStop, Runner: s.id, Address: s.address, Task: listed.Task, Attempt: listed.Attempt})
+		return
+	}
+	if r.phase != confirmed {
+		r.phase, r.startedClock = confirmed, s.clock
+	}
+	if listed.Percent != r.percent || r.percentAt == 0 {
+		r.percent, r.percentAt = listed.Percent, o.now
+	}
+	if listed.Saved != "" && listed.Saved != r.saved && !r.ending {
+		r.saved = listed.Saved
+		o.propose(job.Command{Kind: job.Save, Task: r.task, Attempt: r.attempt, Saved: listed.Saved})
+	}
+}
+
+// findAbsent ends the runs that a look proves to be over: they are in neither list, and
+// could not begin after it.
+func (o *Owner) findAbsent(s *session, clock int64, named map[runKey]bool) {
+	for _, r := range s.sortedRuns() {
+		if named[r.runKey] || r.ending {
+			continue
+		}
+		if r.provenAbsent(clock) {
+			o.endRun(s, r, job.Lost, "")
+		}
+	}
+}
+
+// provenAbsent tells whether a run that is in neither list of a look at that time of the
+// runner's clock is over for good.
+func (r *run) provenAbsent(clock int64) bool {
+	switch r.phase {
+	case inherited:
+		return true // the look carried this owner's token: the earlier owner's orders are shut out
+	case confirmed:
+		return clock > r.startedClock
+	case ordered:
+		return clock > r.orderDeadline || r.stopClock > 0 && clock > r.stopClock
+	}
+	return false
+}
+
+// tickEvery is the least pause between two looks over all runners.
+const tickEvery = 40 * time.Millisecond
+
+// Tick lets time pass. wallMs is the time of day, from 1970.
+func (o *Owner) Tick(now time.Duration, wallMs int64) {
+	o.now, o.wallMs = now, wallMs
+	if now < o.tickedAt+tickEvery {
+		return
+	}
+	o.tickedAt = now
+	for _, s := range o.ordered {
+		o.tickSession(s)
+	}
+	o.dropSessions()
+	o.tickRepeats()
+	o.forgetOld()
+	if now > o.passAt+passEvery {
+		o.dirty = true
+	}
+}
+
+func (o *Owner) tickSession(s *session) {
+	if s.over {
+		return
+	}
+	if o.now > s.overAt && o.now-s.heardAt > contactWithin && len(s.runs) > 0 {
+		o.endAll(s)
+	}
+	o.holdIfDue(s)
+	for _, r := range s.runs {
+		if r.stopWanted {
+			o.sendStop(s, r)
+		}
+	}
+	o.rescue(s)
+}
+
+// dropSessions forgets runners that are gone and have nothing left.
+func (o *Owner) dropSessions() {
+	kept := o.ordered[:0]
+	for _, s := range o.ordered {
+		gone := s.over || !s.listed && o.now-s.heardAt > 2*contactWithin
+		if gone && len(s.runs) == 0 && !s.holdOut {
+			delete(o.sessions, s.id)
+			continue
+		}
+		kept = append(kept, s)
+	}
+	clear(o.ordered[len(kept):])
+	o.ordered = kept
+}
+
+// tickRepeats proposes the times that fall due.
+func (o *Owner) tickRepeats() {
+	for _, id := range sortedKeys(o.repeats) {
+		j := o.repeats[id]
+		for time := len(j.Times); time < j.Spec.Times() && j.Spec.DueMs(time) <= o.wallMs; time++ {
+			o.propose(job.Command{Kind: job.Due, Task: job.TaskRef{Job: id, Time: time}})
+		}
+		if len(j.Times) >= j.Spec.Times() {
+			delete(o.repeats, id)
+		}
+	}
+}
+
+// forgetOld proposes to forget jobs that have been over for long enough.
+func (o *Owner) forgetOld() {
+	const margin = 30_000
+	for len(o.endings) > 0 && o.endings[0].atMs+o.bounds.Status.Milliseconds()+margin < o.wallMs {
+		o.propose(job.Command{Kind: job.Forget, Task: job.TaskRef{Job: o.endings[0].id}})
+		delete(o.ended, o.endings[0].id)
+		o.endings = o.endings[1:]
+	}
+}
--- /dev/null
+++ b/internal/scheduler/pass.go
@@ -0,0 +1,379 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"sort"
+	"time"
+
+	"basaltloft/internal/admission"
+	"basaltloft/internal/job"
+	"basaltloft/internal/placement"
+)
+
+// bundleKey names the tasks of one step of one time of a job.
+type bundleKey struct {
+	job  string
+	time int
+	step int
+}
+
+func keyOf(ref job.TaskRef) bundleKey { return bundleKey{job: ref.Job, time: ref.Time, step: ref.Step} }
+
+// bundle is what is to start of one step: tasks that are alike.
+type bundle struct {
+	key     bundleKey
+	job     *job.Job
+	step    *job.Step
+	pending []int        // tasks to be started, by index
+	waiting map[int]bool // tasks whose start waits for its commitment
+	readyAt time.Duration
+	seq     uint64
+	avoid   map[string]bool // runners at which a task of it failed
+	rank    admission.Rank
+	expects float64
+}
+
+// passEvery is how often ready work is looked at though nothing happened.
+const passEvery = 200 * time.Millisecond
+
+// agingMultiple: shorter work may not pass a task that has waited so many times what it is
+// expected to run.
+const agingMultiple = 2.0
+
+// weight is the size of resources in cores. One accelerator counts as eight cores.
+func weight(r job.Resources) float64 {
+	const coresPerGPU, coresPerMB = 8, 1.0 / 2048
+	return max(float64(r.CPU)/1000, float64(r.MemMB)*coresPerMB) + float64(r.GPU)*coresPerGPU
+}
+
+// cost is what a task is expected to take of a runner, in core-seconds.
+func cost(seconds float64, need job.Resources) float64 { return seconds * max(0.1, weight(need)) }
+
+func (o *Owner) typeOf(j *job.Job, step int) admission.Type {
+	return admission.Type{Queue: j.Queue, Step: step}
+}
+
+// expected returns the run time to expect of a step's task, in seconds.
+func (o *Owner) expected(j *job.Job, step int) float64 {
+	return o.costs.Expect(o.typeOf(j, step), float64(j.Spec.Steps[step].EstimateMs)/1000)
+}
+
+// openTime makes bundles of the steps of a time that are ready and not complete.
+func (o *Owner) openTime(j *job.Job, time int) {
+	if time >= len(j.Times) || j.Times[time] == nil {
+		return
+	}
+	state := j.Times[time]
+	for step := range state.Steps {
+		key := bundleKey{job: j.ID, time: time, step: step}
+		if o.bundles[key] != nil || state.Steps[step].Complete() || !j.Ready(state, step) {
+			continue
+		}
+		o.sequence++
+		o.byJob[j.ID] = append(o.byJob[j.ID], key)
+		o.bundles[key] = &bundle{key: key, job: j, step: &j.Spec.Steps[step], waiting: map[int]bool{}, avoid: map[string]bool{}, readyAt: o.now, seq: o.sequence}
+		o.refill(j, job.TaskRef{Job: j.ID, Time: time, Step: step})
+	}
+}
+
+// refill finds anew which tasks of a step are to be started.
+func (o *Owner) refill(j *job.Job, ref job.TaskRef) {
+	b := o.bundles[keyOf(ref)]
+	if b == nil || j == nil {
+		return
+	}
+	delete(b.waiting, ref.Index)
+	o.dirty = true
+	b.pending = b.pending[:0]
+	step := &j.Times[ref.Time].Steps[ref.Step]
+	for index := range step.Tasks {
+		task := &step.Tasks[index]
+		if !task.Done && len(task.Runs) == 0 && !b.waiting[index] {
+			b.pending = append(b.pending, index)
+		}
+	}
+	if b.step.Gang && len(b.pending) < len(step.Tasks) {
+		b.pending = b.pending[:0]
+	}
+}
+
+// pass starts what fits, in the aged order. Work at the head that fits no budget holds up
+// the rest while some runner has the capacity for it; work for which none has is passed by,
+// and once it has aged a runner is kept for it.
+func (o *Owner) pass() {
+	o.passAt = o.now
+	ready := o.readyBundles()
+	if len(ready) == 0 {
+		return
+	}
+	candidates, sessions := o.candidates()
+	for _, b := range ready {
+		result := o.place(b, candidates, sessions)
+		if len(b.pending) == 0 {
+			continue
+		}
+		if result == placement.NoBudget {
+			o.holdBack(b, candidates, sessions)
+			return
+		}
+		if result == placement.NoCapacity && b.rank.Aged {
+			reserve(o.ask(b, 0), candidates)
+		}
+	}
+}
+
+func (o *Owner) readyBundles() []*bundle {
+	var ready []*bundle
+	for _, b := range o.bundles {
+		if len(b.pending) == 0 {
+			continue
+		}
+		b.expects = o.expected(b.job, b.key.step)
+		agedAt := b.readyAt + time.Duration(agingMultiple*b.expects*float64(time.Second))
+		b.rank = admission.Rank{Aged: o.now >= agedAt, AgedAt: agedAt, Cost: b.expects, Seq: b.seq}
+		ready = append(ready, b)
+	}
+	slices.SortFunc(ready, func(a, b *bundle) int {
+		return cmp.Or(cmp.Compare(a.job.Priority, b.job.Priority), admission.Compare(a.rank, b.rank))
+	})
+	return ready
+}
+
+// candidates are the runners that take work now.
+func (o *Owner) candidates() ([]placement.Candidate, []*session) {
+	var candidates []placement.Candidate
+	var sessions []*session
+	for _, s := range o.ordered {
+		if !s.listed || s.draining || !s.inTouch(o.now) {
+			continue
+		}
+		doubtful := s.doubtful()
+		candidates = append(candidates, placement.Candidate{
+			Key: len(sessions), Service: s.service, Labels: s.labels, Capacity: s.capacity, Free: s.capacity.Minus(s.used),
+			Room: s.budget.Room(s.out, &o.means), Idle: len(s.runs) == 0, Pace: s.paceNow(),
+			Doubtful: doubtful, Reserved: doubtful && (len(s.runs) > 0 || o.now < s.trialAt),
+		})
+		sessions = append(sessions, s)
+	}
+	return candidates, sessions
+}
+
+func (o *Owner) ask(b *bundle, index int) *placement.Ask {
+	return &placement.Ask{
+		Service: b.job.Service,
+		Need:    b.step.Resources, Cost: cost(b.expects, b.step.Resources), Constraints: b.step.Constraints, Rack: b.step.Affinity,
+		NearOnly: b.step.Affinity != "" && (o.now-b.readyAt).Seconds() < nearPatience*(o.bounds.FarX-1)*b.expects,
+	}
+}
+
+// nearPatience is the part of the time lost by running far that is waited for a near place.
+const nearPatience = 0.5
+
+// place starts as much of a bundle as fits.
+func (o *Owner) place(b *bundle, candidates []placement.Candidate, sessions []*session) placement.Result {
+	if b.step.Gang {
+		return o.placeGang(b, candidates, sessions)
+	}
+	for len(b.pending) > 0 {
+		index := b.pending[0]
+		at, result := o.choose(b, index, candidates, sessions)
+		if result != placement.Found {
+			return result
+		}
+		ask := o.ask(b, index)
+		candidates[at].Take(ask)
+		o.start(b, index, o.nextAttempt(b, index), sessions[candidates[at].Key], ask)
+		b.pending = b.pending[1:]
+	}
+	return placement.Found
+}
+
+// choose finds the runner for one task, one at which none of its step failed where it can.
+func (o *Owner) choose(b *bundle, index int, candidates []placement.Candidate, sessions []*session) (int, placement.Result) {
+	ask := o.ask(b, index)
+	apart := o.tooMany(b, sessions)
+	ask.Excluded = func(key int) bool { return b.avoid[sessions[key].id] || apart(key) }
+	at, result := placement.Choose(ask, candidates)
+	if result != placement.Found && len(b.avoid) > 0 {
+		ask.Excluded = apart
+		at, result = placement.Choose(ask, candidates)
+	}
+	return at, result
+}
+
+// tooMany tells which runners have as many tasks of a step as one may take.
+func (o *Owner) tooMany(b *bundle, sessions []*session) func(key int) bool {
+	if b.step.AntiAffinity == 0 {
+		return func(int) bool { return false }
+	}
+	return func(key int) bool {
+		n := 0
+		for other := range sessions[key].runs {
+			if keyOf(other.task) == b.key {
+				n++
+			}
+		}
+		return n >= b.step.AntiAffinity
+	}
+}
+
+func (o *Owner) nextAttempt(b *bundle, index int) int {
+	step := &b.job.Times[b.key.time].Steps[b.key.step]
+	if !b.step.Gang {
+		return step.Tasks[index].Attempt + 1
+	}
+	highest := 0
+	for _, task := range step.Tasks {
+		highest = max(highest, task.Attempt)
+	}
+	return highest + 1
+}
+
+// start proposes a start and keeps its place at the runner.
+func (o *Owner) start(b *bundle, index, attempt int, s *session, ask *placement.Ask) {
+	ref := job.TaskRef{Job: b.key.job, Time: b.key.time, Step: b.key.step, Index: index}
+	r := &run{runKey: runKey{task: ref, attempt: attempt}, need: ask.Need, cost: ask.Cost, expected: b.expects, sentAt: o.now}
+	if ask.Rack != "" && !slices.Contains(s.labels, ask.Rack) {
+		r.expected *= o.bounds.FarX
+	}
+	if s.doubtful() {
+		s.trials++
+		s.trialAt = o.now + min(trialMax, trialFirst<<min(s.trials, 4))
+	}
+	s.add(r)
+	b.waiting[index] = true
+	o.means.Add(ask.Cost)
+	o.propose(job.Command{Kind: job.Start, Task: ref, Attempt: attempt, Runner: s.id, Address: s.address})
+}
+
+// Trials of a runner that fails most of what it runs.
+const (
+	trialFirst = 400 * time.Millisecond
+	trialMax   = 4 * time.Second
+)
+
+// placeGang starts all tasks of a step or none.
+func (o *Owner) placeGang(b *bundle, candidates []placement.Candidate, sessions []*session) placement.Result {
+	if b.step.SameRack {
+		if places := o.gangOnOneRack(b, candidates, sessions); places != nil {
+			o.startGang(b, places, candidates, sessions)
+			return placement.Found
+		}
+		if (o.now - b.readyAt).Seconds() < nearPatience*(o.bounds.FarX-1)*b.expects {
+			return placement.NoCapacity
+		}
+	}
+	places, result := o.gangPlaces(b, slices.Clone(candidates), sessions)
+	if result != placement.Found {
+		return result
+	}
+	o.startGang(b, places, candidates, sessions)
+	return placement.Found
+}
+
+// gangPlaces finds a runner for each task, on a copy of the candidates.
+func (o *Owner) gangPlaces(b *bundle, copies []placement.Candidate, sessions []*session) ([]int, placement.Result) {
+	places := make([]int, 0, len(b.pending))
+	taken := map[int]int{}
+	apart := o.tooMany(b, sessions)
+	for range b.pending {
+		ask := o.ask(b, 0)
+		ask.Excluded = func(key int) bool {
+			return apart(key) || b.step.AntiAffinity > 0 && taken[key] >= b.step.AntiAffinity
+		}
+		at, result := placement.Choose(ask, copies)
+		if result != placement.Found {
+			return nil, result
+		}
+		copies[at].Take(ask)
+		taken[copies[at].Key]++
+		places = append(places, at)
+	}
+	return places, placement.Found
+}
+
+// gangOnOneRack finds the rack with the most room that takes all tasks.
+func (o *Owner) gangOnOneRack(b *bundle, candidates []placement.Candidate, sessions []*session) []int {
+	racks := map[string][]int{}
+	for at := range candidates {
+		rack := sessions[candidates[at].Key].rack()
+		racks[rack] = append(racks[rack], at)
+	}
+	var best []int
+	bestRoom := 0.0
+	for _, rack := range sortedKeys(racks) {
+		room := 0.0
+		copies := make([]placement.Candidate, 0, len(racks[rack]))
+		for _, at := range racks[rack] {
+			copies = append(copies, candidates[at])
+			room += candidates[at].Room
+		}
+		places, result := o.gangPlaces(b, copies, sessions)
+		if result != placement.Found || best != nil && room <= bestRoom {
+			continue
+		}
+		bestRoom = room
+		best = best[:0]
+		for _, place := range places {
+			best = append(best, racks[rack][place])
+		}
+	}
+	return best
+}
+
+func (o *Owner) startGang(b *bundle, places []int, candidates []placement.Candidate, sessions []*session) {
+	attempt := o.nextAttempt(b, 0)
+	for i, at := range places {
+		ask := o.ask(b, 0)
+		candidates[at].Take(ask)
+		o.start(b, b.pending[i], attempt, sessions[candidates[at].Key], ask)
+	}
+	b.pending = b.pending[:0]
+}
+
+// holdBack notes which budgets keep the head of the queue from leaving, so that they grow
+// with the next run that ends well.
+func (o *Owner) holdBack(b *bundle, candidates []placement.Candidate, sessions []*session) {
+	need := b.step.Resources
+	for at := range candidates {
+		if candidates[at].Service == b.job.Service && need.Fits(candidates[at].Free) {
+			sessions[candidates[at].Key].budget.HeldBack()
+		}
+	}
+}
+
+// reserve keeps the suitable runner with the most free capacity for work that has aged.
+func reserve(ask *placement.Ask, candidates []placement.Candidate) {
+	best := -1
+	for at := range candidates {
+		c := &candidates[at]
+		if c.Reserved || c.Service != ask.Service || !ask.Need.Fits(c.Capacity) || !hasAll(c.Labels, ask.Constraints) {
+			continue
+		}
+		if best < 0 || c.Free.CPU > candidates[best].Free.CPU {
+			best = at
+		}
+	}
+	if best >= 0 {
+		candidates[best].Reserved = true
+	}
+}
+
+func hasAll(labels, wanted []string) bool {
+	for _, label := range wanted {
+		if !slices.Contains(labels, label) {
+			return false
+		}
+	}
+	return true
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for key := range m {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	return keys
+}
--- /dev/null
+++ b/internal/scheduler/runs.go
@@ -0,0 +1,242 @@
+package scheduler
+
+import (
+	"time"
+
+	"basaltloft/internal/job"
+)
+
+// startApplied sends the order whose command was committed, or gives its place back.
+func (o *Owner) startApplied(c job.Command, outcome job.Outcome) {
+	key := runKey{task: c.Task, attempt: c.Attempt}
+	s := o.sessions[c.Runner]
+	if s == nil || s.runs[key] == nil {
+		return
+	}
+	r := s.runs[key]
+	j := o.store.Jobs[c.Task.Job]
+	if outcome != job.Applied {
+		s.remove(key)
+		o.refill(j, c.Task)
+		return
+	}
+	r.phase = ordered
+	if r.stopWanted || s.over || j.State.Over() {
+		o.endRun(s, r, job.Refused, "") // its order never left
+		return
+	}
+	o.sendStart(j, s, r)
+}
+
+func (o *Owner) sendStart(j *job.Job, s *session, r *run) {
+	_, step := j.Task(r.task)
+	task := &step.Tasks[r.task.Index]
+	saved := task.Saved
+	if j.Spec.Steps[r.task.Step].Gang {
+		saved = step.Saved
+	}
+	r.resumed = saved != ""
+	r.saved = saved
+	r.sentAt = o.now
+	r.orderDeadline = s.clockNow(o.now) + orderLife
+	s.extend(r.orderDeadline)
+	o.order(Order{Kind: OrderStart, Runner: s.id, Address: s.address, Task: r.task, Attempt: r.attempt,
+		Spec: j.Spec.Text, Saved: saved, DeadlineMs: r.orderDeadline})
+}
+
+// StartReply is how a runner answered an order to start.
+type StartReply uint8
+
+// Replies to starts.
+const (
+	StartTaken    StartReply = iota + 1
+	StartNoRoom              // 409 room
+	StartRefused             // 409 otherwise, 400, 429, 503: it does not run and never will
+	StartOtherOne            // 421: another life answered
+	StartUnknown             // no answer
+)
+
+// StartAnswered takes in the answer to an order to start.
+func (o *Owner) StartAnswered(now time.Duration, order Order, reply StartReply, clock int64) {
+	o.now = now
+	s := o.sessions[order.Runner]
+	if s == nil {
+		return
+	}
+	if reply == StartOtherOne {
+		o.lifeOver(s)
+		return
+	}
+	if reply != StartUnknown {
+		s.heard(now, clock)
+	}
+	r := s.runs[runKey{task: order.Task, attempt: order.Attempt}]
+	if r == nil || r.ending {
+		return
+	}
+	switch reply {
+	case StartTaken:
+		r.phase, r.startedClock = confirmed, clock
+	case StartUnknown:
+		s.budget.Shrink(r.sentAt, now, &o.means)
+	default:
+		s.budget.Shrink(r.sentAt, now, &o.means)
+		o.log.Info("a runner refused a start", "runner", s.id, "task", order.Task.String(), "attempt", order.Attempt, "reply", reply)
+		o.endRun(s, r, job.Refused, "")
+	}
+}
+
+// dropIfUseless stops a run that nobody wants any more.
+func (o *Owner) dropIfUseless(j *job.Job, s *session, r *run) {
+	task, _ := j.Task(r.task)
+	if j.State.Over() || task == nil || task.Done {
+		o.wantStop(s, r)
+	}
+}
+
+// wantStop stops a run, now and again until it is known to be over.
+func (o *Owner) wantStop(s *session, r *run) {
+	r.stopWanted = true
+	o.sendStop(s, r)
+}
+
+// stopAgain is the pause before a stop that was not answered is sent again.
+const stopAgain = 400 * time.Millisecond
+
+func (o *Owner) sendStop(s *session, r *run) {
+	if r.phase == proposed || r.ending || r.stopOut || r.stopClock > 0 || s.over || o.now < r.stopAt {
+		return
+	}
+	r.stopOut, r.stopAt = true, o.now+stopAgain
+	o.order(Order{Kind: OrderStop, Runner: s.id, Address: s.address, Task: r.task, Attempt: r.attempt})
+}
+
+// StopAnswered takes in the answer to a stop: a 200, or none that helps.
+func (o *Owner) StopAnswered(now time.Duration, order Order, ok, otherLife bool, clock int64) {
+	o.now = now
+	s := o.sessions[order.Runner]
+	if s == nil {
+		return
+	}
+	if otherLife {
+		o.lifeOver(s)
+		return
+	}
+	r := s.runs[runKey{task: order.Task, attempt: order.Attempt}]
+	if r == nil {
+		return
+	}
+	r.stopOut = false
+	if ok {
+		s.heard(now, clock)
+		r.stopClock = clock
+	}
+}
+
+// endApplied follows up a run that is over.
+func (o *Owner) endApplied(j *job.Job, c job.Command, outcome job.Outcome) {
+	key := runKey{task: c.Task, attempt: c.Attempt}
+	if s := o.sessions[c.Runner]; s != nil {
+		if r := s.remove(key); r != nil {
+			o.learn(j, s, r, c.How)
+		}
+	}
+	if outcome != job.Applied {
+		return
+	}
+	if j.State.Over() {
+		o.jobOver(j)
+		return
+	}
+	if b := o.bundles[keyOf(c.Task)]; b != nil && c.How == job.Failed {
+		b.avoid[c.Runner] = true
+	}
+	o.stopCopies(j, c)
+	o.followStep(j, c)
+}
+
+// stopCopies stops the other runs that the end of one makes useless: of the same task, once
+// it is done, and of the same gang, if it is not.
+func (o *Owner) stopCopies(j *job.Job, c job.Command) {
+	task, step := j.Task(c.Task)
+	if step == nil {
+		return
+	}
+	gang := j.Spec.Steps[c.Task.Step].Gang
+	if gang && c.How != job.Done {
+		for index := range step.Tasks {
+			o.stopRunsOf(c.Task, index, &step.Tasks[index])
+		}
+	}
+	if !gang && task.Done {
+		o.stopRunsOf(c.Task, c.Task.Index, task)
+	}
+}
+
+func (o *Owner) stopRunsOf(ref job.TaskRef, index int, task *job.Task) {
+	ref.Index = index
+	for _, live := range task.Runs {
+		s := o.sessions[live.Runner]
+		if s == nil {
+			continue
+		}
+		if r := s.runs[runKey{task: ref, attempt: live.Attempt}]; r != nil {
+			o.wantStop(s, r)
+		}
+	}
+}
+
+// followStep makes ready what an end allows: the task again, or the steps that waited.
+func (o *Owner) followStep(j *job.Job, c job.Command) {
+	_, step := j.Task(c.Task)
+	if step == nil {
+		return
+	}
+	if !step.Complete() {
+		o.refill(j, c.Task)
+		return
+	}
+	delete(o.bundles, keyOf(c.Task))
+	o.openTime(j, c.Task.Time)
+}
+
+// learn draws from an end what it says of the type's run time and of the runner.
+func (o *Owner) learn(j *job.Job, s *session, r *run, how job.How) {
+	switch how {
+	case job.Done:
+		s.ends.Add(0, endsWindow)
+	case job.Failed:
+		s.ends.Add(1, endsWindow)
+		return
+	default:
+		return
+	}
+	step := &job.Step{}
+	if r.task.Step < len(j.Spec.Steps) {
+		step = &j.Spec.Steps[r.task.Step]
+	}
+	if r.phase != confirmed || r.resumed || r.expected <= 0 {
+		return
+	}
+	took := (o.now - r.sentAt).Seconds()
+	ratio := took / r.expected
+	s.pace.Add(min(ratio, 8), paceWindow)
+	if ratio > slowing {
+		s.budget.Shrink(r.sentAt, o.now, &o.means)
+	} else {
+		s.budget.Grow(r.cost, o.mostBudget(s))
+	}
+	if s.paceNow() < usualPace && len(j.Spec.Steps) > r.task.Step {
+		o.costs.Learn(o.typeOf(j, r.task.Step), float64(step.EstimateMs)/1000, took)
+	}
+}
+
+const (
+	slowing   = 2.0 // a run so many times longer than expected shows a slowing
+	usualPace = 1.6 // runs at a slower runner teach nothing of the type
+)
+
+// mostBudget bounds a runner's budget: its whole capacity, busy for some mean runs.
+func (o *Owner) mostBudget(s *session) float64 {
+	return weight(s.capacity) * 30
+}
