--- a/coord/replica/log.go
+++ b/coord/replica/log.go
@@ -1,5 +1,7 @@
 package replica
 
+import "slices"
+
 // log holds the entries after a snapshot, in memory.
 type log struct {
 	base    Snapshot // Data is empty once it is installed
@@ -39,7 +41,10 @@
 		return
 	}
 	keep := entries[0].Index - l.first
-	l.entries = append(l.entries[:keep:keep], entries...)
+	if keep < uint64(len(l.entries)) { // what was handed out before must stay as it was
+		l.entries = slices.Clip(l.entries[:keep])
+	}
+	l.entries = append(l.entries, entries...)
 	l.stable = min(l.stable, entries[0].Index-1)
 }
 
--- a/coord/replica/step.go
+++ b/coord/replica/step.go
@@ -210,6 +210,10 @@
 	if peer.next <= m.log.last() && peer.next > peer.match+1 && now > peer.sentAt+resendAfter {
 		peer.next = peer.match + 1
 	}
+	if now-max(peer.answeredAt, m.leading) > m.timing.Promise {
+		m.probe(now, id, heartbeat)
+		return
+	}
 	before := peer.next - 1
 	if before != 0 && m.log.term(before) == 0 || peer.next < m.log.first {
 		m.sendSnapshot(now, id, heartbeat)
@@ -226,6 +230,15 @@
 	m.send(Message{Kind: Append, To: id, Index: before, LogTerm: m.log.term(before), Commit: m.commit, Entries: entries, SentAt: now, Addresses: m.introduction(peer)})
 }
 
+// probe sends a member that does not answer heartbeats only: what it lacks is not piled up.
+func (m *Machine) probe(now time.Duration, id string, heartbeat bool) {
+	if !heartbeat {
+		return
+	}
+	peer := m.peers[id]
+	m.send(Message{Kind: Append, To: id, Index: m.commit, LogTerm: m.log.term(m.commit), SentAt: now, Addresses: m.introduction(peer)})
+}
+
 // introduction names the members to one that has never answered.
 func (m *Machine) introduction(peer *progress) []Member {
 	if peer.match > 0 {
--- a/coord/rpc/client.go
+++ b/coord/rpc/client.go
@@ -15,6 +15,9 @@
 // Path is where a server takes connections.
 const Path = "/internal/stream"
 
+// maxCasts bounds the messages without an answer that wait for a peer; more are dropped.
+const maxCasts = 256
+
 // protocol is what the upgrade names.
 const protocol = "basaltloft-gob/1"
 
@@ -91,6 +94,9 @@
 func (c *Client) Cast(body any) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.current == nil && len(c.queued) >= maxCasts || c.current != nil && c.current.waiting() >= maxCasts {
+		return ErrBusy
+	}
 	return c.putLocked(frame{Kind: frameCast, Body: body})
 }
 
--- a/coord/rpc/frame.go
+++ b/coord/rpc/frame.go
@@ -89,6 +89,12 @@
 	return nil
 }
 
+func (s *stream) waiting() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.queue)
+}
+
 func (s *stream) taken() []frame {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -21,7 +21,7 @@
 // Options are what each daemon takes.
 type Options struct {
 	Settings string `long:"settings" value-name:"FILE" description:"settings file (default: what BASALTLOFT_BOOT names)"`
-	Log      string `long:"log" value-name:"LEVEL" choice:"debug" choice:"info" choice:"warn" choice:"error" default:"warn" description:"least level of what is logged"`
+	Log      string `long:"log" value-name:"LEVEL" choice:"debug" choice:"info" choice:"warn" choice:"error" default:"info" description:"least level of what is logged"`
 	Check    bool   `long:"check" description:"check the settings file and exit"`
 }
 
