--- a/coord/replica/log.go
+++ b/coord/replica/log.go
@@ -78,6 +78,9 @@
 }
 
 func (l *log) compact(snapshot Snapshot, keep uint64) {
+	if snapshot.Index <= l.base.Index {
+		return
+	}
 	snapshot.Data = nil
 	l.base = snapshot
 	if snapshot.Index < l.first+keep {
--- a/coord/replica/replica.go
+++ b/coord/replica/replica.go
@@ -127,6 +127,7 @@
 	heardAt     time.Duration // sending time of the last message that it answered
 	answeredAt  time.Duration // when its last answer came
 	sentAt      time.Duration // when entries were last sent
+	snapshotAt  time.Duration // when a snapshot was last sent
 }
 
 // Machine is one replica. Its methods must not be called concurrently.
--- a/coord/replica/step.go
+++ b/coord/replica/step.go
@@ -158,17 +158,17 @@
 	m.role, m.leader, m.votes = Leader, m.id, nil
 	m.lease, m.leading, m.handingOver = 0, now, ""
 	m.peers = map[string]*progress{}
-	m.followMembers()
+	m.followMembers(now)
 	m.firstOwn = m.lead(now, Entry{Kind: EntryNoop})
 	m.heartbeatAt = now + m.timing.Heartbeat
 }
 
 // followMembers keeps a progress for each other member.
-func (m *Machine) followMembers() {
+func (m *Machine) followMembers(now time.Duration) {
 	members := m.Members()
 	for _, member := range members.Everyone() {
 		if member.ID != m.id && m.peers[member.ID] == nil {
-			m.peers[member.ID] = &progress{next: m.log.last() + 1}
+			m.peers[member.ID] = &progress{next: m.log.last() + 1, sentAt: now}
 		}
 	}
 	for id := range m.peers {
@@ -183,7 +183,7 @@
 	entry.Index, entry.Term = m.log.last()+1, m.state.Term
 	m.record([]Entry{entry})
 	if entry.Kind == EntryMembership {
-		m.followMembers()
+		m.followMembers(now)
 	}
 	for id := range m.peers {
 		m.replicate(now, id, false)
@@ -250,13 +250,13 @@
 // sendSnapshot asks the driver, by an empty snapshot, to send its newest one.
 func (m *Machine) sendSnapshot(now time.Duration, id string, heartbeat bool) {
 	peer := m.peers[id]
-	if peer.sentAt != 0 && now < peer.sentAt+resendAfter {
+	if peer.snapshotAt != 0 && now < peer.snapshotAt+resendAfter {
 		if heartbeat {
 			m.send(Message{Kind: Append, To: id, Index: m.commit, LogTerm: m.log.term(m.commit), SentAt: now, Addresses: m.introduction(peer)})
 		}
 		return
 	}
-	peer.sentAt = now
+	peer.snapshotAt = now
 	m.send(Message{Kind: InstallSnapshot, To: id, SentAt: now, Snapshot: &Snapshot{}})
 }
 
@@ -369,9 +369,21 @@
 		m.send(answer)
 		return
 	}
+	if m.log.term(message.Snapshot.Index) == message.Snapshot.Term {
+		m.keepTail(message.Snapshot.Index, answer)
+		return
+	}
 	m.log.reset(*message.Snapshot)
 	m.commit, m.applied = message.Snapshot.Index, message.Snapshot.Index
 	m.out.Entries, m.out.Apply = nil, nil
 	m.out.Install = message.Snapshot
 	m.sendAfterSync(answer)
 }
+
+// keepTail takes from a snapshot only that its entries are committed: the log holds them all,
+// and what follows them may be needed for a majority.
+func (m *Machine) keepTail(committed uint64, answer Message) {
+	m.commit = max(m.commit, committed)
+	answer.Index = min(committed, m.log.stable)
+	m.send(answer)
+}
--- /dev/null
+++ b/coord/ringlog/ringlog_test.go
@@ -0,0 +1,218 @@
+package ringlog_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"basaltloft/coord/replica"
+	"basaltloft/coord/ringlog"
+	"basaltloft/coord/simdisk"
+)
+
+var sizes = ringlog.Sizes{SegmentBytes: 2 << 10, Segments: 3}
+
+// model is what a ring should hold.
+type model struct {
+	state    replica.HardState
+	snapshot replica.Snapshot
+	entries  []replica.Entry
+}
+
+func (m *model) last() uint64 {
+	if n := len(m.entries); n > 0 {
+		return m.entries[n-1].Index
+	}
+	return m.snapshot.Index
+}
+
+func (m *model) append(state *replica.HardState, entries []replica.Entry) {
+	if state != nil {
+		m.state = *state
+	}
+	if len(entries) > 0 {
+		keep := 0
+		for keep < len(m.entries) && m.entries[keep].Index < entries[0].Index {
+			keep++
+		}
+		m.entries = append(m.entries[:keep:keep], entries...)
+	}
+}
+
+func (m *model) save(snapshot replica.Snapshot) {
+	m.snapshot = snapshot
+	for len(m.entries) > 0 && m.entries[0].Index <= snapshot.Index {
+		m.entries = m.entries[1:]
+	}
+}
+
+// script is a run of operations drawn from a seed. It stops at the first error.
+type script struct {
+	random *rand.Rand
+	term   uint64
+	model  model
+	ring   *ringlog.Ring
+	before model // what held before the operation that failed
+}
+
+func (s *script) entries(from uint64) []replica.Entry {
+	var entries []replica.Entry
+	for i := range 1 + s.random.IntN(4) {
+		entries = append(entries, replica.Entry{Index: from + uint64(i), Term: s.term, Data: []byte(fmt.Sprintf("%0*d", 5+s.random.IntN(120), i))})
+	}
+	return entries
+}
+
+func (s *script) step() error {
+	s.before = s.model
+	switch s.random.IntN(8) {
+	case 0:
+		s.term++
+		state := replica.HardState{Term: s.term, Vote: "someone"}
+		s.model.append(&state, nil)
+		return s.ring.Append(&state, nil)
+	case 1: // a new leader cuts off the tail
+		s.term++
+		from := max(s.model.snapshot.Index+1, s.model.last()-min(s.model.last(), uint64(s.random.IntN(3))))
+		state, entries := replica.HardState{Term: s.term}, s.entries(from)
+		s.model.append(&state, entries)
+		return s.ring.Append(&state, entries)
+	case 2:
+		if len(s.model.entries) == 0 {
+			return nil
+		}
+		at := s.model.entries[s.random.IntN(len(s.model.entries))]
+		snapshot := replica.Snapshot{Index: at.Index, Term: at.Term, Data: []byte("state")}
+		s.model.save(snapshot)
+		return s.ring.SaveSnapshot(snapshot)
+	case 3:
+		if s.random.IntN(4) > 0 {
+			return nil
+		}
+		snapshot := replica.Snapshot{Index: s.model.last() + 5, Term: s.term, Data: []byte("other")}
+		s.model.snapshot, s.model.entries = snapshot, nil
+		return s.ring.Reset(snapshot)
+	}
+	entries := s.entries(s.model.last() + 1)
+	s.model.append(nil, entries)
+	return s.ring.Append(nil, entries)
+}
+
+func (m *model) equals(found replica.Restored) bool {
+	if m.state != found.State || m.snapshot.Index != found.Snapshot.Index || m.snapshot.Term != found.Snapshot.Term || len(m.entries) != len(found.Entries) {
+		return false
+	}
+	for at, entry := range m.entries {
+		other := found.Entries[at]
+		if entry.Index != other.Index || entry.Term != other.Term || string(entry.Data) != string(other.Data) {
+			return false
+		}
+	}
+	return true
+}
+
+func TestReopenedRingHoldsAllThatWasSynced(t *testing.T) {
+	for seed := range uint64(300) {
+		disk := simdisk.New(seed)
+		s := &script{random: rand.New(rand.NewPCG(seed, 3)), term: 1}
+		for range 12 {
+			ring, found, err := ringlog.Open(disk, "log", sizes)
+			require.NoError(t, err, "seed %d", seed)
+			require.True(t, s.model.equals(found), "seed %d: wanted %v, found %v", seed, s.model, found)
+			s.ring = ring
+			for range s.random.IntN(25) {
+				require.NoError(t, s.step(), "seed %d", seed)
+			}
+			if s.random.IntN(2) == 0 {
+				disk.LosePower()
+			}
+		}
+	}
+}
+
+// TestCrashAtEachPoint crashes a script at each of its writes and syncs in turn. What comes
+// back holds all that was synced; the operation that was interrupted may be there in part.
+func TestCrashAtEachPoint(t *testing.T) {
+	for seed := range uint64(25) {
+		for point := 1; ; point++ {
+			disk := simdisk.New(seed*1000 + uint64(point))
+			s := &script{random: rand.New(rand.NewPCG(seed, 4)), term: 1}
+			ring, _, err := ringlog.Open(disk, "log", sizes)
+			require.NoError(t, err)
+			s.ring = ring
+			disk.CrashAt = disk.Count + point
+			failed := false
+			for range 30 {
+				if failed = s.step() != nil; failed {
+					break
+				}
+			}
+			if !failed {
+				break
+			}
+			disk.LosePower()
+			_, found, err := ringlog.Open(disk, "log", sizes)
+			require.NoError(t, err, "seed %d point %d", seed, point)
+			require.GreaterOrEqual(t, found.State.Term, s.before.state.Term, "seed %d point %d", seed, point)
+			checkHolds(t, s, found, seed, point)
+		}
+	}
+}
+
+// checkHolds checks that each entry that was synced before the interrupted operation is
+// there, unless that operation may have replaced it.
+func checkHolds(t *testing.T, s *script, found replica.Restored, seed uint64, point int) {
+	t.Helper()
+	terms := map[uint64]uint64{}
+	for _, entry := range found.Entries {
+		terms[entry.Index] = entry.Term
+	}
+	for _, entry := range s.before.entries {
+		if entry.Index <= found.Snapshot.Index || terms[entry.Index] == entry.Term {
+			continue
+		}
+		after := model{}
+		after.entries = s.model.entries
+		replaced := true
+		for _, other := range after.entries {
+			if other.Index == entry.Index && other.Term == entry.Term {
+				replaced = false
+			}
+		}
+		require.True(t, replaced, "seed %d point %d: entry %d of term %d is gone", seed, point, entry.Index, entry.Term)
+	}
+}
+
+func TestFullDiskKeepsWhatWasThere(t *testing.T) {
+	disk := simdisk.New(1)
+	ring, _, err := ringlog.Open(disk, "log", sizes)
+	require.NoError(t, err)
+	entries := []replica.Entry{{Index: 1, Term: 1, Data: []byte("a")}}
+	require.NoError(t, ring.Append(&replica.HardState{Term: 1}, entries))
+	disk.Full = true
+	more := []replica.Entry{{Index: 2, Term: 1, Data: []byte("b")}}
+	require.ErrorIs(t, ring.Append(nil, more), simdisk.ErrRefused)
+	disk.Full = false
+	require.NoError(t, ring.Append(nil, more), "the same call may be made again")
+	_, found, err := ringlog.Open(disk, "log", sizes)
+	require.NoError(t, err)
+	require.Len(t, found.Entries, 2)
+}
+
+func TestDamageIsToldFromATornTail(t *testing.T) {
+	disk := simdisk.New(1)
+	ring, _, err := ringlog.Open(disk, "log", sizes)
+	require.NoError(t, err)
+	for index := uint64(1); index < 60; index++ {
+		require.NoError(t, ring.Append(nil, []replica.Entry{{Index: index, Term: 1, Data: make([]byte, 100)}}))
+	}
+	file, err := disk.Open("log/segment-00")
+	require.NoError(t, err)
+	_, err = file.WriteAt([]byte{1, 2, 3, 4, 5, 6, 7, 8, 9}, 600)
+	require.NoError(t, err)
+	require.NoError(t, file.Sync())
+	_, _, err = ringlog.Open(disk, "log", sizes)
+	require.ErrorIs(t, err, ringlog.ErrDamaged)
+}
--- /dev/null
+++ b/coord/simdisk/simdisk.go
@@ -0,0 +1,168 @@
+// Package simdisk is a disk in memory for tests: a loss of power keeps, loses or tears what
+// was written after the last sync, and writes can be refused or crash at a numbered point.
+package simdisk
+
+import (
+	"math/rand/v2"
+	"os"
+	"slices"
+	"sort"
+
+	"github.com/cockroachdb/errors"
+
+	"basaltloft/coord/ringlog"
+)
+
+// ErrRefused is what a full disk answers.
+var ErrRefused = errors.New("the simulated disk is full")
+
+// ErrCrashed is what a disk answers once its machine has crashed at a numbered point.
+var ErrCrashed = errors.New("the simulated machine has crashed")
+
+// write is a write after the last sync.
+type write struct {
+	offset  int64
+	content []byte
+}
+
+type file struct {
+	synced  []byte
+	pending []write
+	named   bool // its folder was synced since it was made, or it was synced itself
+}
+
+// Disk holds files by path. It implements ringlog.Files.
+type Disk struct {
+	files   map[string]*file
+	random  *rand.Rand
+	Full    bool
+	CrashAt int // the operation with this number and all after it fail; 0: none
+	Count   int // operations so far
+}
+
+// New returns an empty disk.
+func New(seed uint64) *Disk {
+	return &Disk{files: map[string]*file{}, random: rand.New(rand.NewPCG(seed, 77))}
+}
+
+func (d *Disk) step() error {
+	d.Count++
+	if d.CrashAt > 0 && d.Count >= d.CrashAt {
+		return ErrCrashed
+	}
+	if d.Full {
+		return ErrRefused
+	}
+	return nil
+}
+
+// handle is an open file.
+type handle struct {
+	disk *Disk
+	file *file
+}
+
+// Open implements ringlog.Files.
+func (d *Disk) Open(path string) (ringlog.File, error) {
+	if d.files[path] == nil {
+		d.files[path] = &file{}
+	}
+	return &handle{disk: d, file: d.files[path]}, nil
+}
+
+// ReadFile implements ringlog.Files.
+func (d *Disk) ReadFile(path string) ([]byte, error) {
+	f := d.files[path]
+	if f == nil {
+		return nil, os.ErrNotExist
+	}
+	return f.content(), nil
+}
+
+func (f *file) content() []byte {
+	content := slices.Clone(f.synced)
+	for _, w := range f.pending {
+		content = patch(content, w)
+	}
+	return content
+}
+
+func patch(content []byte, w write) []byte {
+	if need := int(w.offset) + len(w.content); need > len(content) {
+		content = append(content, make([]byte, need-len(content))...)
+	}
+	copy(content[w.offset:], w.content)
+	return content
+}
+
+// SyncFolder implements ringlog.Files.
+func (d *Disk) SyncFolder(string) error {
+	if err := d.step(); err != nil {
+		return err
+	}
+	for _, f := range d.files {
+		f.named = true
+	}
+	return nil
+}
+
+// WriteAt implements ringlog.File. What a crash interrupts may be there in part.
+func (h *handle) WriteAt(p []byte, offset int64) (int, error) {
+	err := h.disk.step()
+	if errors.Is(err, ErrRefused) {
+		return 0, err
+	}
+	h.file.pending = append(h.file.pending, write{offset: offset, content: slices.Clone(p)})
+	return len(p), err
+}
+
+// Sync implements ringlog.File.
+func (h *handle) Sync() error {
+	if err := h.disk.step(); err != nil {
+		return err
+	}
+	h.file.synced, h.file.pending, h.file.named = h.file.content(), nil, true
+	return nil
+}
+
+// Close implements ringlog.File.
+func (h *handle) Close() error { return nil }
+
+// LosePower keeps of each file what was synced. Of later writes each is there, missing or
+// torn, and a name that was not synced may be gone.
+func (d *Disk) LosePower() {
+	d.CrashAt, d.Full = 0, false
+	for _, path := range d.paths() {
+		f := d.files[path]
+		if !f.named && d.random.IntN(2) == 0 {
+			delete(d.files, path)
+			continue
+		}
+		for _, w := range f.pending {
+			d.survive(f, w)
+		}
+		f.pending, f.named = nil, true
+	}
+}
+
+func (d *Disk) survive(f *file, w write) {
+	switch d.random.IntN(3) {
+	case 0:
+		f.synced = patch(f.synced, w)
+	case 1:
+		w.content = w.content[:d.random.IntN(len(w.content)+1)]
+		f.synced = patch(f.synced, w)
+	}
+}
+
+// Wipe removes everything.
+func (d *Disk) Wipe() { d.files = map[string]*file{} }
+
+func (d *Disk) paths() []string {
+	paths := make([]string, 0, len(d.files))
+	for path := range d.files {
+		paths = append(paths, path)
+	}
+	sort.Strings(paths)
+	return paths
+}
