--- a/coord/group/disk.go
+++ b/coord/group/disk.go
@@ -115,6 +115,9 @@
 	g.crowded.Store(g.ring.Crowded() || g.ring.Used() > g.settings.Snapshot)
 	g.post(func(now time.Duration) {
 		for _, w := range writes {
+			if w.install != nil {
+				g.machine.Synced(now, w.install.Index, w.install.Term)
+			}
 			if len(w.entries) > 0 {
 				last := w.entries[len(w.entries)-1]
 				g.machine.Synced(now, last.Index, last.Term)
--- /dev/null
+++ b/coord/replica/long_test.go
@@ -0,0 +1,24 @@
+package replica_test
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+)
+
+// TestManySeeds plays more seeds, as many as BASALTLOFT_SEEDS says, over all cores.
+func TestManySeeds(t *testing.T) {
+	seeds, err := strconv.Atoi(os.Getenv("BASALTLOFT_SEEDS"))
+	if err != nil {
+		seeds = 160
+	}
+	for part := range 8 {
+		t.Run(fmt.Sprint(part), func(t *testing.T) {
+			t.Parallel()
+			for seed := part; seed < seeds; seed += 8 {
+				play(newWorld(t, 100_000+uint64(seed), 3+2*(seed%2)), 60, seed%3 == 0)
+			}
+		})
+	}
+}
--- a/coord/replica/replica.go
+++ b/coord/replica/replica.go
@@ -282,7 +282,8 @@
 	m.send(Message{Kind: TimeoutNow, To: m.handingOver})
 }
 
-// Synced tells that all entries up to that one are on this replica's disk. It says nothing
+// Synced tells that all entries up to that one, or an installed snapshot that ends with it,
+// are on this replica's disk. It says nothing
 // where the log has meanwhile another entry there.
 func (m *Machine) Synced(now time.Duration, index, term uint64) {
 	if m.log.term(index) != term {
@@ -328,7 +329,7 @@
 		return
 	}
 	m.heartbeatAt = now + m.timing.Heartbeat
-	for id := range m.peers {
+	for _, id := range m.others() {
 		m.replicate(now, id, true)
 	}
 }
--- a/coord/replica/step.go
+++ b/coord/replica/step.go
@@ -178,6 +178,17 @@
 	}
 }
 
+// others lists the other members in a fixed order, so that a run can be repeated.
+func (m *Machine) others() []string {
+	var ids []string
+	for _, member := range m.Members().Everyone() {
+		if m.peers[member.ID] != nil {
+			ids = append(ids, member.ID)
+		}
+	}
+	return ids
+}
+
 // lead appends an entry of this leader's and sends it on.
 func (m *Machine) lead(now time.Duration, entry Entry) uint64 {
 	entry.Index, entry.Term = m.log.last()+1, m.state.Term
@@ -185,7 +196,7 @@
 	if entry.Kind == EntryMembership {
 		m.followMembers(now)
 	}
-	for id := range m.peers {
+	for _, id := range m.others() {
 		m.replicate(now, id, false)
 	}
 	return entry.Index
@@ -374,6 +385,7 @@
 		return
 	}
 	m.log.reset(*message.Snapshot)
+	m.log.stable = 0 // until it is synced
 	m.commit, m.applied = message.Snapshot.Index, message.Snapshot.Index
 	m.out.Entries, m.out.Apply = nil, nil
 	m.out.Install = message.Snapshot
--- a/coord/replica/world_test.go
+++ b/coord/replica/world_test.go
@@ -212,6 +212,9 @@
 			}
 		}
 		h.writes = h.writes[1:]
+		if out.Install != nil {
+			h.machine.Synced(w.now, out.Install.Index, out.Install.Term)
+		}
 		if n := len(out.Entries); n > 0 {
 			h.machine.Synced(w.now, out.Entries[n-1].Index, out.Entries[n-1].Term)
 		}
--- a/coord/ringlog/ring.go
+++ b/coord/ringlog/ring.go
@@ -152,13 +152,38 @@
 			return found, errors.Wrapf(err, "segment %d", i)
 		}
 	}
+	if err := r.syncRead(); err != nil {
+		return found, err
+	}
 	found.State = r.state
 	if len(found.Entries) > 0 && found.Entries[0].Index != found.Snapshot.Index+1 {
-		return found, ErrDamaged
+		return found, errors.Wrapf(ErrDamaged, "the first entry is %d after a snapshot of %d", found.Entries[0].Index, found.Snapshot.Index)
 	}
 	return found, nil
 }
 
+// syncRead makes durable what was read: the last life may have been killed between a write
+// and its sync, and this life goes by what it read.
+func (r *Ring) syncRead() error {
+	for _, s := range r.segments {
+		if err := s.file.Sync(); err != nil {
+			return errors.Wrap(err, "sync a segment that was read")
+		}
+	}
+	for slot := range 2 {
+		file, err := r.files.Open(r.slotPath(slot))
+		if err != nil {
+			return errors.Wrap(err, "open a snapshot's slot")
+		}
+		err = file.Sync()
+		file.Close()
+		if err != nil {
+			return errors.Wrap(err, "sync a snapshot that was read")
+		}
+	}
+	return nil
+}
+
 // openSegments finds the segments in use, in the order of their records.
 func (r *Ring) openSegments() error {
 	for n := 0; ; n++ {
@@ -175,7 +200,7 @@
 			return errors.Wrap(err, "open a segment")
 		}
 		s := &segment{path: path, file: file}
-		if s.first, s.begun = readHeader(content); s.begun {
+		if s.first, s.begun = begunWith(content); s.begun {
 			r.segments = append(r.segments, s)
 		} else {
 			r.free = append(r.free, s)
@@ -188,10 +213,21 @@
 	return nil
 }
 
+// begunWith returns the number of a segment's first record; false: none was synced in it, so
+// that it counts as free.
+func begunWith(content []byte) (first uint64, ok bool) {
+	first, ok = readHeader(content)
+	if !ok {
+		return 0, false
+	}
+	_, _, ok = readRecord(content[headerBytes:], first)
+	return first, ok
+}
+
 // replay reads a segment's records, up to the first that does not check.
 func (r *Ring) replay(s *segment, found *replica.Restored) error {
 	if s.first != r.number {
-		return ErrDamaged
+		return errors.Wrapf(ErrDamaged, "the segment begins with record %d, where %d is next", s.first, r.number)
 	}
 	content, err := r.files.ReadFile(s.path)
 	if err != nil {
@@ -204,7 +240,7 @@
 			return nil
 		}
 		if !r.replayRecord(s, next, found) {
-			return ErrDamaged
+			return errors.Wrapf(ErrDamaged, "record %d does not follow", next.number)
 		}
 		r.number++
 		rest = after
--- a/coord/ringlog/ringlog_test.go
+++ b/coord/ringlog/ringlog_test.go
@@ -161,6 +161,37 @@
 	}
 }
 
+// TestWhatARestartReadSurvivesAPowerLoss kills the process at each point, which leaves
+// unsynced writes readable. What the next life read and went by must not vanish later.
+func TestWhatARestartReadSurvivesAPowerLoss(t *testing.T) {
+	for seed := range uint64(25) {
+		for point := 1; ; point++ {
+			disk := simdisk.New(seed*1000 + uint64(point))
+			s := &script{random: rand.New(rand.NewPCG(seed, 6)), term: 1}
+			ring, _, err := ringlog.Open(disk, "log", sizes)
+			require.NoError(t, err)
+			s.ring = ring
+			disk.CrashAt = disk.Count + point
+			failed := false
+			for range 30 {
+				if failed = s.step() != nil; failed {
+					break
+				}
+			}
+			if !failed {
+				break
+			}
+			disk.CrashAt = 0
+			_, read, err := ringlog.Open(disk, "log", sizes)
+			require.NoError(t, err, "seed %d point %d", seed, point)
+			disk.LosePower()
+			_, again, err := ringlog.Open(disk, "log", sizes)
+			require.NoError(t, err, "seed %d point %d", seed, point)
+			require.Equal(t, read, again, "seed %d point %d", seed, point)
+		}
+	}
+}
+
 // checkHolds checks that each entry that was synced before the interrupted operation is
 // there, unless that operation may have replaced it.
 func checkHolds(t *testing.T, s *script, found replica.Restored, seed uint64, point int) {
@@ -185,6 +216,35 @@
 	}
 }
 
+// TestCrashWhileOpening crashes the opening of a ring at each of its writes and syncs in
+// turn, twice in a row: nothing that was synced is lost, and nothing counts as damaged.
+func TestCrashWhileOpening(t *testing.T) {
+	for seed := range uint64(40) {
+		for point := 1; point < 40; point++ {
+			disk := simdisk.New(seed*1000 + uint64(point))
+			s := &script{random: rand.New(rand.NewPCG(seed, 5)), term: 1}
+			var err error
+			for range 3 {
+				s.ring, _, err = ringlog.Open(disk, "log", sizes)
+				require.NoError(t, err)
+				for range 10 {
+					require.NoError(t, s.step())
+				}
+			}
+			for range 2 {
+				disk.CrashAt = disk.Count + point
+				_, _, _ = ringlog.Open(disk, "log", sizes)
+				disk.LosePower()
+			}
+			for range 3 {
+				_, found, err := ringlog.Open(disk, "log", sizes)
+				require.NoError(t, err, "seed %d point %d", seed, point)
+				require.True(t, s.model.equals(found), "seed %d point %d", seed, point)
+			}
+		}
+	}
+}
+
 func TestFullDiskKeepsWhatWasThere(t *testing.T) {
 	disk := simdisk.New(1)
 	ring, _, err := ringlog.Open(disk, "log", sizes)
--- a/internal/controlplane/core.go
+++ b/internal/controlplane/core.go
@@ -67,7 +67,7 @@
 		if !errors.Is(err, ringlog.ErrDamaged) {
 			return nil, err
 		}
-		log.Error("the state on disk is damaged and is dropped: this process joins anew", "error", err)
+		log.Error("the state on disk is damaged and is dropped: this process joins anew", "error", err.Error())
 		if err := empty(settings.DataDir); err != nil {
 			return nil, err
 		}
--- a/internal/controlplane/identity.go
+++ b/internal/controlplane/identity.go
@@ -29,7 +29,8 @@
 	if err == nil {
 		var found identity
 		if gob.NewDecoder(bytes.NewReader(content)).Decode(&found) == nil && found.ID != "" {
-			return found, nil
+			// The last life may have been killed before its folder was synced.
+			return found, errors.Wrap(ringlog.OSFiles{}.SyncFolder(folder), "sync the data folder")
 		}
 	}
 	if err != nil && !errors.Is(err, os.ErrNotExist) {
