Failover near one second, and requests held through it

Cause: after a leader's end its shard answered nobody for 1.7 s, and clients that were refused came back a second later.

--- a/internal/dataplane/ingress.go
+++ b/internal/dataplane/ingress.go
@@ -22,8 +22,6 @@
 const (
 	normalTimeout = 3 * time.Second
 	heldPart      = 0.42 // of its time, for which a request that was not served is held at the most
-	leastHeld     = 120 * time.Millisecond
-	mostHeld      = 500 * time.Millisecond // while no owner is known
 	triesApart    = 25 * time.Millisecond
 	retryAfterMs  = 1000
 	normalBody    = 262144
@@ -34,7 +32,6 @@
 	shard    int
 	message  any
 	deadline time.Duration // it is given up then
-	patience time.Duration // it is given up then if nobody may have carried it out
 }
 
 func (in *ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -96,7 +93,9 @@
 	return numbers
 }
 
-func (in *ingress) limits(r *http.Request, route *opconfig.Route) (deadline, patience time.Duration) {
+// deadline is when a request is given up. It is held through a change of the shard's owner,
+// which takes about a second: a client that is sent away comes back later than that.
+func (in *ingress) deadline(r *http.Request, route *opconfig.Route) time.Duration {
 	whole := normalTimeout
 	if route.TimeoutMs > 0 {
 		whole = time.Duration(route.TimeoutMs) * time.Millisecond
@@ -104,17 +103,15 @@
 	if ms, err := strconv.ParseInt(r.Header.Get("Timeout-Ms"), 10, 64); err == nil && ms > 0 {
 		whole = min(whole, time.Duration(ms)*time.Millisecond)
 	}
-	held := time.Duration(heldPart * float64(whole))
-	quarter := time.Duration(route.TargetMs/4) * time.Millisecond
-	return in.clock() + held, in.clock() + min(held, mostHeld, max(leastHeld, quarter))
+	return in.clock() + time.Duration(heldPart*float64(whole))
 }
 
 func (in *ingress) ask(w http.ResponseWriter, r *http.Request, v *view, route *opconfig.Route, verb protocol.Verb, id string) {
-	deadline, patience := in.limits(r, route)
+	deadline := in.deadline(r, route)
 	answer := protocol.Answer{}
 	for _, shard := range shards(v.services(route)) {
 		message := protocol.Ask{Verb: verb, Shard: shard, Queue: route.Queue(), ID: id}
-		answer = in.pass(request{shard: shard, message: message, deadline: deadline, patience: patience})
+		answer = in.pass(request{shard: shard, message: message, deadline: deadline})
 		if answer.Status != http.StatusGone {
 			break
 		}
@@ -132,18 +129,18 @@
 		http.Error(w, "the body is cut short or too large", http.StatusBadRequest)
 		return
 	}
-	deadline, patience := in.limits(r, route)
+	deadline := in.deadline(r, route)
 	numbers := shards(v.services(route))
 	for _, earlier := range numbers[1:] {
 		message := protocol.Ask{Verb: protocol.AskState, Shard: earlier, Queue: route.Queue(), ID: id}
-		known := in.pass(request{shard: earlier, message: message, deadline: deadline, patience: patience})
+		known := in.pass(request{shard: earlier, message: message, deadline: deadline})
 		if known.Status != http.StatusGone {
 			in.write(w, 0, known)
 			return
 		}
 	}
 	message := protocol.Submit{Shard: numbers[0], Queue: route.Queue(), ID: id, Body: body, Version: v.config.Version, Route: *route}
-	in.write(w, 0, in.pass(request{shard: numbers[0], message: message, deadline: deadline, patience: patience}))
+	in.write(w, 0, in.pass(request{shard: numbers[0], message: message, deadline: deadline}))
 }
 
 // pass brings a request to its shard's owner. The same ID may come to an owner twice, so
@@ -152,7 +149,7 @@
 	unknown := false
 	for {
 		now := in.clock()
-		if now >= r.deadline || !unknown && now >= r.patience {
+		if now >= r.deadline {
 			return givenUp(unknown)
 		}
 		owner := in.follower.owner(r.shard)
