Lost answers of runners are noticed within half a second

Change: an order to start lives 0.5 s; a hold whose answer is late is sent again; holds wait shorter where answers get lost; a runner is asked out of turn about an order past its deadline.

--- a/internal/controlplane/runnerclient.go
+++ b/internal/controlplane/runnerclient.go
@@ -22,8 +22,9 @@
 	connsPerRunner = 6
 	idleConns      = 3
 	idleFor        = 60 * time.Second
-	answerWithin   = time.Second // for an answer that need not wait
-	mostAnswer     = 4 << 20     // bytes of an answer
+	startWithin    = 550 * time.Millisecond // an order to start is not carried out later
+	answerWithin   = time.Second            // for a stop's answer
+	mostAnswer     = 4 << 20                // bytes of an answer
 	holdGrace      = 900 * time.Millisecond
 )
 
@@ -97,7 +98,7 @@
 
 // start sends an order to start.
 func (c *runnerClient) start(order scheduler.Order) (scheduler.StartReply, int64) {
-	status, got, err := c.post(answerWithin, order, "/-/run-start", startBody{
+	status, got, err := c.post(startWithin, order, "/-/run-start", startBody{
 		Task: order.Task.String(), Attempt: order.Attempt, Spec: order.Spec,
 		DeadlineMs: order.DeadlineMs, FenceToken: order.Token, Checkpointed: order.Saved,
 	})
--- a/internal/scheduler/hold.go
+++ b/internal/scheduler/hold.go
@@ -7,7 +7,10 @@
 )
 
 const (
-	holdWaitMs   = 700                    // how long a runner may wait for an end
+	holdWaitMost = 700                    // ms that a runner may wait for an end
+	holdWaitMin  = 150                    // ms, where many holds stay without an answer
+	holdLate     = 200 * time.Millisecond // a hold that is so late counts as lost, and another is sent
+	lossWindow   = 150                    // holds in the average of those that are lost
 	holdRetry    = 150 * time.Millisecond // pause after a hold without an answer
 	holdRetryMax = 900 * time.Millisecond
 	commitWait   = time.Second // a hold is renewed at the latest so long after the last answer
@@ -19,16 +22,59 @@
 	if s.holdOut || s.over || o.now < s.holdAt || !s.listed && len(s.runs) == 0 && s.fenced {
 		return
 	}
-	order := Order{Kind: OrderHold, Runner: s.id, Address: s.address, LastSeen: s.lastSeen}
+	o.sequence++
+	order := Order{Kind: OrderHold, Runner: s.id, Address: s.address, LastSeen: s.lastSeen, Sequence: o.sequence}
 	if s.fenced {
 		order.DeadlineMs = s.clockNow(o.now) + o.bounds.HoldMax.Milliseconds() - holdMargin
-		order.WaitMs = holdWaitMs
+		order.WaitMs = o.holdWait(s)
 		s.extend(order.DeadlineMs)
 	}
-	s.holdOut = true
+	s.holdOut, s.holdSequence = true, order.Sequence
+	s.holdLateAt = o.now + time.Duration(order.WaitMs)*time.Millisecond + holdLate
 	o.order(order)
 }
 
+// holdWait returns how long a runner may wait for an end before it answers, in milliseconds:
+// less where answers get lost, and only until an order whose answer is missing is past.
+func (o *Owner) holdWait(s *session) int64 {
+	wait := max(holdWaitMin, int64(holdWaitMost/(1+100*o.losses.Value)))
+	for _, r := range s.runs {
+		if r.phase == ordered && o.now-r.sentAt > orderPatience {
+			wait = min(wait, max(0, r.orderDeadline+5-s.clockNow(o.now)))
+		}
+	}
+	return wait
+}
+
+// orderPatience is how long an order's answer is waited for before the runner is asked.
+const orderPatience = 120 * time.Millisecond
+
+// loseHold sends another hold where the last one's answer is late.
+func (o *Owner) loseHold(s *session) {
+	if !s.holdOut || o.now < s.holdLateAt {
+		return
+	}
+	s.holdOut = false
+	s.failures++
+	if s.failures == 1 {
+		o.losses.Add(1, lossWindow)
+	}
+	s.holdAt = o.now + min(holdRetryMax, time.Duration(s.failures-1)*holdRetry)
+}
+
+// lookSoon asks a runner at once where an order without an answer is past its deadline.
+func (o *Owner) lookSoon(s *session) {
+	if !s.holdOut || !s.fenced || s.failures > 0 {
+		return
+	}
+	for _, r := range s.runs {
+		if r.phase == ordered && !r.looked && s.clockNow(o.now) > r.orderDeadline {
+			r.looked = true
+			s.holdOut, s.holdAt = false, o.now
+		}
+	}
+}
+
 // ListedRun is a run that a runner says it has.
 type ListedRun struct {
 	Task    job.TaskRef
@@ -72,7 +118,10 @@
 	if s == nil {
 		return
 	}
-	s.holdOut = false
+	current := s.holdSequence == order.Sequence && s.holdOut
+	if current {
+		s.holdOut = false
+	}
 	switch reply {
 	case HoldOtherOne:
 		o.lifeOver(s)
@@ -81,10 +130,18 @@
 		s.holdAt = now + holdRetryMax
 		return
 	case HoldUnknown:
-		s.failures++
-		s.holdAt = now + min(holdRetryMax, time.Duration(s.failures)*holdRetry)
+		if current {
+			s.failures++
+			s.holdAt = now + min(holdRetryMax, time.Duration(s.failures)*holdRetry)
+		}
 		return
 	}
+	if s.failures == 0 {
+		o.losses.Add(0, lossWindow)
+	}
+	if look.ClockMs < s.clock && s.fenced {
+		return // it was overtaken by a later look
+	}
 	o.takeLook(s, look)
 }
 
@@ -207,6 +264,8 @@
 	if o.now > s.overAt && o.now-s.heardAt > contactWithin && len(s.runs) > 0 {
 		o.endAll(s)
 	}
+	o.loseHold(s)
+	o.lookSoon(s)
 	o.holdIfDue(s)
 	for _, r := range s.runs {
 		if r.stopWanted {
--- a/internal/scheduler/owner.go
+++ b/internal/scheduler/owner.go
@@ -50,6 +50,7 @@
 	DeadlineMs int64 // runner's clock; 0: none
 	LastSeen   uint64
 	WaitMs     int64
+	Sequence   uint64 // of a hold
 }
 
 // Output is what the owner wants done.
@@ -76,8 +77,9 @@
 	endings  []ending            // jobs that are over, oldest first
 	ended    map[string]bool     // by ID, those in endings
 
-	costs *admission.Costs
-	means admission.Means
+	costs  *admission.Costs
+	means  admission.Means
+	losses admission.Average // share of holds that stay without an answer
 
 	now      time.Duration
 	wallMs   int64
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -35,6 +35,7 @@
 	startedClock  int64   // runner's clock at the answer
 	sentAt        time.Duration
 	resumed       bool // from saved progress
+	looked        bool // the runner was asked about it out of turn
 	ending        bool // its end waits for its commitment
 	stopWanted    bool
 	stopOut       bool // a stop is on its way
@@ -62,11 +63,13 @@
 	heardAt time.Duration
 	overAt  time.Duration // by then all holds have surely ended, if it is not heard of
 
-	holdOut  bool
-	holdAt   time.Duration // when the next hold is due
-	failures int           // holds in a row without an answer
-	lastSeen uint64        // ends up to it are committed
-	taken    uint64        // ends up to it were proposed
+	holdOut      bool
+	holdSequence uint64        // of the hold that is out
+	holdLateAt   time.Duration // it counts as lost from then on
+	holdAt       time.Duration // when the next hold is due
+	failures     int           // holds in a row without an answer
+	lastSeen     uint64        // ends up to it are committed
+	taken        uint64        // ends up to it were proposed
 
 	runs    map[runKey]*run
 	used    job.Resources
@@ -88,7 +91,7 @@
 	contactWithin = 1200 * time.Millisecond // a runner heard of so lately is in touch
 	slowestClock  = 0.98                    // a runner's clock runs no slower than this
 	holdMargin    = 150                     // ms under the longest hold that is asked for
-	orderLife     = 1500                    // ms that an order to start may take to arrive
+	orderLife     = 500                     // ms that an order to start may take to arrive
 )
 
 // inTouch tells whether the runner can be given work.
