Budgets begin once a cost is known and count by service; accelerators are packed

Change: a budget is set from the first known mean of its service; a slow run alone does not shrink it; tasks with accelerators go where the fewest are left.

--- a/internal/admission/budget.go
+++ b/internal/admission/budget.go
@@ -1,11 +1,14 @@
 package admission
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Tunables of a runner's budget. None depends on a deployment.
 const (
-	startMeans  = 4.0  // a new runner's budget, in mean costs
-	leastMeans  = 0.5  // least budget, in mean costs
+	startMeans  = 6.0  // a new runner's budget, in mean costs
+	leastMeans  = 1.5  // least budget, in mean costs
 	growShare   = 0.5  // part of a good run's cost by which a fully used budget grows
 	shrinkPart  = 0.75 // what remains after a time-out, a slowing or a refusal
 	costsWindow = 200.0
@@ -32,12 +35,20 @@
 	lastCut time.Duration
 }
 
-// Room returns what the budget leaves beside what is out.
+// Room returns what the budget leaves beside what is out. While no cost is known the budget
+// is not set, and it leaves everything.
 func (b *Budget) Room(out float64, means *Means) float64 {
+	if b.amount == 0 && !means.cost.Known() {
+		return math.MaxFloat64
+	}
+	b.set(means)
+	return b.amount - out
+}
+
+func (b *Budget) set(means *Means) {
 	if b.amount == 0 {
 		b.amount = startMeans * means.Mean()
 	}
-	return b.amount - out
 }
 
 // HeldBack notes that the budget kept work from its runner.
@@ -45,7 +56,7 @@
 
 // Grow lets a budget that was fully used grow by a run that ended well, up to a bound.
 func (b *Budget) Grow(cost, most float64) {
-	if !b.full {
+	if !b.full || b.amount == 0 {
 		return
 	}
 	b.full = false
@@ -57,6 +68,7 @@
 	if sentAt < b.lastCut {
 		return
 	}
+	b.set(means)
 	b.amount = Shrunk(b.amount, shrinkPart, leastMeans*means.Mean())
 	b.lastCut = now
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -91,7 +91,8 @@
 func better(a, b Result) Result { return min(a, b) }
 
 // prefers tells whether a is to be taken rather than b: a sound one, near the data, usual in
-// its pace, and then the roomiest.
+// its pace, and then the roomiest. A task that asks for accelerators takes the runner that
+// has the fewest left: spread out, small tasks would leave no runner whole for large ones.
 func prefers(ask *Ask, a, b *Candidate) bool {
 	switch {
 	case a.Doubtful != b.Doubtful:
@@ -100,6 +101,8 @@
 		return near(ask, a)
 	case slow(a) != slow(b):
 		return slow(b)
+	case ask.Need.GPU > 0 && a.Free.GPU != b.Free.GPU:
+		return a.Free.GPU < b.Free.GPU
 	}
 	return roomier(a, b)
 }
--- a/internal/scheduler/owner.go
+++ b/internal/scheduler/owner.go
@@ -78,8 +78,8 @@
 	ended    map[string]bool     // by ID, those in endings
 
 	costs  *admission.Costs
-	means  admission.Means
-	losses admission.Average // share of holds that stay without an answer
+	means  map[string]*admission.Means // by service
+	losses admission.Average           // share of holds that stay without an answer
 
 	now      time.Duration
 	wallMs   int64
@@ -108,7 +108,7 @@
 	o := &Owner{
 		store: store, epoch: epoch, bounds: bounds, log: log, now: now, wallMs: wallMs,
 		sessions: map[string]*session{}, bundles: map[bundleKey]*bundle{}, byJob: map[string][]bundleKey{}, repeats: map[string]*job.Job{},
-		ended: map[string]bool{}, costs: admission.NewCosts(), notes: map[uint64][]endNote{}, dirty: true,
+		ended: map[string]bool{}, costs: admission.NewCosts(), means: map[string]*admission.Means{}, notes: map[uint64][]endNote{}, dirty: true,
 	}
 	for _, id := range sortedKeys(store.Jobs) {
 		o.inherit(store.Jobs[id])
@@ -150,6 +150,16 @@
 	o.dropIfUseless(j, s, r)
 }
 
+// meansOf returns the mean costs of a service's tasks.
+func (o *Owner) meansOf(service string) *admission.Means {
+	means := o.means[service]
+	if means == nil {
+		means = &admission.Means{}
+		o.means[service] = means
+	}
+	return means
+}
+
 // session returns that of a life of a runner, made if it was not known.
 func (o *Owner) session(id, address string) *session {
 	s := o.sessions[id]
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -151,7 +151,7 @@
 		doubtful := s.doubtful()
 		candidates = append(candidates, placement.Candidate{
 			Key: len(sessions), Service: s.service, Labels: s.labels, Capacity: s.capacity, Free: s.capacity.Minus(s.used),
-			Room: s.budget.Room(s.out, &o.means), Idle: len(s.runs) == 0, Pace: s.paceNow(),
+			Room: s.budget.Room(s.out, o.meansOf(s.service)), Idle: len(s.runs) == 0, Pace: s.paceNow(),
 			Doubtful: doubtful, Reserved: doubtful && (len(s.runs) > 0 || o.now < s.trialAt),
 		})
 		sessions = append(sessions, s)
@@ -243,7 +243,7 @@
 	}
 	s.add(r)
 	b.waiting[index] = true
-	o.means.Add(ask.Cost)
+	o.meansOf(b.job.Service).Add(ask.Cost)
 	o.propose(job.Command{Kind: job.Start, Task: ref, Attempt: attempt, Runner: s.id, Address: s.address})
 }
 
--- a/internal/scheduler/runs.go
+++ b/internal/scheduler/runs.go
@@ -78,9 +78,9 @@
 	case StartTaken:
 		r.phase, r.startedClock = confirmed, clock
 	case StartUnknown:
-		s.budget.Shrink(r.sentAt, now, &o.means)
+		s.budget.Shrink(r.sentAt, now, o.meansOf(s.service))
 	default:
-		s.budget.Shrink(r.sentAt, now, &o.means)
+		s.budget.Shrink(r.sentAt, now, o.meansOf(s.service))
 		o.log.Info("a runner refused a start", "runner", s.id, "task", order.Task.String(), "attempt", order.Attempt, "reply", reply)
 		o.endRun(s, r, job.Refused, "")
 	}
@@ -221,8 +221,8 @@
 	took := (o.now - r.sentAt).Seconds()
 	ratio := took / r.expected
 	s.pace.Add(min(ratio, 8), paceWindow)
-	if ratio > slowing {
-		s.budget.Shrink(r.sentAt, o.now, &o.means)
+	if ratio > slowing && s.paceNow() > usualPace {
+		s.budget.Shrink(r.sentAt, o.now, o.meansOf(s.service))
 	} else {
 		s.budget.Grow(r.cost, o.mostBudget(s))
 	}
