--- a/coord/rpc/client.go
+++ b/coord/rpc/client.go
@@ -115,8 +115,8 @@
 	delete(c.waiting, id)
 }
 
-// silence is how long nothing may be read while an answer is owed.
-const silence = 900 * time.Millisecond
+// silence is how long nothing may be read while an answer is owed and its call is given up.
+const silence = 300 * time.Millisecond
 
 // doubt ends a connection on which nothing came since a call began that had no answer.
 func (c *Client) doubt(began time.Duration) {
--- a/internal/controlplane/core.go
+++ b/internal/controlplane/core.go
@@ -26,10 +26,10 @@
 // timing of all groups. A follower's promise outlasts the leader's lease by more than any
 // drift of the clocks.
 var timing = replica.Timing{
-	Heartbeat: 120 * time.Millisecond,
-	Lease:     600 * time.Millisecond,
-	Promise:   750 * time.Millisecond,
-	Spread:    350 * time.Millisecond,
+	Heartbeat: 100 * time.Millisecond,
+	Lease:     420 * time.Millisecond,
+	Promise:   520 * time.Millisecond,
+	Spread:    260 * time.Millisecond,
 }
 
 // Sizes of the groups' logs.
--- a/internal/dataplane/ingress.go
+++ b/internal/dataplane/ingress.go
@@ -21,7 +21,8 @@
 
 const (
 	normalTimeout = 3 * time.Second
-	heldPart      = 0.42 // of its time, for which a request that was not served is held at the most
+	heldPart      = 0.42                   // of its time, for which a request that was not served is held at the most
+	tryWithin     = 350 * time.Millisecond // an owner that does not answer by then may be gone
 	triesApart    = 25 * time.Millisecond
 	retryAfterMs  = 1000
 	normalBody    = 262144
@@ -172,7 +173,7 @@
 }
 
 func (in *ingress) try(owner string, r request) (protocol.Answer, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), r.deadline-in.clock())
+	ctx, cancel := context.WithTimeout(context.Background(), min(tryWithin, r.deadline-in.clock()))
 	defer cancel()
 	got, err := in.follower.client(owner).Call(ctx, r.message)
 	if err != nil {
