--- a/coord/replica/replica.go
+++ b/coord/replica/replica.go
@@ -10,6 +10,7 @@
 package replica
 
 import (
+	"hash/fnv"
 	"math/rand/v2"
 	"time"
 )
@@ -167,7 +168,7 @@
 // New returns a replica as it was left on disk. It votes for nobody for a promise's length,
 // since it may have made one before its restart.
 func New(id, group string, timing Timing, found Restored, seed uint64, now time.Duration) *Machine {
-	m := &Machine{id: id, group: group, timing: timing, random: rand.New(rand.NewPCG(seed, uint64(len(group))))}
+	m := &Machine{id: id, group: group, timing: timing, random: rand.New(rand.NewPCG(seed, hashOf(group)))}
 	m.state = found.State
 	m.log.reset(found.Snapshot)
 	m.log.append(found.Entries)
@@ -178,6 +179,13 @@
 	return m
 }
 
+// hashOf lets the groups of one process stand at different times, so that their leads spread.
+func hashOf(group string) uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(group))
+	return hash.Sum64()
+}
+
 // Role returns what the replica is.
 func (m *Machine) Role() Role { return m.role }
 
--- a/internal/controlplane/shard.go
+++ b/internal/controlplane/shard.go
@@ -33,6 +33,9 @@
 	owner   *scheduler.Owner // nil: another process owns the shard
 	runners []scheduler.Runner
 	config  *opconfig.Config
+
+	clients  []clientCommand // to go into the next batch
+	inFlight int             // batches of this owner that wait for their commitment
 }
 
 func newShard(number int, bounds scheduler.Bounds, runner *runnerClient, clock func() time.Duration, log *slog.Logger) *shard {
@@ -80,6 +83,7 @@
 func (s *shard) Leading(epoch uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.inFlight = 0
 	s.owner = scheduler.New(s.store, epoch, s.bounds, s.clock(), time.Now().UnixMilli(), s.log)
 	s.owner.Listed(s.clock(), s.runners)
 	s.nudge()
@@ -90,6 +94,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.owner = nil
+	s.nudge()
 }
 
 func (s *shard) nudge() {
@@ -127,6 +132,9 @@
 // idleTick is how often the scheduler looks at the time while nothing happens.
 const idleTick = 50 * time.Millisecond
 
+// soonTick is the pause where the scheduler has more to look at.
+const soonTick = 3 * time.Millisecond
+
 // run drives the scheduler until the process ends.
 func (s *shard) run() {
 	timer := time.NewTimer(idleTick)
@@ -137,50 +145,84 @@
 			return
 		case <-s.wake:
 		case <-timer.C:
-			timer.Reset(idleTick)
 		}
-		s.drive()
+		if s.drive() {
+			timer.Reset(soonTick)
+			continue
+		}
+		timer.Reset(idleTick)
 	}
 }
 
-// drive lets the scheduler decide and carries out what it wants.
-func (s *shard) drive() {
+// mostInFlight bounds the batches that wait for their commitment. What comes meanwhile goes
+// into the next one: a shard writes few and large entries.
+const mostInFlight = 2
+
+// drive lets the scheduler decide and carries out what it wants. It tells whether there is
+// more to look at soon.
+func (s *shard) drive() (again bool) {
 	s.mu.Lock()
 	owner := s.owner
 	if owner == nil {
+		clients := s.clients
+		s.clients = nil
 		s.mu.Unlock()
-		return
+		s.turnAway(clients)
+		return false
 	}
 	owner.Tick(s.clock(), time.Now().UnixMilli())
-	out := owner.Take(s.clock())
+	out := owner.Take(s.clock(), s.inFlight < mostInFlight)
+	var clients []clientCommand
+	if s.inFlight < mostInFlight {
+		clients, s.clients = s.clients, nil
+	}
+	if len(out.Commands)+len(clients) > 0 {
+		s.inFlight++
+	}
 	s.mu.Unlock()
-	if len(out.Commands) > 0 {
-		s.commit(owner, out)
+	if len(out.Commands)+len(clients) > 0 {
+		s.commit(owner, out, clients)
 	}
 	for _, order := range out.Orders {
 		go s.send(owner, order)
 	}
+	return out.Again
 }
 
-// retryCommit is the pause before a batch is proposed again where too much waits.
-const retryCommit = 50 * time.Millisecond
+// clientCommand is what a client asked for, and who waits for it.
+type clientCommand struct {
+	command job.Command
+	answer  chan protocol.Answer
+}
 
-// commit proposes a batch. Where the lead is lost the scheduler ends, and with it the batch.
-func (s *shard) commit(owner *scheduler.Owner, out scheduler.Output) {
-	content, err := job.Batch{Commands: out.Commands}.Encode()
-	if err != nil {
-		s.log.Error("a batch can't be encoded", "error", err)
-		return
+func (s *shard) turnAway(clients []clientCommand) {
+	for _, client := range clients {
+		client.answer <- s.notOwner()
 	}
-	s.group.Propose(content, func(_ any, err error) {
-		if errors.Is(err, group.ErrBusy) {
-			time.AfterFunc(retryCommit, func() { s.commit(owner, out) })
-			return
+}
+
+// commit proposes a batch: the scheduler's commands and then the clients'. Where the lead is
+// lost the scheduler ends, and with it what it wanted.
+func (s *shard) commit(owner *scheduler.Owner, out scheduler.Output, clients []clientCommand) {
+	batch := job.Batch{Commands: out.Commands}
+	for _, client := range clients {
+		batch.Commands = append(batch.Commands, client.command)
+	}
+	s.group.Propose(batch.Encode(), func(result any, err error) {
+		outcomes, _ := result.([]job.Outcome)
+		for at, client := range clients {
+			client.answer <- s.verdict(outcomes, len(out.Commands)+at, err)
 		}
-		if err != nil {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.owner != owner {
 			return
 		}
-		s.with(owner, func() { owner.Committed(s.clock(), out.Batch) })
+		s.inFlight--
+		if err == nil && len(out.Commands) > 0 {
+			owner.Committed(s.clock(), out.Batch)
+		}
+		s.nudge()
 	})
 }
 
@@ -286,23 +328,29 @@
 // propose commits one client's command and answers for it.
 func (s *shard) propose(c job.Command) protocol.Answer {
 	c.AtMs = time.Now().UnixMilli()
-	content, err := job.Batch{Commands: []job.Command{c}}.Encode()
-	if err != nil {
-		return refuse(err.Error())
+	client := clientCommand{command: c, answer: make(chan protocol.Answer, 1)}
+	s.mu.Lock()
+	full := len(s.clients) >= mostClients
+	if !full {
+		s.clients = append(s.clients, client)
 	}
-	answer := make(chan protocol.Answer, 1)
-	s.group.Propose(content, func(result any, err error) {
-		answer <- s.verdict(result, err)
-	})
+	s.mu.Unlock()
+	if full {
+		return refuse("too much waits to be committed: try again later")
+	}
+	s.nudge()
 	select {
-	case got := <-answer:
+	case got := <-client.answer:
 		return got
 	case <-s.stop:
 		return protocol.Answer{Status: http.StatusBadGateway, Unknown: true}
 	}
 }
 
-func (s *shard) verdict(result any, err error) protocol.Answer {
+// mostClients bounds the clients' commands that wait to be proposed.
+const mostClients = 2000
+
+func (s *shard) verdict(outcomes []job.Outcome, at int, err error) protocol.Answer {
 	switch {
 	case errors.Is(err, group.ErrNotLeader):
 		return s.notOwner()
@@ -310,12 +358,9 @@
 		return refuse(err.Error())
 	case err != nil:
 		return protocol.Answer{Status: http.StatusBadGateway, Unknown: true, Reason: err.Error()}
-	}
-	outcomes, ok := result.([]job.Outcome)
-	if !ok || len(outcomes) != 1 {
+	case at >= len(outcomes):
 		return protocol.Answer{Status: http.StatusBadGateway, Unknown: true}
-	}
-	if outcomes[0] == job.Rejected {
+	case outcomes[at] == job.Rejected:
 		return protocol.Answer{Status: http.StatusConflict, Reason: "another job has this ID: choose a new one"}
 	}
 	return protocol.Answer{Status: http.StatusOK}
--- a/internal/dataplane/follower.go
+++ b/internal/dataplane/follower.go
@@ -32,8 +32,7 @@
 	view     atomic.Pointer[view]
 	stop     chan struct{}
 
-	confirmed  atomic.Int64 // when an answer was asked for that named the view as the newest
-	leaderless atomic.Int64 // when a core process last said that it knows of no owner
+	confirmed atomic.Int64 // when an answer was asked for that named the view as the newest
 
 	mu      sync.Mutex
 	clients map[string]*rpc.Client
@@ -118,9 +117,6 @@
 
 // follow goes to the owner that another core process named.
 func (f *follower) follow(leader, from string) {
-	if leader == "" {
-		f.leaderless.Store(int64(f.clock()))
-	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.leader = leader
@@ -175,20 +171,15 @@
 	return true
 }
 
-// current returns the view, if it may be acted on: it is confirmed to be the newest, or the
-// core itself has no owner of the configuration at this moment and so takes no newer one.
+// current returns the view, if it may be acted on: it was confirmed to be the newest a short
+// while ago, so that no newer one has been in force for longer than the deployment allows.
 func (f *follower) current() (*view, bool) {
 	v := f.view.Load()
 	if v == nil {
 		return nil, false
 	}
 	age := f.clock() - time.Duration(f.confirmed.Load())
-	bound := time.Duration(f.settings.Bounds.ConfigApplyMs)*time.Millisecond - confirmSlack
-	if age < bound {
-		return v, true
-	}
-	leaderless := f.clock()-time.Duration(f.leaderless.Load()) < bound/2
-	return v, leaderless && age < bound+time.Duration(f.settings.Bounds.ConfigApplyMs)*time.Millisecond
+	return v, age < time.Duration(f.settings.Bounds.ConfigApplyMs)*time.Millisecond-confirmSlack
 }
 
 func (f *follower) client(address string) *rpc.Client {
--- a/internal/job/command.go
+++ b/internal/job/command.go
@@ -1,8 +1,6 @@
 package job
 
 import (
-	"bytes"
-	"encoding/gob"
 	"fmt"
 	"strconv"
 	"strings"
@@ -109,17 +107,3 @@
 
 // Batch is what one entry of the log holds.
 type Batch struct{ Commands []Command }
-
-// Encode returns the batch as bytes.
-func (b Batch) Encode() ([]byte, error) {
-	var body bytes.Buffer
-	err := gob.NewEncoder(&body).Encode(b)
-	return body.Bytes(), errors.Wrap(err, "encode a batch of commands")
-}
-
-// DecodeBatch reads a batch.
-func DecodeBatch(content []byte) (Batch, error) {
-	var b Batch
-	err := gob.NewDecoder(bytes.NewReader(content)).Decode(&b)
-	return b, errors.Wrap(err, "decode a batch of commands")
-}
--- a/internal/scheduler/owner.go
+++ b/internal/scheduler/owner.go
@@ -58,6 +58,7 @@
 	Commands []job.Command // to be committed together, in order; then Committed(Batch)
 	Batch    uint64
 	Orders   []Order
+	Again    bool // call again within a few milliseconds
 }
 
 // Owner schedules one shard. Its methods must not be called concurrently, nor while the
@@ -251,19 +252,25 @@
 	o.out.Orders = append(o.out.Orders, order)
 }
 
-// Take returns what is to be done since the last call.
-func (o *Owner) Take(now time.Duration) Output {
+// passPause is the least pause between two passes over the ready work.
+const passPause = 3 * time.Millisecond
+
+// Take returns what is to be done since the last call. Where commands is false, those stay
+// for the next call.
+func (o *Owner) Take(now time.Duration, commands bool) Output {
 	o.now = now
-	if o.dirty {
+	if o.dirty && now >= o.passAt+passPause {
 		o.dirty = false
 		o.pass()
 	}
-	out := o.out
-	o.out = Output{}
-	if len(out.Commands) > 0 {
-		out.Batch = o.batch
-		o.batch++
+	out := Output{Orders: o.out.Orders, Again: o.dirty}
+	o.out.Orders = nil
+	if !commands || len(o.out.Commands) == 0 {
+		return out
 	}
+	out.Commands, o.out.Commands = o.out.Commands, nil
+	out.Batch = o.batch
+	o.batch++
 	return out
 }
 
