Runs of a silent runner end; a complete time leaves nothing to start; the scheduler's simulated world

Cause, found by the simulated world: the owner kept sending deadlines to a runner that did not answer, so that its runs never counted as over; and a late end that completed a job's time left a bundle whose tasks were gone, which ended the process by a panic. Change: only a runner that is heard of gets its holds renewed; the bundles of a complete time go with it. Tests: the world (virtual time; late orders, cuts, crashes, new owners) with LIMIT, TWICE, ORDER, BUDGET, ROUTE, UNASKED, GANG, MIXED and LOST as checks, two planted mistakes, and each property of the design by itself.

--- a/internal/scheduler/hold.go
+++ b/internal/scheduler/hold.go
@@ -17,14 +17,15 @@
 	mostListed   = 500         // ends that one answer lists at the most
 )
 
-// holdIfDue sends a hold where none is out.
+// holdIfDue sends a hold where none is out. A runner that is not heard of is looked at without
+// its holds being renewed: else what it runs could never be known to be over.
 func (o *Owner) holdIfDue(s *session) {
 	if s.holdOut || s.over || o.now < s.holdAt || !s.listed && len(s.runs) == 0 && s.fenced {
 		return
 	}
 	o.sequence++
 	order := Order{Kind: OrderHold, Runner: s.id, Address: s.address, LastSeen: s.lastSeen, Sequence: o.sequence}
-	if s.fenced {
+	if s.fenced && o.now-s.heardAt < contactWithin {
 		order.DeadlineMs = s.clockNow(o.now) + o.bounds.HoldMax.Milliseconds() - holdMargin
 		order.WaitMs = o.holdWait(s)
 		s.extend(order.DeadlineMs)
--- /dev/null
+++ b/internal/scheduler/runner_test.go
@@ -0,0 +1,283 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"basaltloft/internal/job"
+	"basaltloft/internal/scheduler"
+)
+
+// clock returns the runner's clock, in milliseconds.
+func (l *life) clock() int64 {
+	return l.offset + int64(float64(l.w.now.Milliseconds())*l.rate)
+}
+
+func (l *life) fenced(token uint64) bool {
+	if token < l.fence {
+		return true
+	}
+	l.fence = token
+	return false
+}
+
+func (l *life) extend(deadline int64) {
+	if deadline > 0 {
+		l.until = max(l.until, min(deadline, l.clock()+holdMax.Milliseconds()))
+	}
+}
+
+func (l *life) hold(order scheduler.Order, answer func(func(*scheduler.Owner))) {
+	if l.fenced(order.Token) {
+		answer(func(o *scheduler.Owner) { o.HoldAnswered(l.w.now, order, scheduler.HoldFenced, scheduler.Look{}) })
+		return
+	}
+	l.extend(order.DeadlineMs)
+	for len(l.finished) > 0 && l.finished[0].Number <= order.LastSeen {
+		l.w.note(l.finished[0])
+		l.finished = l.finished[1:]
+	}
+	l.waiting = append(l.waiting, waitingHold{until: l.w.now + time.Duration(order.WaitMs)*time.Millisecond, seen: order.LastSeen, answer: func() {
+		look := l.look()
+		answer(func(o *scheduler.Owner) { o.HoldAnswered(l.w.now, order, scheduler.HoldTaken, look) })
+	}})
+}
+
+func (l *life) look() scheduler.Look {
+	look := scheduler.Look{ClockMs: l.clock(), Finished: append([]scheduler.ListedEnd(nil), l.finished...)}
+	for _, r := range l.inOrder {
+		percent := int(100 * (r.base + l.w.now - r.began) / r.work)
+		if l.hangs {
+			percent = 0
+		}
+		look.Running = append(look.Running, scheduler.ListedRun{Task: r.ref, Attempt: r.attempt, Saved: r.saved, Percent: min(percent, 99)})
+	}
+	return look
+}
+
+func (l *life) used() job.Resources {
+	used := job.Resources{}
+	for _, r := range l.runs {
+		used = used.Plus(r.job.spec.Steps[r.ref.Step].Resources)
+	}
+	return used
+}
+
+func (l *life) start(order scheduler.Order) scheduler.StartReply {
+	w := l.w
+	if l.fenced(order.Token) {
+		return scheduler.StartRefused
+	}
+	if r := l.runs[order.Task]; r != nil && r.attempt == order.Attempt {
+		return scheduler.StartTaken
+	}
+	if l.clock() > order.DeadlineMs || order.Attempt <= l.highest[order.Task] {
+		return scheduler.StartRefused
+	}
+	j := w.jobs[order.Task.Job]
+	w.check(j != nil && order.Spec == j.spec.Text, "UNASKED", "%v with spec %q", order.Task, order.Spec)
+	l.extend(order.DeadlineMs)
+	spec := j.spec.Steps[order.Task.Step]
+	if !l.used().Plus(spec.Resources).Fits(l.capacity) {
+		w.check(l.guards, "LIMIT", "%v at %s", order.Task, l.id)
+		return scheduler.StartNoRoom
+	}
+	w.checkStart(l, j, spec, order)
+	work := time.Duration(float64(spec.EstimateMs)*(0.6+0.8*w.random.Float64())) * time.Millisecond
+	r := &running{ref: order.Task, attempt: order.Attempt, job: j, began: w.now, saved: order.Saved, work: max(work, step)}
+	if order.Saved != "" {
+		r.base = r.work / 3
+	}
+	l.runs[order.Task] = r
+	l.inOrder = append(l.inOrder, r)
+	return scheduler.StartTaken
+}
+
+// checkStart checks the rules that a start can break.
+func (w *world) checkStart(l *life, j *submitted, spec job.Step, order scheduler.Order) {
+	ref := order.Task
+	for _, other := range w.lives {
+		if r := other.runs[ref]; other.up && r != nil {
+			w.check(false, "TWICE", "%v attempt %d at %s, while attempt %d is at %s", ref, order.Attempt, l.id, r.attempt, other.id)
+		}
+	}
+	w.check(!j.noted[ref] || spec.LongRunning, "TWICE", "%v starts after its end was taken note of", ref)
+	w.check(j.failures[ref] < j.retries || spec.LongRunning, "BUDGET", "%v after %d failures of %d", ref, j.failures[ref], j.retries)
+	for _, before := range spec.DependsOn {
+		for index := range j.spec.Steps[before].Count {
+			w.check(j.ended[job.TaskRef{Job: j.id, Time: ref.Time, Step: before, Index: index}], "ORDER", "%v before step %d is done", ref, before)
+		}
+	}
+	if due := j.spec.DueMs(ref.Time); due > 0 {
+		w.check(w.wallMs() >= due-250, "ORDER", "%v before its time", ref)
+	}
+	w.check(order.Saved == "" || j.saves[order.Saved], "UNASKED", "%v with progress %q that is not its own", ref, order.Saved)
+	w.check(j.cancelled == 0 || w.now-j.cancelled < 3*time.Second, "UNASKED", "%v after its cancelling", ref)
+	for _, label := range spec.Constraints {
+		w.check(hasLabel(l.labels, label), "ROUTE", "%v at %s, which lacks %s", ref, l.id, label)
+	}
+	if spec.AntiAffinity > 0 {
+		n := 1
+		for other := range l.runs {
+			if other.Job == ref.Job && other.Time == ref.Time && other.Step == ref.Step {
+				n++
+			}
+		}
+		w.check(n <= spec.AntiAffinity, "ROUTE", "%d tasks of %v at %s", n, ref, l.id)
+	}
+}
+
+func hasLabel(labels []string, wanted string) bool {
+	for _, label := range labels {
+		if label == wanted {
+			return true
+		}
+	}
+	return false
+}
+
+func (l *life) stop(order scheduler.Order) bool {
+	if l.fenced(order.Token) {
+		return false
+	}
+	l.highest[order.Task] = max(l.highest[order.Task], order.Attempt)
+	if r := l.runs[order.Task]; r != nil && r.attempt <= order.Attempt {
+		r.saved = l.save(r)
+		l.end(r, job.Stopped)
+	}
+	return true
+}
+
+// save returns the text of a run's progress, where its step saves any.
+func (l *life) save(r *running) string {
+	if !r.job.spec.Steps[r.ref.Step].Checkpoints || r.base+l.w.now-r.began < saveFor {
+		return r.saved
+	}
+	text := fmt.Sprintf("%s-%d-%d", r.ref, r.attempt, (r.base+l.w.now-r.began)/saveFor)
+	r.job.saves[text] = true
+	return text
+}
+
+func (l *life) end(r *running, how job.How) {
+	l.remove(r)
+	if how == job.Done {
+		for _, ref := range r.job.peers(r.ref) {
+			r.job.ended[ref] = true
+		}
+	}
+	l.highest[r.ref] = max(l.highest[r.ref], r.attempt)
+	l.number++
+	l.finished = append(l.finished, scheduler.ListedEnd{Number: l.number, Task: r.ref, Attempt: r.attempt, How: how, Saved: r.saved})
+	if r.job.spec.Steps[r.ref.Step].Gang {
+		l.w.gangEnds(r, how)
+	}
+}
+
+// gang returns the runs of a gang's attempt, wherever they are.
+func (w *world) gang(r *running) (members []*running, at []*life) {
+	for _, l := range w.lives {
+		if !l.up {
+			continue
+		}
+		for _, other := range l.runs {
+			if other.ref.Job == r.ref.Job && other.ref.Time == r.ref.Time && other.ref.Step == r.ref.Step && other.attempt == r.attempt {
+				members, at = append(members, other), append(at, l)
+			}
+		}
+	}
+	return members, at
+}
+
+// gangEnds ends the other members with the first one: done together, or broken.
+func (w *world) gangEnds(r *running, how job.How) {
+	if how == job.Broken {
+		return
+	}
+	if how != job.Done {
+		how = job.Broken
+	}
+	members, at := w.gang(r)
+	for i, other := range members {
+		if how == job.Done {
+			at[i].remove(other)
+			at[i].number++
+			at[i].finished = append(at[i].finished, scheduler.ListedEnd{Number: at[i].number, Task: other.ref, Attempt: other.attempt, How: job.Done})
+			continue
+		}
+		at[i].end(other, how)
+	}
+}
+
+// tick lets time pass at a runner.
+func (l *life) tick() {
+	if !l.up {
+		return
+	}
+	for _, r := range l.inOrder {
+		if l.runs[r.ref] == r {
+			l.tickRun(r)
+		}
+	}
+	kept := l.waiting[:0]
+	for _, h := range l.waiting {
+		if l.number > h.seen && len(l.finished) > 0 || l.w.now >= h.until {
+			if l.w.now >= l.cutUntil {
+				h.answer()
+			}
+			continue
+		}
+		kept = append(kept, h)
+	}
+	l.waiting = kept
+}
+
+// remove forgets a run, keeping the others in the order of their starts.
+func (l *life) remove(r *running) {
+	delete(l.runs, r.ref)
+	l.inOrder = slices.DeleteFunc(slices.Clone(l.inOrder), func(other *running) bool { return other == r })
+}
+
+func (l *life) tickRun(r *running) {
+	w := l.w
+	spec := r.job.spec.Steps[r.ref.Step]
+	if l.clock() > l.until {
+		l.end(r, job.Lapsed)
+		return
+	}
+	if spec.Gang {
+		members, _ := w.gang(r)
+		if len(members) < spec.Count {
+			if w.now-r.began > gangMax {
+				w.alone++
+				l.end(r, job.Alone)
+			}
+			return
+		}
+		for _, other := range members {
+			if other.began > r.began {
+				return // the work begins once all are there; the last one's run counts
+			}
+		}
+	}
+	r.saved = l.save(r)
+	if l.hangs || r.base+w.now-r.began < r.work {
+		return
+	}
+	switch {
+	case r.job.poison && r.ref.Step == 0, l.fails, w.random.IntN(25) == 0:
+		l.end(r, job.Failed)
+	default:
+		l.end(r, job.Done)
+	}
+}
+
+// crash ends a life. Another one may come at its address.
+func (w *world) crash(l *life, returns bool) {
+	l.up = false
+	for i, other := range w.lives {
+		if other == l && returns {
+			w.later(w.between(500*time.Millisecond, 3*time.Second), func() { w.addLife(l.address, i) })
+		}
+	}
+}
--- a/internal/scheduler/runs.go
+++ b/internal/scheduler/runs.go
@@ -189,7 +189,8 @@
 // followStep makes ready what an end allows: the task again, or the steps that waited.
 func (o *Owner) followStep(j *job.Job, c job.Command) {
 	_, step := j.Task(c.Task)
-	if step == nil {
+	if step == nil { // the whole time is complete, and its state was dropped
+		o.dropTime(j.ID, c.Task.Time)
 		return
 	}
 	if !step.Complete() {
@@ -200,6 +201,15 @@
 	o.openTime(j, c.Task.Time)
 }
 
+// dropTime forgets what was to start of a time that is complete.
+func (o *Owner) dropTime(id string, time int) {
+	for _, key := range o.byJob[id] {
+		if key.time == time {
+			delete(o.bundles, key)
+		}
+	}
+}
+
 // learn draws from an end what it says of the type's run time and of the runner.
 func (o *Owner) learn(j *job.Job, s *session, r *run, how job.How) {
 	switch how {
--- /dev/null
+++ b/internal/scheduler/scheduler_test.go
@@ -0,0 +1,348 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"basaltloft/internal/job"
+)
+
+// draw makes a job of any kind.
+func (w *world) draw() job.Spec {
+	spec := job.Spec{Text: fmt.Sprint("text ", w.random.IntN(1000))}
+	for at := range 1 + w.random.IntN(3) {
+		s := job.Step{Count: 1 + w.random.IntN(5), EstimateMs: int64(100 + w.random.IntN(1500)),
+			Resources: job.Resources{CPU: int64(500 + w.random.IntN(6000)), MemMB: int64(500 + w.random.IntN(8000))}}
+		if at > 0 {
+			s.DependsOn = []int{w.random.IntN(at)}
+		}
+		switch w.random.IntN(8) {
+		case 0:
+			s.Gang = true
+		case 1:
+			s.Gang, s.SameRack, s.Checkpoints = true, true, true
+		case 2:
+			s.Checkpoints = true
+		case 3:
+			s.Constraints = job.Labels{"a"}
+		case 4:
+			s.AntiAffinity = 1
+		case 5:
+			s.Affinity = "r-1"
+		case 6:
+			s.GPU = int64(1 + w.random.IntN(3))
+		}
+		spec.Steps = append(spec.Steps, s)
+	}
+	if w.random.IntN(8) == 0 {
+		spec.Repeats, spec.StartAtMs, spec.IntervalMs = 1+w.random.IntN(3), w.wallMs()+int64(w.random.IntN(2000)), int64(500+w.random.IntN(3000))
+	}
+	return spec
+}
+
+// disturb does one random harmful thing.
+func (w *world) disturb() {
+	l := w.lives[w.random.IntN(len(w.lives))]
+	if !l.up {
+		return
+	}
+	switch w.random.IntN(8) {
+	case 0:
+		w.crash(l, w.random.IntN(3) > 0)
+	case 1:
+		l.cutUntil = w.now + w.between(time.Second, 9*time.Second)
+	case 2:
+		w.lose()
+	case 3:
+		w.lateFor = 0.06
+	case 4:
+		w.lateFor = 0
+	case 5:
+		l.fails = !l.fails
+	case 6:
+		l.hangs = !l.hangs
+	case 7:
+		if w.ups() > 4 {
+			l.draining = true
+			w.later(4*time.Second, func() { w.crash(l, true) })
+		}
+	}
+}
+
+func (w *world) ups() (n int) {
+	for _, l := range w.lives {
+		if l.up && !l.draining {
+			n++
+		}
+	}
+	return n
+}
+
+// settle heals everything and expects each job to end.
+func (w *world) settle() {
+	w.lateFor = 0
+	for i := range 3 { // of each kind and rack at least one is sound
+		w.addLife(fmt.Sprintf("10.0.9.%d:1", i), i)
+		w.addLife(fmt.Sprintf("10.0.8.%d:1", i), i+3)
+	}
+	for _, l := range w.lives {
+		l.cutUntil, l.fails, l.hangs = 0, false, false
+	}
+	for range 80 {
+		w.run(500 * time.Millisecond)
+		w.list()
+		if w.open() == 0 {
+			break
+		}
+	}
+	for _, id := range w.order {
+		j := w.store.Jobs[id]
+		w.check(j.State.Over(), "LOST", "job %s is %v at the end, live %d, %s", id, j.State, j.Live, describe(j))
+		if j.State == job.Completed {
+			w.check(!w.jobs[id].poison, "MIXED", "job %s is completed, though its tasks always fail", id)
+			w.checkComplete(w.jobs[id])
+		}
+	}
+}
+
+// describe tells what a job still waits for.
+func describe(j *job.Job) (text string) {
+	for time, state := range j.Times {
+		for at, run := range state.Steps {
+			text += fmt.Sprintf("[%d.%d %d of %d done, spec %+v, tasks %+v]", time, at, run.Done, len(run.Tasks), j.Spec.Steps[at], run.Tasks)
+		}
+	}
+	return text
+}
+
+func (w *world) open() (n int) {
+	for _, id := range w.order {
+		if !w.store.Jobs[id].State.Over() {
+			n++
+		}
+	}
+	return n
+}
+
+func (w *world) checkComplete(j *submitted) {
+	for time := range j.spec.Times() {
+		for s, spec := range j.spec.Steps {
+			for index := range spec.Count {
+				w.check(j.ended[job.TaskRef{Job: j.id, Time: time, Step: s, Index: index}], "MIXED", "job %s is completed without task %d.%d.%d", j.id, time, s, index)
+			}
+		}
+	}
+}
+
+func play(w *world, rounds int, trouble bool) {
+	w.priorities = 3
+	w.run(100 * time.Millisecond)
+	for range rounds {
+		for range w.random.IntN(3) {
+			w.submit(w.draw(), w.random.IntN(15) == 0)
+		}
+		if w.random.IntN(12) == 0 && len(w.order) > 0 {
+			w.cancel(w.order[w.random.IntN(len(w.order))])
+		}
+		if trouble && w.random.IntN(4) == 0 {
+			w.disturb()
+		}
+		w.run(w.between(50*time.Millisecond, 400*time.Millisecond))
+		w.list()
+	}
+	w.settle()
+}
+
+func TestCalmDays(t *testing.T) {
+	for seed := range uint64(60) {
+		w := newWorld(t, seed, 8)
+		play(w, 40, false)
+		w.check(w.alone == 0, "GANG", "%d runs ended alone", w.alone)
+	}
+}
+
+func TestDaysOfTrouble(t *testing.T) {
+	for seed := range uint64(200) {
+		play(newWorld(t, 1000+seed, 6+int(seed%5)), 50, true)
+	}
+}
+
+// witness is a testing.TB that notes a failure.
+type witness struct {
+	testing.TB
+	failed string
+}
+
+type stopped struct{}
+
+func (w *witness) Helper() {}
+func (w *witness) Fatalf(format string, args ...any) {
+	w.failed = fmt.Sprintf(format, args...)
+	panic(stopped{})
+}
+
+// trips plays seeds with a planted mistake until a check finds it.
+func trips(t *testing.T, planted mistake) {
+	t.Helper()
+	for seed := range uint64(200) {
+		seen := &witness{TB: t}
+		func() {
+			defer func() {
+				if r := recover(); r != nil {
+					if _, ok := r.(stopped); !ok {
+						panic(r)
+					}
+				}
+			}()
+			w := newWorld(seen, 70_000+seed, 7)
+			w.mistake = planted
+			play(w, 50, true)
+		}()
+		if seen.failed != "" {
+			t.Log(seen.failed)
+			return
+		}
+	}
+	t.Fatal("no check found the planted mistake")
+}
+
+func TestPlantedMistakesAreFound(t *testing.T) {
+	t.Run("ends counted as seen before their commit", func(t *testing.T) { trips(t, seenBeforeCommit) })
+	t.Run("a fence that is not raised", func(t *testing.T) { trips(t, fenceNotRaised) })
+}
+
+// The properties of the design, each by itself, on the ordinary path.
+
+func one(ms, cpu int64) job.Spec {
+	return job.Spec{Text: "t", Steps: []job.Step{{Count: 1, EstimateMs: ms, Resources: job.Resources{CPU: cpu, MemMB: 100}}}}
+}
+
+func (w *world) startedAt(id string) time.Duration {
+	for _, l := range w.lives {
+		for ref, r := range l.runs {
+			if ref.Job == id {
+				return r.began
+			}
+		}
+	}
+	return 0
+}
+
+func TestIdleRunnerTakesAnyTaskThatFits(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.run(100 * time.Millisecond)
+	id := w.submit(one(60_000, 16_000), false)
+	w.run(100 * time.Millisecond)
+	require.NotZero(t, w.startedAt(id), "its cost is beyond any first budget, and its runner is idle")
+}
+
+func TestShorterWorkLeavesFirstUntilTheLongerHasAged(t *testing.T) {
+	w := newWorld(t, 2, 1)
+	w.run(100 * time.Millisecond)
+	w.submit(one(1000, 16_000), false) // fills the runner
+	w.run(50 * time.Millisecond)
+	long, short := w.submit(one(900, 16_000), false), w.submit(one(300, 16_000), false)
+	for w.startedAt(long) == 0 && w.startedAt(short) == 0 {
+		w.run(step)
+	}
+	require.NotZero(t, w.startedAt(short))
+	for range 40 { // short work keeps coming
+		w.submit(one(300, 16_000), false)
+		w.run(200 * time.Millisecond)
+		if w.startedAt(long) != 0 {
+			return
+		}
+	}
+	t.Fatal("the longer work has starved")
+}
+
+func TestWorkThatFitsNowhereHoldsNothingUp(t *testing.T) {
+	w := newWorld(t, 3, 2)
+	w.run(100 * time.Millisecond)
+	w.submit(one(100, 500_000), false)
+	id := w.submit(one(2000, 1000), false)
+	w.run(100 * time.Millisecond)
+	require.NotZero(t, w.startedAt(id))
+}
+
+func TestRoomiestRunnerIsTaken(t *testing.T) {
+	w := newWorld(t, 4, 2)
+	w.run(100 * time.Millisecond)
+	for range 2 {
+		w.submit(one(5000, 4000), false)
+	}
+	w.run(100 * time.Millisecond)
+	require.Len(t, w.lives[0].runs, 1)
+	require.Len(t, w.lives[1].runs, 1)
+}
+
+func TestGangLeavesWholeOrNotAtAll(t *testing.T) {
+	w := newWorld(t, 5, 2)
+	w.run(100 * time.Millisecond)
+	w.submit(one(3000, 10_000), false)
+	w.run(50 * time.Millisecond)
+	gang := job.Spec{Text: "g", Steps: []job.Step{{Count: 2, EstimateMs: 500, Gang: true, Resources: job.Resources{CPU: 10_000, MemMB: 10}}}}
+	id := w.submit(gang, false)
+	w.run(500 * time.Millisecond)
+	require.Zero(t, w.startedAt(id), "only one of its two tasks would fit")
+	w.run(5 * time.Second)
+	require.Equal(t, job.Completed, w.store.Jobs[id].State)
+	require.Zero(t, w.alone)
+}
+
+func TestDrainingRunnerGetsNothing(t *testing.T) {
+	w := newWorld(t, 6, 2)
+	w.lives[0].draining = true
+	w.list()
+	w.run(100 * time.Millisecond)
+	for range 4 {
+		w.submit(one(2000, 1000), false)
+	}
+	w.run(200 * time.Millisecond)
+	require.Empty(t, w.lives[0].runs)
+	require.Len(t, w.lives[1].runs, 4)
+}
+
+func TestTaskMovesFromARunnerThatStandsStill(t *testing.T) {
+	w := newWorld(t, 7, 2)
+	w.lives[0].hangs, w.lives[1].hangs = true, false
+	w.run(100 * time.Millisecond)
+	id := w.submit(one(300, 9000), false)
+	other := w.submit(one(300, 9000), false)
+	w.run(12 * time.Second)
+	require.Equal(t, job.Completed, w.store.Jobs[id].State)
+	require.Equal(t, job.Completed, w.store.Jobs[other].State)
+}
+
+func TestRunOfALostRunnerStartsAgainOnlyAfterAllHoldsEnded(t *testing.T) {
+	w := newWorld(t, 8, 2)
+	w.run(100 * time.Millisecond)
+	id := w.submit(one(4000, 9000), false)
+	w.run(300 * time.Millisecond)
+	for _, l := range w.lives {
+		if len(l.runs) > 0 {
+			l.cutUntil = w.now + time.Minute
+		}
+	}
+	w.run(5 * time.Second)
+	require.Equal(t, job.Running, w.store.Jobs[id].State, "it may still run")
+	w.run(15 * time.Second)
+	require.Equal(t, job.Completed, w.store.Jobs[id].State)
+}
+
+func TestLastingJobRunsAgainAndStopsWhenCancelled(t *testing.T) {
+	w := newWorld(t, 9, 3)
+	w.run(100 * time.Millisecond)
+	spec := one(200, 1000)
+	spec.Steps[0].LongRunning = true
+	id := w.submit(spec, false)
+	w.run(5 * time.Second)
+	require.Equal(t, job.Running, w.store.Jobs[id].State)
+	w.cancel(id)
+	w.run(time.Second)
+	require.Zero(t, w.startedAt(id))
+	require.Equal(t, job.Canceled, w.store.Jobs[id].State)
+}
