--- a/coord/rpc/server.go
+++ b/coord/rpc/server.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 )
 
 // Handler takes the messages of peers. Its methods are called concurrently.
@@ -17,10 +18,45 @@
 }
 
 // Server serves upgraded connections; it is an http.Handler for Path.
-type Server struct{ Handler Handler }
+type Server struct {
+	handler Handler
+
+	mu      sync.Mutex
+	streams map[*stream]bool
+	closed  bool
+}
+
+// NewServer returns a server whose messages go to a handler.
+func NewServer(handler Handler) *Server {
+	return &Server{handler: handler, streams: map[*stream]bool{}}
+}
+
+// Close ends all connections; an http.Server's own Close does not end those it gave away.
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for stream := range s.streams {
+		stream.close()
+	}
+}
+
+// keep notes a connection while it lasts; false: the server is closed.
+func (s *Server) keep(stream *stream, open bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !open {
+		delete(s.streams, stream)
+		return true
+	}
+	if !s.closed {
+		s.streams[stream] = true
+	}
+	return !s.closed
+}
 
 // ServeHTTP takes over a connection that asks for the upgrade.
-func (s Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.Header.Get("Upgrade") != protocol {
 		http.Error(w, "only "+protocol+" is spoken here", http.StatusUpgradeRequired)
 		return
@@ -45,15 +81,20 @@
 
 func (h hijacked) Read(p []byte) (int, error) { return h.reader.Read(p) }
 
-func (s Server) serve(conn net.Conn, reader *bufio.Reader) {
+func (s *Server) serve(conn net.Conn, reader *bufio.Reader) {
 	stream := newStream(hijacked{Conn: conn, reader: reader})
+	defer s.keep(stream, false)
+	if !s.keep(stream, true) {
+		stream.close()
+		return
+	}
 	stream.read(func(f frame) {
 		if f.Kind == frameCast {
-			s.Handler.Cast(f.Body)
+			s.handler.Cast(f.Body)
 			return
 		}
 		go func() {
-			_ = stream.put(frame{ID: f.ID, Kind: frameAnswer, Body: s.Handler.Call(f.Body)})
+			_ = stream.put(frame{ID: f.ID, Kind: frameAnswer, Body: s.handler.Call(f.Body)})
 		}()
 	})
 }
--- a/coord/simdisk/simdisk.go
+++ b/coord/simdisk/simdisk.go
@@ -7,6 +7,7 @@
 	"os"
 	"slices"
 	"sort"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 
@@ -33,11 +34,12 @@
 
 // Disk holds files by path. It implements ringlog.Files.
 type Disk struct {
+	mu      sync.Mutex
 	files   map[string]*file
 	random  *rand.Rand
-	Full    bool
-	CrashAt int // the operation with this number and all after it fail; 0: none
-	Count   int // operations so far
+	Full    bool // set it while nothing is written, or by SetFull
+	CrashAt int  // the operation with this number and all after it fail; 0: none
+	Count   int  // operations so far
 }
 
 // New returns an empty disk.
@@ -64,6 +66,8 @@
 
 // Open implements ringlog.Files.
 func (d *Disk) Open(path string) (ringlog.File, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	if d.files[path] == nil {
 		d.files[path] = &file{}
 	}
@@ -72,6 +76,8 @@
 
 // ReadFile implements ringlog.Files.
 func (d *Disk) ReadFile(path string) ([]byte, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	f := d.files[path]
 	if f == nil {
 		return nil, os.ErrNotExist
@@ -97,6 +103,8 @@
 
 // SyncFolder implements ringlog.Files.
 func (d *Disk) SyncFolder(string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	if err := d.step(); err != nil {
 		return err
 	}
@@ -108,6 +116,8 @@
 
 // WriteAt implements ringlog.File. What a crash interrupts may be there in part.
 func (h *handle) WriteAt(p []byte, offset int64) (int, error) {
+	h.disk.mu.Lock()
+	defer h.disk.mu.Unlock()
 	err := h.disk.step()
 	if errors.Is(err, ErrRefused) {
 		return 0, err
@@ -118,6 +128,8 @@
 
 // Sync implements ringlog.File.
 func (h *handle) Sync() error {
+	h.disk.mu.Lock()
+	defer h.disk.mu.Unlock()
 	if err := h.disk.step(); err != nil {
 		return err
 	}
@@ -128,9 +140,18 @@
 // Close implements ringlog.File.
 func (h *handle) Close() error { return nil }
 
+// SetFull lets the disk refuse writes, or take them again.
+func (d *Disk) SetFull(full bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.Full = full
+}
+
 // LosePower keeps of each file what was synced. Of later writes each is there, missing or
 // torn, and a name that was not synced may be gone.
 func (d *Disk) LosePower() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.CrashAt, d.Full = 0, false
 	for _, path := range d.paths() {
 		f := d.files[path]
@@ -156,7 +177,11 @@
 }
 
 // Wipe removes everything.
-func (d *Disk) Wipe() { d.files = map[string]*file{} }
+func (d *Disk) Wipe() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.files = map[string]*file{}
+}
 
 func (d *Disk) paths() []string {
 	paths := make([]string, 0, len(d.files))
--- /dev/null
+++ b/internal/admission/admission_test.go
@@ -0,0 +1,66 @@
+package admission_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"basaltloft/internal/admission"
+)
+
+func TestNewTypeStartsAtItsEstimateElseAtTheMeanOfAll(t *testing.T) {
+	costs := admission.NewCosts()
+	known, other := admission.Type{Queue: "q", Step: 1}, admission.Type{Queue: "q", Step: 2}
+	require.Equal(t, 3.0, costs.Expect(known, 3))
+	costs.Learn(known, 0, 2)
+	costs.Learn(known, 0, 4)
+	require.InDelta(t, 2.5, costs.Expect(known, 0), 1.2)
+	require.Equal(t, costs.Expect(known, 0), costs.Expect(other, 0), "the mean of what is known")
+}
+
+func TestEstimatesAreCorrectedByWhatRunsTook(t *testing.T) {
+	costs := admission.NewCosts()
+	of := admission.Type{Queue: "q"}
+	for range 60 {
+		costs.Learn(of, 1, 2)
+	}
+	require.InDelta(t, 6, costs.Expect(of, 3), 0.2, "tasks of this type run twice as long as estimated")
+	costs.Learn(of, 1, 1000)
+	require.Less(t, costs.Expect(of, 3), 7.0, "one outlier counts as three times the expected at the most")
+}
+
+func TestCompare(t *testing.T) {
+	short, long := admission.Rank{Cost: 1, Seq: 2}, admission.Rank{Cost: 5, Seq: 1}
+	require.Negative(t, admission.Compare(short, long))
+	long.Aged, long.AgedAt = true, 7
+	require.Positive(t, admission.Compare(short, long), "what has aged is passed by nothing shorter")
+	older := admission.Rank{Cost: 9, Aged: true, AgedAt: 3}
+	require.Negative(t, admission.Compare(older, long))
+	require.Negative(t, admission.Compare(admission.Rank{Seq: 1}, admission.Rank{Seq: 2}))
+	require.Zero(t, admission.Compare(short, short))
+}
+
+func TestBudget(t *testing.T) {
+	budget, means := admission.Budget{}, &admission.Means{}
+	require.Equal(t, math.MaxFloat64, budget.Room(0, means), "it is not set before a cost is known")
+	means.Add(10)
+	first := budget.Room(0, means)
+	require.Equal(t, 60.0, first, "a few mean costs")
+	budget.Grow(10, 1000)
+	require.Equal(t, first, budget.Room(0, means), "it does not grow while it held nothing back")
+	budget.HeldBack()
+	budget.Grow(10, 1000)
+	grown := budget.Room(0, means)
+	require.Greater(t, grown, first)
+	budget.Shrink(time.Second, 2*time.Second, means)
+	cut := budget.Room(0, means)
+	require.Less(t, cut, grown)
+	budget.Shrink(time.Second, 2*time.Second, means)
+	require.Equal(t, cut, budget.Room(0, means), "what was sent in one round trip cuts once")
+	for at := range 50 {
+		budget.Shrink(time.Duration(at+3)*time.Second, time.Duration(at+3)*time.Second, means)
+	}
+	require.Equal(t, 15.0, budget.Room(0, means), "a floor remains")
+}
--- a/internal/boot/settings.go
+++ b/internal/boot/settings.go
@@ -140,7 +140,7 @@
 	var wrong error
 	note := func(ok bool, message string) {
 		if !ok {
-			wrong = errors.CombineErrors(wrong, errors.New(message))
+			wrong = errors.Join(wrong, errors.New(message))
 		}
 	}
 	note(net.ParseIP(s.IP) != nil, "ip is not an IP address: give this machine's")
--- /dev/null
+++ b/internal/boot/settings_test.go
@@ -0,0 +1,63 @@
+package boot_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"basaltloft/internal/boot"
+)
+
+const whole = `
+node_name: "core-a-1"
+ip: "10.1.0.15"
+zone: "a"
+listen:
+  control: "10.1.0.15:8146"
+port_range:
+  - 7660
+  - 7675
+seeds:
+  - "10.1.0.15:8146"
+  - "10.2.0.25:8146"
+bootstrap: true
+limits:
+  memory_mb: 280
+data_dir: "/data/x"
+fault_tolerance:
+  machines: 1
+bounds:
+  hold_max_ms: 5000
+  grace_s: 6
+  something_new: 3
+contracts:
+  - "base"
+a_new_field:
+  nested: true
+`
+
+func TestParse(t *testing.T) {
+	s, err := boot.Parse([]byte(whole))
+	require.NoError(t, err)
+	require.Equal(t, []string{"10.1.0.15:7660", "10.2.0.25:7660"}, s.SeedAddresses())
+	require.Equal(t, 5*time.Second, s.Bounds.HoldMax())
+	require.Equal(t, 6*time.Second, s.Bounds.Grace())
+	require.Equal(t, int64(3000), s.Bounds.DrainMs, "what is left out has its usual value")
+	require.True(t, s.Bootstrap)
+}
+
+func TestParseNamesEachFault(t *testing.T) {
+	for name, one := range map[string]struct{ from, to, says string }{
+		"ip":    {`ip: "10.1.0.15"`, `ip: "here"`, "ip is not"},
+		"ports": {"  - 7675", "  - 7000", "port_range"},
+		"seeds": {`"10.2.0.25:8146"`, `"10.2.0.25"`, "write host:port"},
+		"yaml":  {"limits:", "limits: [", "not YAML"},
+	} {
+		_, err := boot.Parse([]byte(strings.Replace(whole, one.from, one.to, 1)))
+		require.ErrorContains(t, err, one.says, name)
+	}
+	_, err := boot.Load("/nowhere/settings.yaml")
+	require.ErrorContains(t, err, boot.Variable)
+}
--- a/internal/controlplane/core.go
+++ b/internal/controlplane/core.go
@@ -6,8 +6,10 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"net/http"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -47,6 +49,7 @@
 	identity identity
 	self     replica.Member
 	peers    *peers
+	rpc      *rpc.Server
 	config   *configuration
 	shards   []*shard
 	groups   map[string]*group.Group
@@ -88,6 +91,7 @@
 	c.identity = found
 	c.founding.Store(found.Founding)
 	c.self = replica.Member{ID: found.ID, Address: c.settings.InternalAddress(c.settings.IP)}
+	c.rpc = rpc.NewServer(c)
 	c.peers = newPeers(c.self.Address)
 	c.peers.own = c.receive
 	c.config = newConfiguration(c)
@@ -99,7 +103,7 @@
 	runners := newRunnerClient()
 	c.shards = nil
 	for number := range protocol.Shards {
-		s := newShard(number, bounds, runners, c.now, c.log)
+		s := newShard(number, bounds, runners, c.now, c.stop, c.log)
 		if err := c.openGroup(protocol.ShardGroup(number), s); err != nil {
 			return err
 		}
@@ -156,12 +160,36 @@
 	close(c.stop)
 	operators.Close()
 	internal.Close()
+	c.rpc.Close()
+	c.peers.close()
+	c.close()
 	return nil
 }
 
+// closeWithin bounds how long the end of a process waits for its disk.
+const closeWithin = 300 * time.Millisecond
+
+// close ends the replicas. What they promised is on disk; a disk that hangs is not waited for.
+func (c *Core) close() {
+	if !c.running.Load() {
+		return
+	}
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		for _, g := range c.groups {
+			g.Close()
+		}
+	}()
+	select {
+	case <-closed:
+	case <-time.After(closeWithin):
+	}
+}
+
 func (c *Core) servers() (internal, operators *http.Server) {
 	private := http.NewServeMux()
-	private.Handle(rpc.Path, rpc.Server{Handler: c})
+	private.Handle(rpc.Path, c.rpc)
 	public := http.NewServeMux()
 	public.HandleFunc("POST /-/config/replace", c.config.serveReplace)
 	public.HandleFunc("GET /-/config/get", c.config.serveGet)
@@ -240,6 +268,8 @@
 		return c.config.feed(request)
 	case protocol.Operate:
 		return c.config.operate(request)
+	case protocol.AskStatus:
+		return c.status()
 	case protocol.Hello:
 		return protocol.HelloAnswer{Member: c.self, Founding: c.founding.Load()}
 	}
@@ -253,6 +283,20 @@
 	return do(c.shards[number])
 }
 
+// status tells what this process holds, by the groups' names.
+func (c *Core) status() protocol.StatusAnswer {
+	answer := protocol.StatusAnswer{Node: c.settings.NodeName, Member: c.self}
+	if !c.running.Load() {
+		return answer
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.groups)) {
+		g := c.groups[name]
+		epoch, _, leads := g.Lease()
+		answer.Groups = append(answer.Groups, protocol.GroupStatus{Name: name, Leads: leads, Epoch: epoch, Leader: g.Leader().Address, Members: g.Members()})
+	}
+	return answer
+}
+
 // cores lists where the members of the configuration's group hear other processes.
 func (c *Core) cores() []string {
 	var addresses []string
--- a/internal/controlplane/peers.go
+++ b/internal/controlplane/peers.go
@@ -52,3 +52,12 @@
 	defer cancel()
 	return p.client(address).Call(ctx, message)
 }
+
+// close ends the connections.
+func (p *peers) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, client := range p.all {
+		client.Close()
+	}
+}
--- a/internal/controlplane/shard.go
+++ b/internal/controlplane/shard.go
@@ -38,10 +38,10 @@
 	inFlight int             // batches of this owner that wait for their commitment
 }
 
-func newShard(number int, bounds scheduler.Bounds, runner *runnerClient, clock func() time.Duration, log *slog.Logger) *shard {
+func newShard(number int, bounds scheduler.Bounds, runner *runnerClient, clock func() time.Duration, stop chan struct{}, log *slog.Logger) *shard {
 	return &shard{
 		number: number, bounds: bounds, runner: runner, clock: clock, log: log.With("shard", number),
-		wake: make(chan struct{}, 1), stop: make(chan struct{}), store: job.NewStore(),
+		wake: make(chan struct{}, 1), stop: stop, store: job.NewStore(),
 	}
 }
 
--- a/internal/opconfig/config.go
+++ b/internal/opconfig/config.go
@@ -76,10 +76,10 @@
 func Parse(content []byte) (*Config, error) {
 	document, err := jsonschema.UnmarshalJSON(bytes.NewReader(content))
 	if err != nil {
-		return nil, errors.Mark(errors.Wrap(err, "not whole JSON"), ErrInvalid)
+		return nil, errors.Wrapf(ErrInvalid, "not whole JSON: %v", err)
 	}
 	if err := schema.Validate(document); err != nil {
-		return nil, errors.Mark(errors.Wrap(err, "not of the form that the schema gives"), ErrInvalid)
+		return nil, errors.Wrapf(ErrInvalid, "not of the form that the schema gives: %v", err)
 	}
 	return Read(content)
 }
@@ -88,10 +88,10 @@
 func Read(content []byte) (*Config, error) {
 	c := &Config{}
 	if err := json.Unmarshal(content, c); err != nil {
-		return nil, errors.Mark(errors.Wrap(err, "not whole JSON"), ErrInvalid)
+		return nil, errors.Wrapf(ErrInvalid, "not whole JSON: %v", err)
 	}
 	if err := c.index(); err != nil {
-		return nil, errors.Mark(err, ErrInvalid)
+		return nil, errors.Wrap(ErrInvalid, err.Error())
 	}
 	return c, nil
 }
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,95 @@
+package placement_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"basaltloft/internal/job"
+	"basaltloft/internal/placement"
+)
+
+func candidate(key int, room float64) placement.Candidate {
+	whole := job.Resources{CPU: 8000, MemMB: 8000, GPU: 4}
+	return placement.Candidate{Key: key, Service: "s", Labels: []string{"a", "r1"}, Capacity: whole, Free: whole, Room: room, Pace: 1}
+}
+
+func ask() *placement.Ask {
+	return &placement.Ask{Service: "s", Need: job.Resources{CPU: 1000, MemMB: 1000}, Cost: 5}
+}
+
+func TestRoomiestFittingIsChosen(t *testing.T) {
+	at, result := placement.Choose(ask(), []placement.Candidate{candidate(0, 10), candidate(1, 30), candidate(2, 20)})
+	require.Equal(t, placement.Found, result)
+	require.Equal(t, 1, at)
+}
+
+func TestWhyNoneIsFound(t *testing.T) {
+	poor, full, other, reserved := candidate(0, 1), candidate(1, 50), candidate(2, 50), candidate(3, 50)
+	full.Free = job.Resources{}
+	other.Service = "t"
+	reserved.Reserved = true
+	for name, one := range map[string]struct {
+		candidates []placement.Candidate
+		want       placement.Result
+	}{
+		"no budget":     {[]placement.Candidate{poor, full}, placement.NoBudget},
+		"no capacity":   {[]placement.Candidate{full, reserved}, placement.NoCapacity},
+		"other service": {[]placement.Candidate{other}, placement.Unsuitable},
+		"none at all":   {nil, placement.Unsuitable},
+	} {
+		_, result := placement.Choose(ask(), one.candidates)
+		require.Equal(t, one.want, result, name)
+	}
+}
+
+func TestIdleRunnerNeedsNoBudget(t *testing.T) {
+	idle := candidate(0, 1)
+	idle.Idle = true
+	_, result := placement.Choose(ask(), []placement.Candidate{idle})
+	require.Equal(t, placement.Found, result)
+}
+
+func TestPreferences(t *testing.T) {
+	far, near := candidate(0, 90), candidate(1, 10)
+	near.Labels = []string{"a", "r2"}
+	wants := ask()
+	wants.Rack = "r2"
+	at, _ := placement.Choose(wants, []placement.Candidate{far, near})
+	require.Equal(t, 1, at, "near its data")
+	wants.NearOnly = true
+	_, result := placement.Choose(wants, []placement.Candidate{far})
+	require.Equal(t, placement.NoCapacity, result, "it rather waits")
+
+	slow, doubtful, sound := candidate(0, 90), candidate(1, 80), candidate(2, 10)
+	slow.Pace, doubtful.Doubtful = 3, true
+	at, _ = placement.Choose(ask(), []placement.Candidate{slow, doubtful, sound})
+	require.Equal(t, 2, at, "a sound one")
+
+	whole, part := candidate(0, 90), candidate(1, 10)
+	part.Free.GPU = 1
+	small := ask()
+	small.Need.GPU = 1
+	at, _ = placement.Choose(small, []placement.Candidate{whole, part})
+	require.Equal(t, 1, at, "accelerators are packed")
+}
+
+func TestConstraintsAndExclusions(t *testing.T) {
+	wants := ask()
+	wants.Constraints = []string{"b"}
+	_, result := placement.Choose(wants, []placement.Candidate{candidate(0, 90)})
+	require.Equal(t, placement.Unsuitable, result)
+	wants = ask()
+	wants.Excluded = func(key int) bool { return key == 1 }
+	at, _ := placement.Choose(wants, []placement.Candidate{candidate(0, 10), candidate(1, 90)})
+	require.Equal(t, 0, at)
+}
+
+func TestTakenResourcesAreGone(t *testing.T) {
+	c := candidate(0, 10)
+	c.Idle = true
+	c.Take(ask())
+	require.Equal(t, int64(7000), c.Free.CPU)
+	require.Equal(t, 5.0, c.Room)
+	require.False(t, c.Idle)
+}
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -138,7 +138,26 @@
 	RemainingMs int64
 }
 
+// AskStatus asks a core process what it holds.
+type AskStatus struct{}
+
+// StatusAnswer is what a core process holds.
+type StatusAnswer struct {
+	Node   string
+	Member replica.Member
+	Groups []GroupStatus
+}
+
+// GroupStatus is one group as a replica of it sees it.
+type GroupStatus struct {
+	Name    string
+	Leads   bool // the answering process holds the lease
+	Epoch   uint64
+	Leader  string // address; empty: not known
+	Members replica.Membership
+}
+
 func init() {
 	rpc.Register(replica.Message{}, Submit{}, Ask{}, Answer{}, Feed{}, FeedAnswer{}, Operate{}, OperateAnswer{},
-		Hello{}, HelloAnswer{}, Join{}, Runners{})
+		Hello{}, HelloAnswer{}, Join{}, Runners{}, AskStatus{}, StatusAnswer{})
 }
