--- a/internal/scheduler/hold.go
+++ b/internal/scheduler/hold.go
@@ -266,12 +266,26 @@
 		o.endAll(s)
 	}
 	o.loseHold(s)
-	o.lookSoon(s)
+	if o.now >= s.checkAt {
+		o.checkRuns(s)
+	}
 	o.holdIfDue(s)
+}
+
+// checkEvery is how often runs are looked at where none waits for an answer or a stop.
+const checkEvery = 160 * time.Millisecond
+
+// checkRuns follows up what is owed by or for the runs of one runner.
+func (o *Owner) checkRuns(s *session) {
+	s.checkAt = o.now + checkEvery
+	o.lookSoon(s)
 	for _, r := range s.runs {
 		if r.stopWanted {
 			o.sendStop(s, r)
 		}
+		if r.stopWanted || r.phase == ordered {
+			s.checkAt = o.now
+		}
 	}
 	o.rescue(s)
 }
--- a/internal/scheduler/owner.go
+++ b/internal/scheduler/owner.go
@@ -15,6 +15,7 @@
 
 	"basaltloft/internal/admission"
 	"basaltloft/internal/job"
+	"basaltloft/internal/placement"
 )
 
 // Bounds are the deployment's figures that decisions need.
@@ -82,6 +83,9 @@
 	means  map[string]*admission.Means // by service
 	losses admission.Average           // share of holds that stay without an answer
 
+	scratchCandidates []placement.Candidate // of the last pass
+	scratchSessions   []*session
+
 	now      time.Duration
 	wallMs   int64
 	dirty    bool
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -142,8 +142,7 @@
 
 // candidates are the runners that take work now.
 func (o *Owner) candidates() ([]placement.Candidate, []*session) {
-	var candidates []placement.Candidate
-	var sessions []*session
+	candidates, sessions := o.scratchCandidates[:0], o.scratchSessions[:0]
 	for _, s := range o.ordered {
 		if !s.listed || s.draining || !s.inTouch(o.now) {
 			continue
@@ -156,6 +155,7 @@
 		})
 		sessions = append(sessions, s)
 	}
+	o.scratchCandidates, o.scratchSessions = candidates, sessions
 	return candidates, sessions
 }
 
--- a/internal/scheduler/runs.go
+++ b/internal/scheduler/runs.go
@@ -37,7 +37,7 @@
 	}
 	r.resumed = saved != ""
 	r.saved = saved
-	r.sentAt = o.now
+	r.sentAt, s.checkAt = o.now, o.now
 	r.orderDeadline = s.clockNow(o.now) + orderLife
 	s.extend(r.orderDeadline)
 	o.order(Order{Kind: OrderStart, Runner: s.id, Address: s.address, Task: r.task, Attempt: r.attempt,
@@ -96,7 +96,7 @@
 
 // wantStop stops a run, now and again until it is known to be over.
 func (o *Owner) wantStop(s *session, r *run) {
-	r.stopWanted = true
+	r.stopWanted, s.checkAt = true, o.now
 	o.sendStop(s, r)
 }
 
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -72,6 +72,7 @@
 	taken        uint64        // ends up to it were proposed
 
 	runs    map[runKey]*run
+	checkAt time.Duration // when its runs are looked at again
 	used    job.Resources
 	out     float64
 	budget  admission.Budget
