Slow and standing runs are told by their listed progress, beside the same step's runs elsewhere

Cause: a run at a runner that turned slow was moved after 2.5 expected run times and a second more, and runs of jobs with a low estimate were taken for slow.

Change: a runner is slow where the same step's runs elsewhere do better, where a run stands still, or where three jobs and no other run slowly.

--- a/internal/scheduler/hold.go
+++ b/internal/scheduler/hold.go
@@ -201,9 +201,7 @@
 	if r.phase != confirmed {
 		r.phase, r.startedClock = confirmed, s.clock
 	}
-	if listed.Percent != r.percent || r.percentAt == 0 {
-		r.percent, r.percentAt = listed.Percent, o.now
-	}
+	r.progress(o.now, listed.Percent)
 	if listed.Saved != "" && listed.Saved != r.saved && !r.ending {
 		r.saved = listed.Saved
 		o.propose(job.Command{Kind: job.Save, Task: r.task, Attempt: r.attempt, Saved: listed.Saved})
--- a/internal/scheduler/runs.go
+++ b/internal/scheduler/runs.go
@@ -37,6 +37,9 @@
 	}
 	r.resumed = saved != ""
 	r.saved = saved
+	if r.resumed {
+		r.restore = o.bounds.Restore
+	}
 	r.sentAt, s.checkAt = o.now, o.now
 	r.orderDeadline = s.clockNow(o.now) + orderLife
 	s.extend(r.orderDeadline)
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -34,9 +34,10 @@
 	orderDeadline int64   // runner's clock: the order is not carried out after it
 	startedClock  int64   // runner's clock at the answer
 	sentAt        time.Duration
-	resumed       bool // from saved progress
-	looked        bool // the runner was asked about it out of turn
-	ending        bool // its end waits for its commitment
+	resumed       bool          // from saved progress
+	restore       time.Duration // it stands still for so long at first
+	looked        bool          // the runner was asked about it out of turn
+	ending        bool          // its end waits for its commitment
 	stopWanted    bool
 	stopOut       bool // a stop is on its way
 	stopAt        time.Duration
@@ -44,6 +45,10 @@
 	saved         string
 	percent       int
 	percentAt     time.Duration // when that percentage was first seen
+	markPercent   int           // the percentage from which the rate is measured
+	markAt        time.Duration
+	rate          float64 // percent a second over the last span
+	rated         bool
 }
 
 // session is this owner's dealing with one life of a runner.
@@ -71,15 +76,16 @@
 	lastSeen     uint64        // ends up to it are committed
 	taken        uint64        // ends up to it were proposed
 
-	runs    map[runKey]*run
-	checkAt time.Duration // when its runs are looked at again
-	used    job.Resources
-	out     float64
-	budget  admission.Budget
-	ends    admission.Average // share of runs that failed
-	pace    admission.Average // run times beside the expected ones
-	trialAt time.Duration     // a doubtful runner gets its next trial then
-	trials  int
+	runs        map[runKey]*run
+	checkAt     time.Duration // when its runs are looked at again
+	used        job.Resources
+	out         float64
+	budget      admission.Budget
+	ends        admission.Average // share of runs that failed
+	slowNotedAt time.Duration
+	pace        admission.Average // run times beside the expected ones
+	trialAt     time.Duration     // a doubtful runner gets its next trial then
+	trials      int
 }
 
 // Windows of the averages of one runner, in runs.
