--- a/coord/group/group.go
+++ b/coord/group/group.go
@@ -58,9 +58,9 @@
 	Name     string
 	Self     replica.Member
 	Timing   replica.Timing
-	Size     int // voters wanted
-	Seed     uint64
-	Snapshot int // bytes of log after which a snapshot is due
+	Size     int    // voters wanted
+	Seed     uint64 // drawn anew at each start
+	Snapshot int    // bytes of log after which a snapshot is due
 }
 
 // Group is one replica and its driver.
--- a/coord/group/group_test.go
+++ b/coord/group/group_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"time"
@@ -113,7 +114,7 @@
 
 func (f *fleet) open(member replica.Member) {
 	f.states[member.Address] = &words{leading: f.leading}
-	g, err := group.Open(group.Settings{Name: "g", Self: member, Timing: timing, Size: 3, Seed: uint64(len(f.groups)) + 7*uint64(member.Address[1]), Snapshot: 8 << 10},
+	g, err := group.Open(group.Settings{Name: "g", Self: member, Timing: timing, Size: 3, Seed: rand.Uint64(), Snapshot: 8 << 10},
 		"log", ringlog.Sizes{SegmentBytes: 16 << 10, Segments: 4}, f.disks[member.Address], f.states[member.Address], f.net, started(), slog.New(slog.DiscardHandler))
 	require.NoError(f.t, err)
 	f.groups[member.Address] = g
--- a/coord/replica/replica.go
+++ b/coord/replica/replica.go
@@ -72,6 +72,8 @@
 	AnswerAppend
 	InstallSnapshot
 	TimeoutNow // the leader hands the lead over: the receiver is to stand at once
+	AskFresh   // has the receiver heard of no leader since its start?
+	AnswerFresh
 )
 
 // Message is what one replica tells another.
@@ -87,6 +89,9 @@
 	Reject    bool
 	SentAt    time.Duration // the leader's clock at an Append, returned by its answer
 	Handover  bool          // AskVote: the leader gave its lease up for this
+	Fresh     bool          // AskVote: all voters have started anew, so that no lease is left
+	Round     uint64        // AskFresh and its answer
+	Life      uint64        // AnswerFresh: the sender's; AskVote: the receiver's, where Fresh is set
 	Snapshot  *Snapshot
 	Addresses []Member // AskVote, Append: where the sender's membership is unknown to the receiver
 }
@@ -146,6 +151,9 @@
 	applied uint64
 
 	lastHeard   time.Duration // from a leader; a promise runs from here
+	heardOnce   bool          // it has heard of a leader, or led, since its start
+	life        uint64        // drawn at its start
+	fresh       freshness
 	standAt     time.Duration
 	votes       map[string]bool
 	peers       map[string]*progress
@@ -165,10 +173,11 @@
 	Entries  []Entry
 }
 
-// New returns a replica as it was left on disk. It votes for nobody for a promise's length,
+// New returns a replica as it was left on disk. The seed must differ from life to life. It votes for nobody for a promise's length,
 // since it may have made one before its restart.
 func New(id, group string, timing Timing, found Restored, seed uint64, now time.Duration) *Machine {
 	m := &Machine{id: id, group: group, timing: timing, random: rand.New(rand.NewPCG(seed, hashOf(group)))}
+	m.life = m.random.Uint64()
 	m.state = found.State
 	m.log.reset(found.Snapshot)
 	m.log.append(found.Entries)
@@ -317,11 +326,12 @@
 		m.tickLeader(now)
 		return
 	}
+	m.askFresh(now)
 	if now < m.standAt {
 		return
 	}
 	if m.Members().Votes(m.id) {
-		m.stand(now, PreCandidate, false)
+		m.stand(now, PreCandidate, Message{})
 		return
 	}
 	m.rest(now)
@@ -347,6 +357,9 @@
 	if m.role == Leader {
 		return m.heartbeatAt
 	}
+	if !m.heardOnce && m.Members().Votes(m.id) {
+		return min(m.standAt, m.fresh.askAt)
+	}
 	return m.standAt
 }
 
--- a/coord/replica/replica_test.go
+++ b/coord/replica/replica_test.go
@@ -128,3 +128,35 @@
 	t.Run("a lease used after its end", func(t *testing.T) { trips(t, useLeaseAfterEnd) })
 	t.Run("term and vote forgotten", func(t *testing.T) { trips(t, forgetState) })
 }
+
+// TestAllRestartedServeAtOnce kills all replicas at once: their leases ended with their
+// lives, and nobody waits for a promise to end, unless messages are late by seconds, as one
+// in fifty is here.
+func TestAllRestartedServeAtOnce(t *testing.T) {
+	late := 0
+	for seed := range uint64(60) {
+		w := newWorld(t, 90_000+seed, 3+2*int(seed%2))
+		w.run(3 * time.Second)
+		for range 5 {
+			w.propose()
+			w.run(50 * time.Millisecond)
+		}
+		for _, name := range w.names {
+			w.kill(w.hosts[name], seed%3 == 0)
+		}
+		for _, name := range w.names {
+			w.boot(w.hosts[name])
+			w.run(time.Duration(w.random.IntN(4)) * tick)
+		}
+		began := w.now
+		for w.leader() == nil && w.now < began+timing.Promise {
+			w.run(tick)
+		}
+		if w.leader() == nil {
+			late++
+		}
+	}
+	if late > 4 {
+		t.Fatalf("in %d of 60 worlds nobody leads %v after all have restarted", late, timing.Promise)
+	}
+}
--- a/coord/replica/step.go
+++ b/coord/replica/step.go
@@ -11,6 +11,12 @@
 	case AnswerPreVote:
 		m.countPreVote(now, message)
 		return
+	case AskFresh:
+		m.answerFresh(message)
+		return
+	case AnswerFresh:
+		m.countFresh(now, message)
+		return
 	}
 	if message.Term < m.state.Term {
 		m.answerOutdated(message)
@@ -30,7 +36,7 @@
 	case InstallSnapshot:
 		m.install(now, message)
 	case TimeoutNow:
-		m.stand(now, Candidate, true)
+		m.stand(now, Candidate, Message{Handover: true})
 	}
 }
 
@@ -41,8 +47,8 @@
 	}
 }
 
-// stand begins an election, or the vote before it.
-func (m *Machine) stand(now time.Duration, role Role, handover bool) {
+// stand begins an election, or the vote before it. The claim says why promises do not count.
+func (m *Machine) stand(now time.Duration, role Role, claim Message) {
 	if !m.Members().Votes(m.id) {
 		return
 	}
@@ -58,14 +64,14 @@
 		if member.ID == m.id || !m.Members().Votes(member.ID) {
 			continue
 		}
-		m.sendAfterSync(Message{Kind: kind, To: member.ID, Term: term, Index: m.log.last(), LogTerm: m.log.term(m.log.last()), Handover: handover})
+		m.sendAfterSync(Message{Kind: kind, To: member.ID, Term: term, Index: m.log.last(), LogTerm: m.log.term(m.log.last()), Handover: claim.Handover, Fresh: claim.Fresh, Life: m.fresh.now[member.ID].Life})
 	}
 	m.countVotes(now)
 }
 
 // promised tells whether a leader was heard so lately that no other may be helped.
 func (m *Machine) promised(now time.Duration, message Message) bool {
-	if message.Handover {
+	if message.Handover || message.Fresh && !m.heardOnce && message.Life == m.life {
 		return false
 	}
 	return m.role == Leader && now < m.lease+m.timing.Promise-m.timing.Lease || now < m.lastHeard+m.timing.Promise
@@ -148,14 +154,14 @@
 		return
 	}
 	if m.role == PreCandidate {
-		m.stand(now, Candidate, false)
+		m.stand(now, Candidate, Message{})
 		return
 	}
 	m.becomeLeader(now)
 }
 
 func (m *Machine) becomeLeader(now time.Duration) {
-	m.role, m.leader, m.votes = Leader, m.id, nil
+	m.role, m.leader, m.votes, m.heardOnce = Leader, m.id, nil, true
 	m.lease, m.leading, m.handingOver = 0, now, ""
 	m.peers = map[string]*progress{}
 	m.followMembers(now)
@@ -275,7 +281,7 @@
 	if m.role != Follower || m.leader != message.From {
 		m.follow(now, message.From)
 	}
-	m.lastHeard = now
+	m.lastHeard, m.heardOnce = now, true
 	m.rest(now)
 	answer := Message{Kind: AnswerAppend, To: message.From, SentAt: message.SentAt}
 	if !m.log.has(message.Index, message.LogTerm) {
@@ -372,7 +378,7 @@
 	if m.role != Follower || m.leader != message.From {
 		m.follow(now, message.From)
 	}
-	m.lastHeard = now
+	m.lastHeard, m.heardOnce = now, true
 	m.rest(now)
 	answer := Message{Kind: AnswerAppend, To: message.From, SentAt: message.SentAt, Index: message.Snapshot.Index}
 	if message.Snapshot.Index <= m.commit {
--- a/internal/controlplane/core.go
+++ b/internal/controlplane/core.go
@@ -7,6 +7,7 @@
 	"context"
 	"log/slog"
 	"maps"
+	"math/rand/v2"
 	"net/http"
 	"path/filepath"
 	"slices"
@@ -127,7 +128,7 @@
 func (c *Core) openGroup(name string, states group.StateMachine) error {
 	opened, err := group.Open(group.Settings{
 		Name: name, Self: c.self, Timing: timing, Size: 2*c.settings.FaultTolerance.Machines + 1,
-		Seed: seedOf(c.self.ID), Snapshot: snapshotAfter,
+		Seed: rand.Uint64(), Snapshot: snapshotAfter,
 	}, filepath.Join(c.settings.DataDir, name), ringlog.Sizes{SegmentBytes: segmentBytes, Segments: segments}, ringlog.OSFiles{}, states, c.peers, c.now, c.log)
 	if err != nil {
 		return errors.Wrapf(err, "open group %s", name)
@@ -136,13 +137,6 @@
 	return nil
 }
 
-func seedOf(id string) (seed uint64) {
-	for _, letter := range []byte(id) {
-		seed = seed*131 + uint64(letter)
-	}
-	return seed
-}
-
 // Run serves until the context ends, and then hands over what this process leads.
 func (c *Core) Run(ctx context.Context) error {
 	internal, operators := c.servers()
