Holds of 3.3 s instead of 6

Cause: what ran at a runner that fell silent started again elsewhere 6 s later, when its last hold had surely ended. Change: a hold lasts 3.3 s from each look, longer than a change of the owner or a restart of the core takes.

--- a/internal/scheduler/hold.go
+++ b/internal/scheduler/hold.go
@@ -26,7 +26,7 @@
 	o.sequence++
 	order := Order{Kind: OrderHold, Runner: s.id, Address: s.address, LastSeen: s.lastSeen, Sequence: o.sequence}
 	if s.fenced && o.now-s.heardAt < contactWithin {
-		order.DeadlineMs = s.clockNow(o.now) + o.bounds.HoldMax.Milliseconds() - holdMargin
+		order.DeadlineMs = s.clockNow(o.now) + o.holdSpan().Milliseconds()
 		order.WaitMs = o.holdWait(s)
 		s.extend(order.DeadlineMs)
 	}
@@ -35,6 +35,13 @@
 	o.order(order)
 }
 
+// holdSpan is how long a runner's holds last from each look on: longer than a change of the
+// owner, or a restart of the whole core, takes, and no longer, since what ran at a runner
+// that fell silent is known to be over only then.
+func (o *Owner) holdSpan() time.Duration {
+	return min(o.bounds.HoldMax-holdMargin*time.Millisecond, holdSpan)
+}
+
 // holdWait returns how long a runner may wait for an end before it answers, in milliseconds:
 // less where answers get lost, and only until an order whose answer is missing is past.
 func (o *Owner) holdWait(s *session) int64 {
--- a/internal/scheduler/owner.go
+++ b/internal/scheduler/owner.go
@@ -165,12 +165,16 @@
 	return means
 }
 
+// takeOverSlack is how much longer than its own holds an owner waits for those of the one
+// before it: that one read the runner's clock a while before.
+const takeOverSlack = 400 * time.Millisecond
+
 // session returns that of a life of a runner, made if it was not known.
 func (o *Owner) session(id, address string) *session {
 	s := o.sessions[id]
 	if s == nil {
 		s = &session{id: id, address: address, runs: map[runKey]*run{}, heardAt: o.now, holdAt: o.now}
-		s.overAt = o.now + time.Duration(float64(o.bounds.HoldMax)/slowestClock) + 300*time.Millisecond
+		s.overAt = o.now + time.Duration(float64(o.holdSpan())/slowestClock) + takeOverSlack
 		o.sessions[id] = s
 		o.ordered = append(o.ordered, s)
 	}
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -97,8 +97,9 @@
 const (
 	contactWithin = 1200 * time.Millisecond // a runner heard of so lately is in touch
 	slowestClock  = 0.98                    // a runner's clock runs no slower than this
-	holdMargin    = 150                     // ms under the longest hold that is asked for
-	orderLife     = 500                     // ms that an order to start may take to arrive
+	holdSpan      = 3300 * time.Millisecond
+	holdMargin    = 150 // ms under the longest hold that is asked for
+	orderLife     = 500 // ms that an order to start may take to arrive
 )
 
 // inTouch tells whether the runner can be given work.
