--- a/dispatcher.go
+++ b/dispatcher.go
@@ -8,6 +8,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"basaltloft/internal/admission"
 )
 
 // Tunables. None of them depends on a deployment.
@@ -75,19 +77,15 @@
 // Less puts the shortest job first, aged ones before it; in overload, where some are lost, the most worth.
 func (q *queue) Less(i, k int) bool {
 	a, b := q.jobs[i], q.jobs[k]
-	switch {
-	case q.overload && a.worth != b.worth:
+	if q.overload && a.worth != b.worth {
 		return a.worth > b.worth
-	case q.overload: // most have aged then: oldest first would serve each one late
-	case a.aged != b.aged:
-		return a.aged
-	case a.aged && a.agedAt != b.agedAt:
-		return a.agedAt < b.agedAt
-	}
-	if a.cost != b.cost {
-		return a.cost < b.cost
 	}
-	return a.seq < b.seq
+	return admission.Compare(a.rank(q.overload), b.rank(q.overload)) < 0
+}
+
+// rank is a job's place in the queue. In overload most have aged: oldest first would serve each one late.
+func (j *job) rank(overload bool) admission.Rank {
+	return admission.Rank{Aged: j.aged && !overload, AgedAt: j.agedAt, Cost: j.cost, Seq: j.seq}
 }
 
 // Request takes in a request.
@@ -317,7 +315,7 @@
 // cutBudget shrinks a budget, at most once for all the jobs of one round trip.
 func (d *Dispatcher) cutBudget(w *worker, sentAt time.Duration) {
 	if sentAt >= w.lastCut {
-		w.budget = max(w.budget*cut, minBudget*d.mean)
+		w.budget = admission.Shrunk(w.budget, cut, minBudget*d.mean)
 		w.lastCut = d.now
 		d.index(w)
 	}
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -261,3 +262,28 @@
 		}
 	}
 }
+
+// BenchmarkMemory is what an owner and its store hold in memory for each task that runs.
+func BenchmarkMemory(b *testing.B) {
+	for _, tasks := range []int{10_000, 92_000} {
+		b.Run(fmt.Sprint(tasks), func(b *testing.B) {
+			for range b.N {
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				f := newFleet(tasks / 15)
+				for range tasks / 10 {
+					f.submit(10)
+				}
+				for range 20 {
+					f.step(4 * time.Millisecond)
+				}
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(tasks), "bytes/task")
+				b.ReportMetric(float64(len(f.runs)), "busy-runners")
+				runtime.KeepAlive(f)
+			}
+		})
+	}
+}
