Budgets that lasting tasks fill no longer block a queue for good

Change: lasting tasks have no cost; a budget that holds work back for 0.4 s without trouble grows by itself; at most an eighth of the runners are kept for aged work, and none that has room for it and is excluded. Tests: TestLastingTasksDoNotBlockTheQueue failed before.

--- a/coord/group/group_test.go
+++ b/coord/group/group_test.go
@@ -138,18 +138,19 @@
 
 // leader waits for a replica to lead.
 func (f *fleet) leader() string {
-	for {
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); {
 		for address, g := range f.groups {
 			if g.Leads() {
 				return address
 			}
 		}
-		select {
+		select { // a lease may lapse and be renewed without a new lead
 		case <-f.leading:
-		case <-time.After(20 * time.Second):
-			f.t.Fatal("nobody leads")
+		case <-time.After(timing.Heartbeat):
 		}
 	}
+	f.t.Fatal("nobody leads")
+	return ""
 }
 
 // commit proposes until a command is committed. A try whose fate is not known may have been too.
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -50,7 +50,7 @@
 	require.Equal(t, 60.0, first, "a few mean costs")
 	budget.Grow(10, 1000)
 	require.Equal(t, first, budget.Room(0, means), "it does not grow while it held nothing back")
-	budget.HeldBack()
+	budget.HeldBack(0, 10, 1000)
 	budget.Grow(10, 1000)
 	grown := budget.Room(0, means)
 	require.Greater(t, grown, first)
@@ -64,3 +64,14 @@
 	}
 	require.Equal(t, 15.0, budget.Room(0, means), "a floor remains")
 }
+
+func TestBudgetThatHoldsWorkBackForLongGrowsByItself(t *testing.T) {
+	budget, means := admission.Budget{}, &admission.Means{}
+	means.Add(10)
+	first := budget.Room(0, means)
+	budget.HeldBack(time.Second, 10, 1000)
+	budget.HeldBack(time.Second+300*time.Millisecond, 10, 1000)
+	require.Equal(t, first, budget.Room(0, means))
+	budget.HeldBack(2*time.Second, 10, 1000)
+	require.Greater(t, budget.Room(0, means), first)
+}
--- a/internal/admission/budget.go
+++ b/internal/admission/budget.go
@@ -30,8 +30,9 @@
 
 // Budget bounds the sum of the estimated costs that are out at one runner.
 type Budget struct {
-	amount  float64 // 0: not yet set
-	full    bool    // it has held work back since it last grew
+	amount  float64       // 0: not yet set
+	full    bool          // it has held work back since it last grew
+	since   time.Duration // from when on it has
 	lastCut time.Duration
 }
 
@@ -51,8 +52,20 @@
 	}
 }
 
-// HeldBack notes that the budget kept work from its runner.
-func (b *Budget) HeldBack() { b.full = true }
+// growAfter is how long a budget holds work back, without a sign of trouble, before it grows
+// by itself: what runs at its runner may last, and end no run that would let it grow.
+const growAfter = 400 * time.Millisecond
+
+// HeldBack notes that the budget kept work of that cost from its runner.
+func (b *Budget) HeldBack(now time.Duration, cost, most float64) {
+	if !b.full {
+		b.full, b.since = true, now
+		return
+	}
+	if now-max(b.since, b.lastCut) > growAfter {
+		b.Grow(cost, most)
+	}
+}
 
 // Grow lets a budget that was fully used grow by a run that ended well, up to a bound.
 func (b *Budget) Grow(cost, most float64) {
--- a/internal/scheduler/owner.go
+++ b/internal/scheduler/owner.go
@@ -150,7 +150,7 @@
 	step := &j.Spec.Steps[ref.Step]
 	r := &run{runKey: runKey{task: ref, attempt: live.Attempt}, phase: inherited, need: step.Resources, sentAt: o.now, resumed: true}
 	r.expected = o.expected(j, ref.Step)
-	r.cost = cost(r.expected, step.Resources)
+	r.cost = stepCost(r.expected, step)
 	s.add(r)
 	o.dropIfUseless(j, s, r)
 }
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -50,6 +50,15 @@
 // cost is what a task is expected to take of a runner, in core-seconds.
 func cost(seconds float64, need job.Resources) float64 { return seconds * max(0.1, weight(need)) }
 
+// stepCost is the cost of a step's task. A lasting task has none: it takes capacity for good,
+// and no end of it would ever give its part of a budget back.
+func stepCost(seconds float64, step *job.Step) float64 {
+	if step.LongRunning {
+		return 0
+	}
+	return cost(seconds, step.Resources)
+}
+
 func (o *Owner) typeOf(j *job.Job, step int) admission.Type {
 	return admission.Type{Queue: j.Queue, Step: step}
 }
@@ -108,6 +117,7 @@
 		return
 	}
 	candidates, sessions := o.candidates()
+	kept := 0
 	for _, b := range ready {
 		result := o.place(b, candidates, sessions)
 		if len(b.pending) == 0 {
@@ -117,12 +127,16 @@
 			o.holdBack(b, candidates, sessions)
 			return
 		}
-		if result == placement.NoCapacity && b.rank.Aged {
+		if result == placement.NoCapacity && b.rank.Aged && kept < len(candidates)/keptPart {
+			kept++
 			reserve(o.ask(b, 0), candidates)
 		}
 	}
 }
 
+// keptPart: at most one runner in so many is kept for work that has aged.
+const keptPart = 8
+
 func (o *Owner) readyBundles() []*bundle {
 	var ready []*bundle
 	for _, b := range o.bundles {
@@ -162,7 +176,7 @@
 func (o *Owner) ask(b *bundle, index int) *placement.Ask {
 	return &placement.Ask{
 		Service: b.job.Service,
-		Need:    b.step.Resources, Cost: cost(b.expects, b.step.Resources), Constraints: b.step.Constraints, Rack: b.step.Affinity,
+		Need:    b.step.Resources, Cost: stepCost(b.expects, b.step), Constraints: b.step.Constraints, Rack: b.step.Affinity,
 		NearOnly: b.step.Affinity != "" && (o.now-b.readyAt).Seconds() < nearPatience*(o.bounds.FarX-1)*b.expects,
 	}
 }
@@ -335,20 +349,23 @@
 // holdBack notes which budgets keep the head of the queue from leaving, so that they grow
 // with the next run that ends well.
 func (o *Owner) holdBack(b *bundle, candidates []placement.Candidate, sessions []*session) {
-	need := b.step.Resources
+	ask := o.ask(b, 0)
 	for at := range candidates {
-		if candidates[at].Service == b.job.Service && need.Fits(candidates[at].Free) {
-			sessions[candidates[at].Key].budget.HeldBack()
+		c := &candidates[at]
+		if c.Service == ask.Service && ask.Need.Fits(c.Free) && hasAll(c.Labels, ask.Constraints) {
+			s := sessions[c.Key]
+			s.budget.HeldBack(o.now, ask.Cost, max(o.mostBudget(s), s.out+ask.Cost))
 		}
 	}
 }
 
-// reserve keeps the suitable runner with the most free capacity for work that has aged.
+// reserve keeps the suitable runner with the most free capacity, too little as yet, for work
+// that has aged.
 func reserve(ask *placement.Ask, candidates []placement.Candidate) {
 	best := -1
 	for at := range candidates {
 		c := &candidates[at]
-		if c.Reserved || c.Service != ask.Service || !ask.Need.Fits(c.Capacity) || !hasAll(c.Labels, ask.Constraints) {
+		if c.Reserved || c.Service != ask.Service || ask.Need.Fits(c.Free) || !ask.Need.Fits(c.Capacity) || !hasAll(c.Labels, ask.Constraints) {
 			continue
 		}
 		if best < 0 || c.Free.CPU > candidates[best].Free.CPU {
--- a/internal/scheduler/rescue.go
+++ b/internal/scheduler/rescue.go
@@ -26,6 +26,7 @@
 
 // progress takes in how far a run is, as its runner lists it.
 func (r *run) progress(now time.Duration, percent int) {
+	r.listedAt = now
 	if r.markAt == 0 && r.resumed {
 		r.markAt, r.markPercent = now, percent
 	}
@@ -48,13 +49,14 @@
 }
 
 // left returns how much longer a run takes at the rate of its last span; false: that is not
-// known yet. One that stands still takes for ever.
-func (r *run) left(now time.Duration) (time.Duration, bool) {
+// known yet. One that was listed again and again at the same percentage takes for ever; that
+// nothing was heard of it says nothing.
+func (r *run) left() (time.Duration, bool) {
 	const forEver = time.Hour
 	switch {
 	case !r.rated:
 		return 0, false
-	case now-r.percentAt >= stillFor+r.part(stillPart)+r.restore:
+	case r.listedAt-r.percentAt >= stillFor+r.part(stillPart)+r.restore:
 		return forEver, true
 	case r.rate <= 0:
 		return 0, false
@@ -64,7 +66,7 @@
 
 // slowness is how much longer than expected a run takes in all; 0: that is not known yet.
 func (r *run) slowness(now time.Duration) float64 {
-	left, ok := r.left(now)
+	left, ok := r.left()
 	if !ok || r.expected <= 0 {
 		return 0
 	}
@@ -172,7 +174,7 @@
 	if step.Gang && o.now-r.sentAt < time.Duration(gangPatient*float64(expected))+time.Second {
 		return false
 	}
-	left, ok := r.left(o.now)
+	left, ok := r.left()
 	return ok && left > time.Duration(movingGain*float64(expected))+o.bounds.Restore+movingCost
 }
 
@@ -181,7 +183,7 @@
 	if s.leavesAt == 0 {
 		return false
 	}
-	left, ok := r.left(o.now)
+	left, ok := r.left()
 	if !ok {
 		left = max(time.Duration(r.expected*float64(time.Second))-(o.now-r.sentAt), 0)
 	}
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -317,6 +317,25 @@
 	require.Equal(t, job.Completed, w.store.Jobs[other].State)
 }
 
+// TestLastingTasksDoNotBlockTheQueue fills the only runner of a label with a lasting task
+// whose cost is beyond any budget; work for that label still leaves, and so does the rest.
+func TestLastingTasksDoNotBlockTheQueue(t *testing.T) {
+	w := newWorld(t, 11, 2)
+	w.run(100 * time.Millisecond)
+	lasting := one(600_000, 2000)
+	lasting.Steps[0].LongRunning, lasting.Steps[0].Constraints = true, job.Labels{"a"}
+	w.submit(one(300, 500), false)
+	w.run(2 * time.Second)
+	w.submit(lasting, false)
+	w.run(200 * time.Millisecond)
+	labelled := one(1000, 1000)
+	labelled.Steps[0].Constraints = job.Labels{"a"}
+	head, rest := w.submit(labelled, false), w.submit(one(1500, 1000), false)
+	w.run(15 * time.Second)
+	require.Equal(t, job.Completed, w.store.Jobs[head].State)
+	require.Equal(t, job.Completed, w.store.Jobs[rest].State)
+}
+
 func TestRunOfALostRunnerStartsAgainOnlyAfterAllHoldsEnded(t *testing.T) {
 	w := newWorld(t, 8, 2)
 	w.run(100 * time.Millisecond)
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -45,6 +45,7 @@
 	saved         string
 	percent       int
 	percentAt     time.Duration // when that percentage was first seen
+	listedAt      time.Duration // when it was last listed
 	markPercent   int           // the percentage from which the rate is measured
 	markAt        time.Duration
 	rate          float64 // percent a second over the last span
