--- a/internal/fleet/keeper/keeper.go
+++ b/internal/fleet/keeper/keeper.go
@@ -41,6 +41,9 @@
 	Log     *logrus.Logger
 }
 
+// changeElections: the end of a replica waits so many elections for changes of who votes.
+const changeElections = 8
+
 // idleTick: fleet time goes on at least so often.
 const idleTick = 200 * time.Millisecond
 
@@ -60,9 +63,25 @@
 
 // node is what lives between a start of raft and its end.
 type node struct {
-	raft  *raft.Raft
-	store *raftboltdb.BoltStore
-	trans *raft.NetworkTransport
+	raft    *raft.Raft
+	store   *raftboltdb.BoltStore
+	trans   *raft.NetworkTransport
+	changes sync.WaitGroup // changes of who votes that are under way
+}
+
+// finishChanges waits, for a while at the most, until no change of who votes is under way.
+// The library answers one at its shutdown only if it has not handed it on yet; a leader
+// without a majority gives all of them up within its lease.
+func (n *node) finishChanges(most time.Duration) {
+	finished := make(chan struct{})
+	go func() {
+		n.changes.Wait()
+		close(finished)
+	}()
+	select {
+	case <-finished:
+	case <-time.After(most):
+	}
 }
 
 // lead is what a leader keeps: the fleet time that it goes on from.
@@ -167,6 +186,7 @@
 	k.mu.Lock()
 	k.node, k.lead = nil, nil
 	k.mu.Unlock()
+	n.finishChanges(changeElections * k.s.Election)
 	if err := n.raft.Shutdown().Error(); err != nil {
 		k.log.WithError(err).Error("ending the fleet's log")
 	}
--- a/internal/fleet/keeper/keeper_test.go
+++ b/internal/fleet/keeper/keeper_test.go
@@ -7,8 +7,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -377,3 +379,37 @@
 	_, err = k.openFolder()
 	require.True(t, errors.Is(err, ErrFolder), fmt.Sprint(err))
 }
+
+// TestAChangeOfVotersEndsBeforeItsReplica holds a change of who votes open while its keeper is
+// stopped: the library must not be shut down under it, since it may never answer it then.
+func TestAChangeOfVotersEndsBeforeItsReplica(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	t.Run("held open", func(t *testing.T) {
+		f := found(t)
+		f.order(1)
+		name := f.leader()
+		k, other := f.up[name], f.other(name)
+		body, err := codec.Encode(readyBody{Name: other})
+		require.NoError(t, err)
+		begun, let, ended := make(chan struct{}), make(chan struct{}), make(chan raft.RaftState, 1)
+		go k.change(httptest.NewRecorder(), body, func(n *node, _ readyBody) error {
+			close(begun)
+			<-let
+			ended <- n.raft.State()
+			return nil
+		})
+		<-begun
+		stopped := make(chan error, 1)
+		go func() { stopped <- f.stops[name]() }()
+		require.Eventually(t, func() bool {
+			k.mu.Lock()
+			defer k.mu.Unlock()
+			return k.node == nil
+		}, 10*time.Second, time.Millisecond)
+		require.Nil(t, k.beginChange(), "no change begins any more")
+		runtime.Gosched()
+		close(let)
+		require.NotEqual(t, raft.Shutdown, <-ended)
+		require.NoError(t, <-stopped)
+	})
+}
--- a/internal/fleet/keeper/serve.go
+++ b/internal/fleet/keeper/serve.go
@@ -157,15 +157,26 @@
 	return a
 }
 
+// beginChange returns the replica of which a change of who votes begins; nil: it does not
+// lead, or ends.
+func (k *Keeper) beginChange() *node {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.node == nil || k.lead == nil {
+		return nil
+	}
+	k.node.changes.Add(1)
+	return k.node
+}
+
 // change carries out a change of who votes.
 func (k *Keeper) change(w http.ResponseWriter, body []byte, how func(*node, readyBody) error) {
-	k.mu.Lock()
-	n, leads := k.node, k.lead != nil
-	k.mu.Unlock()
-	if n == nil || !leads {
+	n := k.beginChange()
+	if n == nil {
 		k.notHere(w, "another keeper leads")
 		return
 	}
+	defer n.changes.Done()
 	var b readyBody
 	if err := codec.Decode(body, &b); err != nil && codec.Decode(body, &b.Name) != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
