--- a/cmd/basaltloftctl/main.go
+++ b/cmd/basaltloftctl/main.go
@@ -63,7 +63,7 @@
 	for _, group := range answer.Groups {
 		leader, epoch := group.Leader, "-"
 		if group.Leads {
-			leader, epoch = "here", fmt.Sprint(group.Epoch)
+			leader, epoch = "here", fmt.Sprint(group.Term)
 		}
 		if leader == "" {
 			leader = "none"
--- a/coord/group/group_test.go
+++ b/coord/group/group_test.go
@@ -25,13 +25,15 @@
 	leading chan uint64
 }
 
-func (w *words) Apply(_ uint64, command []byte) any {
+func (w *words) Apply(_ uint64, command []byte) (any, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.all = append(w.all, string(command))
-	return len(w.all)
+	return len(w.all), nil
 }
 
+func (w *words) Digest() uint64 { return uint64(w.len()) }
+
 func (w *words) Snapshot() ([]byte, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/coord/group/members.go
+++ b/coord/group/members.go
@@ -1,6 +1,8 @@
 package group
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"basaltloft/coord/replica"
@@ -9,7 +11,7 @@
 const (
 	manageEvery  = 250 * time.Millisecond
 	silentFor    = 1500 * time.Millisecond // a voter silent for so long may be replaced, where a spare waits
-	nearlyAll    = 500                     // a learner that lacks no more entries has caught up
+	nearlyAll    = 500                     // a learner that lacks no more entries has caught up: the rest is on its way
 	askedLately  = 3 * time.Second         // a newcomer that asked so lately still wants to join
 	mostLearners = 2
 )
@@ -21,38 +23,43 @@
 }
 
 // AskToJoin notes that a replica wants to be a member. Only the leader acts on it.
-func (g *Group) AskToJoin(member replica.Member) {
-	g.post(func(now time.Duration) { g.newcomers[member.Address] = newcomer{member: member, asked: now} })
+func (e *Engine) AskToJoin(now time.Duration, member replica.Member) {
+	e.newcomers[member.Address] = newcomer{member: member, asked: now}
 }
 
+// AskToLeave notes that a member ends for now: a learner that has caught up may take its
+// place at once. Only the leader acts on it.
+func (e *Engine) AskToLeave(now time.Duration, id string) { e.leaving[id] = now }
+
 // manage lets the leader change the membership, a step at a time: a newcomer becomes a
 // learner, a learner that has caught up a voter, in place of one that is lost.
-func (g *Group) manage(now time.Duration) {
-	if !g.leads || now < g.manageAt {
+func (e *Engine) manage(now time.Duration) {
+	if !e.leads || now < e.manageAt {
 		return
 	}
-	g.manageAt = now + manageEvery
-	members := g.machine.Members()
+	e.manageAt = now + manageEvery
+	members := e.machine.Members()
 	if members.Joint() {
 		return
 	}
-	if next, ok := g.nextMembership(now, members); ok && g.machine.ChangeMembers(now, next) {
-		g.log.Info("the membership changes", "voters", len(next.Voters), "learners", len(next.Learners))
+	if next, ok := e.nextMembership(now, members); ok && e.machine.ChangeMembers(now, next) {
+		e.log.Info("the membership changes", "voters", len(next.Voters), "learners", len(next.Learners))
 	}
 }
 
-func (g *Group) nextMembership(now time.Duration, members replica.Membership) (replica.Membership, bool) {
+func (e *Engine) nextMembership(now time.Duration, members replica.Membership) (replica.Membership, bool) {
 	for _, learner := range members.Learners {
-		if !g.machine.CaughtUp(learner.ID, nearlyAll) || g.machine.SilentFor(learner.ID, now) > silentFor {
+		if !e.machine.CaughtUp(learner.ID, nearlyAll) || e.machine.SilentFor(learner.ID, now) > silentFor {
 			continue
 		}
-		if leaving, ok := g.place(now, members, learner); ok {
+		if leaving, ok := e.place(now, members, learner); ok {
 			return members.Replacing(leaving, learner), true
 		}
 	}
-	for address, asking := range g.newcomers {
+	for _, address := range slices.Sorted(maps.Keys(e.newcomers)) {
+		asking := e.newcomers[address]
 		if now-asking.asked > askedLately {
-			delete(g.newcomers, address)
+			delete(e.newcomers, address)
 			continue
 		}
 		if _, known := members.Find(asking.member.ID); known || len(members.Learners) >= mostLearners && !replacesLearner(members, asking.member) {
@@ -60,7 +67,7 @@
 		}
 		return members.WithLearner(asking.member), true
 	}
-	return g.withoutLostLearner(now, members)
+	return e.withoutLostLearner(now, members)
 }
 
 func replacesLearner(members replica.Membership, member replica.Member) bool {
@@ -73,28 +80,36 @@
 }
 
 // place finds the voter that a learner replaces: the one whose disk it had, or one that is
-// silent, or none where there are too few. False: there is no place for it.
-func (g *Group) place(now time.Duration, members replica.Membership, learner replica.Member) (leaving string, ok bool) {
+// silent or ends, or none where there are too few. False: there is no place for it.
+func (e *Engine) place(now time.Duration, members replica.Membership, learner replica.Member) (leaving string, ok bool) {
 	for _, voter := range members.Voters {
 		if voter.Address == learner.Address {
 			return voter.ID, true
 		}
 	}
-	if len(members.Voters) < g.settings.Size {
+	if len(members.Voters) < e.settings.Size {
 		return "", true
 	}
 	for _, voter := range members.Voters {
-		if voter.ID != g.settings.Self.ID && g.machine.SilentFor(voter.ID, now) > silentFor {
+		if voter.ID != e.settings.Self.ID && (e.machine.SilentFor(voter.ID, now) > silentFor || e.saidToLeave(now, voter.ID)) {
 			return voter.ID, true
 		}
 	}
 	return "", false
 }
 
+func (e *Engine) saidToLeave(now time.Duration, id string) bool {
+	at, ok := e.leaving[id]
+	if ok && now-at > askedLately {
+		delete(e.leaving, id)
+	}
+	return ok && now-at <= askedLately
+}
+
 // withoutLostLearner drops a learner that has been silent for long.
-func (g *Group) withoutLostLearner(now time.Duration, members replica.Membership) (replica.Membership, bool) {
+func (e *Engine) withoutLostLearner(now time.Duration, members replica.Membership) (replica.Membership, bool) {
 	for at, learner := range members.Learners {
-		if g.machine.SilentFor(learner.ID, now) > 10*silentFor {
+		if e.machine.SilentFor(learner.ID, now) > 10*silentFor {
 			next := members
 			next.Learners = append(append([]replica.Member(nil), members.Learners[:at]...), members.Learners[at+1:]...)
 			return next, true
--- a/coord/replica/log.go
+++ b/coord/replica/log.go
@@ -77,20 +77,49 @@
 	return rest
 }
 
-func (l *log) compact(snapshot Snapshot, keep uint64) {
+// beforeTermOf returns the index before the first entry of the term that the log has at an
+// index: a leader that has another entry there skips the whole term at once.
+func (l *log) beforeTermOf(index uint64) uint64 {
+	term := l.term(index)
+	if term == 0 {
+		return index - 1
+	}
+	for index > l.first && l.term(index-1) == term {
+		index--
+	}
+	return index - 1
+}
+
+func (l *log) compact(snapshot Snapshot, keep Keep) {
 	if snapshot.Index <= l.base.Index {
 		return
 	}
 	snapshot.Data = nil
 	l.base = snapshot
-	if snapshot.Index < l.first+keep {
+	first := l.firstKept(snapshot.Index, keep)
+	if first <= l.first {
 		return
 	}
-	first := snapshot.Index - keep + 1
 	l.entries = append([]Entry(nil), l.entries[first-l.first:]...)
 	l.first = first
 }
 
+// firstKept returns the first index to keep of those up to a snapshot's.
+func (l *log) firstKept(upTo uint64, keep Keep) uint64 {
+	first, size := upTo+1, 0
+	for first > l.first && upTo-first+1 < keep.Entries {
+		size += len(l.entries[first-1-l.first].Data)
+		if size > keep.Bytes {
+			break
+		}
+		first--
+	}
+	if keep.After > 0 {
+		first = min(first, keep.After+1)
+	}
+	return max(first, l.first)
+}
+
 func (l *log) membership() Membership { return l.membershipAt(l.last()) }
 
 func (l *log) membershipAt(index uint64) Membership {
--- a/coord/replica/replica.go
+++ b/coord/replica/replica.go
@@ -74,6 +74,8 @@
 	TimeoutNow // the leader hands the lead over: the receiver is to stand at once
 	AskFresh   // has the receiver heard of no leader since its start?
 	AnswerFresh
+	SnapshotPart // a part of a snapshot; the driver cuts InstallSnapshot into these, the machine sees neither
+	AnswerPart   // how much of a snapshot has come
 )
 
 // Message is what one replica tells another.
@@ -93,6 +95,8 @@
 	Round     uint64        // AskFresh and its answer
 	Life      uint64        // AnswerFresh: the sender's; AskVote: the receiver's, where Fresh is set
 	Snapshot  *Snapshot
+	Offset    int      // SnapshotPart: place of Snapshot.Data in the whole; AnswerPart: bytes that have come
+	Total     int      // SnapshotPart: bytes of the whole
 	Addresses []Member // AskVote, Append: where the sender's membership is unknown to the receiver
 }
 
@@ -162,6 +166,7 @@
 	firstOwn    uint64        // a leader's no-op
 	leading     time.Duration // since when it leads
 	handingOver string
+	handOverEnd time.Duration // a handover that was not taken by then is given up, and the lead with it
 
 	out Output
 }
@@ -272,7 +277,9 @@
 	return now - max(peer.answeredAt, m.leading)
 }
 
-// HandOver gives the lead to the voter that has most of the log. The lease ends at once.
+// HandOver gives the lead to the voter that has most of the log. The lease ends at once and
+// is not taken up again in this term: a late TimeoutNow finds no lease beside it. Where the
+// other one does not take the lead, this one gives it up all the same, so that anyone can.
 func (m *Machine) HandOver(now time.Duration) bool {
 	if m.role != Leader {
 		return false
@@ -287,13 +294,14 @@
 	if best == "" {
 		return false
 	}
-	m.handingOver = best
+	m.handingOver, m.handOverEnd = best, now+2*m.timing.Promise
 	m.handOverIfReady()
 	return true
 }
 
 func (m *Machine) handOverIfReady() {
-	if m.handingOver == "" || m.peers[m.handingOver].match < m.log.last() {
+	peer := m.peers[m.handingOver]
+	if peer == nil || peer.match < m.log.last() { // one that was removed is waited for until the handover ends
 		return
 	}
 	m.send(Message{Kind: TimeoutNow, To: m.handingOver})
@@ -312,8 +320,37 @@
 	}
 }
 
-// Compact forgets the entries that a snapshot stands for, but for the last keep of them.
-func (m *Machine) Compact(snapshot Snapshot, keep uint64) { m.log.compact(snapshot, keep) }
+// Keep bounds what stays in memory of the entries that a snapshot stands for.
+type Keep struct {
+	Entries uint64
+	Bytes   int    // of the entries' data
+	After   uint64 // all entries after this index stay, whatever the other bounds; 0: none
+}
+
+// Compact forgets entries that a snapshot stands for, but for the last ones within the
+// bounds: a replica that was away for a moment catches up by them.
+func (m *Machine) Compact(snapshot Snapshot, keep Keep) { m.log.compact(snapshot, keep) }
+
+// Commit returns the last index that is known to be committed.
+func (m *Machine) Commit() uint64 { return m.commit }
+
+// FirstIndex returns the first index of the log in memory, and SnapshotIndex the one up to
+// which a snapshot stands for the log.
+func (m *Machine) FirstIndex() uint64 { return m.log.first }
+
+// SnapshotIndex returns the index of the newest snapshot.
+func (m *Machine) SnapshotIndex() uint64 { return m.log.base.Index }
+
+// Lacks returns how many entries a member lacks, as far as this leader knows.
+func (m *Machine) Lacks(id string) uint64 {
+	if id == m.id {
+		return m.log.last() - min(m.log.stable, m.log.last())
+	}
+	if peer := m.peers[id]; peer != nil {
+		return m.log.last() - min(peer.match, m.log.last())
+	}
+	return m.log.last()
+}
 
 // SnapshotAt returns a snapshot's head at the last applied index.
 func (m *Machine) SnapshotAt() Snapshot {
@@ -338,7 +375,11 @@
 }
 
 func (m *Machine) tickLeader(now time.Duration) {
-	m.renewLease()
+	m.renewLease(now)
+	if m.handingOver != "" && now > m.handOverEnd {
+		m.follow(now, "")
+		return
+	}
 	if now > m.lease+m.timing.Promise && now > m.leading+2*m.timing.Promise {
 		m.follow(now, "")
 		return
--- a/coord/replica/step.go
+++ b/coord/replica/step.go
@@ -1,6 +1,9 @@
 package replica
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Step takes in a message.
 func (m *Machine) Step(now time.Duration, message Message) {
@@ -285,7 +288,7 @@
 	m.rest(now)
 	answer := Message{Kind: AnswerAppend, To: message.From, SentAt: message.SentAt}
 	if !m.log.has(message.Index, message.LogTerm) {
-		answer.Reject, answer.Index = true, min(m.log.last(), message.Index-1)
+		answer.Reject, answer.Index = true, min(m.log.last(), m.log.beforeTermOf(message.Index))
 		m.send(answer)
 		return
 	}
@@ -314,7 +317,7 @@
 	}
 	peer.heardAt = max(peer.heardAt, message.SentAt)
 	peer.answeredAt = now
-	m.renewLease()
+	m.renewLease(now)
 	if message.Reject {
 		peer.next = max(peer.match+1, min(message.Index+1, m.log.last()+1))
 		m.replicate(now, message.From, false)
@@ -323,13 +326,16 @@
 	peer.match = max(peer.match, message.Index)
 	peer.next = max(peer.next, peer.match+1)
 	m.advance(now)
+	if m.peers[message.From] != peer {
+		return // the change of membership that this answer completed has removed it
+	}
 	if peer.next <= m.log.last() {
 		m.replicate(now, message.From, false)
 	}
 	m.handOverIfReady()
 }
 
-func (m *Machine) renewLease() {
+func (m *Machine) renewLease(now time.Duration) {
 	heard := m.Members().quorum(func(id string) int64 {
 		if id == m.id {
 			return 1<<63 - 1
@@ -340,7 +346,7 @@
 		return 0
 	})
 	if heard == 1<<63-1 { // it is alone
-		m.lease = 1<<63 - 1 - 2*m.timing.Promise
+		m.lease = max(m.lease, now+m.timing.Lease)
 		return
 	}
 	if heard > 0 {
@@ -394,10 +400,16 @@
 	m.log.stable = 0 // until it is synced
 	m.commit, m.applied = message.Snapshot.Index, message.Snapshot.Index
 	m.out.Entries, m.out.Apply = nil, nil
+	m.out.AfterSync = withoutAnswers(m.out.AfterSync)
 	m.out.Install = message.Snapshot
 	m.sendAfterSync(answer)
 }
 
+// withoutAnswers drops the answers that told of entries which an installed snapshot replaces.
+func withoutAnswers(messages []Message) []Message {
+	return slices.DeleteFunc(messages, func(m Message) bool { return m.Kind == AnswerAppend })
+}
+
 // keepTail takes from a snapshot only that its entries are committed: the log holds them all,
 // and what follows them may be needed for a majority.
 func (m *Machine) keepTail(committed uint64, answer Message) {
--- a/coord/replica/world_test.go
+++ b/coord/replica/world_test.go
@@ -226,7 +226,7 @@
 		if h.ring.Crowded() {
 			at := h.machine.SnapshotAt()
 			if h.ring.SaveSnapshot(at) == nil {
-				h.machine.Compact(at, 5)
+				h.machine.Compact(at, replica.Keep{Entries: 5, Bytes: 1 << 20})
 			}
 		}
 		w.carryOut(h)
--- a/coord/ringlog/ring.go
+++ b/coord/ringlog/ring.go
@@ -30,6 +30,7 @@
 
 // Files opens and reads the files of a ring. Faults are injected here by the tests.
 type Files interface {
+	MakeFolder(path string) error
 	Open(path string) (File, error)
 	ReadFile(path string) ([]byte, error)
 	SyncFolder(path string) error
@@ -68,6 +69,9 @@
 // OSFiles are the files of the operating system.
 type OSFiles struct{}
 
+// MakeFolder implements Files.
+func (OSFiles) MakeFolder(path string) error { return os.MkdirAll(path, 0o755) }
+
 // Open implements Files.
 func (OSFiles) Open(path string) (File, error) {
 	return os.OpenFile(path, os.O_RDWR|os.O_CREATE, 0o644)
@@ -88,7 +92,7 @@
 
 // Open reads what the folder holds, creating it where it is not there.
 func Open(files Files, folder string, sizes Sizes) (*Ring, replica.Restored, error) {
-	if err := os.MkdirAll(folder, 0o755); err != nil {
+	if err := files.MakeFolder(folder); err != nil {
 		return nil, replica.Restored{}, errors.Wrap(err, "make the log's folder")
 	}
 	r := &Ring{files: files, folder: folder, sizes: sizes, number: 1}
--- a/coord/rpc/client.go
+++ b/coord/rpc/client.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -62,15 +63,17 @@
 	return &Client{address: address, transport: &http.Transport{DialContext: Dialer().DialContext, DisableCompression: true}, waiting: map[uint64]chan any{}}
 }
 
-// Call sends a message and waits for its answer. An error says nothing of whether the peer
-// carried it out, except ErrBusy, which says that it was not sent.
+// Call sends a message, once, and waits for its answer. An error says nothing of whether the
+// peer carried it out, except ErrBusy, which says that it was not sent. One that is given up
+// before it left the queue is not sent any more.
 func (c *Client) Call(ctx context.Context, body any) (any, error) {
 	answer := make(chan any, 1)
 	c.mu.Lock()
 	c.next++
 	id := c.next
 	c.waiting[id] = answer
-	err := c.putLocked(frame{ID: id, Kind: frameCall, Body: body})
+	givenUp := &atomic.Bool{}
+	err := c.putLocked(frame{ID: id, Kind: frameCall, Body: body, givenUp: givenUp})
 	c.mu.Unlock()
 	if err != nil {
 		c.forget(id)
@@ -84,6 +87,7 @@
 		}
 		return got, nil
 	case <-ctx.Done():
+		givenUp.Store(true)
 		c.forget(id)
 		c.doubt(began)
 		return nil, errors.Wrapf(ErrGone, "no answer from %s", c.address)
--- a/coord/rpc/frame.go
+++ b/coord/rpc/frame.go
@@ -31,6 +31,8 @@
 	ID   uint64
 	Kind frameKind
 	Body any // of a type registered with Register
+
+	givenUp *atomic.Bool // of a call: its caller waits no more; it is not sent then. nil: none
 }
 
 // Errors of calls.
@@ -113,6 +115,9 @@
 		case <-s.wake:
 		}
 		for _, f := range s.taken() {
+			if f.givenUp != nil && f.givenUp.Load() {
+				continue
+			}
 			if encoder.Encode(f) != nil {
 				s.close()
 				return
--- a/coord/simdisk/simdisk.go
+++ b/coord/simdisk/simdisk.go
@@ -38,6 +38,7 @@
 	files   map[string]*file
 	random  *rand.Rand
 	Full    bool // set it while nothing is written, or by SetFull
+	Lies    bool // a sync answers at once and makes nothing durable: a fault planted by tests
 	CrashAt int  // the operation with this number and all after it fail; 0: none
 	Count   int  // operations so far
 }
@@ -64,6 +65,9 @@
 	file *file
 }
 
+// MakeFolder implements ringlog.Files; a simulated disk has paths only.
+func (d *Disk) MakeFolder(string) error { return nil }
+
 // Open implements ringlog.Files.
 func (d *Disk) Open(path string) (ringlog.File, error) {
 	d.mu.Lock()
@@ -133,6 +137,9 @@
 	if err := h.disk.step(); err != nil {
 		return err
 	}
+	if h.disk.Lies {
+		return nil
+	}
 	h.file.synced, h.file.pending, h.file.named = h.file.content(), nil, true
 	return nil
 }
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -257,7 +257,7 @@
 				deliver(voter.ID)
 			}
 			if n%1000 == 999 {
-				machines[voter.ID].Compact(machines[voter.ID].SnapshotAt(), 100)
+				machines[voter.ID].Compact(machines[voter.ID].SnapshotAt(), replica.Keep{Entries: 100, Bytes: 1 << 20})
 			}
 		}
 	}
--- a/internal/controlplane/core.go
+++ b/internal/controlplane/core.go
@@ -22,6 +22,8 @@
 	"basaltloft/coord/ringlog"
 	"basaltloft/coord/rpc"
 	"basaltloft/internal/boot"
+	"basaltloft/internal/opconfig"
+	"basaltloft/internal/owner"
 	"basaltloft/internal/protocol"
 	"basaltloft/internal/scheduler"
 )
@@ -51,14 +53,17 @@
 	self     replica.Member
 	peers    *peers
 	rpc      *rpc.Server
-	config   *configuration
-	shards   []*shard
+	config   *owner.Configuration
+	operator *operators
+	shards   []*shardLoop
 	groups   map[string]*group.Group
 	reader   *reader
 	stop     chan struct{}
-	founding atomic.Pointer[replica.Membership]
 	running  atomic.Bool
-	mu       sync.Mutex // guards settings.Seeds
+
+	configGroup *group.Group
+	damaged     error      // why the state on disk can't be used; nil: it can
+	mu          sync.Mutex // guards settings.Seeds
 }
 
 // New opens a process's state. It does not serve yet.
@@ -67,55 +72,72 @@
 		return nil, errors.New("data_dir is empty: run the core on machines with a disk")
 	}
 	c := &Core{settings: settings, log: log, started: time.Now(), groups: map[string]*group.Group{}, stop: make(chan struct{})}
-	if err := c.open(); err != nil {
-		if !errors.Is(err, ringlog.ErrDamaged) {
-			return nil, err
-		}
-		log.Error("the state on disk is damaged and is dropped: this process joins anew", "error", err.Error())
-		if err := empty(settings.DataDir); err != nil {
-			return nil, err
-		}
-		if err := c.open(); err != nil {
-			return nil, err
-		}
+	c.self.Address = settings.InternalAddress(settings.IP)
+	c.peers = newPeers(c.self.Address)
+	c.peers.own = c.receive
+	err := c.open()
+	if errors.Is(err, ringlog.ErrDamaged) || errors.Is(err, errIdentity) {
+		c.damaged = err
+		return c, nil
 	}
-	return c, nil
+	return c, err
 }
 
 func (c *Core) now() time.Duration { return time.Since(c.started) + time.Hour }
 
 func (c *Core) open() error {
-	found, err := loadIdentity(c.settings.DataDir)
+	found, err := loadIdentity(c.settings.DataDir, c.freshIdentity)
 	if err != nil {
 		return err
 	}
 	c.identity = found
-	c.founding.Store(found.Founding)
-	c.self = replica.Member{ID: found.ID, Address: c.settings.InternalAddress(c.settings.IP)}
+	c.self.ID = found.ID
 	c.rpc = rpc.NewServer(c)
-	c.peers = newPeers(c.self.Address)
-	c.peers.own = c.receive
-	c.config = newConfiguration(c)
+	c.reader = newReader(c)
+	c.config = owner.NewConfiguration(c.tellShards, c.reader.lead, c.log)
+	c.operator = &operators{core: c, config: c.config}
 	if err := c.openGroup(protocol.ConfigGroup, c.config); err != nil {
 		return err
 	}
-	c.config.group = c.groups[protocol.ConfigGroup]
-	bounds := c.schedulerBounds()
+	c.configGroup = c.groups[protocol.ConfigGroup]
+	c.config.Join(c.configGroup)
 	runners := newRunnerClient()
 	c.shards = nil
 	for number := range protocol.Shards {
-		s := newShard(number, bounds, runners, c.now, c.stop, c.log)
-		if err := c.openGroup(protocol.ShardGroup(number), s); err != nil {
+		loop, err := c.openShard(number, runners)
+		if err != nil {
 			return err
 		}
-		s.group = c.groups[protocol.ShardGroup(number)]
-		s.takeConfig(c.config.register.Current())
-		c.shards = append(c.shards, s)
+		c.shards = append(c.shards, loop)
 	}
-	c.reader = newReader(c)
 	return nil
 }
 
+func (c *Core) openShard(number int, runners *runnerClient) (*shardLoop, error) {
+	loop := &shardLoop{runner: runners, wake: make(chan struct{}, 1), stop: c.stop}
+	nudge := func() {
+		select {
+		case loop.wake <- struct{}{}:
+		default:
+		}
+	}
+	clocks := owner.Clocks{Steady: c.now, WallMs: func() int64 { return time.Now().UnixMilli() }}
+	loop.Shard = owner.NewShard(number, c.schedulerBounds(), clocks, nudge, c.log)
+	if err := c.openGroup(protocol.ShardGroup(number), loop.Shard); err != nil {
+		return nil, err
+	}
+	loop.Join(c.groups[protocol.ShardGroup(number)])
+	loop.TakeConfig(c.config.Current())
+	return loop, nil
+}
+
+// tellShards tells the shards of a configuration that is in force.
+func (c *Core) tellShards(config *opconfig.Config) {
+	for _, loop := range c.shards {
+		loop.TakeConfig(config)
+	}
+}
+
 func (c *Core) schedulerBounds() scheduler.Bounds {
 	b := c.settings.Bounds
 	return scheduler.Bounds{
@@ -139,6 +161,12 @@
 
 // Run serves until the context ends, and then hands over what this process leads.
 func (c *Core) Run(ctx context.Context) error {
+	if err := c.recoverDisk(ctx); err != nil {
+		return err
+	}
+	if c.damaged != nil {
+		return nil // it was told to end before the disk could be used
+	}
 	internal, operators := c.servers()
 	failed := make(chan error, 2)
 	for _, server := range []*http.Server{internal, operators} {
@@ -185,8 +213,8 @@
 	private := http.NewServeMux()
 	private.Handle(rpc.Path, c.rpc)
 	public := http.NewServeMux()
-	public.HandleFunc("POST /-/config/replace", c.config.serveReplace)
-	public.HandleFunc("GET /-/config/get", c.config.serveGet)
+	public.HandleFunc("POST /-/config/replace", c.operator.serveReplace)
+	public.HandleFunc("GET /-/config/get", c.operator.serveGet)
 	const headerWithin = 5 * time.Second
 	internal = &http.Server{Addr: c.self.Address, Handler: private, ReadHeaderTimeout: headerWithin}
 	operators = &http.Server{Addr: c.settings.Listen.Control, Handler: public, ReadHeaderTimeout: headerWithin}
@@ -196,17 +224,25 @@
 // handOverWithin bounds how long a process that ends waits for others to take its leads.
 const handOverWithin = 1500 * time.Millisecond
 
-// handOver gives away what this process leads, so that a planned end costs no election.
+// handOver gives away what this process leads, so that a planned end costs no election, and
+// its votes, where a learner waits for them: the group bears the next loss at once.
 func (c *Core) handOver() {
 	if !c.running.Load() {
 		return
 	}
+	c.handOverAll()
+	for end := time.Now().Add(handOverWithin); time.Now().Before(end) && (c.tellLeave() || c.leadsAny()); {
+		time.Sleep(handOverTick)
+	}
+}
+
+// handOverTick is how often a process that ends looks whether others have taken its part.
+const handOverTick = 50 * time.Millisecond
+
+func (c *Core) handOverAll() {
 	for _, g := range c.groups {
 		g.HandOver()
 	}
-	for end := time.Now().Add(handOverWithin); time.Now().Before(end) && c.leadsAny(); {
-		time.Sleep(20 * time.Millisecond)
-	}
 }
 
 func (c *Core) leadsAny() bool {
@@ -246,6 +282,8 @@
 		c.receive(message)
 	case protocol.Join:
 		c.takeJoin(message)
+	case protocol.Leave:
+		c.takeLeave(message)
 	case protocol.Runners:
 		c.reader.take(message)
 	}
@@ -253,48 +291,58 @@
 
 // Call implements rpc.Handler.
 func (c *Core) Call(body any) any {
+	if !c.running.Load() {
+		return protocol.Answer{}
+	}
 	switch request := body.(type) {
 	case protocol.Submit:
-		return c.shard(request.Shard, func(s *shard) protocol.Answer { return s.submit(request) })
+		return c.shard(request.Shard, func(s *shardLoop, reply func(protocol.Answer)) { s.Submit(request, reply) })
 	case protocol.Ask:
-		return c.shard(request.Shard, func(s *shard) protocol.Answer { return s.ask(request) })
+		return c.shard(request.Shard, func(s *shardLoop, reply func(protocol.Answer)) { s.Ask(request, reply) })
 	case protocol.Feed:
-		return c.config.feed(request)
+		return c.operator.feed(request)
 	case protocol.Operate:
-		return c.config.operate(request)
+		return c.operator.operate(request)
 	case protocol.AskStatus:
 		return c.status()
-	case protocol.Hello:
-		return protocol.HelloAnswer{Member: c.self, Founding: c.founding.Load()}
 	}
 	return protocol.Answer{Status: http.StatusBadRequest, Reason: "this message is not known here: run the same version everywhere"}
 }
 
-func (c *Core) shard(number int, do func(*shard) protocol.Answer) protocol.Answer {
-	if number < 0 || number >= len(c.shards) || !c.running.Load() {
+func (c *Core) shard(number int, do func(*shardLoop, func(protocol.Answer))) protocol.Answer {
+	if number < 0 || number >= len(c.shards) {
 		return protocol.Answer{}
 	}
-	return do(c.shards[number])
+	loop := c.shards[number]
+	return loop.wait(func(reply func(protocol.Answer)) { do(loop, reply) })
 }
 
 // status tells what this process holds, by the groups' names.
 func (c *Core) status() protocol.StatusAnswer {
 	answer := protocol.StatusAnswer{Node: c.settings.NodeName, Member: c.self}
-	if !c.running.Load() {
-		return answer
+	if config := c.config.Current(); config != nil {
+		answer.Version = config.Version
 	}
 	for _, name := range slices.Sorted(maps.Keys(c.groups)) {
 		g := c.groups[name]
-		epoch, _, leads := g.Lease()
-		answer.Groups = append(answer.Groups, protocol.GroupStatus{Name: name, Leads: leads, Epoch: epoch, Leader: g.Leader().Address, Members: g.Members()})
+		answer.Groups = append(answer.Groups, protocol.GroupStatus{Name: name, Leader: g.Leader().Address, Status: g.Status()})
 	}
 	return answer
 }
 
+// owners lists who leads each shard as far as is known here.
+func (c *Core) owners() []string {
+	var addresses []string
+	for number := range c.shards {
+		addresses = append(addresses, c.groups[protocol.ShardGroup(number)].Leader().Address)
+	}
+	return addresses
+}
+
 // cores lists where the members of the configuration's group hear other processes.
 func (c *Core) cores() []string {
 	var addresses []string
-	for _, member := range c.config.group.Members().Everyone() {
+	for _, member := range c.configGroup.Members().Everyone() {
 		addresses = append(addresses, member.Address)
 	}
 	return addresses
--- a/internal/controlplane/identity.go
+++ b/internal/controlplane/identity.go
@@ -7,61 +7,102 @@
 	"encoding/hex"
 	"os"
 	"path/filepath"
+	"slices"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 
 	"basaltloft/coord/replica"
 	"basaltloft/coord/ringlog"
+	"basaltloft/internal/owner"
 )
 
 // identity is what a process's disk says of it. A process whose disk was lost draws a new
 // ID: it is another member, and the votes of the old one are never given again.
 type identity struct {
 	ID       string
-	Founding *replica.Membership // the first membership of all groups, once it was decided
+	Founding *replica.Membership // the first membership of all groups, if it is a founder's
 }
 
 const identityFile = "identity"
 
-// loadIdentity reads the identity, or draws one on an empty disk.
-func loadIdentity(folder string) (identity, error) {
+// errIdentity is an identity that is there and can't be read.
+var errIdentity = errors.New("the identity on disk can't be read: what else is on the disk may be the last copy")
+
+// loadIdentity reads the identity, or makes one on an empty disk.
+func loadIdentity(folder string, fresh func() (identity, error)) (identity, error) {
 	content, err := os.ReadFile(filepath.Join(folder, identityFile))
 	if err == nil {
 		var found identity
-		if gob.NewDecoder(bytes.NewReader(content)).Decode(&found) == nil && found.ID != "" {
-			// The last life may have been killed before its folder was synced.
-			return found, errors.Wrap(ringlog.OSFiles{}.SyncFolder(folder), "sync the data folder")
+		if decoded := gob.NewDecoder(bytes.NewReader(content)).Decode(&found); decoded != nil || found.ID == "" {
+			return identity{}, errors.Wrapf(errIdentity, "%s", folder)
 		}
+		// The last life may have been killed before its folder was synced.
+		return found, errors.Wrap(ringlog.OSFiles{}.SyncFolder(folder), "sync the data folder")
 	}
-	if err != nil && !errors.Is(err, os.ErrNotExist) {
+	if !errors.Is(err, os.ErrNotExist) {
 		return identity{}, errors.Wrap(err, "read the identity")
 	}
-	if err := empty(folder); err != nil {
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return identity{}, errors.Wrap(err, "make the data folder")
+	}
+	// Groups are written only after the identity: what else is here an earlier life left
+	// behind, or was set aside.
+	drawn, err := fresh()
+	if err != nil {
 		return identity{}, err
 	}
+	return drawn, drawn.save(folder)
+}
+
+// freshIdentity is the identity of this process on an empty disk.
+func (c *Core) freshIdentity() (identity, error) {
 	drawn := make([]byte, 8)
 	if _, err := rand.Read(drawn); err != nil {
 		return identity{}, errors.Wrap(err, "draw an identity")
 	}
-	fresh := identity{ID: hex.EncodeToString(drawn)}
-	return fresh, fresh.save(folder)
+	id, founding := owner.Founding(c.settings.Bootstrap, c.settings.SeedAddresses(), c.self.Address, hex.EncodeToString(drawn))
+	return identity{ID: id, Founding: founding}, nil
 }
 
-// empty removes what an identity that can't be read has left.
-func empty(folder string) error {
-	if err := os.MkdirAll(folder, 0o755); err != nil {
-		return errors.Wrap(err, "make the data folder")
-	}
+// setAsidePrefix begins the names of folders with state that is not used any more.
+const setAsidePrefix = "set-aside-"
+
+// setAside moves what the folder holds into one of its own, in place of what was set aside
+// before, and syncs that: the process then starts as on an empty disk.
+func setAside(folder string) error {
 	entries, err := os.ReadDir(folder)
 	if err != nil {
 		return errors.Wrap(err, "list the data folder")
 	}
+	aside := filepath.Join(folder, setAsidePrefix+"state")
+	if err := os.RemoveAll(aside); err != nil {
+		return errors.Wrap(err, "remove what was set aside before")
+	}
+	if err := os.MkdirAll(aside, 0o755); err != nil {
+		return errors.Wrap(err, "make a folder for the damaged state")
+	}
+	// The identity goes last: until then the process is who it was.
+	slices.SortFunc(entries, func(a, b os.DirEntry) int { return identityLast(a) - identityLast(b) })
 	for _, entry := range entries {
-		if err := os.RemoveAll(filepath.Join(folder, entry.Name())); err != nil {
-			return errors.Wrap(err, "empty the data folder")
+		if strings.HasPrefix(entry.Name(), setAsidePrefix) {
+			continue
 		}
+		if err := os.Rename(filepath.Join(folder, entry.Name()), filepath.Join(aside, entry.Name())); err != nil {
+			return errors.Wrap(err, "set the damaged state aside")
+		}
+	}
+	if err := (ringlog.OSFiles{}).SyncFolder(aside); err != nil {
+		return errors.Wrap(err, "sync the damaged state's folder")
+	}
+	return errors.Wrap(ringlog.OSFiles{}.SyncFolder(folder), "sync the data folder")
+}
+
+func identityLast(entry os.DirEntry) int {
+	if entry.Name() == identityFile {
+		return 1
 	}
-	return nil
+	return 0
 }
 
 // save writes the identity so that it is either the old or the new one after a loss of power.
--- a/internal/controlplane/reader.go
+++ b/internal/controlplane/reader.go
@@ -42,7 +42,7 @@
 
 func newReader(c *Core) *reader {
 	transport := &http.Transport{DialContext: rpc.Dialer().DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1}
-	return &reader{core: c, http: &http.Client{Transport: transport}, wake: make(chan struct{}, 1)}
+	return &reader{core: c, http: &http.Client{CheckRedirect: noRedirect, Transport: transport}, wake: make(chan struct{}, 1)}
 }
 
 // lead tells that this process reads from now on, or, by 0, that it does not.
@@ -74,7 +74,7 @@
 	r.mu.Lock()
 	epoch := r.epoch
 	r.mu.Unlock()
-	if epoch == 0 || !r.core.config.group.Leads() {
+	if epoch == 0 || !r.core.configGroup.Leads() {
 		return readEvery
 	}
 	list, err := r.readAll()
@@ -179,6 +179,6 @@
 		return
 	}
 	for _, s := range r.core.shards {
-		s.takeRunners(message.List)
+		s.TakeRunners(message.List)
 	}
 }
--- a/internal/controlplane/runnerclient.go
+++ b/internal/controlplane/runnerclient.go
@@ -29,12 +29,16 @@
 )
 
 func newRunnerClient() *runnerClient {
-	return &runnerClient{http: &http.Client{Transport: &http.Transport{
+	return &runnerClient{http: &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
 		DialContext: rpc.Dialer().DialContext, MaxConnsPerHost: connsPerRunner, MaxIdleConnsPerHost: idleConns,
 		IdleConnTimeout: idleFor, DisableCompression: true, ReadBufferSize: 2 << 10, WriteBufferSize: 2 << 10,
 	}}}
 }
 
+// noRedirect keeps a call from being sent again elsewhere. The transport sends a POST again by
+// itself only where nothing of it was written.
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // startBody, stopBody and holdBody are the orders as runners take them.
 type startBody struct {
 	Task         string `json:"task"`
--- a/internal/dataplane/edge.go
+++ b/internal/dataplane/edge.go
@@ -85,4 +85,4 @@
 }
 
 // Reload takes in settings that have changed.
-func (e *Edge) Reload(settings boot.Settings) { e.follower.reload(settings) }
+func (e *Edge) Reload(settings boot.Settings) { e.follower.Reload(settings.SeedAddresses()) }
--- a/internal/dataplane/ingress.go
+++ b/internal/dataplane/ingress.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"basaltloft/internal/dispatch"
 	"basaltloft/internal/opconfig"
 	"basaltloft/internal/protocol"
 )
@@ -28,13 +29,6 @@
 	normalBody    = 262144
 )
 
-// request is a client's request on its way to a shard's owner.
-type request struct {
-	shard    int
-	message  any
-	deadline time.Duration // it is given up then
-}
-
 func (in *ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if in.leaving() {
 		w.Header().Set("Connection", "close")
@@ -44,7 +38,7 @@
 		refuse(w, http.StatusServiceUnavailable, "the configuration is not known here at this moment", retryAfterMs)
 		return
 	}
-	route, ok := v.config.Match(r.Host, r.URL.Path)
+	route, ok := v.Config.Match(r.Host, r.URL.Path)
 	if !ok {
 		http.Error(w, "there is no such queue", http.StatusNotFound)
 		return
@@ -52,7 +46,7 @@
 	in.serve(w, r, v, route)
 }
 
-func (in *ingress) serve(w http.ResponseWriter, r *http.Request, v *view, route *opconfig.Route) {
+func (in *ingress) serve(w http.ResponseWriter, r *http.Request, v *dispatch.View, route *opconfig.Route) {
 	id := r.URL.Path[len(route.PathPrefix):]
 	switch {
 	case r.Method == http.MethodGet && id == "":
@@ -68,32 +62,6 @@
 	}
 }
 
-// services lists where a queue's jobs may be: the present service first, then earlier ones.
-func (v *view) services(route *opconfig.Route) []string {
-	services := []string{route.Backend}
-	earlier := v.backends[route.Queue()]
-	for at := len(earlier) - 1; at >= 0; at-- {
-		if earlier[at] != route.Backend {
-			services = append(services, earlier[at])
-		}
-	}
-	return services
-}
-
-// shards lists the shards of services, each once.
-func shards(services []string) []int {
-	var numbers []int
-	seen := map[int]bool{}
-	for _, service := range services {
-		shard := protocol.ShardOf(service)
-		if !seen[shard] {
-			seen[shard] = true
-			numbers = append(numbers, shard)
-		}
-	}
-	return numbers
-}
-
 // deadline is when a request is given up. It is held through a change of the shard's owner,
 // which takes about a second: a client that is sent away comes back later than that.
 func (in *ingress) deadline(r *http.Request, route *opconfig.Route) time.Duration {
@@ -107,21 +75,14 @@
 	return in.clock() + time.Duration(heldPart*float64(whole))
 }
 
-func (in *ingress) ask(w http.ResponseWriter, r *http.Request, v *view, route *opconfig.Route, verb protocol.Verb, id string) {
-	deadline := in.deadline(r, route)
-	answer := protocol.Answer{}
-	for _, shard := range shards(v.services(route)) {
-		message := protocol.Ask{Verb: verb, Shard: shard, Queue: route.Queue(), ID: id}
-		answer = in.pass(request{shard: shard, message: message, deadline: deadline})
-		if answer.Status != http.StatusGone {
-			break
-		}
-	}
-	in.write(w, verb, answer)
+func (in *ingress) ask(w http.ResponseWriter, r *http.Request, v *dispatch.View, route *opconfig.Route, verb protocol.Verb, id string) {
+	in.write(w, verb, in.carry(in.deadline(r, route), v, route, func(v *dispatch.View, route *opconfig.Route) *dispatch.Call {
+		return dispatch.NewAsk(v, route, verb, id)
+	}))
 }
 
-func (in *ingress) submit(w http.ResponseWriter, r *http.Request, v *view, route *opconfig.Route, id string) {
-	most := v.config.Limits.MaxBodyBytes
+func (in *ingress) submit(w http.ResponseWriter, r *http.Request, v *dispatch.View, route *opconfig.Route, id string) {
+	most := v.Config.Limits.MaxBodyBytes
 	if most == 0 {
 		most = normalBody
 	}
@@ -130,52 +91,76 @@
 		http.Error(w, "the body is cut short or too large", http.StatusBadRequest)
 		return
 	}
-	deadline := in.deadline(r, route)
-	numbers := shards(v.services(route))
-	for _, earlier := range numbers[1:] {
-		message := protocol.Ask{Verb: protocol.AskState, Shard: earlier, Queue: route.Queue(), ID: id}
-		known := in.pass(request{shard: earlier, message: message, deadline: deadline})
-		if known.Status != http.StatusGone {
-			in.write(w, 0, known)
-			return
+	in.write(w, 0, in.carry(in.deadline(r, route), v, route, func(v *dispatch.View, route *opconfig.Route) *dispatch.Call {
+		return dispatch.NewSubmit(v, route, id, body)
+	}))
+}
+
+// carry brings a request to the owners that can answer it. Where one knows a newer
+// configuration that sends the queue elsewhere, it waits for that and begins anew.
+func (in *ingress) carry(deadline time.Duration, v *dispatch.View, route *opconfig.Route, build func(*dispatch.View, *opconfig.Route) *dispatch.Call) protocol.Answer {
+	call := build(v, route)
+	for {
+		answer, progress := in.pass(call, deadline)
+		if progress != dispatch.Outdated {
+			return answer
+		}
+		newer, ok := in.newer(v.Config.Version, answer.Moved, deadline)
+		if !ok {
+			return call.GivenUp()
 		}
+		next, ok := newer.Config.Route(route.Queue())
+		if !ok {
+			return call.GivenUp()
+		}
+		v, route = newer, next
+		again := build(v, route)
+		again.After(call)
+		call = again
 	}
-	message := protocol.Submit{Shard: numbers[0], Queue: route.Queue(), ID: id, Body: body, Version: v.config.Version, Route: *route}
-	in.write(w, 0, in.pass(request{shard: numbers[0], message: message, deadline: deadline}))
 }
 
-// pass brings a request to its shard's owner. The same ID may come to an owner twice, so
-// that a try without an answer is made again.
-func (in *ingress) pass(r request) protocol.Answer {
-	unknown := false
-	for {
-		now := in.clock()
-		if now >= r.deadline {
-			return givenUp(unknown)
+// newer waits for a configuration of a version, or of any that is newer than the present one.
+func (in *ingress) newer(have, wanted int64, deadline time.Duration) (*dispatch.View, bool) {
+	for in.clock() < deadline {
+		if v, ok := in.follower.current(); ok && v.Config.Version > have && v.Config.Version >= wanted {
+			return v, true
 		}
-		owner := in.follower.owner(r.shard)
-		answer, err := in.try(owner, r)
+		time.Sleep(triesApart)
+	}
+	return nil, false
+}
+
+// pass asks the owners by turns until a call has its answer.
+func (in *ingress) pass(call *dispatch.Call, deadline time.Duration) (protocol.Answer, dispatch.Progress) {
+	for in.clock() < deadline {
+		shard, message := call.Next()
+		owner := in.follower.Owner(shard)
+		answer, err := in.try(owner, message, deadline)
+		progress := dispatch.Retry
 		switch {
 		case err != nil:
-			unknown = true
-			in.follower.correct(r.shard, owner, "")
+			call.Silent()
+			in.follower.Correct(shard, owner, "")
 		case answer.Status == 0:
-			in.follower.correct(r.shard, owner, answer.Owner)
-		case answer.Unknown:
-			unknown = true
-		case unknown && answer.Status == http.StatusServiceUnavailable:
-			return givenUp(true) // an earlier try may have been taken
+			in.follower.Correct(shard, owner, answer.Owner)
 		default:
-			return answer
+			answer, progress = call.Answered(answer)
+		}
+		if progress == dispatch.Finished || progress == dispatch.Outdated {
+			return answer, progress
+		}
+		if progress == dispatch.Retry {
+			time.Sleep(triesApart)
 		}
-		time.Sleep(triesApart)
 	}
+	return call.GivenUp(), dispatch.Finished
 }
 
-func (in *ingress) try(owner string, r request) (protocol.Answer, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), min(tryWithin, r.deadline-in.clock()))
+func (in *ingress) try(owner string, message any, deadline time.Duration) (protocol.Answer, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), min(tryWithin, deadline-in.clock()))
 	defer cancel()
-	got, err := in.follower.client(owner).Call(ctx, r.message)
+	got, err := in.follower.client(owner).Call(ctx, message)
 	if err != nil {
 		return protocol.Answer{}, err
 	}
@@ -183,14 +168,6 @@
 	return answer, nil
 }
 
-// givenUp is the final answer to a request that was not served.
-func givenUp(unknown bool) protocol.Answer {
-	if unknown {
-		return protocol.Answer{Status: http.StatusGatewayTimeout, Reason: "whether it was taken is not known: send the same again"}
-	}
-	return protocol.Answer{Status: http.StatusServiceUnavailable, RetryAfterMs: retryAfterMs, Reason: "nobody owns this queue at this moment"}
-}
-
 // stateBody and countBody are what clients are told.
 type stateBody struct {
 	State string `json:"state"`
--- /dev/null
+++ b/internal/dispatch/follower.go
@@ -0,0 +1,208 @@
+// Package dispatch decides for an edge process: which configuration it may go by, whom it
+// asks for a shard, what it asks to serve a client's request, and what an answer is worth.
+// It does no I/O and keeps no clock; package dataplane drives it.
+package dispatch
+
+import (
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"basaltloft/internal/opconfig"
+	"basaltloft/internal/protocol"
+)
+
+// View is what an edge goes by. It is replaced as a whole, never changed.
+type View struct {
+	Config *opconfig.Config
+	Moved  map[string]opconfig.Moves // queues that were sent to several services
+}
+
+// services lists where a queue's jobs may be: the present service first, then earlier ones.
+func (v *View) services(route *opconfig.Route) []string {
+	services := []string{route.Backend}
+	earlier := v.Moved[route.Queue()].Services
+	for at := len(earlier) - 1; at >= 0; at-- {
+		if earlier[at] != route.Backend {
+			services = append(services, earlier[at])
+		}
+	}
+	return services
+}
+
+// shards lists the shards where a queue's jobs may be, each once, the present one first.
+func (v *View) shards(route *opconfig.Route) []int {
+	var numbers []int
+	for _, service := range v.services(route) {
+		if shard := protocol.ShardOf(service); !slices.Contains(numbers, shard) {
+			numbers = append(numbers, shard)
+		}
+	}
+	return numbers
+}
+
+// Follower keeps an edge's view up to date: it tails the owner of the configuration, which
+// renews the edge's right to go by its view with each answer. It also knows who owns which
+// shard. Its methods may be called concurrently.
+type Follower struct {
+	node  string
+	fresh time.Duration // how long a view that was confirmed may be gone by
+	log   *slog.Logger
+
+	mu        sync.Mutex
+	view      *View
+	confirmed time.Duration // when the question was sent whose answer named the view as the newest
+	seeds     []string
+	cores     []string
+	leader    string
+	owners    []string // by shard; empty: not known
+	turn      int
+}
+
+const (
+	feedWait     = 500 * time.Millisecond // at the most
+	feedParts    = 3                      // a view that may be gone by for so long is asked for so often
+	confirmSlack = 350 * time.Millisecond // under the bound on a configuration's way
+	slackParts   = 4                      // but no more than this part of it
+)
+
+// NewFollower returns a follower without a view. A view may be gone by until the bound on a
+// configuration's way is nearly over after it was asked for: no newer one has then been in
+// force for longer.
+func NewFollower(node string, seeds []string, applyWithin time.Duration, log *slog.Logger) *Follower {
+	fresh := applyWithin - min(confirmSlack, applyWithin/slackParts)
+	return &Follower{node: node, fresh: fresh, log: log, seeds: seeds, cores: slices.Clone(seeds), owners: make([]string, protocol.Shards)}
+}
+
+// Next returns whom to ask for the configuration, and what.
+func (f *Follower) Next() (target string, feed protocol.Feed) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	feed = protocol.Feed{Node: f.node, WaitMs: min(feedWait, f.fresh/feedParts).Milliseconds()}
+	if f.view != nil {
+		feed.Have = f.view.Config.Version
+	}
+	if f.leader != "" {
+		return f.leader, feed
+	}
+	return f.cores[f.turn%len(f.cores)], feed
+}
+
+// Failed tells that a target did not answer.
+func (f *Follower) Failed(target string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.leader = ""
+	f.turn++
+	for at, owner := range f.owners {
+		if owner == target {
+			f.owners[at] = ""
+		}
+	}
+}
+
+// Answered takes in a target's answer to a question that was sent at a time. It tells whether
+// the target led; else another is to be asked after a pause.
+func (f *Follower) Answered(target string, asked time.Duration, answer protocol.FeedAnswer) (led bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.takeCores(answer)
+	if !answer.Leads {
+		f.follow(answer.Leader, target)
+		return false
+	}
+	f.take(asked, answer)
+	return true
+}
+
+// follow goes to the owner that another core process named.
+func (f *Follower) follow(leader, from string) {
+	f.leader = leader
+	if leader == "" || leader == from {
+		f.leader = ""
+		f.turn++
+	}
+}
+
+func (f *Follower) takeCores(answer protocol.FeedAnswer) {
+	if len(answer.Cores) > 0 {
+		f.cores = distinct(answer.Cores, f.seeds)
+	}
+}
+
+func distinct(one, other []string) []string {
+	all := append(slices.Clone(one), other...)
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
+func (f *Follower) take(asked time.Duration, answer protocol.FeedAnswer) {
+	f.leader = answer.Leader
+	for at, owner := range answer.Owners {
+		if owner != "" && at < len(f.owners) {
+			f.owners[at] = owner
+		}
+	}
+	if len(answer.Content) > 0 && !f.install(answer) {
+		return
+	}
+	if f.view != nil && answer.Version >= f.view.Config.Version {
+		f.confirmed = max(f.confirmed, asked)
+	}
+}
+
+// install replaces the view by a newer one.
+func (f *Follower) install(answer protocol.FeedAnswer) bool {
+	config, err := opconfig.Read(answer.Content)
+	if err != nil {
+		f.log.Error("the configuration can't be read: this program is older than the core's", "error", err)
+		return false
+	}
+	if f.view != nil && config.Version < f.view.Config.Version {
+		return false
+	}
+	f.view = &View{Config: config, Moved: answer.Moved}
+	f.log.Info("a configuration is in force", "version", config.Version)
+	return true
+}
+
+// Current returns the view, if it may be acted on: it was confirmed to be the newest a short
+// while ago, so that no newer one has been in force for longer than the deployment allows.
+func (f *Follower) Current(now time.Duration) (*View, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view, f.view != nil && now-f.confirmed < f.fresh
+}
+
+// Owner returns whom to ask for a shard: its owner as far as is known, or each core process
+// by turns.
+func (f *Follower) Owner(shard int) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if owner := f.owners[shard]; owner != "" {
+		return owner
+	}
+	f.turn++
+	return f.cores[f.turn%len(f.cores)]
+}
+
+// Correct notes what an answer, or its absence, said of a shard's owner.
+func (f *Follower) Correct(shard int, asked, owner string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case owner != "" && owner != asked:
+		f.owners[shard] = owner
+	case f.owners[shard] == asked:
+		f.owners[shard] = ""
+	}
+}
+
+// Reload takes in new seeds.
+func (f *Follower) Reload(seeds []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.seeds = seeds
+	f.cores = distinct(f.cores, seeds)
+}
--- a/internal/job/codec.go
+++ b/internal/job/codec.go
@@ -10,8 +10,12 @@
 // Batches are the log's entries. They are encoded by hand: gob would describe its types in
 // each of them, which is many times the size of a command and of the work to read it.
 
-// batchFormat is the first byte of a batch. Readers turn other formats down.
-const batchFormat = 1
+// batchFormat is the first byte of a batch. Readers take the format before it too, in which
+// commands had no queue and no version, and turn others down.
+const (
+	batchFormat  = 2
+	formatBefore = 1
+)
 
 // ErrFormat is a batch that can't be read.
 var ErrFormat = errors.New("a batch of commands can't be read: run the same version on all core machines")
@@ -36,6 +40,8 @@
 	to = appendText(to, c.Address)
 	to = appendText(to, c.Saved)
 	to = binary.AppendVarint(to, c.AtMs)
+	to = appendText(to, c.Queue)
+	to = binary.AppendVarint(to, c.Version)
 	if c.Kind != Accept {
 		return to
 	}
@@ -101,7 +107,8 @@
 // DecodeBatch reads a batch.
 func DecodeBatch(content []byte) (Batch, error) {
 	r := &reader{rest: content}
-	if r.byte() != batchFormat {
+	format := r.byte()
+	if format != batchFormat && format != formatBefore {
 		return Batch{}, ErrFormat
 	}
 	count := r.number()
@@ -110,7 +117,7 @@
 	}
 	b := Batch{Commands: make([]Command, 0, count)}
 	for range count {
-		c, err := r.command()
+		c, err := r.command(format)
 		if err != nil {
 			return Batch{}, err
 		}
@@ -119,7 +126,7 @@
 	return b, nil
 }
 
-func (r *reader) command() (Command, error) {
+func (r *reader) command(format byte) (Command, error) {
 	c := Command{Kind: Kind(r.byte()), How: How(r.byte())}
 	c.Task.Job = r.text()
 	for _, to := range []*int{&c.Task.Time, &c.Task.Step, &c.Task.Index, &c.Attempt} {
@@ -127,6 +134,10 @@
 	}
 	c.Runner, c.Address, c.Saved = r.text(), r.text(), r.text()
 	c.AtMs = r.signed()
+	if format != formatBefore {
+		c.Queue = r.text()
+		c.Version = r.signed()
+	}
 	if c.Kind == Accept {
 		c.New = &New{}
 		if body := r.text(); !r.bad && json.Unmarshal([]byte(body), c.New) != nil {
--- a/internal/job/command.go
+++ b/internal/job/command.go
@@ -75,8 +75,9 @@
 	Start                  // Task, Attempt, Runner, Address
 	End                    // Task, Attempt, Runner, How, Saved
 	Save                   // Task, Attempt, Saved
-	Cancel                 // Task.Job
+	Cancel                 // Task.Job, Queue, Version
 	Forget                 // Task.Job
+	Seal                   // Queue, Version: nothing is accepted under older configurations any more
 )
 
 // Command is one change of a shard's jobs.
@@ -90,6 +91,8 @@
 	Saved   string
 	New     *New
 	AtMs    int64 // time of day at the proposer
+	Queue   string
+	Version int64 // of the configuration by which it was asked for
 }
 
 // New is a job to be accepted, with what its queue's configuration says of it now.
@@ -103,6 +106,7 @@
 	Retries  int
 	TargetMs int64
 	Stretch  float64
+	Version  int64 // of the configuration by which it is accepted
 }
 
 // Batch is what one entry of the log holds.
--- a/internal/job/store.go
+++ b/internal/job/store.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"encoding/gob"
+	"fmt"
+	"hash/fnv"
 	"math/bits"
 
 	"github.com/cockroachdb/errors"
@@ -71,6 +73,9 @@
 	Live       int // runs that may be under way
 	AcceptedMs int64
 	EndedMs    int64
+	// Withdrawn: it was cancelled before it was handed in. Nothing is known of it but its ID
+	// and queue, and a late try to hand it in is turned down for good.
+	Withdrawn bool
 }
 
 // Ready tells whether a step's tasks may start: all steps that it depends on are complete.
@@ -87,10 +92,15 @@
 type Store struct {
 	Jobs    map[string]*Job
 	Pending map[string]int // jobs in state pending, by queue
+	// Sealed is, by queue that another shard has now, the version of the configuration that
+	// moved it: under an older one nothing is accepted or withdrawn here any more.
+	Sealed map[string]int64
 }
 
 // NewStore returns an empty store.
-func NewStore() *Store { return &Store{Jobs: map[string]*Job{}, Pending: map[string]int{}} }
+func NewStore() *Store {
+	return &Store{Jobs: map[string]*Job{}, Pending: map[string]int{}, Sealed: map[string]int64{}}
+}
 
 // Snapshot returns the whole state.
 func (s *Store) Snapshot() ([]byte, error) {
@@ -109,10 +119,34 @@
 	return nil
 }
 
+// Sum stands for the whole state: equal where the states are, however they came about.
+func (s *Store) Sum() uint64 {
+	sum := sumOf(s.Pending, s.Sealed)
+	for _, j := range s.Jobs {
+		sum ^= j.sum()
+	}
+	return sum
+}
+
+func (j *Job) sum() uint64 {
+	hash := fnv.New64a()
+	fmt.Fprintln(hash, j.New, j.State, j.OpenTimes, j.Live, j.AcceptedMs, j.EndedMs, j.Withdrawn, len(j.Times))
+	for _, time := range j.Times {
+		fmt.Fprintln(hash, *time)
+	}
+	return hash.Sum64()
+}
+
+func sumOf(parts ...any) uint64 {
+	hash := fnv.New64a()
+	fmt.Fprintln(hash, parts...) // fmt sorts maps by their keys
+	return hash.Sum64()
+}
+
 // Lookup returns a job of a queue.
 func (s *Store) Lookup(queue, id string) (*Job, bool) {
 	j, ok := s.Jobs[id]
-	if !ok || j.Queue != queue {
+	if !ok || j.Queue != queue || j.Withdrawn {
 		return nil, false
 	}
 	return j, true
@@ -123,15 +157,23 @@
 
 // Outcomes.
 const (
-	Applied  Outcome = iota + 1
-	Known            // nothing changed: it had been done before
-	Rejected         // nothing changed: the state does not allow it
+	Applied   Outcome = iota + 1
+	Known             // nothing changed: it had been done before
+	Rejected          // nothing changed: the state does not allow it
+	Missing           // there is no such job, and there never will be
+	Moved             // nothing changed: a newer configuration has sent the queue elsewhere
+	Withdrawn         // nothing changed: the job was cancelled before it was handed in
 )
 
 // Apply carries out a command.
 func (s *Store) Apply(c Command) Outcome {
-	if c.Kind == Accept {
+	switch c.Kind {
+	case Accept:
 		return s.accept(c)
+	case Cancel:
+		return s.cancel(c)
+	case Seal:
+		return s.seal(c)
 	}
 	j := s.Jobs[c.Task.Job]
 	if j == nil {
@@ -146,8 +188,6 @@
 		return s.end(j, c)
 	case Save:
 		return s.save(j, c)
-	case Cancel:
-		return s.cancel(j, c)
 	case Forget:
 		return s.forget(j)
 	}
@@ -156,10 +196,10 @@
 
 func (s *Store) accept(c Command) Outcome {
 	if old := s.Jobs[c.New.ID]; old != nil {
-		if old.Queue == c.New.Queue {
-			return Known
-		}
-		return Rejected
+		return old.Again(c.New.Queue, c.New.Hash)
+	}
+	if c.New.Version < s.Sealed[c.New.Queue] {
+		return Moved
 	}
 	j := &Job{New: *c.New, AcceptedMs: c.AtMs}
 	j.OpenTimes = j.Spec.Times()
@@ -171,6 +211,27 @@
 	return Applied
 }
 
+// Again says what becomes of another try to hand a job in under the ID of this one.
+func (j *Job) Again(queue string, hash uint64) Outcome {
+	switch {
+	case j.Withdrawn && j.Queue == queue:
+		return Withdrawn
+	case j.Queue != queue || j.Hash != hash:
+		return Rejected
+	}
+	return Known
+}
+
+// seal turns down from now on what comes under configurations before the one that moved the
+// queue to another shard.
+func (s *Store) seal(c Command) Outcome {
+	if s.Sealed[c.Queue] >= c.Version {
+		return Known
+	}
+	s.Sealed[c.Queue] = c.Version
+	return Applied
+}
+
 // begin makes the tasks of the next time.
 func (j *Job) begin(time int) {
 	steps := make([]StepRun, len(j.Spec.Steps))
@@ -382,8 +443,16 @@
 	return Rejected
 }
 
-func (s *Store) cancel(j *Job, c Command) Outcome {
-	if j.State.Over() {
+// cancel cancels a job. Where there is none of that ID, the ID is kept as withdrawn: a try to
+// hand it in may still be on its way.
+func (s *Store) cancel(c Command) Outcome {
+	j := s.Jobs[c.Task.Job]
+	switch {
+	case j == nil:
+		return s.withdraw(c)
+	case c.Queue != "" && j.Queue != c.Queue, j.Withdrawn:
+		return Missing
+	case j.State.Over():
 		return Known
 	}
 	s.enter(j, Canceled, c.AtMs)
@@ -391,6 +460,14 @@
 	return Applied
 }
 
+func (s *Store) withdraw(c Command) Outcome {
+	if c.Version < s.Sealed[c.Queue] {
+		return Moved
+	}
+	s.Jobs[c.Task.Job] = &Job{New: New{ID: c.Task.Job, Queue: c.Queue}, State: Canceled, EndedMs: c.AtMs, Withdrawn: true}
+	return Missing
+}
+
 func (s *Store) forget(j *Job) Outcome {
 	if !j.State.Over() || j.Live > 0 {
 		return Rejected
--- a/internal/job/store_test.go
+++ b/internal/job/store_test.go
@@ -151,12 +151,15 @@
 	hows := []job.How{job.Done, job.Done, job.Failed, job.Stopped, job.Lapsed, job.Broken, job.Lost, job.Refused}
 	id := string(rune('a' + r.IntN(3)))
 	task := job.TaskRef{Job: id, Time: r.IntN(2), Step: r.IntN(2), Index: r.IntN(2)}
-	c := job.Command{Kind: job.Kind(1 + r.IntN(7)), Task: task, Attempt: 1 + r.IntN(4), Runner: "r", Address: "x:1", How: hows[r.IntN(len(hows))], AtMs: int64(r.IntN(1000)) - 5}
+	c := job.Command{Kind: job.Kind(1 + r.IntN(8)), Task: task, Attempt: 1 + r.IntN(4), Runner: "r", Address: "x:1", How: hows[r.IntN(len(hows))], AtMs: int64(r.IntN(1000)) - 5}
 	if r.IntN(3) == 0 {
 		c.Saved = "text"
 	}
+	if c.Kind == job.Cancel || c.Kind == job.Seal {
+		c.Queue, c.Version = "q/", int64(r.IntN(4))
+	}
 	if c.Kind == job.Accept {
-		c.New = &job.New{ID: id, Queue: "q/", Retries: 2, Stretch: 1.5, Spec: job.Spec{Text: "t", Repeats: r.IntN(3), Steps: []job.Step{
+		c.New = &job.New{ID: id, Queue: "q/", Retries: 2, Stretch: 1.5, Version: int64(r.IntN(4)), Spec: job.Spec{Text: "t", Repeats: r.IntN(3), Steps: []job.Step{
 			{Count: 2, Gang: r.IntN(2) == 0, Resources: job.Resources{CPU: 5}, Constraints: job.Labels{"a"}}, {Count: 1, DependsOn: []int{0}}}}}
 	}
 	return c
@@ -181,6 +184,7 @@
 			two = job.NewStore()
 			require.NoError(t, two.Restore(snapshot))
 		}
+		require.Equal(t, one.Sum(), two.Sum(), "seed %d", seed)
 		require.Equal(t, len(one.Jobs), len(two.Jobs))
 		for id, j := range one.Jobs {
 			require.Equal(t, j.State, two.Jobs[id].State)
@@ -233,3 +237,49 @@
 		require.Error(t, err, name)
 	}
 }
+
+// TestCancelledBeforeItIsHandedIn: a try to hand a job in that was under way when its
+// cancelling was answered is turned down for good.
+func TestCancelledBeforeItIsHandedIn(t *testing.T) {
+	s := job.NewStore()
+	taken := accept(job.Spec{Steps: []job.Step{{Count: 1}}})
+	cancel := job.Command{Kind: job.Cancel, Task: job.TaskRef{Job: "a"}, Queue: taken.New.Queue}
+	forget := job.Command{Kind: job.Forget, Task: job.TaskRef{Job: "a"}}
+	apply(t, s, wanted{cancel, job.Missing}, wanted{cancel, job.Missing}, wanted{taken, job.Withdrawn})
+	_, shown := s.Lookup(taken.New.Queue, "a")
+	require.False(t, shown, "nobody handed it in")
+	require.Empty(t, s.Pending)
+	apply(t, s, wanted{start(0, 0, 1), job.Rejected}, wanted{forget, job.Applied}, wanted{taken, job.Applied}, wanted{cancel, job.Applied})
+	elsewhere := cancel
+	elsewhere.Queue = "h.example/other/"
+	apply(t, s, wanted{elsewhere, job.Missing})
+	require.Equal(t, job.Canceled, s.Jobs["a"].State)
+}
+
+// TestAQueueThatHasMovedOn: once another shard has asked, nothing comes under the older
+// configuration any more, neither a job nor a cancelling that a later try would have to meet.
+func TestAQueueThatHasMovedOn(t *testing.T) {
+	s := job.NewStore()
+	before, after, other := accept(job.Spec{Steps: []job.Step{{Count: 1}}}), accept(job.Spec{Steps: []job.Step{{Count: 1}}}), accept(job.Spec{Steps: []job.Step{{Count: 2}}})
+	before.New.Version, after.New.Version = 3, 7
+	other.New.Hash = 99
+	queue := before.New.Queue
+	seal := job.Command{Kind: job.Seal, Queue: queue, Version: 5}
+	apply(t, s, wanted{seal, job.Applied}, wanted{seal, job.Known}, wanted{before, job.Moved},
+		wanted{job.Command{Kind: job.Cancel, Task: job.TaskRef{Job: "a"}, Queue: queue, Version: 3}, job.Moved},
+		wanted{after, job.Applied}, wanted{before, job.Known}, wanted{other, job.Rejected})
+	content, err := s.Snapshot()
+	require.NoError(t, err)
+	next := job.NewStore()
+	require.NoError(t, next.Restore(content))
+	next.Jobs = map[string]*job.Job{}
+	require.Equal(t, job.Moved, next.Apply(before), "also after a snapshot")
+}
+
+// TestBatchesOfTheFormatBefore are still read: a log on disk may hold them.
+func TestBatchesOfTheFormatBefore(t *testing.T) {
+	content := []byte{1, 1, byte(job.Start), 0, 1, 'a', 0, 0, 3, 2, 1, 'r', 3, 'x', ':', '1', 0, 10}
+	batch, err := job.DecodeBatch(content)
+	require.NoError(t, err)
+	require.Equal(t, job.Command{Kind: job.Start, Task: job.TaskRef{Job: "a", Index: 3}, Attempt: 2, Runner: "r", Address: "x:1", AtMs: 5}, batch.Commands[0])
+}
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -6,6 +6,7 @@
 	"hash/fnv"
 	"strconv"
 
+	"basaltloft/coord/group"
 	"basaltloft/coord/replica"
 	"basaltloft/coord/rpc"
 	"basaltloft/internal/job"
@@ -50,14 +51,20 @@
 	AskState Verb = iota + 1
 	CancelJob
 	CountPending
+	// CheckEarlier asks the owner of a shard that had the queue before whether it holds the
+	// ID, after it has sealed the queue: from then on it takes nothing more of it.
+	CheckEarlier
 )
 
 // Ask asks for a job's state or its cancelling, or for a queue's count.
 type Ask struct {
-	Verb  Verb
-	Shard int
-	Queue string
-	ID    string
+	Verb    Verb
+	Shard   int
+	Queue   string
+	ID      string
+	Version int64  // of the asking dispatcher's configuration
+	Since   int64  // CheckEarlier: the version that moved the queue
+	Hash    uint64 // CheckEarlier: of the job's body
 }
 
 // Answer is the owner's answer to a Submit or an Ask.
@@ -69,6 +76,10 @@
 	Owner        string // where Status is 0: who may own it
 	Reason       string
 	Unknown      bool // it may have been done: ask again under the same ID
+	Never        bool // the job was not taken and never will be, by whatever try
+	// Moved is the version of a configuration, newer than the asking one's, that sends the
+	// queue elsewhere; nothing was done here. 0: none does.
+	Moved int64
 }
 
 // Feed asks for the configuration from a version on, and renews the asking dispatcher's lease.
@@ -80,13 +91,13 @@
 
 // FeedAnswer is what the owner of the configuration answers.
 type FeedAnswer struct {
-	Leads    bool // the answering process owned the configuration when it answered
-	Leader   string
-	Version  int64
-	Content  []byte              // empty where Have is the newest
-	Backends map[string][]string // queues that were sent to more than one service
-	Cores    []string
-	Owners   []string // by shard; empty: not known
+	Leads   bool // the answering process owned the configuration when it answered
+	Leader  string
+	Version int64
+	Content []byte                    // empty where Have is the newest
+	Moved   map[string]opconfig.Moves // queues that were sent to more than one service
+	Cores   []string
+	Owners  []string // by shard; empty: not known
 }
 
 // Operate passes an operator's call on to the owner of the configuration.
@@ -104,13 +115,10 @@
 	Reason  string
 }
 
-// Hello introduces a core process before the groups are formed.
-type Hello struct{ Member replica.Member }
-
-// HelloAnswer introduces the other one; Founding is the first membership, once it is decided.
-type HelloAnswer struct {
-	Member   replica.Member
-	Founding *replica.Membership
+// Leave tells that a member ends for now.
+type Leave struct {
+	Group string
+	ID    string
 }
 
 // Join asks for a place in a group.
@@ -143,21 +151,20 @@
 
 // StatusAnswer is what a core process holds.
 type StatusAnswer struct {
-	Node   string
-	Member replica.Member
-	Groups []GroupStatus
+	Node    string
+	Member  replica.Member
+	Version int64 // of the configuration that this process has applied
+	Groups  []GroupStatus
 }
 
 // GroupStatus is one group as a replica of it sees it.
 type GroupStatus struct {
-	Name    string
-	Leads   bool // the answering process holds the lease
-	Epoch   uint64
-	Leader  string // address; empty: not known
-	Members replica.Membership
+	Name   string
+	Leader string // address; empty: not known
+	group.Status
 }
 
 func init() {
 	rpc.Register(replica.Message{}, Submit{}, Ask{}, Answer{}, Feed{}, FeedAnswer{}, Operate{}, OperateAnswer{},
-		Hello{}, HelloAnswer{}, Join{}, Runners{}, AskStatus{}, StatusAnswer{})
+		Leave{}, Join{}, Runners{}, AskStatus{}, StatusAnswer{})
 }
--- a/internal/scheduler/owner.go
+++ b/internal/scheduler/owner.go
@@ -320,7 +320,9 @@
 	case job.End:
 		o.endApplied(j, c, outcome)
 	case job.Cancel:
-		o.jobOver(j)
+		if outcome == job.Applied || outcome == job.Known || j.Withdrawn {
+			o.jobOver(j)
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/simworld/edge_test.go
@@ -0,0 +1,150 @@
+package simworld_test
+
+import (
+	"net/http"
+	"time"
+
+	"basaltloft/internal/dispatch"
+	"basaltloft/internal/opconfig"
+	"basaltloft/internal/protocol"
+)
+
+const (
+	feedSlack  = 400 * time.Millisecond
+	feedAgain  = 60 * time.Millisecond
+	tryWithin  = 350 * time.Millisecond
+	triesApart = 25 * time.Millisecond
+	heldFor    = 1260 * time.Millisecond
+)
+
+// edge is a dispatcher: it drives a follower and clients' calls, as package dataplane does.
+type edge struct {
+	*process
+	follower *dispatch.Follower
+	highest  int64 // version that this life has acted on
+}
+
+func (w *world) addEdge(name string) *edge {
+	e := &edge{process: w.addProcess(name)}
+	e.start = func() {
+		e.follower = dispatch.NewFollower(name, w.seeds(), w.bounds.applyWithin, w.log)
+		e.highest = 0
+		e.poll()
+	}
+	w.edges = append(w.edges, e)
+	return e
+}
+
+func (e *edge) poll() {
+	asked := e.steady()
+	target, feed := e.follower.Next()
+	e.call(target, time.Duration(feed.WaitMs)*time.Millisecond+feedSlack, func(reply func(any)) { e.serveAt(target, feed, reply) }, func(answer any, ok bool) {
+		got, _ := answer.(protocol.FeedAnswer)
+		pause := feedAgain
+		switch {
+		case !ok:
+			e.follower.Failed(target)
+		case e.follower.Answered(target, asked, got):
+			pause = 0
+		}
+		e.after(pause, e.poll)
+	})
+}
+
+func (e *edge) serveAt(target string, message any, reply func(any)) {
+	if c := e.w.coreNamed(target); c != nil {
+		c.serve(message, reply)
+	}
+}
+
+// current returns the view that may be acted on at this moment, and checks that it may be.
+func (e *edge) current(sent time.Duration) (*dispatch.View, bool) {
+	v, ok := e.follower.Current(e.steady())
+	if !ok {
+		return nil, false
+	}
+	e.w.config.checkActedOn(e, v.Config.Version, sent)
+	return v, true
+}
+
+// request is a client's request at an edge.
+type request struct {
+	queue    string
+	sent     time.Duration // by the client
+	deadline time.Duration // by the edge's clock
+	build    func(*dispatch.View, *opconfig.Route) *dispatch.Call
+	reply    func(protocol.Answer)
+}
+
+// take serves a client's request.
+func (e *edge) take(r request) {
+	r.deadline = e.steady() + heldFor
+	v, ok := e.current(r.sent)
+	if !ok {
+		r.reply(protocol.Answer{Status: http.StatusServiceUnavailable})
+		return
+	}
+	route, ok := v.Config.Route(r.queue)
+	if !ok {
+		r.reply(protocol.Answer{Status: http.StatusNotFound})
+		return
+	}
+	e.pass(r, r.build(v, route), v)
+}
+
+// pass asks owners by turns until the call has its answer.
+func (e *edge) pass(r request, call *dispatch.Call, v *dispatch.View) {
+	now := e.steady()
+	if now >= r.deadline {
+		r.reply(call.GivenUp())
+		return
+	}
+	shard, message := call.Next()
+	target := e.follower.Owner(shard)
+	e.call(target, min(tryWithin, r.deadline-now), func(reply func(any)) { e.serveAt(target, message, reply) }, func(answer any, ok bool) {
+		got, _ := answer.(protocol.Answer)
+		progress := dispatch.Retry
+		switch {
+		case !ok:
+			if e.w.mistake != refusedAfterUnknown {
+				call.Silent()
+			}
+			e.follower.Correct(shard, target, "")
+		case got.Status == 0:
+			e.follower.Correct(shard, target, got.Owner)
+		default:
+			got, progress = call.Answered(got)
+		}
+		switch progress {
+		case dispatch.Finished:
+			r.reply(got)
+		case dispatch.Outdated:
+			e.awaitNewer(r, call, v, got.Moved)
+		case dispatch.Continue:
+			e.pass(r, call, v)
+		default:
+			e.after(triesApart, func() { e.pass(r, call, v) })
+		}
+	})
+}
+
+// awaitNewer begins a call anew once a newer configuration has come.
+func (e *edge) awaitNewer(r request, call *dispatch.Call, v *dispatch.View, wanted int64) {
+	if e.steady() >= r.deadline {
+		r.reply(call.GivenUp())
+		return
+	}
+	newer, ok := e.current(r.sent)
+	if !ok || newer.Config.Version <= v.Config.Version || newer.Config.Version < wanted {
+		e.after(triesApart, func() { e.awaitNewer(r, call, v, wanted) })
+		return
+	}
+	route, ok := newer.Config.Route(r.queue)
+	if !ok {
+		r.reply(call.GivenUp())
+		return
+	}
+	again := r.build(newer, route)
+	again.After(call)
+	e.pass(r, again, newer)
+}
