--- a/coord/group/transfer.go
+++ b/coord/group/transfer.go
@@ -34,7 +34,8 @@
 	snapshot   replica.Snapshot
 	term       uint64 // of the lead that sends it
 	sent       int    // bytes
-	answered   int    // bytes that the member has
+	answered   int    // most bytes that the member has told of
+	last       int    // bytes that it told of last: fewer, where it has begun anew
 	answeredAt time.Duration
 	sentAt     time.Duration
 }
@@ -46,13 +47,28 @@
 	from        string
 	term        uint64
 	index       uint64
-	snapshotsOf uint64 // its term
-	data        []byte
+	snapshotsOf uint64         // its term
+	data        []byte         // without a gap
+	later       map[int][]byte // parts behind a gap, by their place
+}
+
+// take adds a part.
+func (in *incoming) take(offset int, part []byte) {
+	if offset > len(in.data) && len(in.later) < partsAhead {
+		in.later[offset] = part
+	}
+	for offset == len(in.data) && len(part) > 0 {
+		in.data = append(in.data, part...)
+		offset, part = len(in.data), in.later[len(in.data)]
+		delete(in.later, offset)
+	}
 }
 
 // beginTransfer begins to send the newest state to a member, unless a transfer is under way.
+// One that was installed is not: more was compacted since.
 func (e *Engine) beginTransfer(now time.Duration, message replica.Message) {
-	if running := e.outgoing[message.To]; running != nil && running.term == e.machine.Term() && !running.over(now) {
+	running := e.outgoing[message.To]
+	if running != nil && running.term == e.machine.Term() && !running.over(now) && e.machine.Has(message.To) < running.snapshot.Index {
 		return
 	}
 	snapshot, err := e.wholeSnapshot()
@@ -94,6 +110,7 @@
 			continue
 		}
 		if !o.whole() && now > o.sentAt+partLateAfter {
+			o.answered = o.last
 			o.sent = o.answered
 			e.sendParts(now, id)
 		}
@@ -106,13 +123,11 @@
 	if o == nil || message.Term != o.term || message.Index != o.snapshot.Index {
 		return
 	}
-	o.answeredAt = now
-	if message.Offset < o.answered { // it has begun anew
-		o.sent = message.Offset
-	}
-	o.answered = message.Offset
+	o.answeredAt, o.last = now, message.Offset
+	progress := message.Offset > o.answered
+	o.answered = max(o.answered, message.Offset)
 	o.sent = max(o.sent, o.answered)
-	if !o.whole() {
+	if progress && !o.whole() {
 		e.sendParts(now, message.From)
 	}
 }
@@ -135,12 +150,10 @@
 		return
 	}
 	if !e.incoming.continues(message) {
-		e.incoming = &incoming{from: message.From, term: message.Term, index: part.Index, snapshotsOf: part.Term}
+		e.incoming = &incoming{from: message.From, term: message.Term, index: part.Index, snapshotsOf: part.Term, later: map[int][]byte{}}
 	}
 	in := e.incoming
-	if message.Offset == len(in.data) {
-		in.data = append(in.data, part.Data...)
-	}
+	in.take(message.Offset, part.Data)
 	e.send(now, replica.Message{Kind: replica.AnswerPart, Group: e.settings.Name, From: e.settings.Self.ID, To: message.From,
 		Term: message.Term, Index: part.Index, Offset: len(in.data)})
 	if len(in.data) < message.Total || part.Index <= e.machine.Commit() {
--- a/coord/replica/log.go
+++ b/coord/replica/log.go
@@ -7,12 +7,14 @@
 	base    Snapshot // Data is empty once it is installed
 	entries []Entry  // the first has index base.Index+1, or the base was moved within them
 	first   uint64   // index of entries[0]
+	before  uint64   // term of the entry before that
 	stable  uint64   // last index that is on this replica's disk
 }
 
 func (l *log) reset(snapshot Snapshot) {
 	snapshot.Data = nil
 	l.base, l.entries, l.first, l.stable = snapshot, nil, snapshot.Index+1, snapshot.Index
+	l.before = snapshot.Term
 }
 
 func (l *log) last() uint64 { return l.first + uint64(len(l.entries)) - 1 }
@@ -24,6 +26,8 @@
 		return l.entries[index-l.first].Term
 	case index == l.base.Index:
 		return l.base.Term
+	case index == l.first-1:
+		return l.before
 	}
 	return 0
 }
@@ -100,6 +104,7 @@
 	if first <= l.first {
 		return
 	}
+	l.before = l.term(first - 1)
 	l.entries = append([]Entry(nil), l.entries[first-l.first:]...)
 	l.first = first
 }
--- a/coord/replica/replica.go
+++ b/coord/replica/replica.go
@@ -341,6 +341,14 @@
 // SnapshotIndex returns the index of the newest snapshot.
 func (m *Machine) SnapshotIndex() uint64 { return m.log.base.Index }
 
+// Has returns the last index that a member has on its disk, as far as this leader knows.
+func (m *Machine) Has(id string) uint64 {
+	if peer := m.peers[id]; peer != nil {
+		return peer.match
+	}
+	return 0
+}
+
 // Lacks returns how many entries a member lacks, as far as this leader knows.
 func (m *Machine) Lacks(id string) uint64 {
 	if id == m.id {
--- a/internal/simworld/core_test.go
+++ b/internal/simworld/core_test.go
@@ -56,7 +56,6 @@
 		founding *replica.Membership
 	}
 	bootstrap bool
-	gone      bool // for good
 
 	groups map[string]*replicaGroup
 	names  []string
@@ -82,6 +81,7 @@
 func (w *world) addCore(name string) *core {
 	c := &core{process: w.addProcess(name), disk: simdisk.New(w.seed*131 + uint64(len(w.cores))), diskSlow: 1, bootstrap: true}
 	c.start = c.startProcess
+	w.made++
 	w.cores = append(w.cores, c)
 	return c
 }
--- a/internal/simworld/seeds_test.go
+++ b/internal/simworld/seeds_test.go
@@ -83,6 +83,13 @@
 		wiped[at] = true
 	}
 	w.note("the final fault strikes %v", struck)
+	for _, name := range w.cores[0].names {
+		for _, c := range w.cores {
+			if g := c.groups[name]; c.up && g != nil {
+				w.note("%s %s %+v", name, c.name, g.engine.Status(c.clock()))
+			}
+		}
+	}
 	down := w.between(200*time.Millisecond, 2*time.Second)
 	for at, c := range w.cores {
 		switch {
