--- a/cmd/basaltloftctl/main.go
+++ b/cmd/basaltloftctl/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strconv"
 	"text/tabwriter"
 	"time"
 
@@ -56,28 +57,69 @@
 	return answer, nil
 }
 
+// show prints what a process holds: a line for each group, and one for each member that lacks
+// something, is about to join, or has halted.
 func show(to io.Writer, answer protocol.StatusAnswer) {
-	fmt.Fprintf(to, "%s (%s, member %s)\n", answer.Node, answer.Member.Address, answer.Member.ID)
+	fmt.Fprintf(to, "%s (%s, member %s, configuration %d)\n", answer.Node, answer.Member.Address, answer.Member.ID, answer.Version)
 	table := tabwriter.NewWriter(to, 2, 8, 2, ' ', 0)
-	fmt.Fprintln(table, "  group\tleader\tepoch\tvoters\tlearners")
+	fmt.Fprintln(table, "  group\tleader\tterm\tlease\tapplied\tnewest\tsnapshot\tdigest\tvoters\tlearners")
 	for _, group := range answer.Groups {
-		leader, epoch := group.Leader, "-"
-		if group.Leads {
-			leader, epoch = "here", fmt.Sprint(group.Term)
-		}
-		if leader == "" {
-			leader = "none"
-		}
-		fmt.Fprintf(table, "  %s\t%s\t%s\t%d\t%d\n", group.Name, leader, epoch, len(group.Members.Voters), len(group.Members.Learners))
+		fmt.Fprintf(table, "  %s\t%s\t%d\t%s\t%d\t%d\t%d\t%08x\t%s\t%d\n", group.Name, leaderOf(group), group.Term, leaseOf(group),
+			group.Applied, group.Last, group.Snapshot, uint32(group.Digest), votersOf(group), len(group.Members.Learners))
 	}
 	table.Flush()
+	for _, group := range answer.Groups {
+		showTroubles(to, group)
+	}
+}
+
+func leaderOf(group protocol.GroupStatus) string {
+	switch {
+	case group.Leads:
+		return "here"
+	case group.Leader == "":
+		return "none"
+	}
+	return group.Leader
+}
+
+func leaseOf(group protocol.GroupStatus) string {
+	if !group.Leads {
+		return "-"
+	}
+	return group.LeaseLeft.Round(time.Millisecond).String()
+}
+
+// votersOf counts the voters; while a change is under way, those before and after it.
+func votersOf(group protocol.GroupStatus) string {
+	if group.Members.Joint() {
+		return fmt.Sprintf("%d to %d", len(group.Members.Outgoing), len(group.Members.Voters))
+	}
+	return strconv.Itoa(len(group.Members.Voters))
+}
+
+func showTroubles(to io.Writer, group protocol.GroupStatus) {
+	if group.Halted != "" {
+		fmt.Fprintf(to, "  %s: halted: %s\n", group.Name, group.Halted)
+	}
+	if group.Receiving > 0 {
+		fmt.Fprintf(to, "  %s: receives a snapshot, %d bytes so far\n", group.Name, group.Receiving)
+	}
+	if group.Unsynced > 0 {
+		fmt.Fprintf(to, "  %s: %d bytes wait for the disk\n", group.Name, group.Unsynced)
+	}
+	for _, member := range group.Members.Everyone() {
+		if lacks := group.Lacks[member.ID]; lacks > 0 {
+			fmt.Fprintf(to, "  %s: %s (%s) lacks %d entries\n", group.Name, member.Address, member.ID, lacks)
+		}
+	}
 }
 
 const exitUsage = 2
 
 func main() {
 	parser := flags.NewNamedParser("basaltloftctl", flags.HelpFlag|flags.PassDoubleDash)
-	if _, err := parser.AddCommand("status", "Show groups, leaders and members", "Asks core processes which groups they hold, who leads them and who votes.", &statusCommand{}); err != nil {
+	if _, err := parser.AddCommand("status", "Show groups, leaders and members", "Asks core processes which groups they hold: who leads and for how long, what is applied, who votes and who lacks what. Equal digests at equal applied indexes are equal states.", &statusCommand{}); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitUsage)
 	}
--- /dev/null
+++ b/coord/group/transfer_test.go
@@ -0,0 +1,208 @@
+package group
+
+import (
+	"bytes"
+	"log/slog"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"basaltloft/coord/replica"
+)
+
+// blob is a state machine whose state is the last command; it refuses what begins with '!'.
+type blob struct{ content []byte }
+
+var errUnreadable = errors.New("this program can't read it")
+
+func (b *blob) Apply(_ uint64, command []byte) (any, error) {
+	if len(command) > 0 && command[0] == '!' {
+		return nil, errUnreadable
+	}
+	b.content = command
+	return len(command), nil
+}
+func (b *blob) Snapshot() ([]byte, error) { return b.content, nil }
+func (b *blob) Restore(content []byte) error {
+	if len(content) > 0 && content[0] == '!' {
+		return errUnreadable
+	}
+	b.content = content
+	return nil
+}
+func (b *blob) Digest() uint64 { return uint64(len(b.content)) }
+func (b *blob) Leading(uint64) {}
+func (b *blob) Following()     {}
+
+var quick = replica.Timing{Heartbeat: 100 * time.Millisecond, Lease: 420 * time.Millisecond, Promise: 520 * time.Millisecond, Spread: 260 * time.Millisecond}
+
+// pair is a leader of a group of two with a large state, and the other one, which has nothing.
+type pair struct {
+	t       *testing.T
+	now     time.Duration
+	engines map[string]*Engine
+	states  map[string]*blob
+	flying  []Send
+	lose    func(replica.Message) bool
+	shuffle *rand.Rand // nil: nothing overtakes
+	parts   int
+}
+
+func newPair(t *testing.T, state []byte) *pair {
+	p := &pair{t: t, now: time.Hour, engines: map[string]*Engine{}, states: map[string]*blob{}, lose: func(replica.Message) bool { return false }}
+	members := replica.Membership{Voters: []replica.Member{{ID: "a", Address: "a"}}, Learners: []replica.Member{{ID: "b", Address: "b"}}}
+	p.states["a"] = &blob{content: state}
+	first, err := First(members, p.states["a"])
+	require.NoError(t, err)
+	p.open("a", replica.Restored{State: replica.HardState{Term: 1}, Snapshot: first})
+	p.open("b", replica.Restored{})
+	return p
+}
+
+func (p *pair) open(id string, found replica.Restored) {
+	if p.states[id] == nil || id == "b" {
+		p.states[id] = &blob{}
+	}
+	e, err := NewEngine(Settings{Name: "g", Self: replica.Member{ID: id, Address: id}, Timing: quick, Size: 1, Seed: 7, Part: 1000}, found, p.states[id], p.now, slog.New(slog.DiscardHandler))
+	require.NoError(p.t, err)
+	p.engines[id] = e
+}
+
+// run lets time pass; disks sync at once.
+func (p *pair) run(span time.Duration) {
+	const tick = 5 * time.Millisecond
+	for end := p.now + span; p.now < end; p.now += tick {
+		flying := p.flying
+		p.flying = nil
+		if p.shuffle != nil {
+			p.shuffle.Shuffle(len(flying), func(i, j int) { flying[i], flying[j] = flying[j], flying[i] })
+		}
+		for _, send := range flying {
+			if e := p.engines[send.Address]; e != nil && !p.lose(send.Message) {
+				e.Receive(p.now, send.Message)
+			}
+		}
+		for _, id := range []string{"a", "b"} {
+			if e := p.engines[id]; e != nil {
+				e.Tick(p.now)
+				p.flush(e)
+			}
+		}
+	}
+}
+
+func (p *pair) flush(e *Engine) {
+	effects := e.Flush(p.now)
+	effects.CarryOut(func(Lease, replica.Member) {}, func(writes []Write) {
+		e.Written(p.now, writes, false)
+	}, func(send Send) {
+		if send.Message.Kind == replica.SnapshotPart {
+			p.parts++
+		}
+		p.flying = append(p.flying, send)
+	})
+}
+
+func state(n int) []byte { return bytes.Repeat([]byte("state..."), n/8) }
+
+// TestALargeStateGoesInParts whatever is lost or overtaken, and about once.
+func TestALargeStateGoesInParts(t *testing.T) {
+	const parts = 200
+	for name, c := range map[string]struct {
+		lost    float64
+		shuffle bool
+		most    int
+	}{"undisturbed": {0, false, parts + 2}, "overtaking": {0, true, 2 * parts}, "one in twenty lost": {0.05, false, 4 * parts}} {
+		p := newPair(t, state(parts*1000))
+		random := rand.New(rand.NewPCG(5, 5))
+		p.lose = func(m replica.Message) bool {
+			return m.Kind == replica.SnapshotPart && random.Float64() < c.lost
+		}
+		if c.shuffle {
+			p.shuffle = random
+		}
+		p.run(30 * time.Second)
+		require.True(t, bytes.Equal(p.states["a"].content, p.states["b"].content), name)
+		require.LessOrEqual(t, p.parts, c.most, name)
+	}
+}
+
+// TestATransferSurvivesARestart of the receiver at each part: it begins anew and ends.
+func TestATransferSurvivesARestart(t *testing.T) {
+	for at := range 20 {
+		p := newPair(t, state(30_000))
+		for p.engines["b"].Status(p.now).Receiving < at*1000+1 {
+			p.run(5 * time.Millisecond)
+		}
+		p.open("b", replica.Restored{})
+		p.run(15 * time.Second)
+		require.True(t, bytes.Equal(p.states["a"].content, p.states["b"].content), "restarted at part %d", at)
+	}
+}
+
+// TestAnUnreadableSnapshotIsNotTaken: the replica halts with what it had, acknowledges
+// nothing, and says so.
+func TestAnUnreadableSnapshotIsNotTaken(t *testing.T) {
+	p := newPair(t, nil)
+	p.states["a"].content = []byte("!from a newer program")
+	p.run(3 * time.Second)
+	require.Empty(t, p.states["b"].content)
+	status := p.engines["b"].Status(p.now)
+	require.Contains(t, status.Halted, "this program can't read it")
+	require.Zero(t, status.Applied-status.Snapshot)
+	require.NotEqual(t, uint64(0), p.engines["a"].Status(p.now).Lacks["b"], "it was not acknowledged")
+}
+
+// TestAnUnreadableCommandHaltsAReplica instead of letting it differ from the others.
+func TestAnUnreadableCommandHaltsAReplica(t *testing.T) {
+	p := newPair(t, []byte("first"))
+	p.run(2 * time.Second)
+	var answers []error
+	for _, command := range []string{"fine", "!unreadable", "later"} {
+		p.engines["a"].Propose(p.now, []byte(command), func(_ any, err error) { answers = append(answers, err) })
+	}
+	p.run(time.Second)
+	require.Equal(t, "fine", string(p.states["a"].content))
+	require.Len(t, answers, 3, "each proposer is told, once")
+	require.NoError(t, answers[0])
+	require.ErrorIs(t, answers[1], ErrUnknown)
+	require.ErrorIs(t, answers[2], ErrUnknown)
+	require.NotEmpty(t, p.engines["a"].Status(p.now).Halted)
+	require.False(t, p.engines["a"].Status(p.now).Leads)
+	p.engines["a"].Propose(p.now, []byte("x"), func(_ any, err error) { answers = append(answers, err) })
+	require.ErrorIs(t, answers[3], ErrNotLeader)
+}
+
+// TestProposersBeforeTheLeaseAreTold: a lead that is lost before its lease was published
+// leaves nobody waiting.
+func TestProposersBeforeTheLeaseAreTold(t *testing.T) {
+	voters := []replica.Member{{ID: "a", Address: "a"}, {ID: "b", Address: "b"}, {ID: "c", Address: "c"}}
+	states := &blob{}
+	first, err := First(replica.Membership{Voters: voters}, states)
+	require.NoError(t, err)
+	now := time.Hour
+	e, err := NewEngine(Settings{Name: "g", Self: voters[0], Timing: quick, Size: 3, Seed: 7}, replica.Restored{State: replica.HardState{Term: 1}, Snapshot: first}, states, now, slog.New(slog.DiscardHandler))
+	require.NoError(t, err)
+	e.Receive(now, replica.Message{Kind: replica.TimeoutNow, From: "b", To: "a", Term: 1})
+	e.Receive(now, replica.Message{Kind: replica.AnswerVote, From: "b", To: "a", Term: 2})
+	var told []error
+	e.Propose(now, []byte("x"), func(_ any, err error) { told = append(told, err) })
+	effects := e.Flush(now)
+	require.Zero(t, effects.Lease.Until, "nothing of its term is committed: it has no lease yet")
+	require.Empty(t, told)
+	e.Receive(now, replica.Message{Kind: replica.Append, From: "c", To: "a", Term: 3, Index: 1, LogTerm: 1})
+	e.Flush(now)
+	require.Len(t, told, 1)
+	require.ErrorIs(t, told[0], ErrUnknown)
+}
+
+// TestTheLeaseGoesBeforeWhatGivesItAway: effects publish the lease before they send.
+func TestTheLeaseGoesBeforeWhatGivesItAway(t *testing.T) {
+	var order []string
+	effects := Effects{Sends: []Send{{}}, Writes: []Write{{}}}
+	effects.CarryOut(func(Lease, replica.Member) { order = append(order, "lease") }, func([]Write) { order = append(order, "write") }, func(Send) { order = append(order, "send") })
+	require.Equal(t, []string{"lease", "write", "send"}, order)
+}
--- a/coord/replica/replica_test.go
+++ b/coord/replica/replica_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"basaltloft/coord/replica"
 )
 
 // disturb does one random harmful thing.
@@ -99,7 +101,7 @@
 }
 
 // trips plays seeds with a planted mistake until a check finds it.
-func trips(t *testing.T, planted mistake) {
+func trips(t *testing.T, planted mistake, wipes bool) {
 	t.Helper()
 	for seed := range uint64(300) {
 		seen := &witness{TB: t}
@@ -113,10 +115,10 @@
 			}()
 			w := newWorld(seen, 50_000+seed, 3)
 			w.mistake = planted
-			play(w, 60, false)
+			play(w, 60, wipes)
 		}()
 		if seen.failed != "" {
-			t.Log(seen.failed)
+			t.Logf("after %d seeds: %s", seed+1, seen.failed)
 			return
 		}
 	}
@@ -124,9 +126,13 @@
 }
 
 func TestPlantedMistakesAreFound(t *testing.T) {
-	t.Run("acknowledged before the sync", func(t *testing.T) { trips(t, acknowledgeBeforeSync) })
-	t.Run("a lease used after its end", func(t *testing.T) { trips(t, useLeaseAfterEnd) })
-	t.Run("term and vote forgotten", func(t *testing.T) { trips(t, forgetState) })
+	t.Run("acknowledged before the sync", func(t *testing.T) { trips(t, acknowledgeBeforeSync, false) })
+	t.Run("a lease used after its end", func(t *testing.T) { trips(t, useLeaseAfterEnd, false) })
+	t.Run("term and vote forgotten", func(t *testing.T) { trips(t, forgetState, false) })
+	t.Run("an old ID without its disk", func(t *testing.T) { trips(t, keepIDWithoutDisk, true) })
+	t.Run("a change of members in one step", func(t *testing.T) { trips(t, oneStepChange, true) })
+	t.Run("an install acknowledged before its sync", func(t *testing.T) { trips(t, installUnsynced, true) })
+	t.Run("an older state at a newer index", func(t *testing.T) { trips(t, olderStateRestored, true) })
 }
 
 // TestAllRestartedServeAtOnce kills all replicas at once: their leases ended with their
@@ -160,3 +166,85 @@
 		t.Fatalf("in %d of 60 worlds nobody leads %v after all have restarted", late, timing.Promise)
 	}
 }
+
+// TestALeaverCompletesItsOwnRemoval: the answer of a member that is being removed commits the
+// change; the leader must not go on sending to it.
+func TestALeaverCompletesItsOwnRemoval(t *testing.T) {
+	for seed := range uint64(40) {
+		w := newWorld(t, 70_000+seed, 3)
+		w.run(3 * time.Second)
+		leader := w.leader()
+		var leaving string
+		for _, voter := range leader.machine.Members().Voters {
+			if voter.ID != leader.id {
+				leaving = voter.ID
+			}
+		}
+		// A spare host joins and takes the place of a voter that is alive and answers.
+		w.addHost("host3")
+		w.run(time.Second)
+		leader = w.leader()
+		leader.machine.ChangeMembers(w.now, leader.machine.Members().WithLearner(replica.Member{ID: "host3#0", Address: "host3"}))
+		w.carryOut(leader)
+		w.run(2 * time.Second)
+		leader = w.leader()
+		if leader.id == leaving {
+			continue
+		}
+		members := leader.machine.Members()
+		learner, _ := members.Find("host3#0")
+		w.check(leader.machine.ChangeMembers(w.now, members.Replacing(leaving, learner)), "the change is refused")
+		w.carryOut(leader)
+		for range 20 {
+			w.propose()
+			w.run(30 * time.Millisecond)
+		}
+		w.check(!w.leader().machine.Members().Joint() && !w.leader().machine.Members().Votes(leaving), "the change did not end")
+	}
+}
+
+// TestAFollowerJustBehindTheLogNeedsNoSnapshot: the entry before the first one that is kept is
+// known by its term, so that a follower that has it goes on by the log.
+func TestAFollowerJustBehindTheLogNeedsNoSnapshot(t *testing.T) {
+	var log replica.Restored
+	log.State = replica.HardState{Term: 3}
+	log.Snapshot = replica.Snapshot{Index: 10, Term: 2, Membership: replica.Membership{Voters: []replica.Member{{ID: "a"}, {ID: "b"}, {ID: "c"}}}}
+	for index := uint64(11); index <= 20; index++ {
+		log.Entries = append(log.Entries, replica.Entry{Index: index, Term: 3, Data: []byte("x")})
+	}
+	m := replica.New("a", "g", timing, log, 1, time.Hour)
+	m.Step(time.Hour+10*time.Second, replica.Message{Kind: replica.TimeoutNow, From: "b", To: "a", Term: 3})
+	m.Step(time.Hour+10*time.Second, replica.Message{Kind: replica.AnswerVote, From: "b", To: "a", Term: 4})
+	m.Synced(time.Hour+10*time.Second, 21, 4)
+	m.Step(time.Hour+10*time.Second, replica.Message{Kind: replica.AnswerAppend, From: "b", To: "a", Term: 4, Index: 21})
+	m.Take()
+	m.Compact(replica.Snapshot{Index: 21, Term: 4}, replica.Keep{Entries: 4, Bytes: 100, After: 15})
+	if m.FirstIndex() != 16 {
+		t.Fatalf("the log begins with %d, where all after 15 was to be kept", m.FirstIndex())
+	}
+	m.Step(time.Hour+10*time.Second, replica.Message{Kind: replica.AnswerAppend, From: "c", To: "a", Term: 4, Index: 15, Reject: true})
+	for _, message := range m.Take().Send {
+		if message.Kind == replica.InstallSnapshot {
+			t.Fatal("a snapshot is sent to a follower that lacks no more than the log has")
+		}
+	}
+}
+
+// TestAHandoverThatNobodyTakesEnds: the lease is not taken up again in that term, and the lead
+// is given up, so that the group is not without a lease for good.
+func TestAHandoverThatNobodyTakesEnds(t *testing.T) {
+	for seed := range uint64(20) {
+		w := newWorld(t, 80_000+seed, 3)
+		w.run(3 * time.Second)
+		old := w.leader()
+		term := old.machine.Term()
+		w.drops = func(m replica.Message) bool { return m.Kind == replica.TimeoutNow }
+		w.check(old.machine.HandOver(w.now), "there is nobody to hand over to")
+		w.carryOut(old)
+		w.check(old.machine.LeaseUntil() == 0, "the lease is still there")
+		w.run(4 * timing.Promise)
+		w.check(old.machine.Role() != replica.Leader || old.machine.Term() > term, "it leads on without a lease")
+		w.run(3 * time.Second)
+		w.check(w.leader() != nil, "nobody leads")
+	}
+}
--- a/coord/replica/world_test.go
+++ b/coord/replica/world_test.go
@@ -66,6 +66,7 @@
 	leases  map[string][2]time.Duration
 	mistake mistake
 	sent    int
+	drops   func(replica.Message) bool // what is lost in any case; nil: nothing
 }
 
 // mistake is a bug planted to show that a check finds it.
@@ -76,6 +77,10 @@
 	acknowledgeBeforeSync
 	useLeaseAfterEnd
 	forgetState
+	keepIDWithoutDisk  // a host that lost its disk goes on under its old ID
+	oneStepChange      // two voters change in one step, without a joint membership
+	installUnsynced    // an installed snapshot is acknowledged before it is on disk
+	olderStateRestored // a snapshot of a newer index comes with an older state
 )
 
 func newWorld(t testing.TB, seed uint64, n int) *world {
@@ -100,6 +105,13 @@
 	return w
 }
 
+// addHost adds a host with an empty disk that is a member of nothing yet.
+func (w *world) addHost(name string) {
+	h := &host{name: name, id: name + "#0", disk: simdisk.New(w.seed*31 + uint64(len(w.names))), known: map[string]replica.Member{}}
+	w.hosts[name], w.names = h, append(w.names, name)
+	w.boot(h)
+}
+
 func (w *world) check(ok bool, format string, args ...any) {
 	w.t.Helper()
 	if !ok {
@@ -134,9 +146,33 @@
 func (w *world) wipe(h *host) {
 	h.up = false
 	h.disk.Wipe()
+	if w.mistake == keepIDWithoutDisk {
+		w.formAgain(h)
+		return
+	}
 	h.id = fmt.Sprintf("%s#%d", h.name, h.life+1)
 }
 
+// formAgain lets a host without a disk begin as a founder once more: its votes are forgotten.
+func (w *world) formAgain(h *host) {
+	var voters []replica.Member
+	for _, name := range w.names {
+		voters = append(voters, replica.Member{ID: w.hosts[name].id, Address: name})
+	}
+	ring, _, err := ringlog.Open(h.disk, "log", ringlog.Sizes{SegmentBytes: segmentSize, Segments: 3})
+	w.check(err == nil, "open: %v", err)
+	err = ring.Reset(replica.Snapshot{Index: 1, Term: 1, Membership: replica.Membership{Voters: voters}})
+	w.check(err == nil, "reset: %v", err)
+}
+
+// swapAll settles a change at once and takes another voter out with it, so that the old and
+// the new majority need not meet.
+func (w *world) swapAll(next replica.Membership) replica.Membership {
+	settled := next.Settled()
+	settled.Voters = settled.Voters[len(settled.Voters)-1:]
+	return settled
+}
+
 // run lets time pass.
 func (w *world) run(span time.Duration) {
 	for end := w.now + span; w.now < end; w.now += tick {
@@ -177,6 +213,16 @@
 	out := h.machine.Take()
 	if out.Install != nil {
 		h.state = slices.Clone(w.history[:out.Install.Index-1])
+		if w.mistake == olderStateRestored {
+			h.state = h.state[:len(h.state)/2]
+		}
+	}
+	if w.mistake == installUnsynced && out.Install != nil {
+		h.machine.Synced(w.now, out.Install.Index, out.Install.Term)
+		for _, m := range out.AfterSync {
+			w.send(h, m)
+		}
+		out.Install = nil
 	}
 	for _, m := range out.Send {
 		w.send(h, m)
@@ -256,7 +302,7 @@
 		to, ok = from.known[m.To]
 	}
 	w.sent++
-	if !ok || w.cut[[2]string{from.name, to.Address}] || w.random.Float64() < w.loss {
+	if !ok || w.drops != nil && w.drops(m) || w.cut[[2]string{from.name, to.Address}] || w.random.Float64() < w.loss {
 		return
 	}
 	if m.Kind == replica.InstallSnapshot {
@@ -326,7 +372,11 @@
 	for _, learner := range members.Learners {
 		for _, voter := range members.Voters {
 			if voter.Address == learner.Address && h.machine.CaughtUp(learner.ID, 20) {
-				h.machine.ChangeMembers(w.now, members.Replacing(voter.ID, learner))
+				next := members.Replacing(voter.ID, learner)
+				if w.mistake == oneStepChange {
+					next = w.swapAll(next)
+				}
+				h.machine.ChangeMembers(w.now, next)
 				w.carryOut(h)
 				return
 			}
--- a/coord/rpc/rpc_test.go
+++ b/coord/rpc/rpc_test.go
@@ -108,3 +108,132 @@
 	defer response.Body.Close()
 	require.Equal(t, http.StatusUpgradeRequired, response.StatusCode)
 }
+
+// TestAnswersComeByTheirCall: answers that overtake one another reach who asked.
+func TestAnswersComeByTheirCall(t *testing.T) {
+	release := map[string]chan struct{}{"0": make(chan struct{}), "1": make(chan struct{}), "2": make(chan struct{})}
+	asked := make(chan string, 3)
+	_, client := serveWith(t, func(text string) {
+		asked <- text
+		<-release[text]
+	})
+	type result struct {
+		text string
+		got  any
+		err  error
+	}
+	results := make(chan result, 3)
+	for _, text := range []string{"0", "1", "2"} {
+		go func() {
+			got, err := client.Call(t.Context(), question{Text: text})
+			results <- result{text, got, err}
+		}()
+	}
+	for range 3 {
+		<-asked
+	}
+	for _, text := range []string{"2", "0", "1"} {
+		close(release[text])
+		r := <-results
+		require.NoError(t, r.err)
+		require.Equal(t, text, r.text)
+		require.Equal(t, statement{Text: "re: " + text}, r.got)
+	}
+}
+
+// TestACallIsSentOnce: where its connection ends before an answer, the caller is told that the
+// outcome is not known, and nothing is sent again over the next connection.
+func TestACallIsSentOnce(t *testing.T) {
+	asked := make(chan string, 10)
+	hold := make(chan struct{})
+	server, client := serveWith(t, func(text string) {
+		asked <- text
+		if text == "once" {
+			<-hold
+		}
+	})
+	defer close(hold)
+	failed := make(chan error, 1)
+	go func() {
+		_, err := client.Call(t.Context(), question{Text: "once"})
+		failed <- err
+	}()
+	require.Equal(t, "once", <-asked)
+	server.drop()
+	require.ErrorIs(t, <-failed, rpc.ErrGone)
+	for {
+		if _, err := client.Call(t.Context(), question{Text: "next"}); err == nil {
+			break
+		}
+	}
+	close(asked)
+	for text := range asked {
+		require.Equal(t, "next", text)
+	}
+}
+
+// TestACallThatWasGivenUpIsNotSent: one that waits in the queue of a connection that is not
+// there yet leaves it when its caller does.
+func TestACallThatWasGivenUpIsNotSent(t *testing.T) {
+	asked := make(chan string, 10)
+	server, client := serveWith(t, func(text string) { asked <- text })
+	dialing, dial := make(chan struct{}), make(chan struct{})
+	server.beforeUpgrade = func() {
+		close(dialing)
+		<-dial
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	failed := make(chan error, 1)
+	go func() {
+		_, err := client.Call(ctx, question{Text: "given up"})
+		failed <- err
+	}()
+	<-dialing
+	cancel()
+	require.ErrorIs(t, <-failed, rpc.ErrGone)
+	close(dial)
+	_, err := client.Call(t.Context(), question{Text: "next"})
+	require.NoError(t, err)
+	require.Equal(t, "next", <-asked)
+}
+
+// gate is a server whose connections can be dropped.
+type gate struct {
+	inner         *rpc.Server
+	beforeUpgrade func()
+}
+
+func (g *gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if before := g.beforeUpgrade; before != nil {
+		g.beforeUpgrade = nil
+		before()
+	}
+	g.inner.ServeHTTP(w, r)
+}
+
+// drop ends all connections; new ones are served as before.
+func (g *gate) drop() {
+	old := g.inner
+	g.inner = rpc.NewServer(old.Handler())
+	old.Close()
+}
+
+type asking func(text string)
+
+func (a asking) Cast(any) {}
+
+func (a asking) Call(body any) any {
+	text := body.(question).Text
+	a(text)
+	return statement{Text: "re: " + text}
+}
+
+func serveWith(t *testing.T, hear func(text string)) (*gate, *rpc.Client) {
+	t.Helper()
+	g := &gate{inner: rpc.NewServer(asking(hear))}
+	server := httptest.NewServer(g)
+	t.Cleanup(server.Close)
+	client := rpc.NewClient(strings.TrimPrefix(server.URL, "http://"))
+	t.Cleanup(client.Close)
+	return g, client
+}
--- a/coord/rpc/server.go
+++ b/coord/rpc/server.go
@@ -31,6 +31,9 @@
 	return &Server{handler: handler, streams: map[*stream]bool{}}
 }
 
+// Handler returns who takes the messages.
+func (s *Server) Handler() Handler { return s.handler }
+
 // Close ends all connections; an http.Server's own Close does not end those it gave away.
 func (s *Server) Close() {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/dispatch/call_test.go
@@ -0,0 +1,166 @@
+package dispatch_test
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"basaltloft/internal/dispatch"
+	"basaltloft/internal/job"
+	"basaltloft/internal/opconfig"
+	"basaltloft/internal/protocol"
+)
+
+// services in three shards of their own.
+func services(t *testing.T) []string {
+	t.Helper()
+	var names []string
+	seen := map[int]bool{}
+	for _, name := range []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k"} {
+		if shard := protocol.ShardOf(name); !seen[shard] && len(names) < 3 {
+			seen[shard] = true
+			names = append(names, name)
+		}
+	}
+	require.Len(t, names, 3)
+	return names
+}
+
+// view is a queue that was at the first two services and is at the third now.
+func view(t *testing.T) (*dispatch.View, *opconfig.Route, []int) {
+	names := services(t)
+	route := opconfig.Route{Host: "h", PathPrefix: "/q/", Backend: names[2]}
+	v := &dispatch.View{Config: &opconfig.Config{Version: 9, Routes: []opconfig.Route{route}},
+		Moved: map[string]opconfig.Moves{"h/q/": {Services: names, Since: 7}}}
+	return v, &v.Config.Routes[0], []int{protocol.ShardOf(names[0]), protocol.ShardOf(names[1]), protocol.ShardOf(names[2])}
+}
+
+var (
+	ok       = protocol.Answer{Status: http.StatusOK}
+	gone     = protocol.Answer{Status: http.StatusGone}
+	refused  = protocol.Answer{Status: http.StatusServiceUnavailable}
+	notOwner = protocol.Answer{Owner: "x"}
+	unsure   = protocol.Answer{Status: http.StatusBadGateway, Unknown: true}
+	never    = protocol.Answer{Status: http.StatusServiceUnavailable, Never: true}
+	moved    = protocol.Answer{Status: http.StatusServiceUnavailable, Moved: 12}
+	noQueue  = protocol.Answer{Status: http.StatusNotFound}
+	badBody  = protocol.Answer{Status: http.StatusBadRequest}
+	otherJob = protocol.Answer{Status: http.StatusConflict}
+)
+
+// silence is a try without an answer.
+var silence = protocol.Answer{Reason: "silence"}
+
+// play gives a call its answers and returns the last one's worth.
+func play(t *testing.T, call *dispatch.Call, answers ...protocol.Answer) (protocol.Answer, dispatch.Progress) {
+	t.Helper()
+	got, progress := protocol.Answer{}, dispatch.Retry
+	for _, answer := range answers {
+		require.NotEqual(t, dispatch.Finished, progress, "the call has its answer already")
+		if answer == silence {
+			call.Silent()
+			continue
+		}
+		got, progress = call.Answered(answer)
+	}
+	if progress == dispatch.Retry || progress == dispatch.Continue {
+		return call.GivenUp(), progress
+	}
+	return got, progress
+}
+
+// TestWhatAnAnswerIsWorth is the table of docs/control-safety.md: what a client is told after
+// the answers of owners, for a job at a queue that never moved.
+func TestWhatAnAnswerIsWorth(t *testing.T) {
+	for name, c := range map[string]struct {
+		answers []protocol.Answer
+		want    protocol.Status
+	}{
+		"taken":                                 {[]protocol.Answer{ok}, 200},
+		"taken at the second try":               {[]protocol.Answer{silence, ok}, 200},
+		"refused":                               {[]protocol.Answer{refused}, 503},
+		"refused by the second owner":           {[]protocol.Answer{notOwner, refused}, 503},
+		"refused after silence":                 {[]protocol.Answer{silence, refused}, 504},
+		"no queue":                              {[]protocol.Answer{noQueue}, 404},
+		"no queue after silence":                {[]protocol.Answer{silence, noQueue}, 504},
+		"a bad body after silence":              {[]protocol.Answer{silence, badBody}, 504},
+		"another job after silence":             {[]protocol.Answer{silence, otherJob}, 504},
+		"no queue after an unsure answer":       {[]protocol.Answer{unsure, noQueue}, 504},
+		"never taken, whatever the try before":  {[]protocol.Answer{silence, never}, 503},
+		"nobody owns it":                        {[]protocol.Answer{notOwner, notOwner}, 503},
+		"silence":                               {[]protocol.Answer{silence}, 504},
+		"nobody owns it after silence":          {[]protocol.Answer{silence, notOwner}, 504},
+		"refused after silence and a new owner": {[]protocol.Answer{silence, notOwner, refused}, 504},
+	} {
+		v := &dispatch.View{Config: &opconfig.Config{Version: 9}}
+		got, _ := play(t, dispatch.NewSubmit(v, &opconfig.Route{Host: "h", PathPrefix: "/q/", Backend: "a"}, "id", []byte("{}")), c.answers...)
+		require.Equal(t, c.want, got.Status, name)
+	}
+}
+
+// TestReadsAndCancels: a state or a cancelling may be asked for again; what is told is a fact.
+func TestReadsAndCancels(t *testing.T) {
+	v, route, shards := view(t)
+	for _, verb := range []protocol.Verb{protocol.AskState, protocol.CancelJob} {
+		got, progress := play(t, dispatch.NewAsk(v, route, verb, "id"), gone, silence, gone, gone)
+		require.Equal(t, dispatch.Finished, progress)
+		require.Equal(t, protocol.Status(410), got.Status)
+		got, _ = play(t, dispatch.NewAsk(v, route, verb, "id"), gone, protocol.Answer{Status: 200, State: job.Running})
+		require.Equal(t, job.Running, got.State)
+		got, progress = play(t, dispatch.NewAsk(v, route, verb, "id"), gone, moved)
+		require.Equal(t, dispatch.Outdated, progress)
+		require.Equal(t, int64(12), got.Moved)
+	}
+	call := dispatch.NewAsk(v, route, protocol.AskState, "id")
+	for _, at := range []int{2, 1, 0} { // the present shard first, then the earlier ones, newest first
+		shard, message := call.Next()
+		require.Equal(t, shards[at], shard)
+		require.Equal(t, int64(9), message.(protocol.Ask).Version)
+		call.Answered(gone)
+	}
+	got, _ := play(t, dispatch.NewAsk(v, route, protocol.CancelJob, "id"), silence, refused)
+	require.Equal(t, protocol.Status(504), got.Status, "a cancelling may have been done")
+	got, _ = play(t, dispatch.NewAsk(v, route, protocol.AskState, "id"), silence, refused)
+	require.Equal(t, protocol.Status(503), got.Status)
+}
+
+// TestCountsAreAdded over the shards that had the queue.
+func TestCountsAreAdded(t *testing.T) {
+	v, route, _ := view(t)
+	count := func(n int) protocol.Answer { return protocol.Answer{Status: 200, Pending: n} }
+	got, progress := play(t, dispatch.NewAsk(v, route, protocol.CountPending, ""), count(2), silence, count(3), count(4))
+	require.Equal(t, dispatch.Finished, progress)
+	require.Equal(t, 9, got.Pending)
+}
+
+// TestEarlierShardsAreAskedFirst, by the version that moved the queue, before a job is handed
+// in; a job that one holds is not handed in again.
+func TestEarlierShardsAreAskedFirst(t *testing.T) {
+	v, route, shards := view(t)
+	call := dispatch.NewSubmit(v, route, "id", []byte("body"))
+	for _, at := range []int{1, 0} {
+		shard, message := call.Next()
+		require.Equal(t, shards[at], shard)
+		check := message.(protocol.Ask)
+		require.Equal(t, protocol.CheckEarlier, check.Verb)
+		require.Equal(t, int64(7), check.Since)
+		_, progress := call.Answered(gone)
+		require.Equal(t, dispatch.Continue, progress)
+	}
+	shard, message := call.Next()
+	require.Equal(t, shards[2], shard)
+	require.Equal(t, "id", message.(protocol.Submit).ID)
+	got, _ := play(t, call, silence, moved)
+	require.Equal(t, int64(12), got.Moved)
+	again := dispatch.NewSubmit(v, route, "id", []byte("body"))
+	again.After(call)
+	got, _ = play(t, again, gone, gone, noQueue)
+	require.Equal(t, protocol.Status(504), got.Status, "the try under the older configuration may have been taken")
+
+	got, progress := play(t, dispatch.NewSubmit(v, route, "id", []byte("body")), gone, ok)
+	require.Equal(t, dispatch.Finished, progress)
+	require.Equal(t, protocol.Status(200), got.Status)
+	got, _ = play(t, dispatch.NewSubmit(v, route, "id", []byte("body")), otherJob)
+	require.Equal(t, protocol.Status(409), got.Status)
+}
--- /dev/null
+++ b/internal/dispatch/follower_test.go
@@ -0,0 +1,88 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"basaltloft/internal/dispatch"
+	"basaltloft/internal/protocol"
+)
+
+func content(version int) []byte {
+	return []byte(fmt.Sprintf(`{"version":%d,"routes":[],"services":[]}`, version))
+}
+
+func leads(version int, with bool) protocol.FeedAnswer {
+	answer := protocol.FeedAnswer{Leads: true, Leader: "core-0", Version: int64(version)}
+	if with {
+		answer.Content = content(version)
+	}
+	return answer
+}
+
+// TestAViewIsGoneByOnlyWhileItIsConfirmed: its age counts from the question, not from the
+// answer, and only a process that still held the lease after it had read confirms it.
+func TestAViewIsGoneByOnlyWhileItIsConfirmed(t *testing.T) {
+	f := dispatch.NewFollower("edge", []string{"core-0", "core-1"}, 2*time.Second, slog.New(slog.DiscardHandler))
+	_, ok := f.Current(0)
+	require.False(t, ok, "there is none yet")
+	require.True(t, f.Answered("core-0", 10*time.Second, leads(5, true)))
+	v, ok := f.Current(10*time.Second + 1649*time.Millisecond)
+	require.True(t, ok)
+	require.Equal(t, int64(5), v.Config.Version)
+	_, ok = f.Current(10*time.Second + 1650*time.Millisecond)
+	require.False(t, ok, "a newer one may have been in force for as long as is allowed")
+
+	stale := leads(5, false)
+	stale.Leads = false
+	require.False(t, f.Answered("core-0", 11*time.Second, stale))
+	_, ok = f.Current(11*time.Second + 700*time.Millisecond)
+	require.False(t, ok, "who does not lead confirms nothing")
+
+	require.True(t, f.Answered("core-0", 12*time.Second, leads(4, true)))
+	v, ok = f.Current(12 * time.Second)
+	require.Equal(t, int64(5), v.Config.Version, "it never goes back")
+	require.False(t, ok, "an older version does not confirm a newer one")
+	require.True(t, f.Answered("core-0", 12*time.Second, leads(5, false)))
+	_, ok = f.Current(12 * time.Second)
+	require.True(t, ok)
+	require.True(t, f.Answered("core-0", 11*time.Second, leads(5, false)), "an answer that was overtaken")
+	_, ok = f.Current(13 * time.Second)
+	require.True(t, ok)
+}
+
+// TestShortBoundsAreAskedForMoreOften: the wait of a question is a part of the time for which
+// its answer may be gone by, on any deployment.
+func TestShortBoundsAreAskedForMoreOften(t *testing.T) {
+	for _, applyWithin := range []time.Duration{300 * time.Millisecond, time.Second, 2 * time.Second, 6 * time.Second} {
+		f := dispatch.NewFollower("edge", []string{"core-0"}, applyWithin, slog.New(slog.DiscardHandler))
+		f.Answered("core-0", 0, leads(1, true))
+		_, feed := f.Next()
+		wait := time.Duration(feed.WaitMs) * time.Millisecond
+		require.Positive(t, wait)
+		_, ok := f.Current(2 * wait)
+		require.True(t, ok, "with a bound of %v and a wait of %v, one late answer leaves the view unconfirmed", applyWithin, wait)
+	}
+}
+
+// TestOwnersAreFoundByTurns where none is known, and forgotten where they are silent.
+func TestOwnersAreFoundByTurns(t *testing.T) {
+	f := dispatch.NewFollower("edge", []string{"core-0", "core-1"}, 2*time.Second, slog.New(slog.DiscardHandler))
+	require.NotEqual(t, f.Owner(0), f.Owner(0))
+	f.Correct(0, "core-0", "core-1")
+	require.Equal(t, "core-1", f.Owner(0))
+	f.Correct(0, "core-0", "")
+	require.Equal(t, "core-1", f.Owner(0), "another one's silence says nothing")
+	f.Failed("core-1")
+	require.NotEqual(t, f.Owner(0), f.Owner(0))
+	f.Reload([]string{"core-7"})
+	seen := map[string]bool{}
+	for range 6 {
+		seen[f.Owner(1)] = true
+	}
+	require.True(t, seen["core-7"])
+}
--- /dev/null
+++ b/internal/owner/owner_test.go
@@ -0,0 +1,285 @@
+package owner_test
+
+import (
+	"fmt"
+	"log/slog"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"basaltloft/coord/group"
+	"basaltloft/coord/replica"
+	"basaltloft/internal/job"
+	"basaltloft/internal/opconfig"
+	"basaltloft/internal/owner"
+	"basaltloft/internal/protocol"
+	"basaltloft/internal/scheduler"
+)
+
+// fake is a group of one that commits when it is told to. looks counts how often the lease
+// was looked at; it ends at the look with the number ends.
+type fake struct {
+	states  group.StateMachine
+	leads   bool
+	looks   int
+	ends    int // 0: it does not end
+	waiting []func()
+	fails   error
+}
+
+func (f *fake) Lease() (uint64, time.Duration, bool) { return 1, 0, f.Leads() }
+func (f *fake) Leader() replica.Member               { return replica.Member{Address: "leader"} }
+
+func (f *fake) Leads() bool {
+	f.looks++
+	return f.leads && (f.ends == 0 || f.looks < f.ends)
+}
+
+func (f *fake) Propose(command []byte, done func(any, error)) {
+	f.waiting = append(f.waiting, func() {
+		if f.fails != nil {
+			done(nil, f.fails)
+			return
+		}
+		result, err := f.states.Apply(1, command)
+		done(result, err)
+	})
+}
+
+// commit commits what was proposed.
+func (f *fake) commit() {
+	for len(f.waiting) > 0 {
+		next := f.waiting[0]
+		f.waiting = f.waiting[1:]
+		next()
+	}
+}
+
+func text(version int) []byte {
+	return []byte(fmt.Sprintf(`{"version":%d,"routes":[{"host":"h","path_prefix":"/q/","timeout_ms":1000,"backend":"desk"}],"services":[{"name":"desk"}]}`, version))
+}
+
+func newConfiguration() (*owner.Configuration, *fake) {
+	c := owner.NewConfiguration(func(*opconfig.Config) {}, func(uint64) {}, slog.New(slog.DiscardHandler))
+	f := &fake{states: c, leads: true}
+	c.Join(f)
+	return c, f
+}
+
+func operate(c *owner.Configuration, f *fake, request protocol.Operate) protocol.OperateAnswer {
+	var got []protocol.OperateAnswer
+	c.Operate(request, func(a protocol.OperateAnswer) { got = append(got, a) })
+	f.commit()
+	if len(got) != 1 {
+		panic(fmt.Sprint("answers: ", len(got)))
+	}
+	return got[0]
+}
+
+// TestNothingIsSaidWithoutALease: a lease that ends at the numbered look, each in turn, lets
+// the process say only who may have it, whatever it had read before.
+func TestNothingIsSaidWithoutALease(t *testing.T) {
+	for ends := 1; ends <= 2; ends++ {
+		c, f := newConfiguration()
+		require.Equal(t, protocol.Status(200), operate(c, f, protocol.Operate{Replace: true, Content: text(3)}).Status)
+		f.looks, f.ends = 0, ends
+		got := operate(c, f, protocol.Operate{})
+		require.Equal(t, protocol.OperateAnswer{Leader: "leader"}, got, "a read, the lease ends at look %d", ends)
+		f.looks, f.ends = 0, ends
+		require.False(t, c.Feed(0).Leads, "the feed, the lease ends at look %d", ends)
+	}
+	c, f := newConfiguration()
+	f.leads = false
+	for name, request := range map[string]protocol.Operate{
+		"invalid": {Replace: true, Content: []byte("{")}, "another base": {Replace: true, Base: 7, Content: text(9)},
+	} {
+		require.Zero(t, operate(c, f, request).Status, "%s is refused by the owner only", name)
+	}
+}
+
+// TestOnlyACommitConfirmsOrRefuses: what fails on the way is neither.
+func TestOnlyACommitConfirmsOrRefuses(t *testing.T) {
+	c, f := newConfiguration()
+	change := protocol.Operate{Replace: true, Content: text(3)}
+	f.fails = group.ErrUnknown
+	require.Equal(t, protocol.Status(503), operate(c, f, change).Status)
+	f.fails = group.ErrNotLeader
+	require.Zero(t, operate(c, f, change).Status)
+	f.fails = nil
+	require.Equal(t, protocol.Status(200), operate(c, f, change).Status)
+	require.Equal(t, protocol.Status(200), operate(c, f, change).Status, "the same again")
+	require.Equal(t, protocol.Status(412), operate(c, f, protocol.Operate{Replace: true, Base: 0, Content: text(4)}).Status)
+	require.Equal(t, protocol.Status(409), operate(c, f, protocol.Operate{Replace: true, Base: 3, Content: text(2)}).Status)
+	require.Equal(t, protocol.Status(400), operate(c, f, protocol.Operate{Replace: true, Base: 3, Content: []byte(`{"version":`)}).Status)
+	content, err := c.Snapshot()
+	require.NoError(t, err)
+	next, other := newConfiguration()
+	require.NoError(t, next.Restore(content))
+	require.Equal(t, c.Digest(), next.Digest())
+	require.Equal(t, protocol.Status(200), operate(next, other, change).Status, "the same again, after a snapshot")
+	_, err = next.Apply(5, []byte("unreadable"))
+	require.Error(t, err)
+}
+
+// TestTheSameOrderInFlightTwice: both tries are committed, one after the other, and both are
+// confirmed.
+func TestTheSameOrderInFlightTwice(t *testing.T) {
+	c, f := newConfiguration()
+	var got []protocol.Status
+	for range 2 {
+		c.Operate(protocol.Operate{Replace: true, Content: text(3)}, func(a protocol.OperateAnswer) { got = append(got, a.Status) })
+	}
+	c.Operate(protocol.Operate{Replace: true, Content: append(text(3), ' ')}, func(a protocol.OperateAnswer) { got = append(got, a.Status) })
+	f.commit()
+	require.Equal(t, []protocol.Status{200, 200, 412}, got, "another content under the number is refused")
+}
+
+func newShard() (*owner.Shard, *fake) {
+	clocks := owner.Clocks{Steady: func() time.Duration { return time.Hour }, WallMs: func() int64 { return 1000 }}
+	s := owner.NewShard(protocol.ShardOf("desk"), scheduler.Bounds{HoldMax: 6 * time.Second, Status: time.Minute}, clocks, func() {}, slog.New(slog.DiscardHandler))
+	f := &fake{states: s, leads: true}
+	s.Join(f)
+	s.Leading(1)
+	return s, f
+}
+
+// answer gives a request to a shard and lets it commit.
+func answer(s *owner.Shard, f *fake, do func(reply func(protocol.Answer))) protocol.Answer {
+	var got []protocol.Answer
+	do(func(a protocol.Answer) { got = append(got, a) })
+	s.Drive()
+	f.commit()
+	if len(got) != 1 {
+		panic(fmt.Sprint("answers: ", len(got)))
+	}
+	return got[0]
+}
+
+const body = `{"spec":"x","stages":[{"count":1,"cpu":100}]}`
+
+func submit(id, body string, version int64) protocol.Submit {
+	return protocol.Submit{Shard: protocol.ShardOf("desk"), Queue: "h/q/", ID: id, Body: []byte(body), Version: version,
+		Route: opconfig.Route{Host: "h", PathPrefix: "/q/", Backend: "desk", Retries: 2}}
+}
+
+func ask(verb protocol.Verb, id string, version int64) protocol.Ask {
+	return protocol.Ask{Verb: verb, Queue: "h/q/", ID: id, Version: version}
+}
+
+func TestJobsAreTakenOnceAndCancelledForGood(t *testing.T) {
+	s, f := newShard()
+	post := func(r protocol.Submit) protocol.Answer {
+		return answer(s, f, func(reply func(protocol.Answer)) { s.Submit(r, reply) })
+	}
+	say := func(a protocol.Ask) protocol.Answer {
+		return answer(s, f, func(reply func(protocol.Answer)) { s.Ask(a, reply) })
+	}
+	require.Equal(t, protocol.Status(200), post(submit("a", body, 1)).Status)
+	require.Equal(t, protocol.Status(200), post(submit("a", body, 1)).Status)
+	require.Equal(t, protocol.Status(409), post(submit("a", body+" ", 1)).Status)
+	require.Equal(t, protocol.Status(400), post(submit("b", "{", 1)).Status)
+	require.Equal(t, protocol.Answer{Status: 200, State: job.Pending}, say(ask(protocol.AskState, "a", 1)))
+	require.Equal(t, 1, say(ask(protocol.CountPending, "", 1)).Pending)
+
+	require.Equal(t, protocol.Status(410), say(ask(protocol.CancelJob, "c", 1)).Status)
+	late := post(submit("c", body, 1))
+	require.Equal(t, protocol.Status(503), late.Status)
+	require.True(t, late.Never, "a try that comes after its cancelling was answered never runs")
+	require.Equal(t, protocol.Status(410), say(ask(protocol.AskState, "c", 1)).Status)
+	require.Equal(t, protocol.Status(200), say(ask(protocol.CancelJob, "a", 1)).Status)
+	require.Equal(t, protocol.Status(200), say(ask(protocol.CancelJob, "a", 1)).Status)
+	require.Equal(t, job.Canceled, say(ask(protocol.AskState, "a", 1)).State)
+}
+
+// TestDifferentBodiesInFlight under one ID: one is taken, the other is told so.
+func TestDifferentBodiesInFlight(t *testing.T) {
+	s, f := newShard()
+	var got []protocol.Status
+	for _, text := range []string{body, body + " ", body} {
+		s.Submit(submit("a", text, 1), func(a protocol.Answer) { got = append(got, a.Status) })
+	}
+	s.Drive()
+	f.commit()
+	require.Equal(t, []protocol.Status{200, 409, 200}, got)
+}
+
+// TestAShardThatHadTheQueueCloses before it says that it lacks an ID.
+func TestAShardThatHadTheQueueCloses(t *testing.T) {
+	s, f := newShard()
+	say := func(a protocol.Ask) protocol.Answer {
+		return answer(s, f, func(reply func(protocol.Answer)) { s.Ask(a, reply) })
+	}
+	check := protocol.Ask{Verb: protocol.CheckEarlier, Queue: "h/q/", ID: "a", Version: 9, Since: 8, Hash: owner.HashOf([]byte(body))}
+	require.Equal(t, protocol.Status(410), say(check).Status)
+	got := answer(s, f, func(reply func(protocol.Answer)) { s.Submit(submit("a", body, 7), reply) })
+	require.Greater(t, got.Moved, int64(7), "the dispatcher's configuration is too old")
+	require.Positive(t, say(ask(protocol.AskState, "a", 7)).Moved, "nor does it say that there is no such job")
+	require.Positive(t, say(ask(protocol.CancelJob, "a", 7)).Moved)
+	require.Equal(t, protocol.Status(410), say(ask(protocol.AskState, "a", 9)).Status)
+	require.Equal(t, protocol.Status(200), answer(s, f, func(reply func(protocol.Answer)) { s.Submit(submit("b", body, 9), reply) }).Status, "the queue may come back")
+	check.ID = "b"
+	require.Equal(t, protocol.Status(200), say(check).Status)
+	check.Hash++
+	require.Equal(t, protocol.Status(409), say(check).Status)
+}
+
+// TestAMissedMove: a dispatcher that missed that a queue was elsewhere in between is turned
+// away, though the queue is here again by the owner's configuration.
+func TestAMissedMove(t *testing.T) {
+	s, f := newShard()
+	config, err := opconfig.Read(text(12))
+	require.NoError(t, err)
+	s.TakeConfig(config)
+	check := protocol.Ask{Verb: protocol.CheckEarlier, Queue: "h/q/", ID: "a", Version: 9, Since: 8}
+	require.Equal(t, protocol.Status(410), answer(s, f, func(reply func(protocol.Answer)) { s.Ask(check, reply) }).Status)
+	got := answer(s, f, func(reply func(protocol.Answer)) { s.Submit(submit("a", body, 7), reply) })
+	require.Positive(t, got.Moved)
+}
+
+// TestAShardSaysNothingWithoutALease: the lease ends at each numbered look in turn.
+func TestAShardSaysNothingWithoutALease(t *testing.T) {
+	for ends := 1; ends <= 2; ends++ {
+		for _, verb := range []protocol.Verb{protocol.AskState, protocol.CountPending} {
+			s, f := newShard()
+			f.ends = ends
+			got := answer(s, f, func(reply func(protocol.Answer)) { s.Ask(ask(verb, "a", 1), reply) })
+			require.Equal(t, protocol.Answer{Owner: "leader"}, got, "verb %d, look %d", verb, ends)
+		}
+		s, f := newShard()
+		f.ends = ends
+		got := answer(s, f, func(reply func(protocol.Answer)) { s.Submit(submit("a", "{", 1), reply) })
+		require.Equal(t, protocol.Answer{Owner: "leader"}, got, "a refusal, look %d", ends)
+	}
+	s, f := newShard()
+	f.fails = group.ErrUnknown
+	got := answer(s, f, func(reply func(protocol.Answer)) { s.Submit(submit("a", body, 1), reply) })
+	require.True(t, got.Unknown)
+	f.fails = group.ErrBusy
+	got = answer(s, f, func(reply func(protocol.Answer)) { s.Submit(submit("a", body, 1), reply) })
+	require.Equal(t, protocol.Status(http.StatusServiceUnavailable), got.Status)
+	s.Submit(submit("b", body, 1), func(a protocol.Answer) { got = a })
+	s.Following()
+	s.Drive()
+	require.Equal(t, protocol.Answer{Owner: "leader"}, got, "one that waits is not forgotten where the lead is lost")
+}
+
+// TestFounding: each seed knows the first membership by itself; nobody else is a founder.
+func TestFounding(t *testing.T) {
+	seeds := []string{"c:1", "a:1", "b:1", "a:1"}
+	id, founding := owner.Founding(true, seeds, "b:1", "drawn")
+	other, same := owner.Founding(true, []string{"a:1", "b:1", "c:1"}, "c:1", "drawn")
+	require.NotEqual(t, id, other)
+	require.Equal(t, founding, same)
+	require.Len(t, founding.Voters, 3)
+	require.True(t, founding.Votes(id))
+	for name, c := range map[string]struct {
+		bootstrap bool
+		self      string
+	}{"a later start": {false, "b:1"}, "no seed": {true, "d:1"}} {
+		id, founding = owner.Founding(c.bootstrap, seeds, c.self, "drawn")
+		require.Equal(t, "drawn", id, name)
+		require.Nil(t, founding, name)
+	}
+}
--- a/internal/systemtest/system_test.go
+++ b/internal/systemtest/system_test.go
@@ -221,6 +221,27 @@
 	s.until("00000000000000b1", "canceled")
 }
 
+// TestCancelledBeforeItIsHandedIn: the cancelling of a job that is not there is answered 410,
+// and the job that comes after it is turned down, at once and for good.
+func TestCancelledBeforeItIsHandedIn(t *testing.T) {
+	s := start(t)
+	status, body := s.replace(0, 0, 5)
+	require.Equal(t, http.StatusOK, status, body)
+	job := s.front() + "/q/00000000000000c1"
+	status, _ = s.call(http.MethodDelete, job, "h.example", "")
+	require.Equal(t, http.StatusGone, status)
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+job, strings.NewReader(`{"spec":"x","stages":[{"count":1,"cpu":500}]}`))
+	require.NoError(t, err)
+	request.Host = "h.example"
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(t, err)
+	response.Body.Close()
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	status, _ = s.call(http.MethodGet, job, "h.example", "")
+	require.Equal(t, http.StatusGone, status)
+	require.Empty(t, s.runner.Starts())
+}
+
 // whole waits until each core process has a vote in each group, as its neighbours see it.
 func (s *system) whole() {
 	s.t.Helper()
