--- a/internal/controlplane/core.go
+++ b/internal/controlplane/core.go
@@ -44,6 +44,9 @@
 	snapshotAfter = 2 << 20 // bytes of log
 )
 
+// commandsByCalls is the one way of telling runners what to do that is described.
+const commandsByCalls = "rpc"
+
 // Core is one process of the core.
 type Core struct {
 	settings boot.Settings
@@ -73,6 +76,9 @@
 	}
 	c := &Core{settings: settings, log: log, started: time.Now(), groups: map[string]*group.Group{}, stop: make(chan struct{})}
 	c.self.Address = settings.InternalAddress(settings.IP)
+	if settings.Commands != "" && settings.Commands != commandsByCalls {
+		log.Warn("commands names a way that is not known: runners are told by calls", "commands", settings.Commands)
+	}
 	c.peers = newPeers(c.self.Address)
 	c.peers.own = c.receive
 	err := c.open()
--- a/internal/dataplane/follower.go
+++ b/internal/dataplane/follower.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"sync"
 	"time"
 
 	"basaltloft/coord/rpc"
@@ -15,11 +14,9 @@
 // follower drives a dispatch.Follower: it asks core processes for the configuration.
 type follower struct {
 	*dispatch.Follower
-	clock func() time.Duration
-	stop  chan struct{}
-
-	mu      sync.Mutex
-	clients map[string]*rpc.Client
+	clock   func() time.Duration
+	stop    chan struct{}
+	clients rpc.Clients
 }
 
 const (
@@ -31,7 +28,7 @@
 	applyWithin := time.Duration(settings.Bounds.ConfigApplyMs) * time.Millisecond
 	return &follower{
 		Follower: dispatch.NewFollower(settings.NodeName, settings.SeedAddresses(), applyWithin, log),
-		clock:    clock, stop: make(chan struct{}), clients: map[string]*rpc.Client{},
+		clock:    clock, stop: make(chan struct{}),
 	}
 }
 
@@ -53,7 +50,7 @@
 	target, feed := f.Next()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(feed.WaitMs)*time.Millisecond+feedSlack)
 	defer cancel()
-	got, err := f.client(target).Call(ctx, feed)
+	got, err := f.clients.Call(ctx, target, feed)
 	answer, ok := got.(protocol.FeedAnswer)
 	if err != nil || !ok {
 		f.Failed(target)
@@ -67,14 +64,3 @@
 
 // current returns the view, if it may be acted on at this moment.
 func (f *follower) current() (*dispatch.View, bool) { return f.Current(f.clock()) }
-
-func (f *follower) client(address string) *rpc.Client {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	client := f.clients[address]
-	if client == nil {
-		client = rpc.NewClient(address)
-		f.clients[address] = client
-	}
-	return client
-}
--- a/internal/dataplane/ingress.go
+++ b/internal/dataplane/ingress.go
@@ -160,7 +160,7 @@
 func (in *ingress) try(owner string, message any, deadline time.Duration) (protocol.Answer, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), min(tryWithin, deadline-in.clock()))
 	defer cancel()
-	got, err := in.follower.client(owner).Call(ctx, message)
+	got, err := in.follower.clients.Call(ctx, owner, message)
 	if err != nil {
 		return protocol.Answer{}, err
 	}
