A process without a vote forgets a leader that it does not hear any more

Change: it forgets the leader when a follower would stand. The world stops its troubles once all is well, ends a play when all has settled, and no longer thaws a process twice.

--- a/coord/replica/replica.go
+++ b/coord/replica/replica.go
@@ -379,6 +379,7 @@
 		m.stand(now, PreCandidate, Message{})
 		return
 	}
+	m.leader = "" // one without a vote has no other way to find that its leader is gone
 	m.rest(now)
 }
 
--- a/internal/simworld/check_test.go
+++ b/internal/simworld/check_test.go
@@ -77,6 +77,59 @@
 	return time.Duration(stamp) - time.Hour
 }
 
+// settle lets time pass until all is as it should be, and no longer than a deployment allows.
+func (w *world) settle() {
+	const least, look = 2500 * time.Millisecond, 500 * time.Millisecond
+	w.run(least)
+	for end := w.now + w.bounds.recovery + w.bounds.catchUp + moreSettle; w.now < end; {
+		w.run(look)
+		if w.settled() {
+			return
+		}
+	}
+}
+
+// settled tells whether all groups are whole and all accepted jobs are over.
+func (w *world) settled() bool {
+	for _, name := range w.cores[0].names {
+		if w.wrongWith(name) != "" {
+			return false
+		}
+	}
+	for _, e := range w.edges {
+		if _, ok := e.follower.Current(e.clock()); !ok {
+			return false
+		}
+	}
+	for _, c := range w.cores {
+		if c.groups[protocol.ConfigGroup].leader.ID == "" {
+			return false
+		}
+	}
+	for _, id := range w.order {
+		if j := w.jobs[id]; j.accepted && !w.over(j) {
+			return false
+		}
+	}
+	return true
+}
+
+// over tells whether a job is over, as some shard's owner has it.
+func (w *world) over(j *jobHistory) bool {
+	over := false
+	for _, service := range services {
+		number := protocol.ShardOf(service)
+		shard := w.leaderOf(protocol.ShardGroup(number)).shards[number]
+		if shard == nil {
+			return false
+		}
+		shard.Ask(protocol.Ask{Verb: protocol.AskState, Queue: j.queue, ID: j.id, Version: 1 << 60}, func(got protocol.Answer) {
+			over = over || got.Status == http.StatusOK && got.State.Over()
+		})
+	}
+	return over
+}
+
 // checkSettled checks, some time after all is well again, that everything is served and the
 // replicas are alike: a system that stands still has failed.
 func (w *world) checkSettled() {
--- a/internal/simworld/faults_test.go
+++ b/internal/simworld/faults_test.go
@@ -25,6 +25,7 @@
 	// while nothing else was wrong.
 	diskAt   time.Duration
 	stirred  time.Duration // when leads were last handed over
+	healed   bool          // all is well again: nothing harmful begins any more
 	replaced bool          // a machine was replaced
 	calmAt   time.Duration // when the last trouble beyond the tolerance ended; 0: it lasts
 }
@@ -333,7 +334,7 @@
 		}
 		waiting++
 		w.later(w.between(0, 2*time.Second), func() {
-			if !c.up {
+			if !c.up || f.healed {
 				done()
 				return
 			}
@@ -365,6 +366,11 @@
 	}
 	f.diskAt = 1 << 62
 	w.later(w.between(time.Second, 4*time.Second), func() {
+		if f.healed {
+			f.diskAt = w.now
+			over()
+			return
+		}
 		wiped.wipe()
 		for _, at := range dark {
 			w.cores[at].kill(true)
@@ -449,20 +455,19 @@
 // heal ends all troubles.
 func (f *troubles) heal() {
 	w := f.w
-	w.note("all is well again")
+	if !f.healed {
+		w.note("all is well again")
+	}
+	f.healed = true
 	clear(w.cut)
 	w.loss, w.late, w.freezing, w.lostLate = 0, 0, 0, 0
 	for _, c := range slices.Clone(w.cores) {
 		c.diskSlow, c.stalled, c.disk.Full, c.wallStep = 1, 0, false, 0
-		for c.up && c.frozen > 0 {
-			c.thaw()
-		}
+		c.heal()
 		c.boot()
 	}
 	for _, e := range w.edges {
-		for e.up && e.frozen > 0 {
-			e.thaw()
-		}
+		e.heal()
 		e.boot()
 	}
 }
--- a/internal/simworld/points_test.go
+++ b/internal/simworld/points_test.go
@@ -34,7 +34,7 @@
 	w.run(span)
 	f.heal()
 	w.calm = true
-	w.run(w.bounds.recovery + w.bounds.catchUp + moreSettle)
+	w.settle()
 	w.checkSettled()
 	w.checkHistories()
 }
@@ -240,7 +240,7 @@
 		w.operator(0, 5)
 		w.run(6 * time.Second)
 		f.heal()
-		w.run(w.bounds.recovery + w.bounds.catchUp + moreSettle)
+		w.settle()
 		w.checkSettled()
 		w.checkHistories()
 	})
--- a/internal/simworld/seeds_test.go
+++ b/internal/simworld/seeds_test.go
@@ -35,7 +35,7 @@
 	w.closeDay(f)
 	f.heal()
 	w.calm = true
-	w.run(w.bounds.recovery + w.bounds.catchUp + moreSettle)
+	w.settle()
 	w.checkSettled()
 	w.checkHistories()
 }
--- a/internal/simworld/world_test.go
+++ b/internal/simworld/world_test.go
@@ -182,6 +182,7 @@
 	gone     bool // for good
 	life     int
 	frozen   int // freezes that it is in
+	healed   int // how often its freezes were ended before their time
 	deferred []*event
 	rate     float64 // of its steady clock
 	offset   time.Duration
@@ -269,16 +270,24 @@
 	if !p.up {
 		return
 	}
-	life := p.life
+	life, healed := p.life, p.healed
 	w.note("%s is frozen for %v", p.name, span)
 	p.frozen++
 	w.later(span, func() {
-		if p.up && p.life == life {
+		if p.up && p.life == life && p.healed == healed {
 			p.thaw()
 		}
 	})
 }
 
+// heal ends all freezes between two of its steps at once.
+func (p *process) heal() {
+	p.healed++
+	for p.up && p.frozen > 0 {
+		p.thaw()
+	}
+}
+
 // boot starts a process's next life.
 func (p *process) boot() {
 	if p.up || p.gone {
