The end of a keeper waits for commands and reads under way too

Change: commands, reads and changes are counted, and the end waits for them. Ruled out: a time bound on the command's own wait, which the library does not give to a future.

--- a/internal/fleet/keeper/keeper.go
+++ b/internal/fleet/keeper/keeper.go
@@ -41,8 +41,8 @@
 	Log     *logrus.Logger
 }
 
-// changeElections: the end of a replica waits so many elections for changes of who votes.
-const changeElections = 8
+// callElections: the end of a replica waits so many elections for what is under way.
+const callElections = 8
 
 // idleTick: fleet time goes on at least so often.
 const idleTick = 200 * time.Millisecond
@@ -63,19 +63,19 @@
 
 // node is what lives between a start of raft and its end.
 type node struct {
-	raft    *raft.Raft
-	store   *raftboltdb.BoltStore
-	trans   *raft.NetworkTransport
-	changes sync.WaitGroup // changes of who votes that are under way
+	raft  *raft.Raft
+	store *raftboltdb.BoltStore
+	trans *raft.NetworkTransport
+	calls sync.WaitGroup // commands, reads and changes of who votes that are under way
 }
 
-// finishChanges waits, for a while at the most, until no change of who votes is under way.
-// The library answers one at its shutdown only if it has not handed it on yet; a leader
-// without a majority gives all of them up within its lease.
-func (n *node) finishChanges(most time.Duration) {
+// finishCalls waits, for a while at the most, until no command and no change of who votes is
+// under way. The library answers one at its shutdown only if it has not handed it on yet; a
+// leader without a majority gives all of them up within its lease.
+func (n *node) finishCalls(most time.Duration) {
 	finished := make(chan struct{})
 	go func() {
-		n.changes.Wait()
+		n.calls.Wait()
 		close(finished)
 	}()
 	select {
@@ -186,7 +186,7 @@
 	k.mu.Lock()
 	k.node, k.lead = nil, nil
 	k.mu.Unlock()
-	n.finishChanges(changeElections * k.s.Election)
+	n.finishCalls(callElections * k.s.Election)
 	if err := n.raft.Shutdown().Error(); err != nil {
 		k.log.WithError(err).Error("ending the fleet's log")
 	}
@@ -410,11 +410,14 @@
 // that it may have been carried out, or may yet be.
 func (k *Keeper) propose(c state.Command) (state.Reply, error) {
 	k.mu.Lock()
-	n, l, differs := k.node, k.lead, k.differs
-	k.mu.Unlock()
-	if n == nil || l == nil || len(differs) > 0 {
+	n, l := k.node, k.lead
+	if n == nil || l == nil || len(k.differs) > 0 {
+		k.mu.Unlock()
 		return state.Reply{}, raft.ErrNotLeader
 	}
+	n.calls.Add(1)
+	k.mu.Unlock()
+	defer n.calls.Done()
 	c.V, c.At = state.Version, l.now()
 	text, err := codec.Encode(c)
 	if err != nil {
--- a/internal/fleet/keeper/serve.go
+++ b/internal/fleet/keeper/serve.go
@@ -108,12 +108,15 @@
 		return
 	}
 	k.mu.Lock()
-	n, leads, differs := k.node, k.lead != nil, k.differs
-	k.mu.Unlock()
-	if n == nil || len(differs) > 0 {
+	n, leads := k.node, k.lead != nil
+	if n == nil || len(k.differs) > 0 {
+		k.mu.Unlock()
 		k.notHere(w, "this keeper has no state to serve")
 		return
 	}
+	n.calls.Add(1)
+	k.mu.Unlock()
+	defer n.calls.Done()
 	if r.URL.Path == call.Read {
 		if !leads {
 			k.notHere(w, "another keeper leads")
@@ -165,7 +168,7 @@
 	if k.node == nil || k.lead == nil {
 		return nil
 	}
-	k.node.changes.Add(1)
+	k.node.calls.Add(1)
 	return k.node
 }
 
@@ -176,7 +179,7 @@
 		k.notHere(w, "another keeper leads")
 		return
 	}
-	defer n.changes.Done()
+	defer n.calls.Done()
 	var b readyBody
 	if err := codec.Decode(body, &b); err != nil && codec.Decode(body, &b.Name) != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
