Dispatchers pass by an owner that was silent, and count a view from when its owner read it

Change: a process that left a question unanswered is passed by for 0.7 s, also for clients' requests; a view counts from when the owner read it, not from when the question was sent, half a second earlier, by the time that the owner says it held the question (less 2% for its clock). The simulated world finds a planted mistake in that time.

Ruled out: the jobs' own groups, whose owner was another process and went on.

--- a/internal/controlplane/operators.go
+++ b/internal/controlplane/operators.go
@@ -29,6 +29,7 @@
 
 // feed answers a dispatcher, waiting a while for a newer configuration than it has.
 func (o *operators) feed(request protocol.Feed) protocol.FeedAnswer {
+	came := time.Now()
 	changed, version := o.config.Changed()
 	if version <= request.Have && request.WaitMs > 0 && o.core.configGroup.Leads() {
 		select {
@@ -38,8 +39,9 @@
 		}
 	}
 	cores, owners := o.core.cores(), o.core.owners()
+	held := time.Since(came)
 	answer := o.config.Feed(request.Have)
-	answer.Cores, answer.Owners = cores, owners
+	answer.Cores, answer.Owners, answer.HeldMs = cores, owners, held.Milliseconds()
 	return answer
 }
 
--- a/internal/dataplane/follower.go
+++ b/internal/dataplane/follower.go
@@ -47,13 +47,13 @@
 // poll asks once and returns how long to wait before the next time.
 func (f *follower) poll() time.Duration {
 	asked := f.clock()
-	target, feed := f.Next()
+	target, feed := f.Next(asked)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(feed.WaitMs)*time.Millisecond+feedSlack)
 	defer cancel()
 	got, err := f.clients.Call(ctx, target, feed)
 	answer, ok := got.(protocol.FeedAnswer)
 	if err != nil || !ok {
-		f.Failed(target)
+		f.Failed(target, asked, f.clock())
 		return feedAgain
 	}
 	if !f.Answered(target, asked, answer) {
--- a/internal/dataplane/ingress.go
+++ b/internal/dataplane/ingress.go
@@ -135,13 +135,14 @@
 func (in *ingress) pass(call *dispatch.Call, deadline time.Duration) (protocol.Answer, dispatch.Progress) {
 	for in.clock() < deadline {
 		shard, message := call.Next()
-		owner := in.follower.Owner(shard)
+		asked := in.clock()
+		owner := in.follower.Owner(shard, asked)
 		answer, err := in.try(owner, message, deadline)
 		progress := dispatch.Retry
 		switch {
 		case err != nil:
 			call.Silent()
-			in.follower.Correct(shard, owner, "")
+			in.follower.Unanswered(shard, owner, asked, in.clock())
 		case answer.Status == 0:
 			in.follower.Correct(shard, owner, answer.Owner)
 		default:
--- a/internal/dispatch/follower.go
+++ b/internal/dispatch/follower.go
@@ -52,12 +52,13 @@
 
 	mu        sync.Mutex
 	view      *View
-	confirmed time.Duration // when the question was sent whose answer named the view as the newest
+	confirmed time.Duration // the view was the newest then, by its owner's answer
 	seeds     []string
 	cores     []string
 	leader    string
 	owners    []string // by shard; empty: not known
 	turn      int
+	silences  silences
 }
 
 const (
@@ -65,34 +66,37 @@
 	feedParts    = 3                      // a view that may be gone by for so long is asked for so often
 	confirmSlack = 350 * time.Millisecond // under the bound on a configuration's way
 	slackParts   = 4                      // but no more than this part of it
+	heldPart     = 0.98                   // of the time that an owner says it held a question: its clock may run fast
 )
 
 // NewFollower returns a follower without a view. A view may be gone by until the bound on a
-// configuration's way is nearly over after it was asked for: no newer one has then been in
-// force for longer.
+// configuration's way is nearly over after its owner read it for the last answer: no newer one
+// has then been in force for longer.
 func NewFollower(node string, seeds []string, applyWithin time.Duration, log *slog.Logger) *Follower {
 	fresh := applyWithin - min(confirmSlack, applyWithin/slackParts)
-	return &Follower{node: node, fresh: fresh, log: log, seeds: seeds, cores: slices.Clone(seeds), owners: make([]string, protocol.Shards)}
+	return &Follower{node: node, fresh: fresh, log: log, seeds: seeds, cores: slices.Clone(seeds), owners: make([]string, protocol.Shards), silences: silences{}}
 }
 
-// Next returns whom to ask for the configuration, and what.
-func (f *Follower) Next() (target string, feed protocol.Feed) {
+// Next returns whom to ask for the configuration, and what: the owner, unless it was silent a
+// short while ago. The others may go on naming it until they have a new one.
+func (f *Follower) Next(now time.Duration) (target string, feed protocol.Feed) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	feed = protocol.Feed{Node: f.node, WaitMs: min(feedWait, f.fresh/feedParts).Milliseconds()}
 	if f.view != nil {
 		feed.Have = f.view.Config.Version
 	}
-	if f.leader != "" {
+	if f.leader != "" && !f.silences.lately(f.leader, now) {
 		return f.leader, feed
 	}
-	return f.cores[f.turn%len(f.cores)], feed
+	return f.silences.next(f.cores, &f.turn, now), feed
 }
 
-// Failed tells that a target did not answer.
-func (f *Follower) Failed(target string) {
+// Failed tells that a target did not answer a question that was sent at a time.
+func (f *Follower) Failed(target string, asked, now time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.silences.note(target, asked, now)
 	f.leader = ""
 	f.turn++
 	for at, owner := range f.owners {
@@ -107,6 +111,7 @@
 func (f *Follower) Answered(target string, asked time.Duration, answer protocol.FeedAnswer) (led bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.silences.end(target)
 	f.takeCores(answer)
 	if !answer.Leads {
 		f.follow(answer.Leader, target)
@@ -148,7 +153,8 @@
 		return
 	}
 	if f.view != nil && answer.Version >= f.view.Config.Version {
-		f.confirmed = max(f.confirmed, asked)
+		held := time.Duration(heldPart * float64(answer.HeldMs) * float64(time.Millisecond))
+		f.confirmed = max(f.confirmed, asked+held)
 	}
 }
 
@@ -176,21 +182,35 @@
 }
 
 // Owner returns whom to ask for a shard: its owner as far as is known, or each core process
-// by turns.
-func (f *Follower) Owner(shard int) string {
+// by turns. One that was silent a short while ago is passed by.
+func (f *Follower) Owner(shard int, now time.Duration) string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if owner := f.owners[shard]; owner != "" {
+	if owner := f.owners[shard]; owner != "" && !f.silences.lately(owner, now) {
 		return owner
 	}
 	f.turn++
-	return f.cores[f.turn%len(f.cores)]
+	return f.silences.next(f.cores, &f.turn, now)
 }
 
-// Correct notes what an answer, or its absence, said of a shard's owner.
+// Correct notes what an answer said of a shard's owner; nothing: the one that was asked does
+// not own it.
 func (f *Follower) Correct(shard int, asked, owner string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.silences.end(asked)
+	f.correct(shard, asked, owner)
+}
+
+// Unanswered notes that a shard's owner left a question without an answer.
+func (f *Follower) Unanswered(shard int, owner string, asked, now time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.silences.note(owner, asked, now)
+	f.correct(shard, owner, "")
+}
+
+func (f *Follower) correct(shard int, asked, owner string) {
 	switch {
 	case owner != "" && owner != asked:
 		f.owners[shard] = owner
--- a/internal/dispatch/follower_test.go
+++ b/internal/dispatch/follower_test.go
@@ -61,7 +61,7 @@
 	for _, applyWithin := range []time.Duration{300 * time.Millisecond, time.Second, 2 * time.Second, 6 * time.Second} {
 		f := dispatch.NewFollower("edge", []string{"core-0"}, applyWithin, slog.New(slog.DiscardHandler))
 		f.Answered("core-0", 0, leads(1, true))
-		_, feed := f.Next()
+		_, feed := f.Next(0)
 		wait := time.Duration(feed.WaitMs) * time.Millisecond
 		require.Positive(t, wait)
 		_, ok := f.Current(2 * wait)
@@ -72,17 +72,69 @@
 // TestOwnersAreFoundByTurns where none is known, and forgotten where they are silent.
 func TestOwnersAreFoundByTurns(t *testing.T) {
 	f := dispatch.NewFollower("edge", []string{"core-0", "core-1"}, 2*time.Second, slog.New(slog.DiscardHandler))
-	require.NotEqual(t, f.Owner(0), f.Owner(0))
+	require.NotEqual(t, f.Owner(0, 0), f.Owner(0, 0))
 	f.Correct(0, "core-0", "core-1")
-	require.Equal(t, "core-1", f.Owner(0))
+	require.Equal(t, "core-1", f.Owner(0, 0))
 	f.Correct(0, "core-0", "")
-	require.Equal(t, "core-1", f.Owner(0), "another one's silence says nothing")
-	f.Failed("core-1")
-	require.NotEqual(t, f.Owner(0), f.Owner(0))
+	require.Equal(t, "core-1", f.Owner(0, 0), "another one's silence says nothing")
+	f.Failed("core-1", 0, 0)
+	require.NotEqual(t, f.Owner(0, 0), f.Owner(0, 0))
 	f.Reload([]string{"core-7"})
 	seen := map[string]bool{}
 	for range 6 {
-		seen[f.Owner(1)] = true
+		seen[f.Owner(1, 0)] = true
 	}
 	require.True(t, seen["core-7"])
 }
+
+// TestASilentOwnerIsPassedBy: the others name a frozen owner until they have a new one; the
+// dispatcher asks them again and finds the new one, instead of waiting for the frozen one anew.
+func TestASilentOwnerIsPassedBy(t *testing.T) {
+	cores := []string{"core-0", "core-1", "core-2"}
+	f := dispatch.NewFollower("edge", cores, 2*time.Second, slog.New(slog.DiscardHandler))
+	require.True(t, f.Answered("core-0", 0, leads(5, true)))
+	asked, now := time.Second, 1900*time.Millisecond
+	f.Failed("core-0", asked, now)
+	for range 6 {
+		target, _ := f.Next(now)
+		require.NotEqual(t, "core-0", target)
+		require.False(t, f.Answered(target, now, protocol.FeedAnswer{Leader: "core-0"}))
+	}
+	require.False(t, f.Answered("core-1", now, protocol.FeedAnswer{Leader: "core-2"}))
+	target, _ := f.Next(now)
+	require.Equal(t, "core-2", target, "the new owner")
+
+	f.Correct(0, "core-1", "core-0")
+	require.NotEqual(t, "core-0", f.Owner(0, now), "nor is a client's request sent to the silent one")
+	require.Equal(t, "core-0", f.Owner(0, now+time.Second), "but it is asked again later")
+	f.Unanswered(0, "core-0", now, now+2*time.Millisecond)
+	f.Correct(0, "core-1", "core-0")
+	require.Equal(t, "core-0", f.Owner(0, now+time.Second), "a closed port costs no time, and its process may be back")
+}
+
+// TestAllSilent: where every process was silent lately they are asked by turns all the same.
+func TestAllSilent(t *testing.T) {
+	f := dispatch.NewFollower("edge", []string{"core-0", "core-1"}, 2*time.Second, slog.New(slog.DiscardHandler))
+	f.Failed("core-0", 0, time.Second)
+	f.Failed("core-1", 0, time.Second)
+	seen := map[string]bool{}
+	for range 4 {
+		target, _ := f.Next(time.Second)
+		seen[target] = true
+		f.Failed(target, time.Second, time.Second)
+	}
+	require.Len(t, seen, 2)
+}
+
+// TestAHeldQuestionConfirmsFromItsReadingOn: the owner says how long it held a question before
+// it read the version; less a part, since its clock may run fast.
+func TestAHeldQuestionConfirmsFromItsReadingOn(t *testing.T) {
+	f := dispatch.NewFollower("edge", []string{"core-0"}, 2*time.Second, slog.New(slog.DiscardHandler))
+	answer := leads(5, true)
+	answer.HeldMs = 500
+	require.True(t, f.Answered("core-0", 10*time.Second, answer))
+	_, ok := f.Current(10*time.Second + 1650*time.Millisecond + 489*time.Millisecond)
+	require.True(t, ok)
+	_, ok = f.Current(10*time.Second + 1650*time.Millisecond + 490*time.Millisecond)
+	require.False(t, ok)
+}
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -98,6 +98,7 @@
 	Moved   map[string]opconfig.Moves // queues that were sent to more than one service
 	Cores   []string
 	Owners  []string // by shard; empty: not known
+	HeldMs  int64    // how long the question had been held here when Version was read
 }
 
 // Operate passes an operator's call on to the owner of the configuration.
--- a/internal/simworld/core_test.go
+++ b/internal/simworld/core_test.go
@@ -437,6 +437,7 @@
 
 // feed waits a while for a newer configuration, as the driver does.
 func (c *core) feed(request protocol.Feed, reply func(any)) {
+	came := c.clock()
 	answer := func() {
 		owners := make([]string, protocol.Shards)
 		for number := range c.shards {
@@ -446,8 +447,12 @@
 		for _, member := range c.groups[protocol.ConfigGroup].engine.Members().Everyone() {
 			cores = append(cores, member.Address)
 		}
+		held := c.clock() - came
 		got := c.config.Feed(request.Have)
-		got.Owners, got.Cores = owners, cores
+		got.Owners, got.Cores, got.HeldMs = owners, cores, held.Milliseconds()
+		if c.w.mistake == heldTooLong {
+			got.HeldMs += 3 * request.WaitMs
+		}
 		reply(got)
 	}
 	changed, version := c.config.Changed()
--- a/internal/simworld/edge_test.go
+++ b/internal/simworld/edge_test.go
@@ -37,13 +37,13 @@
 
 func (e *edge) poll() {
 	asked := e.steady()
-	target, feed := e.follower.Next()
+	target, feed := e.follower.Next(asked)
 	e.call(target, time.Duration(feed.WaitMs)*time.Millisecond+feedSlack, func(reply func(any)) { e.serveAt(target, feed, reply) }, func(answer any, ok bool) {
 		got, _ := answer.(protocol.FeedAnswer)
 		pause := feedAgain
 		switch {
 		case !ok:
-			e.follower.Failed(target)
+			e.follower.Failed(target, asked, e.steady())
 		case e.follower.Answered(target, asked, got):
 			pause = 0
 		}
@@ -100,7 +100,7 @@
 		return
 	}
 	shard, message := call.Next()
-	target := e.follower.Owner(shard)
+	target := e.follower.Owner(shard, now)
 	e.call(target, min(tryWithin, r.deadline-now), func(reply func(any)) { e.serveAt(target, message, reply) }, func(answer any, ok bool) {
 		got, _ := answer.(protocol.Answer)
 		progress := dispatch.Retry
@@ -109,7 +109,7 @@
 			if e.w.mistake != refusedAfterUnknown {
 				call.Silent()
 			}
-			e.follower.Correct(shard, target, "")
+			e.follower.Unanswered(shard, target, now, e.steady())
 		case got.Status == 0:
 			e.follower.Correct(shard, target, got.Owner)
 		default:
--- a/internal/simworld/mistakes_test.go
+++ b/internal/simworld/mistakes_test.go
@@ -27,6 +27,7 @@
 	refusedAfterUnknown         // 5: a refusal after a try without an answer is passed on
 	cancelLeavesNothing         // 5: the cancelling of a job that is not there leaves nothing behind
 	unsealed                    // 5: an earlier shard says that it lacks an ID without closing itself to it
+	heldTooLong                 // 1: a dispatcher is told that its question was held for longer than it was
 	mistakes
 )
 
--- a/internal/simworld/planted_test.go
+++ b/internal/simworld/planted_test.go
@@ -21,6 +21,7 @@
 	refusedAfterUnknown: {"a refusal after a try without an answer is passed on", 400},
 	cancelLeavesNothing: {"the cancelling of a job that is not there leaves nothing behind", 100},
 	unsealed:            {"an earlier shard does not close itself to an ID that it lacks", 100},
+	heldTooLong:         {"a view is confirmed for longer than its owner held the question", 200},
 }
 
 // TestPlantedMistakesAreFound plants one mistake at a time and expects a check to find it
