A core process opens its groups side by side, and syncs at its start only what may not be synced

After a loss of all power that time is added to every job in hand.

TestKilledWhileOpening kills lives at numbered points of their work and of the next opening and then takes the power.

--- a/coord/ringlog/recover.go
+++ b/coord/ringlog/recover.go
@@ -25,7 +25,7 @@
 			return found, errors.Wrapf(err, "segment %d", i)
 		}
 	}
-	if err := r.syncRead(); err != nil {
+	if err := r.syncRead(ok); err != nil {
 		return found, err
 	}
 	found.State = r.state
@@ -35,26 +35,25 @@
 	return found, nil
 }
 
-// syncRead makes durable what was read: the last life may have been killed between a write
-// and its sync, and this life goes by what it read.
-func (r *Ring) syncRead() error {
-	for _, s := range r.segments {
-		if err := s.file.Sync(); err != nil {
-			return errors.Wrap(err, "sync a segment that was read")
+// syncRead makes durable what was read and may not be: the last life may have been killed
+// between a write and its sync, and this life goes by what it read. That can be the last
+// segment's tail and, where a snapshot was found, that one. Each earlier segment was synced
+// before the next one was begun, and no record refers to a snapshot before its sync.
+func (r *Ring) syncRead(snapshot bool) error {
+	if last := len(r.segments) - 1; last >= 0 {
+		if err := r.segments[last].file.Sync(); err != nil {
+			return errors.Wrap(err, "sync the segment that was written last")
 		}
 	}
-	for slot := range 2 {
-		file, err := r.files.Open(r.slotPath(slot))
-		if err != nil {
-			return errors.Wrap(err, "open a snapshot's slot")
-		}
-		err = file.Sync()
-		file.Close()
-		if err != nil {
-			return errors.Wrap(err, "sync a snapshot that was read")
-		}
+	if !snapshot {
+		return nil
 	}
-	return nil
+	file, err := r.files.Open(r.slotPath(1 - r.slot))
+	if err != nil {
+		return errors.Wrap(err, "open a snapshot's slot")
+	}
+	defer file.Close()
+	return errors.Wrap(file.Sync(), "sync a snapshot that was read")
 }
 
 // openSegments finds the segments in use, in the order of their records.
@@ -74,6 +73,7 @@
 		}
 		s := &segment{path: path, file: file}
 		if s.first, s.begun = begunWith(content); s.begun {
+			s.found = content
 			r.segments = append(r.segments, s)
 		} else {
 			r.free = append(r.free, s)
@@ -102,11 +102,8 @@
 	if s.first != r.number {
 		return errors.Wrapf(ErrDamaged, "the segment begins with record %d, where %d is next", s.first, r.number)
 	}
-	content, err := r.files.ReadFile(s.path)
-	if err != nil {
-		return errors.Wrap(err, "read a segment")
-	}
-	rest := content[headerBytes:]
+	rest := s.found[headerBytes:]
+	s.found = nil
 	for {
 		next, after, ok := readRecord(rest, r.number)
 		if !ok {
--- a/coord/ringlog/ring.go
+++ b/coord/ringlog/ring.go
@@ -44,6 +44,7 @@
 	begun     bool
 	first     uint64 // number of its first record
 	lastIndex uint64 // highest index of an entry in it
+	found     []byte // its content at the start, until it was replayed
 }
 
 // Ring is an open log. Its methods must not be called concurrently; they block on the disk.
@@ -60,7 +61,8 @@
 	baseTerm uint64
 	slot     int // where the next snapshot goes
 	buffer   []byte
-	used     int // bytes written since the newest snapshot
+	used     int  // bytes written since the newest snapshot
+	unsynced bool // the current segment's beginning is written and not synced yet
 }
 
 // OSFiles are the files of the operating system.
@@ -101,8 +103,9 @@
 		return nil, replica.Restored{}, err
 	}
 	// What a loss of power tore may leave whole records behind the torn one. They must never
-	// follow a new record: each life writes to a segment of its own.
-	if err := r.beginSegment(); err != nil {
+	// follow a new record: each life writes to a segment of its own. Its beginning is synced
+	// with the first records, before which nothing rests on it.
+	if err := r.openSegment(); err != nil {
 		return nil, replica.Restored{}, err
 	}
 	return r, found, nil
@@ -205,6 +208,7 @@
 		return errors.Wrap(err, "sync the log")
 	}
 	r.offset = at + len(r.buffer)
+	r.unsynced = false
 	return nil
 }
 
@@ -226,6 +230,30 @@
 // beginSegment takes a free segment, or one whose entries are all in a snapshot, or a new
 // one, and begins it with the hard state.
 func (r *Ring) beginSegment() error {
+	if err := r.syncBegun(); err != nil {
+		return err
+	}
+	if err := r.openSegment(); err != nil {
+		return err
+	}
+	return r.syncBegun()
+}
+
+// syncBegun syncs the beginning of the current segment, where that was not done yet. No
+// segment may follow one whose beginning can still be lost.
+func (r *Ring) syncBegun() error {
+	if !r.unsynced {
+		return nil
+	}
+	if err := r.segments[len(r.segments)-1].file.Sync(); err != nil {
+		return errors.Wrap(err, "sync a segment")
+	}
+	r.unsynced = false
+	return nil
+}
+
+// openSegment begins the next segment without syncing it.
+func (r *Ring) openSegment() error {
 	r.reclaim()
 	if len(r.free) == 0 {
 		if err := r.addSegment(len(r.segments)); err != nil {
@@ -241,14 +269,12 @@
 	if _, err := next.file.WriteAt(content, 0); err != nil {
 		return errors.Wrap(err, "begin a segment")
 	}
-	if err := next.file.Sync(); err != nil {
-		return errors.Wrap(err, "sync a segment")
-	}
 	next.begun, next.first, next.lastIndex = true, r.number, 0
 	r.free = r.free[1:]
 	r.segments = append(r.segments, next)
 	r.number++
 	r.offset = len(content)
+	r.unsynced = true
 	return nil
 }
 
--- a/coord/ringlog/ringlog_test.go
+++ b/coord/ringlog/ringlog_test.go
@@ -245,6 +245,36 @@
 	}
 }
 
+// TestKilledWhileOpening: a process is killed at a numbered point of its work, and the next life
+// at a point of its opening. What the life after that read and went by must not vanish.
+func TestKilledWhileOpening(t *testing.T) {
+	for seed := range uint64(60) {
+		for point := 1; point < 24; point++ {
+			disk := simdisk.New(seed*1000 + uint64(point))
+			s := &script{random: rand.New(rand.NewPCG(seed, 6)), term: 1}
+			var err error
+			s.ring, _, err = ringlog.Open(disk, "log", sizes)
+			require.NoError(t, err)
+			disk.CrashAt = disk.Count + point
+			for range 12 {
+				if s.step() != nil {
+					break
+				}
+			}
+			disk.CrashAt = disk.Count + 1 + int(seed%9)
+			_, _, _ = ringlog.Open(disk, "log", sizes)
+			disk.CrashAt = 0
+			_, read, err := ringlog.Open(disk, "log", sizes)
+			require.NoError(t, err, "seed %d point %d", seed, point)
+			checkHolds(t, s, read, seed, point)
+			disk.LosePower()
+			_, found, err := ringlog.Open(disk, "log", sizes)
+			require.NoError(t, err, "seed %d point %d", seed, point)
+			require.Equal(t, read, found, "seed %d point %d", seed, point)
+		}
+	}
+}
+
 func TestFullDiskKeepsWhatWasThere(t *testing.T) {
 	disk := simdisk.New(1)
 	ring, _, err := ringlog.Open(disk, "log", sizes)
--- a/internal/controlplane/core.go
+++ b/internal/controlplane/core.go
@@ -102,24 +102,28 @@
 	c.reader = newReader(c)
 	c.config = owner.NewConfiguration(c.tellShards, c.reader.lead, c.log)
 	c.operator = &operators{core: c, config: c.config}
-	if err := c.openGroup(protocol.ConfigGroup, c.config); err != nil {
+	runners := newRunnerClient()
+	states := map[string]group.StateMachine{protocol.ConfigGroup: c.config}
+	var shards []*shardLoop
+	for number := range protocol.Shards {
+		loop := c.newShard(number, runners)
+		states[protocol.ShardGroup(number)] = loop
+		shards = append(shards, loop)
+	}
+	if err := c.openGroups(states); err != nil {
 		return err
 	}
 	c.configGroup = c.groups[protocol.ConfigGroup]
 	c.config.Join(c.configGroup)
-	runners := newRunnerClient()
-	c.shards = nil
-	for number := range protocol.Shards {
-		loop, err := c.openShard(number, runners)
-		if err != nil {
-			return err
-		}
-		c.shards = append(c.shards, loop)
+	for number, loop := range shards {
+		loop.Join(c.groups[protocol.ShardGroup(number)])
+		loop.TakeConfig(c.config.Current())
 	}
+	c.shards = shards
 	return nil
 }
 
-func (c *Core) openShard(number int, runners *runnerClient) (*shardLoop, error) {
+func (c *Core) newShard(number int, runners *runnerClient) *shardLoop {
 	loop := &shardLoop{runner: runners, wake: make(chan struct{}, 1), stop: c.stop}
 	nudge := func() {
 		select {
@@ -129,12 +133,7 @@
 	}
 	clocks := owner.Clocks{Steady: c.now, WallMs: func() int64 { return time.Now().UnixMilli() }}
 	loop.Shard = owner.NewShard(number, c.schedulerBounds(), clocks, nudge, c.log)
-	if err := c.openGroup(protocol.ShardGroup(number), loop.Shard); err != nil {
-		return nil, err
-	}
-	loop.Join(c.groups[protocol.ShardGroup(number)])
-	loop.TakeConfig(c.config.Current())
-	return loop, nil
+	return loop
 }
 
 // tellShards tells the shards of a configuration that is in force.
@@ -153,16 +152,36 @@
 	}
 }
 
-func (c *Core) openGroup(name string, states group.StateMachine) error {
-	opened, err := group.Open(group.Settings{
+// openGroups opens the groups' replicas side by side: each waits for the disk several times.
+// Those that could be opened are kept, also where another could not.
+func (c *Core) openGroups(states map[string]group.StateMachine) error {
+	type opening struct {
+		group *group.Group
+		err   error
+	}
+	openings := make([]opening, len(states))
+	names := slices.Sorted(maps.Keys(states))
+	var opened sync.WaitGroup
+	for at, name := range names {
+		opened.Go(func() { openings[at].group, openings[at].err = c.openGroup(name, states[name]) })
+	}
+	opened.Wait()
+	var failed error
+	for at, name := range names {
+		if openings[at].err != nil {
+			failed = errors.CombineErrors(failed, errors.Wrapf(openings[at].err, "open group %s", name))
+			continue
+		}
+		c.groups[name] = openings[at].group
+	}
+	return failed
+}
+
+func (c *Core) openGroup(name string, states group.StateMachine) (*group.Group, error) {
+	return group.Open(group.Settings{
 		Name: name, Self: c.self, Timing: timing, Size: 2*c.settings.FaultTolerance.Machines + 1,
 		Seed: rand.Uint64(), Snapshot: snapshotAfter,
 	}, filepath.Join(c.settings.DataDir, name), ringlog.Sizes{SegmentBytes: segmentBytes, Segments: segments}, ringlog.OSFiles{}, states, c.peers, c.now, c.log)
-	if err != nil {
-		return errors.Wrapf(err, "open group %s", name)
-	}
-	c.groups[name] = opened
-	return nil
 }
 
 // Run serves until the context ends, and then hands over what this process leads.
