Runners that owe an answer get nothing new, several silent ones raise an alarm, doubted runs get a second one beside them

Hypothesis: of the quote-checks late by runners cut off, a third was handed in after the cut, in the 1.2 s in which such a runner still counts as in touch; and 30% allow runs side by side, which was not used.

Change: a runner with a late look, or an order unanswered for 0.12 s with nothing heard since, is no candidate; three that fall silent within 0.3 s lead to a look at all others, once a second at the most; a task whose step is speculative gets one more run while its only one is at a silent runner, or its order is unanswered.

--- a/internal/scheduler/hold.go
+++ b/internal/scheduler/hold.go
@@ -27,7 +27,10 @@
 	order := Order{Kind: OrderHold, Runner: s.id, Address: s.address, LastSeen: s.lastSeen, Sequence: o.sequence}
 	if s.fenced && o.now-s.heardAt < contactWithin {
 		order.DeadlineMs = s.clockNow(o.now) + o.holdSpan().Milliseconds()
-		order.WaitMs = o.holdWait(s)
+		if !s.lookNow {
+			order.WaitMs = o.holdWait(s)
+		}
+		s.lookNow = false
 		s.extend(order.DeadlineMs)
 	}
 	s.holdOut, s.holdSequence = true, order.Sequence
@@ -208,6 +211,7 @@
 	if r.phase != confirmed {
 		r.phase, r.startedClock = confirmed, s.clock
 	}
+	o.trust(r)
 	r.progress(o.now, listed.Percent)
 	if listed.Saved != "" && listed.Saved != r.saved && !r.ending {
 		r.saved = listed.Saved
@@ -255,6 +259,7 @@
 	for _, s := range o.ordered {
 		o.tickSession(s)
 	}
+	o.alarm()
 	o.dropSessions()
 	o.tickRepeats()
 	o.forgetOld()
@@ -292,6 +297,7 @@
 			s.checkAt = o.now
 		}
 	}
+	o.noteSilence(s)
 	o.rescue(s)
 }
 
--- a/internal/scheduler/owner.go
+++ b/internal/scheduler/owner.go
@@ -83,6 +83,9 @@
 	means  map[string]*admission.Means // by service
 	losses admission.Average           // share of holds that stay without an answer
 
+	silences []time.Duration // when runners fell silent lately
+	alarmAt  time.Duration   // all may be looked at again from then on
+
 	scratchCandidates []placement.Candidate // of the last pass
 	scratchSessions   []*session
 
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -86,19 +86,25 @@
 	}
 }
 
-// refill finds anew which tasks of a step are to be started.
+// refill finds anew which tasks of a step are to be started, one of which does not wait for
+// the commitment of its start any more.
 func (o *Owner) refill(j *job.Job, ref job.TaskRef) {
 	b := o.bundles[keyOf(ref)]
 	if b == nil || j == nil {
 		return
 	}
 	delete(b.waiting, ref.Index)
+	o.fill(b, j)
+}
+
+// fill finds anew which tasks of a step are to be started.
+func (o *Owner) fill(b *bundle, j *job.Job) {
 	o.dirty = true
 	b.pending = b.pending[:0]
-	step := &j.Times[ref.Time].Steps[ref.Step]
+	step := &j.Times[b.key.time].Steps[b.key.step]
 	for index := range step.Tasks {
 		task := &step.Tasks[index]
-		if !task.Done && len(task.Runs) == 0 && !b.waiting[index] {
+		if !task.Done && !b.waiting[index] && (len(task.Runs) == 0 || o.wantsCopy(b, index, task)) {
 			b.pending = append(b.pending, index)
 		}
 	}
@@ -158,7 +164,7 @@
 func (o *Owner) candidates() ([]placement.Candidate, []*session) {
 	candidates, sessions := o.scratchCandidates[:0], o.scratchSessions[:0]
 	for _, s := range o.ordered {
-		if !s.listed || s.draining || !s.inTouch(o.now) {
+		if !s.listed || s.draining || !s.inTouch(o.now) || s.silent() {
 			continue
 		}
 		doubtful := s.doubtful()
--- a/internal/scheduler/runs.go
+++ b/internal/scheduler/runs.go
@@ -20,6 +20,9 @@
 		o.refill(j, c.Task)
 		return
 	}
+	if b := o.bundles[keyOf(c.Task)]; b != nil {
+		delete(b.waiting, c.Task.Index)
+	}
 	r.phase = ordered
 	if r.stopWanted || s.over || j.State.Over() {
 		o.endRun(s, r, job.Refused, "") // its order never left
@@ -80,6 +83,7 @@
 	switch reply {
 	case StartTaken:
 		r.phase, r.startedClock = confirmed, clock
+		o.trust(r)
 	case StartUnknown:
 		s.budget.Shrink(r.sentAt, now, o.meansOf(s.service))
 	default:
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -37,6 +37,7 @@
 	resumed       bool          // from saved progress
 	restore       time.Duration // it stands still for so long at first
 	looked        bool          // the runner was asked about it out of turn
+	doubted       bool          // its runner, or its order, was silent for a while
 	ending        bool          // its end waits for its commitment
 	stopWanted    bool
 	stopOut       bool // a stop is on its way
@@ -74,6 +75,9 @@
 	holdLateAt   time.Duration // it counts as lost from then on
 	holdAt       time.Duration // when the next hold is due
 	failures     int           // holds in a row without an answer
+	owes         bool          // an order to start has no answer, and nothing came since
+	silentNoted  bool          // that it is silent was noted
+	lookNow      bool          // the next hold is answered at once
 	lastSeen     uint64        // ends up to it are committed
 	taken        uint64        // ends up to it were proposed
 
@@ -126,6 +130,7 @@
 func (s *session) heard(now time.Duration, clock int64) {
 	s.heardAt = now
 	s.failures = 0
+	s.owes = false
 	if clock > 0 {
 		s.clock, s.clockAt = clock, now
 	}
