Runners' speeds are learned from runs of the same step, and tight jobs take quick runners

Change: once a step is complete its runs, near their data, tell the speeds of their runners beside each other (admission.Speed); jobs whose objective is under twice their work take quick runners first, those with three times or more leave them; expected times at a runner and learned costs take the speed into account. Estimates do not come into it.

--- /dev/null
+++ b/internal/admission/speeds_test.go
@@ -0,0 +1,39 @@
+package admission_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"basaltloft/internal/admission"
+)
+
+// TestSpeedsAreLearnedFromPeers: steps of any length on runners of three speeds tell these
+// speeds, whatever their tasks were estimated to take.
+func TestSpeedsAreLearnedFromPeers(t *testing.T) {
+	random := rand.New(rand.NewPCG(4, 4))
+	truth := []float64{0.8, 1, 1.25, 0.8, 1, 1.25}
+	speeds := make([]admission.Speed, len(truth))
+	require.Equal(t, 1.0, speeds[0].Now(), "nothing is known yet")
+	for range 60 {
+		work := 0.1 + 20*random.Float64()
+		var peers []admission.PeerRun
+		for range 6 {
+			at := random.IntN(len(truth))
+			peers = append(peers, admission.PeerRun{Speed: &speeds[at], Took: work * truth[at] * (0.9 + 0.2*random.Float64())})
+		}
+		admission.LearnSpeeds(peers)
+	}
+	for at := range truth {
+		require.InDelta(t, truth[at]/truth[1], speeds[at].Now()/speeds[1].Now(), 0.12, "runner %d", at)
+	}
+}
+
+func TestFewPeersTellNothing(t *testing.T) {
+	var one, other admission.Speed
+	for range 9 {
+		admission.LearnSpeeds([]admission.PeerRun{{Speed: &one, Took: 1}, {Speed: &other, Took: 3}})
+	}
+	require.Equal(t, 1.0, one.Now())
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -20,10 +20,21 @@
 	Room     float64 // of its budget, in cost
 	Idle     bool
 	Reserved bool    // kept for work that has waited long
-	Pace     float64 // its run times beside the others'; 1 is usual
+	Pace     float64 // its run times beside what was expected of them; 1 is usual
+	Speed    float64 // run times there beside those of the same steps elsewhere; 1 is usual
 	Doubtful bool    // it fails more than the others do
 }
 
+// Haste says how much of a task's time is spare.
+type Haste uint8
+
+// Hastes.
+const (
+	Usual Haste = iota
+	Tight       // it takes quick runners first
+	Loose       // it leaves quick runners to others
+)
+
 // Ask is what a task wants.
 type Ask struct {
 	Service     string
@@ -32,6 +43,7 @@
 	Constraints []string
 	Rack        string // label of the rack where its data lies; empty: no matter
 	NearOnly    bool   // it rather waits than run far from its data
+	Haste       Haste  // how much its time matters
 	Count       int    // tasks that are alike and wait; 0: one
 	// Limit returns how many more of them a runner may take; nil: any number.
 	Limit func(key int) int
@@ -128,7 +140,7 @@
 func better(a, b Result) Result { return min(a, b) }
 
 // prefers tells whether a is to be taken rather than b: a sound one, near the data, usual in
-// its pace, one that takes more of the tasks, and then the roomiest. Tasks that ask for
+// its pace, of a speed that fits its haste, one that takes more of the tasks, and then the roomiest. Tasks that ask for
 // accelerators take the runner that has the fewest left: spread out, small tasks would leave
 // no runner whole for large ones.
 func prefers(ask *Ask, a *Candidate, atA Place, b *Candidate, atB Place) bool {
@@ -139,6 +151,8 @@
 		return near(ask, a)
 	case slow(a) != slow(b):
 		return slow(b)
+	case ask.Haste != Usual && a.speedClass() != b.speedClass():
+		return (a.speedClass() < b.speedClass()) == (ask.Haste == Tight)
 	case ask.Need.GPU > 0 && a.Free.GPU != b.Free.GPU:
 		return a.Free.GPU < b.Free.GPU
 	case atA.Takes != atB.Takes:
@@ -150,6 +164,21 @@
 // slowBeyond is the pace from which on a runner is taken last.
 const slowBeyond = 1.6
 
+// usualSpeeds is how far a speed lies from 1 that still counts as usual: the scatter of what
+// is known of a runner after a few steps.
+const usualSpeeds = 0.07
+
+// speedClass is negative for quick runners, positive for slow ones.
+func (c *Candidate) speedClass() int {
+	switch {
+	case c.Speed < 1-usualSpeeds:
+		return -1
+	case c.Speed > 1+usualSpeeds:
+		return 1
+	}
+	return 0
+}
+
 func slow(c *Candidate) bool { return c.Pace > slowBeyond }
 
 // roomier compares what is left of the budgets, and of the capacities where these are alike.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -11,7 +11,7 @@
 
 func candidate(key int, room float64) placement.Candidate {
 	whole := job.Resources{CPU: 8000, MemMB: 8000, GPU: 4}
-	return placement.Candidate{Key: key, Service: "s", Labels: []string{"a", "r1"}, Capacity: whole, Free: whole, Room: room, Pace: 1}
+	return placement.Candidate{Key: key, Service: "s", Labels: []string{"a", "r1"}, Capacity: whole, Free: whole, Room: room, Pace: 1, Speed: 1}
 }
 
 func ask() *placement.Ask {
@@ -125,3 +125,17 @@
 	_, result = placement.Choose(wants, []placement.Candidate{doubtful})
 	require.Equal(t, placement.NoCapacity, result, "and no other beside it")
 }
+
+// TestHasteChoosesTheSpeed: tasks without time to spare take quick runners, those with much
+// leave them.
+func TestHasteChoosesTheSpeed(t *testing.T) {
+	quick, usual, slow := candidate(0, 10), candidate(1, 30), candidate(2, 20)
+	quick.Speed, slow.Speed = 0.8, 1.2
+	all := []placement.Candidate{quick, usual, slow}
+	for haste, want := range map[placement.Haste]int{placement.Tight: 0, placement.Usual: 1, placement.Loose: 2} {
+		wants := ask()
+		wants.Haste = haste
+		chosen, _ := placement.Choose(wants, all)
+		require.Equal(t, want, chosen.At)
+	}
+}
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -32,6 +32,7 @@
 	avoid   map[string]bool // runners at which a task of it failed
 	rank    admission.Rank
 	expects float64
+	ended   []admission.PeerRun // runs that ended well, for the runners' speeds
 }
 
 // passEvery is how often ready work is looked at though nothing happened.
@@ -170,7 +171,7 @@
 		doubtful := s.doubtful()
 		candidates = append(candidates, placement.Candidate{
 			Key: len(sessions), Service: s.service, Labels: s.labels, Capacity: s.capacity, Free: s.capacity.Minus(s.used),
-			Room: s.budget.Room(s.out, o.meansOf(s.service)), Idle: len(s.runs) == 0, Pace: s.paceNow(),
+			Room: s.budget.Room(s.out, o.meansOf(s.service)), Idle: len(s.runs) == 0, Pace: s.paceNow(), Speed: s.speed.Now(),
 			Doubtful: doubtful, Reserved: doubtful && (len(s.runs) > 0 || o.now < s.trialAt),
 		})
 		sessions = append(sessions, s)
@@ -181,12 +182,36 @@
 
 func (o *Owner) ask(b *bundle) *placement.Ask {
 	return &placement.Ask{
-		Service: b.job.Service, Count: len(b.pending),
+		Service: b.job.Service, Count: len(b.pending), Haste: haste(b),
 		Need: b.step.Resources, Cost: stepCost(b.expects, b.step), Constraints: b.step.Constraints, Rack: b.step.Affinity,
 		NearOnly: b.step.Affinity != "" && (o.now-b.readyAt).Seconds() < nearPatience*(o.bounds.FarX-1)*b.expects,
 	}
 }
 
+// A job's objective leaves it so many times its work. Below tightBelow a slow runner, or a
+// short wait, makes it late; from looseFrom on neither does.
+const (
+	tightBelow = 2.0
+	looseFrom  = 3.0
+)
+
+// haste tells how much time a bundle's job has to spare.
+func haste(b *bundle) placement.Haste {
+	if b.step.LongRunning {
+		return placement.Loose
+	}
+	allowed := b.job.Stretch + float64(b.job.TargetMs)/1000/max(b.expects, 0.001)/float64(len(b.job.Spec.Steps))
+	switch {
+	case b.job.Stretch <= 0:
+		return placement.Usual
+	case allowed < tightBelow:
+		return placement.Tight
+	case allowed >= looseFrom:
+		return placement.Loose
+	}
+	return placement.Usual
+}
+
 // nearPatience is the part of the time lost by running far that is waited for a near place.
 const nearPatience = 0.5
 
@@ -261,9 +286,11 @@
 func (o *Owner) start(b *bundle, index, attempt int, s *session, ask *placement.Ask) {
 	ref := job.TaskRef{Job: b.key.job, Time: b.key.time, Step: b.key.step, Index: index}
 	r := &run{runKey: runKey{task: ref, attempt: attempt}, need: ask.Need, cost: ask.Cost, expected: b.expects, sentAt: o.now}
-	if ask.Rack != "" && !slices.Contains(s.labels, ask.Rack) {
+	r.far = ask.Rack != "" && !slices.Contains(s.labels, ask.Rack)
+	if r.far {
 		r.expected *= o.bounds.FarX
 	}
+	r.expected *= s.speed.Now()
 	if s.doubtful() {
 		s.trials++
 		s.trialAt = o.now + min(trialMax, trialFirst<<min(s.trials, 4))
--- a/internal/scheduler/runs.go
+++ b/internal/scheduler/runs.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"basaltloft/internal/admission"
 	"basaltloft/internal/job"
 )
 
@@ -204,7 +205,7 @@
 		o.refill(j, c.Task)
 		return
 	}
-	delete(o.bundles, keyOf(c.Task))
+	o.closeBundle(keyOf(c.Task))
 	o.openTime(j, c.Task.Time)
 }
 
@@ -212,7 +213,7 @@
 func (o *Owner) dropTime(id string, time int) {
 	for _, key := range o.byJob[id] {
 		if key.time == time {
-			delete(o.bundles, key)
+			o.closeBundle(key)
 		}
 	}
 }
@@ -236,6 +237,11 @@
 		return
 	}
 	took := (o.now - r.sentAt).Seconds()
+	near := took
+	if r.far {
+		near /= o.bounds.FarX
+	}
+	o.noteSpeed(s, r, near)
 	ratio := took / r.expected
 	s.pace.Add(min(ratio, 8), paceWindow)
 	if ratio > slowing && s.paceNow() > usualPace {
@@ -244,8 +250,25 @@
 		s.budget.Grow(r.cost, o.mostBudget(s))
 	}
 	if s.paceNow() < usualPace && len(j.Spec.Steps) > r.task.Step {
-		o.costs.Learn(o.typeOf(j, r.task.Step), float64(step.EstimateMs)/1000, took)
+		o.costs.Learn(o.typeOf(j, r.task.Step), float64(step.EstimateMs)/1000, near/s.speed.Now())
+	}
+}
+
+// noteSpeed keeps how long a run of a step took near its data, for what it tells of its
+// runner's speed once the step is complete.
+func (o *Owner) noteSpeed(s *session, r *run, took float64) {
+	if b := o.bundles[keyOf(r.task)]; b != nil && !b.step.Gang {
+		b.ended = append(b.ended, admission.PeerRun{Speed: &s.speed, Took: took})
+	}
+}
+
+// closeBundle forgets a step that is complete, and draws from its runs what they tell of the
+// runners' speeds.
+func (o *Owner) closeBundle(key bundleKey) {
+	if b := o.bundles[key]; b != nil {
+		admission.LearnSpeeds(b.ended)
 	}
+	delete(o.bundles, key)
 }
 
 const (
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -37,6 +37,7 @@
 	resumed       bool          // from saved progress
 	restore       time.Duration // it stands still for so long at first
 	looked        bool          // the runner was asked about it out of turn
+	far           bool          // from its data
 	doubted       bool          // its runner, or its order, was silent for a while
 	ending        bool          // its end waits for its commitment
 	stopWanted    bool
@@ -89,7 +90,8 @@
 	ends        admission.Average // share of runs that failed
 	slowNotedAt time.Duration
 	pace        admission.Average // run times beside the expected ones
-	trialAt     time.Duration     // a doubtful runner gets its next trial then
+	speed       admission.Speed
+	trialAt     time.Duration // a doubtful runner gets its next trial then
 	trials      int
 }
 
