A process that was dark is reached at once: attempts to connect begin one after another

A process that had started earlier had sent its attempt to connect to a dark machine; the system repeats it after a second only. And one whose promise ended meanwhile asked for votes beforehand, in vain, and no longer whether all had started anew.

Ruled out: the disk (each process had started its groups), the rounds of questions (0.1 s where all start together).

--- a/coord/replica/fresh.go
+++ b/coord/replica/fresh.go
@@ -26,12 +26,16 @@
 }
 
 func (m *Machine) askFresh(now time.Duration) {
-	if m.heardOnce || m.role != Follower || now < m.fresh.askAt || !m.Members().Votes(m.id) {
+	if m.heardOnce || !m.waits() || now < m.fresh.askAt || !m.Members().Votes(m.id) {
 		return
 	}
 	m.askFreshRound(now)
 }
 
+// waits tells whether the replica has not stood in earnest: one that only asks beforehand, in
+// vain while the others keep their promises, may learn meanwhile that all have started anew.
+func (m *Machine) waits() bool { return m.role == Follower || m.role == PreCandidate }
+
 // askFreshRound begins the next round.
 func (m *Machine) askFreshRound(now time.Duration) {
 	m.fresh.before = nil
@@ -75,7 +79,7 @@
 }
 
 func (m *Machine) countFresh(now time.Duration, message Message) {
-	if m.heardOnce || m.role != Follower || message.Round != m.fresh.round {
+	if m.heardOnce || !m.waits() || message.Round != m.fresh.round {
 		return
 	}
 	m.fresh.now[message.From] = message
--- a/coord/rpc/client.go
+++ b/coord/rpc/client.go
@@ -60,7 +60,7 @@
 
 // NewClient returns a client of the server at an address, as host:port.
 func NewClient(address string) *Client {
-	return &Client{address: address, transport: &http.Transport{DialContext: Dialer().DialContext, DisableCompression: true}, waiting: map[uint64]chan any{}}
+	return &Client{address: address, transport: &http.Transport{DialContext: dialAgain, DisableCompression: true}, waiting: map[uint64]chan any{}}
 }
 
 // Call sends a message, once, and waits for its answer. An error says nothing of whether the
--- /dev/null
+++ b/coord/rpc/dial_test.go
@@ -0,0 +1,60 @@
+package rpc
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+)
+
+// TestALaterAttemptCounts: the first attempt never has an outcome, as towards a machine that was
+// dark; the second one connects.
+func TestALaterAttemptCounts(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	begun := make(chan int, 2)
+	begun <- 1
+	begun <- 2
+	here, there := net.Pipe()
+	defer there.Close()
+	conn, err := dialWith(ctx, func() (net.Conn, error) {
+		if <-begun == 1 {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		return here, nil
+	}, time.Millisecond)
+	require.NoError(t, err)
+	require.Equal(t, here, conn)
+}
+
+func TestARefusalIsTold(t *testing.T) {
+	refused := errors.New("refused")
+	_, err := dialWith(context.Background(), func() (net.Conn, error) { return nil, refused }, time.Hour)
+	require.ErrorIs(t, err, refused)
+}
+
+// TestAConnectionTooLateIsClosed: of two attempts that succeed one is kept.
+func TestAConnectionTooLateIsClosed(t *testing.T) {
+	late, other := net.Pipe()
+	first, peer := net.Pipe()
+	defer peer.Close()
+	release, begun := make(chan struct{}), make(chan int, 2)
+	begun <- 1
+	begun <- 2
+	conn, err := dialWith(context.Background(), func() (net.Conn, error) {
+		if <-begun == 1 {
+			<-release
+			return late, nil
+		}
+		return first, nil
+	}, time.Millisecond)
+	require.NoError(t, err)
+	require.Equal(t, first, conn)
+	close(release)
+	_, err = other.Read(make([]byte, 1))
+	require.Error(t, err, "the late one was closed")
+}
