A request waits for the configuration as long as it waits for an owner

Change: such a request waits within the time for which any request is held (0.42 of the client's time, from its coming), at most 512 at once, none whose client has gone, none while the process leaves. What is given up is still answered at once.

--- a/internal/dataplane/edge.go
+++ b/internal/dataplane/edge.go
@@ -43,7 +43,7 @@
 // sends none, and finishes what it has.
 func (e *Edge) Run(ctx context.Context) error {
 	front := &http.Server{
-		Addr: e.settings.Listen.HTTP, Handler: &ingress{follower: e.follower, clock: e.now, leaving: e.leaving.Load},
+		Addr: e.settings.Listen.HTTP, Handler: &ingress{follower: e.follower, clock: e.now, leaving: e.leaving.Load, pause: time.Sleep},
 		ReadHeaderTimeout: headerWithin, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
 	}
 	ready := &http.Server{Addr: e.settings.Listen.Readiness, Handler: http.HandlerFunc(e.serveReady), ReadHeaderTimeout: headerWithin}
--- a/internal/dataplane/ingress.go
+++ b/internal/dataplane/ingress.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"basaltloft/internal/dispatch"
@@ -18,6 +19,8 @@
 	follower *follower
 	clock    func() time.Duration
 	leaving  func() bool
+	pause    func(time.Duration)
+	waiting  atomic.Int32 // requests that wait for a configuration
 }
 
 const (
@@ -27,13 +30,15 @@
 	triesApart    = 25 * time.Millisecond
 	retryAfterMs  = 1000
 	normalBody    = 262144
+	mostWaiting   = 512 // requests that wait for a configuration
 )
 
 func (in *ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if in.leaving() {
 		w.Header().Set("Connection", "close")
 	}
-	v, ok := in.follower.current()
+	came := in.clock()
+	v, ok := in.view(r, came+in.held(r, nil))
 	if !ok {
 		refuse(w, http.StatusServiceUnavailable, "the configuration is not known here at this moment", retryAfterMs)
 		return
@@ -43,45 +48,66 @@
 		http.Error(w, "there is no such queue", http.StatusNotFound)
 		return
 	}
-	in.serve(w, r, v, route)
+	in.serve(w, r, v, route, came+in.held(r, route))
 }
 
-func (in *ingress) serve(w http.ResponseWriter, r *http.Request, v *dispatch.View, route *opconfig.Route) {
+// view returns what may be gone by, waiting for it as long as a request may be held: a change
+// of the configuration's owner, or this process's own start, takes less time than a client
+// that was sent away stays away. Only so many requests wait, and none whose client has gone.
+func (in *ingress) view(r *http.Request, deadline time.Duration) (*dispatch.View, bool) {
+	if v, ok := in.follower.current(); ok || in.leaving() {
+		return v, ok
+	}
+	defer in.waiting.Add(-1)
+	if in.waiting.Add(1) > mostWaiting {
+		return nil, false
+	}
+	for in.clock() < deadline && r.Context().Err() == nil {
+		in.pause(triesApart)
+		if v, ok := in.follower.current(); ok {
+			return v, true
+		}
+	}
+	return nil, false
+}
+
+func (in *ingress) serve(w http.ResponseWriter, r *http.Request, v *dispatch.View, route *opconfig.Route, deadline time.Duration) {
 	id := r.URL.Path[len(route.PathPrefix):]
 	switch {
 	case r.Method == http.MethodGet && id == "":
-		in.ask(w, r, v, route, protocol.CountPending, "")
+		in.ask(w, v, route, deadline, protocol.CountPending, "")
 	case r.Method == http.MethodGet:
-		in.ask(w, r, v, route, protocol.AskState, id)
+		in.ask(w, v, route, deadline, protocol.AskState, id)
 	case r.Method == http.MethodDelete && id != "":
-		in.ask(w, r, v, route, protocol.CancelJob, id)
+		in.ask(w, v, route, deadline, protocol.CancelJob, id)
 	case r.Method == http.MethodPost && id != "":
-		in.submit(w, r, v, route, id)
+		in.submit(w, r, v, route, deadline, id)
 	default:
 		http.Error(w, "hand a job in by POST, ask by GET, cancel by DELETE", http.StatusMethodNotAllowed)
 	}
 }
 
-// deadline is when a request is given up. It is held through a change of the shard's owner,
-// which takes about a second: a client that is sent away comes back later than that.
-func (in *ingress) deadline(r *http.Request, route *opconfig.Route) time.Duration {
+// held is for how long a request is held at the most before it is given up: through a change
+// of the shard's owner, which takes about a second, since a client that is sent away comes back
+// later than that. Without a route its time-out is not known.
+func (in *ingress) held(r *http.Request, route *opconfig.Route) time.Duration {
 	whole := normalTimeout
-	if route.TimeoutMs > 0 {
+	if route != nil && route.TimeoutMs > 0 {
 		whole = time.Duration(route.TimeoutMs) * time.Millisecond
 	}
 	if ms, err := strconv.ParseInt(r.Header.Get("Timeout-Ms"), 10, 64); err == nil && ms > 0 {
 		whole = min(whole, time.Duration(ms)*time.Millisecond)
 	}
-	return in.clock() + time.Duration(heldPart*float64(whole))
+	return time.Duration(heldPart * float64(whole))
 }
 
-func (in *ingress) ask(w http.ResponseWriter, r *http.Request, v *dispatch.View, route *opconfig.Route, verb protocol.Verb, id string) {
-	in.write(w, verb, in.carry(in.deadline(r, route), v, route, func(v *dispatch.View, route *opconfig.Route) *dispatch.Call {
+func (in *ingress) ask(w http.ResponseWriter, v *dispatch.View, route *opconfig.Route, deadline time.Duration, verb protocol.Verb, id string) {
+	in.write(w, verb, in.carry(deadline, v, route, func(v *dispatch.View, route *opconfig.Route) *dispatch.Call {
 		return dispatch.NewAsk(v, route, verb, id)
 	}))
 }
 
-func (in *ingress) submit(w http.ResponseWriter, r *http.Request, v *dispatch.View, route *opconfig.Route, id string) {
+func (in *ingress) submit(w http.ResponseWriter, r *http.Request, v *dispatch.View, route *opconfig.Route, deadline time.Duration, id string) {
 	most := v.Config.Limits.MaxBodyBytes
 	if most == 0 {
 		most = normalBody
@@ -91,7 +117,7 @@
 		http.Error(w, "the body is cut short or too large", http.StatusBadRequest)
 		return
 	}
-	in.write(w, 0, in.carry(in.deadline(r, route), v, route, func(v *dispatch.View, route *opconfig.Route) *dispatch.Call {
+	in.write(w, 0, in.carry(deadline, v, route, func(v *dispatch.View, route *opconfig.Route) *dispatch.Call {
 		return dispatch.NewSubmit(v, route, id, body)
 	}))
 }
@@ -126,7 +152,7 @@
 		if v, ok := in.follower.current(); ok && v.Config.Version > have && v.Config.Version >= wanted {
 			return v, true
 		}
-		time.Sleep(triesApart)
+		in.pause(triesApart)
 	}
 	return nil, false
 }
@@ -152,7 +178,7 @@
 			return answer, progress
 		}
 		if progress == dispatch.Retry {
-			time.Sleep(triesApart)
+			in.pause(triesApart)
 		}
 	}
 	return call.GivenUp(), dispatch.Finished
