A runner whose runs crawl or stand still gets trials only, and no tight task

Change: such a runner is doubtful until a run ends there in its usual time; doubtful ones get single trials, tight tasks only where no sound runner suits them or the trial is long due.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -22,7 +22,8 @@
 	Reserved bool    // kept for work that has waited long
 	Pace     float64 // its run times beside what was expected of them; 1 is usual
 	Speed    float64 // run times there beside those of the same steps elsewhere; 1 is usual
-	Doubtful bool    // it fails more than the others do
+	Doubtful bool    // it fails more than the others do, or what it runs crawls
+	TrialDue bool    // of a doubtful one: it had no trial for long
 }
 
 // Haste says how much of a task's time is spare.
@@ -92,12 +93,23 @@
 	Takes int // so many of the tasks that were asked for fit there
 }
 
-// Choose returns the best candidate and how many of the tasks fit there.
+// Choose returns the best candidate and how many of the tasks fit there. Tasks without time to
+// spare are not tried out at doubtful runners while any sound one suits them, be it full, but
+// where a trial is long due: there may be no other tasks.
 func Choose(ask *Ask, candidates []Candidate) (best Place, result Result) {
+	if ask.Haste == Tight {
+		if best, result = choose(ask, candidates, true); result != Unsuitable {
+			return best, result
+		}
+	}
+	return choose(ask, candidates, false)
+}
+
+func choose(ask *Ask, candidates []Candidate, soundOnly bool) (best Place, result Result) {
 	best, result = Place{At: -1}, Unsuitable
 	for at := range candidates {
 		c := &candidates[at]
-		if !suits(ask, c) {
+		if soundOnly && c.Doubtful && !c.TrialDue || !suits(ask, c) {
 			continue
 		}
 		limit := ask.limit(c.Key)
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -98,17 +98,23 @@
 	o.fill(b, j)
 }
 
-// fill finds anew which tasks of a step are to be started.
+// fill finds anew which tasks of a step are to be started, those last that run already.
 func (o *Owner) fill(b *bundle, j *job.Job) {
 	o.dirty = true
 	b.pending = b.pending[:0]
 	step := &j.Times[b.key.time].Steps[b.key.step]
+	var copies []int
 	for index := range step.Tasks {
 		task := &step.Tasks[index]
-		if !task.Done && !b.waiting[index] && (len(task.Runs) == 0 || o.wantsCopy(b, index, task)) {
+		switch {
+		case task.Done || b.waiting[index]:
+		case len(task.Runs) == 0:
 			b.pending = append(b.pending, index)
+		case o.wantsCopy(b, index, task):
+			copies = append(copies, index)
 		}
 	}
+	b.pending = append(b.pending, copies...)
 	if b.step.Gang && len(b.pending) < len(step.Tasks) {
 		b.pending = b.pending[:0]
 	}
@@ -172,7 +178,7 @@
 		candidates = append(candidates, placement.Candidate{
 			Key: len(sessions), Service: s.service, Labels: s.labels, Capacity: s.capacity, Free: s.capacity.Minus(s.used),
 			Room: s.budget.Room(s.out, o.meansOf(s.service)), Idle: len(s.runs) == 0, Pace: s.paceNow(), Speed: s.speed.Now(),
-			Doubtful: doubtful, Reserved: doubtful && (len(s.runs) > 0 || o.now < s.trialAt),
+			Doubtful: doubtful, TrialDue: doubtful && o.now > s.trialAt+trialMax, Reserved: doubtful && (len(s.runs) > 0 || o.now < s.trialAt),
 		})
 		sessions = append(sessions, s)
 	}
@@ -221,34 +227,60 @@
 		return o.placeGang(b, candidates, sessions)
 	}
 	for len(b.pending) > 0 {
-		chosen, result := o.choose(b, candidates, sessions)
+		alike := o.alike(b)
+		chosen, result := o.choose(b, alike, candidates, sessions)
 		if result != placement.Found {
 			return result
 		}
-		for range min(chosen.Takes, len(b.pending)) {
-			index := b.pending[0]
+		for range chosen.Takes {
 			ask := o.ask(b)
 			candidates[chosen.At].Take(ask)
-			o.start(b, index, o.nextAttempt(b, index), sessions[candidates[chosen.At].Key], ask)
+			o.start(b, b.pending[0], o.nextAttempt(b, b.pending[0]), sessions[candidates[chosen.At].Key], ask)
 			b.pending = b.pending[1:]
 		}
 	}
 	return placement.Found
 }
 
-// choose finds a runner for a bundle's tasks, one at which none of its step failed where it can.
-func (o *Owner) choose(b *bundle, candidates []placement.Candidate, sessions []*session) (placement.Place, placement.Result) {
+// alike returns how many of a bundle's next tasks may go to the same runner: those that have
+// no run, which stand first, or else one that is to have a second run.
+func (o *Owner) alike(b *bundle) int {
+	n := 0
+	for n < len(b.pending) && len(o.taskOf(b, b.pending[n]).Runs) == 0 {
+		n++
+	}
+	return max(1, n)
+}
+
+// taskOf returns the state of one task of a bundle.
+func (o *Owner) taskOf(b *bundle, index int) *job.Task {
+	return &b.job.Times[b.key.time].Steps[b.key.step].Tasks[index]
+}
+
+// choose finds a runner for a bundle's next tasks, one at which none of its step failed where
+// it can, and never one that has a run of the task.
+func (o *Owner) choose(b *bundle, alike int, candidates []placement.Candidate, sessions []*session) (placement.Place, placement.Result) {
 	ask := o.ask(b)
+	ask.Count = alike
+	beside := o.taskOf(b, b.pending[0]).Runs
 	room := o.roomApart(b, sessions)
+	limit := func(key int) int {
+		for _, live := range beside {
+			if live.Runner == sessions[key].id {
+				return 0
+			}
+		}
+		return room(key)
+	}
 	ask.Limit = func(key int) int {
 		if b.avoid[sessions[key].id] {
 			return 0
 		}
-		return room(key)
+		return limit(key)
 	}
 	chosen, result := placement.Choose(ask, candidates)
 	if result != placement.Found && len(b.avoid) > 0 {
-		ask.Limit = room
+		ask.Limit = limit
 		chosen, result = placement.Choose(ask, candidates)
 	}
 	return chosen, result
--- a/internal/scheduler/rescue.go
+++ b/internal/scheduler/rescue.go
@@ -116,6 +116,7 @@
 	if !sure && (usual > 0 || len(slow) < slowJobs) {
 		return false
 	}
+	s.crawls = true
 	if o.now >= s.slowNotedAt+markApart {
 		s.slowNotedAt = o.now
 		s.pace.Add(slowestSeen, paceWindow)
--- a/internal/scheduler/runs.go
+++ b/internal/scheduler/runs.go
@@ -243,7 +243,10 @@
 	}
 	o.noteSpeed(s, r, near)
 	ratio := took / r.expected
-	s.pace.Add(min(ratio, 8), paceWindow)
+	s.pace.Add(min(ratio, slowestSeen), paceWindow)
+	if ratio < slowBeyond && s.crawls {
+		s.crawls, s.trials, s.trialAt = false, 0, o.now
+	}
 	if ratio > slowing && s.paceNow() > usualPace {
 		s.budget.Shrink(r.sentAt, o.now, o.meansOf(s.service))
 	} else {
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -301,6 +301,35 @@
 	require.Equal(t, job.Completed, w.store.Jobs[other].State)
 }
 
+// TestAHungRunnerIsNoSink: its tasks move away, so that it always has room; it gets trials only,
+// and all it is given once it works again.
+func TestAHungRunnerIsNoSink(t *testing.T) {
+	w := newWorld(t, 13, 3)
+	w.run(100 * time.Millisecond)
+	hung := w.lives[0]
+	hung.hangs = true
+	began := map[string]bool{}
+	for at := range 120 {
+		w.submit(one(400, 4000), false)
+		w.run(100 * time.Millisecond)
+		if at < 30 {
+			continue // until it is noticed
+		}
+		for ref := range hung.runs {
+			began[ref.Job] = true
+		}
+	}
+	require.LessOrEqual(t, len(began), 6, "trials of 90 tasks")
+	hung.hangs = false
+	for range 100 { // as much as all three take
+		for range 3 {
+			w.submit(one(400, 4000), false)
+		}
+		w.run(100 * time.Millisecond)
+	}
+	require.GreaterOrEqual(t, len(hung.runs), 3, "it works again")
+}
+
 // TestLastingTasksDoNotBlockTheQueue fills the only runner of a label with a lasting task
 // whose cost is beyond any budget; work for that label still leaves, and so does the rest.
 func TestLastingTasksDoNotBlockTheQueue(t *testing.T) {
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -88,6 +88,7 @@
 	out         float64
 	budget      admission.Budget
 	ends        admission.Average // share of runs that failed
+	crawls      bool              // its runs were seen to crawl or to stand still
 	slowNotedAt time.Duration
 	pace        admission.Average // run times beside the expected ones
 	speed       admission.Speed
@@ -101,6 +102,12 @@
 	paceWindow = 8
 )
 
+// A runner is doubtful once more than doubtfulPart of at least leastEnds runs have failed.
+const (
+	leastEnds    = 3
+	doubtfulPart = 0.45
+)
+
 const (
 	contactWithin = 1200 * time.Millisecond // a runner heard of so lately is in touch
 	slowestClock  = 0.98                    // a runner's clock runs no slower than this
@@ -158,8 +165,11 @@
 	return r
 }
 
-// doubtful tells whether the runner fails more than half of what it runs.
-func (s *session) doubtful() bool { return s.ends.Count >= 3 && s.ends.Value > 0.45 }
+// doubtful tells whether the runner fails more than half of what it runs, or whether what it
+// runs crawled or stood still and nothing has ended there in its time since.
+func (s *session) doubtful() bool {
+	return s.crawls || s.ends.Count >= leastEnds && s.ends.Value > doubtfulPart
+}
 
 // paceNow returns the runner's run times beside the expected ones.
 func (s *session) paceNow() float64 {
