The owner accounts for where each job's time went, and logs it for late ones

Need: the operators' measures count jobs that miss their objective; why one did could only be found with traces patched in by hand. Package lateness (no I/O) keeps per task what its time went to: commit, behind others, budget, capacity, rack, gang, a silent runner, moved, failed, far, slow, the work itself; of a job the chain of tasks that its end waited for. A job that ends later than its extension and target allow is logged as 'a job is late' with these in milliseconds.

--- /dev/null
+++ b/internal/scheduler/late.go
@@ -0,0 +1,146 @@
+package scheduler
+
+import (
+	"log/slog"
+	"time"
+
+	"basaltloft/internal/job"
+	"basaltloft/internal/lateness"
+	"basaltloft/internal/placement"
+)
+
+// lateJob is the message under which a late job is logged: basaltloftctl late reads it.
+const lateJob = "a job is late"
+
+// jobAccount is what is known of where a job's time went, under this owner.
+type jobAccount struct {
+	cost  float64 // core-seconds, as estimated when it came
+	paths map[bundleKey]lateness.Path
+}
+
+// accountOf returns a job's account, made when it is first asked for.
+func (o *Owner) accountOf(j *job.Job) *jobAccount {
+	account := o.accounts[j.ID]
+	if account != nil {
+		return account
+	}
+	account = &jobAccount{paths: map[bundleKey]lateness.Path{}}
+	for at := range j.Spec.Steps {
+		step := &j.Spec.Steps[at]
+		account.cost += float64(step.Count) * stepCost(o.expected(j, at), step)
+	}
+	o.accounts[j.ID] = account
+	return account
+}
+
+// trail returns the account of a bundle's task.
+func (b *bundle) trail(index int) *lateness.Trail {
+	trail := b.trails[index]
+	if trail == nil {
+		trail = &lateness.Trail{}
+		b.trails[index] = trail
+	}
+	return trail
+}
+
+// waitsFor tells what a bundle waits for, by why its tasks found no runner.
+func waitsFor(ask *placement.Ask, gang bool, result placement.Result) lateness.Cause {
+	switch {
+	case result == placement.NoBudget:
+		return lateness.Budget
+	case gang:
+		return lateness.Gang
+	case ask.NearOnly:
+		return lateness.Rack
+	}
+	return lateness.Capacity
+}
+
+// lostTo tells under which cause the time of a run counts that did not end well.
+func lostTo(how job.How) lateness.Cause {
+	switch how {
+	case job.Failed:
+		return lateness.Failed
+	case job.Stopped:
+		return lateness.Moved
+	case job.Broken, job.Alone:
+		return lateness.Gang
+	}
+	return lateness.Silent
+}
+
+// accountRun takes in the end of a run. Of runs side by side only the last to end counts.
+func (o *Owner) accountRun(s *session, r *run, how job.How, beside bool) {
+	b := o.bundles[keyOf(r.task)]
+	if b == nil {
+		return
+	}
+	took := o.now - r.sentAt
+	trail := b.trail(r.task.Index)
+	switch {
+	case how == job.Done:
+		far := 1.0
+		if r.far {
+			far = o.bounds.FarX
+		}
+		trail.Run(took, far, s.speed.Now())
+	case !beside:
+		trail.Add(lostTo(how), took)
+		trail.Ready(b.queue.Waited(o.now))
+	}
+}
+
+// accountEnd takes in that a task is done: with it its step may be complete, and its job.
+func (o *Owner) accountEnd(j *job.Job, ref job.TaskRef) {
+	b := o.bundles[keyOf(ref)]
+	_, step := j.Task(ref)
+	if b == nil || step != nil && !step.Complete() {
+		return
+	}
+	o.accountStep(b, ref.Index)
+	if step == nil || j.Times[ref.Time].Open == 0 {
+		o.reportIfLate(b)
+	}
+}
+
+// accountStep takes in that a step is complete, its last task being that one.
+func (o *Owner) accountStep(b *bundle, last int) {
+	account := o.accounts[b.key.job]
+	if account == nil {
+		return
+	}
+	var before []lateness.Path
+	for _, step := range b.step.DependsOn {
+		key := b.key
+		key.step = step
+		before = append(before, account.paths[key])
+	}
+	account.paths[b.key] = lateness.After(before, b.trail(last), o.now)
+}
+
+// reportIfLate logs where the time of a job went whose last step ended later than is owed.
+func (o *Owner) reportIfLate(b *bundle) {
+	account := o.accounts[b.key.job]
+	if account == nil || b.step.LongRunning || b.job.Stretch <= 0 {
+		return
+	}
+	path := account.paths[b.key]
+	cameMs := b.job.AcceptedMs
+	if due := b.job.Spec.DueMs(b.key.time); due > 0 {
+		cameMs = due
+	}
+	took := time.Duration(o.wallMs-cameMs) * time.Millisecond
+	owed := lateness.Objective(path.Spent[lateness.Work], b.job.Stretch, time.Duration(b.job.TargetMs)*time.Millisecond)
+	if took <= owed {
+		return
+	}
+	path.Spent[lateness.Earlier] += max(0, took-path.Spent.Total())
+	attributes := []any{slog.String("job", b.key.job), slog.String("queue", b.job.Queue), slog.Int64("came_ms", cameMs),
+		slog.Int64("took_ms", took.Milliseconds()), slog.Int64("owed_ms", owed.Milliseconds()), slog.Float64("cost", account.cost)}
+	for cause, span := range path.Spent {
+		if span > 0 {
+			attributes = append(attributes, slog.Int64(lateness.Cause(cause).String(), span.Milliseconds()))
+		}
+	}
+	o.log.Info(lateJob, attributes...)
+}
--- a/internal/scheduler/owner.go
+++ b/internal/scheduler/owner.go
@@ -83,6 +83,8 @@
 	means  map[string]*admission.Means // by service
 	losses admission.Average           // share of holds that stay without an answer
 
+	accounts map[string]*jobAccount // by job
+
 	silences []time.Duration // when runners fell silent lately
 	alarmAt  time.Duration   // all may be looked at again from then on
 
@@ -117,6 +119,7 @@
 		store: store, epoch: epoch, bounds: bounds, log: log, now: now, wallMs: wallMs,
 		sessions: map[string]*session{}, bundles: map[bundleKey]*bundle{}, byJob: map[string][]bundleKey{}, repeats: map[string]*job.Job{},
 		ended: map[string]bool{}, costs: admission.NewCosts(), means: map[string]*admission.Means{}, notes: map[uint64][]endNote{}, dirty: true,
+		accounts: map[string]*jobAccount{},
 	}
 	for _, id := range sortedKeys(store.Jobs) {
 		o.inherit(store.Jobs[id])
@@ -348,6 +351,7 @@
 	o.ended[j.ID] = true
 	o.endings = append(o.endings, ending{id: j.ID, atMs: max(j.EndedMs, o.wallMs)})
 	delete(o.repeats, j.ID)
+	delete(o.accounts, j.ID)
 	for _, key := range o.byJob[j.ID] {
 		delete(o.bundles, key)
 	}
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -8,6 +8,7 @@
 
 	"basaltloft/internal/admission"
 	"basaltloft/internal/job"
+	"basaltloft/internal/lateness"
 	"basaltloft/internal/placement"
 )
 
@@ -33,6 +34,8 @@
 	rank    admission.Rank
 	expects float64
 	ended   []admission.PeerRun // runs that ended well, for the runners' speeds
+	queue   *lateness.Queue
+	trails  map[int]*lateness.Trail // by task
 }
 
 // passEvery is how often ready work is looked at though nothing happened.
@@ -82,7 +85,9 @@
 		}
 		o.sequence++
 		o.byJob[j.ID] = append(o.byJob[j.ID], key)
-		o.bundles[key] = &bundle{key: key, job: j, step: &j.Spec.Steps[step], waiting: map[int]bool{}, avoid: map[string]bool{}, readyAt: o.now, seq: o.sequence}
+		o.bundles[key] = &bundle{key: key, job: j, step: &j.Spec.Steps[step], waiting: map[int]bool{}, avoid: map[string]bool{}, readyAt: o.now, seq: o.sequence,
+			queue: lateness.NewQueue(o.now), trails: map[int]*lateness.Trail{}}
+		o.accountOf(j)
 		o.refill(j, job.TaskRef{Job: j.ID, Time: time, Step: step})
 	}
 }
@@ -130,12 +135,16 @@
 		return
 	}
 	candidates, sessions := o.candidates()
+	for _, b := range ready {
+		b.queue.Wait(o.now, lateness.Behind)
+	}
 	kept := 0
 	for _, b := range ready {
 		result := o.place(b, candidates, sessions)
 		if len(b.pending) == 0 {
 			continue
 		}
+		b.queue.Wait(o.now, waitsFor(o.ask(b), b.step.Gang, result))
 		if result == placement.NoBudget {
 			o.holdBack(b, candidates, sessions)
 			return
@@ -329,6 +338,7 @@
 	}
 	s.add(r)
 	b.waiting[index] = true
+	b.trail(index).Leaves(b.queue.Waited(o.now))
 	o.meansOf(b.job.Service).Add(ask.Cost)
 	o.propose(job.Command{Kind: job.Start, Task: ref, Attempt: attempt, Runner: s.id, Address: s.address})
 }
--- a/internal/scheduler/runs.go
+++ b/internal/scheduler/runs.go
@@ -5,6 +5,7 @@
 
 	"basaltloft/internal/admission"
 	"basaltloft/internal/job"
+	"basaltloft/internal/lateness"
 )
 
 // startApplied sends the order whose command was committed, or gives its place back.
@@ -23,6 +24,7 @@
 	}
 	if b := o.bundles[keyOf(c.Task)]; b != nil {
 		delete(b.waiting, c.Task.Index)
+		b.trail(c.Task.Index).Add(lateness.Commit, o.now-r.sentAt)
 	}
 	r.phase = ordered
 	if r.stopWanted || s.over || j.State.Over() {
@@ -147,11 +149,16 @@
 	if s := o.sessions[c.Runner]; s != nil {
 		if r := s.remove(key); r != nil {
 			o.learn(j, s, r, c.How)
+			task, _ := j.Task(c.Task)
+			o.accountRun(s, r, c.How, task != nil && len(task.Runs) > 0)
 		}
 	}
 	if outcome != job.Applied {
 		return
 	}
+	if c.How == job.Done {
+		o.accountEnd(j, c.Task)
+	}
 	if j.State.Over() {
 		o.jobOver(j)
 		return
