A new owner's budgets begin beside what is out

A new owner set each budget to six mean costs, below what its runners had from the owner before, so that none took anything until budgets had grown.

Change: a budget that is not set begins with what is out and six mean costs; the inherited runs' costs count in the mean, lasting tasks' cost of nothing does not.

Ruled out: capacity (the runners ran on, a sixth of the wait), the look at the runners (starts left within 0.1 s of the lead).

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -65,6 +65,15 @@
 	require.Equal(t, 15.0, budget.Room(0, means), "a floor remains")
 }
 
+// TestABudgetBeginsBesideWhatIsOut: a dispatcher that takes over finds runners at work, and may
+// give them more at once.
+func TestABudgetBeginsBesideWhatIsOut(t *testing.T) {
+	budget, means := admission.Budget{}, &admission.Means{}
+	means.Add(10)
+	require.Equal(t, 60.0, budget.Room(500, means))
+	require.Equal(t, 160.0, budget.Room(400, means), "what has ended leaves its room")
+}
+
 func TestBudgetThatHoldsWorkBackForLongGrowsByItself(t *testing.T) {
 	budget, means := admission.Budget{}, &admission.Means{}
 	means.Add(10)
--- a/internal/admission/budget.go
+++ b/internal/admission/budget.go
@@ -17,8 +17,13 @@
 // Means is the moving mean of the costs of what was started, which budgets are counted in.
 type Means struct{ cost Average }
 
-// Add takes in the cost of a task that was started.
-func (m *Means) Add(cost float64) { m.cost.Add(cost, costsWindow) }
+// Add takes in the cost of a task that was started. One without a cost tells nothing of the
+// others'.
+func (m *Means) Add(cost float64) {
+	if cost > 0 {
+		m.cost.Add(cost, costsWindow)
+	}
+}
 
 // Mean returns the mean cost; 1 while nothing is known.
 func (m *Means) Mean() float64 {
@@ -42,13 +47,15 @@
 	if b.amount == 0 && !means.cost.Known() {
 		return math.MaxFloat64
 	}
-	b.set(means)
+	b.set(out, means)
 	return b.amount - out
 }
 
-func (b *Budget) set(means *Means) {
+// set begins a budget with a few mean costs beside what is out: where that comes from an
+// earlier dispatcher, its budget had let it out, and the runner carries it.
+func (b *Budget) set(out float64, means *Means) {
 	if b.amount == 0 {
-		b.amount = startMeans * means.Mean()
+		b.amount = out + startMeans*means.Mean()
 	}
 }
 
@@ -81,7 +88,7 @@
 	if sentAt < b.lastCut {
 		return
 	}
-	b.set(means)
+	b.set(0, means)
 	b.amount = Shrunk(b.amount, shrinkPart, leastMeans*means.Mean())
 	b.lastCut = now
 }
--- a/internal/scheduler/owner.go
+++ b/internal/scheduler/owner.go
@@ -157,6 +157,7 @@
 	r := &run{runKey: runKey{task: ref, attempt: live.Attempt}, phase: inherited, need: step.Resources, sentAt: o.now, resumed: true}
 	r.expected = o.expected(j, ref.Step)
 	r.cost = stepCost(r.expected, step)
+	o.meansOf(j.Service).Add(r.cost)
 	s.add(r)
 	o.dropIfUseless(j, s, r)
 }
