basaltloftctl late: where late jobs' time went, from the logs

It reads the logs of core processes (logfmt by a registry library) and prints the late jobs by the cause that took most, by queue, size and window, with mean milliseconds by cause.

--- a/cmd/basaltloftctl/main.go
+++ b/cmd/basaltloftctl/main.go
@@ -123,6 +123,10 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitUsage)
 	}
+	if _, err := parser.AddCommand("late", "Show where late jobs' time went", "Reads the logs of core processes, of files or standard input, and tells for the jobs that missed their objective how long they waited, on the mean, for what: by the cause that took most, by queue, by size and by time.", &lateCommand{}); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitUsage)
+	}
 	if _, err := parser.Parse(); err != nil {
 		if flags.WroteHelp(err) {
 			fmt.Println(err)
--- a/internal/scheduler/late.go
+++ b/internal/scheduler/late.go
@@ -9,9 +9,6 @@
 	"basaltloft/internal/placement"
 )
 
-// lateJob is the message under which a late job is logged: basaltloftctl late reads it.
-const lateJob = "a job is late"
-
 // jobAccount is what is known of where a job's time went, under this owner.
 type jobAccount struct {
 	cost  float64 // core-seconds, as estimated when it came
@@ -33,6 +30,15 @@
 	return account
 }
 
+// cameMs returns the time of day from which on a time of a job is owed: when it is due, or when
+// the job was accepted.
+func cameMs(j *job.Job, time int) int64 {
+	if due := j.Spec.DueMs(time); due > 0 {
+		return due
+	}
+	return j.AcceptedMs
+}
+
 // trail returns the account of a bundle's task.
 func (b *bundle) trail(index int) *lateness.Trail {
 	trail := b.trails[index]
@@ -125,22 +131,18 @@
 		return
 	}
 	path := account.paths[b.key]
-	cameMs := b.job.AcceptedMs
-	if due := b.job.Spec.DueMs(b.key.time); due > 0 {
-		cameMs = due
-	}
-	took := time.Duration(o.wallMs-cameMs) * time.Millisecond
+	took := time.Duration(o.wallMs-b.cameMs) * time.Millisecond
 	owed := lateness.Objective(path.Spent[lateness.Work], b.job.Stretch, time.Duration(b.job.TargetMs)*time.Millisecond)
 	if took <= owed {
 		return
 	}
 	path.Spent[lateness.Earlier] += max(0, took-path.Spent.Total())
-	attributes := []any{slog.String("job", b.key.job), slog.String("queue", b.job.Queue), slog.Int64("came_ms", cameMs),
+	attributes := []any{slog.String("job", b.key.job), slog.String("queue", b.job.Queue), slog.Int64("came_ms", b.cameMs),
 		slog.Int64("took_ms", took.Milliseconds()), slog.Int64("owed_ms", owed.Milliseconds()), slog.Float64("cost", account.cost)}
 	for cause, span := range path.Spent {
 		if span > 0 {
 			attributes = append(attributes, slog.Int64(lateness.Cause(cause).String(), span.Milliseconds()))
 		}
 	}
-	o.log.Info(lateJob, attributes...)
+	o.log.Info(lateness.LateMessage, attributes...)
 }
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -34,6 +34,7 @@
 	rank    admission.Rank
 	expects float64
 	ended   []admission.PeerRun // runs that ended well, for the runners' speeds
+	cameMs  int64               // time of day from which on the job's time is owed
 	queue   *lateness.Queue
 	trails  map[int]*lateness.Trail // by task
 }
@@ -86,7 +87,7 @@
 		o.sequence++
 		o.byJob[j.ID] = append(o.byJob[j.ID], key)
 		o.bundles[key] = &bundle{key: key, job: j, step: &j.Spec.Steps[step], waiting: map[int]bool{}, avoid: map[string]bool{}, readyAt: o.now, seq: o.sequence,
-			queue: lateness.NewQueue(o.now), trails: map[int]*lateness.Trail{}}
+			cameMs: cameMs(j, time), queue: lateness.NewQueue(o.now), trails: map[int]*lateness.Trail{}}
 		o.accountOf(j)
 		o.refill(j, job.TaskRef{Job: j.ID, Time: time, Step: step})
 	}
