Tight jobs wait less for their rack; runs that stand still are noticed sooner

Change: a run stands still after 0.4 s and 0.08 of its expected time without progress instead of 0.6 s and 0.15; a tight job waits a tenth, not a half, of what running far costs.

--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -200,7 +200,7 @@
 	return &placement.Ask{
 		Service: b.job.Service, Count: len(b.pending), Haste: haste(b),
 		Need: b.step.Resources, Cost: stepCost(b.expects, b.step), Constraints: b.step.Constraints, Rack: b.step.Affinity,
-		NearOnly: b.step.Affinity != "" && (o.now-b.readyAt).Seconds() < nearPatience*(o.bounds.FarX-1)*b.expects,
+		NearOnly: b.step.Affinity != "" && o.waitsNear(b),
 	}
 }
 
@@ -228,8 +228,21 @@
 	return placement.Usual
 }
 
-// nearPatience is the part of the time lost by running far that is waited for a near place.
-const nearPatience = 0.5
+// nearPatience is the part of the time lost by running far that is waited for a near place; a
+// tight job that waits so long and then runs far is late by all means, so that it waits less.
+const (
+	nearPatience      = 0.5
+	nearPatienceTight = 0.1
+)
+
+// waitsNear tells whether a bundle's tasks rather wait than run far from their data.
+func (o *Owner) waitsNear(b *bundle) bool {
+	patience := nearPatience
+	if haste(b) == placement.Tight {
+		patience = nearPatienceTight
+	}
+	return (o.now - b.readyAt).Seconds() < patience*(o.bounds.FarX-1)*b.expects
+}
 
 // place starts as much of a bundle as fits, as many tasks at one runner as fit there.
 func (o *Owner) place(b *bundle, candidates []placement.Candidate, sessions []*session) placement.Result {
@@ -357,7 +370,7 @@
 			o.startGang(b, places, candidates, sessions)
 			return placement.Found
 		}
-		if (o.now - b.readyAt).Seconds() < nearPatience*(o.bounds.FarX-1)*b.expects {
+		if o.waitsNear(b) {
 			return placement.NoCapacity
 		}
 	}
--- a/internal/scheduler/rescue.go
+++ b/internal/scheduler/rescue.go
@@ -14,8 +14,8 @@
 	standing    = 50.0                   // and one so many times longer stands still
 	slowJobs    = 3                      // so many jobs at one runner are not all estimated wrongly
 	slowFloor   = 300 * time.Millisecond // beside this much
-	stillFor    = 600 * time.Millisecond // a run without progress for so long and
-	stillPart   = 0.15                   // so much of its expected run time stands still
+	stillFor    = 400 * time.Millisecond // a run without progress for so long and
+	stillPart   = 0.08                   // so much of its expected run time stands still: whole percents are listed
 	movingGain  = 1.3                    // a run moves if what is left of it is so many times a new run
 	movingCost  = 200 * time.Millisecond // and this much more
 	mostMoves   = 4                      // attempts after which a task is left where it is
