--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -23,7 +23,6 @@
 	Pace     float64 // its run times beside what was expected of them; 1 is usual
 	Speed    float64 // run times there beside those of the same steps elsewhere; 1 is usual
 	Doubtful bool    // it fails more than the others do, or what it runs crawls
-	TrialDue bool    // of a doubtful one: it had no trial for long
 }
 
 // Haste says how much of a task's time is spare.
@@ -45,6 +44,7 @@
 	Rack        string // label of the rack where its data lies; empty: no matter
 	NearOnly    bool   // it rather waits than run far from its data
 	Haste       Haste  // how much its time matters
+	SoundOnly   bool   // it rather waits than try a doubtful runner, if any sound one suits it
 	Count       int    // tasks that are alike and wait; 0: one
 	// Limit returns how many more of them a runner may take; nil: any number.
 	Limit func(key int) int
@@ -93,11 +93,9 @@
 	Takes int // so many of the tasks that were asked for fit there
 }
 
-// Choose returns the best candidate and how many of the tasks fit there. Tasks without time to
-// spare are not tried out at doubtful runners while any sound one suits them, be it full, but
-// where a trial is long due: there may be no other tasks.
+// Choose returns the best candidate and how many of the tasks fit there.
 func Choose(ask *Ask, candidates []Candidate) (best Place, result Result) {
-	if ask.Haste == Tight {
+	if ask.SoundOnly {
 		if best, result = choose(ask, candidates, true); result != Unsuitable {
 			return best, result
 		}
@@ -109,7 +107,7 @@
 	best, result = Place{At: -1}, Unsuitable
 	for at := range candidates {
 		c := &candidates[at]
-		if soundOnly && c.Doubtful && !c.TrialDue || !suits(ask, c) {
+		if soundOnly && c.Doubtful || !suits(ask, c) {
 			continue
 		}
 		limit := ask.limit(c.Key)
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -140,22 +140,19 @@
 	}
 }
 
-// TestTightTasksAreNotTriedOut: they wait for a sound runner rather than try a doubtful one,
-// unless no sound one suits them at all.
-func TestTightTasksAreNotTriedOut(t *testing.T) {
+// TestSoundRunnersOnly: tasks that ask for them wait rather than try a doubtful one, unless no
+// sound one suits them at all.
+func TestSoundRunnersOnly(t *testing.T) {
 	doubtful, full := candidate(0, 100), candidate(1, 100)
 	doubtful.Doubtful, full.Free = true, job.Resources{}
 	wants := ask()
 	chosen, _ := placement.Choose(wants, []placement.Candidate{doubtful, full})
 	require.Equal(t, 0, chosen.At)
-	wants.Haste = placement.Tight
+	wants.SoundOnly = true
 	_, result := placement.Choose(wants, []placement.Candidate{doubtful, full})
 	require.Equal(t, placement.NoCapacity, result)
 	chosen, _ = placement.Choose(wants, []placement.Candidate{doubtful})
 	require.Equal(t, 0, chosen.At)
-	doubtful.TrialDue = true
-	chosen, _ = placement.Choose(wants, []placement.Candidate{doubtful, full})
-	require.Equal(t, 0, chosen.At, "its trial is long due")
 	chosen, _ = placement.Choose(wants, []placement.Candidate{doubtful, candidate(1, 10)})
 	require.Equal(t, 1, chosen.At, "but a sound one that fits goes first")
 }
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -188,7 +188,7 @@
 		candidates = append(candidates, placement.Candidate{
 			Key: len(sessions), Service: s.service, Labels: s.labels, Capacity: s.capacity, Free: s.capacity.Minus(s.used),
 			Room: s.budget.Room(s.out, o.meansOf(s.service)), Idle: len(s.runs) == 0, Pace: s.paceNow(), Speed: s.speed.Now(),
-			Doubtful: doubtful, TrialDue: doubtful && o.now > s.trialAt+trialMax, Reserved: doubtful && (len(s.runs) > 0 || o.now < s.trialAt),
+			Doubtful: doubtful, Reserved: doubtful && (s.onTrial() || o.now < s.trialAt),
 		})
 		sessions = append(sessions, s)
 	}
@@ -198,7 +198,7 @@
 
 func (o *Owner) ask(b *bundle) *placement.Ask {
 	return &placement.Ask{
-		Service: b.job.Service, Count: len(b.pending), Haste: haste(b),
+		Service: b.job.Service, Count: len(b.pending), Haste: haste(b), SoundOnly: haste(b) == placement.Tight && o.now-b.readyAt < soundFor,
 		Need: b.step.Resources, Cost: stepCost(b.expects, b.step), Constraints: b.step.Constraints, Rack: b.step.Affinity,
 		NearOnly: b.step.Affinity != "" && o.waitsNear(b),
 	}
@@ -211,6 +211,10 @@
 	looseFrom  = 3.0
 )
 
+// soundFor is how long tight tasks wait for a sound runner rather than try a doubtful one: where
+// all sound ones are full and others have room, work must not stand for three seconds.
+const soundFor = time.Second
+
 // haste tells how much time a bundle's job has to spare.
 func haste(b *bundle) placement.Haste {
 	if b.step.LongRunning {
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -330,6 +330,29 @@
 	require.GreaterOrEqual(t, len(hung.runs), 3, "it works again")
 }
 
+// TestALastingTaskDoesNotKeepARunnerFromItsTrial: it tells nothing of its runner and does not end.
+func TestALastingTaskDoesNotKeepARunnerFromItsTrial(t *testing.T) {
+	w := newWorld(t, 14, 2)
+	w.run(100 * time.Millisecond)
+	lasting := one(600_000, 1000)
+	lasting.Steps[0].LongRunning, lasting.Steps[0].Count = true, 2
+	lasting.Steps[0].AntiAffinity = 1 // one on each
+	w.submit(lasting, false)
+	w.run(200 * time.Millisecond)
+	bad := w.lives[0]
+	bad.hangs = true
+	for range 40 {
+		w.submit(one(400, 7000), false)
+		w.run(100 * time.Millisecond)
+	}
+	bad.hangs = false
+	for range 200 {
+		w.submit(one(400, 7000), false)
+		w.run(100 * time.Millisecond)
+	}
+	require.GreaterOrEqual(t, len(bad.runs), 2, "it works again, beside its lasting task")
+}
+
 // TestLastingTasksDoNotBlockTheQueue fills the only runner of a label with a lasting task
 // whose cost is beyond any budget; work for that label still leaves, and so does the rest.
 func TestLastingTasksDoNotBlockTheQueue(t *testing.T) {
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -171,6 +171,17 @@
 	return s.crawls || s.ends.Count >= leastEnds && s.ends.Value > doubtfulPart
 }
 
+// onTrial tells whether a run is under way that will tell something of the runner: lasting ones,
+// which have no cost, end by their cancelling.
+func (s *session) onTrial() bool {
+	for _, r := range s.runs {
+		if r.cost > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // paceNow returns the runner's run times beside the expected ones.
 func (s *session) paceNow() float64 {
 	if s.pace.Count < 2 {
