--- a/internal/admission/budget.go
+++ b/internal/admission/budget.go
@@ -61,19 +61,16 @@
 
 // growAfter is how long a budget holds work back, without a sign of trouble, before it grows
 // by itself: what runs at its runner may last, and end no run that would let it grow.
-const growAfter = 150 * time.Millisecond
+const growAfter = 400 * time.Millisecond
 
-// HeldBack notes that the budget kept work of that cost from its runner, beside what is out.
-// Work that costs more than any budget has would else hold up all that is behind it: once the
-// budget has held it back for a while without a sign of trouble it grows by what is missing.
-func (b *Budget) HeldBack(now time.Duration, out, cost, most float64) {
+// HeldBack notes that the budget kept work of that cost from its runner.
+func (b *Budget) HeldBack(now time.Duration, cost, most float64) {
 	if !b.full {
 		b.full, b.since = true, now
 		return
 	}
 	if now-max(b.since, b.lastCut) > growAfter {
 		b.Grow(cost, most)
-		b.amount = max(b.amount, min(out+cost, most))
 	}
 }
 
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -455,7 +455,7 @@
 		c := &candidates[at]
 		if c.Service == ask.Service && ask.Need.Fits(c.Free) && hasAll(c.Labels, ask.Constraints) {
 			s := sessions[c.Key]
-			s.budget.HeldBack(o.now, s.out, ask.Cost, max(o.mostBudget(s), s.out+ask.Cost))
+			s.budget.HeldBack(o.now, ask.Cost, max(o.mostBudget(s), s.out+ask.Cost))
 		}
 	}
 }
