--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -110,14 +110,15 @@
 		if soundOnly && c.Doubtful || !suits(ask, c) {
 			continue
 		}
-		limit := ask.limit(c.Key)
-		if limit < 1 {
+		if c.Reserved || !ask.Need.Fits(c.Free) || ask.NearOnly && !near(ask, c) {
+			result = better(result, NoCapacity)
 			continue
 		}
-		result = better(result, NoCapacity)
-		if c.Reserved || !ask.Need.Fits(c.Free) || ask.NearOnly && !near(ask, c) {
+		limit := ask.limit(c.Key) // after what is cheaper to look at
+		if limit < 1 {
 			continue
 		}
+		result = better(result, NoCapacity)
 		if !c.Idle && c.Room < ask.Cost {
 			result = better(result, NoBudget)
 			continue
