Lasting tasks tell no speeds; the account of a time that is over is dropped

Found by reading: a lasting task's runs would have been kept for a step that never completes, and a timed job's accounts for as long as the job is there.

--- a/internal/scheduler/runs.go
+++ b/internal/scheduler/runs.go
@@ -216,11 +216,15 @@
 	o.openTime(j, c.Task.Time)
 }
 
-// dropTime forgets what was to start of a time that is complete.
+// dropTime forgets what was to start of a time that is complete, and its account.
 func (o *Owner) dropTime(id string, time int) {
 	for _, key := range o.byJob[id] {
-		if key.time == time {
-			o.closeBundle(key)
+		if key.time != time {
+			continue
+		}
+		o.closeBundle(key)
+		if account := o.accounts[id]; account != nil {
+			delete(account.paths, key)
 		}
 	}
 }
@@ -267,7 +271,7 @@
 // noteSpeed keeps how long a run of a step took near its data, for what it tells of its
 // runner's speed once the step is complete.
 func (o *Owner) noteSpeed(s *session, r *run, took float64) {
-	if b := o.bundles[keyOf(r.task)]; b != nil && !b.step.Gang {
+	if b := o.bundles[keyOf(r.task)]; b != nil && !b.step.Gang && !b.step.LongRunning {
 		b.ended = append(b.ended, admission.PeerRun{Speed: &s.speed, Took: took})
 	}
 }
