--- /dev/null
+++ b/coord/replica/leader_test.go
@@ -0,0 +1,28 @@
+package replica_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"basaltloft/coord/replica"
+)
+
+// TestAMemberWithoutAVoteForgetsASilentLeader: it stands in no election, so that it would else
+// name a leader that is gone for as long as nobody else speaks to it, and operators' calls would
+// be passed on to that one.
+func TestAMemberWithoutAVoteForgetsASilentLeader(t *testing.T) {
+	timing := replica.Timing{Heartbeat: 100 * time.Millisecond, Lease: 420 * time.Millisecond, Promise: 520 * time.Millisecond, Spread: 260 * time.Millisecond}
+	members := replica.Membership{Voters: []replica.Member{{ID: "a"}, {ID: "b"}, {ID: "c"}}, Learners: []replica.Member{{ID: "d"}}}
+	found := replica.Restored{State: replica.HardState{Term: 1}, Snapshot: replica.Snapshot{Index: 1, Term: 1, Membership: members}}
+	now := time.Hour
+	learner := replica.New("d", "g", timing, found, 7, now)
+	learner.Step(now, replica.Message{Kind: replica.Append, From: "a", To: "d", Term: 2, Index: 1, LogTerm: 1, SentAt: now})
+	require.Equal(t, "a", learner.LeaderID())
+	learner.Tick(now + timing.Promise/2)
+	require.Equal(t, "a", learner.LeaderID(), "a heartbeat may be late")
+	learner.Tick(now + timing.Promise + timing.Spread)
+	require.Empty(t, learner.LeaderID())
+	require.Equal(t, replica.Follower, learner.Role(), "and it stands in no election")
+}
