A process of the simulated world that starts has nothing of its last life in memory

No program can do that: its memory is gone. Ruled out: the ring's fewer syncs (no power was lost between; both rings are seen to write, by a trace with their addresses).

--- a/internal/simworld/core_test.go
+++ b/internal/simworld/core_test.go
@@ -137,8 +137,10 @@
 }
 
 // startProcess is what a core process does when it starts: its identity is on disk before
-// anything else.
+// anything else. Nothing of its last life is in memory: what comes before the groups are opened
+// finds none.
 func (c *core) startProcess() {
+	c.groups, c.names, c.shards = nil, nil, nil
 	c.disk.Lies = c.w.mistake == acknowledgeUnsynced
 	if c.identity.id != "" {
 		c.open()
