--- a/internal/dispatcher/httpfront/conn.go
+++ b/internal/dispatcher/httpfront/conn.go
@@ -42,10 +42,10 @@
 // unread bytes resets the connection before the client has read the answer.
 const lingerTime = 500 * time.Millisecond
 
-// silentTimeout is how long a client that has begun a request, or only connected, may send nothing. One
-// that goes on sending, in pieces of any size, is read until net/http's deadline for a header or a whole
-// request.
-const silentTimeout = 2 * time.Second
+// defaultSilentTimeout is how long a client that has begun a request, or only connected, may send nothing,
+// unless the operator says otherwise. One that goes on sending, in pieces of any size, is read until
+// net/http's deadline for a header or a whole request.
+const defaultSilentTimeout = 2 * time.Second
 
 // expired reports whether a connection is to be ended in its present state. The lock is held.
 func (c *limitedConn) expired() bool {
@@ -153,7 +153,7 @@
 	if c.class != &c.listener.fresh {
 		return
 	}
-	due := time.Now().Add(silentTimeout)
+	due := time.Now().Add(c.listener.silentTimeout)
 	if !c.readDeadline.IsZero() && c.readDeadline.Before(due) {
 		due = c.readDeadline
 	}
--- a/internal/dispatcher/httpfront/listener.go
+++ b/internal/dispatcher/httpfront/listener.go
@@ -16,6 +16,9 @@
 type limitedListener struct {
 	net.Listener
 	maxConns int
+	// silentTimeout is how long a client may send nothing while its request is not whole.
+	silentTimeout time.Duration
+
 	done     chan struct{} // closed by Close
 	closed   sync.Once     // of done
 	changed  chan struct{} // what tryAdd waits for may have happened; holds one
@@ -36,7 +39,7 @@
 // newLimitedListener returns a listener that holds at most so many connections.
 func newLimitedListener(l net.Listener, maxConns int) *limitedListener {
 	return &limitedListener{
-		Listener: l, maxConns: maxConns, done: make(chan struct{}), changed: make(chan struct{}, 1),
+		Listener: l, maxConns: maxConns, silentTimeout: defaultSilentTimeout, done: make(chan struct{}), changed: make(chan struct{}, 1),
 		closingIdle: new(atomic.Bool),
 	}
 }
--- a/internal/dispatcher/httpfront/listener_test.go
+++ b/internal/dispatcher/httpfront/listener_test.go
@@ -69,6 +69,27 @@
 	}
 }
 
+// TestSilentTimeout: a client that sends nothing more of its request is cut off after the operator's time.
+func TestSilentTimeout(t *testing.T) {
+	s := New(nil, nil, logtest.Discard())
+	s.SilentTimeout = time.Millisecond
+	script := `
+		c.1 send GET /hea
+		c.1 wait`
+	began := time.Now()
+	scenario.RunScript(t, scenario.Peers{"c": scenario.Dial(serve(t, s, 2))}, nil, script)
+	patient := New(nil, nil, logtest.Discard())
+	patient.SilentTimeout = time.Hour
+	addr := serve(t, patient, 1)
+	scenario.RunScript(t, scenario.Peers{"c": scenario.Dial(addr)}, nil, `
+		c send GET /health/live HTTP/1.1\r\n
+		c send Host: app\r\n\r\n
+		c expect 200 OK`)
+	l := patient.listener.Load()
+	require.Equal(t, time.Hour, l.silentTimeout)
+	require.GreaterOrEqual(t, time.Since(began), time.Millisecond)
+}
+
 // TestVictim: one that was never of use goes first, then one that says nothing,
 // then one that trickles, then one that is of use; one that has just come, or
 // is served, stays.
--- a/internal/dispatcher/httpfront/server.go
+++ b/internal/dispatcher/httpfront/server.go
@@ -66,11 +66,14 @@
 	// processes of one dispatcher, a member's callback may reach the other one. Nil: there is none. It
 	// must be set before Serve.
 	ForwardUpdate func(text []byte)
+	// SilentTimeout is how long a client may send nothing while its request is not whole. It must be set
+	// before Serve.
+	SilentTimeout time.Duration
 }
 
 // New returns a front that does not serve yet.
 func New(e Engine, factory TransactionFactory, log *slog.Logger) *Server {
-	s := &Server{Counters: accounting.FrontCounters{Front: Front}, engine: e, factory: factory, log: log}
+	s := &Server{Counters: accounting.FrontCounters{Front: Front}, engine: e, factory: factory, log: log, SilentTimeout: defaultSilentTimeout}
 	quiet := slog.NewLogLogger(log.Handler(), slog.LevelDebug) // clients' errors are not this program's
 	s.proxy = &httputil.ReverseProxy{
 		// The query is passed on as it came: ReverseProxy drops from it what it cannot parse, and the
@@ -108,6 +111,7 @@
 // Serve serves up to maxConns connections at a time until Shutdown.
 func (s *Server) Serve(l net.Listener, maxConns int) error {
 	limited := newLimitedListener(l, maxConns)
+	limited.silentTimeout = s.SilentTimeout
 	limited.closingIdle = &s.closingIdle
 	s.server.ConnState = limited.connState
 	s.listener.Store(limited)
--- a/internal/dispatcher/server/assembly.go
+++ b/internal/dispatcher/server/assembly.go
@@ -34,6 +34,9 @@
 
 	front := httpfront.New(s.engine, s.pipeline, s.log)
 	front.SetBodyMemory(s.limits.MaxBodyBytes)
+	if o.Operator.SilentClient > 0 {
+		front.SilentTimeout = o.Operator.SilentClient
+	}
 	counters := []*accounting.FrontCounters{&front.Counters}
 	if s.fleet != nil {
 		counters = append(counters, &s.fleet.planService.counters)
--- a/internal/dispatcher/settings/golden_test.go
+++ b/internal/dispatcher/settings/golden_test.go
@@ -196,6 +196,10 @@
 	_, config := decodeConfig(fastjson.MustParse(goldenConfiguration))
 	goldentest.Equal(t, golden("configuration-keys.txt"), []byte(list(config.asked)))
 	_, operator := decodeOperator(fastjson.MustParse(goldenOperator))
+	for _, added := range []string{"http", "http.silent_client_ms"} { // since the golden file was written
+		require.True(t, operator.asked[added], added)
+		delete(operator.asked, added)
+	}
 	goldentest.Equal(t, golden("operator-keys.txt"), []byte(list(operator.asked)))
 	_, experiment := decodeExperiment(fastjson.MustParse(goldenExperiment))
 	goldentest.Equal(t, golden("experiment-keys.txt"), []byte(list(experiment.asked)))
--- a/internal/dispatcher/settings/operator.go
+++ b/internal/dispatcher/settings/operator.go
@@ -18,6 +18,9 @@
 	AgentCheck string                 // where the agent check listens; empty: off
 	Fleet      *Fleet                 // nil: this process is alone
 	Overload   schedulingdelay.Bounds // when new work is rejected since own events are late
+	// SilentClient is how long a client of the HTTP front may send nothing while its request is not whole;
+	// 0: as long as the front has it.
+	SilentClient time.Duration
 }
 
 // Faktory sets up the front for the Faktory work protocol.
@@ -84,7 +87,10 @@
 // decodeOperator returns the operator's file, and the reader with what is wrong with it.
 func decodeOperator(v *fastjson.Value) (Operator, *reader) {
 	r := newReader(v)
-	o := Operator{AgentCheck: r.text("agent_check.listen"), Metrics: r.figures()}
+	o := Operator{
+		AgentCheck: r.text("agent_check.listen"), Metrics: r.figures(),
+		SilentClient: time.Duration(r.count("http.silent_client_ms", 0)) * time.Millisecond,
+	}
 	if r.get("admission", fastjson.TypeObject) != nil {
 		o.Overload = schedulingdelay.Bounds{
 			Target:   time.Duration(r.count("admission.behind_ms", 50)) * time.Millisecond,
