--- a/internal/cluster/scheduler/bench_test.go
+++ b/internal/cluster/scheduler/bench_test.go
@@ -2,30 +2,258 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"testing"
 	"time"
+
+	"basaltloft/internal/cluster/job"
+	"basaltloft/internal/cluster/scheduler"
+)
+
+// The benchmarks time a scheduler that is at work: runners accept what they are ordered to start, runs
+// end, and new jobs come. Of each turn of benchStep only the scheduler's own calls are timed.
+//
+//	go test -run '^$' -bench 'Cycle|Tick' ./internal/cluster/scheduler
+
+const (
+	// benchStep is the virtual time of one turn.
+	benchStep = 5 * time.Millisecond
+	// benchSlots is how many tasks a runner has capacity for.
+	benchSlots = 4
+	// benchStarts is how many tasks a second the runners can run one after another.
+	benchStarts = 1500
+	// benchCalm is the part of that which comes where there is no backlog.
+	benchCalm = 0.6
+	// benchJobTasks is how many tasks a job has.
+	benchJobTasks = 4
+	// benchBacklog is how many jobs wait for capacity where there is a backlog.
+	benchBacklog = 2000
+	// benchWarmup is how many turns pass before any is timed.
+	benchWarmup = 400
+	// benchInitialClockMs is what the runners' clocks show at first; 0 would mean that they have none.
+	benchInitialClockMs = 1000
 )
 
-// BenchmarkCycle is one scheduling cycle over ready work that fits nowhere: 2,000 jobs beside full runners.
-func BenchmarkCycle(b *testing.B) {
-	for _, runners := range []int{350, 3000} {
-		b.Run(fmt.Sprint(runners), func(b *testing.B) {
-			w := newWorld(b, 1, runners)
-			w.run(200 * time.Millisecond)
-			for range runners {
-				w.submit(oneTask(600_000, 16_000), false)
-			}
-			w.run(200 * time.Millisecond)
-			for range 2000 {
-				w.submit(oneTask(1000, 8000), false)
-			}
-			for b.Loop() {
-				b.StopTimer()
-				w.now += 10 * time.Millisecond
-				w.listRunners()
-				b.StartTimer()
-				w.scheduler.TakeOutput(w.now, false)
-			}
+// benchRun is a run at a runner of the benchmarks.
+type benchRun struct {
+	reported scheduler.ReportedRun
+	endsAt   time.Duration
+}
+
+// benchRunner accepts all that it is ordered to start, runs it for as long as its job estimated, and
+// holds a renewal until an end comes or its wait is over.
+type benchRunner struct {
+	running  []benchRun
+	finished []scheduler.ReportedEnd
+	number   uint64
+	renewal  *scheduler.Order // nil: none waits
+	replyAt  time.Duration    // when it is replied to without an end
+}
+
+// benchFleet is a scheduler with its store and runners.
+type benchFleet struct {
+	store     *job.Store
+	scheduler *scheduler.Scheduler
+	now       time.Duration
+	taskTime  time.Duration
+	runners   map[string]*benchRunner
+	inOrder   []string
+	replies   []scheduler.Order // starts and stops of the last turn
+	unapplied scheduler.Output  // commands of the last turn
+	serial    int
+	owed      float64 // tasks that are to be submitted, by the rate
+
+	spent  map[string]time.Duration // in the scheduler, by kind of call
+	starts int                      // starts that were confirmed
+	ends   int                      // ends that were committed
+}
+
+func newBenchFleet(runners int) *benchFleet {
+	f := &benchFleet{
+		store: job.NewStore(), now: time.Hour, runners: map[string]*benchRunner{}, spent: map[string]time.Duration{},
+		taskTime: time.Duration(runners) * benchSlots * time.Second / benchStarts,
+	}
+	f.scheduler = scheduler.New(f.store, 1, scheduler.Config{MaxLease: maxLease, RemoteSlowdown: 1.5, StatusRetention: time.Second}, f.now, f.now.Milliseconds(), slog.New(slog.DiscardHandler))
+	var list []scheduler.Runner
+	for i := range runners {
+		id := fmt.Sprint("i-", i)
+		f.runners[id] = &benchRunner{}
+		f.inOrder = append(f.inOrder, id)
+		list = append(list, scheduler.Runner{ID: id, Service: "desk", Address: fmt.Sprint("10.0.0.1:", i), Labels: []string{"a", fmt.Sprint("r-", i/8)},
+			Capacity: job.Resources{CPU: 1000 * benchSlots, MemMB: 1000 * benchSlots}})
+	}
+	f.scheduler.UpdateRunners(f.now, list)
+	return f
+}
+
+func (f *benchFleet) clockMs() int64 { return benchInitialClockMs + (f.now - time.Hour).Milliseconds() }
+
+// timed runs a call of the scheduler.
+func (f *benchFleet) timed(kind string, call func()) {
+	began := time.Now()
+	call()
+	f.spent[kind] += time.Since(began)
+}
+
+// turn lets benchStep pass, in which as many tasks a second come.
+func (f *benchFleet) turn(rate float64) {
+	f.now += benchStep
+	f.owed += rate * benchStep.Seconds()
+	for ; f.owed >= benchJobTasks; f.owed -= benchJobTasks {
+		f.submit()
+	}
+	f.replyToOrders()
+	f.endRuns()
+	f.applyCommands()
+	f.timed("tick", func() { f.scheduler.Tick(f.now, f.now.Milliseconds()) })
+	f.timed("cycle", func() { f.unapplied = f.scheduler.TakeOutput(f.now, true) })
+	for at := range f.unapplied.Orders {
+		order := &f.unapplied.Orders[at]
+		if order.Kind != scheduler.OrderRenewLease {
+			f.replies = append(f.replies, *order)
+			continue
+		}
+		runner := f.runners[order.Runner]
+		runner.renewal, runner.replyAt = order, f.now+time.Duration(order.WaitMs)*time.Millisecond
+	}
+}
+
+func (f *benchFleet) submit() {
+	f.serial++
+	submission := &job.Submission{ID: fmt.Sprintf("%016x", f.serial), Queue: "h/q/", Service: "desk", Retries: 3, Spec: job.Spec{Text: "t", Steps: []job.Step{{
+		Count: benchJobTasks, EstimateMs: f.taskTime.Milliseconds(), Resources: job.Resources{CPU: 1000, MemMB: 1000},
+	}}}}
+	f.apply(job.Command{Kind: job.AcceptJob, ProposedAtMs: f.now.Milliseconds(), Submission: submission})
+}
+
+func (f *benchFleet) apply(command job.Command) {
+	outcome := f.store.Apply(command)
+	if command.Kind == job.EndRun && outcome == job.Applied {
+		f.ends++
+	}
+	f.timed("applied", func() { f.scheduler.Applied(f.now, command, outcome) })
+}
+
+// applyCommands commits what the last turn proposed.
+func (f *benchFleet) applyCommands() {
+	for _, command := range f.unapplied.Commands {
+		f.apply(command)
+	}
+	if len(f.unapplied.Commands) > 0 {
+		f.timed("committed", func() { f.scheduler.Committed(f.now, f.unapplied.Batch) })
+	}
+	f.unapplied.Commands = nil
+}
+
+// replyToOrders lets the runners carry out the starts and stops of the last turn.
+func (f *benchFleet) replyToOrders() {
+	orders := f.replies
+	f.replies = nil
+	for _, order := range orders {
+		if order.Kind == scheduler.OrderStop {
+			f.timed("replied", func() { f.scheduler.StopReplied(f.now, order, scheduler.StopConfirmed, f.clockMs()) })
+			continue
+		}
+		runner := f.runners[order.Runner]
+		runner.running = append(runner.running, benchRun{
+			reported: scheduler.ReportedRun{Task: order.Task, Attempt: order.Attempt}, endsAt: f.now + f.runTime(),
 		})
+		f.starts++
+		f.timed("replied", func() { f.scheduler.StartReplied(f.now, order, scheduler.StartAccepted, f.clockMs()) })
+	}
+}
+
+// runTime returns how long the next run takes. The first ones end sooner, one after another, as if the
+// runners had been at work before.
+func (f *benchFleet) runTime() time.Duration {
+	if slots := len(f.runners) * benchSlots; f.starts < slots {
+		return f.taskTime * time.Duration(f.starts%slots+1) / time.Duration(slots)
+	}
+	return f.taskTime
+}
+
+// endRuns ends the runs whose time is over, and replies to the renewals that have waited long enough.
+func (f *benchFleet) endRuns() {
+	for _, id := range f.inOrder {
+		runner := f.runners[id]
+		f.endRunsOf(runner)
+		if runner.renewal == nil || len(runner.finished) == 0 && f.now < runner.replyAt {
+			continue
+		}
+		order := *runner.renewal
+		runner.renewal = nil
+		for len(runner.finished) > 0 && runner.finished[0].Number <= order.AckedThrough {
+			runner.finished = runner.finished[1:]
+		}
+		report := scheduler.RunnerReport{ClockMs: f.clockMs(), Finished: runner.finished}
+		for _, run := range runner.running {
+			report.Running = append(report.Running, run.reported)
+		}
+		f.timed("replied", func() { f.scheduler.LeaseReplied(f.now, order, scheduler.LeaseRenewed, report) })
 	}
 }
+
+func (f *benchFleet) endRunsOf(runner *benchRunner) {
+	kept := runner.running[:0]
+	for _, run := range runner.running {
+		if run.endsAt > f.now {
+			kept = append(kept, run)
+			continue
+		}
+		runner.number++
+		runner.finished = append(runner.finished, scheduler.ReportedEnd{Number: runner.number, Task: run.reported.Task, Attempt: run.reported.Attempt, Reason: job.EndDone})
+	}
+	runner.running = kept
+}
+
+// benchWork runs the turns of one benchmark, and reports the time of one kind of call a turn as its
+// time; also what the scheduler spends on all calls for a run.
+func benchWork(b *testing.B, runners int, backlog bool, kind string) {
+	f, rate := newBenchFleet(runners), benchStarts*benchCalm
+	if backlog {
+		rate = benchStarts
+	}
+	for range benchWarmup {
+		f.turn(rate)
+	}
+	if backlog {
+		for range runners*benchSlots/benchJobTasks + benchBacklog {
+			f.submit()
+		}
+	}
+	for range benchWarmup {
+		f.turn(rate)
+	}
+	clear(f.spent)
+	f.starts, f.ends = max(0, f.starts-f.starts), 0
+	for b.Loop() {
+		f.turn(rate)
+	}
+	if f.starts == 0 || f.ends == 0 {
+		b.Fatalf("%d starts and %d ends in %d turns: the scheduler was not at work", f.starts, f.ends, b.N)
+	}
+	total := time.Duration(0)
+	for _, spent := range f.spent {
+		total += spent
+	}
+	b.ReportMetric(float64(f.spent[kind].Nanoseconds())/float64(b.N), "ns/op")
+	b.ReportMetric(float64(total.Nanoseconds())/float64(f.starts), "ns/run")
+	b.ReportMetric(float64(f.starts)/(float64(b.N)*benchStep.Seconds()), "starts/s")
+}
+
+// benchSizes are the runners of the grown and large deployments, and those of the target.
+var benchSizes = []int{350, 1700, 3000, 6200}
+
+func benchEach(b *testing.B, kind string) {
+	for _, runners := range benchSizes {
+		for _, backlog := range []bool{false, true} {
+			b.Run(fmt.Sprintf("runners=%d/backlog=%v", runners, backlog), func(b *testing.B) { benchWork(b, runners, backlog, kind) })
+		}
+	}
+}
+
+// BenchmarkCycle is the output of a turn: its scheduling cycle, and the orders and commands.
+func BenchmarkCycle(b *testing.B) { benchEach(b, "cycle") }
+
+// BenchmarkTick is the check of all runners, one turn in eight, spread over the turns.
+func BenchmarkTick(b *testing.B) { benchEach(b, "tick") }
--- a/internal/dispatcher/httpfront/listener.go
+++ b/internal/dispatcher/httpfront/listener.go
@@ -19,9 +19,9 @@
 	// silentTimeout is how long a client may send nothing while its request is not whole.
 	silentTimeout time.Duration
 
-	done     chan struct{} // closed by Close
-	closed   sync.Once     // of done
-	changed  chan struct{} // what tryAdd waits for may have happened; holds one
+	done    chan struct{} // closed by Close
+	closed  sync.Once     // of done
+	changed chan struct{} // what tryAdd waits for may have happened; holds one
 	// closingIdle ends connections between requests, closingPartial those with a part of a request.
 	closingIdle    *atomic.Bool
 	closingPartial atomic.Bool
