Benchmarks of the cycle and of Tick answer starts, end runs, and fail where nothing was started

Of each turn only the scheduler's calls are timed; ns/run is all of them for a run. A benchmark without starts or ends fails. Those of the capacity package start all their tasks first, and fail otherwise. Nothing else changes.

--- a/internal/cluster/capacity/capacity_test.go
+++ b/internal/cluster/capacity/capacity_test.go
@@ -32,6 +32,7 @@
 	clockMs   int64
 	waiting   []scheduler.Order
 	runs      map[string][]scheduler.ReportedRun
+	started   int // runs
 }
 
 // newCluster returns a cluster of so many runners, all of which have answered.
@@ -70,6 +71,7 @@
 				}
 			case scheduler.OrderStart:
 				c.scheduler.StartReplied(c.now, order, scheduler.StartAccepted, c.clockMs)
+				c.started++
 				c.runs[order.Runner] = append(c.runs[order.Runner], scheduler.ReportedRun{Task: order.Task, Attempt: order.Attempt, Percent: 50})
 			}
 		}
@@ -108,23 +110,40 @@
 		b.Run(fmt.Sprint(runners), func(b *testing.B) {
 			c := newCluster(runners)
 			b.ResetTimer()
-			for started := 0; started < b.N; started += 10 {
+			for submitted := 0; submitted < b.N; submitted += 10 {
 				c.submit(10)
 				c.step(4 * time.Millisecond)
 			}
+			if c.started == 0 {
+				b.Fatal("nothing was started")
+			}
 		})
 	}
 }
 
+// startAll lets time pass until so many tasks run.
+func (c *cluster) startAll(b *testing.B, tasks int) {
+	b.Helper()
+	const longest = 10_000 // steps
+	for range longest {
+		if c.started >= tasks {
+			return
+		}
+		c.step(4 * time.Millisecond)
+	}
+	b.Fatalf("%d of %d tasks were started", c.started, tasks)
+}
+
 // BenchmarkTick is one tick of a scheduler with so many busy runners.
 func BenchmarkTick(b *testing.B) {
 	for _, runners := range []int{100, 1000, 6200} {
 		b.Run(fmt.Sprint(runners), func(b *testing.B) {
 			c := newCluster(runners)
+			const tasksEach = 15
 			for range runners {
-				c.submit(15)
+				c.submit(tasksEach)
 			}
-			c.step(4 * time.Millisecond)
+			c.startAll(b, runners*tasksEach)
 			b.ResetTimer()
 			for n := range b.N {
 				c.now += 40 * time.Millisecond
@@ -281,9 +300,7 @@
 				for range tasks / 10 {
 					c.submit(10)
 				}
-				for range 20 {
-					c.step(4 * time.Millisecond)
-				}
+				c.startAll(b, tasks/10*10)
 				runtime.GC()
 				runtime.ReadMemStats(&after)
 				b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(tasks), "bytes/task")
--- a/internal/cluster/scheduler/bench_test.go
+++ b/internal/cluster/scheduler/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"math"
 	"testing"
 	"time"
 
@@ -18,18 +19,17 @@
 const (
 	// benchStep is the virtual time of one turn.
 	benchStep = 5 * time.Millisecond
-	// benchSlots is how many tasks a runner has capacity for.
+	// benchSlots is how many quick tasks a runner has capacity for. A long-running task takes half of it.
 	benchSlots = 4
-	// benchStarts is how many tasks a second the runners can run one after another.
-	benchStarts = 1500
-	// benchCalm is the part of that which comes where there is no backlog.
-	benchCalm = 0.6
-	// benchJobTasks is how many tasks a job has.
+	// benchRate is how many quick tasks a second come, benchJobTasks a job, and benchTaskTime how long
+	// each takes.
+	benchRate     = 900
 	benchJobTasks = 4
-	// benchBacklog is how many jobs wait for capacity where there is a backlog.
+	benchTaskTime = 600 * time.Millisecond
+	// benchBacklog is how many jobs of a task that needs a whole runner wait, where there is a backlog.
 	benchBacklog = 2000
 	// benchWarmup is how many turns pass before any is timed.
-	benchWarmup = 400
+	benchWarmup = 800
 	// benchInitialClockMs is what the runners' clocks show at first; 0 would mean that they have none.
 	benchInitialClockMs = 1000
 )
@@ -50,12 +50,14 @@
 	replyAt  time.Duration    // when it is replied to without an end
 }
 
+// neverEnds is the end of a run that goes on until it is stopped.
+const neverEnds = time.Duration(math.MaxInt64)
+
 // benchFleet is a scheduler with its store and runners.
 type benchFleet struct {
 	store     *job.Store
 	scheduler *scheduler.Scheduler
 	now       time.Duration
-	taskTime  time.Duration
 	runners   map[string]*benchRunner
 	inOrder   []string
 	replies   []scheduler.Order // starts and stops of the last turn
@@ -71,7 +73,6 @@
 func newBenchFleet(runners int) *benchFleet {
 	f := &benchFleet{
 		store: job.NewStore(), now: time.Hour, runners: map[string]*benchRunner{}, spent: map[string]time.Duration{},
-		taskTime: time.Duration(runners) * benchSlots * time.Second / benchStarts,
 	}
 	f.scheduler = scheduler.New(f.store, 1, scheduler.Config{MaxLease: maxLease, RemoteSlowdown: 1.5, StatusRetention: time.Second}, f.now, f.now.Milliseconds(), slog.New(slog.DiscardHandler))
 	var list []scheduler.Runner
@@ -80,7 +81,7 @@
 		f.runners[id] = &benchRunner{}
 		f.inOrder = append(f.inOrder, id)
 		list = append(list, scheduler.Runner{ID: id, Service: "desk", Address: fmt.Sprint("10.0.0.1:", i), Labels: []string{"a", fmt.Sprint("r-", i/8)},
-			Capacity: job.Resources{CPU: 1000 * benchSlots, MemMB: 1000 * benchSlots}})
+			Capacity: benchResources(benchSlots)})
 	}
 	f.scheduler.UpdateRunners(f.now, list)
 	return f
@@ -95,12 +96,11 @@
 	f.spent[kind] += time.Since(began)
 }
 
-// turn lets benchStep pass, in which as many tasks a second come.
-func (f *benchFleet) turn(rate float64) {
+// turn lets benchStep pass.
+func (f *benchFleet) turn() {
 	f.now += benchStep
-	f.owed += rate * benchStep.Seconds()
-	for ; f.owed >= benchJobTasks; f.owed -= benchJobTasks {
-		f.submit()
+	for f.owed += benchRate * benchStep.Seconds(); f.owed >= benchJobTasks; f.owed -= benchJobTasks {
+		f.submit(job.Step{Count: benchJobTasks, EstimateMs: benchTaskTime.Milliseconds(), Resources: benchResources(1)})
 	}
 	f.replyToOrders()
 	f.endRuns()
@@ -118,11 +118,16 @@
 	}
 }
 
-func (f *benchFleet) submit() {
+// benchResources returns the resources of so many slots.
+func benchResources(slots int64) job.Resources {
+	return job.Resources{CPU: 1000 * slots, MemMB: 1000 * slots}
+}
+
+// submit accepts a job of one step.
+func (f *benchFleet) submit(step job.Step) {
 	f.serial++
-	submission := &job.Submission{ID: fmt.Sprintf("%016x", f.serial), Queue: "h/q/", Service: "desk", Retries: 3, Spec: job.Spec{Text: "t", Steps: []job.Step{{
-		Count: benchJobTasks, EstimateMs: f.taskTime.Milliseconds(), Resources: job.Resources{CPU: 1000, MemMB: 1000},
-	}}}}
+	spec := job.Spec{Text: "t", Steps: []job.Step{step}, LongRunning: step.LongRunning}
+	submission := &job.Submission{ID: fmt.Sprintf("%016x", f.serial), Queue: "h/q/", Service: "desk", Retries: 3, Spec: spec}
 	f.apply(job.Command{Kind: job.AcceptJob, ProposedAtMs: f.now.Milliseconds(), Submission: submission})
 }
 
@@ -154,24 +159,16 @@
 			f.timed("replied", func() { f.scheduler.StopReplied(f.now, order, scheduler.StopConfirmed, f.clockMs()) })
 			continue
 		}
-		runner := f.runners[order.Runner]
-		runner.running = append(runner.running, benchRun{
-			reported: scheduler.ReportedRun{Task: order.Task, Attempt: order.Attempt}, endsAt: f.now + f.runTime(),
-		})
+		run := benchRun{reported: scheduler.ReportedRun{Task: order.Task, Attempt: order.Attempt}, endsAt: f.now + benchTaskTime}
+		if f.store.Jobs[order.Task.Job].Spec.LongRunning {
+			run.endsAt = neverEnds
+		}
+		f.runners[order.Runner].running = append(f.runners[order.Runner].running, run)
 		f.starts++
 		f.timed("replied", func() { f.scheduler.StartReplied(f.now, order, scheduler.StartAccepted, f.clockMs()) })
 	}
 }
 
-// runTime returns how long the next run takes. The first ones end sooner, one after another, as if the
-// runners had been at work before.
-func (f *benchFleet) runTime() time.Duration {
-	if slots := len(f.runners) * benchSlots; f.starts < slots {
-		return f.taskTime * time.Duration(f.starts%slots+1) / time.Duration(slots)
-	}
-	return f.taskTime
-}
-
 // endRuns ends the runs whose time is over, and replies to the renewals that have waited long enough.
 func (f *benchFleet) endRuns() {
 	for _, id := range f.inOrder {
@@ -187,12 +184,21 @@
 		}
 		report := scheduler.RunnerReport{ClockMs: f.clockMs(), Finished: runner.finished}
 		for _, run := range runner.running {
+			run.reported.Percent = f.percent(run)
 			report.Running = append(report.Running, run.reported)
 		}
 		f.timed("replied", func() { f.scheduler.LeaseReplied(f.now, order, scheduler.LeaseRenewed, report) })
 	}
 }
 
+// percent returns how much of a run is done. One that never ends goes on all the same.
+func (f *benchFleet) percent(run benchRun) int {
+	if run.endsAt == neverEnds {
+		return int(f.now/benchTaskTime) % 100
+	}
+	return 100 - int(100*(run.endsAt-f.now)/benchTaskTime)
+}
+
 func (f *benchFleet) endRunsOf(runner *benchRunner) {
 	kept := runner.running[:0]
 	for _, run := range runner.running {
@@ -209,25 +215,23 @@
 // benchWork runs the turns of one benchmark, and reports the time of one kind of call a turn as its
 // time; also what the scheduler spends on all calls for a run.
 func benchWork(b *testing.B, runners int, backlog bool, kind string) {
-	f, rate := newBenchFleet(runners), benchStarts*benchCalm
-	if backlog {
-		rate = benchStarts
-	}
+	f := newBenchFleet(runners)
+	f.submit(job.Step{Count: runners, Resources: benchResources(benchSlots / 2), AntiAffinity: 1, LongRunning: true})
 	for range benchWarmup {
-		f.turn(rate)
+		f.turn()
 	}
 	if backlog {
-		for range runners*benchSlots/benchJobTasks + benchBacklog {
-			f.submit()
+		for range benchBacklog {
+			f.submit(job.Step{Count: 1, EstimateMs: benchTaskTime.Milliseconds(), Resources: benchResources(benchSlots)})
 		}
 	}
 	for range benchWarmup {
-		f.turn(rate)
+		f.turn()
 	}
 	clear(f.spent)
-	f.starts, f.ends = max(0, f.starts-f.starts), 0
+	f.starts, f.ends = 0, 0
 	for b.Loop() {
-		f.turn(rate)
+		f.turn()
 	}
 	if f.starts == 0 || f.ends == 0 {
 		b.Fatalf("%d starts and %d ends in %d turns: the scheduler was not at work", f.starts, f.ends, b.N)
