Scheduler: cycles with a backlog, and checks for stragglers, cost less; decisions unchanged

Change: - placement.Round remembers, within one cycle, the requests for which no runner had the capacity free: one that asks for no less is rejected unseen. A request that a Limit kept from a runner is not remembered. - agedReservations sorts the candidates once where nothing was assigned between. - A run that is not slow by itself is normal whatever its peers do, so that these are not looked up; and a step's runs are found once in a check of all runners.

--- a/internal/cluster/placement/placement.go
+++ b/internal/cluster/placement/placement.go
@@ -104,14 +104,16 @@
 // caller notes what it assigns by Candidate.Assign.
 func Choose(request *Request, candidates []Candidate) (best Assignment, result Result) {
 	if request.HealthyOnly {
-		if best, result = choose(request, candidates, true); result != Unsuitable {
+		if best, result, _ = choose(request, candidates, true); result != Unsuitable {
 			return best, result
 		}
 	}
-	return choose(request, candidates, false)
+	best, result, _ = choose(request, candidates, false)
+	return best, result
 }
 
-func choose(request *Request, candidates []Candidate, healthyOnly bool) (best Assignment, result Result) {
+// choose also tells whether a runner that has the capacity was passed by for the request's Limit.
+func choose(request *Request, candidates []Candidate, healthyOnly bool) (best Assignment, result Result, limited bool) {
 	best, result = Assignment{Candidate: -1}, Unsuitable
 	for i := range candidates {
 		c := &candidates[i]
@@ -127,6 +129,7 @@
 		}
 		limit := request.limit(c.Key) // after what costs less to find out
 		if limit < 1 {
+			limited = true
 			continue
 		}
 		if !c.Idle && c.Headroom < request.Cost {
@@ -139,9 +142,9 @@
 		}
 	}
 	if best.Candidate >= 0 {
-		return best, Found
+		return best, Found, limited
 	}
-	return best, result
+	return best, result, limited
 }
 
 // fitting returns how many of the tasks fit a runner's free capacity and budget: one at least,
--- /dev/null
+++ b/internal/cluster/placement/round_test.go
@@ -0,0 +1,62 @@
+package placement_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"basaltloft/internal/cluster/job"
+	"basaltloft/internal/cluster/placement"
+)
+
+// TestRoundDecidesAsChoose: over random rounds in which runners fill up and are reserved, a round's
+// choices are those of Choose.
+func TestRoundDecidesAsChoose(t *testing.T) {
+	const (
+		rounds  = 300
+		choices = 60
+	)
+	byResult := map[placement.Result]int{}
+	for seed := range uint64(rounds) {
+		random := rand.New(rand.NewPCG(seed, 23))
+		candidates := make([]placement.Candidate, random.IntN(16))
+		for key := range candidates {
+			candidates[key] = randomCandidate(random, key)
+		}
+		round := placement.NewRound(candidates)
+		for range choices {
+			request := randomRequest(random)
+			wanted, wantedResult := placement.Choose(request, candidates)
+			got, result := round.Choose(request)
+			require.Equal(t, wanted, got, "seed %d", seed)
+			require.Equal(t, wantedResult, result, "seed %d", seed)
+			byResult[result]++
+			if result == placement.Found {
+				candidates[got.Candidate].Assign(request)
+			}
+			if len(candidates) > 0 && random.IntN(8) == 0 {
+				candidates[random.IntN(len(candidates))].Reserved = true
+			}
+		}
+	}
+	for _, result := range []placement.Result{placement.Found, placement.NoBudget, placement.NoCapacity, placement.Unsuitable} {
+		require.Positive(t, byResult[result], "the rounds have results of all kinds")
+	}
+}
+
+// TestRoundRemembersRejections: what asks for no less than a rejected request is rejected unseen, and
+// what asks for less is not.
+func TestRoundRemembersRejections(t *testing.T) {
+	candidates := []placement.Candidate{{Service: "s", Capacity: job.Resources{CPU: 8000}, Free: job.Resources{CPU: 3000}, Headroom: 100}}
+	round := placement.NewRound(candidates)
+	ask := func(cpu int64) placement.Result {
+		_, result := round.Choose(&placement.Request{Service: "s", Resources: job.Resources{CPU: cpu}})
+		return result
+	}
+	require.Equal(t, placement.NoCapacity, ask(4000))
+	candidates[0].Free = job.Resources{CPU: 8000} // against the rule that candidates only lose: shows what is looked at
+	require.Equal(t, placement.NoCapacity, ask(5000))
+	require.Equal(t, placement.Unsuitable, ask(9000))
+	require.Equal(t, placement.Found, ask(3999))
+}
--- a/internal/cluster/scheduler/aging.go
+++ b/internal/cluster/scheduler/aging.go
@@ -50,21 +50,43 @@
 // maxReservations returns how many runners may be reserved in this cycle.
 func (c *cycle) maxReservations() int { return len(c.candidates) / candidatesPerReservation }
 
-// reserveForAged reserves, for the rest of the cycle, the suitable runner with the most free
-// capacity, which is too little as yet, for work that has aged.
-func reserveForAged(request *placement.Request, candidates []placement.Candidate) {
-	best := -1
-	for i := range candidates {
-		c := &candidates[i]
+// agedReservations reserves runners for aged work in one scheduling cycle. The zero value is that of a
+// cycle that has reserved none.
+type agedReservations struct {
+	count  int
+	byFree []int // indexes of candidates by falling free capacity; nil: to be found anew
+}
+
+// assigned notes that a candidate's free capacity has changed.
+func (a *agedReservations) assigned() { a.byFree = nil }
+
+// reserve reserves, for the rest of the cycle, the suitable runner with the most free capacity, which
+// is too little as yet, for work that has aged.
+func (a *agedReservations) reserve(request *placement.Request, candidates []placement.Candidate) {
+	a.count++
+	if a.byFree == nil {
+		a.byFree = inFallingFreeCPU(candidates)
+	}
+	for _, index := range a.byFree {
+		c := &candidates[index]
 		if c.Reserved || c.Service != request.Service || request.Resources.FitsIn(c.Free) ||
 			!request.Resources.FitsIn(c.Capacity) || !hasAllLabels(c.Labels, request.Constraints) {
 			continue
 		}
-		if best < 0 || c.Free.CPU > candidates[best].Free.CPU {
-			best = i
-		}
+		c.Reserved = true
+		return
 	}
-	if best >= 0 {
-		candidates[best].Reserved = true
+}
+
+// inFallingFreeCPU returns the indexes of the candidates that are not reserved. Of equals the first
+// stays first.
+func inFallingFreeCPU(candidates []placement.Candidate) []int {
+	indexes := make([]int, 0, len(candidates))
+	for index := range candidates {
+		if !candidates[index].Reserved {
+			indexes = append(indexes, index)
+		}
 	}
+	slices.SortStableFunc(indexes, func(a, b int) int { return cmp.Compare(candidates[b].Free.CPU, candidates[a].Free.CPU) })
+	return indexes
 }
--- a/internal/cluster/scheduler/aging_test.go
+++ b/internal/cluster/scheduler/aging_test.go
@@ -36,10 +36,16 @@
 	}
 	candidates[3].Capacity = job.Resources{CPU: 3000} // never large enough
 	request := &placement.Request{Service: "s", Resources: job.Resources{CPU: 6000}}
-	reserveForAged(request, candidates)
+	var reservations agedReservations
+	reservations.reserve(request, candidates)
 	require.True(t, candidates[2].Reserved, "the one with the most free capacity")
-	reserveForAged(request, candidates)
-	require.True(t, candidates[1].Reserved, "and the next one")
+	candidates[0].Free = job.Resources{CPU: 1500}
+	reservations.assigned()
+	reservations.reserve(request, candidates)
+	require.True(t, candidates[0].Reserved, "and the next one, as it is now")
+	reservations.reserve(request, candidates)
+	require.True(t, candidates[1].Reserved)
 	require.False(t, candidates[3].Reserved)
+	require.Equal(t, 3, reservations.count)
 	require.Equal(t, 2, (&cycle{candidates: make([]placement.Candidate, 2*candidatesPerReservation+1)}).maxReservations())
 }
--- a/internal/cluster/scheduler/cycle.go
+++ b/internal/cluster/scheduler/cycle.go
@@ -25,6 +25,9 @@
 
 	candidates []placement.Candidate
 	runners    []*runnerSession // by Candidate.Key
+	round      *placement.Round // the choices among candidates
+
+	reservations agedReservations
 }
 
 // runCycle starts what fits: for each task group, in the aged order, it takes the best of the
@@ -46,7 +49,6 @@
 	for _, group := range ready {
 		group.queue.Wait(s.now, lateness.Queued)
 	}
-	reserved := 0
 	for _, group := range ready {
 		if s.startWindow.full() {
 			return
@@ -61,9 +63,8 @@
 		case result == placement.NoBudget:
 			s.recordBlockedBudgets(request)
 			return
-		case result == placement.NoCapacity && group.rank.Aged && reserved < s.cycle.maxReservations():
-			reserved++
-			reserveForAged(request, s.cycle.candidates)
+		case result == placement.NoCapacity && group.rank.Aged && s.cycle.reservations.count < s.cycle.maxReservations():
+			s.cycle.reservations.reserve(request, s.cycle.candidates)
 		}
 	}
 }
@@ -91,6 +92,8 @@
 		runners = append(runners, runner)
 	}
 	s.cycle.candidates, s.cycle.runners = candidates, runners
+	s.cycle.round = placement.NewRound(candidates)
+	s.cycle.reservations = agedReservations{}
 }
 
 // requestFor returns what a group's tasks ask of a runner.
@@ -144,10 +147,10 @@
 		}
 		return limit(key)
 	}
-	chosen, result := placement.Choose(request, s.cycle.candidates)
+	chosen, result := s.cycle.round.Choose(request)
 	if result != placement.Found && len(group.avoid) > 0 {
 		request.Limit = limit
-		chosen, result = placement.Choose(request, s.cycle.candidates)
+		chosen, result = s.cycle.round.Choose(request)
 	}
 	return chosen, result
 }
@@ -172,6 +175,7 @@
 // start reserves a task's resources at a candidate and proposes the start there.
 func (s *Scheduler) start(group *taskGroup, index, attempt, candidate int, request *placement.Request) {
 	s.cycle.candidates[candidate].Assign(request)
+	s.cycle.reservations.assigned()
 	runner := s.cycle.runners[s.cycle.candidates[candidate].Key]
 	ref := group.taskRef(index)
 	r := &run{runKey: runKey{task: ref, attempt: attempt}, resources: request.Resources, cost: request.Cost, expected: group.expected, orderedAt: s.now}
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -210,9 +210,11 @@
 		return
 	}
 	s.lastTick = now
-	for _, runner := range s.runners.inOrder {
-		s.checkRunner(runner)
-	}
+	s.stragglers.checkAll(func() {
+		for _, runner := range s.runners.inOrder {
+			s.checkRunner(runner)
+		}
+	})
 	s.pollAllOnMassTimeout()
 	s.runners.dropTerminated(now)
 	for _, occurrence := range s.recurring.due(wallMs) {
--- a/internal/cluster/scheduler/straggler.go
+++ b/internal/cluster/scheduler/straggler.go
@@ -32,7 +32,8 @@
 type stragglerPolicy struct {
 	store       *job.Store
 	runners     *runnerTable
-	restoreTime time.Duration // how long a run that resumes makes no progress at first
+	restoreTime time.Duration              // how long a run that resumes makes no progress at first
+	found       map[groupKey][]runSlowness // runs of the steps looked at in checkAll; nil outside of it
 }
 
 // runsToMigrate returns the runs of a runner that are to migrate, in a fixed order. It notes at the
@@ -65,6 +66,10 @@
 		if ratio == 0 {
 			continue
 		}
+		if ratio < slowRatio { // before the peers are looked at, which costs more
+			normal++
+			continue
+		}
 		elsewhere, known := p.slownessElsewhere(now, runner, r)
 		if ratio < slowRatio*max(1, elsewhere) {
 			normal++
@@ -86,26 +91,63 @@
 // slownessElsewhere returns the mean slowness of the same step's runs at other runners; false:
 // none is known.
 func (p *stragglerPolicy) slownessElsewhere(now time.Duration, runner *runnerSession, r *run) (mean float64, known bool) {
-	_, step := p.store.Jobs[r.task.Job].Task(r.task)
+	n := 0
+	for _, peer := range p.stepSlowness(now, r.task) {
+		if peer.runner != runner {
+			mean += peer.slowness
+			n++
+		}
+	}
+	return mean / max(1, float64(n)), n > 0
+}
+
+// runSlowness is how slow a run is, where that is known, and where it runs.
+type runSlowness struct {
+	runner   *runnerSession
+	slowness float64
+}
+
+// checkAll checks runners with the runs of each step found once, however many of them are slow: a step
+// may have thousands. The check must change no run's progress.
+func (p *stragglerPolicy) checkAll(check func()) {
+	p.found = map[groupKey][]runSlowness{}
+	check()
+	p.found = nil
+}
+
+// stepSlowness returns the runs of a task's step whose slowness is known at this moment.
+func (p *stragglerPolicy) stepSlowness(now time.Duration, ref job.TaskRef) []runSlowness {
+	if p.found == nil {
+		return p.findStepSlowness(now, ref)
+	}
+	key := groupOf(ref)
+	runs, found := p.found[key]
+	if !found {
+		runs = p.findStepSlowness(now, ref)
+		p.found[key] = runs
+	}
+	return runs
+}
+
+func (p *stragglerPolicy) findStepSlowness(now time.Duration, ref job.TaskRef) []runSlowness {
+	_, step := p.store.Jobs[ref.Job].Task(ref)
 	if step == nil {
-		return 0, false
+		return nil
 	}
-	n := 0
+	var runs []runSlowness
 	for index := range step.Tasks {
-		peer := r.task
-		peer.Index = index
+		ref.Index = index
 		for _, live := range step.Tasks[index].Runs {
-			other, peerRun := p.runners.find(peer, live)
-			if peerRun == nil || other == runner {
+			runner, r := p.runners.find(ref, live)
+			if r == nil {
 				continue
 			}
-			if ratio := peerRun.slowness(now); ratio > 0 {
-				mean += ratio
-				n++
+			if slowness := r.slowness(now); slowness > 0 {
+				runs = append(runs, runSlowness{runner: runner, slowness: slowness})
 			}
 		}
 	}
-	return mean / max(1, float64(n)), n > 0
+	return runs
 }
 
 // shouldMigrate tells whether a run is to migrate from a runner that is slow, or not, at this
