basaltloftctl demo: a whole cluster on loopback by one command

Cause: a newcomer had no way to see the scheduler at work; README named a test.

The stand-ins (internal/cluster/standin) and the processes on loopback (internal/cluster/localcluster) are those of systemtest, moved; systemtest and upgradetest use them there. A node whose context ends with the cause ErrKilled hands no leadership over.

Tests of demo and basaltloftctl passed under the race detector, systemtest, upgradetest, standin passed; lint clean.

--- a/cmd/basaltloftctl/main.go
+++ b/cmd/basaltloftctl/main.go
@@ -1,5 +1,5 @@
 // Command basaltloftctl shows operators what the control-plane nodes of a cluster scheduler hold,
-// and why jobs were late.
+// and why jobs were late; and runs a demonstration cluster on one machine.
 package main
 
 import (
@@ -27,6 +27,9 @@
 	if _, err := parser.AddCommand("late", "Show where late jobs' time went", "Reads the logs of core processes, of files or standard input, and tells for the jobs that missed their objective how long they waited, on the mean, for what: by the cause that took most, by queue, by size and by time.", &lateCommand{}); err != nil {
 		return report(err, exitUsage)
 	}
+	if _, err := parser.AddCommand("demo", "Run a cluster on this machine", "Runs three control-plane nodes, two dispatchers and stand-ins of the platform, of runners and of clients in one process, on loopback, and prints a line a second: jobs done, latencies, runners, and how many groups each node leads. Ends with 1 where a job was not completed.", &demoCommand{}); err != nil {
+		return report(err, exitUsage)
+	}
 	_, err := parser.ParseArgs(args)
 	var usage *flags.Error
 	switch {
--- a/internal/cluster/controlplane/node.go
+++ b/internal/cluster/controlplane/node.go
@@ -139,6 +139,10 @@
 	}
 }
 
+// ErrKilled is the cause of a context that ends Run without a transfer of leadership, as if the process
+// were killed: for clusters within one process, which can't kill a part of it.
+var ErrKilled = errors.New("the node is killed")
+
 // Run serves until the context ends, and then transfers the leadership of this node's groups to other
 // nodes. It returns once the goroutines that it started have ended, or closeTimeout after the transfer.
 // It returns an error where it can't listen, or where damaged state can't be set aside. It is called
@@ -161,7 +165,9 @@
 	case serveErr := <-serveErrors:
 		err = errors.Wrap(serveErr, "serve")
 	case <-ctx.Done():
-		n.transferLeadership()
+		if !errors.Is(context.Cause(ctx), ErrKilled) {
+			n.transferLeadership()
+		}
 	}
 	n.shutDown(internal, operators)
 	return err
--- a/internal/cluster/systemtest/platform.go
+++ b/internal/cluster/standin/platform.go
@@ -1,17 +1,17 @@
-package systemtest
+package standin
 
 import (
 	"encoding/json"
 	"net/http"
-	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 )
 
-// Platform is a fake of the platform's instance list. It may be used concurrently.
+// Platform is a stand-in of the platform's instance list. It may be used concurrently.
 type Platform struct {
 	// Server answers GET /instances. The caller closes it.
-	Server *httptest.Server
+	Server *Server
 
 	mu        sync.Mutex
 	instances []instance
@@ -40,11 +40,12 @@
 	NextToken *string    `json:"next_token"`
 }
 
-// NewPlatform returns a started platform that lists no instance.
-func NewPlatform() *Platform {
+// NewPlatform returns a started platform that lists no instance, or an error of NewServer.
+func NewPlatform() (*Platform, error) {
 	p := &Platform{}
-	p.Server = httptest.NewServer(http.HandlerFunc(p.handleList))
-	return p
+	server, err := NewServer(http.HandlerFunc(p.handleList))
+	p.Server = server
+	return p, err
 }
 
 func (p *Platform) handleList(w http.ResponseWriter, r *http.Request) {
@@ -57,6 +58,13 @@
 	writeJSON(w, instanceList{Instances: p.instances})
 }
 
+// RemoveRunner takes a runner off the list.
+func (p *Platform) RemoveRunner(r *Runner) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.instances = slices.DeleteFunc(slices.Clone(p.instances), func(listed instance) bool { return listed.ID == r.ID })
+}
+
 // AddRunner lists a runner as a ready instance of a service.
 func (p *Platform) AddRunner(r *Runner, service string) {
 	p.mu.Lock()
@@ -67,5 +75,5 @@
 	})
 }
 
-// writeJSON answers with a value. A client that has gone is not an error of the fake.
+// writeJSON answers with a value. A client that has gone is not an error of the stand-in.
 func writeJSON(w http.ResponseWriter, value any) { _ = json.NewEncoder(w).Encode(value) }
--- a/internal/cluster/systemtest/runner.go
+++ b/internal/cluster/standin/runner.go
@@ -1,10 +1,9 @@
-package systemtest
+package standin
 
 import (
 	"encoding/json"
 	"maps"
 	"net/http"
-	"net/http/httptest"
 	"sync"
 	"time"
 )
@@ -25,7 +24,7 @@
 // clockOffsetMs keeps a runner's clock away from 0, which means "not told" in an order.
 const clockOffsetMs = 1000
 
-// Runner is a fake of a runner, which carries out the orders of a scheduler as the deployment's
+// Runner is a stand-in of a runner, which carries out the orders of a scheduler as the deployment's
 // protocol demands: it refuses orders of a lower fencing token, orders to start that arrive after
 // their deadline, and attempts that were over already. It does not end its tasks when their lease
 // expires. Its methods may be called concurrently.
@@ -33,7 +32,7 @@
 	// ID is the instance's ID in the platform's list.
 	ID string
 	// Server takes the orders. The caller closes it.
-	Server *httptest.Server
+	Server *Server
 	// TaskDuration is how long a task runs until it ends as done. It is set before the first start.
 	TaskDuration time.Duration
 
@@ -98,8 +97,8 @@
 	Finished []finishedRun `json:"finished"`
 }
 
-// NewRunner returns a started runner whose tasks run for taskDuration.
-func NewRunner(id string, taskDuration time.Duration) *Runner {
+// NewRunner returns a started runner whose tasks run for taskDuration, or an error of NewServer.
+func NewRunner(id string, taskDuration time.Duration) (*Runner, error) {
 	r := &Runner{
 		ID: id, TaskDuration: taskDuration, started: time.Now(), changed: make(chan struct{}),
 		running: map[string]int{}, overThrough: map[string]int{}, startsByTask: map[string]int{},
@@ -108,8 +107,9 @@
 	mux.HandleFunc("POST /-/run-start", r.handleStart)
 	mux.HandleFunc("POST /-/run-stop", r.handleStop)
 	mux.HandleFunc("POST /-/hold", r.handleRenewLease)
-	r.Server = httptest.NewServer(mux)
-	return r
+	server, err := NewServer(mux)
+	r.Server = server
+	return r, err
 }
 
 // StartCounts returns how many runs of each task have begun, over all attempts.
@@ -247,7 +247,7 @@
 
 // report lists what runs and what has ended. The caller holds the mutex.
 func (r *Runner) report() report {
-	const percentShown = 50 // of a run's work; the fake measures no progress
+	const percentShown = 50 // of a run's work; the stand-in measures no progress
 	reported := report{ClockMs: r.clockMs(), Running: []runningRun{}, Finished: append([]finishedRun{}, r.finished...)}
 	for task, attempt := range r.running {
 		reported.Running = append(reported.Running, runningRun{task: task, attempt: attempt, percent: percentShown})
--- a/internal/cluster/systemtest/runner_test.go
+++ b/internal/cluster/standin/runner_test.go
@@ -1,4 +1,4 @@
-package systemtest_test
+package standin_test
 
 import (
 	"fmt"
@@ -10,16 +10,16 @@
 
 	"github.com/stretchr/testify/require"
 
-	"basaltloft/internal/cluster/systemtest"
+	"basaltloft/internal/cluster/standin"
 )
 
 // sendOrder sends an order to a runner and returns the answer.
-func sendOrder(t *testing.T, runner *systemtest.Runner, path, body string) (status int, answer string) {
+func sendOrder(t *testing.T, runner *standin.Runner, path, body string) (status int, answer string) {
 	t.Helper()
 	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, runner.Server.URL+path, strings.NewReader(body))
 	require.NoError(t, err)
 	request.Header.Set("Expect-Instance", runner.ID)
-	response, err := runner.Server.Client().Do(request)
+	response, err := http.DefaultClient.Do(request)
 	require.NoError(t, err)
 	defer func() { require.NoError(t, response.Body.Close()) }()
 	content, err := io.ReadAll(response.Body)
@@ -32,7 +32,8 @@
 func TestRunnerRefusesOrders(t *testing.T) {
 	const start = `{"task":"job.0.0.0","attempt":%d,"fence_token":%d,"deadline_ms":%d}`
 	const farDeadline = 1 << 40
-	runner := systemtest.NewRunner("i-1", time.Hour)
+	runner, err := standin.NewRunner("i-1", time.Hour)
+	require.NoError(t, err)
 	defer runner.Server.Close()
 	for _, step := range []struct {
 		name, path, order string
--- a/internal/cluster/systemtest/cluster_test.go
+++ b/internal/cluster/systemtest/cluster_test.go
@@ -7,20 +7,18 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"basaltloft/coord/rpc"
-	"basaltloft/internal/cluster/controlplane"
-	"basaltloft/internal/cluster/dataplane"
+	"basaltloft/internal/cluster/localcluster"
 	"basaltloft/internal/cluster/protocol"
 	"basaltloft/internal/cluster/settings"
+	"basaltloft/internal/cluster/standin"
 	"basaltloft/internal/cluster/systemtest"
 	"basaltloft/internal/shared/testdeadline"
 )
@@ -30,14 +28,6 @@
 
 var nodeIPs = []string{"127.0.0.11", "127.0.0.12", "127.0.0.13"}
 
-// Offsets of a process's ports from the first one.
-const (
-	internalOffset  = 0
-	httpOffset      = 2
-	readinessOffset = 3
-	portsEach       = 4
-)
-
 // Limits of one exchange; another follows. How long a request takes to a clear answer, and the groups
 // to the wanted state, depends on the machine and its disks: these waits end with a hang only.
 const (
@@ -50,84 +40,36 @@
 
 // cluster is three control-plane nodes and a dispatcher, each at a loopback address of its own.
 type cluster struct {
+	*localcluster.Cluster
 	t        *testing.T
-	platform *systemtest.Platform
-	runner   *systemtest.Runner
-	port     int               // first port of each process
-	stops    map[string]func() // by address: stops the process and waits for it
-	dataDirs map[string]string // by address
+	platform *standin.Platform
+	runner   *standin.Runner
 }
 
 // newCluster starts a cluster with one runner, whose tasks take taskDuration.
 func newCluster(t *testing.T, taskDuration time.Duration) *cluster {
 	t.Helper()
-	c := &cluster{
-		t: t, platform: systemtest.NewPlatform(), runner: systemtest.NewRunner("i-1", taskDuration),
-		stops: map[string]func(){}, dataDirs: map[string]string{},
-	}
-	for _, ip := range nodeIPs {
-		c.dataDirs[ip] = t.TempDir()
-	}
+	c := &cluster{t: t, platform: systemtest.NewPlatform(t), runner: systemtest.NewRunner(t, "i-1", taskDuration)}
+	c.Cluster = localcluster.New(localcluster.Options{
+		NodeIPs: nodeIPs, DataDir: t.TempDir(), PlatformURL: c.platform.Server.URL, Log: slog.New(slog.DiscardHandler),
+		Port:   systemtest.FreePorts(t, localcluster.PortsEach, append(nodeIPs, dispatcherIP)...),
+		Bounds: settings.Bounds{MaxLeaseMs: 6000, ConfigApplyMs: 2000, GraceS: 0.2, StatusRetentionS: 120, RemoteSlowdown: 1},
+	})
 	t.Cleanup(c.close) // before the directories are removed
-	c.port = systemtest.FreePorts(t, portsEach, append(nodeIPs, dispatcherIP)...)
 	c.platform.AddRunner(c.runner, "desk")
 	for _, ip := range nodeIPs {
-		c.startNode(ip, true)
+		require.NoError(t, c.StartNode(ip, true))
 	}
-	c.run(dispatcherIP, dataplane.New(c.settings(dispatcherIP, true), slog.New(slog.DiscardHandler)).Run)
+	require.NoError(t, c.StartDispatcher(dispatcherIP))
 	return c
 }
 
 func (c *cluster) close() {
-	for _, stop := range c.stops {
-		stop()
-	}
+	c.Close()
 	c.runner.Server.Close()
 	c.platform.Server.Close()
 }
 
-func (c *cluster) address(ip string, offset int) string {
-	return net.JoinHostPort(ip, strconv.Itoa(c.port+offset))
-}
-
-// settings returns the settings of the process at an address.
-func (c *cluster) settings(ip string, bootstrap bool) settings.Settings {
-	processSettings := settings.Settings{
-		NodeName: ip, IP: ip, PortRange: []int{c.port, c.port + 1}, Bootstrap: bootstrap, DataDir: c.dataDirs[ip],
-		Listen:         settings.Listen{HTTP: c.address(ip, httpOffset), Readiness: c.address(ip, readinessOffset), Control: c.address(ip, httpOffset)},
-		FaultTolerance: settings.FaultTolerance{Machines: 1},
-		CloudAPI:       settings.CloudAPI{Address: strings.TrimPrefix(c.platform.Server.URL, "http://")},
-		Bounds:         settings.Bounds{MaxLeaseMs: 6000, ConfigApplyMs: 2000, GraceS: 0.2, StatusRetentionS: 120, RemoteSlowdown: 1},
-	}
-	for _, node := range nodeIPs {
-		processSettings.Seeds = append(processSettings.Seeds, c.address(node, httpOffset))
-	}
-	return processSettings
-}
-
-// startNode starts a control-plane node on its data directory.
-func (c *cluster) startNode(ip string, bootstrap bool) {
-	c.t.Helper()
-	node, err := controlplane.New(c.settings(ip, bootstrap), slog.New(slog.DiscardHandler))
-	require.NoError(c.t, err)
-	c.run(ip, node.Run)
-}
-
-// run runs a process until it is stopped.
-func (c *cluster) run(ip string, run func(context.Context) error) {
-	ctx, cancel := context.WithCancel(context.Background()) // it outlives the test's context, until close
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		_ = run(ctx) // a process that fails shows in what the test asks for
-	}()
-	c.stops[ip] = func() {
-		cancel()
-		<-done
-		delete(c.stops, ip)
-	}
-}
-
 // request is one request of a client or an operator.
 type request struct {
 	method  string
@@ -186,12 +128,12 @@
 
 // operator returns an operator's request to a node.
 func (c *cluster) operator(node int, method, path, body string, base int) request {
-	return request{method: method, address: c.address(nodeIPs[node], httpOffset) + path, body: body, base: base}
+	return request{method: method, address: c.HTTP(nodeIPs[node]) + path, body: body, base: base}
 }
 
 // client returns a client's request to the dispatcher.
 func (c *cluster) client(method, path, body string) request {
-	return request{method: method, address: c.address(dispatcherIP, httpOffset) + path, host: clientHost, body: body}
+	return request{method: method, address: c.HTTP(dispatcherIP) + path, host: clientHost, body: body}
 }
 
 // replaceConfiguration sends version of the configuration, based on another, to a node.
@@ -242,7 +184,7 @@
 func (c *cluster) statuses() map[string]protocol.StatusResponse {
 	statuses := map[string]protocol.StatusResponse{}
 	for _, ip := range nodeIPs {
-		client := rpc.NewClient(c.address(ip, internalOffset))
+		client := rpc.NewClient(c.Internal(ip))
 		ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
 		got, _ := client.Call(ctx, protocol.StatusRequest{})
 		cancel()
--- a/internal/cluster/systemtest/doc.go
+++ b/internal/cluster/systemtest/doc.go
@@ -1,4 +1,31 @@
 // Package systemtest runs three control-plane nodes and a dispatcher in one process, on loopback
-// addresses and temporary disks, against fakes of the platform's instance list and of runners.
-// The fakes are also used by package upgradetest; no program imports this package.
+// addresses and temporary disks, against stand-ins of the platform's instance list and of runners.
+// Its helpers are also used by package upgradetest; no program imports this package.
 package systemtest
+
+import (
+	"testing"
+	"time"
+
+	"basaltloft/internal/cluster/standin"
+)
+
+// NewPlatform returns a started platform that lists no instance. The caller closes its server.
+func NewPlatform(t testing.TB) *standin.Platform {
+	t.Helper()
+	platform, err := standin.NewPlatform()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return platform
+}
+
+// NewRunner returns a started runner whose tasks run for taskDuration. The caller closes its server.
+func NewRunner(t testing.TB, id string, taskDuration time.Duration) *standin.Runner {
+	t.Helper()
+	runner, err := standin.NewRunner(id, taskDuration)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return runner
+}
--- a/internal/cluster/systemtest/system_test.go
+++ b/internal/cluster/systemtest/system_test.go
@@ -43,7 +43,7 @@
 		{"unknown queue", c.client(http.MethodGet, "/nowhere/1", ""), http.StatusNotFound},
 		{"other method", c.client(http.MethodPut, "/q/1", ""), http.StatusMethodNotAllowed},
 		{"body that is not JSON", c.client(http.MethodPost, "/q/00000000000000a2", "{"), http.StatusBadRequest},
-		{"readiness", request{method: http.MethodGet, address: c.address(dispatcherIP, readinessOffset) + "/-/ready"}, http.StatusOK},
+		{"readiness", request{method: http.MethodGet, address: c.Readiness(dispatcherIP) + "/-/ready"}, http.StatusOK},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			require.Equal(t, test.status, c.send(test.request).status)
@@ -88,14 +88,14 @@
 	for node, ip := range nodeIPs {
 		before, after := fmt.Sprintf("%016x", 100+node), fmt.Sprintf("%016x", 200+node)
 		c.submit(before)
-		c.stops[ip]()
+		require.NoError(t, c.Stop(ip))
 		c.submit(after)
 		c.awaitState(before, "completed")
 		c.awaitState(after, "completed")
 		if node == lostDisk {
-			c.dataDirs[ip] = t.TempDir()
+			c.ReplaceDisk(ip, t.TempDir())
 		}
-		c.startNode(ip, false)
+		require.NoError(t, c.StartNode(ip, false))
 		c.requireConfiguration((node+1)%len(nodeIPs), 5+node, 6+node)
 		c.awaitAllVoting()
 	}
--- a/internal/cluster/upgradetest/cluster_test.go
+++ b/internal/cluster/upgradetest/cluster_test.go
@@ -21,6 +21,7 @@
 
 	"basaltloft/coord/rpc"
 	"basaltloft/internal/cluster/protocol"
+	"basaltloft/internal/cluster/standin"
 	"basaltloft/internal/cluster/systemtest"
 )
 
@@ -56,29 +57,29 @@
 }
 
 // cluster is three control-plane nodes and a dispatcher, each a process of the operating system at a
-// loopback address of its own, with the fakes of the platform and of runners.
+// loopback address of its own, with the stand-ins of the platform and of runners.
 type cluster struct {
 	t          *testing.T
 	port       int
 	nodes      []*process
 	dispatcher *process
-	platform   *systemtest.Platform
-	quick      *systemtest.Runner   // its tasks end after a moment
-	slow       []*systemtest.Runner // their tasks run until they are ended
-	vacant     *systemtest.Runner   // quick, and not listed at first
+	platform   *standin.Platform
+	quick      *standin.Runner   // its tasks end after a moment
+	slow       []*standin.Runner // their tasks run until they are ended
+	vacant     *standin.Runner   // quick, and not listed at first
 }
 
 // newCluster prepares a cluster in a loopback network and starts it from a build.
 func newCluster(t *testing.T, network int, from build) *cluster {
 	const quickTakes = 5 * time.Millisecond
 	c := &cluster{
-		t: t, platform: systemtest.NewPlatform(),
-		quick:  systemtest.NewRunner("i-quick", quickTakes),
-		vacant: systemtest.NewRunner("i-vacant", quickTakes),
+		t: t, platform: systemtest.NewPlatform(t),
+		quick:  systemtest.NewRunner(t, "i-quick", quickTakes),
+		vacant: systemtest.NewRunner(t, "i-vacant", quickTakes),
 	}
 	c.platform.AddRunner(c.quick, quickService)
 	for number := range slowRunnerCount {
-		runner := systemtest.NewRunner(fmt.Sprintf("i-slow-%d", number), time.Hour)
+		runner := systemtest.NewRunner(t, fmt.Sprintf("i-slow-%d", number), time.Hour)
 		c.platform.AddRunner(runner, slowService)
 		c.slow = append(c.slow, runner)
 	}
@@ -102,8 +103,8 @@
 	return append(append([]*process{}, c.nodes...), c.dispatcher)
 }
 
-func (c *cluster) runners() []*systemtest.Runner {
-	return append([]*systemtest.Runner{c.quick, c.vacant}, c.slow...)
+func (c *cluster) runners() []*standin.Runner {
+	return append([]*standin.Runner{c.quick, c.vacant}, c.slow...)
 }
 
 func (c *cluster) address(ip string, offset int) string {
@@ -157,7 +158,6 @@
 	}
 	c.platform.Server.Close()
 	for _, runner := range c.runners() {
-		runner.Server.CloseClientConnections()
 		runner.Server.Close()
 	}
 }
