Scheduler: tasks wait for a runner near their data by a forecast, not by fractions (changes behaviour)

Change: rackPatience compares the time waited and the time until a near runner is expected to have capacity and budget (capacityForecast: the learned run times and progress of what runs there, and the tasks before it in the aged order) with the learned cost of running remote; one rule for all urgencies, the formula in its doc comment. Tasks of a step decide one by one.

--- a/internal/cluster/placement/placement.go
+++ b/internal/cluster/placement/placement.go
@@ -76,8 +76,8 @@
 	Unsuitable        // no runner is feasible at all, whatever is free
 )
 
-// feasible tells whether a runner could ever take the task.
-func (c *Candidate) feasible(request *Request) bool {
+// Feasible tells whether a runner could ever take the task.
+func (c *Candidate) Feasible(request *Request) bool {
 	if request.Service != c.Service || !request.Resources.FitsIn(c.Capacity) {
 		return false
 	}
@@ -120,7 +120,7 @@
 		if result <= NoCapacity && !request.Resources.FitsIn(c.Free) {
 			continue // most runners are full: the cheapest check first, once it changes no result
 		}
-		if healthyOnly && c.Suspect || !c.feasible(request) {
+		if healthyOnly && c.Suspect || !c.Feasible(request) {
 			continue
 		}
 		if c.Reserved || !request.Resources.FitsIn(c.Free) || request.LocalOnly && !c.local(request) {
--- a/internal/cluster/placement/round.go
+++ b/internal/cluster/placement/round.go
@@ -31,7 +31,7 @@
 
 // NewRound begins a round over candidates.
 func NewRound(candidates []Candidate) *Round {
-	return &Round{Candidates: candidates, rejected: map[filter][]job.Resources{}}
+	return &Round{Candidates: candidates}
 }
 
 // Choose is the package's Choose over the round's candidates.
@@ -89,6 +89,9 @@
 			kept = append(kept, other)
 		}
 	}
+	if r.rejected == nil {
+		r.rejected = map[filter][]job.Resources{}
+	}
 	r.rejected[key] = append(kept, resources)
 }
 
@@ -96,7 +99,7 @@
 func anyFeasible(request *Request, candidates []Candidate, healthyOnly bool) bool {
 	for i := range candidates {
 		c := &candidates[i]
-		if (!healthyOnly || !c.Suspect) && c.feasible(request) {
+		if (!healthyOnly || !c.Suspect) && c.Feasible(request) {
 			return true
 		}
 	}
--- a/internal/cluster/scheduler/cycle.go
+++ b/internal/cluster/scheduler/cycle.go
@@ -28,6 +28,7 @@
 	round      *placement.Round // the choices among candidates
 
 	reservations agedReservations
+	forecast     capacityForecast
 }
 
 // runCycle starts what fits: for each task group, in the aged order, it takes the best of the
@@ -58,6 +59,9 @@
 		if len(group.pending) == 0 || result == placement.Found {
 			continue
 		}
+		if !request.LocalOnly {
+			s.cycle.forecast.enqueue(len(group.pending))
+		}
 		group.queue.Wait(s.now, waitCause(request, group.step.Gang, result))
 		switch {
 		case result == placement.NoBudget:
@@ -94,6 +98,7 @@
 	s.cycle.candidates, s.cycle.runners = candidates, runners
 	s.cycle.round = placement.NewRound(candidates)
 	s.cycle.reservations = agedReservations{}
+	s.cycle.forecast.begin(candidates, runners)
 }
 
 // requestFor returns what a group's tasks ask of a runner.
@@ -103,18 +108,34 @@
 		Service: group.job.Service, Count: len(group.pending),
 		Resources: group.step.Resources, Cost: stepCost(group.expected, group.step), Constraints: group.step.Constraints,
 		Urgency: urgency, HealthyOnly: urgency == placement.UrgencyHigh && s.now-group.readyAt < healthyOnlyWait,
-		DataRack: group.step.Affinity, LocalOnly: group.step.Affinity != "" && s.patience.waits(s.now, group),
+		DataRack: group.step.Affinity, LocalOnly: group.step.Affinity != "" && s.config.RemoteSlowdown > 1,
 	}
 }
 
-// assign starts as much of a group as fits, as many tasks at one runner as fit there. A result
-// other than Found says why the rest waits; with Found it waits for the start window.
+// assign starts as much of a group as fits, as many tasks at one runner as fit there. Tasks whose data
+// lies in a rack start there; those that fit no runner of it wait, or run remote (rackPatience). A
+// result other than Found says why the rest waits; with Found it waits for the start window.
 func (s *Scheduler) assign(group *taskGroup, request *placement.Request) placement.Result {
 	if group.step.Gang {
 		return s.assignGang(group, request)
 	}
-	for len(group.pending) > 0 && !s.startWindow.full() {
-		request.Count = group.interchangeable()
+	result := s.assignTasks(group, request, len(group.pending))
+	if !request.LocalOnly || result == placement.Found {
+		return result
+	}
+	waiting := s.waitingTasks(group, request)
+	request.LocalOnly = false
+	if remote := s.assignTasks(group, request, len(group.pending)-waiting); remote != placement.Found || waiting == 0 {
+		return remote
+	}
+	request.LocalOnly = true
+	return placement.NoCapacity
+}
+
+// assignTasks starts so many of a group's pending tasks, as far as they fit.
+func (s *Scheduler) assignTasks(group *taskGroup, request *placement.Request, most int) placement.Result {
+	for most > 0 && !s.startWindow.full() {
+		request.Count = min(group.interchangeable(), most)
 		chosen, result := s.chooseRunner(group, request)
 		if result != placement.Found {
 			return result
@@ -123,6 +144,7 @@
 			index := group.pending[0]
 			s.start(group, index, group.nextAttempt(index), chosen.Candidate, request)
 			group.pending = group.pending[1:]
+			most--
 		}
 	}
 	return placement.Found
--- /dev/null
+++ b/internal/cluster/scheduler/forecast_test.go
@@ -0,0 +1,56 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"basaltloft/internal/cluster/job"
+	"basaltloft/internal/cluster/placement"
+)
+
+func TestExpectedRemaining(t *testing.T) {
+	at := testNow + 400*time.Millisecond
+	for name, test := range map[string]struct {
+		run  run
+		want time.Duration
+	}{
+		"by its expected run time": {run{expected: 1, orderedAt: testNow}, 600 * time.Millisecond},
+		"resumed":                  {run{expected: 1, orderedAt: testNow, restoreTime: 100 * time.Millisecond}, 700 * time.Millisecond},
+		"overdue":                  {run{expected: 0.3, orderedAt: testNow}, 100 * time.Millisecond},
+		"its end was proposed":     {run{expected: 1, orderedAt: testNow, ending: true}, 0},
+		"to be stopped":            {run{expected: 1, orderedAt: testNow, stop: stopOrder{requested: true}}, 0},
+		"long-running":             {run{orderedAt: testNow}, neverEnds},
+		"by its progress": {run{expected: 9, orderedAt: testNow, progress: runProgress{
+			rateKnown: true, rate: 100, percent: 50, reportedAt: testNow + 300*time.Millisecond, changedAt: testNow + 300*time.Millisecond,
+		}}, 400 * time.Millisecond},
+	} {
+		require.InDelta(t, test.want, test.run.expectedRemaining(at), float64(time.Microsecond), name)
+	}
+}
+
+func TestForecastCountsCapacityAndBudgetThatEndsFree(t *testing.T) {
+	s := newTestScheduler()
+	runner := addRunner(s, "a")
+	for index, seconds := range []float64{0.1, 0.2} {
+		runner.load.add(&run{
+			runKey: runKey{task: job.TaskRef{Job: "j", Index: index}, attempt: 1}, resources: job.Resources{CPU: 1500}, cost: 1,
+			expected: seconds, orderedAt: testNow,
+		})
+	}
+	s.collectCandidates()
+	s.cycle.candidates[0].Headroom = 1
+	request := &placement.Request{Service: "s", Resources: job.Resources{CPU: 1000}, Cost: 1}
+	slots := func(within time.Duration, limit int) int {
+		return s.cycle.forecast.slots(s.now, within, request, s.cycle.forecast.racks()[0], func(int) int { return limit })
+	}
+	require.Equal(t, 1, slots(0, 9))
+	require.Equal(t, 2, slots(100*time.Millisecond, 9))
+	require.Equal(t, 3, slots(200*time.Millisecond, 9), "four have the capacity; the budget is for three")
+	require.Equal(t, 2, slots(200*time.Millisecond, 2))
+	s.cycle.candidates[0].Suspect = true
+	require.Equal(t, 1, slots(200*time.Millisecond, 9), "a suspect runner takes one")
+	request.Resources.CPU = 5000
+	require.Zero(t, slots(time.Hour, 9))
+}
--- a/internal/cluster/scheduler/gang.go
+++ b/internal/cluster/scheduler/gang.go
@@ -16,7 +16,7 @@
 			s.startGang(group, chosen, request)
 			return placement.Found
 		}
-		if s.patience.waits(s.now, group) {
+		if s.gangWaits(group, request) {
 			return placement.NoCapacity
 		}
 	}
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -14,8 +14,8 @@
 //   - scheduler.go: the inputs and how they are passed on; order.go: messages to and from
 //     runners; outbox.go: what is to be committed and sent.
 //   - cycle.go: the scheduling cycle. Its policies: aging.go (the order of ready work, and
-//     reservations for aged work), urgency.go, patience.go (waiting for a runner near the data),
-//     gang.go, cost.go.
+//     reservations for aged work), urgency.go, patience.go (waiting for a runner near the data,
+//     by forecast.go: when capacity will be free), gang.go, cost.go.
 //   - lease.go: task leases and polls; reconcile.go: what a runner's report says of its runs;
 //     unresponsive.go: runners whose reply is overdue; masstimeout.go: several that become so at
 //     once.
--- a/internal/cluster/scheduler/urgency_digest_test.go
+++ b/internal/cluster/scheduler/urgency_digest_test.go
@@ -13,8 +13,7 @@
 )
 
 // urgencyDigestFile has a line for each seed of jobs with objectives, in the form of digestFile.
-// It was written by code whose decisions are those of commit 352ebf2; seeds 200025 and 200059 anew
-// since a proposed start is forgotten with its own run only.
+// It is written anew only with a change that means to change decisions.
 const urgencyDigestFile = "testdata/urgency_digests.txt"
 
 // Seeds of the days on which jobs have objectives. Every second day is one with faults.
