Replica: after a restart of all, leaders spread over the processes (changes behaviour)

Where logs are equal the cold start lets the lowest ID go first, in each group the same. That node then carried both services' schedulers on 0.64 of a core, spent its quota, and noticed mass time-outs for three seconds.

Change: equal logs are ranked by a hash of group and ID. It breaks ties only: the most complete log still goes first, and votes are granted as before. During an upgrade, where two builds rank differently, two candidates or none come up, which ordinary elections resolve.

--- a/coord/replica/coldstart.go
+++ b/coord/replica/coldstart.go
@@ -90,7 +90,7 @@
 }
 
 // isFirstCandidate reports whether the same incarnations responded in both rounds and this replica
-// goes first among them: by its log, and by its ID where logs are equal.
+// goes first among them: by its log, and by its rank where logs are equal.
 func (n *Node) isFirstCandidate() bool {
 	for _, id := range n.otherVoters() {
 		response := n.coldStart.responses[id]
@@ -108,5 +108,11 @@
 	if term != response.LogTerm || last != response.Index {
 		return term > response.LogTerm || term == response.LogTerm && last > response.Index
 	}
-	return n.id < response.From
+	own, other := n.rankOf(n.id), n.rankOf(response.From)
+	return own < other || own == other && n.id < response.From
 }
+
+// rankOf orders the voters of a group. Each group has another order, so that where all processes restart
+// at once the leaders of their groups spread over them. By the ID alone one process would lead all groups
+// whose logs are equal.
+func (n *Node) rankOf(id string) uint64 { return hashOf(n.group + "/" + id) }
