--- a/internal/cluster/placement/placement.go
+++ b/internal/cluster/placement/placement.go
@@ -3,6 +3,9 @@
 // the tasks of one step as many as fit go to one runner: a job needs all of them, so each further
 // runner is one more whose failure makes the job late. It does no I/O.
 //
+// Choose is the choice for one request. A Round (round.go) is the choices of one scheduling cycle, which
+// are the same, and remembers what was rejected.
+//
 // The source is the design's placement, with the deviations that docs/scheduler-design.md names
 // ("The design on the ordinary path").
 package placement
