Replica's scripts: linter clean

Change: heartbeat takes no arguments that never vary; slices.Concat in place of an append to another slice. No check changes.

--- a/coord/replica/election_test.go
+++ b/coord/replica/election_test.go
@@ -32,8 +32,9 @@
 	return replica.Message{Kind: kind, From: from, To: "a", Term: term, Index: lastIndex, LogTerm: lastTerm}
 }
 
-func heartbeat(from string, term uint64) replica.Message {
-	return replica.Message{Kind: replica.AppendRequest, From: from, To: "a", Term: term, Index: lastIndex, LogTerm: lastTerm}
+// heartbeat returns one of the leader of the voter's term, "c".
+func heartbeat() replica.Message {
+	return replica.Message{Kind: replica.AppendRequest, From: "c", To: "a", Term: lastTerm, Index: lastIndex, LogTerm: lastTerm}
 }
 
 func TestVoteRequest(t *testing.T) {
@@ -50,9 +51,9 @@
 		{"a longer log of an older term", nil, replica.Message{Kind: replica.VoteRequest, From: "b", To: "a", Term: 4, Index: 9, LogTerm: 2}, false},
 		{"the same candidate again", []replica.Message{voteRequest(replica.VoteRequest, "b", 4)}, voteRequest(replica.VoteRequest, "b", 4), true},
 		{"another candidate of the same term", []replica.Message{voteRequest(replica.VoteRequest, "c", 4)}, voteRequest(replica.VoteRequest, "b", 4), false},
-		{"in contact with a leader", []replica.Message{heartbeat("c", 3)}, voteRequest(replica.VoteRequest, "b", 4), false},
-		{"the leader gave its lease up", []replica.Message{heartbeat("c", 3)}, withHandover(voteRequest(replica.VoteRequest, "b", 4)), true},
-		{"all voters restarted, but this one had contact to a leader", []replica.Message{heartbeat("c", 3)}, withFresh(voteRequest(replica.VoteRequest, "b", 4)), false},
+		{"in contact with a leader", []replica.Message{heartbeat()}, voteRequest(replica.VoteRequest, "b", 4), false},
+		{"the leader gave its lease up", []replica.Message{heartbeat()}, withHandover(voteRequest(replica.VoteRequest, "b", 4)), true},
+		{"all voters restarted, but this one had contact to a leader", []replica.Message{heartbeat()}, withFresh(voteRequest(replica.VoteRequest, "b", 4)), false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			voter := newVoter(t)
--- a/coord/replica/scripted_test.go
+++ b/coord/replica/scripted_test.go
@@ -1,6 +1,7 @@
 package replica_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -179,17 +180,17 @@
 
 	hearing := newScripted(t, found)
 	hearing.now = deaf.now
-	hearing.deliver(heartbeat("c", 3), "c")
+	hearing.deliver(heartbeat(), "c")
 	hearing.sync()
 	hearing.deliver(requests[0], "b")
 	ready := hearing.sync()
-	require.Empty(t, append(ready.Messages, ready.MessagesAfterSync...))
+	require.Empty(t, slices.Concat(ready.Messages, ready.MessagesAfterSync))
 	require.EqualValues(t, 3, hearing.node.Term())
 
 	hearing.now += timing.MinElectionTimeout // the leader falls silent here too
 	hearing.deliver(requests[0], "b")
 	ready = hearing.sync()
-	granted := append(ready.Messages, ready.MessagesAfterSync...)
+	granted := slices.Concat(ready.Messages, ready.MessagesAfterSync)
 	require.Len(t, granted, 1)
 	require.Equal(t, replica.PreVoteResponse, granted[0].Kind)
 	require.Nil(t, ready.HardState, "a pre-vote changes nothing at the voter")
