--- a/coord/replica/scripted_test.go
+++ b/coord/replica/scripted_test.go
@@ -195,3 +195,34 @@
 	require.Equal(t, replica.PreVoteResponse, granted[0].Kind)
 	require.Nil(t, ready.HardState, "a pre-vote changes nothing at the voter")
 }
+
+// TestSnapshotAcrossAChangeOfMembership: a follower that missed a change of members, and has an entry of the
+// joint membership that another leader never committed, takes the membership with the snapshot: no voter
+// of before elects it then, and its acknowledgement waits for the sync.
+func TestSnapshotAcrossAChangeOfMembership(t *testing.T) {
+	joint := replica.Membership{Voters: members("a", "x", "y"), Outgoing: members("a", "b", "c")}
+	s := newScripted(t, replica.PersistedState{
+		HardState: replica.HardState{Term: 3},
+		Snapshot:  replica.Snapshot{Index: 5, Term: 3, Membership: replica.Membership{Voters: members("a", "b", "c")}},
+		Entries:   []replica.Entry{{Index: 6, Term: 3, Kind: replica.EntryMembership, Membership: &joint}},
+	})
+	require.True(t, s.node.Membership().IsJoint(), "in force from the moment when it is in the log")
+	newest := replica.Snapshot{Index: 9, Term: 4, Membership: replica.Membership{Voters: members("a", "d", "e")}}
+	s.deliver(replica.Message{Kind: replica.InstallSnapshot, Term: 4, Snapshot: &newest}, "d")
+	ready := s.node.Ready()
+	require.Equal(t, &newest, ready.Snapshot)
+	require.Empty(t, ready.Messages)
+	require.Len(t, ready.MessagesAfterSync, 1)
+	require.EqualValues(t, newest.Index, ready.MessagesAfterSync[0].Index)
+	require.Equal(t, newest.Membership, s.node.Membership())
+	s.node.Persisted(s.now, newest.Index, newest.Term)
+
+	s.campaign("b", "c", "x", "y")
+	require.Equal(t, replica.PreCandidate, s.node.Role(), "those of before, and of the change that never was, have no vote")
+	s.deliver(replica.Message{Kind: replica.PreVoteResponse, Term: s.node.Term() + 1}, "d")
+	s.sync()
+	s.vote("b", "c", "x", "y")
+	require.Equal(t, replica.Candidate, s.node.Role())
+	s.vote("e")
+	require.Equal(t, replica.Leader, s.node.Role())
+}
