TestSilentTimeout: a check that could not fail gives way to one that can

Cause: that some milliseconds had passed held whatever the front did. Change: the listener's time is compared in its place. Measured: the test passes under the race detector; with the line that hands the time to the listener left out it has 2 s for both and fails by reading; lint clean.

--- a/internal/dispatcher/httpfront/listener_test.go
+++ b/internal/dispatcher/httpfront/listener_test.go
@@ -76,8 +76,8 @@
 	script := `
 		c.1 send GET /hea
 		c.1 wait`
-	began := time.Now()
 	scenario.RunScript(t, scenario.Peers{"c": scenario.Dial(serve(t, s, 2))}, nil, script)
+	require.Equal(t, time.Millisecond, s.listener.Load().silentTimeout)
 	patient := New(nil, nil, logtest.Discard())
 	patient.SilentTimeout = time.Hour
 	addr := serve(t, patient, 1)
@@ -85,9 +85,7 @@
 		c send GET /health/live HTTP/1.1\r\n
 		c send Host: app\r\n\r\n
 		c expect 200 OK`)
-	l := patient.listener.Load()
-	require.Equal(t, time.Hour, l.silentTimeout)
-	require.GreaterOrEqual(t, time.Since(began), time.Millisecond)
+	require.Equal(t, time.Hour, patient.listener.Load().silentTimeout)
 }
 
 // TestVictim: one that was never of use goes first, then one that says nothing,
