Demo: a test's comment says what the test does

Cause: it named a cluster without a runner; the test fills the account by hand. Change: the comment.

--- a/internal/cluster/demo/demo_test.go
+++ b/internal/cluster/demo/demo_test.go
@@ -39,7 +39,7 @@
 	}
 }
 
-// TestJobsThatAreNotCompletedAreAnError: a cluster without a runner completes none.
+// TestJobsThatAreNotCompletedAreAnError: the account of the jobs decides, here with one that is missing.
 func TestJobsThatAreNotCompletedAreAnError(t *testing.T) {
 	var out bytes.Buffer
 	d := &demonstration{options: testOptions(t, &out), load: newLoad(nil)}
