Control plane: processor load and shard load in the log

Nothing that a process tells says whether it is spent in bursts, nor what it is spent for. Change: each 5 s a node logs its processor time with how many tenths of a second were busy or saturated, how late it came to run, and the collector's work; a shard's leader logs its starts, polls and stops, and how many had no reply.

--- a/internal/cluster/controlplane/groups.go
+++ b/internal/cluster/controlplane/groups.go
@@ -88,6 +88,7 @@
 		n.tasks.Go(loop.run)
 	}
 	n.tasks.Go(n.runnerListReader.run)
+	n.tasks.Go(n.reportLoad)
 }
 
 // receive passes a replica's message to its group.
--- a/internal/cluster/controlplane/shardloop.go
+++ b/internal/cluster/controlplane/shardloop.go
@@ -13,7 +13,9 @@
 // shardLoop drives a shard: it runs the scheduler's cycles and sends the scheduler's orders.
 type shardLoop struct {
 	shard   *leader.Shard
+	number  int
 	runners *runnerClient
+	counts  orderCounts
 	wake    chan struct{} // buffered: the shard has something to do
 	stop    <-chan struct{}
 	tasks   *sync.WaitGroup // of the node: the goroutines that send orders
@@ -36,7 +38,7 @@
 
 // newShardLoop returns the driver of a shard, which does not run yet.
 func (n *Node) newShardLoop(number int, runners *runnerClient) *shardLoop {
-	loop := &shardLoop{runners: runners, wake: make(chan struct{}, 1), stop: n.stop, tasks: &n.tasks}
+	loop := &shardLoop{number: number, runners: runners, wake: make(chan struct{}, 1), stop: n.stop, tasks: &n.tasks}
 	wake := func() { wakeUp(loop.wake) }
 	clocks := leader.Clocks{Monotonic: n.now, UnixMs: func() int64 { return time.Now().UnixMilli() }}
 	loop.shard = leader.NewShard(number, n.schedulerConfig(), clocks, wake, n.log)
@@ -66,6 +68,7 @@
 		case <-timer.C:
 		}
 		orders := s.shard.RunCycle()
+		s.counts.cycles.Add(1)
 		for _, order := range orders.Orders {
 			s.tasks.Go(func() { s.send(orders.Scheduler, order) })
 		}
@@ -82,23 +85,29 @@
 // An order is sent once; whether one without a reply is sent again is the scheduler's decision.
 func (s *shardLoop) send(issuer *scheduler.Scheduler, order scheduler.Order) {
 	maySend := s.shard.MaySend(order)
+	if !maySend {
+		s.counts.neverSent.Add(1)
+	}
 	switch order.Kind {
 	case scheduler.OrderRenewLease:
 		reply, report := scheduler.LeaseNoReply, scheduler.RunnerReport{}
 		if maySend {
 			reply, report = s.runners.renewLease(order)
+			s.counts.renewals.add(reply != scheduler.LeaseNoReply)
 		}
 		s.shard.OrderReplied(issuer, func(now time.Duration) { issuer.LeaseReplied(now, order, reply, report) })
 	case scheduler.OrderStart:
 		reply, clockMs := scheduler.StartNoReply, int64(0)
 		if maySend {
 			reply, clockMs = s.runners.start(order)
+			s.counts.starts.add(reply != scheduler.StartNoReply)
 		}
 		s.shard.OrderReplied(issuer, func(now time.Duration) { issuer.StartReplied(now, order, reply, clockMs) })
 	case scheduler.OrderStop:
 		reply, clockMs := scheduler.StopNotConfirmed, int64(0)
 		if maySend {
 			reply, clockMs = s.runners.stop(order)
+			s.counts.stops.add(reply != scheduler.StopNotConfirmed)
 		}
 		s.shard.OrderReplied(issuer, func(now time.Duration) { issuer.StopReplied(now, order, reply, clockMs) })
 	}
