Scheduler: a benchmark of the busiest leader's load

BenchmarkLoad plays 1,224 runners and 2,000 starts and ends a second, and reports each kind of call by run; also renewals a second.

--- a/internal/cluster/scheduler/bench_test.go
+++ b/internal/cluster/scheduler/bench_test.go
@@ -63,16 +63,19 @@
 	replies   []scheduler.Order // starts and stops of the last turn
 	unapplied scheduler.Output  // commands of the last turn
 	serial    int
+	rate      float64 // quick tasks a second
 	owed      float64 // tasks that are to be submitted, by the rate
 
 	spent  map[string]time.Duration // in the scheduler, by kind of call
 	starts int                      // starts that were confirmed
 	ends   int                      // ends that were committed
+
+	renewals int // renewals of leases that were ordered
 }
 
-func newBenchFleet(runners int) *benchFleet {
+func newBenchFleet(runners int, rate float64) *benchFleet {
 	f := &benchFleet{
-		store: job.NewStore(), now: time.Hour, runners: map[string]*benchRunner{}, spent: map[string]time.Duration{},
+		rate: rate, store: job.NewStore(), now: time.Hour, runners: map[string]*benchRunner{}, spent: map[string]time.Duration{},
 	}
 	f.scheduler = scheduler.New(f.store, 1, scheduler.Config{MaxLease: maxLease, RemoteSlowdown: 1.5, StatusRetention: time.Second}, f.now, f.now.Milliseconds(), slog.New(slog.DiscardHandler))
 	var list []scheduler.Runner
@@ -99,7 +102,7 @@
 // turn lets benchStep pass.
 func (f *benchFleet) turn() {
 	f.now += benchStep
-	for f.owed += benchRate * benchStep.Seconds(); f.owed >= benchJobTasks; f.owed -= benchJobTasks {
+	for f.owed += f.rate * benchStep.Seconds(); f.owed >= benchJobTasks; f.owed -= benchJobTasks {
 		f.submit(job.Step{Count: benchJobTasks, EstimateMs: benchTaskTime.Milliseconds(), Resources: benchResources(1)})
 	}
 	f.replyToOrders()
@@ -113,6 +116,7 @@
 			f.replies = append(f.replies, *order)
 			continue
 		}
+		f.renewals++
 		runner := f.runners[order.Runner]
 		runner.renewal, runner.replyAt = order, f.now+time.Duration(order.WaitMs)*time.Millisecond
 	}
@@ -215,7 +219,19 @@
 // benchWork runs the turns of one benchmark, and reports the time of one kind of call a turn as its
 // time; also what the scheduler spends on all calls for a run.
 func benchWork(b *testing.B, runners int, backlog bool, kind string) {
-	f := newBenchFleet(runners)
+	f := warmBenchFleet(runners, benchRate, backlog)
+	for b.Loop() {
+		f.turn()
+	}
+	total := f.total(b)
+	b.ReportMetric(float64(f.spent[kind].Nanoseconds())/float64(b.N), "ns/op")
+	b.ReportMetric(float64(total.Nanoseconds())/float64(f.starts), "ns/run")
+	b.ReportMetric(float64(f.starts)/(float64(b.N)*benchStep.Seconds()), "starts/s")
+}
+
+// warmBenchFleet returns a fleet at work, with nothing counted yet.
+func warmBenchFleet(runners int, rate float64, backlog bool) *benchFleet {
+	f := newBenchFleet(runners, rate)
 	f.submit(job.Step{Count: runners, Resources: benchResources(benchSlots / 2), AntiAffinity: 1, LongRunning: true})
 	for range benchWarmup {
 		f.turn()
@@ -229,10 +245,13 @@
 		f.turn()
 	}
 	clear(f.spent)
-	f.starts, f.ends = 0, 0
-	for b.Loop() {
-		f.turn()
-	}
+	f.starts, f.ends, f.renewals = 0, 0, 0
+	return f
+}
+
+// total returns the time of all calls of the scheduler.
+func (f *benchFleet) total(b *testing.B) time.Duration {
+	b.Helper()
 	if f.starts == 0 || f.ends == 0 {
 		b.Fatalf("%d starts and %d ends in %d turns: the scheduler was not at work", f.starts, f.ends, b.N)
 	}
@@ -240,9 +259,7 @@
 	for _, spent := range f.spent {
 		total += spent
 	}
-	b.ReportMetric(float64(f.spent[kind].Nanoseconds())/float64(b.N), "ns/op")
-	b.ReportMetric(float64(total.Nanoseconds())/float64(f.starts), "ns/run")
-	b.ReportMetric(float64(f.starts)/(float64(b.N)*benchStep.Seconds()), "starts/s")
+	return total
 }
 
 // benchSizes are the runners of the grown and large deployments, and those of the target.
@@ -261,3 +278,31 @@
 
 // BenchmarkTick is the check of all runners, one turn in eight, spread over the turns.
 func BenchmarkTick(b *testing.B) { benchEach(b, "tick") }
+
+// Runners and quick tasks a second of the busiest leader of a large deployment.
+const (
+	loadRunners = 1224
+	loadRate    = 2000
+)
+
+// BenchmarkLoad is what a run costs the scheduler of a large deployment's busiest leader, by kind of
+// call, and how many renewals of leases it sends a second. A turn is benchStep of virtual time: ns/op over
+// that is the part of a core.
+func BenchmarkLoad(b *testing.B) {
+	for _, backlog := range []bool{false, true} {
+		b.Run(fmt.Sprintf("backlog=%v", backlog), func(b *testing.B) {
+			f := warmBenchFleet(loadRunners, loadRate, backlog)
+			for b.Loop() {
+				f.turn()
+			}
+			total := f.total(b)
+			b.ReportMetric(float64(total.Nanoseconds())/float64(b.N), "ns/op")
+			for kind, spent := range f.spent {
+				b.ReportMetric(float64(spent.Nanoseconds())/float64(f.starts), kind+"-ns/run")
+			}
+			virtual := float64(b.N) * benchStep.Seconds()
+			b.ReportMetric(float64(f.starts)/virtual, "starts/s")
+			b.ReportMetric(float64(f.renewals)/virtual, "renewals/s")
+		})
+	}
+}
