Scheduler: work that waits costs a cycle next to nothing

For each job that waited the cycle made closures and a request, sorted all groups anew in the random order of a map, and evaluated both comparisons of the order. A gang that found no room copied all candidates.

Change: groups with tasks to start are kept in a list in the order of the last cycle, and pdqsort is quick on what is nearly sorted. The round tells by Rejects, before anything is built, that a request finds no room by what was rejected earlier. One request is used for all groups of a cycle; a limit is built only where something limits.

TestRoundDecidesAsChoose holds Rejects to Choose's results.

--- a/internal/cluster/job/resources.go
+++ b/internal/cluster/job/resources.go
@@ -28,10 +28,14 @@
 // r does not need sets no limit; where r needs nothing the result is math.MaxInt32.
 func (r Resources) CountFittingIn(free Resources) int {
 	count := int64(math.MaxInt32)
-	for _, pair := range [][2]int64{{r.CPU, free.CPU}, {r.MemMB, free.MemMB}, {r.GPU, free.GPU}} {
-		if need, have := pair[0], pair[1]; need > 0 {
-			count = min(count, max(0, have)/need)
-		}
+	if r.CPU > 0 {
+		count = min(count, max(0, free.CPU)/r.CPU)
+	}
+	if r.MemMB > 0 {
+		count = min(count, max(0, free.MemMB)/r.MemMB)
+	}
+	if r.GPU > 0 {
+		count = min(count, max(0, free.GPU)/r.GPU)
 	}
 	return int(count)
 }
--- a/internal/cluster/placement/round.go
+++ b/internal/cluster/placement/round.go
@@ -44,17 +44,34 @@
 	return r.choose(request, false)
 }
 
-func (r *Round) choose(request *Request, healthyOnly bool) (best Assignment, result Result) {
-	key := filterOf(request, healthyOnly)
-	if r.wasRejected(key, request.Resources) {
-		if anyFeasible(request, r.Candidates, healthyOnly) {
-			return Assignment{Candidate: -1}, NoCapacity
+// Rejects tells whether Choose finds no capacity by what was rejected before, and with which result,
+// whatever the request's Count and Limit. It costs much less than Choose.
+func (r *Round) Rejects(request *Request) (result Result, known bool) {
+	if request.HealthyOnly {
+		if result, known = r.rejects(request, true); !known || result != Unsuitable {
+			return result, known
 		}
-		return Assignment{Candidate: -1}, Unsuitable
+	}
+	return r.rejects(request, false)
+}
+
+func (r *Round) rejects(request *Request, healthyOnly bool) (result Result, known bool) {
+	switch {
+	case !r.wasRejected(request, healthyOnly):
+		return Found, false
+	case anyFeasible(request, r.Candidates, healthyOnly):
+		return NoCapacity, true
+	}
+	return Unsuitable, true
+}
+
+func (r *Round) choose(request *Request, healthyOnly bool) (best Assignment, result Result) {
+	if result, known := r.rejects(request, healthyOnly); known {
+		return Assignment{Candidate: -1}, result
 	}
 	best, result, limited := choose(request, r.Candidates, healthyOnly)
 	if result == NoCapacity && !limited {
-		r.reject(key, request.Resources)
+		r.reject(filterOf(request, healthyOnly), request.Resources)
 	}
 	return best, result
 }
@@ -69,8 +86,8 @@
 
 // wasRejected tells whether a request for no more than this was rejected, with the same filter or with
 // the service alone. No runner has the capacity for it either: each lacks it as much as then, or more.
-func (r *Round) wasRejected(key filter, resources job.Resources) bool {
-	return r.holdsLesser(key, resources) || r.holdsLesser(filter{service: key.service}, resources)
+func (r *Round) wasRejected(request *Request, healthyOnly bool) bool {
+	return r.holdsLesser(filter{service: request.Service}, request.Resources) || r.holdsLesser(filterOf(request, healthyOnly), request.Resources)
 }
 
 func (r *Round) holdsLesser(key filter, resources job.Resources) bool {
--- a/internal/cluster/placement/round_test.go
+++ b/internal/cluster/placement/round_test.go
@@ -17,7 +17,7 @@
 		rounds  = 300
 		choices = 60
 	)
-	byResult := map[placement.Result]int{}
+	byResult, rejected := map[placement.Result]int{}, 0
 	for seed := range uint64(rounds) {
 		random := rand.New(rand.NewPCG(seed, 23))
 		candidates := make([]placement.Candidate, random.IntN(16))
@@ -28,6 +28,10 @@
 		for range choices {
 			request := randomRequest(random)
 			wanted, wantedResult := placement.Choose(request, candidates)
+			if early, known := round.Rejects(request); known {
+				require.Equal(t, wantedResult, early, "seed %d", seed)
+				rejected++
+			}
 			got, result := round.Choose(request)
 			require.Equal(t, wanted, got, "seed %d", seed)
 			require.Equal(t, wantedResult, result, "seed %d", seed)
@@ -43,6 +47,7 @@
 	for _, result := range []placement.Result{placement.Found, placement.NoBudget, placement.NoCapacity, placement.Unsuitable} {
 		require.Positive(t, byResult[result], "the rounds have results of all kinds")
 	}
+	require.Positive(t, rejected, "some requests are rejected unseen")
 }
 
 // TestRoundRemembersRejections: what asks for no less than a rejected request is rejected unseen, and
--- a/internal/cluster/scheduler/aging.go
+++ b/internal/cluster/scheduler/aging.go
@@ -24,20 +24,19 @@
 
 // compareAged orders groups by priority and rank.
 func compareAged(a, b *taskGroup) int {
-	return cmp.Or(cmp.Compare(a.job.Priority, b.job.Priority), admission.Compare(a.rank, b.rank))
+	if order := cmp.Compare(a.job.Priority, b.job.Priority); order != 0 {
+		return order
+	}
+	return admission.Compare(a.rank, b.rank)
 }
 
 // readyInAgedOrder returns the groups that have tasks to start. Ages and expectations change all
-// the time, so that the order is found anew for each cycle.
+// the time, so that the order is found anew for each cycle. It is valid until the next call.
 func (s *Scheduler) readyInAgedOrder() []*taskGroup {
-	var ready []*taskGroup
-	for _, group := range s.groups.byKey {
-		if len(group.pending) == 0 {
-			continue
-		}
+	ready := s.groups.takeReady()
+	for _, group := range ready {
 		group.expected = s.learner.expected(group.job, group.key.step)
 		group.rank = group.rankAt(s.now)
-		ready = append(ready, group)
 	}
 	slices.SortFunc(ready, compareAged)
 	return ready
--- a/internal/cluster/scheduler/cycle.go
+++ b/internal/cluster/scheduler/cycle.go
@@ -24,8 +24,9 @@
 	lastRun time.Duration // when it last ran
 
 	candidates []placement.Candidate
-	runners    []*runnerSession // by Candidate.Key
-	round      *placement.Round // the choices among candidates
+	runners    []*runnerSession  // by Candidate.Key
+	round      *placement.Round  // the choices among candidates
+	request    placement.Request // of the group whose turn it is
 
 	reservations agedReservations
 	forecast     capacityForecast
@@ -101,15 +102,16 @@
 	s.cycle.forecast.begin(candidates, runners)
 }
 
-// requestFor returns what a group's tasks ask of a runner.
+// requestFor returns what a group's tasks ask of a runner. It is valid until the next call.
 func (s *Scheduler) requestFor(group *taskGroup) *placement.Request {
 	urgency := group.urgency()
-	return &placement.Request{
+	s.cycle.request = placement.Request{
 		Service: group.job.Service, Count: len(group.pending),
 		Resources: group.step.Resources, Cost: stepCost(group.expected, group.step), Constraints: group.step.Constraints,
 		Urgency: urgency, HealthyOnly: urgency == placement.UrgencyHigh && s.now-group.readyAt < healthyOnlyWait,
 		DataRack: group.step.Affinity, LocalOnly: group.step.Affinity != "" && s.config.RemoteSlowdown > 1,
 	}
+	return &s.cycle.request
 }
 
 // assign starts as much of a group as fits, as many tasks at one runner as fit there. Tasks whose data
@@ -135,6 +137,9 @@
 // assignTasks starts so many of a group's pending tasks, as far as they fit.
 func (s *Scheduler) assignTasks(group *taskGroup, request *placement.Request, most int) placement.Result {
 	for most > 0 && !s.startWindow.full() {
+		if result, rejected := s.cycle.round.Rejects(request); rejected {
+			return result
+		}
 		request.Count = min(group.interchangeable(), most)
 		chosen, result := s.chooseRunner(group, request)
 		if result != placement.Found {
@@ -154,29 +159,31 @@
 // it can, and never one that has a run of the task already.
 func (s *Scheduler) chooseRunner(group *taskGroup, request *placement.Request) (placement.Assignment, placement.Result) {
 	running := group.task(group.pending[0]).Runs
-	spread := s.spreadLimit(group)
-	limit := func(key int) int {
-		for _, live := range running {
-			if live.Runner == s.cycle.runners[key].id {
-				return 0
-			}
-		}
-		return spread(key)
-	}
-	request.Limit = func(key int) int {
-		if group.avoid[s.cycle.runners[key].id] {
-			return 0
-		}
-		return limit(key)
-	}
+	request.Limit = s.limitBeside(group, running, group.avoid)
 	chosen, result := s.cycle.round.Choose(request)
 	if result != placement.Found && len(group.avoid) > 0 {
-		request.Limit = limit
+		request.Limit = s.limitBeside(group, running, nil)
 		chosen, result = s.cycle.round.Choose(request)
 	}
 	return chosen, result
 }
 
+// limitBeside returns how many of a group's next tasks a runner may take, by its key: none at a runner
+// that has one of the runs, or that is avoided. Nil: any number.
+func (s *Scheduler) limitBeside(group *taskGroup, running []job.Run, avoid map[string]bool) func(key int) int {
+	if group.step.AntiAffinity == 0 && len(running) == 0 && len(avoid) == 0 {
+		return nil
+	}
+	spread := s.spreadLimit(group)
+	return func(key int) int {
+		id := s.cycle.runners[key].id
+		if avoid[id] || slices.ContainsFunc(running, func(live job.Run) bool { return live.Runner == id }) {
+			return 0
+		}
+		return spread(key)
+	}
+}
+
 // spreadLimit returns how many more tasks of a step a runner may take beside those it has, by
 // the step's anti-affinity.
 func (s *Scheduler) spreadLimit(group *taskGroup) func(key int) int {
--- a/internal/cluster/scheduler/gang.go
+++ b/internal/cluster/scheduler/gang.go
@@ -11,6 +11,9 @@
 // assignGang starts all tasks of a gang or none. One that is asked for on one rack waits a while
 // for a rack that has capacity for all before it is spread out.
 func (s *Scheduler) assignGang(group *taskGroup, request *placement.Request) placement.Result {
+	if result, rejected := s.cycle.round.Rejects(request); rejected {
+		return result
+	}
 	if group.step.SameRack {
 		if chosen := s.gangOnOneRack(group, request); chosen != nil {
 			s.startGang(group, chosen, request)
--- a/internal/cluster/scheduler/group.go
+++ b/internal/cluster/scheduler/group.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"basaltloft/internal/cluster/job"
@@ -30,6 +31,8 @@
 	readyAt  time.Duration // when its tasks became ready
 
 	pending  []int           // tasks to be started, by index; speculative attempts come last
+	listed   bool            // it is in groupTable.ready
+	closed   bool            // it is complete, or its job is over
 	starting map[int]bool    // tasks with a start that waits for its commitment, forgotten only with that start
 	avoid    map[string]bool // runners, by instance ID, at which a task of it failed or may be lost
 
@@ -113,6 +116,10 @@
 type groupTable struct {
 	byKey map[groupKey]*taskGroup
 	byJob map[string][]groupKey // of jobs that are not over, complete groups too
+
+	// ready has at least the groups with tasks to start, in the order of the last cycle and then of
+	// their coming: an order that changes little is sorted again at little cost.
+	ready []*taskGroup
 }
 
 func newGroupTable() *groupTable {
@@ -132,7 +139,31 @@
 	if group := t.byKey[key]; group != nil {
 		admission.LearnRunTimeFactors(group.finished)
 	}
-	delete(t.byKey, key)
+	t.remove(key)
+}
+
+func (t *groupTable) remove(key groupKey) {
+	if group := t.byKey[key]; group != nil {
+		group.closed = true
+		delete(t.byKey, key)
+	}
+}
+
+// markReady notes that a group has tasks to start.
+func (t *groupTable) markReady(group *taskGroup) {
+	if !group.listed {
+		group.listed = true
+		t.ready = append(t.ready, group)
+	}
+}
+
+// takeReady returns the groups that have tasks to start, to be put in order by the caller.
+func (t *groupTable) takeReady() []*taskGroup {
+	t.ready = slices.DeleteFunc(t.ready, func(group *taskGroup) bool {
+		group.listed = !group.closed && len(group.pending) > 0
+		return !group.listed
+	})
+	return t.ready
 }
 
 // closeOccurrence forgets the groups of an occurrence that is complete.
@@ -147,7 +178,7 @@
 // removeJob forgets the groups of a job that is over.
 func (t *groupTable) removeJob(id string) {
 	for _, key := range t.byJob[id] {
-		delete(t.byKey, key)
+		t.remove(key)
 	}
 	delete(t.byJob, id)
 }
@@ -178,4 +209,7 @@
 func (s *Scheduler) refill(group *taskGroup, j *job.Job) {
 	s.cycle.needed = true
 	group.findPending(j.Occurrences[group.key.occurrence].Steps[group.key.step].Tasks, s.speculation)
+	if len(group.pending) > 0 {
+		s.groups.markReady(group)
+	}
 }
