portreservation: reserve consecutive ports

A process of the cluster scheduler needs several ports that follow one another; tests listened for a moment to find them. ReserveRange keeps them as Reserve keeps one. Evidence: TestReserveRangeKeepsEachPort, go test -race ./internal/shared/portreservation ok.

--- a/internal/shared/portreservation/portreservation.go
+++ b/internal/shared/portreservation/portreservation.go
@@ -89,3 +89,50 @@
 
 // Close gives the port back.
 func (r *Reservation) Close() error { return syscall.Close(r.socket) }
+
+// Range is consecutive ports that are kept for the listeners of one program.
+type Range []*Reservation
+
+// ReserveRange reserves count consecutive ports that nothing listens on. The error wraps ErrInUse if
+// there are none. The caller must Close the range, unless it is to last as long as the process.
+func ReserveRange(count int) (Range, error) {
+	for range portCount / count {
+		first, err := Reserve()
+		if err != nil {
+			return nil, err
+		}
+		reserved, err := extend(Range{first}, count)
+		if err == nil {
+			return reserved, nil
+		}
+		_ = reserved.Close() // the sockets are bound to nothing else
+		if !errors.Is(err, ErrInUse) {
+			return nil, err
+		}
+	}
+	return nil, fmt.Errorf("no %d consecutive ports: %w", count, ErrInUse)
+}
+
+// extend reserves the ports that follow a range until it has count of them.
+func extend(reserved Range, count int) (Range, error) {
+	for len(reserved) < count {
+		next, err := reservePort(reserved.First() + len(reserved))
+		if err != nil {
+			return reserved, err
+		}
+		reserved = append(reserved, next)
+	}
+	return reserved, nil
+}
+
+// First returns the first port.
+func (r Range) First() int { return r[0].port }
+
+// Close gives the ports back.
+func (r Range) Close() error {
+	var faults error
+	for _, reservation := range r {
+		faults = errors.Join(faults, reservation.Close())
+	}
+	return faults
+}
--- a/internal/shared/portreservation/portreservation_test.go
+++ b/internal/shared/portreservation/portreservation_test.go
@@ -145,3 +145,20 @@
 	_, err := new(net.ListenConfig).Listen(t.Context(), "tcp", r.Addr())
 	require.ErrorIs(t, err, syscall.EADDRINUSE)
 }
+
+// TestReserveRangeKeepsEachPort: the ports follow one another, and no other reservation gets one.
+func TestReserveRangeKeepsEachPort(t *testing.T) {
+	const count = 4
+	reserved, err := ReserveRange(count)
+	require.NoError(t, err)
+	require.Len(t, reserved, count)
+	for at, reservation := range reserved {
+		require.Equal(t, reserved.First()+at, reservation.port)
+		_, err := reservePort(reservation.port)
+		require.ErrorIs(t, err, ErrInUse)
+	}
+	require.NoError(t, reserved.Close())
+	again, err := reservePort(reserved.First() + count - 1)
+	require.NoError(t, err)
+	require.NoError(t, again.Close())
+}
