processes: what starts the system's programs moves out of upgradetest

A soak with real processes needs the same: building the programs, starting and signalling a process, asking nodes for their status and finding what is wrong with it. No check changes.

--- /dev/null
+++ b/internal/cluster/processes/process.go
@@ -0,0 +1,77 @@
+package processes
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Process is a program that runs again and again with one settings file. Its methods must not be called
+// concurrently, but for Signal and Exited.
+type Process struct {
+	Program  string // CoreProgram or EdgeProgram
+	Settings string // path of its settings file
+	Log      string // path of the file that takes its log, of all its lives
+
+	command *exec.Cmd
+	exited  chan struct{} // closed when the present life has ended; nil before the first one
+}
+
+// Start starts the process from a build. It returns an error where the log or the program can't be opened.
+func (p *Process) Start(from Build) error {
+	log, err := os.OpenFile(p.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return errors.Wrap(err, "open a process's log")
+	}
+	defer func() { _ = log.Close() }() // the process has its own descriptor
+	// The end of a process is its user's to decide, by Signal: no context ends it.
+	command := exec.CommandContext(context.Background(), from.Program(p.Program), "--settings", p.Settings)
+	command.Stdout, command.Stderr = log, log
+	if err := command.Start(); err != nil {
+		return errors.Wrap(err, "start a process")
+	}
+	exited := make(chan struct{})
+	p.command, p.exited = command, exited
+	go func() {
+		_ = command.Wait() // its status is read from ProcessState
+		close(exited)
+	}()
+	return nil
+}
+
+// Signal sends a signal to the process. A process that has ended gets none.
+func (p *Process) Signal(signal syscall.Signal) {
+	if p.command != nil {
+		_ = p.command.Process.Signal(signal) // it may have ended at this moment
+	}
+}
+
+// Exited is closed when the present life has ended. It is nil before the first start.
+func (p *Process) Exited() <-chan struct{} { return p.exited }
+
+// Runs tells whether the process has been started and has not ended.
+func (p *Process) Runs() bool {
+	if p.exited == nil {
+		return false
+	}
+	select {
+	case <-p.exited:
+		return false
+	default:
+		return true
+	}
+}
+
+// ExitCode returns the status of a life that has ended; -1: a signal ended it.
+func (p *Process) ExitCode() int { return p.command.ProcessState.ExitCode() }
+
+// Stop sends a signal and waits for the exit.
+func (p *Process) Stop(signal syscall.Signal) {
+	if p.Runs() {
+		p.Signal(signal)
+		<-p.exited
+	}
+}
--- a/internal/cluster/upgradetest/cluster_test.go
+++ b/internal/cluster/upgradetest/cluster_test.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -19,7 +18,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"basaltloft/coord/rpc"
+	"basaltloft/internal/cluster/processes"
 	"basaltloft/internal/cluster/protocol"
 	"basaltloft/internal/cluster/standin"
 	"basaltloft/internal/cluster/systemtest"
@@ -46,14 +45,10 @@
 // given few tasks at once, and the workload keeps several jobs running.
 const slowRunnerCount = 4
 
-// process is one process of the cluster, whichever build runs it: its address, settings file,
-// disk and log.
+// process is one process of the cluster, whichever build runs it, and its address.
 type process struct {
-	ip       string
-	program  string
-	settings string
-	logPath  string
-	command  *exec.Cmd
+	processes.Process
+	ip string
 }
 
 // cluster is three control-plane nodes and a dispatcher, each a process of the operating system at a
@@ -70,7 +65,7 @@
 }
 
 // newCluster prepares a cluster in a loopback network and starts it from a build.
-func newCluster(t *testing.T, network int, from build) *cluster {
+func newCluster(t *testing.T, network int, from processes.Build) *cluster {
 	const quickTakes = 5 * time.Millisecond
 	c := &cluster{
 		t: t, platform: systemtest.NewPlatform(t),
@@ -89,9 +84,9 @@
 	}
 	c.port = systemtest.FreePorts(t, portsEach, ips...)
 	for _, ip := range ips[:nodeCount] {
-		c.nodes = append(c.nodes, c.newProcess(ip, coreProgram, ips[:nodeCount]))
+		c.nodes = append(c.nodes, c.newProcess(ip, processes.CoreProgram, ips[:nodeCount]))
 	}
-	c.dispatcher = c.newProcess(ips[nodeCount], edgeProgram, ips[:nodeCount])
+	c.dispatcher = c.newProcess(ips[nodeCount], processes.EdgeProgram, ips[:nodeCount])
 	t.Cleanup(c.close)
 	for _, n := range c.processes() {
 		c.start(n, from)
@@ -124,36 +119,22 @@
 	}
 	fmt.Fprintf(&text, "bootstrap: true\ndata_dir: %q\nfault_tolerance:\n  machines: 1\n", filepath.Join(folder, "data"))
 	fmt.Fprintf(&text, "bounds:\n  grace_s: 2\n  hold_max_ms: 6000\ncloud_api:\n  address: %q\n", strings.TrimPrefix(c.platform.Server.URL, "http://"))
-	n := &process{ip: ip, program: program, settings: filepath.Join(folder, "settings.yaml"), logPath: filepath.Join(folder, "log")}
-	require.NoError(c.t, os.WriteFile(n.settings, []byte(text.String()), 0o600))
+	n := &process{ip: ip, Process: processes.Process{
+		Program: program, Settings: filepath.Join(folder, "settings.yaml"), Log: filepath.Join(folder, "log"),
+	}}
+	require.NoError(c.t, os.WriteFile(n.Settings, []byte(text.String()), 0o600))
 	return n
 }
 
 // start starts a process from a build. Its log is appended to that of its earlier incarnations.
-func (c *cluster) start(n *process, from build) {
+func (c *cluster) start(n *process, from processes.Build) {
 	c.t.Helper()
-	log, err := os.OpenFile(n.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	require.NoError(c.t, err)
-	defer func() { require.NoError(c.t, log.Close()) }()
-	// Its end is the test's to decide: close kills what is left, after the test's context has ended.
-	n.command = exec.CommandContext(context.WithoutCancel(c.t.Context()), from.program(n.program), "--settings", n.settings)
-	n.command.Stdout, n.command.Stderr = log, log
-	require.NoError(c.t, n.command.Start())
-}
-
-// stop sends a signal to a process and waits for its exit.
-func (n *process) stop(signal syscall.Signal) {
-	if n.command == nil {
-		return
-	}
-	_ = n.command.Process.Signal(signal)
-	_ = n.command.Wait() // a killed process has no status to look at
-	n.command = nil
+	require.NoError(c.t, n.Start(from))
 }
 
 func (c *cluster) close() {
 	for _, n := range c.processes() {
-		n.stop(syscall.SIGKILL)
+		n.Stop(syscall.SIGKILL)
 		c.logFaults(n)
 	}
 	c.platform.Server.Close()
@@ -165,7 +146,7 @@
 // logFaults prints the newest warnings and errors of a process's log where the test failed.
 func (c *cluster) logFaults(n *process) {
 	const mostLines = 5
-	content, err := os.ReadFile(n.logPath)
+	content, err := os.ReadFile(n.Log)
 	if !c.t.Failed() || err != nil {
 		return
 	}
@@ -175,7 +156,7 @@
 			faults = append(faults, line)
 		}
 	}
-	c.t.Logf("%s %s:\n%s", n.program, n.ip, strings.Join(faults[max(0, len(faults)-mostLines):], ""))
+	c.t.Logf("%s %s:\n%s", n.Program, n.ip, strings.Join(faults[max(0, len(faults)-mostLines):], ""))
 }
 
 // request is one call of a client or an operator.
@@ -278,27 +259,21 @@
 
 // statuses asks each control-plane node what it holds. One that does not answer holds nothing.
 func (c *cluster) statuses() []protocol.StatusResponse {
-	var answers []protocol.StatusResponse
+	var addresses []string
 	for _, core := range c.nodes {
-		client := rpc.NewClient(c.address(core.ip, 0))
-		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		got, _ := client.Call(ctx, protocol.StatusRequest{})
-		cancel()
-		client.Close()
-		answer, _ := got.(protocol.StatusResponse)
-		answers = append(answers, answer)
+		addresses = append(addresses, c.address(core.ip, 0))
 	}
-	return answers
+	return processes.Statuses(addresses)
 }
 
 // awaitAllVoting waits until each control-plane node votes in each group, follows its leader, and has
 // applied to the same state at least what any of them has applied by now.
 func (c *cluster) awaitAllVoting(when string) {
 	c.t.Helper()
-	wanted := highestApplied(c.statuses())
+	wanted := processes.HighestApplied(c.statuses())
 	fault := ""
 	allVoting := func() bool {
-		fault = findFault(c.statuses(), wanted)
+		fault = processes.FindFault(c.statuses(), wanted, nodeCount)
 		return fault == ""
 	}
 	if !poll(allVoting) {
@@ -306,17 +281,6 @@
 	}
 }
 
-// highestApplied returns, by group, the highest index that a control-plane node has applied.
-func highestApplied(answers []protocol.StatusResponse) map[string]uint64 {
-	most := map[string]uint64{}
-	for _, asked := range answers {
-		for _, shown := range asked.Groups {
-			most[shown.Name] = max(most[shown.Name], shown.Applied)
-		}
-	}
-	return most
-}
-
 // poll calls a condition until it holds; false: it does not within the limit.
 func poll(condition func() bool) bool {
 	ticker := time.NewTicker(pollInterval)
@@ -328,47 +292,3 @@
 	}
 	return false
 }
-
-// findFault returns what shows that not all nodes vote with the same state; empty: nothing. Each group is to have
-// applied the wanted index at each control-plane node.
-func findFault(answers []protocol.StatusResponse, wanted map[string]uint64) string {
-	type point struct {
-		group   string
-		applied uint64
-	}
-	digests := map[point]uint64{}
-	for _, asked := range answers {
-		if len(asked.Groups) != protocol.ShardCount+1 {
-			return fmt.Sprintf("a control-plane node shows %d groups: %+v", len(asked.Groups), asked)
-		}
-		for _, shown := range asked.Groups {
-			if fault := findGroupFault(shown, asked.Member.ID); fault != "" {
-				return fmt.Sprintf("%s as %s sees it %s", shown.Name, asked.Node, fault)
-			}
-			if shown.Applied < wanted[shown.Name] {
-				return fmt.Sprintf("%s has applied %d of %d entries at %s", shown.Name, shown.Applied, wanted[shown.Name], asked.Node)
-			}
-			at := point{group: shown.Name, applied: shown.Applied}
-			if digest, known := digests[at]; known && digest != shown.Digest {
-				return fmt.Sprintf("%s has another state at %s than elsewhere, at entry %d", shown.Name, asked.Node, shown.Applied)
-			}
-			digests[at] = shown.Digest
-		}
-	}
-	return ""
-}
-
-// findGroupFault tells what is wrong with a group as one of its members shows it.
-func findGroupFault(shown protocol.GroupStatus, member string) string {
-	switch {
-	case shown.Halted != "":
-		return "has halted: " + shown.Halted
-	case shown.Leader == "":
-		return "has no leader"
-	case len(shown.Members.Voters) != nodeCount || shown.Members.IsJoint():
-		return fmt.Sprintf("has the voters %v, before a change %v", shown.Members.Voters, shown.Members.Outgoing)
-	case !shown.Members.IsVoter(member):
-		return "does not let it vote"
-	}
-	return ""
-}
--- a/internal/cluster/upgradetest/upgrade_test.go
+++ b/internal/cluster/upgradetest/upgrade_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"basaltloft/internal/cluster/processes"
 )
 
 // Loopback networks of the two clusters, which run side by side.
@@ -28,11 +30,11 @@
 }
 
 // testAllKilled kills all processes at once and starts the new build on their disks.
-func testAllKilled(t *testing.T, older, newer build) {
+func testAllKilled(t *testing.T, older, newer processes.Build) {
 	c := newCluster(t, killedNetwork, older)
 	w := newWorkload(c)
 	for _, n := range c.processes() {
-		n.stop(syscall.SIGKILL)
+		n.Stop(syscall.SIGKILL)
 	}
 	for _, n := range c.processes() {
 		c.start(n, newer)
@@ -43,12 +45,12 @@
 
 // testRolling replaces one process after another while jobs run. Before each step all control-plane
 // nodes vote; old and new ones are beside each other.
-func testRolling(t *testing.T, older, newer build) {
+func testRolling(t *testing.T, older, newer processes.Build) {
 	c := newCluster(t, rollingNetwork, older)
 	w := newWorkload(c)
 	work := c.startTraffic()
 	for _, n := range []*process{c.nodes[0], c.dispatcher, c.nodes[1], c.nodes[2]} {
-		n.stop(syscall.SIGTERM)
+		n.Stop(syscall.SIGTERM)
 		c.start(n, newer)
 		when := "after " + n.ip + " was replaced"
 		work.awaitMore(t, when)
@@ -61,12 +63,12 @@
 }
 
 // requireStatusShown tells whether the operators' tool shows all groups.
-func (c *cluster) requireStatusShown(newer build) {
+func (c *cluster) requireStatusShown(newer processes.Build) {
 	arguments := []string{"status"}
 	for _, core := range c.nodes {
 		arguments = append(arguments, c.address(core.ip, 0))
 	}
-	output, err := exec.CommandContext(c.t.Context(), newer.program(ctlProgram), arguments...).CombinedOutput()
+	output, err := exec.CommandContext(c.t.Context(), newer.Program(processes.CtlProgram), arguments...).CombinedOutput()
 	require.NoError(c.t, err, string(output))
 	require.NotContains(c.t, string(output), "none")
 	require.NotContains(c.t, string(output), "halted")
