standin: runners that crash, drain and end lapsed tasks, and tell an observer

The stand-in of a runner kept its tasks for good when nobody extended their lease, which a check for two runs of one task at once would take for a fault of the scheduler. MaxLease ends them; without it all is as before. Crash ends the runner, DrainRunner lists it as one that is to end. Evidence: TestRunnerEndsLapsedRuns, TestRunnerCrash; go test -race ./internal/cluster/standin ok.

--- a/internal/cluster/standin/platform.go
+++ b/internal/cluster/standin/platform.go
@@ -65,6 +65,18 @@
 	p.instances = slices.DeleteFunc(slices.Clone(p.instances), func(listed instance) bool { return listed.ID == r.ID })
 }
 
+// DrainRunner lists a runner as one that is to end.
+func (p *Platform) DrainRunner(r *Runner) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.instances = slices.Clone(p.instances) // an answer may be written from the former list
+	for at := range p.instances {
+		if p.instances[at].ID == r.ID {
+			p.instances[at].State = "draining"
+		}
+	}
+}
+
 // AddRunner lists a runner as a ready instance of a service.
 func (p *Platform) AddRunner(r *Runner, service string) {
 	p.mu.Lock()
--- a/internal/cluster/standin/runner.go
+++ b/internal/cluster/standin/runner.go
@@ -12,6 +12,8 @@
 const (
 	endDone    = "done"
 	endStopped = "stopped"
+	endLapsed  = "lapsed"  // the lease of the runner's tasks expired
+	endCrashed = "crashed" // the runner is gone; told to the observer alone
 )
 
 // Reasons with which a runner refuses a start or, for the first, any order.
@@ -26,8 +28,7 @@
 
 // Runner is a stand-in of a runner, which carries out the orders of a scheduler as the deployment's
 // protocol demands: it refuses orders of a lower fencing token, orders to start that arrive after
-// their deadline, and attempts that were over already. It does not end its tasks when their lease
-// expires. Its methods may be called concurrently.
+// their deadline, and attempts that were over already. Its methods may be called concurrently.
 type Runner struct {
 	// ID is the instance's ID in the platform's list.
 	ID string
@@ -35,6 +36,11 @@
 	Server *Server
 	// TaskDuration is how long a task runs until it ends as done. It is set before the first start.
 	TaskDuration time.Duration
+	// MaxLease is the longest lease of its tasks: they end when it has expired. 0: they never do so. It is
+	// set before the first start.
+	MaxLease time.Duration
+	// Observer is told of each run. nil: nobody is. It is set before the first start.
+	Observer Observer
 
 	started time.Time // the zero of the runner's clock, less clockOffsetMs
 
@@ -46,6 +52,34 @@
 	endedRuns    uint64
 	finished     []finishedRun // that the scheduler has not acknowledged
 	startsByTask map[string]int
+	leaseUntilMs int64 // on the runner's clock
+	lease        *time.Timer
+	crashed      bool
+}
+
+// Observer is told what becomes of the tasks of a runner, in order, while the runner is locked: it must not
+// call the runner.
+type Observer interface {
+	RunStarted(runner, task string, attempt int)
+	// RunEnded gives the reason as the runner reports it, or "crashed".
+	RunEnded(runner, task string, attempt int, reason string)
+	// EndAcknowledged tells that the scheduler has taken note of the end of a run.
+	EndAcknowledged(runner, task string, attempt int, reason string)
+}
+
+// silent is the observer of a runner that has none.
+type silent struct{}
+
+func (silent) RunStarted(string, string, int)              {}
+func (silent) RunEnded(string, string, int, string)        {}
+func (silent) EndAcknowledged(string, string, int, string) {}
+
+// observer returns whom to tell of runs.
+func (r *Runner) observer() Observer {
+	if r.Observer == nil {
+		return silent{}
+	}
+	return r.Observer
 }
 
 // runningRun is a run in a runner's report. On the wire it is [task, attempt, checkpoint, percent].
@@ -128,6 +162,18 @@
 	}
 }
 
+// Crash ends the runner and all that runs on it; nothing is reported. Its server is closed.
+func (r *Runner) Crash() {
+	r.mu.Lock()
+	r.crashed = true
+	for task, attempt := range r.running {
+		r.observer().RunEnded(r.ID, task, attempt, endCrashed)
+	}
+	clear(r.running)
+	r.mu.Unlock()
+	r.Server.Close()
+}
+
 // clockMs returns the time of the runner's clock.
 func (r *Runner) clockMs() int64 { return time.Since(r.started).Milliseconds() + clockOffsetMs }
 
@@ -140,7 +186,7 @@
 		http.Error(w, "the order is not JSON", http.StatusBadRequest)
 		return order{}, false
 	}
-	if request.Header.Get("Expect-Instance") != r.ID {
+	if r.crashed || request.Header.Get("Expect-Instance") != r.ID {
 		http.Error(w, "{}", http.StatusMisdirectedRequest)
 		return order{}, false
 	}
@@ -149,9 +195,37 @@
 		return order{}, false
 	}
 	r.fenceToken = received.FenceToken
+	r.extendLease(received.DeadlineMs)
 	return received, true
 }
 
+// extendLease lets the runner's tasks run until a time of its clock; it never shortens their lease. The
+// caller holds the mutex.
+func (r *Runner) extendLease(untilMs int64) {
+	if r.MaxLease == 0 || untilMs == 0 {
+		return
+	}
+	r.leaseUntilMs = max(r.leaseUntilMs, min(untilMs, r.clockMs()+r.MaxLease.Milliseconds()))
+	left := time.Duration(r.leaseUntilMs-r.clockMs()) * time.Millisecond
+	if r.lease == nil {
+		r.lease = time.AfterFunc(left, r.endLapsedRuns)
+		return
+	}
+	r.lease.Reset(left)
+}
+
+// endLapsedRuns ends all runs where their lease has expired.
+func (r *Runner) endLapsedRuns() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.clockMs() < r.leaseUntilMs {
+		return // it was extended at this moment
+	}
+	for task, attempt := range r.running {
+		r.endRun(task, attempt, endLapsed)
+	}
+}
+
 func (r *Runner) refuse(w http.ResponseWriter, reason string) {
 	w.WriteHeader(http.StatusConflict)
 	writeJSON(w, orderReply{ClockMs: r.clockMs(), Reason: reason})
@@ -188,6 +262,7 @@
 func (r *Runner) beginRun(task string, attempt int) {
 	r.running[task] = attempt
 	r.startsByTask[task]++
+	r.observer().RunStarted(r.ID, task, attempt)
 	time.AfterFunc(r.TaskDuration, func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
@@ -203,6 +278,7 @@
 		return
 	}
 	delete(r.running, task)
+	r.observer().RunEnded(r.ID, task, attempt, reason)
 	r.endedRuns++
 	r.finished = append(r.finished, finishedRun{number: r.endedRuns, task: task, attempt: attempt, reason: reason})
 	close(r.changed)
@@ -229,6 +305,8 @@
 		return
 	}
 	for len(r.finished) > 0 && r.finished[0].number <= renewal.LastSeen {
+		end := r.finished[0]
+		r.observer().EndAcknowledged(r.ID, end.task, end.attempt, end.reason)
 		r.finished = r.finished[1:]
 	}
 	changed, wait := r.changed, len(r.finished) == 0
--- a/internal/cluster/standin/runner_test.go
+++ b/internal/cluster/standin/runner_test.go
@@ -59,3 +59,46 @@
 		})
 	}
 }
+
+// recorder is an observer that keeps what it is told.
+type recorder chan string
+
+func (r recorder) RunStarted(_, task string, _ int)              { r <- "start " + task }
+func (r recorder) RunEnded(_, task string, _ int, reason string) { r <- reason + " " + task }
+func (r recorder) EndAcknowledged(_, task string, _ int, reason string) {
+	r <- "acknowledged " + reason + " " + task
+}
+
+// TestRunnerEndsLapsedRuns: what runs ends when its lease expires, and is reported until the scheduler has
+// taken note of it.
+func TestRunnerEndsLapsedRuns(t *testing.T) {
+	const room = 10
+	runner, err := standin.NewRunner("i-1", time.Hour)
+	require.NoError(t, err)
+	told := make(recorder, room)
+	runner.MaxLease, runner.Observer = 20*time.Millisecond, told
+	defer runner.Server.Close()
+	status, answer := sendOrder(t, runner, "/-/run-start", `{"task":"job.0.0.0","attempt":1,"fence_token":1,"deadline_ms":1000000}`)
+	require.Equal(t, http.StatusOK, status, answer)
+	require.Equal(t, "start job.0.0.0", <-told)
+	require.Equal(t, "lapsed job.0.0.0", <-told)
+	_, answer = sendOrder(t, runner, "/-/hold", `{"fence_token":1}`)
+	require.Contains(t, answer, `[1,"job.0.0.0",1,"lapsed",""]`)
+	_, answer = sendOrder(t, runner, "/-/hold", `{"fence_token":1,"last_seen":1}`)
+	require.Contains(t, answer, `"finished":[]`)
+	require.Equal(t, "acknowledged lapsed job.0.0.0", <-told)
+}
+
+// TestRunnerCrash: all that runs ends with the runner, which answers nobody any more.
+func TestRunnerCrash(t *testing.T) {
+	const room = 10
+	runner, err := standin.NewRunner("i-1", time.Hour)
+	require.NoError(t, err)
+	told := make(recorder, room)
+	runner.Observer = told
+	status, answer := sendOrder(t, runner, "/-/run-start", `{"task":"job.0.0.0","attempt":1,"fence_token":1,"deadline_ms":1000000}`)
+	require.Equal(t, http.StatusOK, status, answer)
+	runner.Crash()
+	require.Equal(t, "start job.0.0.0", <-told)
+	require.Equal(t, "crashed job.0.0.0", <-told)
+}
