soak: seeded runs of the cluster scheduler with real processes

Package soak starts control-plane nodes and dispatchers as processes on loopback, plays a seeded plan of overlapping events, and checks requests that were cut, jobs, runs of tasks, configurations, stops and logs.

--- /dev/null
+++ b/internal/cluster/soak/exchanges.go
@@ -0,0 +1,65 @@
+package soak
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// lossSlack is how long after a request's last byte its connection may be closed unread: a process that
+// closes an idle connection can't know what is on its way.
+const lossSlack = 200 * time.Millisecond
+
+// exchanges checks and counts what clients and operators saw on their connections.
+type exchanges struct {
+	timeline *Timeline
+	findings *Findings
+
+	answered, refused, cut, silent, unsent atomic.Int64
+}
+
+// note takes an exchange that has ended.
+func (x *exchanges) note(e *Exchange) {
+	switch e.outcome {
+	case answered:
+		x.noteAnswer(e)
+	case cut:
+		x.cut.Add(1)
+		if isLost(e) && x.timeline.isCalm(e.lastByte, e.ended) {
+			x.findings.add(RuleLost, "%s", x.describe(e))
+		}
+	case silent:
+		x.silent.Add(1)
+		if x.timeline.isCalm(e.lastByte, e.ended) {
+			x.findings.add(RuleHeld, "%s", x.describe(e))
+		}
+	case unsent:
+		x.unsent.Add(1)
+	}
+}
+
+func (x *exchanges) noteAnswer(e *Exchange) {
+	if e.hasClearAnswer() {
+		x.answered.Add(1)
+	} else {
+		x.refused.Add(1)
+	}
+}
+
+// isLost tells whether a request that was cut counts as read: a part of its answer came, or the connection
+// stayed open for longer than a request may be on its way.
+func isLost(e *Exchange) bool {
+	return e.outcome == cut && (e.partial || e.ended.Sub(e.lastByte) > lossSlack)
+}
+
+func (x *exchanges) describe(e *Exchange) string {
+	t := x.timeline
+	return e.request.method + " " + e.request.path + " at " + e.target + ", sent " + t.at(e.lastByte) + ", ended " + t.at(e.ended) +
+		": " + errorText(e.err) + "; near: " + t.near(e.lastByte, e.ended)
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return "no error"
+	}
+	return err.Error()
+}
--- /dev/null
+++ b/internal/cluster/soak/run.go
@@ -0,0 +1,305 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"basaltloft/internal/cluster/processes"
+)
+
+// Options describe a run.
+type Options struct {
+	Plan   Plan
+	Size   Size
+	Build  processes.Build
+	Folder string // for data, settings and logs; the caller removes it
+}
+
+// Result is what a run showed.
+type Result struct {
+	Findings []string // what broke a rule; empty: nothing did
+	Summary  string   // numbers of what was done, in a line
+}
+
+// run is a run that is being played.
+type run struct {
+	*deployment
+	options   Options
+	random    *lockedRandom
+	exchanges *exchanges
+	jobs      *jobLedger
+	ledger    *configLedger
+	operator  *operator
+	slowest   time.Duration // until the accepted jobs had ended
+}
+
+// Run plays a run to its end and checks it. All processes that it starts have ended when it returns. An
+// error tells why it could not be played.
+func Run(ctx context.Context, options Options) (Result, error) {
+	random := &lockedRandom{random: rand.New(rand.NewPCG(options.Plan.Seed, 1))}
+	d, err := newDeployment(options.Size, options.Build, options.Folder, random.split())
+	if d != nil {
+		defer d.close()
+	}
+	if err != nil {
+		return Result{}, err
+	}
+	r := &run{deployment: d, options: options, random: random, ledger: &configLedger{findings: d.findings}}
+	r.exchanges = &exchanges{timeline: d.timeline, findings: d.findings}
+	r.jobs = &jobLedger{timeline: d.timeline, findings: d.findings, runs: d.runs}
+	r.operator = &operator{deployment: d, ctx: ctx, exchanges: r.exchanges, ledger: r.ledger, random: random}
+	if err := r.begin(ctx); err != nil {
+		return Result{}, err
+	}
+	r.play(ctx)
+	r.finish(ctx)
+	return Result{Findings: d.findings.Texts(), Summary: r.summary()}, ctx.Err()
+}
+
+// begin starts all processes and brings them the first configuration.
+func (r *run) begin(ctx context.Context) error {
+	for _, m := range r.machines() {
+		if err := r.start(m); err != nil {
+			return err
+		}
+	}
+	r.operator.send(r.ledger.draw("first", 1, false, 0))
+	if r.ledger.newest(time.Now()) == 0 {
+		return errors.New("the first configuration was not acknowledged")
+	}
+	if err := r.awaitVoting(ctx); err != nil {
+		return err
+	}
+	injector := r.injector(ctx)
+	for _, m := range r.dispatchers {
+		injector.awaitServing(m)
+	}
+	return nil
+}
+
+func (r *run) injector(ctx context.Context) *injector {
+	return &injector{deployment: r.deployment, ctx: ctx, random: r.random}
+}
+
+// play plays the plan's events while clients and operators are at work, and returns when all have ended.
+func (r *run) play(ctx context.Context) {
+	playing, end := context.WithCancel(ctx)
+	defer end()
+	var clients, events sync.WaitGroup
+	for number := range r.size.Clients {
+		clients.Go(r.client(playing, number).run)
+	}
+	for _, node := range r.nodes {
+		operator := *r.operator
+		operator.ctx = playing
+		clients.Go((&reader{operator: &operator, node: node}).run)
+	}
+	begun := time.Now()
+	for _, event := range r.options.Plan.Events {
+		if !pass(ctx, time.Until(begun.Add(event.At))) {
+			break
+		}
+		events.Go(func() { r.playEvent(ctx, event) })
+	}
+	pass(ctx, time.Until(begun.Add(r.options.Plan.Length)))
+	events.Wait()
+	end()
+	clients.Wait()
+}
+
+func (r *run) playEvent(ctx context.Context, event Event) {
+	if event.Kind == Burst {
+		r.burst(ctx)
+		return
+	}
+	if !r.injector(ctx).play(event) {
+		r.operator.play(event)
+	}
+}
+
+// client returns a client of a number: every third one pauses for long.
+func (r *run) client(ctx context.Context, number int) *client {
+	pauses := []time.Duration{60 * time.Millisecond, 300 * time.Millisecond, 4 * time.Second}
+	return &client{
+		deployment: r.deployment, ctx: ctx, exchanges: r.exchanges, jobs: r.jobs, ledger: r.ledger, random: r.random,
+		longestPause: pauses[number%len(pauses)],
+	}
+}
+
+// burst lets clients hand a job in at the same moment, each on a new connection.
+func (r *run) burst(ctx context.Context) {
+	const jobs = 60
+	var all sync.WaitGroup
+	for number := range jobs {
+		all.Go(func() {
+			c := r.client(ctx, number)
+			defer c.drop()
+			c.submit()
+		})
+	}
+	all.Wait()
+}
+
+// finish checks, in a calm time, that all processes take part, that new jobs are served and accepted ones end,
+// that the configuration is kept, and that all processes stop.
+func (r *run) finish(ctx context.Context) {
+	injector := r.injector(ctx)
+	injector.awaitServing(r.nodes[0])
+	for _, m := range r.dispatchers {
+		injector.awaitServing(m)
+	}
+	for _, m := range r.machines() {
+		if !m.Runs() {
+			r.findings.add(RuleStop, "%s at %s has ended by itself", m.Program, m.ip)
+		}
+	}
+	r.serveMore(ctx)
+	begun := time.Now()
+	await(ctx, finishLimit, func() bool { return r.askAll(ctx) })
+	r.slowest = time.Since(begun)
+	r.jobs.check()
+	r.readBack(ctx)
+	r.stopAll(ctx)
+	r.checkLogs()
+}
+
+// serveMore hands a job in at each dispatcher.
+func (r *run) serveMore(ctx context.Context) {
+	const limit = 15 * time.Second
+	for _, m := range r.dispatchers {
+		j := r.jobs.add(r.random.intN(len(queues)), 0)
+		served := await(ctx, limit, func() bool {
+			got, ok := r.askAt(ctx, m, request{method: http.MethodPost, path: j.path(), host: clientHost, body: j.body})
+			if ok {
+				r.jobs.noteSubmit(j, &got)
+			}
+			return j.isAccepted()
+		})
+		if !served {
+			r.findings.add(RuleCollapse, "the dispatcher at %s accepts no job within %v of calm", m.ip, limit)
+		}
+	}
+}
+
+// askAt sends a request to a process on a new connection; false: it was not sent whole.
+func (r *run) askAt(ctx context.Context, m *machine, sent request) (Exchange, bool) {
+	c, err := dial(ctx, m.ip, r.addresses.HTTP(m.ip))
+	if err != nil {
+		return Exchange{}, false
+	}
+	defer c.close()
+	got, _ := c.exchange(sent)
+	r.exchanges.note(&got)
+	return got, got.outcome != unsent
+}
+
+// askAll asks for all accepted jobs that are not known to have ended; true: there are none left.
+func (r *run) askAll(ctx context.Context) bool {
+	left := 0
+	for _, j := range r.jobs.all() {
+		if !j.isAccepted() || j.isOver() {
+			continue
+		}
+		m := r.dispatchers[r.random.intN(len(r.dispatchers))]
+		if got, ok := r.askAt(ctx, m, request{method: http.MethodGet, path: j.path(), host: clientHost}); ok {
+			r.jobs.noteState(j, &got, j.isCancelled())
+		}
+		if !j.isOver() {
+			left++
+		}
+	}
+	return left == 0
+}
+
+// readBack asks each node for the newest configuration.
+func (r *run) readBack(ctx context.Context) {
+	const limit = 15 * time.Second
+	for _, m := range r.nodes {
+		wanted, shown := r.ledger.newest(time.Now()), ""
+		if !await(ctx, limit, func() bool {
+			got, ok := r.askAt(ctx, m, request{method: http.MethodGet, path: "/-/config/get", host: m.ip})
+			shown = got.body
+			return ok && got.outcome == answered && got.status == http.StatusOK
+		}) {
+			r.findings.add(RuleCollapse, "the node at %s shows no configuration within %v of calm", m.ip, limit)
+			continue
+		}
+		r.ledger.checkContent(shown, wanted, m.ip)
+	}
+}
+
+// stopAll tells all processes to stop, the dispatchers first.
+func (r *run) stopAll(ctx context.Context) {
+	injector := r.injector(ctx)
+	for _, group := range [][]*machine{r.dispatchers, r.nodes} {
+		var all sync.WaitGroup
+		for _, m := range group {
+			if m.Runs() {
+				all.Go(func() { injector.stop(m) })
+			}
+		}
+		all.Wait()
+	}
+}
+
+// checkLogs looks for what a process leaves that ended by a fault of its own.
+func (r *run) checkLogs() {
+	for _, m := range r.machines() {
+		content, err := os.ReadFile(m.Log)
+		if err != nil {
+			r.findings.add(RuleStop, "the log of %s can't be read: %v", m.ip, err)
+		}
+		for _, trace := range []string{"panic: ", "fatal error: ", "DATA RACE", "\ngoroutine "} {
+			if at := strings.Index(string(content), trace); at >= 0 {
+				const shown = 1500
+				r.findings.add(RuleStop, "the log of %s has: %s", m.ip, content[at:min(len(content), at+shown)])
+				break
+			}
+		}
+	}
+}
+
+// close ends what still runs.
+func (d *deployment) close() {
+	for _, m := range d.machines() {
+		if m.Runs() {
+			m.Signal(syscall.SIGCONT)
+			m.Stop(syscall.SIGKILL)
+		}
+	}
+	for _, slot := range d.runners {
+		if slot.runner != nil {
+			slot.runner.Crash()
+		}
+	}
+	if d.platform != nil {
+		d.platform.Server.Close()
+	}
+	_ = d.ports.Close() // they are bound to nothing else
+}
+
+func (r *run) summary() string {
+	x := r.exchanges
+	accepted, over := 0, 0
+	for _, j := range r.jobs.all() {
+		if j.isAccepted() {
+			accepted++
+		}
+		if j.isOver() {
+			over++
+		}
+	}
+	return fmt.Sprintf("requests: %d answered, %d refused, %d cut, %d silent, %d not sent; jobs: %d handed in, %d accepted, %d ended, the last %.1f s after the events; "+
+		"configurations: %d sent, newest %d; stops that left requests or connections: %d",
+		x.answered.Load(), x.refused.Load(), x.cut.Load(), x.silent.Load(), x.unsent.Load(), len(r.jobs.all()), accepted, over, r.slowest.Seconds(),
+		len(r.ledger.orders), r.ledger.newest(time.Now()), r.leftRequests.Load())
+}
--- /dev/null
+++ b/internal/cluster/soak/soak_test.go
@@ -0,0 +1,81 @@
+package soak
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"basaltloft/internal/cluster/processes"
+	"basaltloft/internal/shared/testdeadline"
+)
+
+// Sizes of runs: that of each change, and those by hand.
+const (
+	shortWindows = 2
+	longWindows  = 4
+	atOnce       = 2 // runs by hand
+)
+
+var usualSize = Size{Nodes: 3, Dispatchers: 3, Runners: 3, Clients: 9}
+
+// TestSoak plays one short seed. BASALTLOFT_SOAK_SEEDS plays so many longer ones, two at a time, from
+// BASALTLOFT_SOAK_FIRST on, BASALTLOFT_SOAK_SEED one alone. BASALTLOFT_SOAK_DISPATCHERS and _NODES give the
+// numbers of processes, and BASALTLOFT_SOAK_LOGS a folder that keeps the logs.
+func TestSoak(t *testing.T) {
+	build, err := processes.Compile(t.Context(), t.TempDir())
+	require.NoError(t, err)
+	first, _ := envNumber("BASALTLOFT_SOAK_FIRST")
+	seeds, byHand := envNumber("BASALTLOFT_SOAK_SEEDS")
+	if seed, ok := envNumber("BASALTLOFT_SOAK_SEED"); ok {
+		first, seeds, byHand = seed, 1, true
+	}
+	if !byHand {
+		play(t, build, NewPlan(1, shortWindows), usualSize)
+		return
+	}
+	size := usualSize
+	if count, ok := envNumber("BASALTLOFT_SOAK_DISPATCHERS"); ok {
+		size.Dispatchers = int(count)
+	}
+	if count, ok := envNumber("BASALTLOFT_SOAK_NODES"); ok {
+		size.Nodes = int(count)
+	}
+	size.Clients = max(size.Clients, size.Dispatchers)
+	var next atomic.Uint64
+	for part := range atOnce {
+		t.Run(fmt.Sprint(part), func(t *testing.T) {
+			t.Parallel()
+			for number := next.Add(1) - 1; number < seeds; number = next.Add(1) - 1 {
+				plan := NewPlan(first+number, longWindows)
+				t.Run(fmt.Sprint("seed ", plan.Seed), func(t *testing.T) { play(t, build, plan, size) })
+			}
+		})
+	}
+}
+
+// play plays a run and fails the test by what it finds.
+func play(t *testing.T, build processes.Build, plan Plan, size Size) {
+	folder := t.TempDir()
+	if kept := os.Getenv("BASALTLOFT_SOAK_LOGS"); kept != "" {
+		folder = filepath.Join(kept, fmt.Sprint("seed-", plan.Seed))
+		require.NoError(t, os.MkdirAll(folder, 0o700))
+	}
+	result, err := Run(testdeadline.Context(t), Options{Plan: plan, Size: size, Build: build, Folder: folder})
+	t.Logf("seed %d: %d findings; %s", plan.Seed, len(result.Findings), result.Summary)
+	if len(result.Findings) > 0 {
+		t.Log(plan)
+	}
+	require.NoError(t, err)
+	require.Empty(t, result.Findings)
+}
+
+// envNumber returns the number in an environment variable; false: there is none.
+func envNumber(variable string) (uint64, bool) {
+	value, err := strconv.ParseUint(os.Getenv(variable), 10, 64)
+	return value, err == nil
+}
