soak: tests of the checks themselves

Each rule's check is held to a case that breaks it and one that does not, without processes. Evidence: go test -race -run 'Timeline|Cut|Exchange|RunLog|Ledger|Plan|Await' ./internal/cluster/soak ok.

--- /dev/null
+++ b/internal/cluster/soak/check_test.go
@@ -0,0 +1,257 @@
+package soak
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func newTestTimeline() *Timeline { return newTimeline(contact) }
+
+// TestTimelineKnowsTrouble: trouble counts from its begin until Contact after its end; planned work concerns
+// the process alone.
+func TestTimelineKnowsTrouble(t *testing.T) {
+	timeline := newTestTimeline()
+	start := timeline.started
+	timeline.spans = []*span{
+		{kind: unplanned, target: "a", from: start.Add(10 * time.Second), until: start.Add(12 * time.Second)},
+		{kind: planned, target: "b", from: start.Add(30 * time.Second)},
+	}
+	calm := func(from, until time.Duration) bool { return timeline.isCalm(start.Add(from), start.Add(until)) }
+	require.True(t, calm(0, 10*time.Second))
+	require.False(t, calm(0, 11*time.Second))
+	require.False(t, calm(14*time.Second, 15*time.Second))
+	require.True(t, calm(16*time.Second, 50*time.Second))
+	require.False(t, timeline.isInTouch("b", start.Add(40*time.Second), start.Add(41*time.Second)))
+	require.True(t, timeline.isInTouch("a", start.Add(40*time.Second), start.Add(41*time.Second)))
+}
+
+// TestCutRequestsAreFound: a request counts as lost where its connection was closed later than a request may
+// be on its way, or within its answer, and nothing unplanned was near.
+func TestCutRequestsAreFound(t *testing.T) {
+	sent := time.Now()
+	for name, c := range map[string]struct {
+		exchange Exchange
+		trouble  bool
+		rules    int
+	}{
+		"at once":       {Exchange{outcome: cut, lastByte: sent, ended: sent.Add(lossSlack)}, false, 0},
+		"later":         {Exchange{outcome: cut, lastByte: sent, ended: sent.Add(lossSlack + 1)}, false, 1},
+		"in its answer": {Exchange{outcome: cut, lastByte: sent, ended: sent, partial: true}, false, 1},
+		"near trouble":  {Exchange{outcome: cut, lastByte: sent, ended: sent.Add(time.Second)}, true, 0},
+		"no answer":     {Exchange{outcome: silent, lastByte: sent, ended: sent.Add(answerTimeout)}, false, 1},
+		"answered":      {Exchange{outcome: answered, status: http.StatusOK, lastByte: sent, ended: sent.Add(time.Second)}, false, 0},
+		"not sent":      {Exchange{outcome: unsent, ended: sent.Add(time.Second)}, false, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			x := exchanges{timeline: newTestTimeline(), findings: &Findings{}}
+			if c.trouble {
+				x.timeline.begin(unplanned, "a", "killed")
+			}
+			x.note(&c.exchange)
+			require.Len(t, x.findings.Texts(), c.rules)
+		})
+	}
+}
+
+// serveOnce answers the first request on a connection with a text, and closes it.
+func serveOnce(t *testing.T, text string) (address string) {
+	t.Helper()
+	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() {
+		conn, err := listener.Accept()
+		_ = listener.Close() // no more than one
+		if err != nil {
+			return
+		}
+		request, err := http.ReadRequest(bufio.NewReader(conn))
+		if err == nil {
+			_, _ = io.Copy(io.Discard, request.Body)
+		}
+		_, _ = io.WriteString(conn, text)
+		_ = conn.Close()
+	}()
+	return listener.Addr().String()
+}
+
+// TestExchangeOutcomes: how an exchange ended is told by what came on its connection.
+func TestExchangeOutcomes(t *testing.T) {
+	for _, c := range []struct {
+		name, text string
+		outcome    outcome
+		partial    bool
+		keep       bool
+	}{
+		{"complete", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", answered, true, true},
+		{"last of its connection", "HTTP/1.1 503 X\r\nConnection: close\r\nContent-Length: 2\r\n\r\n{}", answered, true, false},
+		{"nothing", "", cut, false, false},
+		{"half a header", "HTTP/1.1 200 OK\r\nConte", cut, true, false},
+		{"half a body", "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n{}", cut, true, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			opened, err := dial(t.Context(), "a", serveOnce(t, c.text))
+			require.NoError(t, err)
+			defer opened.close()
+			got, keep := opened.exchange(request{method: http.MethodPost, path: "/q/1", host: "h", body: "{}", pause: time.Millisecond})
+			require.Equal(t, c.outcome, got.outcome, got.err)
+			require.Equal(t, c.partial, got.partial)
+			require.Equal(t, c.keep, keep)
+		})
+	}
+}
+
+// TestRunLogFindsDoubleRuns: two runs at once, or a start after an end that was taken note of, before or
+// afterwards.
+func TestRunLogFindsDoubleRuns(t *testing.T) {
+	const task = "1.0.0.0"
+	for name, c := range map[string]struct {
+		play  func(l *runLog)
+		rules int
+	}{
+		"once": {func(l *runLog) {
+			l.RunStarted("a", task, 1)
+			l.RunEnded("a", task, 1, endDone)
+			l.EndAcknowledged("a", task, 1, endDone)
+		}, 0},
+		"again after a crash": {func(l *runLog) {
+			l.RunStarted("a", task, 1)
+			l.RunEnded("a", task, 1, "crashed")
+			l.RunStarted("b", task, 2)
+		}, 0},
+		"at once": {func(l *runLog) {
+			l.RunStarted("a", task, 1)
+			l.RunStarted("b", task, 2)
+		}, 1},
+		"after its end": {func(l *runLog) {
+			l.RunStarted("a", task, 1)
+			l.RunEnded("a", task, 1, endDone)
+			l.EndAcknowledged("a", task, 1, endDone)
+			l.RunStarted("b", task, 2)
+		}, 1},
+		"before its end was taken note of": {func(l *runLog) {
+			l.RunStarted("a", task, 1)
+			l.RunEnded("a", task, 1, endDone)
+			l.RunStarted("b", task, 2)
+			l.EndAcknowledged("a", task, 1, endDone)
+		}, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			log := newRunLog(&Findings{})
+			c.play(log)
+			require.Len(t, log.findings.Texts(), c.rules)
+		})
+	}
+}
+
+// TestJobLedgerFindsLostJobs: each way in which a job may be lost, or run unasked, is found.
+func TestJobLedgerFindsLostJobs(t *testing.T) {
+	ok := Exchange{outcome: answered, status: http.StatusOK, body: `{"state":"running"}`, ended: time.Now()}
+	refused := Exchange{outcome: answered, status: http.StatusServiceUnavailable}
+	gone := Exchange{outcome: answered, status: http.StatusGone}
+	completed := Exchange{outcome: answered, status: http.StatusOK, body: `{"state":"completed"}`}
+	canceled := Exchange{outcome: answered, status: http.StatusOK, body: `{"state":"canceled"}`}
+	for name, c := range map[string]struct {
+		play  func(l *jobLedger, j *job)
+		rules int
+	}{
+		"completed": {func(l *jobLedger, j *job) {
+			l.noteSubmit(j, &ok)
+			l.runs.RunStarted("a", j.id+".0.0.0", 1)
+			l.runs.RunEnded("a", j.id+".0.0.0", 1, endDone)
+			l.noteState(j, &completed, false)
+		}, 0},
+		"completed without its task": {func(l *jobLedger, j *job) {
+			l.noteSubmit(j, &ok)
+			l.noteState(j, &completed, false)
+		}, 1},
+		"never ends":   {func(l *jobLedger, j *job) { l.noteSubmit(j, &ok) }, 1},
+		"refused":      {func(l *jobLedger, j *job) { l.noteSubmit(j, &refused) }, 0},
+		"refused, ran": {func(l *jobLedger, j *job) { l.noteSubmit(j, &refused); l.runs.RunStarted("a", j.id+".0.0.0", 1) }, 1},
+		"gone, and never ends": {func(l *jobLedger, j *job) {
+			l.noteSubmit(j, &ok)
+			l.noteState(j, &gone, false)
+		}, 2},
+		"canceled by nobody": {func(l *jobLedger, j *job) {
+			l.noteSubmit(j, &ok)
+			l.noteState(j, &canceled, false)
+		}, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			findings := &Findings{}
+			ledger := &jobLedger{timeline: newTestTimeline(), findings: findings, runs: newRunLog(findings)}
+			c.play(ledger, ledger.add(0, 0))
+			ledger.check()
+			require.Len(t, findings.Texts(), c.rules, findings.Texts())
+		})
+	}
+}
+
+// TestConfigLedgerFindsFaults: what must not be acknowledged, and what must not be shown, is found.
+func TestConfigLedgerFindsFaults(t *testing.T) {
+	acked, refused := Exchange{status: http.StatusOK}, Exchange{status: http.StatusPreconditionFailed}
+	newLedger := func() *configLedger {
+		l := &configLedger{findings: &Findings{}}
+		l.note(l.draw("first", 1, false, 0), acked)
+		return l
+	}
+	t.Run("both of a race", func(t *testing.T) {
+		l := newLedger()
+		for _, o := range l.drawRace(1) {
+			l.note(o, acked)
+		}
+		require.Len(t, l.findings.Texts(), 1)
+	})
+	t.Run("invalid", func(t *testing.T) {
+		l := newLedger()
+		l.note(l.draw("invalid", 1, true, 0), acked)
+		require.Len(t, l.findings.Texts(), 1)
+	})
+	t.Run("read back", func(t *testing.T) {
+		l := newLedger()
+		race := l.drawRace(2)
+		l.note(race[0], acked)
+		l.note(race[1], refused)
+		l.checkContent(race[0].content, race[0].version, "here")
+		require.Empty(t, l.findings.Texts())
+		l.checkContent(race[1].content, 0, "here")
+		l.checkContent(l.orders[0].content, race[0].version, "here")
+		l.checkContent(`{"version":99}`, 0, "here")
+		require.Len(t, l.findings.Texts(), 3)
+	})
+}
+
+// TestPlanIsOfItsSeed: a seed has one plan, with planned work first and trouble between, and enough of both.
+func TestPlanIsOfItsSeed(t *testing.T) {
+	const windows, seeds = 3, 50
+	kinds := map[EventKind]int{}
+	for seed := range uint64(seeds) {
+		plan := NewPlan(seed, windows)
+		require.Equal(t, plan, NewPlan(seed, windows))
+		require.NotEqual(t, plan.Events, NewPlan(seed+1, windows).Events)
+		for _, event := range plan.Events {
+			kinds[event.Kind]++
+			require.Less(t, event.At, plan.Length)
+		}
+	}
+	for _, kind := range append(append([]EventKind(nil), plannedKinds...), unplannedKinds...) {
+		require.Positive(t, kinds[kind], kind)
+	}
+}
+
+// TestAwaitIsBounded: a condition that never holds ends the wait at its limit, and at the context's end.
+func TestAwaitIsBounded(t *testing.T) {
+	never := func() bool { return false }
+	require.False(t, await(t.Context(), time.Millisecond, never))
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	require.False(t, await(ended, time.Hour, never))
+	require.False(t, pass(ended, time.Hour))
+	require.True(t, await(t.Context(), time.Hour, func() bool { return true }))
+}
