dataplane: a process that stops answers what waits before it closes connections

Callers saw a connection closed without an answer around a SIGTERM (LOST): a request is retried for 0.42 of its time-out, that is 1.26 s of 3 s, and a stop gives what is under way 1.1 s once it listens no more. A request that came shortly before that, or with a longer time-out, and whose shard's leader did not serve it in that time, was cut when the process ended, though it had been read whole long before. It takes a leader that does not serve for over a second: suspected on the large deployments, not measured there. Now a stop bounds all waits of requests, of those under way too, to 0.2 s before the connections close; then they have their 503 or 504 as after any time-out.

--- a/internal/cluster/dataplane/clients_test.go
+++ b/internal/cluster/dataplane/clients_test.go
@@ -25,7 +25,7 @@
 	f := &fixture{now: time.Hour, onPause: func() {}}
 	clock := func() time.Duration { return f.now }
 	watcher := &configWatcher{Watcher: router.NewWatcher("edge", []string{"core-0"}, 2*time.Second, slog.New(slog.DiscardHandler)), clock: clock}
-	f.clientHandler = &clientHandler{watcher: watcher, clock: clock, draining: func() bool { return false }, pause: func(span time.Duration) {
+	f.clientHandler = &clientHandler{watcher: watcher, clock: clock, draining: func() bool { return false }, answerBy: func() time.Duration { return never }, pause: func(span time.Duration) {
 		f.now += span
 		f.onPause()
 	}}
--- a/internal/cluster/dataplane/dispatcher.go
+++ b/internal/cluster/dataplane/dispatcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -19,16 +20,21 @@
 	log      *slog.Logger
 	started  time.Time
 	watcher  *configWatcher
-	draining atomic.Bool // it has been told to stop
+	draining atomic.Bool  // it has been told to stop
+	answerBy atomic.Int64 // on its clock: when each request has to be answered; never until it is to stop
 }
 
 // New returns a dispatcher that does not serve yet.
 func New(settings settings.Settings, log *slog.Logger) *Dispatcher {
 	d := &Dispatcher{settings: settings, log: log, started: time.Now()}
+	d.answerBy.Store(int64(never))
 	d.watcher = newConfigWatcher(settings, log, d.now)
 	return d
 }
 
+// never is a time that the dispatcher's clock does not reach.
+const never = time.Duration(math.MaxInt64)
+
 // clockStart is what the dispatcher's clock shows at its start; 0 stands for "never" in router.
 const clockStart = time.Hour
 
@@ -48,6 +54,8 @@
 	drainMargin = 1500 * time.Millisecond
 	// exitMargin is the part of drainMargin that is kept free for the exit itself.
 	exitMargin = 400 * time.Millisecond
+	// answerMargin is kept free between the last answers and the end of the connections.
+	answerMargin = 200 * time.Millisecond
 	// platformDelay is how long the platform may go on sending new connections.
 	platformDelay = time.Second
 	// minDrainTime is how long new connections are served at least, on a grace of twice that.
@@ -59,7 +67,7 @@
 // it can't listen or where requests are left when the grace is over.
 func (d *Dispatcher) Run(ctx context.Context) error {
 	front := &http.Server{
-		Addr: d.settings.Listen.HTTP, Handler: &clientHandler{watcher: d.watcher, clock: d.now, draining: d.draining.Load, pause: time.Sleep},
+		Addr: d.settings.Listen.HTTP, Handler: d.newClientHandler(),
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 	ready := &http.Server{Addr: d.settings.Listen.Readiness, Handler: http.HandlerFunc(d.serveReady), ReadHeaderTimeout: headerTimeout}
@@ -81,13 +89,23 @@
 	}
 }
 
+func (d *Dispatcher) newClientHandler() *clientHandler {
+	return &clientHandler{
+		watcher: d.watcher, clock: d.now, draining: d.draining.Load, pause: time.Sleep,
+		answerBy: func() time.Duration { return time.Duration(d.answerBy.Load()) },
+	}
+}
+
 // drain stops the server of clients in order, within the grace that the platform gives.
 func (d *Dispatcher) drain(front *http.Server) error {
 	grace := d.settings.Bounds.Grace()
+	serveOn := max(grace-drainMargin-platformDelay, min(minDrainTime, grace/2))
+	const finishTime = drainMargin - exitMargin
+	d.answerBy.Store(int64(d.now() + serveOn + finishTime - answerMargin))
 	d.draining.Store(true)
 	d.log.Info("stopping", "grace", grace)
-	time.Sleep(max(grace-drainMargin-platformDelay, min(minDrainTime, grace/2)))
-	ctx, cancel := context.WithTimeout(context.Background(), max(drainMargin-exitMargin, exitMargin))
+	time.Sleep(serveOn)
+	ctx, cancel := context.WithTimeout(context.Background(), finishTime)
 	defer cancel()
 	return errors.Wrap(front.Shutdown(ctx), "finish what was under way")
 }
