controlplane: a node that stops answers the operators' calls that wait

An operator whose call waited at a node (for a commit, or passed on to the leader) saw its connection closed without an answer when the node was told to stop: the answer "this process ends: send the same again" was ready, and the connections were closed before it was written. Now the node ends the calls that it passed on, waits 0.3 s at most for the answers, and closes then.

--- a/internal/cluster/controlplane/configapi_test.go
+++ b/internal/cluster/controlplane/configapi_test.go
@@ -1,6 +1,7 @@
 package controlplane
 
 import (
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -41,3 +42,28 @@
 	b.read += n
 	return n, nil
 }
+
+// TestStopAnswersOperators: an operator's call that waits while the node stops has its answer. Its connection
+// was closed before that was written.
+func TestStopAnswersOperators(t *testing.T) {
+	node := loneNode(t)
+	waiting := make(chan struct{})
+	operators := &http.Server{ReadHeaderTimeout: headerTimeout, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		close(waiting)
+		<-node.stop // as configAPI.handle waits for a commit
+		w.WriteHeader(http.StatusGatewayTimeout)
+	})}
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { _ = operators.Serve(listener) }() // ends with the node
+	go func() {
+		<-waiting
+		node.shutDown(&http.Server{ReadHeaderTimeout: headerTimeout}, operators)
+	}()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+listener.Addr().String(), nil)
+	require.NoError(t, err)
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(t, err, "the call was cut")
+	require.NoError(t, response.Body.Close())
+	require.Equal(t, http.StatusGatewayTimeout, response.StatusCode)
+}
--- a/internal/cluster/controlplane/node.go
+++ b/internal/cluster/controlplane/node.go
@@ -192,13 +192,26 @@
 func (n *Node) shutDown(internal, operators *http.Server) {
 	close(n.stop)
 	n.endLifetime()
-	_ = operators.Close() // an error of a listener's close: the process ends anyway
-	_ = internal.Close()  // likewise
+	n.peers.close() // ends the calls of operators that were passed on
+	answerOperators(operators)
+	_ = internal.Close() // an error of a listener's close: the process ends anyway
 	n.rpc.Close()
-	n.peers.close()
+	n.peers.close() // what was opened since
 	n.closeGroups()
 }
 
+// answerTimeout bounds how long a stopping node takes to answer the operators' calls that wait.
+const answerTimeout = 300 * time.Millisecond
+
+// answerOperators lets the calls that are under way have their answers, and closes the operators' server.
+func answerOperators(operators *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
+	defer cancel()
+	if operators.Shutdown(ctx) != nil {
+		_ = operators.Close() // what has no answer by now is cut: the process ends anyway
+	}
+}
+
 // closeTimeout bounds how long a stopping node waits for its goroutines and its disk.
 const closeTimeout = 300 * time.Millisecond
 
