--- a/internal/cluster/controlplane/loadreport.go
+++ b/internal/cluster/controlplane/loadreport.go
@@ -21,7 +21,7 @@
 func (n *Node) reportLoad() {
 	ticker := time.NewTicker(processorInterval)
 	defer ticker.Stop()
-	use, last, lastUsed := processorUse{}, n.now(), processorTime()
+	use, last, lastUsed := processorUse{}, n.now(), usedProcessorTime()
 	collector := newCollectorMeter()
 	for {
 		select {
@@ -29,7 +29,7 @@
 			return
 		case <-ticker.C:
 		}
-		now, used := n.now(), processorTime()
+		now, used := n.now(), usedProcessorTime()
 		use.add(used-lastUsed, now-last, n.settings.Limits.CPUQuota)
 		last, lastUsed = now, used
 		if use.intervals < int(loadReportInterval/processorInterval) {
@@ -50,8 +50,8 @@
 	}
 }
 
-// processorTime returns the processor time that this process has used.
-func processorTime() time.Duration {
+// usedProcessorTime returns the processor time that this process has used.
+func usedProcessorTime() time.Duration {
 	usage := syscall.Rusage{}
 	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
 		return 0 // a report tells no use then
