A leader refuses what it can't work off, by the lateness of the queue

Cause: a leader accepted at the pace of the log and started at the pace of its processor. The one bound was 2,000 commands that wait for a batch.

Change: load shedding by queueing time (leader/overload.go, queueload.go; state machines without I/O). By Little's law a queue's jobs that are not over, by the pace at which they end, are the time that the next one would take. Where that is beyond three times the objective, where a job is worth nothing, for as long as an objective, the queue accepts only what is expected to take three quarters of its objective. The rest is refused at once with 503 and Retry-After (the expected time), before its body is read; a job that is known, or waits for its commitment, is never refused. The objective is by the clients' estimates and the run times seen beside them, since estimates are off by 2.5 times either way. Queues are told apart: urgent ones are started first, and so are late last. It ends after 5 s without a refusal. Recurring and long-running jobs and queues without an objective are not counted.

--- a/internal/cluster/leader/cycle.go
+++ b/internal/cluster/leader/cycle.go
@@ -56,7 +56,9 @@
 	if current == nil {
 		return nil, scheduler.Output{}, s.takeClientCommandsLocked()
 	}
-	current.Tick(s.clocks.Monotonic(), s.clocks.UnixMs())
+	now := s.clocks.Monotonic()
+	s.shedder.tick(now)
+	current.Tick(now, s.clocks.UnixMs())
 	mayPropose := s.batchesInFlight < maxBatchesInFlight
 	output = current.TakeOutput(s.clocks.Monotonic(), mayPropose)
 	if mayPropose {
--- /dev/null
+++ b/internal/cluster/leader/overload.go
@@ -0,0 +1,208 @@
+package leader
+
+import (
+	"slices"
+	"time"
+
+	"basaltloft/internal/cluster/job"
+)
+
+const (
+	// lateAfter is how many times its objective a job may be expected to take on a leader that is not late.
+	lateAfter = 2
+	// runTimeWindow is the window of the average run time, in runs, of which leastRunTimes are taken in
+	// however late the leader is.
+	runTimeWindow = 256
+	leastRunTimes = 64
+)
+
+// loadShedder decides which submissions a leader refuses because it is late: load shedding by queueing
+// time. What is accepted can't be taken back, so that a leader that accepts more than it works off,
+// for lack of processor time, of disks or of runners, has each job wait for longer than the one before,
+// until all that ends is too late to be worth anything.
+//
+// By Little's law a job's expected time, from its acceptance to its end, is the number of the queue's
+// jobs that are not over by the pace at which they end. A queue for which that stays above what is
+// worth anything sheds load: it accepts no more jobs than are expected to meet their objective. Queues
+// are told apart, since urgent ones are served before the others and so are late last.
+//
+// Recurring and long-running jobs have no objective that counts from their acceptance and are not counted.
+// It is used by one goroutine at a time.
+type loadShedder struct {
+	now      time.Duration // as of the last input
+	queues   map[string]*queueLoad
+	open     map[string]*queueLoad // by the ID of a job that is not over
+	attempts map[string]int        // by ID: attempts to submit that wait for their commitment
+	runs     map[job.TaskRef]firstRun
+}
+
+// firstRun is the first run of a task, while it lasts.
+type firstRun struct {
+	startedAt time.Duration
+	estimate  time.Duration // by the client
+}
+
+// newLoadShedder returns the shedder of a new leader, with the jobs that it takes over.
+func newLoadShedder(now time.Duration, store *job.Store) *loadShedder {
+	l := &loadShedder{now: now, queues: map[string]*queueLoad{}, open: map[string]*queueLoad{}, attempts: map[string]int{}, runs: map[job.TaskRef]firstRun{}}
+	var open []string
+	for id, j := range store.Jobs {
+		if !j.State.Terminal() {
+			open = append(open, id)
+		}
+	}
+	slices.Sort(open) // the same store gives the same averages
+	for _, id := range open {
+		l.accepted(&store.Jobs[id].Submission)
+	}
+	return l
+}
+
+// hasObjective tells whether a job has an objective that counts from its acceptance.
+func hasObjective(s *job.Submission) bool {
+	if s.Extension <= 0 || s.Spec.Repeats > 0 {
+		return false
+	}
+	for i := range s.Spec.Steps {
+		if s.Spec.Steps[i].LongRunning {
+			return false
+		}
+	}
+	return longestChain(&s.Spec) > 0
+}
+
+// longestChain returns the run time of a job's longest chain of steps, by the client's estimates.
+func longestChain(spec *job.Spec) time.Duration {
+	longest := int64(0)
+	ends := make([]int64, len(spec.Steps))
+	for i := range spec.Steps {
+		for _, before := range spec.Steps[i].DependsOn {
+			ends[i] = max(ends[i], ends[before])
+		}
+		ends[i] += spec.Steps[i].EstimateMs
+		longest = max(longest, ends[i])
+	}
+	return time.Duration(longest) * time.Millisecond
+}
+
+// queue returns the load of a submission's queue.
+func (l *loadShedder) queue(s *job.Submission) *queueLoad {
+	q := l.queues[s.Queue]
+	if q == nil {
+		q = &queueLoad{since: l.now, decayedAt: l.now}
+		l.queues[s.Queue] = q
+	}
+	return q
+}
+
+// tick lets time pass.
+func (l *loadShedder) tick(now time.Duration) { l.now = now }
+
+// refuse tells whether a submission of a job that is not known is refused, and after how long the client
+// may come again. Another attempt at one that waits for its commitment is not refused: the client would
+// take it for a job that never runs.
+func (l *loadShedder) refuse(queue, id string) (retryAfter time.Duration, refused bool) {
+	q := l.queues[queue]
+	if q == nil || l.attempts[id] > 0 {
+		return 0, false
+	}
+	return q.refuse(l.now)
+}
+
+// submitting notes that an attempt to submit a job goes on to be committed. decided follows.
+func (l *loadShedder) submitting(s *job.Submission) {
+	if !hasObjective(s) {
+		return
+	}
+	l.attempts[s.ID]++
+	if l.attempts[s.ID] == 1 {
+		q := l.queue(s)
+		q.noteObjective(s)
+		q.submitting++
+	}
+}
+
+// decided notes that an attempt to submit a job was committed, or failed.
+func (l *loadShedder) decided(s *job.Submission) {
+	switch l.attempts[s.ID] {
+	case 0: // it is of an earlier leadership, or has no objective
+	case 1:
+		delete(l.attempts, s.ID)
+		l.queues[s.Queue].submitting--
+	default:
+		l.attempts[s.ID]--
+	}
+}
+
+// applied takes in a command that was applied to the store.
+func (l *loadShedder) applied(now time.Duration, store *job.Store, c *job.Command, outcome job.Outcome) {
+	l.now = now
+	if outcome != job.Applied {
+		return
+	}
+	if c.Kind == job.AcceptJob {
+		l.accepted(c.Submission)
+		return
+	}
+	j := store.Jobs[c.Task.Job]
+	if j == nil {
+		return
+	}
+	switch c.Kind {
+	case job.StartRun:
+		if c.Attempt == 1 {
+			l.runs[c.Task] = firstRun{startedAt: l.now, estimate: time.Duration(j.Spec.Steps[c.Task.Step].EstimateMs) * time.Millisecond}
+		}
+	case job.EndRun:
+		l.runEnded(c)
+	}
+	if j.State.Terminal() {
+		l.jobOver(j)
+	}
+}
+
+func (l *loadShedder) accepted(s *job.Submission) {
+	if !hasObjective(s) {
+		return
+	}
+	q := l.queue(s)
+	if !q.objective.Known() {
+		q.noteObjective(s)
+	}
+	if q.idle(l.now) {
+		q.since = l.now
+	}
+	q.open++
+	l.open[s.ID] = q
+}
+
+// runEnded learns from a task's first run, if it ended well: later ones may resume from a checkpoint.
+func (l *loadShedder) runEnded(c *job.Command) {
+	run, ok := l.runs[c.Task]
+	if !ok || c.Attempt != 1 {
+		return
+	}
+	delete(l.runs, c.Task)
+	q := l.open[c.Task.Job]
+	if q == nil || c.EndReason != job.EndDone || run.estimate == 0 {
+		return
+	}
+	known := q.runTimeRatio.Count >= leastRunTimes
+	if !known || q.expectedTime(l.now) <= lateAfter*q.objective.Value { // a late leader takes runs for longer than they are
+		q.runTimeRatio.Add(float64(l.now-run.startedAt)/float64(run.estimate), runTimeWindow)
+	}
+}
+
+func (l *loadShedder) jobOver(j *job.Job) {
+	q := l.open[j.ID]
+	if q == nil {
+		return
+	}
+	delete(l.open, j.ID)
+	q.open--
+	q.decay(l.now)
+	if j.State != job.StateCanceled {
+		q.ends++
+	}
+	q.observe(l.now)
+}
--- a/internal/cluster/leader/overload_world_test.go
+++ b/internal/cluster/leader/overload_world_test.go
@@ -76,6 +76,7 @@
 		if c.refusals == c.tries {
 			require.Equal(t, protocol.Status(http.StatusGone), w.state(c.id).Status, "job %s was refused each time", c.id)
 		}
+		require.Contains(t, []protocol.Status{0, http.StatusOK}, c.resent, "job %s was accepted before", c.id)
 		require.False(t, c.refusals > 0 && c.leastRetryAfter == 0, "job %s: a refusal names when to come again", c.id)
 	}
 }
--- /dev/null
+++ b/internal/cluster/leader/queueload.go
@@ -0,0 +1,115 @@
+package leader
+
+import (
+	"math"
+	"time"
+
+	"basaltloft/internal/cluster/job"
+	"basaltloft/internal/cluster/lateness"
+	"basaltloft/internal/shared/admission"
+)
+
+const (
+	// worthlessAfter is how many times its objective a job may take until its end is worth nothing.
+	worthlessAfter = 3
+	// admittedShare of the objective is what a job that is accepted while load is shed is expected to
+	// take: most of them are to meet it, not half.
+	admittedShare = 0.75
+	// leastOpenJobs of a queue are always accepted: without any, its pace would not be known.
+	leastOpenJobs = 8
+	// shedQuietTime: a queue that had to refuse nothing for so long accepts everything again.
+	shedQuietTime = 5 * time.Second
+	// leastRateWindow is the least window, in time, of the average pace at which jobs end.
+	leastRateWindow = time.Second
+	// objectiveWindow is the window of the average objective, in jobs.
+	objectiveWindow = 64
+
+	minShedRetryAfter = 500 * time.Millisecond
+	maxShedRetryAfter = 5 * time.Second
+)
+
+// queueLoad is what is known of a queue's load under this leader.
+type queueLoad struct {
+	since      time.Duration // first job
+	open       int           // jobs that are accepted and not over
+	submitting int           // jobs whose acceptance waits for its commitment
+	ends       float64       // jobs that ended, decaying
+	decayedAt  time.Duration
+
+	objective    admission.Average // of its jobs, in seconds
+	runTimeRatio admission.Average // run times over the clients' estimates
+
+	lateSince time.Duration // the expected time is beyond what is worth anything since then; 0: it is not
+	shedding  bool
+	refusedAt time.Duration // last
+}
+
+// noteObjective takes in the objective of one more of the queue's jobs.
+func (q *queueLoad) noteObjective(s *job.Submission) {
+	work := longestChain(&s.Spec)
+	if q.runTimeRatio.Known() {
+		work = time.Duration(float64(work) * q.runTimeRatio.Value)
+	}
+	objective := lateness.Objective(work, s.Extension, time.Duration(s.TargetMs)*time.Millisecond)
+	q.objective.Add(objective.Seconds(), objectiveWindow)
+}
+
+// rateWindow is the window of the average pace, in seconds.
+func (q *queueLoad) rateWindow() float64 {
+	return max(leastRateWindow.Seconds(), q.objective.Value)
+}
+
+func (q *queueLoad) decay(now time.Duration) {
+	q.ends *= math.Exp(-(now - q.decayedAt).Seconds() / q.rateWindow())
+	q.decayedAt = now
+}
+
+// expectedTime returns how long a job that were accepted now is expected to take, in seconds.
+func (q *queueLoad) expectedTime(now time.Duration) float64 {
+	unfinished := float64(q.open + q.submitting)
+	if unfinished == 0 {
+		return 0
+	}
+	q.decay(now)
+	window := q.rateWindow()
+	observed := window * (1 - math.Exp(-(now-q.since).Seconds()/window)) // less than the window at first
+	return unfinished * observed / q.ends                                // +Inf: nothing ends
+}
+
+// idle tells whether nothing of the queue is under way or has ended lately.
+func (q *queueLoad) idle(now time.Duration) bool {
+	q.decay(now)
+	return q.open == 0 && q.ends < 1
+}
+
+// observe takes in how late the queue is. Shedding begins once the expected time was worthless for as
+// long as a job's objective: the first jobs of a sudden burst end in less. At first, nothing has had the
+// time to end.
+func (q *queueLoad) observe(now time.Duration) {
+	objective := q.objective.Value
+	atFirst := (now - q.since).Seconds() <= worthlessAfter*objective
+	switch {
+	case atFirst || q.expectedTime(now) <= worthlessAfter*objective:
+		q.lateSince = 0
+	case q.lateSince == 0:
+		q.lateSince = now
+	case (now-q.lateSince).Seconds() > objective && !q.shedding:
+		q.shedding, q.refusedAt = true, now
+	}
+	if q.shedding && now-q.refusedAt > shedQuietTime {
+		q.shedding = false
+	}
+}
+
+// refuse tells whether a further job is refused, and after how long its client may come again: once
+// those before it are worked off.
+func (q *queueLoad) refuse(now time.Duration) (retryAfter time.Duration, refused bool) {
+	q.observe(now)
+	expected, objective := q.expectedTime(now), q.objective.Value
+	if !q.shedding || expected <= admittedShare*objective || q.open+q.submitting < leastOpenJobs {
+		return 0, false
+	}
+	q.refusedAt = now
+	seconds := min(expected, maxShedRetryAfter.Seconds())
+	return max(minShedRetryAfter, time.Duration(seconds*float64(time.Second))), true
+}
--- a/internal/cluster/leader/quota_test.go
+++ b/internal/cluster/leader/quota_test.go
@@ -25,7 +25,8 @@
 	quotaPeriod     = 100 * time.Millisecond
 	quota           = 40 * time.Millisecond // a period: full speed until it is spent, then nothing
 	cycleCost       = 300 * time.Microsecond
-	submissionCost  = 400 * time.Microsecond
+	receiveCost     = 100 * time.Microsecond // a submission, whatever becomes of it
+	acceptCost      = 300 * time.Microsecond // to read a job and put it into a batch
 	sendCost        = 200 * time.Microsecond
 	replyCost       = 150 * time.Microsecond
 	commitCost      = 200 * time.Microsecond
@@ -45,6 +46,7 @@
 	retryTime       = 1260 * time.Millisecond
 	clientPause     = time.Second // of a client that was not answered
 	clientTries     = 5
+	resendPause     = 2 * time.Second // after which an accepted job is sent once more
 )
 
 // The one kind of job: its tasks, what they take, and what it is promised.
@@ -112,6 +114,7 @@
 	sentAt   time.Duration // first
 	tries    int
 	accepted bool
+	resent   protocol.Status // the response to the same job, sent once more after its acceptance
 	refusals int
 	unclear  int // tries whose outcome is not known
 	// refusedIn is the longest that it waited for a refusal.
@@ -294,8 +297,7 @@
 		w.comeAgain(c, clientPause)
 		return
 	}
-	request := submitRequest(c.id, quotaBody, 1)
-	request.Route = opconfig.Route{Host: "h", PathPrefix: "/q/", Backend: "desk", Retries: 3, TargetMs: targetMs, Extension: extension}
+	request := w.request(c)
 	answered := false
 	unclear := c.unclear
 	w.later(min(attemptTimeout, deadline-w.now), func() {
@@ -306,8 +308,15 @@
 		}
 	})
 	w.later(networkDelay, func() {
-		w.work(submissionCost, func() {
+		w.work(receiveCost, func() {
+			enqueued := true
+			defer func() {
+				if enqueued {
+					w.work(acceptCost, func() {})
+				}
+			}()
 			w.shard.Submit(request, func(response protocol.JobResponse) {
+				enqueued = false
 				w.later(networkDelay, func() {
 					if !answered {
 						answered = true
@@ -322,8 +331,14 @@
 func (w *quotaWorld) answered(c *quotaClient, arrived time.Duration, response protocol.JobResponse) {
 	if response.Status == http.StatusOK {
 		c.accepted = true
+		if c.id[len(c.id)-1] == '0' { // one of sixteen
+			w.later(resendPause, func() { w.resend(c) })
+		}
 		return
 	}
+	if response.Status != http.StatusServiceUnavailable {
+		panic(fmt.Sprintf("a response that no submission here has: %+v", response))
+	}
 	retryAfter := time.Duration(response.RetryAfterMs) * time.Millisecond
 	if c.unclear == 0 { // else its dispatcher says that the outcome is not known
 		if c.refusals == 0 || retryAfter < c.leastRetryAfter {
@@ -335,6 +350,22 @@
 	w.comeAgain(c, retryAfter)
 }
 
+// resend sends an accepted job once more, as clients now and then do: it may not be refused any more.
+func (w *quotaWorld) resend(c *quotaClient) {
+	w.later(networkDelay, func() {
+		w.work(receiveCost, func() {
+			w.shard.Submit(w.request(c), func(response protocol.JobResponse) { c.resent = response.Status })
+		})
+	})
+}
+
+// request is what a dispatcher asks the leader for a client.
+func (w *quotaWorld) request(c *quotaClient) protocol.SubmitRequest {
+	request := submitRequest(c.id, quotaBody, 1)
+	request.Route = opconfig.Route{Host: "h", PathPrefix: "/q/", Backend: "desk", Retries: 3, TargetMs: targetMs, Extension: extension}
+	return request
+}
+
 func (w *quotaWorld) comeAgain(c *quotaClient, pause time.Duration) {
 	if c.tries < clientTries && !c.accepted {
 		w.later(pause, func() { w.submit(c) })
--- a/internal/cluster/leader/replica.go
+++ b/internal/cluster/leader/replica.go
@@ -20,7 +20,9 @@
 	for i, command := range batch.Commands {
 		outcomes[i] = s.store.Apply(command)
 		if s.scheduler != nil {
-			s.scheduler.Applied(s.clocks.Monotonic(), command, outcomes[i])
+			now := s.clocks.Monotonic()
+			s.scheduler.Applied(now, command, outcomes[i])
+			s.shedder.applied(now, s.store, &batch.Commands[i], outcomes[i])
 		}
 	}
 	s.wake()
@@ -53,7 +55,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.batchesInFlight = 0
-	s.scheduler = scheduler.New(s.store, epoch, s.config, s.clocks.Monotonic(), s.clocks.UnixMs(), s.log)
+	now := s.clocks.Monotonic()
+	s.scheduler = scheduler.New(s.store, epoch, s.config, now, s.clocks.UnixMs(), s.log)
+	s.shedder = newLoadShedder(now, s.store)
 	s.scheduler.UpdateRunners(s.clocks.Monotonic(), s.runners)
 	s.wake()
 }
--- a/internal/cluster/leader/response.go
+++ b/internal/cluster/leader/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -29,6 +30,12 @@
 	return protocol.JobResponse{Status: http.StatusServiceUnavailable, Moved: version, Reason: "a newer configuration sends the queue elsewhere"}
 }
 
+// overloadedResponse refuses a job that would take too long: it was not accepted and does not run, unless
+// it is sent again.
+func overloadedResponse(retryAfter time.Duration) protocol.JobResponse {
+	return protocol.JobResponse{Status: http.StatusServiceUnavailable, RetryAfterMs: retryAfter.Milliseconds(), Reason: "the queue is overloaded: come again later"}
+}
+
 // notLeaderResponse names the leader, as far as it is known here.
 func (s *Shard) notLeaderResponse() protocol.JobResponse {
 	return protocol.JobResponse{Status: protocol.StatusNotLeader, Owner: s.group.Leader().Address}
--- a/internal/cluster/leader/shard.go
+++ b/internal/cluster/leader/shard.go
@@ -33,16 +33,18 @@
 	mu              sync.Mutex
 	store           *job.Store
 	scheduler       *scheduler.Scheduler // nil: this process does not lead the group
-	runners         []scheduler.Runner   // of this shard's services
-	operatorConfig  *opconfig.Config     // nil: none yet
-	clientCommands  []clientCommand      // to go into the next batch
-	batchesInFlight int                  // that scheduler has proposed and that are not committed
+	shedder         *loadShedder
+	runners         []scheduler.Runner // of this shard's services
+	operatorConfig  *opconfig.Config   // nil: none yet
+	clientCommands  []clientCommand    // to go into the next batch
+	batchesInFlight int                // that scheduler has proposed and that are not committed
 }
 
 // NewShard returns a replica without jobs. wake is called whenever RunCycle has something to do; it
 // must neither block nor call the shard.
 func NewShard(number int, config scheduler.Config, clocks Clocks, wake func(), log *slog.Logger) *Shard {
-	return &Shard{number: number, config: config, clocks: clocks, wake: wake, log: log.With("shard", number), store: job.NewStore()}
+	store := job.NewStore()
+	return &Shard{number: number, config: config, clocks: clocks, wake: wake, log: log.With("shard", number), store: store, shedder: newLoadShedder(0, store)}
 }
 
 // SetGroup gives the replica its group. It is called once, before any other method but those of
--- a/internal/cluster/leader/submit.go
+++ b/internal/cluster/leader/submit.go
@@ -29,6 +29,7 @@
 		return
 	}
 	s.enqueue(job.Command{Kind: job.AcceptJob, Submission: submission}, func(outcome job.Outcome, err error) {
+		s.submissionDecided(submission)
 		reply(s.submittedResponse(outcome, err, submission.ConfigVersion))
 	})
 }
@@ -38,9 +39,8 @@
 func (s *Shard) checkSubmission(request *protocol.SubmitRequest) (*job.Submission, protocol.JobResponse) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	bodyHash := BodyHash(request.Body)
 	if j := s.store.Jobs[request.ID]; j != nil {
-		return nil, resubmittedResponse(j.Resubmitted(request.Queue, bodyHash))
+		return nil, resubmittedResponse(j.Resubmitted(request.Queue, BodyHash(request.Body)))
 	}
 	route, version, ok := s.route(request)
 	if !ok {
@@ -49,22 +49,33 @@
 	if protocol.ShardOf(route.Backend) != s.number {
 		return nil, queueMovedResponse(version)
 	}
+	if retryAfter, refused := s.shedder.refuse(request.Queue, request.ID); refused {
+		return nil, overloadedResponse(retryAfter) // before the body is read: a refusal must cost little
+	}
 	spec, err := job.ParseSpec(request.Body)
 	if err != nil {
 		return nil, protocol.JobResponse{Status: http.StatusBadRequest, Reason: err.Error()}
 	}
-	return &job.Submission{
+	submission := &job.Submission{
 		ID:            request.ID,
 		Queue:         request.Queue,
 		Service:       route.Backend,
-		BodyHash:      bodyHash,
+		BodyHash:      BodyHash(request.Body),
 		Spec:          spec,
 		Priority:      route.Priority,
 		Retries:       route.Retries,
 		TargetMs:      int64(route.TargetMs),
 		Extension:     route.Extension,
 		ConfigVersion: request.Version,
-	}, protocol.JobResponse{}
+	}
+	s.shedder.submitting(submission)
+	return submission, protocol.JobResponse{}
+}
+
+func (s *Shard) submissionDecided(submission *job.Submission) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.shedder.decided(submission)
 }
 
 // route returns the route of a submission and the version of the configuration that it is of: this
