A dispatcher uses its grace to finish requests, and keeps within it

Cause: after it went on serving, a dispatcher gave requests under way 1.1 s, whatever was left of the grace, and then closed their connections. A request is held for up to 1.26 s while its shard has no leader (and longer under routes with longer time-outs), so that callers saw a connection close without an answer after a SIGTERM, with 1.4 s of the grace unused. With a grace of 2 s the stop took 2.1 s, and the platform killed it.

Change: requests under way have what is left of the grace but for the exit margin (2.1 s on a grace of 6 s).

Evidence: TestDrainFitsInTheGrace fails with the former spans (2.5 s with the exit margin on a grace of 2 s).

--- a/internal/cluster/dataplane/clients_test.go
+++ b/internal/cluster/dataplane/clients_test.go
@@ -92,3 +92,14 @@
 	require.Equal(t, http.StatusServiceUnavailable, f.status(stateRequest(t.Context())))
 	require.Equal(t, arrived, f.now, "in a process that stops no request waits")
 }
+
+// TestDrainFitsInTheGrace: with a grace of 2 s a dispatcher took 2.1 s to stop, and was killed.
+func TestDrainFitsInTheGrace(t *testing.T) {
+	longestHold := retryTime(stateRequest(t.Context()), nil)
+	for grace := 2 * time.Second; grace < 20*time.Second; grace += 100 * time.Millisecond {
+		times := newDrainTimes(grace)
+		require.LessOrEqual(t, times.serve+times.finish+exitMargin, grace, "grace %v", grace)
+		require.GreaterOrEqual(t, times.finish, min(longestHold, grace/4), "grace %v: what is held is answered", grace)
+		require.GreaterOrEqual(t, times.serve, min(minDrainTime, grace/2), "grace %v: new connections are served", grace)
+	}
+}
--- a/internal/cluster/dataplane/dispatcher.go
+++ b/internal/cluster/dataplane/dispatcher.go
@@ -46,7 +46,7 @@
 const (
 	// drainMargin is kept free at the end of the grace for the requests under way.
 	drainMargin = 1500 * time.Millisecond
-	// exitMargin is the part of drainMargin that is kept free for the exit itself.
+	// exitMargin is kept free for the exit itself.
 	exitMargin = 400 * time.Millisecond
 	// platformDelay is how long the platform may go on sending new connections.
 	platformDelay = time.Second
@@ -81,13 +81,25 @@
 	}
 }
 
+// drainTimes are the spans of a stop.
+type drainTimes struct {
+	serve  time.Duration // new connections are served
+	finish time.Duration // requests under way are finished
+}
+
+func newDrainTimes(grace time.Duration) drainTimes {
+	serve := max(grace-drainMargin-platformDelay, min(minDrainTime, grace/2))
+	return drainTimes{serve: serve, finish: max(0, grace-exitMargin-serve)}
+}
+
 // drain stops the server of clients in order, within the grace that the platform gives.
 func (d *Dispatcher) drain(front *http.Server) error {
 	grace := d.settings.Bounds.Grace()
+	times := newDrainTimes(grace)
 	d.draining.Store(true)
 	d.log.Info("stopping", "grace", grace)
-	time.Sleep(max(grace-drainMargin-platformDelay, min(minDrainTime, grace/2)))
-	ctx, cancel := context.WithTimeout(context.Background(), max(drainMargin-exitMargin, exitMargin))
+	time.Sleep(times.serve)
+	ctx, cancel := context.WithTimeout(context.Background(), times.finish)
 	defer cancel()
 	return errors.Wrap(front.Shutdown(ctx), "finish what was under way")
 }
