A dispatcher that stops answers what it holds before its end

Cause: how long a request is held was bounded by its time-out alone. One that came late in a stop, or under a route with a long time-out, was held beyond the end of the process while its shard had no leader that answered, and its connection was closed without an answer (LOST around a SIGTERM).

Change: in a process that stops all holds end 0.2 s before the end; the answer is the usual one, 503, or 504 where an attempt may have been carried out.

--- a/internal/cluster/dataplane/clients.go
+++ b/internal/cluster/dataplane/clients.go
@@ -18,6 +18,7 @@
 	watcher  *configWatcher
 	clock    func() time.Duration
 	draining func() bool
+	answerBy func() time.Duration // in a process that stops: all requests are answered by then; 0: it does not
 	pause    func(time.Duration)
 	waiting  atomic.Int32 // requests that wait for a configuration
 }
@@ -79,7 +80,7 @@
 	if h.waiting.Add(1) > maxWaiting {
 		return nil, false
 	}
-	for h.clock() < deadline && r.Context().Err() == nil {
+	for h.clock() < h.bounded(deadline) && r.Context().Err() == nil {
 		h.pause(retryPause)
 		if view, valid := h.watcher.current(); valid {
 			return view, true
@@ -88,6 +89,14 @@
 	return nil, false
 }
 
+// bounded returns a request's deadline, no later than this process answers its last one.
+func (h *clientHandler) bounded(deadline time.Duration) time.Duration {
+	if last := h.answerBy(); last > 0 {
+		return min(deadline, last)
+	}
+	return deadline
+}
+
 // serve serves a request that matched a route. What follows the route's prefix in the path is
 // the job's ID.
 func (h *clientHandler) serve(w http.ResponseWriter, r *http.Request, to target) {
@@ -171,7 +180,7 @@
 // awaitNewerView waits for a configuration that is newer than the present one and at least of
 // the wanted version.
 func (h *clientHandler) awaitNewerView(present, wanted int64, deadline time.Duration) (*router.View, bool) {
-	for h.clock() < deadline {
+	for h.clock() < h.bounded(deadline) {
 		if view, valid := h.watcher.current(); valid && view.Config.Version > present && view.Config.Version >= wanted {
 			return view, true
 		}
@@ -183,7 +192,7 @@
 // run sends a call's requests, again and again, until the call has its response or the deadline
 // is past.
 func (h *clientHandler) run(call *router.Call, deadline time.Duration) (protocol.JobResponse, router.Progress) {
-	for h.clock() < deadline {
+	for h.clock() < h.bounded(deadline) {
 		response, progress := h.attempt(call, deadline)
 		switch progress {
 		case router.Finished, router.ConfigOutdated:
@@ -216,7 +225,7 @@
 // send sends a message to a control-plane node. The end of the client's connection does not end
 // it: the node may have received the message already.
 func (h *clientHandler) send(address string, message any, deadline time.Duration) (protocol.JobResponse, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), min(attemptTimeout, deadline-h.clock()))
+	ctx, cancel := context.WithTimeout(context.Background(), min(attemptTimeout, h.bounded(deadline)-h.clock()))
 	defer cancel()
 	got, err := h.watcher.nodes.Call(ctx, address, message)
 	if err != nil {
--- a/internal/cluster/dataplane/clients_test.go
+++ b/internal/cluster/dataplane/clients_test.go
@@ -25,7 +25,7 @@
 	f := &fixture{now: time.Hour, onPause: func() {}}
 	clock := func() time.Duration { return f.now }
 	watcher := &configWatcher{Watcher: router.NewWatcher("edge", []string{"core-0"}, 2*time.Second, slog.New(slog.DiscardHandler)), clock: clock}
-	f.clientHandler = &clientHandler{watcher: watcher, clock: clock, draining: func() bool { return false }, pause: func(span time.Duration) {
+	f.clientHandler = &clientHandler{watcher: watcher, clock: clock, draining: func() bool { return false }, answerBy: func() time.Duration { return 0 }, pause: func(span time.Duration) {
 		f.now += span
 		f.onPause()
 	}}
@@ -93,13 +93,32 @@
 	require.Equal(t, arrived, f.now, "in a process that stops no request waits")
 }
 
+// TestHeldRequestsAreAnsweredBeforeTheEnd: while a shard had no leader that answered, a dispatcher that was
+// told to stop held requests beyond its own end, and cut them off (LOST around a SIGTERM).
+func TestHeldRequestsAreAnsweredBeforeTheEnd(t *testing.T) {
+	f, _ := newGoldenFixture(t, protocol.JobResponse{Status: protocol.StatusNotLeader})
+	arrived := f.now
+	f.draining = func() bool { return true }
+	f.answerBy = func() time.Duration { return arrived + 300*time.Millisecond }
+	r := clientRequest(t.Context(), http.MethodPost, "/q/0123456789abcdef", "{}")
+	require.Equal(t, http.StatusServiceUnavailable, f.status(r))
+	require.Less(t, f.now-arrived, 300*time.Millisecond+retryPause)
+	require.Greater(t, f.now-arrived, 300*time.Millisecond-retryPause, "it is held until then")
+
+	waiting := newFixture() // for a configuration, since before it was told to stop
+	arrived = waiting.now
+	waiting.onPause = func() { waiting.answerBy = func() time.Duration { return arrived + 300*time.Millisecond } }
+	require.Equal(t, http.StatusServiceUnavailable, waiting.status(stateRequest(t.Context())))
+	require.Less(t, waiting.now-arrived, 300*time.Millisecond+2*retryPause)
+}
+
 // TestDrainFitsInTheGrace: with a grace of 2 s a dispatcher took 2.1 s to stop, and was killed.
 func TestDrainFitsInTheGrace(t *testing.T) {
 	longestHold := retryTime(stateRequest(t.Context()), nil)
 	for grace := 2 * time.Second; grace < 20*time.Second; grace += 100 * time.Millisecond {
 		times := newDrainTimes(grace)
 		require.LessOrEqual(t, times.serve+times.finish+exitMargin, grace, "grace %v", grace)
-		require.GreaterOrEqual(t, times.finish, min(longestHold, grace/4), "grace %v: what is held is answered", grace)
+		require.GreaterOrEqual(t, times.finish, min(longestHold+answerMargin, grace/4), "grace %v: what is held is answered", grace)
 		require.GreaterOrEqual(t, times.serve, min(minDrainTime, grace/2), "grace %v: new connections are served", grace)
 	}
 }
--- a/internal/cluster/dataplane/dispatcher.go
+++ b/internal/cluster/dataplane/dispatcher.go
@@ -19,7 +19,8 @@
 	log      *slog.Logger
 	started  time.Time
 	watcher  *configWatcher
-	draining atomic.Bool // it has been told to stop
+	draining atomic.Bool  // it has been told to stop
+	answerBy atomic.Int64 // by its clock: where it has been told to stop, requests are answered by then
 }
 
 // New returns a dispatcher that does not serve yet.
@@ -48,6 +49,8 @@
 	drainMargin = 1500 * time.Millisecond
 	// exitMargin is kept free for the exit itself.
 	exitMargin = 400 * time.Millisecond
+	// answerMargin is how long before the end requests that are still held are answered.
+	answerMargin = 200 * time.Millisecond
 	// platformDelay is how long the platform may go on sending new connections.
 	platformDelay = time.Second
 	// minDrainTime is how long new connections are served at least, on a grace of twice that.
@@ -59,7 +62,7 @@
 // it can't listen or where requests are left when the grace is over.
 func (d *Dispatcher) Run(ctx context.Context) error {
 	front := &http.Server{
-		Addr: d.settings.Listen.HTTP, Handler: &clientHandler{watcher: d.watcher, clock: d.now, draining: d.draining.Load, pause: time.Sleep},
+		Addr: d.settings.Listen.HTTP, Handler: &clientHandler{watcher: d.watcher, clock: d.now, draining: d.draining.Load, answerBy: d.lastAnswer, pause: time.Sleep},
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 	ready := &http.Server{Addr: d.settings.Listen.Readiness, Handler: http.HandlerFunc(d.serveReady), ReadHeaderTimeout: headerTimeout}
@@ -96,6 +99,7 @@
 func (d *Dispatcher) drain(front *http.Server) error {
 	grace := d.settings.Bounds.Grace()
 	times := newDrainTimes(grace)
+	d.answerBy.Store(int64(d.now() + times.serve + times.finish - answerMargin))
 	d.draining.Store(true)
 	d.log.Info("stopping", "grace", grace)
 	time.Sleep(times.serve)
@@ -104,6 +108,9 @@
 	return errors.Wrap(front.Shutdown(ctx), "finish what was under way")
 }
 
+// lastAnswer returns when a process that stops answers the last requests; 0: it does not stop.
+func (d *Dispatcher) lastAnswer() time.Duration { return time.Duration(d.answerBy.Load()) }
+
 // serveReady tells the platform whether this process can serve: it has a configuration that it
 // may act on, and has not been told to stop.
 func (d *Dispatcher) serveReady(w http.ResponseWriter, _ *http.Request) {
