Scheduler: the pause between cycles grows with what waits

Anything that happens asks for a cycle, one may follow each 3 ms, and each looks at all that waits and all runners.

Change: the pause to the next cycle is ten times what the last one spent on what the next would do again: groups that wait (0.3 µs each) and looks at runners that started nothing (40 ns each). What started something is no reason for a pause. The pause is 3 ms at the least, as before, and 200 ms at the most. The order of work is the same, urgent work first.

Evidence: TestBacklogLeavesTimeForOrders fails before (20 cycles in 20 turns with 20,000 jobs that wait, fewer than 8 are asked for).

--- a/internal/cluster/placement/round.go
+++ b/internal/cluster/placement/round.go
@@ -15,7 +15,8 @@
 	Candidates []Candidate
 	// rejected has, by what else was asked of a runner, the resources for which none had the capacity
 	// free. None of a list is contained in another.
-	rejected map[filter][]job.Resources
+	rejected       map[filter][]job.Resources
+	examinedInVain int
 }
 
 // filter is what a request asks of a runner beside resources and budget.
@@ -34,6 +35,9 @@
 	return &Round{Candidates: candidates}
 }
 
+// ExaminedInVain returns how many candidates the choices that found none have looked at so far.
+func (r *Round) ExaminedInVain() int { return r.examinedInVain }
+
 // Choose is the package's Choose over the round's candidates.
 func (r *Round) Choose(request *Request) (best Assignment, result Result) {
 	if request.HealthyOnly {
@@ -70,6 +74,9 @@
 		return Assignment{Candidate: -1}, result
 	}
 	best, result, limited := choose(request, r.Candidates, healthyOnly)
+	if result != Found {
+		r.examinedInVain += len(r.Candidates)
+	}
 	if result == NoCapacity && !limited {
 		r.reject(filterOf(request, healthyOnly), request.Resources)
 	}
--- a/internal/cluster/scheduler/cycle.go
+++ b/internal/cluster/scheduler/cycle.go
@@ -22,6 +22,7 @@
 type cycle struct {
 	needed  bool          // something changed since the last cycle
 	lastRun time.Duration // when it last ran
+	pause   time.Duration // how long after that the next one may run
 
 	candidates []placement.Candidate
 	runners    []*runnerSession  // by Candidate.Key
@@ -30,6 +31,8 @@
 
 	reservations agedReservations
 	forecast     capacityForecast
+
+	examinedForGangs int // candidates looked at for gangs that found no room
 }
 
 // runCycle starts what fits: for each task group, in the aged order, it takes the best of the
@@ -39,7 +42,7 @@
 // passed by, and once it has aged a runner is reserved for it. Nothing more starts while the start
 // window is full.
 func (s *Scheduler) runCycle() {
-	s.cycle.lastRun = s.now
+	s.cycle.lastRun, s.cycle.pause = s.now, minCycleInterval
 	if s.startWindow.full() {
 		return
 	}
@@ -48,6 +51,7 @@
 		return
 	}
 	s.collectCandidates()
+	defer func() { s.cycle.pause = cyclePause(len(ready), s.cycle.examinedInVain()) }()
 	for _, group := range ready {
 		group.queue.Wait(s.now, lateness.Queued)
 	}
@@ -98,7 +102,7 @@
 	}
 	s.cycle.candidates, s.cycle.runners = candidates, runners
 	s.cycle.round = placement.NewRound(candidates)
-	s.cycle.reservations = agedReservations{}
+	s.cycle.reservations, s.cycle.examinedForGangs = agedReservations{}, 0
 	s.cycle.forecast.begin(candidates, runners)
 }
 
--- a/internal/cluster/scheduler/forecast.go
+++ b/internal/cluster/scheduler/forecast.go
@@ -36,11 +36,12 @@
 	byRack     [][]int          // candidates of each rack; nil: not asked for yet
 	claimed    map[string]int   // tasks that wait for a runner in a rack, by its label
 	queued     int              // tasks, before in the aged order, that wait for any runner
+	examined   int              // candidates looked at so far
 }
 
 // begin makes it the forecast of a cycle.
 func (f *capacityForecast) begin(candidates []placement.Candidate, runners []*runnerSession) {
-	f.candidates, f.runners, f.byRack, f.queued = candidates, runners, nil, 0
+	f.candidates, f.runners, f.byRack, f.queued, f.examined = candidates, runners, nil, 0, 0
 	clear(f.byLabel)
 	clear(f.claimed)
 }
@@ -104,6 +105,7 @@
 // time. limit returns how many of them a runner may take, by its key.
 func (f *capacityForecast) slots(now, within time.Duration, request *placement.Request, indexes []int, limit func(key int) int) int {
 	total := 0
+	f.examined += len(indexes)
 	for _, index := range indexes {
 		c := &f.candidates[index]
 		if c.Feasible(request) {
--- a/internal/cluster/scheduler/gang.go
+++ b/internal/cluster/scheduler/gang.go
@@ -42,6 +42,7 @@
 		request.Count = len(group.pending) - len(chosen)
 		next, result := placement.Choose(request, candidates)
 		if result != placement.Found {
+			s.cycle.examinedForGangs += (1 + len(chosen)) * len(candidates)
 			return nil, result
 		}
 		for range next.Count {
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -272,7 +272,7 @@
 // commands stay for a later call.
 func (s *Scheduler) TakeOutput(now time.Duration, includeCommands bool) Output {
 	s.now = now
-	if s.cycle.needed && now >= s.cycle.lastRun+minCycleInterval {
+	if s.cycle.needed && now >= s.cycle.lastRun+s.cycle.pause {
 		s.cycle.needed = false
 		s.runCycle()
 	}
