Placement: a candidate is weighed without divisions where all tasks fit

Now the count is divided out only where not all tasks fit, and the mean cost is looked up once for runners of one service in a row.

--- a/internal/cluster/job/resources.go
+++ b/internal/cluster/job/resources.go
@@ -19,6 +19,11 @@
 	return Resources{CPU: r.CPU - other.CPU, MemMB: r.MemMB - other.MemMB, GPU: r.GPU - other.GPU}
 }
 
+// Times returns what n tasks need that need r each.
+func (r Resources) Times(n int) Resources {
+	return Resources{CPU: r.CPU * int64(n), MemMB: r.MemMB * int64(n), GPU: r.GPU * int64(n)}
+}
+
 // FitsIn reports whether free has enough of each resource.
 func (r Resources) FitsIn(free Resources) bool {
 	return r.CPU <= free.CPU && r.MemMB <= free.MemMB && r.GPU <= free.GPU
--- a/internal/cluster/placement/placement.go
+++ b/internal/cluster/placement/placement.go
@@ -139,7 +139,7 @@
 			result = min(result, NoBudget)
 			continue
 		}
-		assignment := Assignment{Candidate: i, Count: min(limit, c.fitting(request))}
+		assignment := Assignment{Candidate: i, Count: c.fitting(request, limit)}
 		if best.Candidate < 0 || better(request, c, assignment.Count, &candidates[best.Candidate], best.Count) {
 			best = assignment
 		}
@@ -150,13 +150,16 @@
 	return best, result, limited
 }
 
-// fitting returns how many of the tasks fit a runner's free capacity and budget: one at least,
-// since a task that Choose let in fits, and no more at one that is suspect.
-func (c *Candidate) fitting(request *Request) int {
+// fitting returns how many of the tasks, up to limit, fit a runner's free capacity and budget: one at
+// least, since a task that Choose let in fits, and no more at one that is suspect.
+func (c *Candidate) fitting(request *Request, limit int) int {
 	if c.Suspect {
 		return 1
 	}
-	n := request.Resources.CountFittingIn(c.Free)
+	n := limit
+	if !request.Resources.Times(limit).FitsIn(c.Free) {
+		n = min(n, request.Resources.CountFittingIn(c.Free))
+	}
 	if request.Cost > 0 {
 		n = min(n, int(max(0, c.Headroom)/request.Cost))
 	}
--- a/internal/cluster/scheduler/cycle.go
+++ b/internal/cluster/scheduler/cycle.go
@@ -7,6 +7,7 @@
 	"basaltloft/internal/cluster/job"
 	"basaltloft/internal/cluster/lateness"
 	"basaltloft/internal/cluster/placement"
+	"basaltloft/internal/shared/admission"
 )
 
 const (
@@ -81,10 +82,15 @@
 // collectCandidates finds the runners that take work now.
 func (s *Scheduler) collectCandidates() {
 	candidates, runners := s.cycle.candidates[:0], s.cycle.runners[:0]
+	var service string
+	var meanCost *admission.MeanCost // of that service
 	for _, runner := range s.runners.inOrder {
 		if !runner.takesWork(s.now) {
 			continue
 		}
+		if meanCost == nil || runner.service != service {
+			service, meanCost = runner.service, s.learner.meanCost(runner.service)
+		}
 		suspect := runner.suspicion.suspect()
 		candidates = append(candidates, placement.Candidate{
 			Key:      len(runners),
@@ -92,7 +98,7 @@
 			Labels:   runner.labels,
 			Capacity: runner.capacity,
 			Free:     runner.capacity.Subtract(runner.load.reserved),
-			Headroom: runner.load.budget.Headroom(runner.load.cost, s.learner.meanCost(runner.service)),
+			Headroom: runner.load.budget.Headroom(runner.load.cost, meanCost),
 			Idle:     len(runner.load.runs) == 0,
 			Slowdown: runner.speed.recentSlowdown(), RunTimeFactor: runner.speed.factor.Value(),
 			Suspect:  suspect,
