--- a/internal/cluster/scheduler/cycle.go
+++ b/internal/cluster/scheduler/cycle.go
@@ -7,6 +7,7 @@
 	"basaltloft/internal/cluster/job"
 	"basaltloft/internal/cluster/lateness"
 	"basaltloft/internal/cluster/placement"
+	"basaltloft/internal/shared/admission"
 )
 
 const (
@@ -22,6 +23,7 @@
 type cycle struct {
 	needed  bool          // something changed since the last cycle
 	lastRun time.Duration // when it last ran
+	pause   time.Duration // how long after that the next one may run
 
 	candidates []placement.Candidate
 	runners    []*runnerSession  // by Candidate.Key
@@ -30,6 +32,8 @@
 
 	reservations agedReservations
 	forecast     capacityForecast
+
+	examinedForGangs int // candidates looked at for gangs that found no room
 }
 
 // runCycle starts what fits: for each task group, in the aged order, it takes the best of the
@@ -39,7 +43,7 @@
 // passed by, and once it has aged a runner is reserved for it. Nothing more starts while the start
 // window is full.
 func (s *Scheduler) runCycle() {
-	s.cycle.lastRun = s.now
+	s.cycle.lastRun, s.cycle.pause = s.now, minCycleInterval
 	if s.startWindow.full() {
 		return
 	}
@@ -48,6 +52,7 @@
 		return
 	}
 	s.collectCandidates()
+	defer func() { s.cycle.pause = cyclePause(len(ready), s.cycle.examinedInVain()) }()
 	for _, group := range ready {
 		group.queue.Wait(s.now, lateness.Queued)
 	}
@@ -77,10 +82,15 @@
 // collectCandidates finds the runners that take work now.
 func (s *Scheduler) collectCandidates() {
 	candidates, runners := s.cycle.candidates[:0], s.cycle.runners[:0]
+	var service string
+	var meanCost *admission.MeanCost // of that service
 	for _, runner := range s.runners.inOrder {
 		if !runner.takesWork(s.now) {
 			continue
 		}
+		if meanCost == nil || runner.service != service {
+			service, meanCost = runner.service, s.learner.meanCost(runner.service)
+		}
 		suspect := runner.suspicion.suspect()
 		candidates = append(candidates, placement.Candidate{
 			Key:      len(runners),
@@ -88,7 +98,7 @@
 			Labels:   runner.labels,
 			Capacity: runner.capacity,
 			Free:     runner.capacity.Subtract(runner.load.reserved),
-			Headroom: runner.load.budget.Headroom(runner.load.cost, s.learner.meanCost(runner.service)),
+			Headroom: runner.load.budget.Headroom(runner.load.cost, meanCost),
 			Idle:     len(runner.load.runs) == 0,
 			Slowdown: runner.speed.recentSlowdown(), RunTimeFactor: runner.speed.factor.Value(),
 			Suspect:  suspect,
@@ -98,7 +108,7 @@
 	}
 	s.cycle.candidates, s.cycle.runners = candidates, runners
 	s.cycle.round = placement.NewRound(candidates)
-	s.cycle.reservations = agedReservations{}
+	s.cycle.reservations, s.cycle.examinedForGangs = agedReservations{}, 0
 	s.cycle.forecast.begin(candidates, runners)
 }
 
