--- a/internal/cluster/processes/process.go
+++ b/internal/cluster/processes/process.go
@@ -4,18 +4,20 @@
 	"context"
 	"os"
 	"os/exec"
+	"sync"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
 )
 
-// Process is a program that runs again and again with one settings file. Its methods must not be called
-// concurrently, but for Signal and Exited.
+// Process is a program that runs again and again with one settings file. Its methods may be called
+// concurrently; Start and Stop by one goroutine at a time.
 type Process struct {
 	Program  string // CoreProgram or EdgeProgram
 	Settings string // path of its settings file
 	Log      string // path of the file that takes its log, of all its lives
 
+	mu      sync.Mutex
 	command *exec.Cmd
 	exited  chan struct{} // closed when the present life has ended; nil before the first one
 }
@@ -34,7 +36,9 @@
 		return errors.Wrap(err, "start a process")
 	}
 	exited := make(chan struct{})
+	p.mu.Lock()
 	p.command, p.exited = command, exited
+	p.mu.Unlock()
 	go func() {
 		_ = command.Wait() // its status is read from ProcessState
 		close(exited)
@@ -44,21 +48,28 @@
 
 // Signal sends a signal to the process. A process that has ended gets none.
 func (p *Process) Signal(signal syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if p.command != nil {
 		_ = p.command.Process.Signal(signal) // it may have ended at this moment
 	}
 }
 
 // Exited is closed when the present life has ended. It is nil before the first start.
-func (p *Process) Exited() <-chan struct{} { return p.exited }
+func (p *Process) Exited() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.exited
+}
 
 // Runs tells whether the process has been started and has not ended.
 func (p *Process) Runs() bool {
-	if p.exited == nil {
+	exited := p.Exited()
+	if exited == nil {
 		return false
 	}
 	select {
-	case <-p.exited:
+	case <-exited:
 		return false
 	default:
 		return true
@@ -72,6 +83,6 @@
 func (p *Process) Stop(signal syscall.Signal) {
 	if p.Runs() {
 		p.Signal(signal)
-		<-p.exited
+		<-p.Exited()
 	}
 }
--- a/internal/cluster/soak/deployment.go
+++ b/internal/cluster/soak/deployment.go
@@ -43,6 +43,8 @@
 	processes.Process
 	ip string
 	mu sync.Mutex
+	// frozen: an event has stopped it, and throttle lets it be.
+	frozen atomic.Bool
 }
 
 // deployment is the processes of a run, and the stand-ins of platform and runners.
--- a/internal/cluster/soak/events.go
+++ b/internal/cluster/soak/events.go
@@ -87,8 +87,10 @@
 		i.hangUp(m)
 	case FreezeDispatcher, FreezeNode:
 		defer i.timeline.begin(unplanned, m.ip, "freeze")()
+		m.frozen.Store(true)
 		m.Signal(syscall.SIGSTOP)
 		pass(i.ctx, event.For)
+		m.frozen.Store(false)
 		m.Signal(syscall.SIGCONT)
 		i.awaitServing(m)
 	case KillDispatcher, KillNode, WipeNode:
--- a/internal/cluster/soak/plan.go
+++ b/internal/cluster/soak/plan.go
@@ -53,11 +53,16 @@
 	Seed   uint64
 	Events []Event
 	Length time.Duration // until the clients end
+	// Share is the share of a processor's time that each process has; 1: all that it takes.
+	Share float64
 }
 
+// shares are what plans give the processes, by the seed.
+var shares = []float64{1, 0.5, 1, 0.25}
+
 func (p Plan) String() string {
 	var text strings.Builder
-	fmt.Fprintf(&text, "seed %d, %v\n", p.Seed, p.Length)
+	fmt.Fprintf(&text, "seed %d, %v, each process has %v of a processor\n", p.Seed, p.Length, p.Share)
 	for _, event := range p.Events {
 		fmt.Fprintln(&text, event)
 	}
@@ -96,7 +101,7 @@
 
 // NewPlan returns the plan of a seed: windows of planned work, with unplanned trouble between them.
 func NewPlan(seed uint64, windows int) Plan {
-	plan := Plan{Seed: seed}
+	plan := Plan{Seed: seed, Share: shares[seed%uint64(len(shares))]}
 	random := rand.New(rand.NewPCG(seed, seed))
 	for window := range windows {
 		if window > 0 {
--- a/internal/cluster/soak/run.go
+++ b/internal/cluster/soak/run.go
@@ -103,6 +103,11 @@
 		operator.ctx = playing
 		clients.Go((&reader{operator: &operator, node: node}).run)
 	}
+	if r.options.Plan.Share < 1 {
+		for _, m := range r.machines() {
+			clients.Go(func() { m.throttle(playing, r.options.Plan.Share) })
+		}
+	}
 	begun := time.Now()
 	for _, event := range r.options.Plan.Events {
 		if !pass(ctx, time.Until(begun.Add(event.At))) {
--- a/internal/cluster/soak/soak_test.go
+++ b/internal/cluster/soak/soak_test.go
@@ -24,8 +24,8 @@
 var usualSize = Size{Nodes: 3, Dispatchers: 3, Runners: 3, Clients: 9}
 
 // TestSoak plays one short seed. BASALTLOFT_SOAK_SEEDS plays so many longer ones, two at a time, from
-// BASALTLOFT_SOAK_FIRST on, BASALTLOFT_SOAK_SEED one alone. BASALTLOFT_SOAK_DISPATCHERS and _NODES give the
-// numbers of processes, and BASALTLOFT_SOAK_LOGS a folder that keeps the logs.
+// BASALTLOFT_SOAK_FIRST on, BASALTLOFT_SOAK_SEED one alone. BASALTLOFT_SOAK_DISPATCHERS, _NODES and _CLIENTS
+// give other sizes, and BASALTLOFT_SOAK_LOGS a folder that keeps the logs.
 func TestSoak(t *testing.T) {
 	build, err := processes.Compile(t.Context(), t.TempDir())
 	require.NoError(t, err)
@@ -38,14 +38,7 @@
 		play(t, build, NewPlan(1, shortWindows), usualSize)
 		return
 	}
-	size := usualSize
-	if count, ok := envNumber("BASALTLOFT_SOAK_DISPATCHERS"); ok {
-		size.Dispatchers = int(count)
-	}
-	if count, ok := envNumber("BASALTLOFT_SOAK_NODES"); ok {
-		size.Nodes = int(count)
-	}
-	size.Clients = max(size.Clients, size.Dispatchers)
+	size := sizeByHand()
 	var next atomic.Uint64
 	for part := range atOnce {
 		t.Run(fmt.Sprint(part), func(t *testing.T) {
@@ -58,6 +51,19 @@
 	}
 }
 
+// sizeByHand returns the usual size, with the numbers that the environment gives.
+func sizeByHand() Size {
+	size := usualSize
+	for variable, number := range map[string]*int{
+		"BASALTLOFT_SOAK_DISPATCHERS": &size.Dispatchers, "BASALTLOFT_SOAK_NODES": &size.Nodes, "BASALTLOFT_SOAK_CLIENTS": &size.Clients,
+	} {
+		if given, ok := envNumber(variable); ok {
+			*number = int(given)
+		}
+	}
+	return size
+}
+
 // play plays a run and fails the test by what it finds.
 func play(t *testing.T, build processes.Build, plan Plan, size Size) {
 	folder := t.TempDir()
