Simulated world: disks are lost while every other machine loses power (digests anew)

Change: the final fault is a fault of its own (finalfault_test.go). Empty machines come back first now and then. A loss of power takes all that was not synced, one time in four. After it all groups must have leaders and all dispatchers a valid view within recovery_s. TestDisksLostWhilePowerFails brings it about at 10 points each: after the three acknowledgements, within a joint membership change, while a learner catches up, beside a learner, and twice with the catch-up time between.

Teeth: a planted mistake, empty machines that find no others found all groups anew.

--- a/coord/simdisk/simdisk.go
+++ b/coord/simdisk/simdisk.go
@@ -34,6 +34,8 @@
 	Full bool
 	// IgnoreSync makes syncs succeed without making anything durable: a planted fault.
 	IgnoreSync bool
+	// LoseUnsynced makes a loss of power take all that was not synced.
+	LoseUnsynced bool
 	// CrashAtOperation makes the operation of that number and all after it fail; 0: none.
 	CrashAtOperation int
 	// OperationCount is the number of writes and syncs so far.
@@ -115,14 +117,15 @@
 }
 
 // LosePower keeps of each file what was synced. Each later write is there, missing or torn, and a
-// file whose name was not synced may be gone. The disk works again afterwards.
+// file whose name was not synced may be gone; with LoseUnsynced all of these are. The disk works
+// again afterwards.
 func (d *Disk) LosePower() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.CrashAtOperation, d.Full = 0, false
 	for _, path := range slices.Sorted(maps.Keys(d.files)) { // in a fixed order, so that a run can be repeated
 		f := d.files[path]
-		if !f.durable && d.random.IntN(2) == 0 {
+		if !f.durable && (d.LoseUnsynced || d.random.IntN(2) == 0) {
 			delete(d.files, path)
 			continue
 		}
@@ -135,6 +138,9 @@
 
 // persistPartially decides what a loss of power leaves of a write.
 func (d *Disk) persistPartially(f *file, w write) {
+	if d.LoseUnsynced {
+		return
+	}
 	switch d.random.IntN(3) {
 	case 0:
 		f.synced = overwrite(f.synced, w)
--- a/internal/cluster/simworld/client_test.go
+++ b/internal/cluster/simworld/client_test.go
@@ -116,7 +116,10 @@
 		build = newJobCall(protocol.CancelJob, j.id)
 	}
 	w.callFromOutside(d.process, clientTimeout, func(reply func(any)) {
-		d.serve(request{queue: queue, sentAt: sent, newCall: build, reply: func(a protocol.JobResponse) { reply(a) }})
+		d.serve(request{queue: queue, sentAt: sent, newCall: build, reply: func(a protocol.JobResponse) {
+			w.jobAnswered(verb, a.Status)
+			reply(a)
+		}})
 	}, func(answer any, ok bool) {
 		got, _ := answer.(protocol.JobResponse)
 		w.recorder.answered(w, d, j, verb, got, ok)
--- a/internal/cluster/simworld/faults_test.go
+++ b/internal/cluster/simworld/faults_test.go
@@ -99,7 +99,7 @@
 
 // loseQuorum takes the quorum from all groups for a while, one way or another.
 func (f *faultInjector) loseQuorum() {
-	ways := []func(func()){f.split, f.killSeveral, f.wipeBesideLaggingMinority}
+	ways := []func(func()){f.split, f.killSeveral, f.wipeBesideLaggingMinority, f.wipeWhilePowerFails}
 	f.exceedTolerance(ways[f.w.random.IntN(len(ways))])
 }
 
@@ -223,17 +223,23 @@
 	})
 }
 
-// awaitRepair permits the next loss of a disk once this node has had its catch-up time without
-// another fault: exactly then, since it is promised no more.
-func (f *faultInjector) awaitRepair(c *controlNode) {
+// awaitRepair permits the next loss of a disk once these nodes have had their catch-up time without
+// another fault: exactly then, since they are promised no more.
+func (f *faultInjector) awaitRepair(repaired ...*controlNode) {
 	began := f.w.now
+	disturbed := func() bool {
+		down := slices.ContainsFunc(repaired, func(c *controlNode) bool { return !c.up || c.frozen > 0 })
+		return down || f.leadershipMovedAt > began || f.tolerableSince == 0 || f.countLost() > 1 || f.w.lossShare+f.w.lateShare+f.w.freezeChance > 0 || len(f.w.partitioned) > 0 || f.anyDiskImpaired()
+	}
 	var check func()
 	check = func() {
-		if f.leadershipMovedAt > began || f.tolerableSince == 0 || !c.up || c.frozen > 0 || f.countLost() > 1 || f.w.lossShare+f.w.lateShare+f.w.freezeChance > 0 || len(f.w.partitioned) > 0 || f.anyDiskImpaired() {
+		if disturbed() {
 			began = f.w.now
 		}
 		if f.w.now >= began+f.w.deployment.catchUp {
-			f.w.checkRepaired(c)
+			for _, c := range repaired {
+				f.w.checkRepaired(c)
+			}
 			f.nextDiskLossAt = f.w.now
 			return
 		}
--- a/internal/cluster/simworld/node_test.go
+++ b/internal/cluster/simworld/node_test.go
@@ -57,7 +57,8 @@
 		id       string
 		founding *replica.Membership
 	}
-	bootstrap bool
+	bootstrap    bool
+	foundedAlone bool // by the planted fault of that name
 
 	groups         map[string]*replicaGroup
 	names          []string
@@ -137,13 +138,24 @@
 		return
 	}
 	c.w.serial++
-	id, founding := leader.FoundingMembership(c.bootstrap, c.w.seeds(), c.name, fmt.Sprintf("%s#%d", c.name, c.w.serial))
+	id, founding := leader.FoundingMembership(c.mayFound(), c.w.seeds(), c.name, fmt.Sprintf("%s#%d", c.name, c.w.serial))
 	c.after(c.syncTime(), func() {
 		c.identity.id, c.identity.founding = id, founding
 		c.openGroups()
 	})
 }
 
+// mayFound tells whether the node, which is empty, founds the groups with the other seeds.
+func (c *controlNode) mayFound() bool {
+	if c.bootstrap || c.w.planted != foundsAlone {
+		return c.bootstrap
+	}
+	c.foundedAlone = !slices.ContainsFunc(c.w.nodes, func(other *controlNode) bool {
+		return other != c && other.up && other.groups != nil && !other.foundedAlone
+	})
+	return c.foundedAlone
+}
+
 // openGroups opens all replica groups and begins to serve.
 func (c *controlNode) openGroups() {
 	c.groups, c.names = map[string]*replicaGroup{}, nil
@@ -298,6 +310,7 @@
 				_ = group.PersistWrites(g.ring, g.pendingWrites[:group.SyncBatchSize(g.pendingWrites)])
 			}
 		}
+		c.disk.LoseUnsynced = c.w.random.IntN(4) == 0
 		c.disk.LosePower()
 	}
 	c.stop()
--- a/internal/cluster/simworld/operator_test.go
+++ b/internal/cluster/simworld/operator_test.go
@@ -25,7 +25,12 @@
 		}
 		c := w.nodes[w.random.IntN(len(w.nodes))]
 		w.callFromOutside(c.process, operatorTimeout, func(reply func(any)) {
-			c.serveOperator(request, func(a protocol.OperatorResponse) { reply(a) })
+			c.serveOperator(request, func(a protocol.OperatorResponse) {
+				if request.Replace && a.Status == http.StatusOK {
+					w.acknowledged(configAcknowledged)
+				}
+				reply(a)
+			})
 		}, func(answer any, ok bool) {
 			got, _ := answer.(protocol.OperatorResponse)
 			if ok && isFinalStatus(got.Status) && (got.Status != http.StatusNotFound || w.random.IntN(2) == 0) {
--- a/internal/cluster/simworld/plantedfaults_found_test.go
+++ b/internal/cluster/simworld/plantedfaults_found_test.go
@@ -6,22 +6,25 @@
 	"basaltloft/internal/shared/failuretest"
 )
 
-// plantedFaults names each planted fault, and says within how many seeds a check finds it.
+// plantedFaults names each planted fault, and says within how many seeds a check finds it, and by
+// which play.
 var plantedFaults = map[plantedFault]struct {
 	name  string
 	seeds uint64
+	play  func(t testing.TB, seed uint64, planted plantedFault, tracing bool)
 }{
-	leaseKept:           {"a lease is gone by after its end", 20},
-	sentBeforeLease:     {"a message gives a lease away that is still gone by", 100},
-	numberOnly:          {"a change is told by its number alone", 20},
-	digestsLost:         {"a snapshot forgets which changes were taken", 100},
-	diskForgets:         {"a machine without its disk goes on under its old ID", 150},
-	olderState:          {"an older state at a snapshot's newer index", 150},
-	acknowledgeUnsynced: {"an acknowledgement without a sync", 20},
-	refusedAfterUnknown: {"a refusal after a try without an answer is passed on", 400},
-	cancelLeavesNothing: {"the cancelling of a job that is not there leaves nothing behind", 100},
-	unsealed:            {"an earlier shard does not close itself to an ID that it lacks", 100},
-	heldTooLong:         {"a view is confirmed for longer than its owner held the question", 200},
+	leaseKept:           {"a lease is gone by after its end", 20, play},
+	sentBeforeLease:     {"a message gives a lease away that is still gone by", 100, play},
+	numberOnly:          {"a change is told by its number alone", 20, play},
+	digestsLost:         {"a snapshot forgets which changes were taken", 100, play},
+	diskForgets:         {"a machine without its disk goes on under its old ID", 150, play},
+	olderState:          {"an older state at a snapshot's newer index", 150, play},
+	acknowledgeUnsynced: {"an acknowledgement without a sync", 20, play},
+	refusedAfterUnknown: {"a refusal after a try without an answer is passed on", 400, play},
+	cancelLeavesNothing: {"the cancelling of a job that is not there leaves nothing behind", 100, play},
+	unsealed:            {"an earlier shard does not close itself to an ID that it lacks", 100, play},
+	heldTooLong:         {"a view is confirmed for longer than its owner held the question", 200, play},
+	foundsAlone:         {"empty machines that find no others found all groups anew", 60, playTwoDisksLost},
 }
 
 // TestPlantedMistakesAreFound plants one fault at a time and requires a check to find it within
@@ -32,7 +35,7 @@
 		t.Run(wanted.name, func(t *testing.T) {
 			t.Parallel()
 			for seed := range wanted.seeds {
-				found := failuretest.CatchFatal(t, func(t testing.TB) { play(t, 1_000_000+seed, planted, false) })
+				found := failuretest.CatchFatal(t, func(t testing.TB) { wanted.play(t, 1_000_000+seed, planted, false) })
 				if found != "" {
 					t.Logf("after %d seeds: %.300s", seed+1, found)
 					return
--- a/internal/cluster/simworld/plantedfaults_test.go
+++ b/internal/cluster/simworld/plantedfaults_test.go
@@ -29,6 +29,7 @@
 	cancelLeavesNothing              // 5: the cancellation of an unknown job leaves nothing behind
 	unsealed                         // 5: a former shard says that an ID is unknown without sealing the queue
 	heldTooLong                      // 1: a dispatcher is told that its watch request was held for longer than it was
+	foundsAlone                      // 3: empty nodes that find no others found all groups anew
 	plantedFaultCount
 )
 
--- a/internal/cluster/simworld/scenarios_test.go
+++ b/internal/cluster/simworld/scenarios_test.go
@@ -17,9 +17,16 @@
 
 // playScenario plays a script on a deployment. The script is called once all nodes serve, and the
 // world runs for the span after it.
-func playScenario(t *testing.T, seed uint64, on deployment, span time.Duration, inject script) {
+func playScenario(t testing.TB, seed uint64, on deployment, span time.Duration, inject script) {
+	t.Helper()
+	playFaultyScenario(t, seed, on, noFault, span, inject)
+}
+
+// playFaultyScenario plays a script with a planted fault.
+func playFaultyScenario(t testing.TB, seed uint64, on deployment, planted plantedFault, span time.Duration, inject script) {
 	t.Helper()
 	w := newWorld(t, seed, on)
+	w.planted = planted
 	_, w.tracing = envNumber("BASALTLOFT_TRACE")
 	f := &faultInjector{w: w, nextDiskLossAt: w.now, tolerableSince: w.now}
 	for _, c := range w.nodes {
@@ -230,19 +237,7 @@
 		w.schedule(50*time.Millisecond, func() { w.loseNextDisk(f) })
 		return
 	}
-	struck := w.nodes[w.random.IntN(len(w.nodes))]
-	for _, c := range w.nodes {
-		if c == struck {
-			c.wipeDisk()
-		} else {
-			c.kill(true)
-		}
-		w.schedule(w.randomBetween(300*time.Millisecond, 600*time.Millisecond), c.boot)
-	}
-	for _, d := range w.dispatchers {
-		d.stop()
-		w.schedule(300*time.Millisecond, d.boot)
-	}
+	w.loseDisksAndPower(w.drawNodes(1), 300*time.Millisecond, func() {})
 }
 
 // TestFoundersDie: failure 3. One of the first nodes dies at each step of the first start and
--- a/internal/cluster/simworld/seeds_test.go
+++ b/internal/cluster/simworld/seeds_test.go
@@ -69,49 +69,6 @@
 	})
 }
 
-// injectFinalFault may end the day with a final fault: as many disks are lost as are tolerated, and
-// all other nodes lose power at the same moment.
-func (w *world) injectFinalFault(f *faultInjector) {
-	if w.random.IntN(3) > 0 {
-		return
-	}
-	for w.now < f.nextDiskLossAt && w.now < f.tolerableSince+60*time.Second { // a repair that is under way has its time
-		f.heal()
-		w.run(100 * time.Millisecond)
-	}
-	if f.countLost() > 0 || w.now < f.nextDiskLossAt {
-		return
-	}
-	struck := w.random.Perm(len(w.nodes))[:1+w.random.IntN(w.deployment.toleratedLosses)]
-	wiped := map[int]bool{}
-	for _, at := range struck {
-		wiped[at] = true
-	}
-	w.tracef("the final fault strikes %v", struck)
-	for _, name := range w.nodes[0].names {
-		for _, c := range w.nodes {
-			if g := c.groups[name]; c.up && g != nil {
-				w.tracef("%s %s %+v", name, c.name, g.engine.Status(c.clock()))
-			}
-		}
-	}
-	down := w.randomBetween(200*time.Millisecond, 2*time.Second)
-	for at, c := range w.nodes {
-		switch {
-		case wiped[at]:
-			c.wipeDisk()
-		default:
-			c.kill(true)
-		}
-		w.schedule(down+w.randomBetween(0, 300*time.Millisecond), c.boot)
-	}
-	for _, d := range w.dispatchers {
-		d.stop()
-		w.schedule(down+w.randomBetween(0, 300*time.Millisecond), d.boot)
-	}
-	w.run(down + 400*time.Millisecond)
-}
-
 // TestManySeeds plays defaultSeeds seeds, or as many as BASALTLOFT_SEEDS says, on all processors;
 // BASALTLOFT_FIRST is the first. BASALTLOFT_SEED plays one seed alone, with its trace.
 func TestManySeeds(t *testing.T) {
--- a/internal/cluster/simworld/world_test.go
+++ b/internal/cluster/simworld/world_test.go
@@ -54,6 +54,7 @@
 	lostOrderShare float64            // of orders to runners that get no answer and are carried out late
 	freezeDepth    int                // freezes within freezes that last
 	planted        plantedFault
+	onAcknowledged func(acknowledgement) // called as the answer leaves; nil: nothing
 	tracing        bool
 	noNewLoad      bool
 	log            *slog.Logger
