Scheduler: no orders to a runner that refuses the leader's token

Cause: a runner keeps the highest token of its incarnation, so a renewal that it has refused for a higher one is refused for good. Change: the session is marked fencedOff until the incarnation or the leader's scheduler ends: no renewals, no stops, no new work there. Its runs count as over once their leases have surely expired, as before. TestFencedOffRunnerGetsNoOrders is new.

--- a/internal/cluster/scheduler/fencedoff_test.go
+++ b/internal/cluster/scheduler/fencedoff_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"basaltloft/internal/cluster/job"
 )
 
 // maxOrdersOnceFencedOff is how often an order may still reach a runner that refuses the token.
@@ -26,3 +28,20 @@
 	}
 	require.LessOrEqual(t, refused, 1+maxOrdersOnceFencedOff)
 }
+
+// TestFencedOffRunnerGetsNoOrders: guards against stops, sent again until they are confirmed, and
+// starts with a token that the runner refuses.
+func TestFencedOffRunnerGetsNoOrders(t *testing.T) {
+	s := newTestScheduler()
+	runner := contactedRunner()
+	s.runners.add(runner)
+	require.True(t, runner.takesWork(testNow))
+	order, _ := s.leases.renewIfDue(testNow, runner)
+	s.LeaseReplied(testNow, order, LeaseFenced, RunnerReport{})
+
+	require.False(t, runner.takesWork(testNow))
+	r := &run{runKey: runKey{task: job.TaskRef{Job: "a"}, attempt: 1}, phase: phaseConfirmed}
+	runner.load.add(r)
+	s.requestStop(runner, r)
+	require.Empty(t, s.TakeOutput(testNow, false).Orders)
+}
--- a/internal/cluster/scheduler/lease.go
+++ b/internal/cluster/scheduler/lease.go
@@ -63,7 +63,7 @@
 // runs, comes at once.
 func (m *leaseManager) renewIfDue(now time.Duration, runner *runnerSession) (order Order, due bool) {
 	lease, contact := &runner.lease, &runner.contact
-	if lease.pending || runner.ended || now < lease.dueAt || !runner.listed && len(runner.load.runs) == 0 && contact.fenced {
+	if lease.pending || lease.fencedOff || runner.ended || now < lease.dueAt || !runner.listed && len(runner.load.runs) == 0 && contact.fenced {
 		return Order{}, false
 	}
 	order = Order{Kind: OrderRenewLease, Runner: runner.id, Address: runner.address, AckedThrough: lease.ackedThrough, Sequence: m.sequence.next()}
@@ -131,7 +131,7 @@
 type renewalResult uint8
 
 const (
-	renewalFailed    renewalResult = iota // another one follows after a pause
+	renewalFailed    renewalResult = iota // another one follows after a pause, unless the runner refuses the token
 	incarnationEnded                      // another incarnation runs at the address
 	reportArrived                         // the runner's report is to be reconciled
 	reportOvertaken                       // a later report of the runner arrived first
@@ -149,7 +149,7 @@
 	case LeaseOtherIncarnation:
 		return incarnationEnded
 	case LeaseFenced:
-		lease.dueAt = now + maxRenewalBackoff
+		lease.fencedOff = true
 		return renewalFailed
 	case LeaseNoReply:
 		if current {
--- a/internal/cluster/scheduler/runner.go
+++ b/internal/cluster/scheduler/runner.go
@@ -42,6 +42,7 @@
 // leaseExchange is the state of the task leases at the runner and of the polls that renew them.
 type leaseExchange struct {
 	pending         bool          // a renewal is on its way
+	fencedOff       bool          // the runner refuses this leader's token, for the rest of its incarnation
 	sequence        uint64        // of the newest renewal
 	replyDeadline   time.Duration // the pending renewal counts as lost from then on
 	dueAt           time.Duration // when the next renewal is due
@@ -112,7 +113,7 @@
 
 // takesWork tells whether new tasks may be assigned to the runner.
 func (r *runnerSession) takesWork(now time.Duration) bool {
-	return r.listed && !r.ended && !r.drain.draining && r.contact.fenced && r.contact.inContact(now) && !r.contact.unresponsive()
+	return r.listed && !r.ended && !r.lease.fencedOff && !r.drain.draining && r.contact.fenced && r.contact.inContact(now) && !r.contact.unresponsive()
 }
 
 // granted notes that an order left under which a task may run until a deadline on the runner's
--- a/internal/cluster/scheduler/stops.go
+++ b/internal/cluster/scheduler/stops.go
@@ -25,7 +25,7 @@
 
 // sendStop sends the order to stop a run, unless there is no need or the last one was sent lately.
 func (s *Scheduler) sendStop(runner *runnerSession, r *run) {
-	if r.phase == phaseProposed || r.ending || runner.ended || r.stop.pending || r.stop.confirmedMs > 0 || s.now < r.stop.retryAt {
+	if r.phase == phaseProposed || r.ending || runner.ended || runner.lease.fencedOff || r.stop.pending || r.stop.confirmedMs > 0 || s.now < r.stop.retryAt {
 		return
 	}
 	r.stop.pending, r.stop.retryAt = true, s.now+stopRetryInterval
