Runner client: few connections that are kept, and a lean way through them

A call cost four goroutines' turns, a context, a client above the transport, and two goroutines a connection.

Change: runnerpool.go and runnerconn.go take the place of http.Client and http.Transport; requests are still written by http.Request.Write and replies read by http.ReadResponse. - A runner has 3 connections as a rule, one for the poll. Further orders wait for one for 50 ms, and then get their own, up to 6 as before; what was opened is kept, the least recently used is closed beyond 0.7 of the descriptors (limits.max_fds) or after 60 s. - The sender writes the order itself; one goroutine a connection waits for replies and for the end of the connection, so that one that the runner closed is not used again. - An order is sent once: it goes to another connection only where the first was closed here before any byte of it was written. Time-outs are as they were, and hold for waiting, dialing, writing and reading together. One difference: an attempt to connect ends with the order that wanted it; the transport went on for 0.9 s.

Evidence: TestStepStartsOnFewConnections and the rest of runnerpool_test.go; TestOrderIsSentOnce and the golden files are unchanged.

--- a/internal/cluster/controlplane/node.go
+++ b/internal/cluster/controlplane/node.go
@@ -112,6 +112,7 @@
 	n.config = leader.NewConfiguration(n.updateShardConfigs, n.runnerListReader.setEpoch, n.log)
 	n.configAPI = &configAPI{node: n, config: n.config}
 	runners := newRunnerClient(n.lifetime)
+	runners.limitDescriptors(n.settings.Limits.MaxFDs)
 	stateMachines := map[string]group.StateMachine{protocol.ConfigGroup: n.config}
 	var shards []*shardLoop
 	for number := range protocol.ShardCount {
--- a/internal/cluster/controlplane/runnerclient.go
+++ b/internal/cluster/controlplane/runnerclient.go
@@ -1,23 +1,19 @@
 package controlplane
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
-	"basaltloft/coord/rpc"
 	"basaltloft/internal/cluster/scheduler"
 )
 
 // runnerClient sends orders to runners, each once. Its methods may be called concurrently.
 type runnerClient struct {
-	http     *http.Client
-	lifetime context.Context // bounds all calls
+	conns *runnerPool
 }
 
 // Paths of the orders in the runners' protocol, and the header that names the incarnation for which an
@@ -30,33 +26,23 @@
 )
 
 const (
-	maxConnsPerRunner     = 6
-	maxIdleConnsPerRunner = 3
-	idleConnTimeout       = 60 * time.Second
-	startTimeout          = 300 * time.Millisecond // a runner carries out no order to start that is older
-	stopTimeout           = time.Second
-	leaseReplyGrace       = 900 * time.Millisecond // beyond the time that the runner may wait
-	maxReplyBytes         = 4 << 20
-	connBufferBytes       = 2 << 10
+	startTimeout    = 300 * time.Millisecond // a runner carries out no order to start that is older
+	stopTimeout     = time.Second
+	leaseReplyGrace = 900 * time.Millisecond // beyond the time that the runner may wait
 )
 
 // newRunnerClient returns a client whose calls all end with lifetime.
 func newRunnerClient(lifetime context.Context) *runnerClient {
-	transport := &http.Transport{
-		DialContext:         rpc.Dialer().DialContext,
-		MaxConnsPerHost:     maxConnsPerRunner,
-		MaxIdleConnsPerHost: maxIdleConnsPerRunner,
-		IdleConnTimeout:     idleConnTimeout,
-		DisableCompression:  true,
-		ReadBufferSize:      connBufferBytes,
-		WriteBufferSize:     connBufferBytes,
-	}
-	return &runnerClient{http: &http.Client{CheckRedirect: noRedirect, Transport: transport}, lifetime: lifetime}
+	return &runnerClient{conns: newRunnerPool(lifetime)}
 }
 
-// noRedirect keeps a call from being sent again elsewhere. The transport sends a POST again by itself
-// only where nothing of it was written.
-func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+// runnersShare is the part of the process's descriptors that connections to runners may take while some of
+// them are idle. The rest is for dispatchers, other nodes and files.
+const runnersShare = 0.7
+
+// limitDescriptors bounds the connections by the descriptors that the platform allows the process. 0: they
+// are not limited.
+func (c *runnerClient) limitDescriptors(maxFDs int) { c.conns.limitOpen(int(runnersShare * float64(maxFDs))) }
 
 // startRequest is the body of an order to start a run, in the runners' protocol.
 type startRequest struct {
@@ -92,31 +78,39 @@
 	if err != nil {
 		return 0, runnerReply{}, errors.Wrap(err, "encode an order")
 	}
-	ctx, cancel := context.WithTimeout(c.lifetime, timeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+order.Address+path, bytes.NewReader(content))
-	if err != nil {
-		return 0, runnerReply{}, errors.Wrap(err, "build an order")
-	}
-	request.Header.Set("Content-Type", "application/json")
-	request.Header.Set(incarnationHeader, order.Runner)
-	response, err := c.http.Do(request)
-	if err != nil {
-		return 0, runnerReply{}, errors.Wrap(err, "send an order")
-	}
-	defer func() { _ = response.Body.Close() }() // it was read to its end, or is of no use
-	answer, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	answer, err := c.send(time.Now().Add(timeout), order, path, content)
 	if err != nil {
-		return 0, runnerReply{}, errors.Wrap(err, "read a runner's answer")
+		return 0, runnerReply{}, err
 	}
-	if len(answer) == 0 {
-		return response.StatusCode, reply, nil
+	if len(answer.body) == 0 {
+		return answer.status, reply, nil
 	}
-	reply, err = parseReply(answer)
-	if err != nil && response.StatusCode == http.StatusOK {
+	reply, err = parseReply(answer.body)
+	if err != nil && answer.status == http.StatusOK {
 		return 0, runnerReply{}, err
 	}
-	return response.StatusCode, reply, nil // another status says enough by itself
+	return answer.status, reply, nil // another status says enough by itself
+}
+
+// send sends an order by a connection that is idle or a new one. A redirect is returned like any other
+// reply: the order is sent nowhere else.
+func (c *runnerClient) send(deadline time.Time, order scheduler.Order, path string, content []byte) (httpReply, error) {
+	for {
+		conn, err := c.conns.acquire(order.Address, deadline)
+		if err != nil {
+			return httpReply{}, err
+		}
+		answer, err := conn.send(deadline, path, order.Runner, content)
+		switch {
+		case err == nil:
+			c.conns.release(conn)
+			return answer, nil
+		case errors.Is(err, errConnClosed):
+			continue // nothing of the order was written, and the connection is out of the pool
+		}
+		c.conns.discard(conn)
+		return httpReply{}, err
+	}
 }
 
 // start sends an order to start a run. It returns the runner's clock in milliseconds, where the reply has it.
--- a/internal/cluster/controlplane/runnerlist.go
+++ b/internal/cluster/controlplane/runnerlist.go
@@ -235,3 +235,6 @@
 		loop.shard.UpdateRunners(message.List)
 	}
 }
+
+// noRedirect keeps a call from being sent again elsewhere.
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
