--- a/internal/cluster/controlplane/runnerclient.go
+++ b/internal/cluster/controlplane/runnerclient.go
@@ -42,7 +42,9 @@
 
 // limitDescriptors bounds the connections by the descriptors that the platform allows the process. 0: they
 // are not limited.
-func (c *runnerClient) limitDescriptors(maxFDs int) { c.conns.limitOpen(int(runnersShare * float64(maxFDs))) }
+func (c *runnerClient) limitDescriptors(maxFDs int) {
+	c.conns.limitOpen(int(runnersShare * float64(maxFDs)))
+}
 
 // startRequest is the body of an order to start a run, in the runners' protocol.
 type startRequest struct {
