Scheduler: a late node no longer blames its runners

It took each runner whose reply had not been read within 120 ms for unresponsive: that one got no work, its runs that allow it got speculative attempts elsewhere, and the poll was repeated: more orders, polls and commands for a node that was late for having too many. The time-outs knew only the runner's side.

Change: replyDelay is the mean time of the last 64 replies to starts, of all runners. Where that is long, it is this node that is late, and a reply is overdue only after three times as long: up to 250 ms for a start, when its order is not carried out any more, and up to 500 ms beyond the wait of a poll. While replies take under 40 ms nothing changes. Orders without a reply don't count, so that runners that are gone are found as before. Safety rests on leases and clocks, not on these time-outs.

--- a/internal/cluster/scheduler/lease.go
+++ b/internal/cluster/scheduler/lease.go
@@ -31,8 +31,9 @@
 	startDeadlineMarginMs = 5
 
 	// renewalTimeout: a renewal whose reply is overdue by so much counts as lost, and another one
-	// is sent.
-	renewalTimeout = 200 * time.Millisecond
+	// is sent. Where all replies are late it is up to maxRenewalTimeout.
+	renewalTimeout    = 200 * time.Millisecond
+	maxRenewalTimeout = 500 * time.Millisecond
 	// renewalBackoff is the pause before the second renewal after a lost one; it rises by as much
 	// with each further one, up to maxRenewalBackoff.
 	renewalBackoff    = 150 * time.Millisecond
@@ -42,8 +43,10 @@
 	commitTimeout = time.Second
 
 	// startReplyTimeout is how long the reply to an order to start is waited for before its
-	// runner counts as unresponsive.
-	startReplyTimeout = 120 * time.Millisecond
+	// runner counts as unresponsive. Where all replies are late it is up to maxStartReplyTimeout: later
+	// the order is not carried out.
+	startReplyTimeout    = 120 * time.Millisecond
+	maxStartReplyTimeout = startDeadlineMs * time.Millisecond
 )
 
 // leaseManager renews the task leases at all runners. It decides when the next renewal leaves, for
@@ -52,6 +55,7 @@
 	maxLease time.Duration     // what runners grant at the most
 	sequence *sequence         // numbers the renewals
 	lossRate admission.Average // share of renewals that get no reply
+	delay    replyDelay
 }
 
 // duration returns for how long leases are asked.
@@ -76,17 +80,22 @@
 		runner.granted(order.DeadlineMs)
 	}
 	lease.pending, lease.sequence = true, order.Sequence
-	lease.replyDeadline = now + time.Duration(order.WaitMs)*time.Millisecond + renewalTimeout
+	lease.replyDeadline = now + time.Duration(order.WaitMs)*time.Millisecond + m.delay.overdueAfter(renewalTimeout, maxRenewalTimeout)
 	return order, true
 }
 
+// startOverdue tells whether an order to start should have had a reply by now.
+func (m *leaseManager) startOverdue(now time.Duration, r *run) bool {
+	return r.phase == phaseOrdered && now-r.orderedAt > m.delay.overdueAfter(startReplyTimeout, maxStartReplyTimeout)
+}
+
 // pollWaitMs returns how long a runner may wait for an end before it replies, in milliseconds:
 // less where replies get lost, and no longer than until the deadline of an order to start that has
 // no reply is past.
 func (m *leaseManager) pollWaitMs(now time.Duration, runner *runnerSession) int64 {
 	wait := max(minPollWaitMs, int64(maxPollWaitMs/(1+lossRateWeight*m.lossRate.Value)))
 	for _, r := range runner.load.runs {
-		if r.startOverdue(now) {
+		if m.startOverdue(now, r) {
 			wait = min(wait, max(0, r.orderDeadlineMs+startDeadlineMarginMs-runner.contact.clockAt(now)))
 		}
 	}
--- a/internal/cluster/scheduler/run.go
+++ b/internal/cluster/scheduler/run.go
@@ -73,11 +73,6 @@
 	return time.Duration(fraction * r.expected * float64(time.Second))
 }
 
-// startOverdue tells whether the order to start should have had a reply by now.
-func (r *run) startOverdue(now time.Duration) bool {
-	return r.phase == phaseOrdered && now-r.orderedAt > startReplyTimeout
-}
-
 // provenAbsent tells whether a run that a report of that time of the runner's clock names neither
 // as running nor as finished is over for good.
 func (r *run) provenAbsent(reportMs int64) bool {
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -13,12 +13,13 @@
 //
 //   - scheduler.go: the inputs and how they are passed on; order.go: messages to and from
 //     runners; outbox.go: what is to be committed and sent.
-//   - cycle.go: the scheduling cycle. Its policies: aging.go (the order of ready work, and
-//     reservations for aged work), urgency.go, patience.go (waiting for a runner near the data,
-//     by forecast.go: when capacity will be free), gang.go, cost.go.
+//   - cycle.go: the scheduling cycle; cyclepause.go: when the next one may run. Its policies:
+//     aging.go (the order of ready work, and reservations for aged work), urgency.go, patience.go
+//     (waiting for a runner near the data, by forecast.go: when capacity will be free), gang.go,
+//     cost.go.
 //   - lease.go: task leases and polls; reconcile.go: what a runner's report says of its runs;
-//     unresponsive.go: runners whose reply is overdue; masstimeout.go: several that become so at
-//     once.
+//     unresponsive.go: runners whose reply is overdue, by replydelay.go; masstimeout.go: several
+//     that become so at once.
 //   - starts.go, stops.go, ends.go: the way of one run; startwindow.go: how many starts are in
 //     flight at once.
 //   - straggler.go (with progress.go), drain.go, speculation.go, suspicion.go: what is done about
--- a/internal/cluster/scheduler/starts.go
+++ b/internal/cluster/scheduler/starts.go
@@ -81,6 +81,7 @@
 	}
 	if reply != StartNoReply {
 		s.startWindow.replied(now, now-r.orderedAt)
+		s.leases.delay.replied(now - r.orderedAt)
 	}
 	s.releaseStart(r)
 	if r.ending {
--- a/internal/cluster/scheduler/unresponsive.go
+++ b/internal/cluster/scheduler/unresponsive.go
@@ -8,7 +8,7 @@
 	contact := &runner.contact
 	contact.replyPending = false
 	for _, r := range runner.load.runs {
-		overdue := r.startOverdue(s.now)
+		overdue := s.leases.startOverdue(s.now, r)
 		contact.replyPending = contact.replyPending || overdue && contact.lastContact < r.orderedAt
 		if (overdue || contact.missedPolls > 0) && !r.uncertain {
 			r.uncertain = true
