Held requests ask the control plane less and less often

Cause: where a leader has not answered within 350 ms it is avoided for 0.7 s, also where it is only late, as on a machine short of processor time. The other nodes go on naming it, and each request that is held asked them every 25 ms: 28 calls in 0.7 s for one request. With 250 submissions a second of 147 dispatchers that is thousands of calls a second to nodes whose quota is the one that the leader's commits need: a late leader becomes a later one.

Change: the pause between the attempts of a request doubles, from 25 to 100 ms, and ends with the request's deadline.

Evidence: TestHeldRequestAsksRarely saw 28 calls within 0.7 s before, at most 10 are allowed and 4 wanted, so that the end of an election is not missed.

--- a/internal/cluster/dataplane/clients.go
+++ b/internal/cluster/dataplane/clients.go
@@ -30,8 +30,11 @@
 	retryShare = 0.42
 	// attemptTimeout is how long a leader's response is waited for; later ones may never come.
 	attemptTimeout = 350 * time.Millisecond
-	// retryPause is the pause between two attempts, or two looks for a configuration.
-	retryPause = 25 * time.Millisecond
+	// retryPause is the pause before the second attempt, and between two looks for a configuration. It
+	// doubles with each further attempt, up to maxRetryPause: an election takes several times as long,
+	// and the nodes that are asked have other things to do meanwhile.
+	retryPause    = 25 * time.Millisecond
+	maxRetryPause = 100 * time.Millisecond
 	// notReadyRetryMs is after how long a client is told to come back where this process has no
 	// configuration that it may act on.
 	notReadyRetryMs = 1000
@@ -192,13 +195,15 @@
 // run sends a call's requests, again and again, until the call has its response or the deadline
 // is past.
 func (h *clientHandler) run(call *router.Call, deadline time.Duration) (protocol.JobResponse, router.Progress) {
+	pause := retryPause
 	for h.clock() < h.bounded(deadline) {
 		response, progress := h.attempt(call, deadline)
 		switch progress {
 		case router.Finished, router.ConfigOutdated:
 			return response, progress
 		case router.Retry:
-			h.pause(retryPause)
+			h.pause(max(0, min(pause, h.bounded(deadline)-h.clock())))
+			pause = min(2*pause, maxRetryPause)
 		}
 	}
 	return call.TimeoutResponse(), router.Finished
--- a/internal/cluster/dataplane/clients_test.go
+++ b/internal/cluster/dataplane/clients_test.go
@@ -122,3 +122,29 @@
 		require.GreaterOrEqual(t, times.serve, min(minDrainTime, grace/2), "grace %v: new connections are served", grace)
 	}
 }
+
+// TestHeldRequestAsksRarely: while a leader was late and the other nodes went on naming it, each request
+// that was held asked them forty times a second, and kept them from being heard by it.
+func TestHeldRequestAsksRarely(t *testing.T) {
+	const late = "127.0.0.1:1"
+	f, other := newGoldenFixture(t, protocol.JobResponse{Status: protocol.StatusNotLeader, Owner: late})
+	shard := protocol.ShardOf("desk")
+	f.watcher.UpdateLeader(shard, "", late)
+	f.watcher.LeaderUnresponsive(shard, late, f.now-attemptTimeout, f.now)
+	f.watcher.UpdateLeader(shard, "", late)
+	arrived := f.now
+	asked := func() int {
+		other.mu.Lock()
+		defer other.mu.Unlock()
+		return len(other.requests)
+	}
+	within := 0
+	f.onPause = func() {
+		if f.now-arrived <= 700*time.Millisecond {
+			within = asked()
+		}
+	}
+	require.NotEqual(t, http.StatusOK, f.status(clientRequest(t.Context(), http.MethodGet, "/q/0123456789abcdef", "")))
+	require.LessOrEqual(t, within, 10)
+	require.GreaterOrEqual(t, within, 4, "an election's end is not missed")
+}
