A leader that responds is not avoided for an earlier silence

Cause: a dispatcher that had one request unanswered for 350 ms avoided that leader for 0.7 s, and held its other requests meanwhile, though the leader responded to some of them. A leader that is late now and then (a quota that is spent) was so taken for a dead one by dispatcher after dispatcher.

Change: a response for a shard ends the avoidance and names the leader, unless it says that the outcome is not known.

Evidence: TestLateLeaderIsAskedAgain and TestResponseNamesTheLeader (the method is new; before, nothing but a watch response ended the avoidance).

--- a/internal/cluster/dataplane/clients.go
+++ b/internal/cluster/dataplane/clients.go
@@ -224,6 +224,9 @@
 		h.watcher.UpdateLeader(shard, address, response.Owner)
 		return response, router.Retry
 	}
+	if !response.Unknown { // else it may be about to stop
+		h.watcher.LeaderResponded(shard, address)
+	}
 	return call.HandleResponse(response)
 }
 
--- a/internal/cluster/router/watcher.go
+++ b/internal/cluster/router/watcher.go
@@ -189,6 +189,15 @@
 	w.updateLeader(shard, address, "")
 }
 
+// LeaderResponded records that a node has responded to a request as the shard's leader: it is not avoided
+// any more, even where another request to it had no response.
+func (w *Watcher) LeaderResponded(shard int, address string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.unresponsive.recordResponse(address)
+	w.shardLeaders[shard] = address
+}
+
 func (w *Watcher) updateLeader(shard int, address, leader string) {
 	switch {
 	case leader != "" && leader != address:
--- a/internal/cluster/router/watcher_test.go
+++ b/internal/cluster/router/watcher_test.go
@@ -141,3 +141,23 @@
 	_, ok = w.Current(10*time.Second + 1650*time.Millisecond + 490*time.Millisecond)
 	require.False(t, ok)
 }
+
+// TestLateLeaderIsAskedAgain: a leader that had left one request without a response was avoided for 0.7 s,
+// though it responded to others meanwhile.
+func TestLateLeaderIsAskedAgain(t *testing.T) {
+	w := router.NewWatcher("edge", []string{"a", "b", "c"}, 2*time.Second, slog.New(slog.DiscardHandler))
+	w.UpdateLeader(1, "b", "a")
+	require.Equal(t, "a", w.LeaderOf(1, time.Hour))
+	w.LeaderUnresponsive(1, "a", time.Hour-350*time.Millisecond, time.Hour)
+	w.UpdateLeader(1, "b", "a")
+	require.NotEqual(t, "a", w.LeaderOf(1, time.Hour), "it may be frozen")
+	w.LeaderResponded(1, "a")
+	require.Equal(t, "a", w.LeaderOf(1, time.Hour))
+}
+
+// TestResponseNamesTheLeader: who responds for a shard leads it, also where it was forgotten as unresponsive.
+func TestResponseNamesTheLeader(t *testing.T) {
+	w := router.NewWatcher("edge", []string{"a", "b", "c"}, 2*time.Second, slog.New(slog.DiscardHandler))
+	w.LeaderResponded(1, "b")
+	require.Equal(t, "b", w.LeaderOf(1, time.Hour))
+}
