soak: late reads of a stalled run excuse no loss; children end with a test that is killed

On a busy machine the test process itself may stop for longer than the 200 ms that tell a connection that was closed unread from a request that was cut. The run now notes its own stalls and does not judge by the time in them; a part of an answer still counts. Two events at one runner no longer leave a runner behind.

--- a/internal/cluster/processes/process.go
+++ b/internal/cluster/processes/process.go
@@ -32,6 +32,7 @@
 	// The end of a process is its user's to decide, by Signal: no context ends it.
 	command := exec.CommandContext(context.Background(), from.Program(p.Program), "--settings", p.Settings)
 	command.Stdout, command.Stderr = log, log
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // nothing is left of a test that is killed
 	if err := command.Start(); err != nil {
 		return errors.Wrap(err, "start a process")
 	}
--- a/internal/cluster/soak/check_test.go
+++ b/internal/cluster/soak/check_test.go
@@ -60,6 +60,19 @@
 	}
 }
 
+// TestStallsExcuseLateCuts: how long a connection stayed open can't be told from a process that stalled; a part
+// of an answer can.
+func TestStallsExcuseLateCuts(t *testing.T) {
+	sent := time.Now()
+	x := exchanges{timeline: newTestTimeline(), findings: &Findings{}}
+	x.timeline.noteStall(sent.Add(time.Millisecond), sent.Add(time.Second))
+	x.note(&Exchange{outcome: cut, lastByte: sent, ended: sent.Add(time.Second)})
+	require.Empty(t, x.findings.Texts())
+	x.note(&Exchange{outcome: cut, lastByte: sent, ended: sent.Add(time.Second), partial: true})
+	x.note(&Exchange{outcome: cut, lastByte: sent.Add(2 * time.Second), ended: sent.Add(3 * time.Second)})
+	require.Len(t, x.findings.Texts(), 2)
+}
+
 // serveOnce answers the first request on a connection with a text, and closes it.
 func serveOnce(t *testing.T, text string) (address string) {
 	t.Helper()
--- a/internal/cluster/soak/deployment.go
+++ b/internal/cluster/soak/deployment.go
@@ -74,6 +74,7 @@
 // runnerSlot is a runner, or the one that comes after it under another ID.
 type runnerSlot struct {
 	service string
+	turn    sync.Mutex // held while the runner ends and another one comes
 	runner  *standin.Runner
 }
 
--- a/internal/cluster/soak/events.go
+++ b/internal/cluster/soak/events.go
@@ -194,6 +194,10 @@
 // endRunner ends a runner, in order or not, and puts another one in its place.
 func (i *injector) endRunner(event Event) {
 	slot := i.runners[event.Target%len(i.runners)]
+	if !slot.turn.TryLock() {
+		return
+	}
+	defer slot.turn.Unlock()
 	runner := i.runnerOf(slot)
 	if event.Kind == DrainRunner {
 		defer i.timeline.begin(planned, runner.ID, "drain")()
--- a/internal/cluster/soak/exchanges.go
+++ b/internal/cluster/soak/exchanges.go
@@ -24,7 +24,7 @@
 		x.noteAnswer(e)
 	case cut:
 		x.cut.Add(1)
-		if isLost(e) && x.timeline.isCalm(e.lastByte, e.ended) {
+		if x.isLost(e) && x.timeline.isCalm(e.lastByte, e.ended) {
 			x.findings.add(RuleLost, "%s", x.describe(e))
 		}
 	case silent:
@@ -46,9 +46,10 @@
 }
 
 // isLost tells whether a request that was cut counts as read: a part of its answer came, or the connection
-// stayed open for longer than a request may be on its way.
-func isLost(e *Exchange) bool {
-	return e.outcome == cut && (e.partial || e.ended.Sub(e.lastByte) > lossSlack)
+// stayed open for longer than a request may be on its way. Where this process stalled meanwhile, it can't
+// tell how long the connection stayed open.
+func (x *exchanges) isLost(e *Exchange) bool {
+	return e.partial || e.ended.Sub(e.lastByte) > lossSlack && !x.timeline.hasStalled(e.lastByte, e.ended)
 }
 
 func (x *exchanges) describe(e *Exchange) string {
--- a/internal/cluster/soak/run.go
+++ b/internal/cluster/soak/run.go
@@ -108,6 +108,7 @@
 			clients.Go(func() { m.throttle(playing, r.options.Plan.Share) })
 		}
 	}
+	clients.Go(func() { r.timeline.watchStalls(playing) })
 	begun := time.Now()
 	for _, event := range r.options.Plan.Events {
 		if !pass(ctx, time.Until(begun.Add(event.At))) {
@@ -304,7 +305,7 @@
 		}
 	}
 	return fmt.Sprintf("requests: %d answered, %d refused, %d cut, %d silent, %d not sent; jobs: %d handed in, %d accepted, %d ended, the last %.1f s after the events; "+
-		"configurations: %d sent, newest %d; stops that left requests or connections: %d",
+		"configurations: %d sent, newest %d; stops that left requests or connections: %d; stalls of the run itself: %d",
 		x.answered.Load(), x.refused.Load(), x.cut.Load(), x.silent.Load(), x.unsent.Load(), len(r.jobs.all()), accepted, over, r.slowest.Seconds(),
-		len(r.ledger.orders), r.ledger.newest(time.Now()), r.leftRequests.Load())
+		len(r.ledger.orders), r.ledger.newest(time.Now()), r.leftRequests.Load(), r.timeline.stallCount())
 }
--- a/internal/cluster/soak/timeline.go
+++ b/internal/cluster/soak/timeline.go
@@ -1,7 +1,9 @@
 package soak
 
 import (
+	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -32,6 +34,7 @@
 	mu      sync.Mutex
 	started time.Time
 	spans   []*span
+	stalls  []span // times at which the run itself was not served by the machine
 }
 
 func newTimeline(contact time.Duration) *Timeline {
@@ -73,6 +76,43 @@
 	return false
 }
 
+// Times of watchStalls.
+const (
+	stallInterval = 20 * time.Millisecond
+	// stallTime is well below lossSlack, which it is there to guard.
+	stallTime = 100 * time.Millisecond
+)
+
+// watchStalls notes, until the context ends, when this process had no processor time: what it saw last then
+// may be much older.
+func (t *Timeline) watchStalls(ctx context.Context) {
+	for last := time.Now(); pass(ctx, stallInterval); last = time.Now() {
+		if time.Since(last) > stallTime {
+			t.noteStall(last, time.Now())
+		}
+	}
+}
+
+func (t *Timeline) noteStall(from, until time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stalls = append(t.stalls, span{from: from, until: until})
+}
+
+// hasStalled tells whether this process stalled between two times.
+func (t *Timeline) hasStalled(from, until time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.ContainsFunc(t.stalls, func(s span) bool { return s.from.Before(until) && s.until.After(from) })
+}
+
+// stallCount returns how often this process stalled.
+func (t *Timeline) stallCount() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.stalls)
+}
+
 // near lists what happened from Contact before a time until another.
 func (t *Timeline) near(from, until time.Time) string {
 	var listed []string
