--- a/internal/cluster/job/taskref.go
+++ b/internal/cluster/job/taskref.go
@@ -1,7 +1,6 @@
 package job
 
 import (
-	"fmt"
 	"strconv"
 	"strings"
 
@@ -18,25 +17,40 @@
 
 // String returns the name by which runners know the task: job.occurrence.step.index.
 func (r TaskRef) String() string {
-	return fmt.Sprintf("%s.%d.%d.%d", r.Job, r.Occurrence, r.Step, r.Index)
+	name := make([]byte, 0, len(r.Job)+taskNumbersSize)
+	name = append(name, r.Job...)
+	for _, number := range [...]int{r.Occurrence, r.Step, r.Index} {
+		name = append(name, '.')
+		name = strconv.AppendInt(name, int64(number), 10)
+	}
+	return string(name)
 }
 
-// taskNameParts is how many parts a task's name has.
-const taskNameParts = 4
+// taskNumbersSize has room for the numbers of a usual task's name.
+const taskNumbersSize = 24
 
 // ParseTaskRef is the inverse of TaskRef.String.
 func ParseTaskRef(name string) (TaskRef, error) {
-	parts := strings.Split(name, ".")
-	if len(parts) != taskNameParts {
-		return TaskRef{}, errors.Newf("%q is not a task's name", name)
-	}
-	ref := TaskRef{Job: parts[0]}
-	for i, field := range []*int{&ref.Occurrence, &ref.Step, &ref.Index} {
-		number, err := strconv.Atoi(parts[i+1])
+	var ref TaskRef
+	var rest string
+	found := false
+	ref.Job, rest, found = strings.Cut(name, ".")
+	for _, field := range [...]*int{&ref.Occurrence, &ref.Step, &ref.Index} {
+		if !found {
+			return TaskRef{}, notATaskName(name)
+		}
+		var part string
+		part, rest, found = strings.Cut(rest, ".")
+		number, err := strconv.Atoi(part)
 		if err != nil || number < 0 {
-			return TaskRef{}, errors.Newf("%q is not a task's name", name)
+			return TaskRef{}, notATaskName(name)
 		}
 		*field = number
 	}
+	if found {
+		return TaskRef{}, notATaskName(name)
+	}
 	return ref, nil
 }
+
+func notATaskName(name string) error { return errors.Newf("%q is not a task's name", name) }
