Load shedding: fresh jobs first, clients that come again one by one

Change: run times are not learned from a late queue; a job that was first refused so long ago that its end would be worth nothing is refused while load is shed; Retry-After, a second at the least, is spread between once and twice the expected time; a queue counts as new for one objective.

--- a/internal/cluster/leader/overload.go
+++ b/internal/cluster/leader/overload.go
@@ -8,8 +8,6 @@
 )
 
 const (
-	// lateAfter is how many times its objective a job may be expected to take on a leader that is not late.
-	lateAfter = 2
 	// runTimeWindow is the window of the average run time, in runs, of which leastRunTimes are taken in
 	// however late the leader is.
 	runTimeWindow = 256
@@ -34,6 +32,7 @@
 	open     map[string]*queueLoad // by the ID of a job that is not over
 	attempts map[string]int        // by ID: attempts to submit that wait for their commitment
 	runs     map[job.TaskRef]firstRun
+	refusals refusalTimes
 }
 
 // firstRun is the first run of a task, while it lasts.
@@ -44,7 +43,7 @@
 
 // newLoadShedder returns the shedder of a new leader, with the jobs that it takes over.
 func newLoadShedder(now time.Duration, store *job.Store) *loadShedder {
-	l := &loadShedder{now: now, queues: map[string]*queueLoad{}, open: map[string]*queueLoad{}, attempts: map[string]int{}, runs: map[job.TaskRef]firstRun{}}
+	l := &loadShedder{now: now, queues: map[string]*queueLoad{}, open: map[string]*queueLoad{}, attempts: map[string]int{}, runs: map[job.TaskRef]firstRun{}, refusals: refusalTimes{newer: map[string]time.Duration{}, from: now}}
 	var open []string
 	for id, j := range store.Jobs {
 		if !j.State.Terminal() {
@@ -106,7 +105,11 @@
 	if q == nil || l.attempts[id] > 0 {
 		return 0, false
 	}
-	return q.refuse(l.now)
+	waited := l.refusals.since(id, l.now)
+	if retryAfter, refused = q.refuse(l.now, waited); refused && waited == 0 {
+		l.refusals.add(id, l.now)
+	}
+	return retryAfter, refused
 }
 
 // submitting notes that an attempt to submit a job goes on to be committed. decided follows.
@@ -187,8 +190,8 @@
 	if q == nil || c.EndReason != job.EndDone || run.estimate == 0 {
 		return
 	}
-	known := q.runTimeRatio.Count >= leastRunTimes
-	if !known || q.expectedTime(l.now) <= lateAfter*q.objective.Value { // a late leader takes runs for longer than they are
+	late := q.shedding || q.expectedTime(l.now) > q.objective.Value
+	if !late || q.runTimeRatio.Count < leastRunTimes { // a late leader takes runs for longer than they are
 		q.runTimeRatio.Add(float64(l.now-run.startedAt)/float64(run.estimate), runTimeWindow)
 	}
 }
--- a/internal/cluster/leader/queueload.go
+++ b/internal/cluster/leader/queueload.go
@@ -24,8 +24,11 @@
 	// objectiveWindow is the window of the average objective, in jobs.
 	objectiveWindow = 64
 
-	minShedRetryAfter = 500 * time.Millisecond
-	maxShedRetryAfter = 5 * time.Second
+	// Retry-After is spread over so many steps, between once and twice the expected time: clients that
+	// were refused together would come again together.
+	retryAfterSteps   = 16
+	minShedRetryAfter = time.Second
+	maxShedRetryAfter = 5 * time.Second // before it is spread
 )
 
 // queueLoad is what is known of a queue's load under this leader.
@@ -42,6 +45,7 @@
 	lateSince time.Duration // the expected time is beyond what is worth anything since then; 0: it is not
 	shedding  bool
 	refusedAt time.Duration // last
+	refusals  int
 }
 
 // noteObjective takes in the objective of one more of the queue's jobs.
@@ -87,7 +91,7 @@
 // time to end.
 func (q *queueLoad) observe(now time.Duration) {
 	objective := q.objective.Value
-	atFirst := (now - q.since).Seconds() <= worthlessAfter*objective
+	atFirst := (now - q.since).Seconds() <= objective
 	switch {
 	case atFirst || q.expectedTime(now) <= worthlessAfter*objective:
 		q.lateSince = 0
@@ -102,14 +106,28 @@
 }
 
 // refuse tells whether a further job is refused, and after how long its client may come again: once
-// those before it are worked off.
-func (q *queueLoad) refuse(now time.Duration) (retryAfter time.Duration, refused bool) {
+// those before it are worked off. waited is how long ago the job was refused first: one whose end would
+// be worth nothing does not take the place of one that is in time.
+func (q *queueLoad) refuse(now, waited time.Duration) (retryAfter time.Duration, refused bool) {
 	q.observe(now)
+	if !q.shedding || q.open+q.submitting < leastOpenJobs {
+		return 0, false
+	}
 	expected, objective := q.expectedTime(now), q.objective.Value
-	if !q.shedding || expected <= admittedShare*objective || q.open+q.submitting < leastOpenJobs {
+	full := expected > admittedShare*objective
+	if full {
+		q.refusedAt = now
+	}
+	if !full && waited.Seconds()+expected <= worthlessAfter*objective {
 		return 0, false
 	}
-	q.refusedAt = now
-	seconds := min(expected, maxShedRetryAfter.Seconds())
-	return max(minShedRetryAfter, time.Duration(seconds*float64(time.Second))), true
+	return q.nextRetryAfter(expected), true
+}
+
+// nextRetryAfter returns after how long the next client that is refused may come again.
+func (q *queueLoad) nextRetryAfter(expected float64) time.Duration {
+	seconds := min(max(expected, minShedRetryAfter.Seconds()), maxShedRetryAfter.Seconds())
+	spread := 1 + float64(q.refusals%retryAfterSteps)/retryAfterSteps
+	q.refusals++
+	return time.Duration(seconds * spread * float64(time.Second))
 }
