TestLeadersOutlastSpentQuota: at all machines, dispatchers among them

Cause: the scenario froze nodes only; a dispatcher's view is held by a watch request that both ends must serve in time.

--- a/internal/cluster/simworld/quota_scenarios_test.go
+++ b/internal/cluster/simworld/quota_scenarios_test.go
@@ -18,7 +18,8 @@
 func TestLeadersOutlastSpentQuota(t *testing.T) {
 	t.Parallel()
 	const span = 6 * time.Second
-	names := []string{"at the leader", "at all nodes together", "at all nodes in turn", "at all but the leader"}
+	const atLeader, atNodes, inTurn, atOthers, atMachines = 0, 1, 2, 3, 4 // cases
+	names := []string{"at the leader", "at all nodes together", "at all nodes in turn", "at all but the leader", "at all machines"}
 	runCases(t, 4, names, func(t *testing.T, at int, seed uint64) {
 		playScenario(t, seed, deploymentOf(seed, 4), span+8*time.Second, func(w *world, _ *faultInjector) {
 			w.schedule(2*time.Second, func() {
@@ -26,13 +27,16 @@
 				leader := w.leaderOf(protocol.ConfigGroup)
 				for number, c := range w.nodes {
 					switch {
-					case at == 0 && c == leader, at == 1, at == 3 && c != leader:
+					case at == atLeader && c == leader, at == atOthers && c != leader, at == atNodes, at == atMachines:
 						w.spendQuota(c.process, span)
-					case at == 2:
+					case at == inTurn:
 						phase := time.Duration(number) * quotaPeriod / time.Duration(len(w.nodes))
 						w.schedule(phase, func() { w.spendQuota(c.process, span) })
 					}
 				}
+				if at == atMachines {
+					w.spendQuotaAtDispatchers(span)
+				}
 			})
 		})
 	})
@@ -45,6 +49,20 @@
 	}
 }
 
+// spendQuotaAtDispatchers does so at all dispatchers, whose views must stay valid.
+func (w *world) spendQuotaAtDispatchers(span time.Duration) {
+	for _, d := range w.dispatchers {
+		w.spendQuota(d.process, span)
+		for at := quotaPeriod - 1; at < span; at += quotaPeriod {
+			w.schedule(at, func() {
+				if _, ok := d.watcher.Current(d.clock()); !ok {
+					w.fail("%s has no valid view", d.name)
+				}
+			})
+		}
+	}
+}
+
 // keepLeaders checks for a while that each group has the leader that it has now, in the same epoch.
 func (w *world) keepLeaders(span time.Duration) {
 	for _, name := range w.nodes[0].names {
