--- a/internal/cluster/soak/jobs.go
+++ b/internal/cluster/soak/jobs.go
@@ -10,8 +10,8 @@
 
 // Times after which a client's word has to be seen everywhere.
 const (
-	finishLimit = 40 * time.Second // of accepted jobs, once it is calm
-	cancelSlack = cancelTime       // until no task of a cancelled job begins
+	finishLimit = time.Minute // of accepted jobs, once it is calm
+	cancelSlack = cancelTime  // until no task of a cancelled job begins
 )
 
 // job is what is known of a job that was handed in. It may be used concurrently.
--- a/internal/cluster/soak/run.go
+++ b/internal/cluster/soak/run.go
@@ -170,7 +170,7 @@
 	}
 	r.serveMore(ctx)
 	begun := time.Now()
-	await(ctx, finishLimit, func() bool { return r.askAll(ctx) })
+	r.awaitEnds(ctx)
 	r.slowest = time.Since(begun)
 	r.jobs.check()
 	r.readBack(ctx)
@@ -208,22 +208,18 @@
 	return got, got.outcome != unsent
 }
 
-// askAll asks for all accepted jobs that are not known to have ended; true: there are none left.
-func (r *run) askAll(ctx context.Context) bool {
-	left := 0
-	for _, j := range r.jobs.all() {
-		if !j.isAccepted() || j.isOver() {
-			continue
-		}
-		m := r.dispatchers[r.random.intN(len(r.dispatchers))]
-		if got, ok := r.askAt(ctx, m, request{method: http.MethodGet, path: j.path(), host: clientHost}); ok {
-			r.jobs.noteState(j, &got, j.isCancelled())
-		}
-		if !j.isOver() {
-			left++
-		}
+// awaitEnds asks for all accepted jobs, on several connections, until each has ended or finishLimit is over.
+func (r *run) awaitEnds(ctx context.Context) {
+	const askers = 2
+	var all sync.WaitGroup
+	for asker := range askers {
+		all.Go(func() {
+			c := r.client(ctx, asker)
+			defer c.drop()
+			await(ctx, finishLimit, func() bool { return c.askAll(asker, askers) })
+		})
 	}
-	return left == 0
+	all.Wait()
 }
 
 // readBack asks each node for the newest configuration.
--- a/internal/cluster/soak/workload.go
+++ b/internal/cluster/soak/workload.go
@@ -86,6 +86,22 @@
 	}
 }
 
+// askAll asks for those accepted jobs of one asker among several that are not known to have ended; true: there
+// are none left.
+func (c *client) askAll(asker, askers int) bool {
+	left := 0
+	for number, j := range c.jobs.all() {
+		if number%askers != asker || !j.isAccepted() || j.isOver() {
+			continue
+		}
+		c.askState(j)
+		if !j.isOver() {
+			left++
+		}
+	}
+	return left == 0
+}
+
 func (c *client) cancel(j *job) {
 	j.mu.Lock()
 	j.cancelSent = true
