A leader logs when a queue begins and ceases to shed load

Operators could tell neither from the logs nor from the status whether jobs were refused because a leader is late. WARN "queue sheds load" names the queue, its unfinished jobs, the pace at which they end and the objective; INFO "queue sheds load no more" how many were refused.

--- a/internal/cluster/leader/overload.go
+++ b/internal/cluster/leader/overload.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"log/slog"
 	"slices"
 	"time"
 
@@ -27,6 +28,7 @@
 // Recurring and long-running jobs have no objective that counts from their acceptance and are not counted.
 // It is used by one goroutine at a time.
 type loadShedder struct {
+	log      *slog.Logger
 	now      time.Duration // as of the last input
 	queues   map[string]*queueLoad
 	open     map[string]*queueLoad // by the ID of a job that is not over
@@ -42,8 +44,8 @@
 }
 
 // newLoadShedder returns the shedder of a new leader, with the jobs that it takes over.
-func newLoadShedder(now time.Duration, store *job.Store) *loadShedder {
-	l := &loadShedder{now: now, queues: map[string]*queueLoad{}, open: map[string]*queueLoad{}, attempts: map[string]int{}, runs: map[job.TaskRef]firstRun{}, refusals: refusalTimes{newer: map[string]time.Duration{}, from: now}}
+func newLoadShedder(now time.Duration, store *job.Store, log *slog.Logger) *loadShedder {
+	l := &loadShedder{log: log, now: now, queues: map[string]*queueLoad{}, open: map[string]*queueLoad{}, attempts: map[string]int{}, runs: map[job.TaskRef]firstRun{}, refusals: refusalTimes{newer: map[string]time.Duration{}, from: now}}
 	var open []string
 	for id, j := range store.Jobs {
 		if !j.State.Terminal() {
@@ -88,7 +90,7 @@
 func (l *loadShedder) queue(s *job.Submission) *queueLoad {
 	q := l.queues[s.Queue]
 	if q == nil {
-		q = &queueLoad{since: l.now, decayedAt: l.now}
+		q = &queueLoad{log: l.log.With("queue", s.Queue), since: l.now, decayedAt: l.now}
 		l.queues[s.Queue] = q
 	}
 	return q
--- a/internal/cluster/leader/overload_test.go
+++ b/internal/cluster/leader/overload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"testing"
 	"time"
 
@@ -33,7 +34,7 @@
 func newShedderWorld(pace float64) *shedderWorld {
 	store := job.NewStore()
 	return &shedderWorld{
-		store: store, shedder: newLoadShedder(time.Hour, store), estimate: shedderWork, pace: pace,
+		store: store, shedder: newLoadShedder(time.Hour, store, slog.New(slog.DiscardHandler)), estimate: shedderWork, pace: pace,
 		now: time.Hour, ends: map[time.Duration][]string{},
 	}
 }
--- a/internal/cluster/leader/queueload.go
+++ b/internal/cluster/leader/queueload.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"log/slog"
 	"math"
 	"time"
 
@@ -21,6 +22,8 @@
 	shedQuietTime = 5 * time.Second
 	// leastRateWindow is the least window, in time, of the average pace at which jobs end.
 	leastRateWindow = time.Second
+	// leastObserved bounds the time over which the pace is taken from below.
+	leastObserved = time.Millisecond
 	// objectiveWindow is the window of the average objective, in jobs.
 	objectiveWindow = 64
 
@@ -33,6 +36,7 @@
 
 // queueLoad is what is known of a queue's load under this leader.
 type queueLoad struct {
+	log        *slog.Logger
 	since      time.Duration // first job
 	open       int           // jobs that are accepted and not over
 	submitting int           // jobs whose acceptance waits for its commitment
@@ -74,10 +78,15 @@
 	if unfinished == 0 {
 		return 0
 	}
+	return unfinished / q.rate(now) // +Inf: nothing ends
+}
+
+// rate returns how many jobs end in a second.
+func (q *queueLoad) rate(now time.Duration) float64 {
 	q.decay(now)
 	window := q.rateWindow()
 	observed := window * (1 - math.Exp(-(now-q.since).Seconds()/window)) // less than the window at first
-	return unfinished * observed / q.ends                                // +Inf: nothing ends
+	return q.ends / max(observed, leastObserved.Seconds())
 }
 
 // idle tells whether nothing of the queue is under way or has ended lately.
@@ -99,9 +108,11 @@
 		q.lateSince = now
 	case (now-q.lateSince).Seconds() > objective && !q.shedding:
 		q.shedding, q.refusedAt = true, now
+		q.log.Warn("queue sheds load", "unfinished", q.open, "ended_per_s", math.Round(q.rate(now)), "objective_ms", int64(1000*objective))
 	}
 	if q.shedding && now-q.refusedAt > shedQuietTime {
 		q.shedding = false
+		q.log.Info("queue sheds load no more", "refused", q.refusals, "unfinished", q.open)
 	}
 }
 
--- a/internal/cluster/leader/replica.go
+++ b/internal/cluster/leader/replica.go
@@ -57,7 +57,7 @@
 	s.batchesInFlight = 0
 	now := s.clocks.Monotonic()
 	s.scheduler = scheduler.New(s.store, epoch, s.config, now, s.clocks.UnixMs(), s.log)
-	s.shedder = newLoadShedder(now, s.store)
+	s.shedder = newLoadShedder(now, s.store, s.log)
 	s.scheduler.UpdateRunners(s.clocks.Monotonic(), s.runners)
 	s.wake()
 }
--- a/internal/cluster/leader/shard.go
+++ b/internal/cluster/leader/shard.go
@@ -44,7 +44,7 @@
 // must neither block nor call the shard.
 func NewShard(number int, config scheduler.Config, clocks Clocks, wake func(), log *slog.Logger) *Shard {
 	store := job.NewStore()
-	return &Shard{number: number, config: config, clocks: clocks, wake: wake, log: log.With("shard", number), store: store, shedder: newLoadShedder(0, store)}
+	return &Shard{number: number, config: config, clocks: clocks, wake: wake, log: log.With("shard", number), store: store, shedder: newLoadShedder(0, store, log)}
 }
 
 // SetGroup gives the replica its group. It is called once, before any other method but those of
