--- a/internal/cluster/scheduler/replydelay.go
+++ b/internal/cluster/scheduler/replydelay.go
@@ -15,11 +15,10 @@
 	overdueDelays = 3
 )
 
-// replyDelay is how long the replies to orders to start take of late, in the mean of all runners that reply.
-// Where that is long it is this node that is late, not a runner: time-outs that blame a runner then
-// wait longer. Else a node that has too much to do takes its runners for lost, and adds polls
-// and speculative attempts to what it has to do. The zero value knows of no
-// delay.
+// replyDelay is how long the replies to orders to start take of late, in the mean of all runners that
+// reply. Where that is long it is this node that is late, not a runner: time-outs that blame a runner
+// then wait longer. Else a node that has too much to do takes its runners for lost, and adds polls and
+// speculative attempts to what it has to do. The zero value knows of no delay.
 type replyDelay struct{ seconds admission.Average }
 
 // replied takes in how long a reply took.
