--- a/internal/cluster/processes/process.go
+++ b/internal/cluster/processes/process.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"os/exec"
+	"strings"
 	"sync"
 	"syscall"
 
@@ -80,6 +82,19 @@
 // ExitCode returns the status of a life that has ended; -1: a signal ended it.
 func (p *Process) ExitCode() int { return p.command.ProcessState.ExitCode() }
 
+// State returns the state of the process as the kernel shows it, as in "T (stopped)"; empty: it has ended.
+func (p *Process) State() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command == nil {
+		return ""
+	}
+	content, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.command.Process.Pid)) // it may have ended
+	_, after, _ := strings.Cut(string(content), "State:")
+	state, _, _ := strings.Cut(after, "\n")
+	return strings.TrimSpace(state)
+}
+
 // Stop sends a signal and waits for the exit.
 func (p *Process) Stop(signal syscall.Signal) {
 	if p.Runs() {
--- a/internal/cluster/soak/check_test.go
+++ b/internal/cluster/soak/check_test.go
@@ -6,10 +6,14 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"basaltloft/internal/cluster/protocol"
 )
 
 func newTestTimeline() *Timeline { return newTimeline(contact) }
@@ -276,3 +280,15 @@
 	require.False(t, pass(ended, time.Hour))
 	require.True(t, await(t.Context(), time.Hour, func() bool { return true }))
 }
+
+// TestQueuesMoveBetweenShards: the moving queue changes its shard with each version.
+func TestQueuesMoveBetweenShards(t *testing.T) {
+	require.NotEqual(t, protocol.ShardOf(services[0]), protocol.ShardOf(services[1]))
+	const movingPrefix = `"path_prefix":"/moving/","type":"mutating"`
+	for version := range int64(4) {
+		_, route, ok := strings.Cut(configurationText(version, "plain"), movingPrefix)
+		require.True(t, ok)
+		_, route, _ = strings.Cut(route, `"backend":`)
+		require.True(t, strings.HasPrefix(route, strconv.Quote(services[version%2])), route)
+	}
+}
--- a/internal/cluster/soak/configurations.go
+++ b/internal/cluster/soak/configurations.go
@@ -15,7 +15,7 @@
 
 // queues are the path prefixes that each configuration has. The last one goes to another service with each
 // second version.
-var queues = []string{"/alpha/", "/beta/", "/moving/"}
+var queues = []string{"/alpha/", "/gamma/", "/moving/"}
 
 // versionPrefix is the path prefix of a queue that one version alone has.
 func versionPrefix(version int64) string { return fmt.Sprintf("/v/%d/", version) }
@@ -49,7 +49,7 @@
 		return strings.Replace(configurationText(version, "unknown"), `"backend":"alpha"`, `"backend":"nobody"`, 1)
 	},
 	func(version int64) string {
-		return strings.Replace(configurationText(version, "twice"), `"path_prefix":"/beta/"`, `"path_prefix":"/alpha/"`, 1)
+		return strings.Replace(configurationText(version, "twice"), `"path_prefix":"/gamma/"`, `"path_prefix":"/alpha/"`, 1)
 	},
 	func(int64) string { return configurationText(1, "old") },
 	func(version int64) string {
--- a/internal/cluster/soak/deployment.go
+++ b/internal/cluster/soak/deployment.go
@@ -78,8 +78,8 @@
 	runner  *standin.Runner
 }
 
-// services are the kinds of runners.
-var services = []string{"alpha", "beta"}
+// services are the kinds of runners. They lie in different shards, so that a queue that moves is sealed.
+var services = []string{"alpha", "gamma"}
 
 // newDeployment prepares a deployment in a folder; nothing runs yet but the stand-ins. An error tells what
 // of the machine can't be used.
--- a/internal/cluster/soak/events.go
+++ b/internal/cluster/soak/events.go
@@ -131,7 +131,9 @@
 			i.leftRequests.Add(1)
 		}
 	case <-timer.C:
-		i.findings.add(RuleStop, "%s at %s, told to stop at %s, still runs after %v", m.Program, m.ip, i.timeline.at(begun), grace+stopSlack)
+		i.findings.add(RuleStop, "%s at %s, told to stop at %s, still runs after %v, state %s", m.Program, m.ip, i.timeline.at(begun), grace+stopSlack, m.State())
+		m.Signal(syscall.SIGQUIT) // its goroutines go to its log
+		await(i.ctx, stopSlack, func() bool { return !m.Runs() })
 		m.Stop(syscall.SIGKILL)
 	}
 }
--- a/internal/cluster/soak/jobs.go
+++ b/internal/cluster/soak/jobs.go
@@ -10,7 +10,7 @@
 
 // Times after which a client's word has to be seen everywhere.
 const (
-	finishLimit = time.Minute // of accepted jobs, once it is calm
+	finishLimit = time.Minute // without the end of an accepted job, once it is calm
 	cancelSlack = cancelTime  // until no task of a cancelled job begins
 )
 
--- a/internal/cluster/soak/run.go
+++ b/internal/cluster/soak/run.go
@@ -208,7 +208,7 @@
 	return got, got.outcome != unsent
 }
 
-// awaitEnds asks for all accepted jobs, on several connections, until each has ended or finishLimit is over.
+// awaitEnds asks for all accepted jobs, on several connections, until each has ended or none has for finishLimit.
 func (r *run) awaitEnds(ctx context.Context) {
 	const askers = 2
 	var all sync.WaitGroup
@@ -216,7 +216,16 @@
 		all.Go(func() {
 			c := r.client(ctx, asker)
 			defer c.drop()
-			await(ctx, finishLimit, func() bool { return c.askAll(asker, askers) })
+			for left := -1; left != 0; {
+				before := left
+				await(ctx, finishLimit, func() bool {
+					left = c.askAll(asker, askers)
+					return left == 0 || before > left || before < 0
+				})
+				if left == before || ctx.Err() != nil {
+					return
+				}
+			}
 		})
 	}
 	all.Wait()
--- a/internal/cluster/soak/workload.go
+++ b/internal/cluster/soak/workload.go
@@ -86,9 +86,9 @@
 	}
 }
 
-// askAll asks for those accepted jobs of one asker among several that are not known to have ended; true: there
-// are none left.
-func (c *client) askAll(asker, askers int) bool {
+// askAll asks for those accepted jobs of one asker among several that are not known to have ended, and returns
+// how many are left.
+func (c *client) askAll(asker, askers int) int {
 	left := 0
 	for number, j := range c.jobs.all() {
 		if number%askers != asker || !j.isAccepted() || j.isOver() {
@@ -99,7 +99,7 @@
 			left++
 		}
 	}
-	return left == 0
+	return left
 }
 
 func (c *client) cancel(j *job) {
