Runner client: a reply without a clock is no report

Cause: an empty body was read as an empty report. Each reply with a body carries the runner's clock. Evidence: TestReplyWithoutAReportEndsNoRuns failed before (renewed in place of no reply).

--- a/internal/cluster/controlplane/runnerclient.go
+++ b/internal/cluster/controlplane/runnerclient.go
@@ -176,7 +176,7 @@
 	case status != http.StatusOK:
 		return scheduler.LeaseNoReply, scheduler.RunnerReport{}
 	}
-	if reply.reportErr != nil {
+	if reply.reportErr != nil || reply.report.ClockMs == 0 { // without a clock it is no report: an empty one would say that nothing runs
 		return scheduler.LeaseNoReply, scheduler.RunnerReport{}
 	}
 	return scheduler.LeaseRenewed, reply.report
--- a/internal/cluster/controlplane/runnerclient_test.go
+++ b/internal/cluster/controlplane/runnerclient_test.go
@@ -59,3 +59,21 @@
 		require.Equal(t, int32(1), calls.Load(), "behaviour %d", step.behaviour)
 	}
 }
+
+// TestReplyWithoutAReportEndsNoRuns: guards against runs that are taken for over, and started a second time,
+// since a runner's reply to a renewal is empty.
+func TestReplyWithoutAReportEndsNoRuns(t *testing.T) {
+	for content, want := range map[string]scheduler.LeaseReply{
+		"":               scheduler.LeaseNoReply,
+		"null":           scheduler.LeaseNoReply,
+		"{}":             scheduler.LeaseNoReply,
+		`{"running":[]}`: scheduler.LeaseNoReply,
+		`{"clock_ms":5}`: scheduler.LeaseRenewed,
+	} {
+		runner := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(content)) }))
+		order := scheduler.Order{Kind: scheduler.OrderRenewLease, Address: strings.TrimPrefix(runner.URL, "http://"), Runner: "r"}
+		reply, _ := newRunnerClient(t.Context()).renewLease(order)
+		runner.Close()
+		require.Equal(t, want, reply, "%q", content)
+	}
+}
