Load shedding: a leader that outlives odd jobs, and queues that don't stay shut

What callers would have seen: the leader's process ends where one ID is submitted to two queues of a shard at once (a count was kept by ID and released by queue); a queue with eight jobs that don't end, since no runner fits or since they are long, refuses everything for good, though all that it accepts ends at once (nothing was accepted, so that its pace fell to nothing); a queue whose objective leaves little beside the work goes on refusing after a stall.

--- a/internal/cluster/leader/overload.go
+++ b/internal/cluster/leader/overload.go
@@ -31,8 +31,8 @@
 	log      *slog.Logger
 	now      time.Duration // as of the last input
 	queues   map[string]*queueLoad
-	open     map[string]*queueLoad // by the ID of a job that is not over
-	attempts map[string]int        // by ID: attempts to submit that wait for their commitment
+	open     map[string]*queueLoad         // by the ID of a job that is not over
+	pending  map[string]*pendingSubmission // by the ID of the job
 	runs     map[job.TaskRef]firstRun
 	refusals refusalTimes
 }
@@ -45,7 +45,15 @@
 
 // newLoadShedder returns the shedder of a new leader, with the jobs that it takes over.
 func newLoadShedder(now time.Duration, store *job.Store, log *slog.Logger) *loadShedder {
-	l := &loadShedder{log: log, now: now, queues: map[string]*queueLoad{}, open: map[string]*queueLoad{}, attempts: map[string]int{}, runs: map[job.TaskRef]firstRun{}, refusals: refusalTimes{newer: map[string]time.Duration{}, from: now}}
+	l := &loadShedder{
+		log:      log,
+		now:      now,
+		queues:   map[string]*queueLoad{},
+		open:     map[string]*queueLoad{},
+		pending:  map[string]*pendingSubmission{},
+		runs:     map[job.TaskRef]firstRun{},
+		refusals: refusalTimes{newer: map[string]time.Duration{}, from: now},
+	}
 	var open []string
 	for id, j := range store.Jobs {
 		if !j.State.Terminal() {
@@ -90,7 +98,7 @@
 func (l *loadShedder) queue(s *job.Submission) *queueLoad {
 	q := l.queues[s.Queue]
 	if q == nil {
-		q = &queueLoad{log: l.log.With("queue", s.Queue), since: l.now, decayedAt: l.now}
+		q = newQueueLoad(l.log.With("queue", s.Queue), l.now)
 		l.queues[s.Queue] = q
 	}
 	return q
@@ -104,38 +112,52 @@
 // take it for a job that never runs.
 func (l *loadShedder) refuse(queue, id string) (retryAfter time.Duration, refused bool) {
 	q := l.queues[queue]
-	if q == nil || l.attempts[id] > 0 {
+	if q == nil || l.pending[id] != nil {
 		return 0, false
 	}
 	waited := l.refusals.since(id, l.now)
-	if retryAfter, refused = q.refuse(l.now, waited); refused && waited == 0 {
+	if retryAfter, refused = q.refuse(l.now, waited, id); refused && waited == 0 {
 		l.refusals.add(id, l.now)
 	}
 	return retryAfter, refused
 }
 
-// submitting notes that an attempt to submit a job goes on to be committed. decided follows.
-func (l *loadShedder) submitting(s *job.Submission) {
-	if !hasObjective(s) {
-		return
-	}
-	l.attempts[s.ID]++
-	if l.attempts[s.ID] == 1 {
-		q := l.queue(s)
-		q.noteObjective(s)
-		q.submitting++
+// pendingSubmission is a job of which attempts to submit it wait for their commitment.
+type pendingSubmission struct {
+	id       string
+	attempts int
+	queue    *queueLoad // in which the job counts; nil: it has no objective
+}
+
+// submitting notes that an attempt to submit a job goes on to be committed. The caller passes what it
+// returns to decided.
+func (l *loadShedder) submitting(s *job.Submission) *pendingSubmission {
+	p := l.pending[s.ID]
+	if p == nil {
+		p = &pendingSubmission{id: s.ID}
+		l.pending[s.ID] = p
+		if hasObjective(s) {
+			p.queue = l.queue(s)
+			p.queue.noteObjective(s)
+			p.queue.submitting++
+		}
 	}
+	p.attempts++
+	return p
 }
 
-// decided notes that an attempt to submit a job was committed, or failed.
-func (l *loadShedder) decided(s *job.Submission) {
-	switch l.attempts[s.ID] {
-	case 0: // it is of an earlier leadership, or has no objective
-	case 1:
-		delete(l.attempts, s.ID)
-		l.queues[s.Queue].submitting--
-	default:
-		l.attempts[s.ID]--
+// decided notes that an attempt to submit a job was committed, or failed. The attempt may be of an earlier
+// leadership.
+func (l *loadShedder) decided(p *pendingSubmission) {
+	p.attempts--
+	if p.attempts > 0 {
+		return
+	}
+	if p.queue != nil {
+		p.queue.submitting--
+	}
+	if l.pending[p.id] == p {
+		delete(l.pending, p.id)
 	}
 }
 
@@ -204,6 +226,7 @@
 		return
 	}
 	delete(l.open, j.ID)
+	delete(q.probes, j.ID)
 	q.open--
 	q.decay(l.now)
 	if j.State != job.StateCanceled {
--- a/internal/cluster/leader/overload_test.go
+++ b/internal/cluster/leader/overload_test.go
@@ -16,13 +16,16 @@
 	store    *job.Store
 	shedder  *loadShedder
 	estimate time.Duration
-	pace     float64 // jobs that begin in a second at the most
-	now      time.Duration
-	free     float64
-	waiting  []string
-	ends     map[time.Duration][]string
-	refused  int
-	offered  int
+	// extension and targetMs make the objective.
+	extension float64
+	targetMs  int64
+	pace      float64 // jobs that begin in a second at the most
+	now       time.Duration
+	free      float64
+	waiting   []string
+	ends      map[time.Duration][]string
+	refused   int
+	offered   int
 }
 
 const (
@@ -34,14 +37,14 @@
 func newShedderWorld(pace float64) *shedderWorld {
 	store := job.NewStore()
 	return &shedderWorld{
-		store: store, shedder: newLoadShedder(time.Hour, store, slog.New(slog.DiscardHandler)), estimate: shedderWork, pace: pace,
+		store: store, shedder: newLoadShedder(time.Hour, store, slog.New(slog.DiscardHandler)), estimate: shedderWork, extension: 1.5, targetMs: 250, pace: pace,
 		now: time.Hour, ends: map[time.Duration][]string{},
 	}
 }
 
 func (w *shedderWorld) submission(id string) *job.Submission {
 	return &job.Submission{
-		ID: id, Queue: "h/q/", Service: "desk", TargetMs: 250, Extension: 1.5, Retries: 3,
+		ID: id, Queue: "h/q/", Service: "desk", TargetMs: w.targetMs, Extension: w.extension, Retries: 3,
 		Spec: job.Spec{Steps: []job.Step{{Count: 1, EstimateMs: w.estimate.Milliseconds()}}},
 	}
 }
@@ -58,9 +61,9 @@
 		return
 	}
 	s := w.submission(id)
-	w.shedder.submitting(s)
+	pending := w.shedder.submitting(s)
 	w.apply(job.Command{Kind: job.AcceptJob, Submission: s})
-	w.shedder.decided(s)
+	w.shedder.decided(pending)
 	w.waiting = append(w.waiting, id)
 }
 
@@ -183,3 +186,67 @@
 	}
 	require.Len(t, at, retryAfterSteps)
 }
+
+// acceptUnended accepts jobs that don't end, whether the shedder would refuse them or not.
+func (w *shedderWorld) acceptUnended(jobs int, estimate time.Duration) {
+	for i := range jobs {
+		s := w.submission(fmt.Sprint("unended", i))
+		s.Spec.Steps[0].EstimateMs = estimate.Milliseconds()
+		pending := w.shedder.submitting(s)
+		w.apply(job.Command{Kind: job.AcceptJob, Submission: s})
+		w.shedder.decided(pending)
+	}
+}
+
+// TestJobsThatDontEndKeepNoOthersOut: jobs that no runner fits, or that are long, had their queue refuse
+// everything else for good, though all that it accepted ended at once.
+func TestJobsThatDontEndKeepNoOthersOut(t *testing.T) {
+	for _, rate := range []float64{1, 3, 10} {
+		for _, unended := range []int{8, 20, 50} {
+			w := newShedderWorld(2000)
+			w.run(rate, 20*time.Second)
+			w.acceptUnended(unended, shedderWork)
+			w.run(rate, time.Minute)
+			refused := w.refused
+			w.run(rate, time.Minute)
+			require.Equal(t, refused, w.refused, "%d jobs that don't end beside %.0f a second", unended, rate)
+		}
+		w := newShedderWorld(2000)
+		w.acceptUnended(20, 300*time.Second)
+		w.run(rate, 250*time.Second)
+		require.Zero(t, w.refused, "long jobs beside %.0f a second", rate)
+	}
+}
+
+// TestSheddingEndsWhereTheObjectiveIsTight: a queue whose objective leaves little beside the work refused jobs
+// for good after a stall, though nothing was short any more.
+func TestSheddingEndsWhereTheObjectiveIsTight(t *testing.T) {
+	for _, extension := range []float64{1, 1.2, 1.5} {
+		w := newShedderWorld(2000)
+		w.extension, w.targetMs = extension, 50
+		w.run(20, 20*time.Second)
+		w.pace = 0
+		w.run(20, 6*time.Second)
+		w.pace, w.free = 2000, 0
+		w.run(20, 20*time.Second)
+		refused := w.refused
+		w.run(20, time.Minute)
+		require.Equal(t, refused, w.refused, "extension %.1f", extension)
+	}
+}
+
+// TestOneIDInTwoQueues: attempts to submit one ID to two queues ended the process.
+func TestOneIDInTwoQueues(t *testing.T) {
+	w := newShedderWorld(100)
+	first, second := w.submission("x"), w.submission("x")
+	second.Queue = "h/other/"
+	a, b := w.shedder.submitting(first), w.shedder.submitting(second)
+	w.shedder.decided(a)
+	w.shedder.decided(b)
+	require.Zero(t, w.shedder.queues[first.Queue].submitting)
+	second.Extension = 0
+	a, b = w.shedder.submitting(second), w.shedder.submitting(first)
+	w.shedder.decided(a)
+	w.shedder.decided(b)
+	require.Empty(t, w.shedder.pending)
+}
--- a/internal/cluster/leader/queueload.go
+++ b/internal/cluster/leader/queueload.go
@@ -16,8 +16,10 @@
 	// admittedShare of the objective is what a job that is accepted while load is shed is expected to
 	// take: most of them are to meet it, not half.
 	admittedShare = 0.75
-	// leastOpenJobs of a queue are always accepted: without any, its pace would not be known.
+	// leastOpenJobs of a queue are always accepted, and maxProbes beside jobs that don't end: without any,
+	// its pace would not be known.
 	leastOpenJobs = 8
+	maxProbes     = 8
 	// shedQuietTime: a queue that had to refuse nothing for so long accepts everything again.
 	shedQuietTime = 5 * time.Second
 	// leastRateWindow is the least window, in time, of the average pace at which jobs end.
@@ -44,12 +46,18 @@
 	decayedAt  time.Duration
 
 	objective    admission.Average // of its jobs, in seconds
+	work         admission.Average // of its jobs: run time of the longest chain, in seconds
 	runTimeRatio admission.Average // run times over the clients' estimates
 
 	lateSince time.Duration // the expected time is beyond what is worth anything since then; 0: it is not
 	shedding  bool
 	refusedAt time.Duration // last
 	refusals  int
+	probes    map[string]time.Duration // jobs that were accepted beyond what is expected to be in time, by ID: until when each counts
+}
+
+func newQueueLoad(log *slog.Logger, now time.Duration) *queueLoad {
+	return &queueLoad{log: log, since: now, decayedAt: now, probes: map[string]time.Duration{}}
 }
 
 // noteObjective takes in the objective of one more of the queue's jobs.
@@ -60,6 +68,30 @@
 	}
 	objective := lateness.Objective(work, s.Extension, time.Duration(s.TargetMs)*time.Millisecond)
 	q.objective.Add(objective.Seconds(), objectiveWindow)
+	q.work.Add(work.Seconds(), objectiveWindow)
+}
+
+// admittedTime is what a job that is accepted while load is shed is expected to take at most, in seconds.
+// Where the objective leaves little beside the work, it is halfway between them: no job takes less than its
+// work.
+func (q *queueLoad) admittedTime() float64 {
+	return max(admittedShare*q.objective.Value, (q.objective.Value+q.work.Value)/2)
+}
+
+// probe tells whether a job may be accepted though it is not expected to be in time, and counts it. Jobs
+// that don't end, for lack of a runner that fits or since they are long, would keep the queue from
+// accepting anything, and so from learning that others end quickly.
+func (q *queueLoad) probe(now time.Duration, id string) bool {
+	for other, until := range q.probes {
+		if now > until {
+			delete(q.probes, other)
+		}
+	}
+	if len(q.probes) >= maxProbes {
+		return false
+	}
+	q.probes[id] = now + time.Duration(worthlessAfter*q.objective.Value*float64(time.Second))
+	return true
 }
 
 // rateWindow is the window of the average pace, in seconds.
@@ -119,19 +151,22 @@
 // refuse tells whether a further job is refused, and after how long its client may come again: once
 // those before it are worked off. waited is how long ago the job was refused first: one whose end would
 // be worth nothing does not take the place of one that is in time.
-func (q *queueLoad) refuse(now, waited time.Duration) (retryAfter time.Duration, refused bool) {
+func (q *queueLoad) refuse(now, waited time.Duration, id string) (retryAfter time.Duration, refused bool) {
 	q.observe(now)
 	if !q.shedding || q.open+q.submitting < leastOpenJobs {
 		return 0, false
 	}
 	expected, objective := q.expectedTime(now), q.objective.Value
-	full := expected > admittedShare*objective
+	full := expected > q.admittedTime()
 	if full {
 		q.refusedAt = now
 	}
 	if !full && waited.Seconds()+expected <= worthlessAfter*objective {
 		return 0, false
 	}
+	if waited.Seconds() <= worthlessAfter*objective && q.probe(now, id) {
+		return 0, false
+	}
 	return q.nextRetryAfter(expected), true
 }
 
--- a/internal/cluster/leader/submit.go
+++ b/internal/cluster/leader/submit.go
@@ -23,38 +23,38 @@
 		reply(s.notLeaderResponse())
 		return
 	}
-	submission, response := s.checkSubmission(&request)
+	submission, pending, response := s.checkSubmission(&request)
 	if submission == nil {
 		reply(s.ifLeader(response))
 		return
 	}
 	s.enqueue(job.Command{Kind: job.AcceptJob, Submission: submission}, func(outcome job.Outcome, err error) {
-		s.submissionDecided(submission)
+		s.submissionDecided(pending)
 		reply(s.submittedResponse(outcome, err, submission.ConfigVersion))
 	})
 }
 
 // checkSubmission returns the submission to be proposed; nil: the request or the state decides the
-// response, which it returns.
-func (s *Shard) checkSubmission(request *protocol.SubmitRequest) (*job.Submission, protocol.JobResponse) {
+// response, which it returns. The pending submission is for submissionDecided.
+func (s *Shard) checkSubmission(request *protocol.SubmitRequest) (*job.Submission, *pendingSubmission, protocol.JobResponse) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if j := s.store.Jobs[request.ID]; j != nil {
-		return nil, resubmittedResponse(j.Resubmitted(request.Queue, BodyHash(request.Body)))
+		return nil, nil, resubmittedResponse(j.Resubmitted(request.Queue, BodyHash(request.Body)))
 	}
 	route, version, ok := s.route(request)
 	if !ok {
-		return nil, unknownQueueResponse
+		return nil, nil, unknownQueueResponse
 	}
 	if protocol.ShardOf(route.Backend) != s.number {
-		return nil, queueMovedResponse(version)
+		return nil, nil, queueMovedResponse(version)
 	}
 	if retryAfter, refused := s.shedder.refuse(request.Queue, request.ID); refused {
-		return nil, overloadedResponse(retryAfter) // before the body is read: a refusal must cost little
+		return nil, nil, overloadedResponse(retryAfter) // before the body is read: a refusal must cost little
 	}
 	spec, err := job.ParseSpec(request.Body)
 	if err != nil {
-		return nil, protocol.JobResponse{Status: http.StatusBadRequest, Reason: err.Error()}
+		return nil, nil, protocol.JobResponse{Status: http.StatusBadRequest, Reason: err.Error()}
 	}
 	submission := &job.Submission{
 		ID:            request.ID,
@@ -68,14 +68,13 @@
 		Extension:     route.Extension,
 		ConfigVersion: request.Version,
 	}
-	s.shedder.submitting(submission)
-	return submission, protocol.JobResponse{}
+	return submission, s.shedder.submitting(submission), protocol.JobResponse{}
 }
 
-func (s *Shard) submissionDecided(submission *job.Submission) {
+func (s *Shard) submissionDecided(pending *pendingSubmission) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.shedder.decided(submission)
+	s.shedder.decided(pending)
 }
 
 // route returns the route of a submission and the version of the configuration that it is of: this
