Reply delay: a spell in which the node stood still counts no more than the longest wait

Cause: found in review; one freeze of seconds would lift the mean of 64 replies, and slow the detection of lost runners.

--- a/internal/cluster/scheduler/replydelay.go
+++ b/internal/cluster/scheduler/replydelay.go
@@ -21,8 +21,11 @@
 // speculative attempts to what it has to do. The zero value knows of no delay.
 type replyDelay struct{ seconds admission.Average }
 
-// replied takes in how long a reply took.
-func (d *replyDelay) replied(took time.Duration) { d.seconds.Add(took.Seconds(), replyDelayWindow) }
+// replied takes in how long a reply took. One spell in which the node stood still counts no more than the
+// longest that a reply is waited for.
+func (d *replyDelay) replied(took time.Duration) {
+	d.seconds.Add(min(took, maxRenewalTimeout).Seconds(), replyDelayWindow)
+}
 
 // overdueAfter returns how long a reply is waited for: least, or longer where all are late, up to most.
 func (d *replyDelay) overdueAfter(least, most time.Duration) time.Duration {
