--- a/internal/cluster/soak/deployment.go
+++ b/internal/cluster/soak/deployment.go
@@ -145,10 +145,13 @@
 // seedCount is how many seeds a process is given.
 const seedCount = 3
 
-// writeSettings writes a process's settings file, with seeds that are drawn.
+// writeSettings writes a process's settings file. At the first start all have the same seeds, as the platform
+// has it; later ones are drawn.
 func (d *deployment) writeSettings(m *machine, bootstrap bool, random *rand.Rand) error {
 	given := d.addresses.Settings(m.ip, bootstrap)
-	random.Shuffle(len(given.Seeds), func(a, b int) { given.Seeds[a], given.Seeds[b] = given.Seeds[b], given.Seeds[a] })
+	if !bootstrap {
+		random.Shuffle(len(given.Seeds), func(a, b int) { given.Seeds[a], given.Seeds[b] = given.Seeds[b], given.Seeds[a] })
+	}
 	given.Seeds = given.Seeds[:min(seedCount, len(given.Seeds))]
 	content, err := yaml.Marshal(given)
 	if err != nil {
