--- a/internal/cluster/leader/overload_world_test.go
+++ b/internal/cluster/leader/overload_world_test.go
@@ -58,9 +58,8 @@
 	return s
 }
 
-// TestOverloadedLeaderServesWhatItCarries: at 7cb6cdb a leader that was offered twice what its processor
-// time carries accepted all of it, started each job later than the one before, and left accepted jobs
-// undone (LOST on naps-basaltloft-large).
+// TestOverloadedLeaderServesWhatItCarries guards against a leader that is offered twice what its processor
+// time carries, accepts all of it, starts each job later than the one before, and leaves accepted jobs undone.
 func TestOverloadedLeaderServesWhatItCarries(t *testing.T) {
 	t.Parallel()
 	_, calm := offerLoad(carriedLoad)
--- a/internal/cluster/scheduler/backlog_test.go
+++ b/internal/cluster/scheduler/backlog_test.go
@@ -6,7 +6,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// TestBacklogAllocatesNothing guards against the collapse of issue 60: each cycle made garbage for each job
+// TestBacklogAllocatesNothing guards against a leader that collapses under load: each cycle made garbage for each job
 // that waited, so that a backlog took the processor time that would have worked it off.
 func TestBacklogAllocatesNothing(t *testing.T) {
 	f := warmBenchFleet(64, 100, true)
--- a/internal/cluster/scheduler/cyclepause_test.go
+++ b/internal/cluster/scheduler/cyclepause_test.go
@@ -9,7 +9,7 @@
 	"basaltloft/internal/cluster/job"
 )
 
-// TestBacklogLeavesTimeForOrders guards against the collapse of issue 60: with work that waits a cycle
+// TestBacklogLeavesTimeForOrders guards against a leader that collapses under load: with work that waits a cycle
 // followed each 3 ms on the one before, whatever it took.
 func TestBacklogLeavesTimeForOrders(t *testing.T) {
 	require.InDelta(t, 20, cyclesInTurns(t, 0), 2, "a cycle each turn while little waits")
--- a/internal/cluster/scheduler/slownode_test.go
+++ b/internal/cluster/scheduler/slownode_test.go
@@ -7,7 +7,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// TestSlowNodeDoesNotBlameRunners guards against the collapse of issue 60: where the leader's own node is
+// TestSlowNodeDoesNotBlameRunners guards against a leader that collapses under load: where the leader's own node is
 // late, replies are late from all runners alike, and speculative attempts only add to its work.
 func TestSlowNodeDoesNotBlameRunners(t *testing.T) {
 	w := newWorld(t, 5, 250)
