--- a/review/_lab/main.go
+++ b/review/_lab/main.go
@@ -1,9 +1,12 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -58,7 +61,11 @@
 		broken, err := scenarios[os.Args[1]](l)
 		results <- result{broken, err}
 	}()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
 	select {
+	case <-stop:
+		return notRun(r, errors.New("stopped from outside"))
 	case got := <-results:
 		switch {
 		case got.err != nil:
@@ -72,7 +79,7 @@
 		fmt.Println("held")
 		return exitHeld
 	case <-time.After(115 * time.Second):
-		return notRun(r, fmt.Errorf("not finished in time"))
+		return notRun(r, errors.New("not finished in time"))
 	}
 }
 
