scheduler: log why tasks wait, and probation of runners

Nothing in the log told why a ready task waits: the wait is accounted for by cause, but only when the job has ended, and a runner's probation was not to be seen at all.

Adds three log lines: 'runner is on probation', 'runner is off probation', and 'tasks wait for a runner' for tasks that have waited for over 3 s, at most once a second and shard, with how many runners could run such a task, and how many of them have the capacity, the budget, are on probation or are reserved.

--- a/internal/cluster/placement/placement.go
+++ b/internal/cluster/placement/placement.go
@@ -80,6 +80,20 @@
 	Unsuitable        // no runner is feasible, even when idle
 )
 
+// String returns the reason as it stands in log lines.
+func (r Result) String() string {
+	switch r {
+	case Found:
+		return "found"
+	case NoBudget:
+		return "no budget"
+	case NoCapacity:
+		return "no capacity"
+	case Unsuitable:
+	}
+	return "unsuitable"
+}
+
 // Feasible reports whether the runner could take a task of the request if nothing else ran there.
 func (c *Candidate) Feasible(request *Request) bool {
 	if request.Service != c.Service || !request.Resources.FitsIn(c.Capacity) {
--- a/internal/cluster/scheduler/cycle.go
+++ b/internal/cluster/scheduler/cycle.go
@@ -72,6 +72,7 @@
 			s.cycle.forecast.enqueue(len(group.pending))
 		}
 		group.queue.Wait(s.now, waitCause(request, group.step.Gang, result))
+		s.logWait(group, request, result)
 		switch {
 		case result == placement.NoBudget:
 			s.recordBlockedBudgets(request)
@@ -95,6 +96,7 @@
 			service, meanCost = runner.service, s.learner.meanCost(runner.service)
 		}
 		suspect := runner.suspicion.suspect()
+		s.logProbation(runner, suspect)
 		candidates = append(candidates, placement.Candidate{
 			Key:      len(runners),
 			Service:  runner.service,
--- a/internal/cluster/scheduler/runner.go
+++ b/internal/cluster/scheduler/runner.go
@@ -26,6 +26,8 @@
 	drain     drainState
 	suspicion suspicion
 	speed     runnerSpeed
+
+	probationLogged bool // the log has it as on probation
 }
 
 // runnerContact is the state of the contact with a runner: its replies and its clock.
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -24,8 +24,9 @@
 //     flight.
 //   - straggler.go and progress.go: slow runs; drain.go: runners about to leave; speculation.go:
 //     runs that may be lost; suspicion.go: runners that fail.
-//   - learning.go: run times and speeds; lateness.go: the causes of lateness of jobs;
-//     recurring.go: occurrences that fall due; retention.go: jobs that are over.
+//   - learning.go: run times and speeds; lateness.go: the causes of lateness of jobs; waitlog.go:
+//     log lines about tasks that wait and why; recurring.go: occurrences that fall due;
+//     retention.go: jobs that are over.
 //   - group.go, run.go, runner.go: the shared data structures.
 package scheduler
 
@@ -83,6 +84,7 @@
 	stragglers   *stragglerPolicy
 	speculation  *speculationPolicy
 	lateness     *latenessTracker
+	waitLog      waitLog
 	recurring    *recurringJobs
 	retention    *retentionQueue
 
