scheduler: probation ends by itself, and quickly after successes

Cause: a runner whose runs fail is on probation: one task at a time, with pauses that grow to 4 s, until about six runs were successful. Only the success of work clears it, and a gang that needs two places at a runner fits none that is on probation, so that it waits for itself. The pauses kept their length after a success. And it made no difference whether the runner or the job was at fault: a hopeless job is tried on each runner and puts all of them on probation.

Change: probation ends at the latest 5 s after the last evidence, which is the first failed run of a job at that runner or a run newly found slow; a success ends the pauses and doubles the number of probes at once; a runner is suspect only if runs of two jobs failed there.

--- a/internal/cluster/scheduler/cycle.go
+++ b/internal/cluster/scheduler/cycle.go
@@ -95,7 +95,7 @@
 		if meanCost == nil || runner.service != service {
 			service, meanCost = runner.service, s.learner.meanCost(runner.service)
 		}
-		suspect := runner.suspicion.suspect()
+		suspect := runner.suspicion.suspect(s.now)
 		s.logProbation(runner, suspect)
 		candidates = append(candidates, placement.Candidate{
 			Key:      len(runners),
@@ -107,7 +107,7 @@
 			Idle:     len(runner.load.runs) == 0,
 			Slowdown: runner.speed.recentSlowdown(), RunTimeFactor: runner.speed.factor.Value(),
 			Suspect:  suspect,
-			Reserved: suspect && (runner.load.hasCost() || !runner.suspicion.probeDue(s.now)),
+			Reserved: suspect && !runner.mayProbe(s.now),
 		})
 		runners = append(runners, runner)
 	}
--- a/internal/cluster/scheduler/learning.go
+++ b/internal/cluster/scheduler/learning.go
@@ -52,12 +52,12 @@
 func (l *runTimeLearner) runEnded(now time.Duration, j *job.Job, group *taskGroup, runner *runnerSession, r *run, reason job.EndReason) {
 	switch reason {
 	case job.EndDone:
-		runner.suspicion.runDone()
+		runner.suspicion.runDone(now)
 		if r.observedInFull() {
 			l.learnFromRun(now, j, group, runner, r)
 		}
 	case job.EndFailed:
-		runner.suspicion.runFailed()
+		runner.suspicion.runFailed(now, j.ID)
 	}
 }
 
--- /dev/null
+++ b/internal/cluster/scheduler/probation_test.go
@@ -0,0 +1,71 @@
+package scheduler_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"basaltloft/internal/cluster/job"
+)
+
+// finishTime is the time after the end of the traffic within which the deployments require that no
+// accepted job waits beside free runners (finish_s).
+const finishTime = 14 * time.Second
+
+// gangOf returns the spec of a job of one gang.
+func gangOf(tasks int, ms, cpu int64) job.Spec {
+	return job.Spec{Text: "g", Steps: []job.Step{{Count: tasks, Gang: true, EstimateMs: ms, Resources: job.Resources{CPU: cpu, MemMB: 100}}}}
+}
+
+// tasksOf returns the spec of a job of equal tasks.
+func tasksOf(tasks int, ms, cpu int64) job.Spec {
+	return job.Spec{Text: "t", Steps: []job.Step{{Count: tasks, EstimateMs: ms, Resources: job.Resources{CPU: cpu, MemMB: 100}}}}
+}
+
+// runUntilEnded runs the simulation until a job is over, at most for a span, and returns its state.
+func (sim *simulation) runUntilEnded(id string, span time.Duration) job.State {
+	for end := sim.now + span; sim.now < end && !sim.store.Jobs[id].State.Terminal(); {
+		sim.run(50 * time.Millisecond)
+	}
+	return sim.store.Jobs[id].State
+}
+
+// TestGangStartsAfterHopelessJobs guards against a gang that is accepted and never starts, with all
+// runners idle, after jobs that fail by their own fault have put all runners on probation.
+func TestGangStartsAfterHopelessJobs(t *testing.T) {
+	for hopeless := 1; hopeless <= 3; hopeless++ {
+		sim := newSimulation(t, uint64(hopeless), 2)
+		sim.run(100 * time.Millisecond)
+		for range 10 {
+			require.Equal(t, job.StateCompleted, sim.runUntilEnded(sim.submit(tasksOf(2, 200, 2000), false), finishTime))
+		}
+		for range hopeless {
+			sim.submit(tasksOf(4, 200, 2000), true)
+		}
+		for sim.countOpen() > 0 {
+			sim.run(100 * time.Millisecond)
+		}
+		gang := sim.submit(gangOf(4, 300, 2000), false)
+		require.Equal(t, job.StateCompleted, sim.runUntilEnded(gang, finishTime), "after %d hopeless jobs", hopeless)
+	}
+}
+
+// TestBacklogIsWorkedOffOnceRunnersWorkAgain guards against jobs that wait beside idle runners for
+// long after a time in which all runners failed what they started.
+func TestBacklogIsWorkedOffOnceRunnersWorkAgain(t *testing.T) {
+	for seed := range uint64(5) {
+		sim := newSimulation(t, seed, 6)
+		sim.run(100 * time.Millisecond)
+		sim.submitSteadily(50, tasksOf(3, 400, 2000))
+		for _, inc := range sim.incarnations {
+			inc.failsRuns = true
+		}
+		sim.submitSteadily(72, tasksOf(3, 400, 2000))
+		for _, inc := range sim.incarnations {
+			inc.failsRuns = false
+		}
+		sim.run(finishTime)
+		require.Zero(t, sim.countOpen(), "seed %d", seed)
+	}
+}
--- a/internal/cluster/scheduler/runner.go
+++ b/internal/cluster/scheduler/runner.go
@@ -163,15 +163,21 @@
 	return r
 }
 
-// hasCost reports whether a run with a cost is active. The end of such a run shows whether the
-// runner works; long-running runs, which have no cost, end only when they are cancelled.
-func (l *runnerLoad) hasCost() bool {
+// withCost returns the number of active runs that have a cost. The end of such a run shows whether
+// the runner works; long-running runs, which have no cost, end only when they are cancelled.
+func (l *runnerLoad) withCost() int {
+	n := 0
 	for _, r := range l.runs {
 		if r.cost > 0 {
-			return true
+			n++
 		}
 	}
-	return false
+	return n
+}
+
+// mayProbe reports whether a suspect runner may get another probe.
+func (r *runnerSession) mayProbe(now time.Duration) bool {
+	return r.suspicion.probeDue(now) && r.load.withCost() < r.suspicion.maxRuns()
 }
 
 // sorted returns the runs in a fixed order, so that the same inputs give the same output.
