--- a/internal/cluster/scheduler/probation_test.go
+++ b/internal/cluster/scheduler/probation_test.go
@@ -18,9 +18,9 @@
 	return job.Spec{Text: "g", Steps: []job.Step{{Count: tasks, Gang: true, EstimateMs: ms, Resources: job.Resources{CPU: cpu, MemMB: 100}}}}
 }
 
-// tasksOf returns the spec of a job of equal tasks.
-func tasksOf(tasks int, ms, cpu int64) job.Spec {
-	return job.Spec{Text: "t", Steps: []job.Step{{Count: tasks, EstimateMs: ms, Resources: job.Resources{CPU: cpu, MemMB: 100}}}}
+// twoCoreTasks returns the spec of a job of equal tasks of two cores.
+func twoCoreTasks(tasks int, ms int64) job.Spec {
+	return job.Spec{Text: "t", Steps: []job.Step{{Count: tasks, EstimateMs: ms, Resources: job.Resources{CPU: 2000, MemMB: 100}}}}
 }
 
 // runUntilEnded runs the simulation until a job is over, at most for a span, and returns its state.
@@ -38,10 +38,10 @@
 		sim := newSimulation(t, uint64(hopeless), 2)
 		sim.run(100 * time.Millisecond)
 		for range 10 {
-			require.Equal(t, job.StateCompleted, sim.runUntilEnded(sim.submit(tasksOf(2, 200, 2000), false), finishTime))
+			require.Equal(t, job.StateCompleted, sim.runUntilEnded(sim.submit(twoCoreTasks(2, 200), false), finishTime))
 		}
 		for range hopeless {
-			sim.submit(tasksOf(4, 200, 2000), true)
+			sim.submit(twoCoreTasks(4, 200), true)
 		}
 		for sim.countOpen() > 0 {
 			sim.run(100 * time.Millisecond)
@@ -57,11 +57,11 @@
 	for seed := range uint64(5) {
 		sim := newSimulation(t, seed, 6)
 		sim.run(100 * time.Millisecond)
-		sim.submitSteadily(50, tasksOf(3, 400, 2000))
+		sim.submitSteadily(50, twoCoreTasks(3, 400))
 		for _, inc := range sim.incarnations {
 			inc.failsRuns = true
 		}
-		sim.submitSteadily(72, tasksOf(3, 400, 2000))
+		sim.submitSteadily(72, twoCoreTasks(3, 400))
 		for _, inc := range sim.incarnations {
 			inc.failsRuns = false
 		}
--- a/internal/cluster/scheduler/runner_test.go
+++ b/internal/cluster/scheduler/runner_test.go
@@ -79,7 +79,7 @@
 	if r := inc.runs[order.Task]; r != nil && r.attempt == order.Attempt {
 		return scheduler.StartAccepted
 	}
-	if inc.clockMs() > order.DeadlineMs || order.Attempt <= inc.highestAttempt[order.Task] {
+	if inc.rejectsStarts || inc.clockMs() > order.DeadlineMs || order.Attempt <= inc.highestAttempt[order.Task] {
 		return scheduler.StartRefused
 	}
 	j := sim.jobs[order.Task.Job]
@@ -92,6 +92,10 @@
 	}
 	sim.checkStart(inc, j, spec, order)
 	work := time.Duration(float64(spec.EstimateMs)*(0.6+0.8*sim.random.Float64())) * time.Millisecond
+	if j.work > 0 {
+		work = j.work
+	}
+	work *= time.Duration(max(1, inc.slowness))
 	r := &running{ref: order.Task, attempt: order.Attempt, job: j, startedAt: sim.now, checkpoint: order.Checkpoint, work: max(work, tickLength)}
 	if order.Checkpoint != "" {
 		r.workBefore = r.work / 3
--- a/internal/cluster/scheduler/simulation_test.go
+++ b/internal/cluster/scheduler/simulation_test.go
@@ -50,6 +50,8 @@
 	draining         bool
 	failsRuns        bool // all its runs fail
 	stallsRuns       bool // none of its runs makes progress
+	rejectsStarts    bool // it rejects all orders to start
+	slowness         int  // factor by which the work of runs that start there takes longer; 0 means none
 
 	highestToken    uint64
 	leaseDeadlineMs int64 // on its clock: when the leases of its tasks expire
@@ -86,6 +88,7 @@
 	service      string
 	retries      int
 	alwaysFails  bool
+	work         time.Duration                 // of each task; 0 means about the estimate
 	cancelled    time.Duration                 // when the cancellation was acknowledged; 0 means it was not
 	ended        map[job.TaskRef]bool          // tasks with a successful run
 	acknowledged map[job.TaskRef]time.Duration // when the successful end of a task was acknowledged to its runner
