dataplane, controlplane: a drain cuts no request that has arrived

Cause: at the end of the time of serving, http.Server.Shutdown closes all connections that are idle in the server's view. In a process that is short of processor time a request can have waited in the receive buffer of such a connection for long; new connections likewise in the listener's backlog.

Change: package httpdrain. A connection is closed only if the server has read nothing on it since it became idle and its receive buffer is empty, the listener only if no connection waits to be accepted. The operators' server of a node, which had the same cause, uses it too.

Findings of the soak now tell whether the connection was reused.

--- a/internal/cluster/controlplane/configapi_test.go
+++ b/internal/cluster/controlplane/configapi_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
+
+	"basaltloft/internal/cluster/httpdrain"
 )
 
 // TestReplaceOfAnIncompleteBody checks that a truncated body gets a status that permits a retry, and that a
@@ -48,14 +50,14 @@
 func TestShutdownRespondsToPendingOperators(t *testing.T) {
 	node := newSingleNode(t)
 	waiting := make(chan struct{})
-	operators := &http.Server{ReadHeaderTimeout: headerTimeout, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	operators := httpdrain.New(&http.Server{ReadHeaderTimeout: headerTimeout, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		close(waiting)
 		<-node.stop // like configAPI.handle, which waits for a commit
 		w.WriteHeader(http.StatusGatewayTimeout)
-	})}
+	})})
 	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	go func() { _ = operators.Serve(listener) }() // returns when the node shuts down
+	go func() { _ = operators.Serve(listener.(*net.TCPListener)) }() // returns when the node shuts down
 	go func() {
 		<-waiting
 		node.shutDown(&http.Server{ReadHeaderTimeout: headerTimeout}, operators)
--- a/internal/cluster/controlplane/node.go
+++ b/internal/cluster/controlplane/node.go
@@ -28,6 +28,7 @@
 	"basaltloft/coord/replica"
 	"basaltloft/coord/ringlog"
 	"basaltloft/coord/rpc"
+	"basaltloft/internal/cluster/httpdrain"
 	"basaltloft/internal/cluster/leader"
 	"basaltloft/internal/cluster/opconfig"
 	"basaltloft/internal/cluster/protocol"
@@ -157,11 +158,11 @@
 	if n.damageCause != nil {
 		return nil // the context ended before the state on disk was usable
 	}
-	internal, operators := n.servers()
+	internal, operatorServer := n.servers()
+	operators := httpdrain.New(operatorServer)
 	serveErrors := make(chan error, 2) // buffered for both, so that no goroutine blocks
-	for _, server := range []*http.Server{internal, operators} {
-		n.tasks.Go(func() { serveErrors <- server.ListenAndServe() })
-	}
+	n.tasks.Go(func() { serveErrors <- internal.ListenAndServe() })
+	n.tasks.Go(func() { serveErrors <- operators.ListenAndServe() })
 	n.tasks.Go(n.joinGroups)
 	var err error
 	select {
@@ -192,7 +193,7 @@
 }
 
 // shutDown stops everything that Run and joinGroups started.
-func (n *Node) shutDown(internal, operators *http.Server) {
+func (n *Node) shutDown(internal *http.Server, operators *httpdrain.Server) {
 	close(n.stop)
 	n.endLifetime()
 	n.peers.close() // ends operators' requests that were forwarded to the leader
@@ -208,12 +209,9 @@
 
 // finishOperatorCalls waits until the responses to pending requests of operators are sent, for at most
 // operatorCallTimeout, and closes the operators' server.
-func finishOperatorCalls(operators *http.Server) {
-	ctx, cancel := context.WithTimeout(context.Background(), operatorCallTimeout)
-	defer cancel()
-	if operators.Shutdown(ctx) != nil {
-		_ = operators.Close() // cuts the remaining requests; the process ends anyway
-	}
+func finishOperatorCalls(operators *httpdrain.Server) {
+	_ = operators.Drain(operatorCallTimeout) // requests that are unfinished are cut by Close; the process ends anyway
+	_ = operators.Close()
 }
 
 // closeTimeout bounds how long a stopping node waits for its goroutines and its disk.
--- a/internal/cluster/dataplane/dispatcher.go
+++ b/internal/cluster/dataplane/dispatcher.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"basaltloft/internal/cluster/httpdrain"
 	"basaltloft/internal/cluster/settings"
 )
 
@@ -68,17 +69,17 @@
 // connections, finishes the requests in progress, and returns. It returns an error if it can't listen,
 // or if requests are unfinished at the end of the grace period.
 func (d *Dispatcher) Run(ctx context.Context) error {
-	clientServer := &http.Server{
+	clientServer := httpdrain.New(&http.Server{
 		Addr: d.settings.Listen.HTTP, Handler: d.newClientHandler(),
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}
+	})
 	readyServer := &http.Server{Addr: d.settings.Listen.Readiness, Handler: http.HandlerFunc(d.serveReady), ReadHeaderTimeout: headerTimeout}
 	watchCtx, stopWatching := context.WithCancel(context.WithoutCancel(ctx)) // the watch continues during the drain
 	failed := make(chan error, 2)
 	var background sync.WaitGroup
 	defer background.Wait()
 	defer stopWatching()
-	for _, server := range []*http.Server{clientServer, readyServer} {
+	for _, server := range []server{clientServer, readyServer} {
 		defer func() { _ = server.Close() }() // closes its listener; nothing is left to close after drain
 		background.Go(func() { failed <- server.ListenAndServe() })
 	}
@@ -91,6 +92,12 @@
 	}
 }
 
+// server is an HTTP server.
+type server interface {
+	ListenAndServe() error
+	Close() error
+}
+
 func (d *Dispatcher) newClientHandler() *clientHandler {
 	return &clientHandler{
 		watcher: d.watcher, clock: d.now, draining: d.draining.Load, pause: time.Sleep,
@@ -111,16 +118,14 @@
 
 // drain shuts down the server of clients within the grace period: it serves new connections for a time,
 // then finishes the requests in progress.
-func (d *Dispatcher) drain(clientServer *http.Server) error {
+func (d *Dispatcher) drain(clientServer *httpdrain.Server) error {
 	grace := d.settings.Bounds.Grace()
 	times := newDrainTimes(grace)
 	d.responseDeadline.Store(int64(d.now() + times.serve + times.finish - responseMargin))
 	d.draining.Store(true)
 	d.log.Info("stopping", "grace", grace)
 	time.Sleep(times.serve)
-	ctx, cancel := context.WithTimeout(context.Background(), times.finish)
-	defer cancel()
-	return errors.Wrap(clientServer.Shutdown(ctx), "finish the requests in progress")
+	return errors.Wrap(clientServer.Drain(times.finish), "finish the requests in progress")
 }
 
 // serveReady answers the platform's readiness probe: 200 if this process has a valid configuration and
--- a/internal/cluster/soak/exchanges.go
+++ b/internal/cluster/soak/exchanges.go
@@ -54,7 +54,11 @@
 
 func (x *exchanges) describe(e *Exchange) string {
 	t := x.timeline
-	return e.request.method + " " + e.request.path + " at " + e.target + ", sent " + t.at(e.lastByte) + ", ended " + t.at(e.ended) +
+	connection := "new connection"
+	if e.reused {
+		connection = "reused connection"
+	}
+	return e.request.method + " " + e.request.path + " at " + e.target + " on a " + connection + ", sent " + t.at(e.lastByte) + ", ended " + t.at(e.ended) +
 		": " + errorText(e.err) + "; near: " + t.near(e.lastByte, e.ended)
 }
 
