scheduler: a gang that costs more than budgets starts on idle runners

Cause: an idle runner takes one task beyond its budget, so that the second member of the gang at a runner needs headroom, which budgets were never grown to: recordBlockedBudgets asked for the headroom of one task. And a group that waits for budgets ended the cycle for all groups after it.

Evidence: TestNoAcceptedWorkWaitsForItself: no attempt in two minutes; TestGangThatCostsMoreThanBudgetsStarts fails without the change.

Change: a gang that can't be placed within budgets takes idle runners beyond them; budgets grow until the members that fit a runner have headroom; a runner with only long-running tasks, which have no cost, counts as idle; a group that waits for budgets holds the runners that it could use, not the whole cycle.

--- a/internal/cluster/scheduler/cycle.go
+++ b/internal/cluster/scheduler/cycle.go
@@ -32,6 +32,7 @@
 	request    placement.Request // of the group being assigned
 
 	reservations agedReservations
+	holds        budgetHolds
 	forecast     capacityForecast
 
 	examinedForGangs int // candidates examined for gangs that could not be placed
@@ -41,10 +42,10 @@
 // the best feasible runner whose budget has headroom, reserves the task's resources there and
 // proposes the start. The order to the runner is sent once the start is committed.
 //
-// If some runner has the capacity for a group but no budget has headroom for it, the cycle ends
-// there, so that later groups can't use up the budget. A group for which no runner has the capacity
-// is skipped; once it has aged, a runner is reserved for it. No task starts while the start window
-// is full.
+// If some runner has the capacity for a group but no budget has headroom for it, the runners that
+// could take it are held for the rest of the cycle, so that later groups can't use up their budgets.
+// A group for which no runner has the capacity is skipped; once it has aged, a runner is reserved for
+// it. No task starts while the start window is full.
 func (s *Scheduler) runCycle() {
 	s.cycle.lastRun, s.cycle.pause = s.now, minCycleInterval
 	if s.startWindow.full() {
@@ -63,6 +64,9 @@
 		if s.startWindow.full() {
 			return
 		}
+		if s.cycle.holds.hasAll(group.job.Service) {
+			continue
+		}
 		request := s.requestFor(group)
 		result := s.assign(group, request)
 		if len(group.pending) == 0 || result == placement.Found {
@@ -75,8 +79,8 @@
 		s.logWait(group, request, result)
 		switch {
 		case result == placement.NoBudget:
-			s.recordBlockedBudgets(request)
-			return
+			s.recordBlockedBudgets(group, request)
+			s.cycle.holds.hold(request, s.cycle.candidates)
 		case result == placement.NoCapacity && group.rank.Aged && s.cycle.reservations.count < s.cycle.maxReservations():
 			s.cycle.reservations.reserve(request, s.cycle.candidates)
 		}
@@ -104,7 +108,7 @@
 			Capacity: runner.capacity,
 			Free:     runner.capacity.Subtract(runner.load.reserved),
 			Headroom: runner.load.budget.Headroom(runner.load.cost, meanCost),
-			Idle:     len(runner.load.runs) == 0,
+			Idle:     runner.load.costly == 0,
 			Slowdown: runner.speed.recentSlowdown(), RunTimeFactor: runner.speed.factor.Value(),
 			Suspect:  suspect,
 			Reserved: suspect && !runner.mayProbe(s.now),
@@ -114,6 +118,7 @@
 	s.cycle.candidates, s.cycle.runners = candidates, runners
 	s.cycle.round = placement.NewRound(candidates)
 	s.cycle.reservations, s.cycle.examinedForGangs = agedReservations{}, 0
+	s.cycle.holds.reset()
 	s.cycle.forecast.begin(candidates, runners)
 }
 
@@ -238,25 +243,3 @@
 	s.learner.meanCost(group.job.Service).Add(request.Cost)
 	s.propose(job.Command{Kind: job.StartRun, Task: ref, Attempt: attempt, Runner: runner.id, Address: runner.address})
 }
-
-// recordBlockedBudgets records which budgets keep the group at the head of the queue from starting,
-// so that these budgets grow after the next successful run.
-func (s *Scheduler) recordBlockedBudgets(request *placement.Request) {
-	for i := range s.cycle.candidates {
-		c := &s.cycle.candidates[i]
-		if c.Service == request.Service && request.Resources.FitsIn(c.Free) && hasAllLabels(c.Labels, request.Constraints) {
-			runner := s.cycle.runners[c.Key]
-			runner.load.budget.RecordBlocked(s.now, request.Cost, max(runner.maxBudget(), runner.load.cost+request.Cost))
-		}
-	}
-}
-
-// hasAllLabels reports whether labels contains all required labels.
-func hasAllLabels(labels, required []string) bool {
-	for _, label := range required {
-		if !slices.Contains(labels, label) {
-			return false
-		}
-	}
-	return true
-}
--- a/internal/cluster/scheduler/gang.go
+++ b/internal/cluster/scheduler/gang.go
@@ -15,21 +15,47 @@
 	if result, rejected := s.cycle.round.Rejects(request); rejected {
 		return result
 	}
+	chosen, result := s.placeGang(group, request)
+	if result == placement.Found {
+		s.startGang(group, chosen, request)
+	}
+	return result
+}
+
+// placeGang chooses a candidate for each task of a gang, on one rack if the gang should run on one
+// and one has the capacity or will have it soon. It takes idle runners beyond their budgets if the
+// gang can't be placed within budgets.
+func (s *Scheduler) placeGang(group *taskGroup, request *placement.Request) ([]int, placement.Result) {
 	if group.step.SameRack {
-		if chosen := s.gangOnOneRack(group, request); chosen != nil {
-			s.startGang(group, chosen, request)
-			return placement.Found
+		if chosen := s.gangOnOneRack(group, request, s.cycle.candidates); chosen != nil {
+			return chosen, placement.Found
+		}
+		if chosen := s.gangOnOneRack(group, request, s.withIdleBudgets(group, request)); chosen != nil {
+			return chosen, placement.Found
 		}
 		if s.gangShouldWait(group, request) {
-			return placement.NoCapacity
+			return nil, placement.NoCapacity
 		}
 	}
 	chosen, result := s.gangCandidates(group, request, slices.Clone(s.cycle.candidates))
-	if result != placement.Found {
-		return result
+	if result == placement.NoBudget {
+		chosen, result = s.gangCandidates(group, request, s.withIdleBudgets(group, request))
+	}
+	return chosen, result
+}
+
+// withIdleBudgets returns copies of the cycle's candidates in which the idle ones have the headroom
+// for all tasks of a gang. An idle runner takes what fits it, whatever its budget: for a gang that
+// costs more than budgets can hold, no other time will be better.
+func (s *Scheduler) withIdleBudgets(group *taskGroup, request *placement.Request) []placement.Candidate {
+	copies := slices.Clone(s.cycle.candidates)
+	headroom := request.Cost * float64(len(group.pending)+1) // one more, because of rounding errors
+	for i := range copies {
+		if copies[i].Idle {
+			copies[i].Headroom = max(copies[i].Headroom, headroom)
+		}
 	}
-	s.startGang(group, chosen, request)
-	return placement.Found
+	return copies
 }
 
 // gangCandidates chooses a candidate for each task of a gang and returns their indexes. It records
@@ -57,10 +83,10 @@
 
 // gangOnOneRack chooses candidates for all tasks of a gang on one rack. Of several possible racks
 // it chooses the one with the most total headroom. It returns nil if there is none.
-func (s *Scheduler) gangOnOneRack(group *taskGroup, request *placement.Request) []int {
+func (s *Scheduler) gangOnOneRack(group *taskGroup, request *placement.Request, all []placement.Candidate) []int {
 	racks := map[string][]int{}
-	for i := range s.cycle.candidates {
-		rack := s.cycle.runners[s.cycle.candidates[i].Key].rack()
+	for i := range all {
+		rack := s.cycle.runners[all[i].Key].rack()
 		racks[rack] = append(racks[rack], i)
 	}
 	var best []int
@@ -69,8 +95,8 @@
 		headroom := 0.0
 		candidates := make([]placement.Candidate, 0, len(racks[rack]))
 		for _, i := range racks[rack] {
-			candidates = append(candidates, s.cycle.candidates[i])
-			headroom += s.cycle.candidates[i].Headroom
+			candidates = append(candidates, all[i])
+			headroom += all[i].Headroom
 		}
 		chosen, result := s.gangCandidates(group, request, candidates)
 		if result != placement.Found || best != nil && headroom <= bestHeadroom {
--- a/internal/cluster/scheduler/gang_test.go
+++ b/internal/cluster/scheduler/gang_test.go
@@ -32,7 +32,7 @@
 
 func TestGangStartsOnTheRackThatTakesAll(t *testing.T) {
 	s, group := gangScenario(t, 2, "r1", "r2", "r2", "r1", "r2")
-	require.Equal(t, []int{1, 2}, s.gangOnOneRack(group, s.requestFor(group)), "of two possible racks, the one with the most headroom")
+	require.Equal(t, []int{1, 2}, s.gangOnOneRack(group, s.requestFor(group), s.cycle.candidates), "of two possible racks, the one with the most headroom")
 	s.assign(group, s.requestFor(group))
 	require.Empty(t, group.pending)
 	require.Len(t, s.outbox.commands, 2)
--- a/internal/cluster/scheduler/runner.go
+++ b/internal/cluster/scheduler/runner.go
@@ -59,6 +59,7 @@
 	runs     map[runKey]*run
 	reserved job.Resources    // resources of all runs
 	cost     float64          // total cost of all runs, in core-seconds
+	costly   int              // number of runs that have a cost
 	budget   admission.Budget // limits the total cost
 }
 
@@ -146,6 +147,9 @@
 	l.runs[r.runKey] = r
 	l.reserved = l.reserved.Add(r.resources)
 	l.cost += r.cost
+	if r.cost > 0 {
+		l.costly++
+	}
 }
 
 // remove removes a run and releases its resources and cost. It returns nil if there is no such run.
@@ -157,27 +161,20 @@
 	delete(l.runs, key)
 	l.reserved = l.reserved.Subtract(r.resources)
 	l.cost = max(0, l.cost-r.cost)
-	if len(l.runs) == 0 {
+	if r.cost > 0 {
+		l.costly--
+	}
+	if l.costly == 0 {
 		l.cost = 0 // clears floating-point rounding errors
 	}
 	return r
 }
 
-// withCost returns the number of active runs that have a cost. The end of such a run shows whether
-// the runner works; long-running runs, which have no cost, end only when they are cancelled.
-func (l *runnerLoad) withCost() int {
-	n := 0
-	for _, r := range l.runs {
-		if r.cost > 0 {
-			n++
-		}
-	}
-	return n
-}
-
-// mayProbe reports whether a suspect runner may get another probe.
+// mayProbe reports whether a suspect runner may get another probe. The end of a run with a cost
+// shows whether the runner works; long-running runs, which have none, end only when they are
+// cancelled.
 func (r *runnerSession) mayProbe(now time.Duration) bool {
-	return r.suspicion.probeDue(now) && r.load.withCost() < r.suspicion.maxRuns()
+	return r.suspicion.probeDue(now) && r.load.costly < r.suspicion.maxRuns()
 }
 
 // sorted returns the runs in a fixed order, so that the same inputs give the same output.
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -16,7 +16,7 @@
 //   - cycle.go: the scheduling cycle; cyclepause.go: the time until the next cycle. Policies of the
 //     cycle: aging.go (the order of ready work, and reservations for aged work), urgency.go,
 //     localitywait.go (waiting for a runner near the data) with forecast.go (when capacity will be
-//     free), gang.go, cost.go.
+//     free), gang.go, cost.go, budgethold.go (runners held for work that waits for budgets).
 //   - lease.go: task leases and polls; reconcile.go: processing of a runner's report;
 //     unresponsive.go and replydelay.go: runners whose reply is overdue; masstimeout.go: several
 //     runners that become unresponsive at once.
--- a/internal/cluster/scheduler/probation_test.go
+++ b/internal/cluster/scheduler/standstill_test.go
@@ -23,9 +23,9 @@
 	return job.Spec{Text: "t", Steps: []job.Step{{Count: tasks, EstimateMs: ms, Resources: job.Resources{CPU: 2000, MemMB: 100}}}}
 }
 
-// runUntilEnded runs the simulation until a job is over, at most for a span, and returns its state.
-func (sim *simulation) runUntilEnded(id string, span time.Duration) job.State {
-	for end := sim.now + span; sim.now < end && !sim.store.Jobs[id].State.Terminal(); {
+// runUntilEnded runs the simulation until a job is over, at most for finishTime, and returns its state.
+func (sim *simulation) runUntilEnded(id string) job.State {
+	for end := sim.now + finishTime; sim.now < end && !sim.store.Jobs[id].State.Terminal(); {
 		sim.run(50 * time.Millisecond)
 	}
 	return sim.store.Jobs[id].State
@@ -38,7 +38,7 @@
 		sim := newSimulation(t, uint64(hopeless), 2)
 		sim.run(100 * time.Millisecond)
 		for range 10 {
-			require.Equal(t, job.StateCompleted, sim.runUntilEnded(sim.submit(twoCoreTasks(2, 200), false), finishTime))
+			require.Equal(t, job.StateCompleted, sim.runUntilEnded(sim.submit(twoCoreTasks(2, 200), false)))
 		}
 		for range hopeless {
 			sim.submit(twoCoreTasks(4, 200), true)
@@ -47,7 +47,7 @@
 			sim.run(100 * time.Millisecond)
 		}
 		gang := sim.submit(gangOf(4, 300, 2000), false)
-		require.Equal(t, job.StateCompleted, sim.runUntilEnded(gang, finishTime), "after %d hopeless jobs", hopeless)
+		require.Equal(t, job.StateCompleted, sim.runUntilEnded(gang), "after %d hopeless jobs", hopeless)
 	}
 }
 
@@ -69,3 +69,24 @@
 		require.Zero(t, sim.countOpen(), "seed %d", seed)
 	}
 }
+
+// TestGangThatCostsMoreThanBudgetsStarts guards against a gang that is accepted and never starts on
+// idle runners, and keeps less urgent work from starting too.
+func TestGangThatCostsMoreThanBudgetsStarts(t *testing.T) {
+	for _, longRunning := range []bool{false, true} {
+		sim := newSimulation(t, 1, 2)
+		sim.run(100 * time.Millisecond)
+		if longRunning { // a task that never ends takes some room of each runner
+			spec := twoCoreTasks(2, 1000)
+			spec.Steps[0].LongRunning, spec.Steps[0].AntiAffinity = true, 1
+			sim.submit(spec, false)
+		}
+		require.Equal(t, job.StateCompleted, sim.runUntilEnded(sim.submit(twoCoreTasks(2, 200), false)))
+		gang := sim.submit(gangOf(4, 70_000, 6000), false)
+		sim.jobs[gang].work = time.Second
+		small := sim.submit(twoCoreTasks(1, 200), false)
+		sim.store.Jobs[gang].Priority, sim.store.Jobs[small].Priority = 0, 1
+		require.Equal(t, job.StateCompleted, sim.runUntilEnded(gang))
+		require.Equal(t, job.StateCompleted, sim.runUntilEnded(small))
+	}
+}
