scheduler, job: a gang's failures count at any attempt number

Cause: rejected starts use up attempt numbers. StepState.FailedAttempts has a bit for each attempt up to 62 and one for all later ones, so that later failures count as one; the member that fails counts its own exactly and is the only one whose starts are refused. Task.Listed ends at 63 too, so that a later failure that is listed again to another leader counted twice.

Evidence: TestNoAcceptedWorkWaitsForItself: attempt 120, one member with three failures, four members running alone. TestHopelessGangFailsAfterManyRejectedStarts fails without the change.

Change: what commands do stays the same, since replicas of older builds apply them too. The leader proposes the failures that the state lacks, under unused attempts, once a gang has failed as often as allowed, and starts it no more; a failure that was counted before is proposed as a lost run.

--- a/internal/cluster/job/job.go
+++ b/internal/cluster/job/job.go
@@ -123,6 +123,9 @@
 	ActiveRuns      int           // runs of all tasks that are not known to be over
 	AcceptedMs      int64         // Unix time in milliseconds
 	EndedMs         int64         // Unix time in milliseconds
+	// LaterFailures are the failed runs whose attempts the bit sets of their tasks and steps don't
+	// distinguish. Builds before this field lack it, so no outcome of a command may depend on it.
+	LaterFailures []FailedRun
 	// CancelledBeforeAcceptance is set if the job was cancelled before it was submitted. Only its ID and its
 	// queue are known, and a late attempt to submit it is always rejected.
 	CancelledBeforeAcceptance bool
@@ -201,10 +204,11 @@
 	for i, occurrence := range j.Occurrences {
 		if occurrence != nil && (occurrence.OpenSteps == 0 || j.State.Terminal()) {
 			j.Occurrences[i] = &Occurrence{}
+			j.forgetLaterFailures(i)
 		}
 	}
 	if j.State.Terminal() {
-		j.Occurrences = nil
+		j.Occurrences, j.LaterFailures = nil, nil
 		j.Spec = Spec{Repeats: j.Spec.Repeats}
 	}
 }
--- a/internal/cluster/job/runs.go
+++ b/internal/cluster/job/runs.go
@@ -50,6 +50,7 @@
 	case EndFailed:
 		task.Failed++
 		step.FailedAttempts |= 1 << min(command.Attempt, trackedAttempts-1)
+		j.recordLaterFailure(command.Task, command.Attempt)
 		s.failIfRetriesExhausted(j, task, step, command)
 	}
 	j.releaseFinished()
--- a/internal/cluster/job/storedjob.go
+++ b/internal/cluster/job/storedjob.go
@@ -31,6 +31,7 @@
 		AcceptedMs int64
 		EndedMs    int64
 		Withdrawn  bool
+		LaterFails []int // four numbers each: occurrence, step, index, attempt
 	}
 
 	sub1 struct { // of a Submission
@@ -94,6 +95,7 @@
 		AcceptedMs: j.AcceptedMs,
 		EndedMs:    j.EndedMs,
 		Withdrawn:  j.CancelledBeforeAcceptance,
+		LaterFails: toStoredFailures(j.LaterFailures),
 	}
 }
 
@@ -107,9 +109,28 @@
 		AcceptedMs:                j.AcceptedMs,
 		EndedMs:                   j.EndedMs,
 		CancelledBeforeAcceptance: j.Withdrawn,
+		LaterFailures:             fromStoredFailures(j.New.ID, j.LaterFails),
 	}
 }
 
+// storedFailureLength is the number of numbers that store a failed run.
+const storedFailureLength = 4
+
+func toStoredFailures(failures []FailedRun) (numbers []int) {
+	for _, failed := range failures {
+		numbers = append(numbers, failed.Task.Occurrence, failed.Task.Step, failed.Task.Index, failed.Attempt)
+	}
+	return numbers
+}
+
+func fromStoredFailures(id string, numbers []int) (failures []FailedRun) {
+	for ; len(numbers) >= storedFailureLength; numbers = numbers[storedFailureLength:] {
+		ref := TaskRef{Job: id, Occurrence: numbers[0], Step: numbers[1], Index: numbers[2]}
+		failures = append(failures, FailedRun{Task: ref, Attempt: numbers[3]})
+	}
+	return failures
+}
+
 func toStoredSubmission(s *Submission) sub1 {
 	return sub1{
 		ID:       s.ID,
--- a/internal/cluster/scheduler/group.go
+++ b/internal/cluster/scheduler/group.go
@@ -33,6 +33,7 @@
 	pending  []int           // indexes of the tasks to start; speculative attempts come last
 	listed   bool            // it is in groupTable.ready
 	closed   bool            // it is complete, or its job is over
+	failing  bool            // it is a gang that may not run again; the failure of its job is proposed
 	starting map[int]bool    // indexes of tasks whose start is proposed and not yet committed
 	avoid    map[string]bool // instance IDs of runners at which a task of the group failed or may be lost
 
@@ -211,6 +212,11 @@
 // refreshPending updates the pending tasks of a group and requests a scheduling cycle.
 func (s *Scheduler) refreshPending(group *taskGroup, j *job.Job) {
 	s.cycle.needed = true
+	s.failExhausted(group)
+	if group.failing {
+		group.pending = group.pending[:0]
+		return
+	}
 	group.findPending(j.Occurrences[group.key.occurrence].Steps[group.key.step].Tasks, s.speculation)
 	if len(group.pending) > 0 {
 		s.groups.markReady(group)
--- a/internal/cluster/scheduler/reconcile.go
+++ b/internal/cluster/scheduler/reconcile.go
@@ -38,7 +38,8 @@
 func (s *Scheduler) proposeEnds(runner *runnerSession, report RunnerReport, reported map[runKey]bool) {
 	lease := &runner.lease
 	lease.dueAt = s.now
-	for _, end := range report.Finished {
+	for i := range report.Finished {
+		end := &report.Finished[i]
 		key := runKey{task: end.Task, attempt: end.Attempt}
 		reported[key] = true
 		if end.Number <= lease.proposedThrough {
@@ -48,7 +49,7 @@
 		if r := runner.load.runs[key]; r != nil {
 			r.ending = true
 		}
-		s.propose(job.Command{Kind: job.EndRun, Task: end.Task, Attempt: end.Attempt, Runner: runner.id, EndReason: end.Reason, Checkpoint: end.Checkpoint})
+		s.propose(job.Command{Kind: job.EndRun, Task: end.Task, Attempt: end.Attempt, Runner: runner.id, EndReason: s.reasonToPropose(end), Checkpoint: end.Checkpoint})
 	}
 	if lease.proposedThrough > lease.ackedThrough {
 		s.outbox.acknowledgeAfterCommit(runner, lease.proposedThrough)
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -20,7 +20,7 @@
 //   - lease.go: task leases and polls; reconcile.go: processing of a runner's report;
 //     unresponsive.go and replydelay.go: runners whose reply is overdue; masstimeout.go: several
 //     runners that become unresponsive at once.
-//   - starts.go, stops.go, ends.go: the life cycle of a run; startwindow.go: the bound on starts in
+//   - starts.go, stops.go, ends.go, exhausted.go: the life cycle of a run; startwindow.go: the bound on starts in
 //     flight.
 //   - straggler.go and progress.go: slow runs; drain.go: runners about to leave; speculation.go:
 //     runs that may be lost; suspicion.go: runners that fail.
--- a/internal/cluster/scheduler/standstill_test.go
+++ b/internal/cluster/scheduler/standstill_test.go
@@ -90,3 +90,27 @@
 		require.Equal(t, job.StateCompleted, sim.runUntilEnded(small))
 	}
 }
+
+// TestHopelessGangFailsAfterManyRejectedStarts guards against a hopeless gang that is never shown as
+// failed, and whose members are started alone, because many starts were rejected before.
+func TestHopelessGangFailsAfterManyRejectedStarts(t *testing.T) {
+	for seed := range uint64(6) {
+		sim := newSimulation(t, seed, 2)
+		sim.run(100 * time.Millisecond)
+		for _, inc := range sim.incarnations {
+			inc.rejectsStarts = true
+		}
+		gang := sim.submit(gangOf(2, 100, 2000), true)
+		sim.run(5 * time.Second)
+		require.Greater(t, sim.store.Jobs[gang].Occurrences[0].Steps[0].Tasks[0].Attempt, 64, "attempts")
+		for _, inc := range sim.incarnations {
+			inc.rejectsStarts = false
+		}
+		if seed%2 == 1 {
+			sim.run(200 * time.Millisecond)
+			sim.loseLeader()
+		}
+		require.Equal(t, job.StateFailed, sim.runUntilEnded(gang), "seed %d", seed)
+		require.Zero(t, sim.incompleteGangs, "runs that ended alone")
+	}
+}
