ringlog: the start of a segment is synced before its first records

What operators would see: after a loss of power during the first append after a start a node reports its log as damaged and rejoins as a new member, though all that was synced is there.

Cause: a start begins a segment in a file that was used before, and its header was synced only with the first records. Records that survive without it follow the header of the earlier use.

TestPowerLossSoonAfterAStart fails without the change ('the segment begins with record 53 instead of 48').

Change: Open syncs the segment's start, one more sync at a start. The format is unchanged. The simulated disk can keep any subset of the sectors of unsynced writes.

--- a/coord/ringlog/ring.go
+++ b/coord/ringlog/ring.go
@@ -55,9 +55,10 @@
 		return nil, replica.PersistedState{}, err
 	}
 	// A power failure may leave complete records after a torn one. Recovery must never read them as the
-	// successors of a new record, so each start of the process begins a new segment. The start of the
-	// segment is synced together with its first records, since nothing depends on it before.
-	if err := r.startSegmentUnsynced(); err != nil {
+	// successors of a new record, so each start of the process begins a new segment. Its start is synced
+	// before any record follows: otherwise a power failure may leave the record without the header, and
+	// the header of an earlier use of the file, whose records it has overwritten.
+	if err := r.startSegmentSynced(); err != nil {
 		return nil, replica.PersistedState{}, err
 	}
 	return r, found, nil
--- a/coord/ringlog/ringlog_test.go
+++ b/coord/ringlog/ringlog_test.go
@@ -175,6 +175,33 @@
 	}
 }
 
+// TestPowerLossSoonAfterAStart loses power at each of the first writes and syncs after a process has
+// started on a ring that uses its segments again. It guards against a log that is reported damaged
+// though nothing that was synced is missing.
+func TestPowerLossSoonAfterAStart(t *testing.T) {
+	for seed := range uint64(400) {
+		for point := 1; point <= 8; point++ {
+			disk := simdisk.New(seed*1000 + uint64(point))
+			disk.TornBySector = seed%2 == 0
+			s := &operations{random: rand.New(rand.NewPCG(seed, 7)), term: 1}
+			for range 2 + seed%3 {
+				s.ring, _ = open(t, disk, seed, point)
+				for range 15 {
+					require.NoError(t, s.step())
+				}
+			}
+			s.ring, _ = open(t, disk, seed, point)
+			disk.CrashAtOperation = disk.OperationCount + point
+			for s.step() == nil {
+				continue
+			}
+			disk.LosePower()
+			_, found := open(t, disk, seed, point)
+			requireSyncedEntries(t, s, found, seed, point)
+		}
+	}
+}
+
 // TestRecoveredRecordsSurvivePowerLoss kills the process at each point, which leaves unsynced writes
 // readable. Records that the next process has read must survive a later power failure.
 func TestRecoveredRecordsSurvivePowerLoss(t *testing.T) {
--- a/coord/simdisk/simdisk.go
+++ b/coord/simdisk/simdisk.go
@@ -36,6 +36,9 @@
 	IgnoreSync bool
 	// LoseUnsynced makes a loss of power discard everything that was not synced.
 	LoseUnsynced bool
+	// TornBySector makes a loss of power keep any subset of the sectors of writes that were not synced,
+	// instead of whole writes and their beginnings.
+	TornBySector bool
 	// CrashAtOperation is the number of the first operation that fails with ErrCrashed; all later ones
 	// fail too. 0 means that none fails.
 	CrashAtOperation int
@@ -142,6 +145,10 @@
 	if d.LoseUnsynced {
 		return
 	}
+	if d.TornBySector {
+		d.persistSectors(f, w)
+		return
+	}
 	switch d.random.IntN(3) {
 	case 0:
 		f.synced = overwrite(f.synced, w)
@@ -151,6 +158,20 @@
 	}
 }
 
+// sectorBytes is the size of the parts of a write that a disk writes as a whole.
+const sectorBytes = 512
+
+// persistSectors keeps a random subset of the sectors of an unsynced write.
+func (d *Disk) persistSectors(f *file, w write) {
+	for len(w.content) > 0 {
+		size := min(len(w.content), sectorBytes-int(w.offset%sectorBytes))
+		if d.random.IntN(2) == 0 {
+			f.synced = overwrite(f.synced, write{offset: w.offset, content: w.content[:size]})
+		}
+		w.offset, w.content = w.offset+int64(size), w.content[size:]
+	}
+}
+
 // Wipe removes all files.
 func (d *Disk) Wipe() {
 	d.mu.Lock()
