opconfig: the longest prefix wins, whatever its last character

Cause: Match looks prefixes that end with a slash up in a map, from the longest on, and examined the others only if none was found.

Change: a configuration with a prefix that doesn't end with a slash is matched by examining all routes.

Result: TestLongestPrefixWins has such a prefix and failed before ('/a/' in place of '/a/vip-'); the tests of opconfig pass.

--- a/internal/cluster/opconfig/config.go
+++ b/internal/cluster/opconfig/config.go
@@ -58,6 +58,8 @@
 	Limits   Limits    `json:"limits"`
 
 	byQueue map[string]*Route
+	// hasOpenPrefix is set if a route's prefix doesn't end with a slash.
+	hasOpenPrefix bool
 }
 
 //go:embed schema.json
@@ -126,6 +128,7 @@
 			return errors.Newf("two routes have host %q and prefix %q: change or remove one", route.Host, route.PathPrefix)
 		}
 		c.byQueue[route.Queue()] = route
+		c.hasOpenPrefix = c.hasOpenPrefix || !strings.HasSuffix(route.PathPrefix, "/")
 	}
 	return nil
 }
@@ -136,20 +139,21 @@
 	return route, ok
 }
 
-// Match returns the route of that host with the longest prefix of the path, and whether there is one. A prefix
-// that ends with a slash is preferred to one that doesn't.
+// Match returns the route of that host with the longest prefix of the path, and whether there is one.
 func (c *Config) Match(host, path string) (*Route, bool) {
+	if c.hasOpenPrefix {
+		return c.matchAnyPrefix(host, path)
+	}
 	for end := len(path); end > 0; {
 		if route, ok := c.byQueue[host+path[:end]]; ok {
 			return route, true
 		}
 		end = strings.LastIndexByte(path[:end-1], '/') + 1
 	}
-	return c.matchAnyPrefix(host, path)
+	return nil, false
 }
 
-// matchAnyPrefix returns the route with the longest of all prefixes, including those that don't end with a
-// slash.
+// matchAnyPrefix is Match for prefixes that need not end with a slash. It examines all routes.
 func (c *Config) matchAnyPrefix(host, path string) (best *Route, ok bool) {
 	for i := range c.Routes {
 		route := &c.Routes[i]
--- a/internal/cluster/opconfig/opconfig_test.go
+++ b/internal/cluster/opconfig/opconfig_test.go
@@ -41,10 +41,20 @@
 	}
 }
 
+// TestLongestPrefixWins checks that the longest prefix wins, whatever its last character.
 func TestLongestPrefixWins(t *testing.T) {
-	c, err := opconfig.Parse(configText(1, "/a/", "/a/b/", "/ab"))
+	requireMatches(t, []string{"/a/", "/a/b/"}, map[string]string{"/a/1234": "/a/", "/a/b/1234": "/a/b/", "/a/": "/a/", "/abc": "", "/x": ""})
+	requireMatches(t, []string{"/a/", "/a/b/", "/ab", "/a/vip-"}, map[string]string{
+		"/a/1234": "/a/", "/a/b/1234": "/a/b/", "/a/": "/a/", "/abc": "/ab", "/a/vip-1": "/a/vip-", "/a/vi": "/a/", "/x": "",
+	})
+}
+
+// requireMatches requires the prefix that is matched for each path; empty: none is.
+func requireMatches(t *testing.T, prefixes []string, wanted map[string]string) {
+	t.Helper()
+	c, err := opconfig.Parse(configText(1, prefixes...))
 	require.NoError(t, err)
-	for path, want := range map[string]string{"/a/1234": "/a/", "/a/b/1234": "/a/b/", "/a/": "/a/", "/abc": "/ab", "/x": ""} {
+	for path, want := range wanted {
 		route, ok := c.Match("h.example", path)
 		require.Equal(t, want != "", ok, path)
 		if ok {
