daemon: a SIGHUP during the start no longer ends the process

What operators saw: a process that gets a SIGHUP while it opens its disk ends (seen by the review).

Cause: the signal was handled only from the start of the reloads on, after the daemon was built.

Change: it is received from the beginning of Main on, and leads to a reload once the daemon serves.

Result: TestHangupDuringTheStartReloads ended the test's process before ('signal: hangup'); the tests of daemon pass.

--- a/internal/cluster/daemon/daemon.go
+++ b/internal/cluster/daemon/daemon.go
@@ -45,6 +45,9 @@
 // Main parses the command line, runs a daemon and returns the process's exit status. The output of --help
 // includes the summary.
 func Main(name, summary string, args []string, build Builder) int {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP) // first: until then, the signal ends the process
+	defer signal.Stop(hangups)
 	options := Options{}
 	parser := flags.NewNamedParser(name, flags.HelpFlag|flags.PassDoubleDash)
 	parser.LongDescription = summary
@@ -72,7 +75,7 @@
 	if err != nil {
 		return report(err, exitFailed)
 	}
-	return run(name, path, log, daemon)
+	return run(name, path, log, daemon, hangups)
 }
 
 // reportUsage prints the help if --help was given, else the error of the command line, and returns the
@@ -127,12 +130,12 @@
 }
 
 // run runs a daemon until SIGTERM or an interrupt, or until it fails.
-func run(name, path string, log *slog.Logger, daemon Daemon) int {
+func run(name, path string, log *slog.Logger, daemon Daemon, hangups <-chan os.Signal) int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	var reloads sync.WaitGroup
 	defer reloads.Wait()
 	defer stop()
-	reloads.Go(func() { reloadChanges(ctx, path, log, daemon) })
+	reloads.Go(func() { reloadChanges(ctx, path, log, daemon, hangups) })
 	log.Info("started", "program", name)
 	if err := daemon.Run(ctx); err != nil {
 		log.Error("failed", "error", err)
--- a/internal/cluster/daemon/reload.go
+++ b/internal/cluster/daemon/reload.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"log/slog"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"basaltloft/internal/cluster/settings"
@@ -15,18 +13,16 @@
 // settingsCheckInterval is how often the settings file is checked for changes.
 const settingsCheckInterval = 2 * time.Second
 
-// reloadChanges reloads the settings at each SIGHUP and when the file has changed, until the context
-// ends. It logs settings that can't be used and leaves the daemon's settings as they are.
-func reloadChanges(ctx context.Context, path string, log *slog.Logger, daemon Daemon) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
+// reloadChanges reloads the settings at each SIGHUP, which hangups receives, and when the file has
+// changed, until the context ends. It logs settings that can't be used and leaves the daemon's settings
+// as they are.
+func reloadChanges(ctx context.Context, path string, log *slog.Logger, daemon Daemon, hangups <-chan os.Signal) {
 	last := fileVersion(path)
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-hangup:
+		case <-hangups:
 		case <-time.After(settingsCheckInterval):
 			if fileVersion(path) == last {
 				continue
--- a/internal/cluster/daemon/reload_test.go
+++ b/internal/cluster/daemon/reload_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"log/slog"
 	"os"
-	"os/signal"
 	"path/filepath"
 	"strings"
 	"syscall"
@@ -37,9 +36,6 @@
 		require.NoError(t, os.WriteFile(path, fmt.Appendf(nil, "ip: \"10.1.0.15\"\nport_range: [7660, 7675]\nseeds: [%s]\n", seeds), 0o600))
 	}
 	write(`"10.1.0.15:8146"`)
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP) // starts the goroutine of package signal outside of the synctest bubble
-	defer signal.Stop(hangup)
 
 	synctest.Test(t, func(t *testing.T) {
 		daemon, logged := &reloadRecorder{}, &strings.Builder{}
@@ -47,7 +43,7 @@
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
-			reloadChanges(ctx, path, slog.New(slog.NewTextHandler(logged, nil)), daemon)
+			reloadChanges(ctx, path, slog.New(slog.NewTextHandler(logged, nil)), daemon, nil)
 		}()
 		pass := func() {
 			<-time.After(settingsCheckInterval + time.Millisecond)
@@ -73,3 +69,31 @@
 		<-done
 	})
 }
+
+// TestHangupDuringTheStartReloads guards against a process that ends by a SIGHUP that it receives before
+// it serves. The builder sends it to the test's own process, which it would end.
+func TestHangupDuringTheStartReloads(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.yaml")
+	require.NoError(t, os.WriteFile(path, []byte("ip: \"10.1.0.15\"\nport_range: [7660, 7675]\nseeds: [\"10.1.0.15:8146\"]\n"), 0o600))
+	reloaded := reloadWaiter{}
+	reloaded.ctx, reloaded.stop = context.WithCancel(t.Context())
+	status := Main("test", "", []string{"--settings", path}, func(settings.Settings, *slog.Logger) (Daemon, error) {
+		return reloaded, syscall.Kill(os.Getpid(), syscall.SIGHUP)
+	})
+	require.Zero(t, status)
+}
+
+// reloadWaiter is a daemon that runs until its settings are reloaded.
+type reloadWaiter struct {
+	ctx  context.Context //nolint:containedctx // it stands for the daemon's own end
+	stop func()
+}
+
+// Run implements Daemon.
+func (r reloadWaiter) Run(context.Context) error {
+	<-r.ctx.Done()
+	return nil
+}
+
+// Reload implements Daemon.
+func (r reloadWaiter) Reload(settings.Settings) { r.stop() }
