--- a/internal/cluster/scheduler/recurring_test.go
+++ b/internal/cluster/scheduler/recurring_test.go
@@ -22,3 +22,16 @@
 	require.Empty(t, schedule.due(9000))
 	require.Empty(t, schedule.jobs, "all are open")
 }
+
+// TestLongDueOccurrencesAreOpenedAFewAtATime guards against a job all of whose occurrences are long due
+// when it is accepted, and which opens them in one batch.
+func TestLongDueOccurrencesAreOpenedAFewAtATime(t *testing.T) {
+	schedule := newRecurringJobs()
+	j := &job.Job{Submission: job.Submission{ID: "a", Spec: job.Spec{Repeats: 1000, StartAtMs: 1000, IntervalMs: 1}}}
+	schedule.watch(j)
+	require.Len(t, schedule.due(1_000_000), maxOpenedAtOnce)
+	for range maxOpenedAtOnce {
+		j.Occurrences = append(j.Occurrences, &job.Occurrence{})
+	}
+	require.Equal(t, maxOpenedAtOnce, schedule.due(1_000_000)[0].Occurrence, "the next ones")
+}
