--- a/internal/cluster/scheduler/localitywait.go
+++ b/internal/cluster/scheduler/localitywait.go
@@ -6,6 +6,10 @@
 	"basaltloft/internal/cluster/placement"
 )
 
+// maxLocalityWait bounds the wait for a runner near the data. It leaves a task that has waited in vain
+// the time to start elsewhere before it counts as forgotten.
+const maxLocalityWait = 10 * time.Second
+
 // localityWaitPolicy decides how many tasks of a group wait for a runner in their data's rack instead of
 // running remotely now, and whether a gang waits for one rack that has capacity for all its tasks.
 // The rule is the same at all levels of urgency:
@@ -21,7 +25,7 @@
 //
 // The right side is the cost of running remotely. If forecasts were exact, W alone would be
 // sufficient. Adding waited bounds the loss of a task whose forecast is wrong repeatedly: its wait
-// costs no more than running remotely does.
+// costs no more than running remotely does, and at most maxLocalityWait.
 type localityWaitPolicy struct {
 	remoteSlowdown float64 // f
 }
@@ -29,7 +33,7 @@
 // remaining returns how much longer a group's tasks may wait before running remotely costs less.
 func (p localityWaitPolicy) remaining(now time.Duration, group *taskGroup) time.Duration {
 	remoteCost := time.Duration((p.remoteSlowdown - 1) * group.expected * float64(time.Second))
-	return remoteCost - (now - group.readyAt)
+	return min(remoteCost, maxLocalityWait) - (now - group.readyAt)
 }
 
 // waitingTasks returns how many of a group's pending tasks wait for a runner near their data, and
--- a/internal/cluster/scheduler/localitywait_test.go
+++ b/internal/cluster/scheduler/localitywait_test.go
@@ -88,3 +88,12 @@
 	require.Len(t, first.pending, 2, "each runner is expected to take one more of its tasks")
 	require.Zero(t, s.waitingTasks(group, s.requestFor(group)))
 }
+
+// TestWaitForDataIsBounded guards against a long task that waits beside idle runners for a runner near
+// its data for as long as it would take longer elsewhere.
+func TestWaitForDataIsBounded(t *testing.T) {
+	policy := localityWaitPolicy{remoteSlowdown: 1.5}
+	group := groupExpecting(1000)
+	require.Equal(t, maxLocalityWait, policy.remaining(testNow, group))
+	require.Zero(t, policy.remaining(testNow+maxLocalityWait, group))
+}
