scheduler: one slow job doesn't extend a runner's probation again and again

What callers see: nobody has seen it.

Change: as for failures, a job is evidence of slowness once, until a run ends in time.

--- a/internal/cluster/scheduler/straggler.go
+++ b/internal/cluster/scheduler/straggler.go
@@ -44,9 +44,9 @@
 	if !runner.contact.tokenAccepted || now-runner.contact.lastContact > contactTimeout || len(runner.load.runs) == 0 {
 		return nil
 	}
-	slow, newest := p.isSlow(now, runner)
+	slow, jobs := p.isSlow(now, runner)
 	if slow {
-		runner.recordSlow(now, newest)
+		runner.recordSlow(now, jobs)
 	}
 	var migrating []*run
 	for _, r := range runner.load.runs {
@@ -58,12 +58,11 @@
 	return migrating
 }
 
-// isSlow reports whether a runner is slow at this time, and when the newest of its slow runs was
-// ordered. A single run that takes longer than
+// isSlow reports whether a runner is slow at this time, and the jobs of its slow runs. A single run that takes longer than
 // expected is not sufficient, because its job's estimate may be wrong. A runner is slow if one of
 // its runs has stalled, if a run is slow compared to runs of the same step on other runners, or if
 // all its runs of known slowness are slow and belong to at least slowJobs jobs.
-func (p *stragglerPolicy) isSlow(now time.Duration, runner *runnerSession) (slow bool, newest time.Duration) {
+func (p *stragglerPolicy) isSlow(now time.Duration, runner *runnerSession) (slow bool, jobs []string) {
 	slowJobIDs, normal, certain := map[string]bool{}, 0, false
 	for _, r := range runner.load.runs {
 		ratio := r.slowness(now)
@@ -81,15 +80,14 @@
 		}
 		slowJobIDs[r.task.Job] = true
 		certain = certain || known || ratio > stalledRatio
-		newest = max(newest, r.orderedAt)
 	}
-	return certain || normal == 0 && len(slowJobIDs) >= slowJobs, newest
+	return certain || normal == 0 && len(slowJobIDs) >= slowJobs, sortedKeys(slowJobIDs)
 }
 
-// recordSlow makes a runner suspect, given when the newest of its slow runs was ordered, and
-// includes the slowness in its recent slowdown.
-func (r *runnerSession) recordSlow(now, newest time.Duration) {
-	if r.suspicion.slowObserved(now, newest) {
+// recordSlow makes a runner suspect, at which runs of the given jobs are slow, and includes the
+// slowness in its recent slowdown.
+func (r *runnerSession) recordSlow(now time.Duration, jobs []string) {
+	if r.suspicion.slowObserved(now, jobs...) {
 		r.speed.slowdown.Add(maxSlowdown, slowdownWindow)
 	}
 }
--- a/internal/cluster/scheduler/suspicion.go
+++ b/internal/cluster/scheduler/suspicion.go
@@ -16,8 +16,8 @@
 	suspectJobs        = 2
 	// failureWindow is the window, in runs, of the failure rate.
 	failureWindow = 8
-	// maxFailedJobs is the number of jobs with failed runs that are remembered.
-	maxFailedJobs = 16
+	// maxEvidenceJobs is the number of jobs that are remembered as evidence.
+	maxEvidenceJobs = 16
 
 	// maxProbation is how long a runner stays on probation after the last evidence against it.
 	// Without that bound, work that doesn't fit a runner on probation, such as a gang, would wait
@@ -43,20 +43,35 @@
 // probe, at increasing intervals. Once a probe was successful, the next ones follow without a
 // pause, and twice as many at once after each success, until a failure or until enough runs were
 // successful. Probation ends at the latest maxProbation after the last evidence against the runner:
-// the first failed run of a job, or a slow run. Later failures of the same job are no further
-// evidence, because the cause may be the job. The zero value is the state of a new runner.
+// the first run of a job that failed there, or was slow there. Later runs of the same job are no
+// further evidence, because the cause may be the job. The zero value is the state of a new runner.
 type suspicion struct {
 	failureRate  admission.Average // fraction of runs that failed
-	failedJobs   []string          // jobs with failed runs since the runner was last reliable, the latest maxFailedJobs of them
+	failedJobs   evidence          // jobs with failed runs since the runner was last reliable
 	slow         bool              // slow or stalled runs were observed, and no run has ended in time since
 	slowCounted  time.Duration     // time of the last observation of slowness that counted
-	slowOrdered  time.Duration     // order time of the newest run that was observed to be slow
+	slowJobs     evidence          // jobs with slow runs since a run last ended in time
 	until        time.Duration     // when probation ends at the latest
 	successes    int               // number of successful runs since the last failed one
 	probes       int               // number of probes since the runner was last cleared
 	nextProbeDue time.Duration
 }
 
+// evidence holds jobs that are evidence against a runner, the latest maxEvidenceJobs of them.
+type evidence []string
+
+// add adds a job. It returns false if the job is known.
+func (e *evidence) add(job string) bool {
+	if slices.Contains(*e, job) {
+		return false
+	}
+	if len(*e) == maxEvidenceJobs {
+		*e = slices.Delete(*e, 0, 1)
+	}
+	*e = append(*e, job)
+	return true
+}
+
 // suspect reports whether the runner is on probation.
 func (s *suspicion) suspect(now time.Duration) bool {
 	return now < s.until && (s.slow || s.unreliable() && len(s.failedJobs) >= suspectJobs)
@@ -104,24 +119,19 @@
 func (s *suspicion) runFailed(now time.Duration, job string) {
 	s.failureRate.Add(1, failureWindow)
 	s.successes = 0
-	if slices.Contains(s.failedJobs, job) {
-		return
-	}
-	if len(s.failedJobs) == maxFailedJobs {
-		s.failedJobs = slices.Delete(s.failedJobs, 0, 1)
+	if s.failedJobs.add(job) {
+		s.until = now + maxProbation
 	}
-	s.failedJobs = append(s.failedJobs, job)
-	s.until = now + maxProbation
 }
 
-// slowObserved records that the runner's runs are slow, the newest of which was ordered at ordered.
-// Runs that were observed before don't extend the probation: they may be slow by themselves. It
-// reports whether the observation counts, which it doesn't if it follows another one within
-// slowObservationInterval.
-func (s *suspicion) slowObserved(now, ordered time.Duration) bool {
-	if !s.slow || ordered > s.slowOrdered {
-		s.slow, s.slowOrdered = true, ordered
-		s.until = now + maxProbation
+// slowObserved records that runs of the given jobs are slow at the runner. It reports whether the
+// observation counts, which it doesn't if it follows another one within slowObservationInterval.
+func (s *suspicion) slowObserved(now time.Duration, jobs ...string) bool {
+	s.slow = true
+	for _, job := range jobs {
+		if s.slowJobs.add(job) {
+			s.until = now + maxProbation
+		}
 	}
 	if now < s.slowCounted+slowObservationInterval {
 		return false
@@ -135,5 +145,6 @@
 func (s *suspicion) runInTime(now time.Duration) {
 	if s.slow {
 		s.slow, s.probes, s.nextProbeDue = false, 0, now
+		s.slowJobs = s.slowJobs[:0]
 	}
 }
