--- a/review/_standins-2/driver/deploy.go
+++ b/review/_standins-2/driver/deploy.go
@@ -61,7 +61,8 @@
 	edges    []*machine
 	platform *standin.Platform
 	runners  []*standin.Runner
-	version  int
+	// platforms holds the addresses of the servers of the platform's list, by machine, where there are several.
+	platforms map[string]string
 }
 
 const (
@@ -161,7 +162,11 @@
 	p("  loss_slack_ms: 200\n  config_apply_ms: 2000\n  rollback_slack_ms: 250\n  max_skew_ms: 5000\n  recovery_s: 12\n  hold_max_ms: 6000")
 	p("  stop_ms: 400\n  gang_ms: 3000\n  cancel_ms: 3000\n  visible_ms: 3000\n  early_ms: 250\n  finish_s: 14\n  status_s: 120\n  far_x: 1.5\n  save_s: 2\n  restore_ms: 250")
 	p("commands: \"rpc\"")
-	p("cloud_api:\n  address: %q\n  rate_per_s: 30.0\n  duties: []\n  max_lag_ms: 800", strings.TrimPrefix(c.platform.Server.URL, "http://"))
+	list := strings.TrimPrefix(c.platform.Server.URL, "http://")
+	if own := c.platforms[m.name]; own != "" {
+		list = own
+	}
+	p("cloud_api:\n  address: %q\n  rate_per_s: 30.0\n  duties: []\n  max_lag_ms: 800", list)
 	must(os.WriteFile(filepath.Join(c.folder, m.name+".yaml"), []byte(text.String()), 0o600))
 }
 
--- a/review/_standins-2/driver/main.go
+++ b/review/_standins-2/driver/main.go
@@ -11,6 +11,7 @@
 // cases holds the cases by name. Each returns what broke the rule; empty: it held.
 var cases = map[string]func(rec *record, trouble bool) (broken string){
 	"snapshot": snapshotCase,
+	"list":     listCase,
 }
 
 // main runs "driver CASE FOLDER". It exits with 1 if the rule was broken, 0 if it held, and 2 if the case
