--- a/review/_standins-2/driver/deploy.go
+++ b/review/_standins-2/driver/deploy.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -63,6 +64,7 @@
 	runners  []*standin.Runner
 	// platforms holds the addresses of the servers of the platform's list, by machine, where there are several.
 	platforms map[string]string
+	farX      string // the bound far_x; empty: 1.5
 }
 
 const (
@@ -160,7 +162,7 @@
 	p("fault_tolerance:\n  machines: %d\n  zones: 0\n  regions: 0", (len(c.cores)-1)/2)
 	p("bounds:\n  seed_lag_s: 3\n  addr_reuse_s: 2\n  contact_ms: 3000\n  ack_ms: 4000\n  catchup_s: 4\n  drain_ms: 3000\n  grace_s: 6")
 	p("  loss_slack_ms: 200\n  config_apply_ms: 2000\n  rollback_slack_ms: 250\n  max_skew_ms: 5000\n  recovery_s: 12\n  hold_max_ms: 6000")
-	p("  stop_ms: 400\n  gang_ms: 3000\n  cancel_ms: 3000\n  visible_ms: 3000\n  early_ms: 250\n  finish_s: 14\n  status_s: 120\n  far_x: 1.5\n  save_s: 2\n  restore_ms: 250")
+	p("  stop_ms: 400\n  gang_ms: 3000\n  cancel_ms: 3000\n  visible_ms: 3000\n  early_ms: 250\n  finish_s: 14\n  status_s: 120\n  far_x: %s\n  save_s: 2\n  restore_ms: 250", cmp.Or(c.farX, "1.5"))
 	p("commands: \"rpc\"")
 	list := strings.TrimPrefix(c.platform.Server.URL, "http://")
 	if own := c.platforms[m.name]; own != "" {
--- a/review/_standins-2/driver/list.go
+++ b/review/_standins-2/driver/list.go
@@ -26,6 +26,7 @@
 	mu     sync.Mutex
 	states []listState
 	reads  map[string]time.Time // by server: its last read
+	racks  map[string]string    // by ID; r1 where there is none
 }
 
 type listState struct {
@@ -64,9 +65,13 @@
 		var instances []map[string]any
 		var ids []string
 		for address, id := range state.entries {
+			rack := "r1"
+			if l.racks[id] != "" {
+				rack = l.racks[id]
+			}
 			instances = append(instances, map[string]any{
 				"id": id, "backend": service, "address": address, "zone": "banska-hala", "version": "v1", "slots": 8, "state": "ready",
-				"cold_left_ms": 0, "capacity": map[string]any{"cpu": 16000, "mem_mb": 32000, "gpu": 0}, "labels": []string{"a", "r1"},
+				"cold_left_ms": 0, "capacity": map[string]any{"cpu": 16000, "mem_mb": 32000, "gpu": 0}, "labels": []string{"a", rack},
 			})
 			ids = append(ids, id)
 		}
@@ -78,6 +83,9 @@
 	return server
 }
 
+// serveNow starts a server of the list that doesn't lag.
+func (l *laggingList) serveNow() *standin.Server { return l.serve("the reader", &atomic.Int64{}) }
+
 // forwarder is the fixed address of a runner, whose lives listen elsewhere. Without a life it refuses
 // connections as a dead port does.
 type forwarder struct {
@@ -143,6 +151,7 @@
 	mu      sync.Mutex
 	active  map[string]map[string]int // task to runner to attempt
 	started map[string]int            // by runner
+	ofJob   map[string]int            // starts by job
 	twice   []string
 }
 
@@ -151,6 +160,11 @@
 	defer r.mu.Unlock()
 	r.rec.detail("%s starts %s attempt %d", runner, task, attempt)
 	r.started[runner]++
+	if r.ofJob == nil {
+		r.ofJob = map[string]int{}
+	}
+	id, _, _ := strings.Cut(task, ".")
+	r.ofJob[id]++
 	for other, at := range r.active[task] {
 		r.twice = append(r.twice, fmt.Sprintf("%s starts %s attempt %d while attempt %d of it runs on %s", runner, task, attempt, at, other))
 		r.rec.line("TWICE: %s", r.twice[len(r.twice)-1])
@@ -178,6 +192,23 @@
 	return r.started[runner]
 }
 
+// of returns how many runs of a job's tasks have begun.
+func (r *runs) of(id string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ofJob[id]
+}
+
+// running returns how many runs there are on all runners.
+func (r *runs) running() (n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, at := range r.active {
+		n += len(at)
+	}
+	return n
+}
+
 // groupLeader returns the core machine that leads a group.
 func (c *cluster) groupLeader(group string) *machine {
 	for _, m := range c.cores {
--- a/review/_standins-2/driver/main.go
+++ b/review/_standins-2/driver/main.go
@@ -10,8 +10,10 @@
 
 // cases holds the cases by name. Each returns what broke the rule; empty: it held.
 var cases = map[string]func(rec *record, trouble bool) (broken string){
-	"snapshot": snapshotCase,
-	"list":     listCase,
+	"snapshot":  snapshotCase,
+	"list":      listCase,
+	"probation": probationCase,
+	"rack":      rackCase,
 }
 
 // main runs "driver CASE FOLDER". It exits with 1 if the rule was broken, 0 if it held, and 2 if the case
--- a/review/_standins-2/driver/worker.go
+++ b/review/_standins-2/driver/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -13,6 +14,8 @@
 type worker struct {
 	id       string
 	takes    time.Duration
+	rack     string
+	farX     int
 	seen     *runs
 	server   *http.Server
 	address  string
@@ -31,8 +34,25 @@
 type workerRun struct {
 	attempt int
 	since   time.Time
+	fails   bool
+	takes   time.Duration
 }
 
+// time returns how long a run takes here. A spec "takes MS near RACK" says how long it takes beside its data.
+func (w *worker) time(spec string) time.Duration {
+	ms, rack := 0, ""
+	if _, err := fmt.Sscanf(spec, "takes %d near %s", &ms, &rack); err != nil {
+		return w.takes
+	}
+	if rack != w.rack {
+		ms *= w.farX
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+// hopeless is the spec of a job whose runs all fail by its own fault.
+const hopeless = "(can never be done)"
+
 func newWorker(id string, takes time.Duration, seen *runs) *worker {
 	w := &worker{id: id, takes: takes, seen: seen, started: time.Now().Add(-time.Second), running: map[string]*workerRun{}, over: map[string]int{}, changed: make(chan struct{})}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -59,7 +79,9 @@
 			switch {
 			case w.clock() > w.heldTo:
 				w.end(task, run.attempt, "lapsed")
-			case time.Since(run.since) >= w.takes:
+			case time.Since(run.since) >= run.takes && run.fails:
+				w.end(task, run.attempt, "failed")
+			case time.Since(run.since) >= run.takes:
 				w.end(task, run.attempt, "done")
 			}
 		}
@@ -94,6 +116,7 @@
 func (w *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	var order struct {
 		Task       string `json:"task"`
+		Spec       string `json:"spec"`
 		Attempt    int    `json:"attempt"`
 		FenceToken uint64 `json:"fence_token"`
 		DeadlineMs int64  `json:"deadline_ms"`
@@ -135,7 +158,7 @@
 			answer(http.StatusConflict, map[string]any{"reason": "late"})
 			return
 		default:
-			w.running[order.Task] = &workerRun{attempt: order.Attempt, since: time.Now()}
+			w.running[order.Task] = &workerRun{attempt: order.Attempt, since: time.Now(), fails: order.Spec == hopeless, takes: w.time(order.Spec)}
 			w.seen.RunStarted(w.id, order.Task, order.Attempt)
 		}
 		answer(http.StatusOK, map[string]any{})
@@ -157,7 +180,7 @@
 		}
 		running := [][]any{}
 		for task, run := range w.running {
-			running = append(running, []any{task, run.attempt, "", min(99, int(100*time.Since(run.since)/w.takes))})
+			running = append(running, []any{task, run.attempt, "", min(99, int(100*time.Since(run.since)/run.takes))})
 		}
 		answer(http.StatusOK, map[string]any{"running": running, "finished": append([][]any{}, w.finished...)})
 	default:
