placement: a runner whose budget is not set takes one task on every processor

Cause: Budget.Headroom was math.MaxFloat64 while no cost was known. Candidate.fitting divided it by a cost and converted the quotient to int. Go leaves a conversion out of range to the implementation: the smallest integer on x86-64 (one task), the largest on arm64 (as many as fit).

Change: admission.Headroom has "budget not set" as a state; such a runner takes one task with a cost at a time, as on x86-64 until now. Headroom.Count bounds the quotient before its conversion.

Evidence: TestRunnerWithoutSetBudgetTakesOneTask fails on on arm64 (3 tasks, 1 wanted) and passes now.

--- a/internal/cluster/placement/digest_test.go
+++ b/internal/cluster/placement/digest_test.go
@@ -8,6 +8,7 @@
 
 	"basaltloft/internal/cluster/job"
 	"basaltloft/internal/cluster/placement"
+	"basaltloft/internal/shared/admission"
 	"basaltloft/internal/shared/digesttest"
 )
 
@@ -28,7 +29,7 @@
 func randomCandidate(random *rand.Rand, key int) placement.Candidate {
 	c := placement.Candidate{
 		Key: key, Service: []string{"s", "s", "s", "t"}[random.IntN(4)], Labels: []string{[]string{"a", "b"}[random.IntN(2)], fmt.Sprint("r", random.IntN(3))},
-		Capacity: job.Resources{CPU: 8000, MemMB: 8000, GPU: 4}, Free: randomResources(random, 9), Headroom: float64(random.IntN(40)),
+		Capacity: job.Resources{CPU: 8000, MemMB: 8000, GPU: 4}, Free: randomResources(random, 9), Headroom: admission.Headroom{Amount: float64(random.IntN(40))},
 		Idle: random.IntN(4) == 0, Reserved: random.IntN(8) == 0, Slowdown: 0.5 + 2*random.Float64(), RunTimeFactor: 0.8 + 0.4*random.Float64(), Suspect: random.IntN(5) == 0,
 	}
 	return c
@@ -68,7 +69,7 @@
 			found++
 			assigned := &candidates[assignment.Candidate]
 			assigned.Assign(request)
-			trace.Int(assigned.Free.CPU, assigned.Free.MemMB, assigned.Free.GPU).Float(assigned.Headroom).Bool(assigned.Idle, assigned.Reserved)
+			trace.Int(assigned.Free.CPU, assigned.Free.MemMB, assigned.Free.GPU).Float(assigned.Headroom.Amount).Bool(assigned.Idle, assigned.Reserved)
 		}
 		trace.End()
 	}
--- a/internal/cluster/placement/placement.go
+++ b/internal/cluster/placement/placement.go
@@ -14,6 +14,7 @@
 	"slices"
 
 	"basaltloft/internal/cluster/job"
+	"basaltloft/internal/shared/admission"
 )
 
 // Candidate is a runner that accepts work, with its state as the scheduler currently knows it.
@@ -23,9 +24,9 @@
 	Labels   []string
 	Capacity job.Resources
 	Free     job.Resources
-	Headroom float64 // unused part of its budget, in core-seconds
-	Idle     bool    // nothing runs there: a task that fits its capacity may start regardless of the budget
-	Reserved bool    // for aged work, or until a probe task there has ended: it takes no other task
+	Headroom admission.Headroom // unused part of its budget, in core-seconds
+	Idle     bool               // nothing runs there: a task that fits its capacity may start regardless of the budget
+	Reserved bool               // for aged work, or until a probe task there has ended: it takes no other task
 	// Slowdown is the ratio of its recent run times to the expected ones; 1 is normal.
 	Slowdown float64
 	// RunTimeFactor is the ratio of its run times to those of the same steps' tasks at other runners;
@@ -153,7 +154,7 @@
 			limited = true
 			continue
 		}
-		if !c.Idle && c.Headroom < request.Cost {
+		if !c.Idle && !c.Headroom.Covers(request.Cost) {
 			result = min(result, NoBudget)
 			continue
 		}
@@ -170,7 +171,7 @@
 
 // fitting returns how many of the tasks, up to limit, fit the runner's free capacity and budget. It
 // returns at least 1, since the caller has checked that one task may start there, and exactly 1 for a
-// suspect runner.
+// suspect runner, and for tasks with a cost at a runner whose budget is not set.
 func (c *Candidate) fitting(request *Request, limit int) int {
 	if c.Suspect {
 		return 1
@@ -179,8 +180,12 @@
 	if !request.Resources.Times(limit).FitsIn(c.Free) {
 		n = min(n, request.Resources.CountFittingIn(c.Free))
 	}
-	if request.Cost > 0 {
-		n = min(n, int(max(0, c.Headroom)/request.Cost))
+	switch {
+	case request.Cost <= 0:
+	case c.Headroom.BudgetNotSet:
+		n = 1
+	default:
+		n = c.Headroom.Count(request.Cost, n)
 	}
 	return max(1, n)
 }
@@ -205,7 +210,7 @@
 	case countA != countB:
 		return countA > countB
 	case a.Headroom != b.Headroom:
-		return a.Headroom > b.Headroom
+		return a.Headroom.Exceeds(b.Headroom)
 	}
 	return a.Free.CPU > b.Free.CPU
 }
@@ -235,7 +240,7 @@
 // reserved, so that it takes no other task.
 func (c *Candidate) Assign(request *Request) {
 	c.Free = c.Free.Subtract(request.Resources)
-	c.Headroom -= request.Cost
+	c.Headroom = c.Headroom.Plus(-request.Cost)
 	c.Idle = false
 	c.Reserved = c.Reserved || c.Suspect
 }
--- a/internal/cluster/placement/placement_test.go
+++ b/internal/cluster/placement/placement_test.go
@@ -7,11 +7,12 @@
 
 	"basaltloft/internal/cluster/job"
 	"basaltloft/internal/cluster/placement"
+	"basaltloft/internal/shared/admission"
 )
 
 func candidate(key int, headroom float64) placement.Candidate {
 	capacity := job.Resources{CPU: 8000, MemMB: 8000, GPU: 4}
-	return placement.Candidate{Key: key, Service: "s", Labels: []string{"a", "r1"}, Capacity: capacity, Free: capacity, Headroom: headroom, Slowdown: 1, RunTimeFactor: 1}
+	return placement.Candidate{Key: key, Service: "s", Labels: []string{"a", "r1"}, Capacity: capacity, Free: capacity, Headroom: admission.Headroom{Amount: headroom}, Slowdown: 1, RunTimeFactor: 1}
 }
 
 func newRequest() *placement.Request {
@@ -92,10 +93,25 @@
 	c.Idle = true
 	c.Assign(newRequest())
 	require.Equal(t, int64(7000), c.Free.CPU)
-	require.Equal(t, 5.0, c.Headroom)
+	require.Equal(t, 5.0, c.Headroom.Amount)
 	require.False(t, c.Idle)
 }
 
+// TestRunnerWithoutSetBudgetTakesOneTask guards against the count of tasks that came from a conversion
+// out of range, and so from the processor: x86-64 gave one task, arm64 as many as fit.
+func TestRunnerWithoutSetBudgetTakesOneTask(t *testing.T) {
+	request := newRequest()
+	request.Count, request.Cost = 3, 0.01
+	c := candidate(0, 0)
+	c.Headroom = new(admission.Budget).Headroom(0, new(admission.MeanCost))
+	chosen, result := placement.Choose(request, []placement.Candidate{c})
+	require.Equal(t, placement.Found, result)
+	require.Equal(t, placement.Assignment{Candidate: 0, Count: 1}, chosen)
+	request.Cost = 0
+	chosen, _ = placement.Choose(request, []placement.Candidate{c})
+	require.Equal(t, 3, chosen.Count, "tasks without a cost take no budget")
+}
+
 // TestTasksOfAStepGoToOneRunner checks that tasks of a step go to the runner that takes most of them,
 // and of several such runners to the one with the most headroom.
 func TestTasksOfAStepGoToOneRunner(t *testing.T) {
--- a/internal/cluster/placement/round_test.go
+++ b/internal/cluster/placement/round_test.go
@@ -8,6 +8,7 @@
 
 	"basaltloft/internal/cluster/job"
 	"basaltloft/internal/cluster/placement"
+	"basaltloft/internal/shared/admission"
 )
 
 // TestRoundDecidesAsChoose checks in random rounds, in which runners fill up and are reserved, that
@@ -53,7 +54,7 @@
 // TestRoundRemembersRejections checks that a request that needs at least as much as a rejected one is
 // rejected without examining candidates, and that one that needs less is not.
 func TestRoundRemembersRejections(t *testing.T) {
-	candidates := []placement.Candidate{{Service: "s", Capacity: job.Resources{CPU: 8000}, Free: job.Resources{CPU: 3000}, Headroom: 100}}
+	candidates := []placement.Candidate{{Service: "s", Capacity: job.Resources{CPU: 8000}, Free: job.Resources{CPU: 3000}, Headroom: admission.Headroom{Amount: 100}}}
 	round := placement.NewRound(candidates)
 	ask := func(cpu int64) placement.Result {
 		_, result := round.Choose(&placement.Request{Service: "s", Resources: job.Resources{CPU: cpu}})
--- a/internal/cluster/scheduler/cycle_test.go
+++ b/internal/cluster/scheduler/cycle_test.go
@@ -105,7 +105,7 @@
 	s.runCycle()
 	require.Empty(t, startsAt(s))
 	require.Len(t, head.pending, 1)
-	before := runner.load.budget.Headroom(runner.load.cost, s.learner.meanCost("s"))
+	before := runner.load.budget.Headroom(runner.load.cost, s.learner.meanCost("s")).Amount
 	runner.load.budget.Grow(1, runner.maxBudget())
-	require.Greater(t, runner.load.budget.Headroom(runner.load.cost, s.learner.meanCost("s")), before, "the blocked budget was recorded, so it grows")
+	require.Greater(t, runner.load.budget.Headroom(runner.load.cost, s.learner.meanCost("s")).Amount, before, "the blocked budget was recorded, so it grows")
 }
--- a/internal/cluster/scheduler/forecast.go
+++ b/internal/cluster/scheduler/forecast.go
@@ -127,11 +127,11 @@
 			continue
 		}
 		free = free.Add(r.resources)
-		headroom += r.cost
+		headroom = headroom.Plus(r.cost)
 	}
 	fitting := request.Resources.CountFittingIn(free)
-	if request.Cost > 0 {
-		fitting = min(fitting, int(min(max(0, headroom)/request.Cost, math.MaxInt32)))
+	if request.Cost > 0 && !headroom.BudgetNotSet {
+		fitting = headroom.Count(request.Cost, fitting)
 	}
 	switch {
 	case fitting == 0 && idle && request.Resources.FitsIn(free):
--- a/internal/cluster/scheduler/forecast_test.go
+++ b/internal/cluster/scheduler/forecast_test.go
@@ -8,6 +8,7 @@
 
 	"basaltloft/internal/cluster/job"
 	"basaltloft/internal/cluster/placement"
+	"basaltloft/internal/shared/admission"
 )
 
 func TestExpectedRemaining(t *testing.T) {
@@ -40,7 +41,7 @@
 		})
 	}
 	s.collectCandidates()
-	s.cycle.candidates[0].Headroom = 1
+	s.cycle.candidates[0].Headroom = admission.Headroom{Amount: 1}
 	request := &placement.Request{Service: "s", Resources: job.Resources{CPU: 1000}, Cost: 1}
 	slots := func(within time.Duration, limit int) int {
 		return s.cycle.forecast.slots(s.now, within, request, s.cycle.forecast.racks()[0], func(int) int { return limit })
--- a/internal/cluster/scheduler/gang.go
+++ b/internal/cluster/scheduler/gang.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"basaltloft/internal/cluster/placement"
+	"basaltloft/internal/shared/admission"
 )
 
 // The tasks of a gang run together: either all of them start, with the same attempt number, or none
@@ -52,7 +53,7 @@
 	headroom := request.Cost * float64(len(group.pending)+1) // one more, because of rounding errors
 	for i := range copies {
 		if copies[i].Idle {
-			copies[i].Headroom = max(copies[i].Headroom, headroom)
+			copies[i].Headroom = copies[i].Headroom.AtLeast(headroom)
 		}
 	}
 	return copies
@@ -90,16 +91,16 @@
 		racks[rack] = append(racks[rack], i)
 	}
 	var best []int
-	bestHeadroom := 0.0
+	var bestHeadroom totalHeadroom
 	for _, rack := range sortedKeys(racks) {
-		headroom := 0.0
+		var headroom totalHeadroom
 		candidates := make([]placement.Candidate, 0, len(racks[rack]))
 		for _, i := range racks[rack] {
 			candidates = append(candidates, all[i])
-			headroom += all[i].Headroom
+			headroom.add(all[i].Headroom)
 		}
 		chosen, result := s.gangCandidates(group, request, candidates)
-		if result != placement.Found || best != nil && headroom <= bestHeadroom {
+		if result != placement.Found || best != nil && !headroom.exceeds(bestHeadroom) {
 			continue
 		}
 		bestHeadroom = headroom
@@ -111,6 +112,29 @@
 	return best
 }
 
+// totalHeadroom is the headroom of several runners together. Of the runners without a set budget it
+// counts two: a rack ranks first with one of them, and before that with two or more.
+type totalHeadroom struct {
+	amount       float64
+	budgetNotSet int
+}
+
+const maxCountedBudgetsNotSet = 2
+
+func (t *totalHeadroom) add(h admission.Headroom) {
+	if h.BudgetNotSet {
+		t.budgetNotSet = min(t.budgetNotSet+1, maxCountedBudgetsNotSet)
+	}
+	t.amount += h.Amount
+}
+
+func (t *totalHeadroom) exceeds(other totalHeadroom) bool {
+	if t.budgetNotSet > 0 || other.budgetNotSet > 0 {
+		return t.budgetNotSet > other.budgetNotSet
+	}
+	return t.amount > other.amount
+}
+
 // startGang starts all tasks of a gang at the chosen candidates.
 func (s *Scheduler) startGang(group *taskGroup, chosen []int, request *placement.Request) {
 	attempt := group.nextAttempt(0)
--- a/internal/cluster/scheduler/waitlog.go
+++ b/internal/cluster/scheduler/waitlog.go
@@ -44,7 +44,7 @@
 			continue
 		}
 		n.free++
-		if c.Idle || c.Headroom >= request.Cost {
+		if c.Idle || c.Headroom.Covers(request.Cost) {
 			n.headroom++
 		}
 	}
--- a/internal/shared/admission/admission_test.go
+++ b/internal/shared/admission/admission_test.go
@@ -1,7 +1,6 @@
 package admission_test
 
 import (
-	"math"
 	"testing"
 	"time"
 
@@ -44,25 +43,25 @@
 
 func TestBudget(t *testing.T) {
 	budget, mean := admission.Budget{}, &admission.MeanCost{}
-	require.Equal(t, math.MaxFloat64, budget.Headroom(0, mean), "unlimited before a cost is known")
+	require.Equal(t, admission.Headroom{BudgetNotSet: true}, budget.Headroom(0, mean), "not set before a cost is known")
 	mean.Add(10)
-	first := budget.Headroom(0, mean)
+	first := budget.Headroom(0, mean).Amount
 	require.Equal(t, 60.0, first, "a few mean costs")
 	budget.Grow(10, 1000)
-	require.Equal(t, first, budget.Headroom(0, mean), "it doesn't grow unless it has blocked work")
+	require.Equal(t, first, budget.Headroom(0, mean).Amount, "it doesn't grow unless it has blocked work")
 	budget.RecordBlocked(0, 10, 1000)
 	budget.Grow(10, 1000)
-	grown := budget.Headroom(0, mean)
+	grown := budget.Headroom(0, mean).Amount
 	require.Greater(t, grown, first)
 	budget.Shrink(time.Second, 2*time.Second, mean)
-	shrunk := budget.Headroom(0, mean)
+	shrunk := budget.Headroom(0, mean).Amount
 	require.Less(t, shrunk, grown)
 	budget.Shrink(time.Second, 2*time.Second, mean)
-	require.Equal(t, shrunk, budget.Headroom(0, mean), "it shrinks once for all work sent in one round trip")
+	require.Equal(t, shrunk, budget.Headroom(0, mean).Amount, "it shrinks once for all work sent in one round trip")
 	for at := range 50 {
 		budget.Shrink(time.Duration(at+3)*time.Second, time.Duration(at+3)*time.Second, mean)
 	}
-	require.Equal(t, 15.0, budget.Headroom(0, mean), "it doesn't shrink below the minimum")
+	require.Equal(t, 15.0, budget.Headroom(0, mean).Amount, "it doesn't shrink below the minimum")
 }
 
 // TestInitialBudgetIsAboveTheCostInFlight checks that a dispatcher that takes over can start work at
@@ -70,17 +69,17 @@
 func TestInitialBudgetIsAboveTheCostInFlight(t *testing.T) {
 	budget, mean := admission.Budget{}, &admission.MeanCost{}
 	mean.Add(10)
-	require.Equal(t, 60.0, budget.Headroom(500, mean))
-	require.Equal(t, 160.0, budget.Headroom(400, mean), "work that has ended leaves headroom")
+	require.Equal(t, 60.0, budget.Headroom(500, mean).Amount)
+	require.Equal(t, 160.0, budget.Headroom(400, mean).Amount, "work that has ended leaves headroom")
 }
 
 func TestBudgetThatBlocksWorkForLongGrowsByItself(t *testing.T) {
 	budget, mean := admission.Budget{}, &admission.MeanCost{}
 	mean.Add(10)
-	first := budget.Headroom(0, mean)
+	first := budget.Headroom(0, mean).Amount
 	budget.RecordBlocked(time.Second, 10, 1000)
 	budget.RecordBlocked(time.Second+300*time.Millisecond, 10, 1000)
-	require.Equal(t, first, budget.Headroom(0, mean))
+	require.Equal(t, first, budget.Headroom(0, mean).Amount)
 	budget.RecordBlocked(2*time.Second, 10, 1000)
-	require.Greater(t, budget.Headroom(0, mean), first)
+	require.Greater(t, budget.Headroom(0, mean).Amount, first)
 }
--- a/internal/shared/admission/budget.go
+++ b/internal/shared/admission/budget.go
@@ -1,9 +1,6 @@
 package admission
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // Parameters of a runner's budget. None depends on the deployment.
 const (
@@ -47,14 +44,14 @@
 	lastShrunk     time.Duration
 }
 
-// Headroom returns the part of the budget that the cost in flight leaves unused; it is negative if the
-// budget is exceeded. As long as no cost is known the budget is not set, and its headroom is unlimited.
-func (b *Budget) Headroom(inFlight float64, mean *MeanCost) float64 {
+// Headroom returns the part of the budget that the cost in flight leaves unused. As long as no cost is
+// known the budget is not set.
+func (b *Budget) Headroom(inFlight float64, mean *MeanCost) Headroom {
 	if b.amount == 0 && !mean.average.Known() {
-		return math.MaxFloat64
+		return Headroom{BudgetNotSet: true}
 	}
 	b.initialize(inFlight, mean)
-	return b.amount - inFlight
+	return Headroom{Amount: b.amount - inFlight}
 }
 
 // initialize sets a new budget to a few mean costs above the cost in flight. Work that an earlier dispatcher
--- a/internal/shared/admission/digest_test.go
+++ b/internal/shared/admission/digest_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -70,7 +71,15 @@
 			budget.Shrink(l.now-time.Duration(l.random.IntN(500))*time.Millisecond, l.now, &l.meanCost)
 		}
 	}
-	l.trace.Begin(l.now, "budget").Float(l.meanCost.Mean(), budget.Headroom(inFlight, &l.meanCost)).End()
+	l.trace.Begin(l.now, "budget").Float(l.meanCost.Mean(), tracedHeadroom(budget.Headroom(inFlight, &l.meanCost))).End()
+}
+
+// tracedHeadroom returns the number that the digests on file have for a headroom.
+func tracedHeadroom(headroom admission.Headroom) float64 {
+	if headroom.BudgetNotSet {
+		return math.MaxFloat64
+	}
+	return headroom.Amount
 }
 
 func (l *learner) learnFactors() {
