--- a/internal/cluster/scheduler/ends.go
+++ b/internal/cluster/scheduler/ends.go
@@ -2,22 +2,25 @@
 
 import "basaltloft/internal/cluster/job"
 
-// endAllRuns proposes the end of all runs of a runner whose start is committed.
-func (s *Scheduler) endAllRuns(runner *runnerSession) {
+// endAllRuns proposes the end of all runs of a runner whose start is committed. It returns for how many
+// it had not been proposed before.
+func (s *Scheduler) endAllRuns(runner *runnerSession) (ended int) {
 	for _, r := range runner.load.sorted() {
-		if r.phase != phaseProposed {
-			s.endRun(runner, r, job.EndLost)
+		if r.phase != phaseProposed && s.endRun(runner, r, job.EndLost) {
+			ended++
 		}
 	}
+	return ended
 }
 
-// endRun proposes the end of a run, unless it was already proposed.
-func (s *Scheduler) endRun(runner *runnerSession, r *run, reason job.EndReason) {
+// endRun proposes the end of a run. It returns false if the end was proposed before.
+func (s *Scheduler) endRun(runner *runnerSession, r *run, reason job.EndReason) bool {
 	if r.ending {
-		return
+		return false
 	}
 	r.ending = true
 	s.propose(job.Command{Kind: job.EndRun, Task: r.task, Attempt: r.attempt, Runner: runner.id, EndReason: reason})
+	return true
 }
 
 // endCommitted processes the outcome of an EndRun command.
--- a/internal/cluster/scheduler/reconcile.go
+++ b/internal/cluster/scheduler/reconcile.go
@@ -81,12 +81,11 @@
 // endAbsentRuns ends the runs that a report proves to be over: those that it doesn't list and that
 // can't have started after it.
 func (s *Scheduler) endAbsentRuns(runner *runnerSession, reportMs int64, reported map[runKey]bool) {
+	ended := 0
 	for _, r := range runner.load.sorted() {
-		if reported[r.runKey] || r.ending {
-			continue
-		}
-		if r.provenAbsent(reportMs) {
-			s.endRun(runner, r, job.EndLost)
+		if !reported[r.runKey] && r.provenAbsent(reportMs) && s.endRun(runner, r, job.EndLost) {
+			ended++
 		}
 	}
+	s.logLoss(runner, ended, evidenceAbsent)
 }
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -176,7 +176,7 @@
 	for _, runner := range s.runners.inOrder {
 		runner.listed = listedIDs[runner.id]
 		if other, reused := idByAddress[runner.address]; reused && other != runner.id && !runner.listed {
-			s.endIncarnation(runner)
+			s.endIncarnation(runner, evidenceList)
 		}
 	}
 	s.cycle.needed = true
@@ -195,12 +195,12 @@
 }
 
 // endIncarnation marks an incarnation of a runner as ended and ends all its runs.
-func (s *Scheduler) endIncarnation(runner *runnerSession) {
+func (s *Scheduler) endIncarnation(runner *runnerSession, evidence lossEvidence) {
 	if runner.ended {
 		return
 	}
 	runner.ended = true
-	s.log.Info("runner incarnation ended", "runner", runner.id, "runs", len(runner.load.runs))
+	s.log.Info("runner incarnation ended", "runner", runner.id, "runs", len(runner.load.runs), "evidence", evidence.String())
 	s.endAllRuns(runner)
 }
 
@@ -239,8 +239,8 @@
 	if runner.ended {
 		return
 	}
-	if runner.leasesExpired(s.now) && len(runner.load.runs) > 0 {
-		s.endAllRuns(runner)
+	if runner.leasesExpired(s.now) {
+		s.logLoss(runner, s.endAllRuns(runner), evidenceLeases)
 	}
 	s.leases.checkOverdue(s.now, runner)
 	if s.now >= runner.nextRunCheck {
--- a/internal/cluster/scheduler/starts.go
+++ b/internal/cluster/scheduler/starts.go
@@ -72,7 +72,7 @@
 		return
 	}
 	if reply == StartOtherIncarnation {
-		s.endIncarnation(runner)
+		s.endIncarnation(runner, evidenceReply)
 		return
 	}
 	if reply != StartNoReply {
