scheduler: the list of runners ends no incarnation, the runner's own reply does

Cause: UpdateRunners ended an incarnation, with all its runs, where a list lacked its ID and had another one at its address. It took any list for newer than what the leader knew; a new reader's list, a late message or the list that a new leader starts with may be older.

Change: a list that names another ID at a runner's address causes a poll at once; another incarnation's reply (421), a report or the end of the leases ends the runs. That needs no bound on the age of lists or on clocks.

--- a/internal/cluster/scheduler/evidence.go
+++ b/internal/cluster/scheduler/evidence.go
@@ -4,19 +4,13 @@
 type lossEvidence uint8
 
 const (
-	evidenceList   lossEvidence = iota + 1 // the platform's list names another incarnation at the address
-	evidenceReply                          // another incarnation replied at the address
-	evidenceAbsent                         // a report that would list the run doesn't
+	evidenceAbsent lossEvidence = iota + 1 // a report that would list the run doesn't
 	evidenceLeases                         // all leases of the runner have expired
 )
 
 // String returns the evidence as it stands in log lines.
 func (e lossEvidence) String() string {
 	switch e {
-	case evidenceList:
-		return "list"
-	case evidenceReply:
-		return "reply"
 	case evidenceAbsent:
 		return "absent from report"
 	case evidenceLeases:
--- a/internal/cluster/scheduler/lease.go
+++ b/internal/cluster/scheduler/lease.go
@@ -199,7 +199,7 @@
 	}
 	switch s.leases.replied(now, runner, order.Sequence, reply, report.ClockMs) {
 	case incarnationEnded:
-		s.endIncarnation(runner, evidenceReply)
+		s.endIncarnation(runner)
 	case reportArrived:
 		s.reconcile(runner, report)
 	case renewalFailed, reportOvertaken:
--- a/internal/cluster/scheduler/runner.go
+++ b/internal/cluster/scheduler/runner.go
@@ -17,6 +17,8 @@
 	capacity job.Resources
 	listed   bool // in the platform's latest list
 	ended    bool // the incarnation has ended
+	// replacedBy is the other ID that a list last named at the address; empty if there was none.
+	replacedBy string
 
 	nextRunCheck time.Duration // time of the next check of its runs
 
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -18,7 +18,7 @@
 //     localitywait.go (waiting for a runner near the data) with forecast.go (when capacity will be
 //     free), gang.go, cost.go, budgethold.go (runners held for work that waits for budgets).
 //   - lease.go: task leases and polls; reconcile.go: processing of a runner's report;
-//     unresponsive.go and replydelay.go: runners whose reply is overdue; masstimeout.go: several
+//     incarnation.go: the platform's list, and the end of incarnations; unresponsive.go and replydelay.go: runners whose reply is overdue; masstimeout.go: several
 //     runners that become unresponsive at once.
 //   - starts.go, stops.go, ends.go, exhausted.go: the life cycle of a run; startwindow.go: the bound on starts in
 //     flight.
@@ -163,47 +163,6 @@
 	return runner
 }
 
-// UpdateRunners updates the runners of this shard's services from the platform's list.
-func (s *Scheduler) UpdateRunners(now time.Duration, runners []Runner) {
-	s.now = now
-	listedIDs := map[string]bool{}
-	idByAddress := map[string]string{}
-	for _, listed := range runners {
-		listedIDs[listed.ID] = true
-		idByAddress[listed.Address] = listed.ID
-		s.updateRunner(listed)
-	}
-	for _, runner := range s.runners.inOrder {
-		runner.listed = listedIDs[runner.id]
-		if other, reused := idByAddress[runner.address]; reused && other != runner.id && !runner.listed {
-			s.endIncarnation(runner, evidenceList)
-		}
-	}
-	s.cycle.needed = true
-}
-
-func (s *Scheduler) updateRunner(listed Runner) {
-	runner := s.ensureSession(listed.ID, listed.Address)
-	runner.service, runner.labels, runner.capacity = listed.Service, listed.Labels, listed.Capacity
-	if listed.Draining && !runner.drain.draining {
-		s.log.Info("runner is draining", "runner", runner.id, "remaining_ms", listed.RemainingMs)
-	}
-	runner.drain.draining = runner.drain.draining || listed.Draining
-	if listed.RemainingMs > 0 {
-		runner.drain.departsAt = s.now + time.Duration(listed.RemainingMs)*time.Millisecond
-	}
-}
-
-// endIncarnation marks an incarnation of a runner as ended and ends all its runs.
-func (s *Scheduler) endIncarnation(runner *runnerSession, evidence lossEvidence) {
-	if runner.ended {
-		return
-	}
-	runner.ended = true
-	s.log.Info("runner incarnation ended", "runner", runner.id, "runs", len(runner.load.runs), "evidence", evidence.String())
-	s.endAllRuns(runner)
-}
-
 // tickInterval is the minimum time between two checks of all runners. Tick may be called more
 // often, but a check of thousands of runners takes milliseconds.
 const tickInterval = 40 * time.Millisecond
--- a/internal/cluster/scheduler/starts.go
+++ b/internal/cluster/scheduler/starts.go
@@ -72,7 +72,7 @@
 		return
 	}
 	if reply == StartOtherIncarnation {
-		s.endIncarnation(runner, evidenceReply)
+		s.endIncarnation(runner)
 		return
 	}
 	if reply != StartNoReply {
--- a/internal/cluster/scheduler/stops.go
+++ b/internal/cluster/scheduler/stops.go
@@ -41,7 +41,7 @@
 		return
 	}
 	if reply == StopOtherIncarnation {
-		s.endIncarnation(runner, evidenceReply)
+		s.endIncarnation(runner)
 		return
 	}
 	r := runner.load.runs[runKey{task: order.Task, attempt: order.Attempt}]
