controlplane: lists of runners reach the shards in their order

And a list whose read began before this node lost and won the leadership again was sent under the former epoch and counted as sent in the new one, so that the new epoch's first list could be held back for 3 s.

Cause: runnerListReader compared lists under its lock and passed them on outside it; distribute didn't look whether the epoch in which the read began had ended.

Change: leader.RunnerLists decides which list is used and sent, without I/O; a list of an ended epoch is dropped; a second lock, held while a list is passed on, keeps their order, and the newest one is passed on.

--- a/internal/cluster/controlplane/node.go
+++ b/internal/cluster/controlplane/node.go
@@ -144,6 +144,13 @@
 	}
 }
 
+// updateShardRunners passes a list of runners to all shards.
+func (n *Node) updateShardRunners(list []protocol.Runner) {
+	for _, loop := range n.shards {
+		loop.shard.UpdateRunners(list)
+	}
+}
+
 // ErrKilled is the cause to cancel Run's context with if Run must end without a transfer of leadership, as
 // if the process were killed. It is for clusters that run several nodes in one process.
 var ErrKilled = errors.New("the node is killed")
--- a/internal/cluster/controlplane/runnerlist.go
+++ b/internal/cluster/controlplane/runnerlist.go
@@ -6,8 +6,6 @@
 	"io"
 	"net/http"
 	"net/url"
-	"reflect"
-	"slices"
 	"sync"
 	"time"
 
@@ -28,22 +26,20 @@
 	lifetime context.Context // bounds all calls to the platform
 	wake     chan struct{}   // buffered; signals that the epoch has changed
 
-	mu       sync.Mutex
-	epoch    uint64              // epoch of this node's leadership; 0: this node is not the leader
-	sequence uint64              // sequence number of the last list that this node has read
-	newest   protocol.RunnerList // the list that was last passed to the shards of this node
-	lastSent time.Time           // when a list was last sent to other nodes; zero: not in this epoch
+	mu    sync.Mutex
+	lists leader.RunnerLists
 
-	applicants leader.Applicants
+	delivery  sync.Mutex                   // held while a list is passed to the shards; locked before mu
+	delivered protocol.RunnerList          // the list that was last passed to the shards
+	deliver   func(list []protocol.Runner) // passes a list to the shards of this node
 }
 
 const (
-	readInterval   = 900 * time.Millisecond
-	retryInterval  = 250 * time.Millisecond // after a failure
-	readTimeout    = 900 * time.Millisecond // for each page
-	resendInterval = 3 * time.Second        // for a list that has not changed
-	maxPages       = 200
-	maxPageBytes   = 8 << 20
+	readInterval  = 900 * time.Millisecond
+	retryInterval = 250 * time.Millisecond // after a failure
+	readTimeout   = 900 * time.Millisecond // for each page
+	maxPages      = 200
+	maxPageBytes  = 8 << 20
 )
 
 // newRunnerListReader returns a reader. All its calls end when lifetime ends.
@@ -54,6 +50,7 @@
 		http:     &http.Client{CheckRedirect: noRedirect, Transport: transport},
 		lifetime: lifetime,
 		wake:     make(chan struct{}, 1),
+		deliver:  n.updateShardRunners,
 	}
 }
 
@@ -62,8 +59,7 @@
 func (r *runnerListReader) setEpoch(epoch uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.epoch = epoch
-	r.lastSent = time.Time{}
+	r.lists.SetEpoch(epoch)
 	wakeUp(r.wake)
 }
 
@@ -85,7 +81,7 @@
 // next call.
 func (r *runnerListReader) readIfLeader() (pause time.Duration) {
 	r.mu.Lock()
-	epoch := r.epoch
+	epoch := r.lists.Epoch()
 	r.mu.Unlock()
 	if epoch == 0 || !r.node.configGroup.IsLeader() {
 		return readInterval
@@ -176,68 +172,60 @@
 	return page, errors.Wrap(json.Unmarshal(content, &page), "decode the platform's response")
 }
 
-// distribute passes a list to the shards of this node. If the list has changed or resendInterval has passed
-// since the last time, it also sends the list to other nodes.
+// distribute passes a list, whose read began in the given epoch, to the shards of this node. It also sends
+// the list to other nodes, if that is due.
 func (r *runnerListReader) distribute(epoch uint64, list []protocol.Runner) {
+	now, nodes := r.node.now(), r.node.nodeAddresses()
 	r.mu.Lock()
-	r.sequence++
-	message := protocol.RunnerList{Epoch: epoch, Sequence: r.sequence, List: list}
-	changed := !reflect.DeepEqual(list, r.newest.List)
-	due := changed || time.Since(r.lastSent) > resendInterval
-	if due {
-		r.lastSent = time.Now()
-	}
+	message, send, ok := r.lists.Read(now, epoch, list)
+	recipients := r.lists.Recipients(now, nodes)
 	r.mu.Unlock()
-	r.update(message)
-	if !due {
+	if !ok {
+		return
+	}
+	r.deliverNewest()
+	if !send {
 		return
 	}
-	for _, address := range r.recipients() {
+	for _, address := range recipients {
 		r.node.peers.sendOneWay(address, message)
 	}
 }
 
-// recipients returns the addresses of the nodes to which lists are sent.
-func (r *runnerListReader) recipients() []string {
-	addresses := r.node.nodeAddresses()
+// joinRequested records that a node requested to join a group, and sends it the list if it needs it.
+func (r *runnerListReader) joinRequested(address string) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, address := range r.applicants.Addresses(r.node.now()) {
-		if !slices.Contains(addresses, address) {
-			addresses = append(addresses, address)
-		}
+	list, send := r.lists.JoinRequested(r.node.now(), address)
+	r.mu.Unlock()
+	if send {
+		r.node.peers.sendOneWay(address, list)
 	}
-	return addresses
 }
 
-// joinRequested records that a node requested to join a group. If that node has sent no request recently and
-// this node has read a list as the leader, it sends the list immediately: shards that the other node leads
-// start no tasks before they have a list.
-func (r *runnerListReader) joinRequested(address string) {
+// update passes a received list to the shards of this node, unless they already have one that is as new or
+// newer.
+func (r *runnerListReader) update(message protocol.RunnerList) {
 	r.mu.Lock()
-	isNew := r.applicants.Requested(r.node.now(), address)
-	newest := r.newest
-	hasList := r.epoch != 0 && newest.Epoch == r.epoch
+	accepted := r.lists.Accept(message)
 	r.mu.Unlock()
-	if isNew && hasList {
-		r.node.peers.sendOneWay(address, newest)
+	if accepted {
+		r.deliverNewest()
 	}
 }
 
-// update passes a list to the shards of this node, unless they already have one that is as new or newer.
-func (r *runnerListReader) update(message protocol.RunnerList) {
+// deliverNewest passes the newest list to the shards, unless they have it. Lists that arrive at the same
+// time reach the shards in their order.
+func (r *runnerListReader) deliverNewest() {
+	r.delivery.Lock()
+	defer r.delivery.Unlock()
 	r.mu.Lock()
-	isNewer := message.NewerThan(r.newest)
-	if isNewer {
-		r.newest = message
-	}
+	newest := r.lists.Newest()
 	r.mu.Unlock()
-	if !isNewer {
+	if !newest.NewerThan(r.delivered) {
 		return
 	}
-	for _, loop := range r.node.shards {
-		loop.shard.UpdateRunners(message.List)
-	}
+	r.delivered = newest
+	r.deliver(newest.List)
 }
 
 // noRedirect prevents an HTTP client from following redirects.
--- a/internal/cluster/controlplane/runnerlist_test.go
+++ b/internal/cluster/controlplane/runnerlist_test.go
@@ -5,7 +5,10 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -59,7 +62,7 @@
 	hasList := func() bool {
 		node.runnerListReader.mu.Lock()
 		defer node.runnerListReader.mu.Unlock()
-		return node.replicasRunning.Load() && len(node.runnerListReader.newest.List) == 1
+		return node.replicasRunning.Load() && len(node.runnerListReader.lists.Newest().List) == 1
 	}
 	require.Eventually(t, hasList, nodeTestTimeout, 10*time.Millisecond)
 
@@ -76,6 +79,40 @@
 	require.False(t, isMember)
 }
 
+// TestConcurrentListsReachShardsInOrder guards against a list that overtakes a newer one between the
+// comparison with the newest and the shards.
+func TestConcurrentListsReachShardsInOrder(t *testing.T) {
+	for range 50 {
+		checkConcurrentLists(t)
+	}
+}
+
+// checkConcurrentLists passes lists concurrently to a new reader and checks the order in which they are
+// delivered.
+func checkConcurrentLists(t *testing.T) {
+	t.Helper()
+	const lists, yields = 200, 10
+	var mu sync.Mutex
+	var delivered []int64
+	reader := &runnerListReader{deliver: func(list []protocol.Runner) {
+		for range yields { // another goroutine's list would overtake this one here
+			runtime.Gosched()
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		delivered = append(delivered, list[0].RemainingMs)
+	}}
+	var senders sync.WaitGroup
+	for sequence := uint64(1); sequence <= lists; sequence++ {
+		senders.Go(func() {
+			reader.update(protocol.RunnerList{Epoch: 1, Sequence: sequence, List: []protocol.Runner{{RemainingMs: int64(sequence)}}})
+		})
+	}
+	senders.Wait()
+	require.True(t, slices.IsSorted(delivered), "%v", delivered)
+	require.Equal(t, int64(lists), delivered[len(delivered)-1])
+}
+
 // receiveList calls requestJoin at joinInterval, as a node does, until the recorder receives a list. It returns
 // the list.
 func receiveList(t *testing.T, recorder listRecorder, requestJoin func()) protocol.RunnerList {
--- a/internal/cluster/scheduler/incarnation_test.go
+++ b/internal/cluster/scheduler/incarnation_test.go
@@ -28,10 +28,10 @@
 	return r.scheduler.outbox.take(false).Orders
 }
 
-// pollsOf returns the polls of one incarnation.
-func pollsOf(orders []Order, id string) (polls []Order) {
+// polls returns the polls of the runner among some orders.
+func (r restartedRunner) polls(orders []Order) (polls []Order) {
 	for _, order := range orders {
-		if order.Kind == OrderRenewLease && order.Runner == id {
+		if order.Kind == OrderRenewLease && order.Runner == r.session.id {
 			polls = append(polls, order)
 		}
 	}
@@ -45,17 +45,17 @@
 	orders := r.list(testNow+time.Millisecond, "i-1")
 	require.Empty(t, r.scheduler.outbox.commands, "no run ends by a list")
 	require.False(t, r.session.ended)
-	polls := pollsOf(orders, "i-2")
+	polls := r.polls(orders)
 	require.Len(t, polls, 1, "the runner is asked at once")
 	require.Zero(t, polls[0].WaitMs)
-	require.Empty(t, pollsOf(r.list(testNow+2*time.Millisecond, "i-1"), "i-2"), "once for each listed ID")
+	require.Empty(t, r.polls(r.list(testNow+2*time.Millisecond, "i-1")), "once for each listed ID")
 }
 
 // TestIncarnationEndsOnceAnotherOneReplies checks that the runs of a runner that did restart end after one
 // round trip.
 func TestIncarnationEndsOnceAnotherOneReplies(t *testing.T) {
 	r := newRestartedRunner()
-	polls := pollsOf(r.list(testNow+time.Millisecond, "i-3"), "i-2")
+	polls := r.polls(r.list(testNow+time.Millisecond, "i-3"))
 	require.Len(t, polls, 1)
 	r.scheduler.LeaseReplied(testNow+2*time.Millisecond, polls[0], LeaseOtherIncarnation, RunnerReport{})
 	require.True(t, r.session.ended)
@@ -69,6 +69,6 @@
 	r := newRestartedRunner()
 	r.scheduler.pollIfDue(r.session)
 	require.True(t, r.session.lease.pending)
-	require.Len(t, pollsOf(r.scheduler.outbox.take(false).Orders, "i-2"), 1)
-	require.Len(t, pollsOf(r.list(testNow+time.Millisecond, "i-3"), "i-2"), 1)
+	require.Len(t, r.polls(r.scheduler.outbox.take(false).Orders), 1)
+	require.Len(t, r.polls(r.list(testNow+time.Millisecond, "i-3")), 1)
 }
