simworld: lists of runners of differing age, runners that restart at their address

In TestManySeedsOfRestartingRunners the leader of the configuration's group reads the platform's list from a server that lags by up to max_lag_ms, another time for each leader, and sends it to the others over the simulated network; runners crash and come back at their address under new IDs; the reader changes soon after, shard leaders change, and all faults of TestManySeeds go on.

Reports have the progress now.

--- a/internal/cluster/simworld/node_test.go
+++ b/internal/cluster/simworld/node_test.go
@@ -63,6 +63,8 @@
 	groups         map[string]*replicaGroup
 	names          []string
 	config         *leader.Configuration
+	lists          *leader.RunnerLists
+	listLag        time.Duration // how much older than the present the list is that this node reads
 	shards         map[int]*leader.Shard
 	cycleScheduled map[int]bool
 }
@@ -132,7 +134,7 @@
 // startProcess starts the process. It stores the identity on disk before anything else. Memory has
 // nothing of the last incarnation, so a message that arrives before the groups are open finds no group.
 func (c *controlNode) startProcess() {
-	c.groups, c.names, c.shards = nil, nil, nil
+	c.groups, c.names, c.shards, c.lists = nil, nil, nil, nil
 	c.disk.IgnoreSync = c.w.planted == acknowledgeUnsynced
 	if c.identity.id != "" {
 		c.openGroups()
@@ -161,7 +163,8 @@
 func (c *controlNode) openGroups() {
 	c.groups, c.names = map[string]*replicaGroup{}, nil
 	c.shards, c.cycleScheduled = map[int]*leader.Shard{}, map[int]bool{}
-	c.config = leader.NewConfiguration(c.distributeConfig, func(uint64) {}, c.w.log)
+	c.lists = &leader.RunnerLists{}
+	c.config = leader.NewConfiguration(c.distributeConfig, c.listAsLeader(), c.w.log)
 	c.config.SetGroup(c.openGroup(protocol.ConfigGroup, c.w.withPlantedFault(c.config)))
 	clocks := leader.Clocks{Monotonic: c.readClock, UnixMs: c.wallMs}
 	limits := scheduler.Config{MaxLease: 6 * time.Second, RemoteSlowdown: 1, RestoreTime: 250 * time.Millisecond, StatusRetention: 2 * time.Minute}
@@ -180,7 +183,11 @@
 		c.tickShard(protocol.ShardOf(service))
 	}
 	c.joinGroups()
-	c.listRunners()
+	if c.w.platform == nil {
+		c.listRunners()
+		return
+	}
+	c.readListAtIntervals()
 }
 
 // distributeConfig passes a new configuration to the shards.
@@ -289,15 +296,13 @@
 	}
 }
 
-// listRunners passes the platform's list of runners to the shards at each interval.
+// listRunners passes the present runners to the shards at each interval.
 func (c *controlNode) listRunners() {
 	var list []protocol.Runner
 	for _, r := range c.w.runners {
-		list = append(list, protocol.Runner{ID: r.name, Service: r.service, Address: r.name, Capacity: r.capacity})
-	}
-	for _, number := range slices.Sorted(maps.Keys(c.shards)) {
-		c.shards[number].UpdateRunners(list)
+		list = append(list, r.entry())
 	}
+	c.updateShardRunners(list)
 	c.after(listInterval, c.listRunners)
 }
 
--- a/internal/cluster/simworld/runner_test.go
+++ b/internal/cluster/simworld/runner_test.go
@@ -9,13 +9,16 @@
 
 	"basaltloft/internal/cluster/job"
 	"basaltloft/internal/cluster/leader"
+	"basaltloft/internal/cluster/protocol"
 	"basaltloft/internal/cluster/scheduler"
 )
 
-// runner runs tasks as the runner protocol requires. Its machine is never lost; lost runners are part
-// of the tests of package scheduler.
+// runner runs tasks as the runner protocol requires. Its name is its address. Only a test that schedules
+// restarts ends its incarnation.
 type runner struct {
 	*process
+	id           string // of its incarnation
+	listed       bool   // on the platform's list
 	service      string
 	capacity     job.Resources
 	fenceToken   uint64
@@ -28,8 +31,18 @@
 
 // taskRun is a run of a task that has not ended.
 type taskRun struct {
-	attempt int
-	endsAt  time.Duration
+	attempt   int
+	startedAt time.Duration
+	endsAt    time.Duration
+}
+
+// percent returns the progress that the runner reports. Short runs are reported as half done until they end.
+func (r *taskRun) percent(now time.Duration) int {
+	const reportedAsHalf, half = 600 * time.Millisecond, 50
+	if r.endsAt-r.startedAt <= reportedAsHalf {
+		return half
+	}
+	return min(99, int(100*(now-r.startedAt)/(r.endsAt-r.startedAt)))
 }
 
 // Times of runners.
@@ -41,12 +54,17 @@
 
 // addRunner adds a runner and starts it.
 func (w *world) addRunner(name, service string) {
-	r := &runner{process: w.addProcess(name), service: service, capacity: job.Resources{CPU: 64000, MemMB: 64000}, runs: map[job.TaskRef]*taskRun{}, endedThrough: map[job.TaskRef]int{}}
+	r := &runner{process: w.addProcess(name), id: name, listed: true, service: service, capacity: job.Resources{CPU: 64000, MemMB: 64000}, runs: map[job.TaskRef]*taskRun{}, endedThrough: map[job.TaskRef]int{}}
 	r.start = func() {}
 	r.boot()
 	w.runners = append(w.runners, r)
 }
 
+// entry returns the runner as the platform lists it.
+func (r *runner) entry() protocol.Runner {
+	return protocol.Runner{ID: r.id, Service: r.service, Address: r.name, Capacity: r.capacity}
+}
+
 // clockMs returns the runner's clock in milliseconds.
 func (r *runner) clockMs() int64 { return r.clock().Milliseconds() }
 
@@ -107,7 +125,11 @@
 	r := c.w.runnerNamed(order.Address)
 	deliver := func(reply func(any)) { r.execute(order, reply) }
 	if c.w.chance(c.w.lostOrderShare) { // it gets no answer, and is executed seconds later
-		c.w.schedule(c.w.randomBetween(2*time.Second, 12*time.Second), func() { r.execute(order, func(any) {}) })
+		c.w.schedule(c.w.randomBetween(2*time.Second, 12*time.Second), func() {
+			if r.up {
+				r.execute(order, func(any) {})
+			}
+		})
 		deliver = func(func(any)) {}
 	}
 	c.call(order.Address, time.Duration(order.WaitMs)*time.Millisecond+orderTimeout, deliver, func(answer any, ok bool) {
@@ -133,6 +155,18 @@
 	}
 }
 
+// reportOtherIncarnation reports to a scheduler that another incarnation has replied to an order.
+func reportOtherIncarnation(sender *scheduler.Scheduler, now time.Duration, order scheduler.Order) {
+	switch order.Kind {
+	case scheduler.OrderRenewLease:
+		sender.LeaseReplied(now, order, scheduler.LeaseOtherIncarnation, scheduler.RunnerReport{})
+	case scheduler.OrderStart:
+		sender.StartReplied(now, order, scheduler.StartOtherIncarnation, 0)
+	case scheduler.OrderStop:
+		sender.StopReplied(now, order, scheduler.StopOtherIncarnation, 0)
+	}
+}
+
 // runnerNamed returns the runner with a name, or nil if there is none.
 func (w *world) runnerNamed(name string) *runner {
 	for _, r := range w.runners {
@@ -148,6 +182,10 @@
 	if order.Kind != scheduler.OrderRenewLease || len(r.finished) > 0 {
 		r.w.tracef("%s gets order %d, token %d, of %v attempt %d, seen %d", r.name, order.Kind, order.Token, order.Task, order.Attempt, order.AckedThrough)
 	}
+	if order.Runner != r.id {
+		reply(func(s *scheduler.Scheduler, now time.Duration) { reportOtherIncarnation(s, now, order) })
+		return
+	}
 	switch order.Kind {
 	case scheduler.OrderRenewLease:
 		r.renewLease(order, reply)
@@ -191,7 +229,7 @@
 		}
 		report := scheduler.RunnerReport{ClockMs: r.clockMs(), Finished: slices.Clone(r.finished)}
 		for _, ref := range r.tasks() {
-			report.Running = append(report.Running, scheduler.ReportedRun{Task: ref, Attempt: r.runs[ref].attempt, Percent: 50})
+			report.Running = append(report.Running, scheduler.ReportedRun{Task: ref, Attempt: r.runs[ref].attempt, Percent: r.runs[ref].percent(r.w.now)})
 		}
 		r.w.recorder.reported(r, &report)
 		reply(func(s *scheduler.Scheduler, now time.Duration) {
@@ -224,7 +262,7 @@
 	}
 	j.checkStart(w, r, order)
 	r.extendLease(order.DeadlineMs)
-	r.runs[order.Task] = &taskRun{attempt: order.Attempt, endsAt: w.now + w.randomBetween(50*time.Millisecond, 600*time.Millisecond)}
+	r.runs[order.Task] = &taskRun{attempt: order.Attempt, startedAt: w.now, endsAt: w.now + w.randomBetween(w.minRunTime, w.maxRunTime)}
 	return scheduler.StartAccepted
 }
 
--- a/internal/cluster/simworld/seeds_test.go
+++ b/internal/cluster/simworld/seeds_test.go
@@ -18,6 +18,9 @@
 	settleSlack = 3 * time.Second
 )
 
+// seedRunner runs a scenario of a seed.
+type seedRunner func(t testing.TB, seed uint64, planted plantedFault, tracing bool)
+
 // runSeed runs the random scenario of a seed.
 func runSeed(t testing.TB, seed uint64, planted plantedFault, tracing bool) {
 	w := newWorld(t, seed, deployments[seed%uint64(len(deployments))])
@@ -26,8 +29,8 @@
 }
 
 // runRandomScenario runs a new world: first the start, then load with random faults, then neither, and
-// at the end all checks.
-func (w *world) runRandomScenario() {
+// at the end all checks. Each of more schedules further faults.
+func (w *world) runRandomScenario(more ...func(*faultInjector)) {
 	f := &faultInjector{w: w, nextDiskLossAt: w.now + 10*time.Second, tolerableSince: w.now + 4*time.Second}
 	w.firstStart(f)
 	for client := range 2 {
@@ -37,6 +40,9 @@
 	for range w.random.IntN(maxFaults) {
 		w.schedule(w.randomBetween(2*time.Second, faultTime), f.injectOne)
 	}
+	for _, schedule := range more {
+		schedule(f)
+	}
 	w.run(faultTime)
 	w.injectFinalFault(f)
 	f.heal()
@@ -73,8 +79,14 @@
 // TestManySeeds runs defaultSeeds seeds, or as many as BASALTLOFT_SEEDS sets, on all processors;
 // BASALTLOFT_FIRST is the first one. With BASALTLOFT_SEED it runs that seed only, with its trace.
 func TestManySeeds(t *testing.T) {
+	runManySeeds(t, runSeed)
+}
+
+// runManySeeds runs the seeds that the environment names, as TestManySeeds describes.
+func runManySeeds(t *testing.T, run seedRunner) {
+	t.Helper()
 	if seed, ok := envNumber("BASALTLOFT_SEED"); ok {
-		runSeed(t, seed, noFault, true)
+		run(t, seed, noFault, true)
 		return
 	}
 	seeds, ok := envNumber("BASALTLOFT_SEEDS")
@@ -91,7 +103,7 @@
 				if seed >= seeds {
 					return
 				}
-				runSeedGuarded(t, first+seed)
+				runSeedGuarded(t, run, first+seed)
 			}
 		})
 	}
@@ -104,11 +116,11 @@
 }
 
 // runSeedGuarded runs a seed, and names the seed if the run panics.
-func runSeedGuarded(t *testing.T, seed uint64) {
+func runSeedGuarded(t *testing.T, run seedRunner, seed uint64) {
 	defer func() {
 		if r := recover(); r != nil {
 			t.Fatalf("seed %d: %v\n%s", seed, r, debug.Stack())
 		}
 	}()
-	runSeed(t, seed, noFault, false)
+	run(t, seed, noFault, false)
 }
--- a/internal/cluster/simworld/world_test.go
+++ b/internal/cluster/simworld/world_test.go
@@ -47,6 +47,9 @@
 	nodes          []*controlNode
 	dispatchers    []*dispatcher
 	runners        []*runner
+	minRunTime     time.Duration // of a task
+	maxRunTime     time.Duration
+	platform       *platformList      // nil: each node sees the present runners
 	partitioned    map[[2]string]bool // from, to
 	lossShare      float64            // of messages that are lost
 	lateShare      float64            // of messages that are late by up to seconds
@@ -75,6 +78,7 @@
 	w := &world{
 		t: t, seed: seed, deployment: b, random: rand.New(rand.NewPCG(seed, 41)), now: time.Hour, processes: map[string]*process{},
 		partitioned: map[[2]string]bool{}, jobs: map[string]*jobHistory{}, leases: map[string]map[string]group.Lease{}, tokenUsers: map[string]string{},
+		minRunTime: 50 * time.Millisecond, maxRunTime: 600 * time.Millisecond,
 		log: slog.New(slog.DiscardHandler),
 	}
 	for n := range b.nodes {
