scheduler: an older report overrules no newer one

What callers could see: a run's saved checkpoint went back to an older one, so that its next attempt did work again.

Cause: reports that overtake one another are told by the runner's clock, as last read; but a late reply to a start or a stop set that reading back, and a report older than the last one passed after it. Runs ended by it could not be wrong: what a report proves absent is compared with the time of the run's own confirmation.

Change: the latest reading of a runner's clock is kept.

--- a/internal/cluster/scheduler/runner.go
+++ b/internal/cluster/scheduler/runner.go
@@ -108,12 +108,13 @@
 	return c.clockReadAt + time.Duration(ahead)*time.Millisecond + clockReadingError
 }
 
-// replied records a reply and its reading of the runner's clock; 0 means that it has no reading.
+// replied records a reply and its reading of the runner's clock; 0 means that it has no reading. Replies may
+// overtake one another: the latest reading is kept, by which older reports are told.
 func (c *runnerContact) replied(now time.Duration, clockMs int64) {
 	c.lastContact = now
 	c.missedPolls = 0
 	c.startReplyOverdue = false
-	if clockMs > 0 {
+	if clockMs > c.clockMs {
 		c.clockMs, c.clockReadAt = clockMs, now
 	}
 }
