soak: each node reads a list of its own age, runners come back at their address

Clients keep their connections until the process is gone, and signals, restarts and changes overlap in series, as before.

--- a/internal/cluster/soak/deployment.go
+++ b/internal/cluster/soak/deployment.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -57,6 +58,7 @@
 	nodes       []*machine
 	dispatchers []*machine
 	platform    *standin.Platform
+	lists       map[string]*standin.Server // of the platform's list, by the address of the node that reads it
 	timeline    *Timeline
 	findings    *Findings
 	runs        *runLog
@@ -74,6 +76,7 @@
 // runnerSlot is a place for a runner. A runner that ends is replaced by one with another ID.
 type runnerSlot struct {
 	service string
+	address string
 	mu      sync.Mutex // held while the runner is replaced
 	runner  *standin.Runner
 }
@@ -95,6 +98,9 @@
 		return nil, err
 	}
 	d.assignAddresses()
+	if err := d.serveLists(random); err != nil {
+		return nil, err
+	}
 	for _, m := range d.machines() {
 		if err := d.writeSettings(m, true, random); err != nil {
 			return nil, err
@@ -102,7 +108,7 @@
 	}
 	for range size.Runners {
 		for _, service := range services {
-			slot := &runnerSlot{service: service}
+			slot := &runnerSlot{service: service, address: fmt.Sprintf("127.81.0.%d:%d", 1+len(d.runners), d.ports.First())}
 			d.runners = append(d.runners, slot)
 			if err := d.startRunner(slot); err != nil {
 				return nil, err
@@ -139,6 +145,22 @@
 	})
 }
 
+// maxListLag is the longest time by which a server of the platform's list lags.
+const maxListLag = 800 * time.Millisecond
+
+// serveLists starts a server of the platform's list for each node. Their lags differ.
+func (d *deployment) serveLists(random *rand.Rand) error {
+	d.lists = map[string]*standin.Server{}
+	for _, node := range d.nodes {
+		server, err := d.platform.ServeLagging(time.Duration(random.Int64N(int64(maxListLag))))
+		if err != nil {
+			return err
+		}
+		d.lists[node.ip] = server
+	}
+	return nil
+}
+
 func (d *deployment) machines() []*machine {
 	return append(append([]*machine(nil), d.nodes...), d.dispatchers...)
 }
@@ -150,6 +172,9 @@
 // the platform; later the seeds are random.
 func (d *deployment) writeSettings(m *machine, bootstrap bool, random *rand.Rand) error {
 	given := d.addresses.Settings(m.ip, bootstrap)
+	if list := d.lists[m.ip]; list != nil {
+		given.CloudAPI.Address = strings.TrimPrefix(list.URL, "http://")
+	}
 	if !bootstrap {
 		random.Shuffle(len(given.Seeds), func(a, b int) { given.Seeds[a], given.Seeds[b] = given.Seeds[b], given.Seeds[a] })
 	}
@@ -184,7 +209,7 @@
 	defer d.runnersMu.Unlock()
 	d.nextID++
 	takes := shortest << (d.nextID % steps / 2)
-	runner, err := standin.NewRunner(fmt.Sprintf("i-%d", d.nextID), takes)
+	runner, err := standin.NewRunnerAt(slot.address, fmt.Sprintf("i-%d", d.nextID), takes)
 	if err != nil {
 		return err
 	}
--- a/internal/cluster/soak/events.go
+++ b/internal/cluster/soak/events.go
@@ -189,11 +189,12 @@
 // Times of replacing a runner.
 const (
 	drainTime   = 3 * time.Second // from the drain mark in the platform's list to the runner's end
-	listingLag  = time.Second     // for which a crashed runner stays in the list
+	listingLag  = time.Second     // for which a crashed runner stays in the list, unless the next one is up before
 	runnerPause = 500 * time.Millisecond
 )
 
-// replaceRunner drains or crashes a runner and starts another one in its slot.
+// replaceRunner drains or crashes a runner and starts another one in its slot. After a crash that one is at
+// the same address, for half of the crashes before the list lacks the first one.
 func (i *injector) replaceRunner(event Event) {
 	slot := i.runners[event.Target%len(i.runners)]
 	if !slot.mu.TryLock() {
@@ -210,6 +211,11 @@
 	} else {
 		defer i.timeline.begin(unplanned, runner.ID, "crash")()
 		runner.Crash()
+		if event.For < longestPause/2 {
+			sleep(i.ctx, event.For)
+			i.check(i.startRunner(slot))
+			return
+		}
 		sleep(i.ctx, listingLag)
 		i.platform.RemoveRunner(runner)
 	}
--- a/internal/cluster/soak/plan.go
+++ b/internal/cluster/soak/plan.go
@@ -33,7 +33,7 @@
 	FreezeNode       EventKind = "freeze node"
 	WipeNode         EventKind = "wipe node" // killed, and restarted with an empty disk
 	KillAllNodes     EventKind = "kill all nodes"
-	CrashRunner      EventKind = "crash runner" // it is replaced by one with another ID
+	CrashRunner      EventKind = "crash runner" // it is replaced by one with another ID at its address
 )
 
 // Event is an operation or a fault at a time.
@@ -95,7 +95,7 @@
 	}
 	unplannedKinds = []EventKind{
 		KillDispatcher, KillDispatcher, FreezeDispatcher, FreezeDispatcher, KillNode, FreezeNode, WipeNode, KillAllNodes,
-		CrashRunner, StopDispatcher, StopNode, Configure, ConfigureRace, Burst,
+		CrashRunner, CrashRunner, StopDispatcher, StopNode, Configure, ConfigureRace, Burst,
 	}
 )
 
--- a/internal/cluster/soak/run.go
+++ b/internal/cluster/soak/run.go
@@ -297,6 +297,9 @@
 	if d.platform != nil {
 		d.platform.Server.Close()
 	}
+	for _, server := range d.lists {
+		server.Close()
+	}
 	_ = d.ports.Close() // releases the reservation only
 }
 
--- a/internal/cluster/standin/platform.go
+++ b/internal/cluster/standin/platform.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 )
 
 // Platform is a stand-in for the platform's instance list. It may be used concurrently.
@@ -15,6 +16,13 @@
 
 	mu        sync.Mutex
 	instances []instance
+	history   []listState // oldest first
+}
+
+// listState is what the list has shown from some time on.
+type listState struct {
+	since     time.Time
+	instances []instance
 }
 
 // instance is one entry of the platform's list, as the platform writes it.
@@ -42,48 +50,73 @@
 
 // NewPlatform returns a started platform with an empty list, or an error of NewServer.
 func NewPlatform() (*Platform, error) {
-	p := &Platform{}
-	server, err := NewServer(http.HandlerFunc(p.handleList))
+	p := &Platform{history: []listState{{}}}
+	server, err := p.ServeLagging(0)
 	p.Server = server
 	return p, err
 }
 
-func (p *Platform) handleList(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path != "/instances" {
-		http.NotFound(w, r)
-		return
+// ServeLagging starts a further server of the list, which shows it as it was a lag ago. The caller closes it.
+func (p *Platform) ServeLagging(lag time.Duration) (*Server, error) {
+	return NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/instances" {
+			http.NotFound(w, r)
+			return
+		}
+		writeJSON(w, instanceList{Instances: p.instancesAt(time.Now().Add(-lag))})
+	}))
+}
+
+// instancesAt returns the list as it was at a time. The caller must not change it.
+func (p *Platform) instancesAt(at time.Time) []instance {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	shown := p.history[0].instances
+	for _, state := range p.history {
+		if !state.since.After(at) {
+			shown = state.instances
+		}
 	}
+	return shown
+}
+
+// change replaces the list by what edit returns for a copy of it.
+func (p *Platform) change(edit func([]instance) []instance) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	writeJSON(w, instanceList{Instances: p.instances})
+	p.instances = edit(slices.Clone(p.instances))
+	p.history = append(p.history, listState{since: time.Now(), instances: p.instances})
 }
 
 // RemoveRunner removes a runner from the list.
 func (p *Platform) RemoveRunner(r *Runner) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.instances = slices.DeleteFunc(slices.Clone(p.instances), func(listed instance) bool { return listed.ID == r.ID })
+	p.change(func(instances []instance) []instance {
+		return slices.DeleteFunc(instances, func(listed instance) bool { return listed.ID == r.ID })
+	})
 }
 
 // DrainRunner sets the state of a listed runner to draining.
 func (p *Platform) DrainRunner(r *Runner) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.instances = slices.Clone(p.instances) // a response may still be written from the previous list
-	for at := range p.instances {
-		if p.instances[at].ID == r.ID {
-			p.instances[at].State = "draining"
+	p.change(func(instances []instance) []instance {
+		for at := range instances {
+			if instances[at].ID == r.ID {
+				instances[at].State = "draining"
+			}
 		}
-	}
+		return instances
+	})
 }
 
-// AddRunner adds a runner to the list, as a ready instance of a service.
+// AddRunner adds a runner to the list, as a ready instance of a service. It takes the place of another one at
+// its address.
 func (p *Platform) AddRunner(r *Runner, service string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.instances = append(p.instances, instance{
-		ID: r.ID, Backend: service, Address: strings.TrimPrefix(r.Server.URL, "http://"), State: "ready",
-		Capacity: instanceCapacity{CPU: 16000, MemMB: 32000}, Labels: []string{"a", "r1"},
+	address := strings.TrimPrefix(r.Server.URL, "http://")
+	p.change(func(instances []instance) []instance {
+		instances = slices.DeleteFunc(instances, func(listed instance) bool { return listed.Address == address })
+		return append(instances, instance{
+			ID: r.ID, Backend: service, Address: address, State: "ready",
+			Capacity: instanceCapacity{CPU: 16000, MemMB: 32000}, Labels: []string{"a", "r1"},
+		})
 	})
 }
 
--- a/internal/cluster/standin/runner.go
+++ b/internal/cluster/standin/runner.go
@@ -134,6 +134,11 @@
 
 // NewRunner returns a started runner whose tasks run for taskDuration, or an error of NewServer.
 func NewRunner(id string, taskDuration time.Duration) (*Runner, error) {
+	return NewRunnerAt(anyLoopbackPort, id, taskDuration)
+}
+
+// NewRunnerAt is NewRunner for an address. A runner with another ID may follow a crashed one at its address.
+func NewRunnerAt(address, id string, taskDuration time.Duration) (*Runner, error) {
 	r := &Runner{
 		ID: id, TaskDuration: taskDuration, started: time.Now(), changed: make(chan struct{}),
 		running: map[string]int{}, highestOver: map[string]int{}, startsByTask: map[string]int{},
@@ -142,7 +147,7 @@
 	mux.HandleFunc("POST /-/run-start", r.handleStart)
 	mux.HandleFunc("POST /-/run-stop", r.handleStop)
 	mux.HandleFunc("POST /-/hold", r.handleRenewLease)
-	server, err := NewServer(mux)
+	server, err := NewServerAt(address, mux)
 	r.Server = server
 	return r, err
 }
