--- a/internal/cluster/scheduler/lease.go
+++ b/internal/cluster/scheduler/lease.go
@@ -176,7 +176,7 @@
 	if contact.missedPolls == 0 {
 		m.lossRate.Add(0, lossWindow)
 	}
-	if reportMs < contact.clockMs && contact.tokenAccepted {
+	if reportMs < max(contact.clockMs, contact.reportMs) && contact.tokenAccepted {
 		return reportOvertaken
 	}
 	return reportArrived
--- a/internal/cluster/scheduler/reconcile.go
+++ b/internal/cluster/scheduler/reconcile.go
@@ -15,6 +15,7 @@
 	first := !runner.contact.tokenAccepted
 	runner.contact.tokenAccepted = true
 	runner.contact.replied(s.now, report.ClockMs)
+	runner.contact.reportMs = report.ClockMs
 	if report.RemainingMs > 0 {
 		runner.drain.draining = true
 		runner.drain.departsAt = s.now + time.Duration(report.RemainingMs)*time.Millisecond
--- a/internal/cluster/scheduler/runner.go
+++ b/internal/cluster/scheduler/runner.go
@@ -38,9 +38,10 @@
 	lastContact       time.Duration // arrival of its last reply
 	clockMs           int64         // its clock's last reading, in milliseconds
 	clockReadAt       time.Duration
-	missedPolls       int  // consecutive lease renewals without a reply
-	startReplyOverdue bool // the reply to an order to start is overdue, and nothing has arrived since
-	timeoutCounted    bool // the mass-timeout detector has counted that it is unresponsive
+	reportMs          int64 // its clock when it made the newest report
+	missedPolls       int   // consecutive lease renewals without a reply
+	startReplyOverdue bool  // the reply to an order to start is overdue, and nothing has arrived since
+	timeoutCounted    bool  // the mass-timeout detector has counted that it is unresponsive
 }
 
 // leaseExchange is the state of the task leases at a runner and of the polls that renew them.
@@ -108,13 +109,12 @@
 	return c.clockReadAt + time.Duration(ahead)*time.Millisecond + clockReadingError
 }
 
-// replied records a reply and its reading of the runner's clock; 0 means that it has no reading. Replies may
-// overtake one another: the latest reading is kept, by which older reports are told.
+// replied records a reply and its reading of the runner's clock; 0 means that it has no reading.
 func (c *runnerContact) replied(now time.Duration, clockMs int64) {
 	c.lastContact = now
 	c.missedPolls = 0
 	c.startReplyOverdue = false
-	if clockMs > c.clockMs {
+	if clockMs > 0 {
 		c.clockMs, c.clockReadAt = clockMs, now
 	}
 }
