--- a/coord/group/engine.go
+++ b/coord/group/engine.go
@@ -38,6 +38,7 @@
 	addressHints        map[string]replica.Member // by ID: from messages; the log may not contain them yet
 
 	senders  map[string]*snapshotSender // on a leader, by ID of the receiving member
+	sent     *replica.Snapshot          // the last snapshot that was sent, as long as the state is that of its index
 	receiver *snapshotReceiver          // nil unless a snapshot is being received
 }
 
--- a/coord/group/snapshot_transfer.go
+++ b/coord/group/snapshot_transfer.go
@@ -61,7 +61,7 @@
 	if running != nil && running.term == e.node.Term() && !running.expired(now) && e.node.Match(message.To) < running.snapshot.Index {
 		return
 	}
-	snapshot, err := e.takeSnapshot()
+	snapshot, err := e.snapshotToSend()
 	if err != nil {
 		return
 	}
@@ -69,6 +69,29 @@
 	e.sendChunks(now, message.To)
 }
 
+// snapshotToSend returns a snapshot of the applied state. It returns the same bytes as long as the state is
+// that of the same index: two encodings of one state may differ, and a receiver that kept the first chunks of
+// an aborted transfer continues with those of the next one.
+func (e *Engine) snapshotToSend() (replica.Snapshot, error) {
+	if e.sent != nil && e.sent.Index == e.node.Applied() {
+		return *e.sent, nil
+	}
+	snapshot, err := e.takeSnapshot()
+	if err != nil {
+		return replica.Snapshot{}, err
+	}
+	e.sent = &snapshot
+	return snapshot, nil
+}
+
+// releaseSentSnapshot frees the last snapshot that was sent, once no transfer needs it and it will not be sent
+// again.
+func (e *Engine) releaseSentSnapshot() {
+	if e.sent != nil && len(e.senders) == 0 && (e.sent.Index != e.node.Applied() || e.node.Role() != replica.Leader) {
+		e.sent = nil
+	}
+}
+
 // sendChunks sends further chunks up to the limit of maxChunksInFlight. It sends a first chunk even if
 // the state is empty, so that the member responds.
 func (e *Engine) sendChunks(now time.Duration, to string) {
@@ -115,6 +138,7 @@
 			e.sendChunks(now, id)
 		}
 	}
+	e.releaseSentSnapshot()
 }
 
 // handleSnapshotChunkResponse records how much a member has received, and sends further chunks.
@@ -152,13 +176,16 @@
 	index uint64 // of the snapshot
 	// snapshotTerm is the term of the entry at index.
 	snapshotTerm uint64
+	total        int            // size of the snapshot
 	data         []byte         // the contiguous bytes received so far
 	outOfOrder   map[int][]byte // chunks after a gap, by offset; at most maxChunksInFlight
 }
 
-// matches reports whether a chunk belongs to this snapshot.
+// matches reports whether a chunk belongs to this snapshot. A leader of an older build may send another
+// encoding of the same state, which is told only by its size.
 func (r *snapshotReceiver) matches(message replica.Message) bool {
-	return r != nil && r.from == message.From && r.term == message.Term && r.index == message.Snapshot.Index && r.snapshotTerm == message.Snapshot.Term
+	return r != nil && r.from == message.From && r.term == message.Term && r.total == message.Total &&
+		r.index == message.Snapshot.Index && r.snapshotTerm == message.Snapshot.Term
 }
 
 // add appends a chunk, and the out-of-order chunks that now follow without a gap. A chunk after a gap is
@@ -182,7 +209,7 @@
 		return
 	}
 	if !e.receiver.matches(message) {
-		e.receiver = &snapshotReceiver{from: message.From, term: message.Term, index: chunk.Index, snapshotTerm: chunk.Term, outOfOrder: map[int][]byte{}}
+		e.receiver = &snapshotReceiver{from: message.From, term: message.Term, index: chunk.Index, snapshotTerm: chunk.Term, total: message.Total, outOfOrder: map[int][]byte{}}
 	}
 	receiver := e.receiver
 	receiver.add(message.Offset, chunk.Data)
