--- a/internal/tools/knownred/main.go
+++ b/internal/tools/knownred/main.go
@@ -9,6 +9,9 @@
 // as go test -v prints it. Each of its elements between slashes must match whole, and the test is skipped
 // only in its own package. The issue is a number.
 //
+// A line may also name a script: "script review/6/run.sh", with cause and issue. Such a line is printed; the
+// script isn't run, and no Go test is skipped for it. Three may stand there beside the tests.
+//
 // The outcome of a named test is printed and does not change the verdict. More than three lines, a
 // line of another form, and one that names no existing test fail the check with status 1.
 package main
@@ -63,10 +66,19 @@
 	if err != nil && !errors.Is(err, fs.ErrNotExist) {
 		return fmt.Errorf("knownred: %w", err)
 	}
-	if len(text) == 0 {
+	scripts, tests, err := separateScripts(string(text))
+	if err != nil {
+		return err
+	}
+	return errors.Join(runTests(ctx, command, tests, out, errOut), printScripts(scripts, out))
+}
+
+// runTests runs the test command without the tests that a text names, and these by themselves.
+func runTests(ctx context.Context, command []string, text string, out, errOut io.Writer) error {
+	if text == "" {
 		return runPassingOutput(ctx, command, out, errOut)
 	}
-	known, err := parse(string(text))
+	known, err := parse(text)
 	if err != nil {
 		return err
 	}
--- a/internal/tools/knownred/main_test.go
+++ b/internal/tools/knownred/main_test.go
@@ -13,7 +13,8 @@
 // plantedModule holds the files of a module in which two packages have tests of the same names that
 // behave differently.
 var plantedModule = map[string]string{
-	"go.mod": "module planted\n\ngo 1.24\n",
+	"go.mod":   "module planted\n\ngo 1.24\n",
+	"a/run.sh": "exit 1\n",
 	"a/a_test.go": `package a
 
 import "testing"
@@ -48,6 +49,8 @@
 const (
 	top = "./a TestRed\ta cause\t33\n"
 	sub = "./a TestParent/drains_at_once\tanother cause\t34\n"
+
+	script = "script a/run.sh\ta wait\t70\n"
 )
 
 // writeModule writes the module and changes into its folder. All cases share it, so that it is built only
@@ -111,6 +114,17 @@
 		{name: "no issue", text: "./a TestRed\tc\tsoon\n", fails: "an issue's number"},
 		{name: "a blank line", text: top + "\n" + sub, fails: "not test<TAB>"},
 		{name: "named twice", text: top + top, fails: "named twice"},
+		{name: "a script hides no test", text: script, fails: "exit status 1", prints: []string{
+			"known red not run: script a/run.sh (a wait; issue 70)", "a is red", "a sub is red", "ok  \tplanted/b"}},
+		{name: "a script beside tests", text: top + script + sub, prints: []string{
+			"known red not run: script a/run.sh", "known red fails: ./a TestRed", "known red fails: ./a TestParent/drains_at_once", "ok  \tplanted/b"}},
+		{name: "others fail beside a script", text: top + sub + script, broken: true, fails: "exit status 1", prints: []string{"FAIL\tplanted/b"}},
+		{name: "no such script", text: "script a/other.sh\tc\t1\n", fails: "no such script"},
+		{name: "a script outside", text: "script ../a/run.sh\tc\t1\n", fails: "no such script"},
+		{name: "a script without a cause", text: "script a/run.sh\t\t1\n", fails: "not script<TAB>"},
+		{name: "a script without an issue", text: "script a/run.sh\tc\n", fails: "not script<TAB>"},
+		{name: "a test is no script", text: "script ./a TestRed\tc\t1\n", fails: "not a package"},
+		{name: "too many scripts", text: script + script + script + script, fails: "4 scripts"},
 	}
 	writeModule(t)
 	for _, c := range cases {
