--- a/cmd/basaltloft-load/command.go
+++ b/cmd/basaltloft-load/command.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"basaltloft/internal/dispatcher/loadgen"
+	"basaltloft/internal/shared/saturating"
 )
 
 // usageError is an error in the arguments.
@@ -118,6 +119,6 @@
 		if err != nil {
 			return nil, fmt.Errorf("%s, line %d: %q is no number", name, n, text)
 		}
-		times = append(times, time.Duration(ms*float64(time.Millisecond)))
+		times = append(times, saturating.Duration(ms*float64(time.Millisecond)))
 	}
 }
--- a/internal/cluster/controlplane/loadreport.go
+++ b/internal/cluster/controlplane/loadreport.go
@@ -4,6 +4,8 @@
 	"runtime/metrics"
 	"syscall"
 	"time"
+
+	"basaltloft/internal/shared/saturating"
 )
 
 // loadReportInterval is the interval at which a node logs its load.
@@ -83,7 +85,7 @@
 	metrics.Read(m.samples)
 	now := collectorUse{
 		collections: m.samples[0].Value.Uint64(),
-		time:        time.Duration(m.samples[1].Value.Float64() * float64(time.Second)),
+		time:        saturating.Duration(m.samples[1].Value.Float64() * float64(time.Second)),
 		heapBytes:   m.samples[2].Value.Uint64(),
 	}
 	since := collectorUse{collections: now.collections - m.last.collections, time: now.time - m.last.time, heapBytes: now.heapBytes}
--- a/internal/cluster/controlplane/runnerclient.go
+++ b/internal/cluster/controlplane/runnerclient.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"basaltloft/internal/cluster/scheduler"
+	"basaltloft/internal/shared/saturating"
 )
 
 // runnerClient sends orders to runners, each order once. Its methods may be called concurrently.
@@ -43,7 +44,7 @@
 // limitFDs sets the number of connections above which idle ones are closed to runnerConnShare of maxFDs, the
 // number of file descriptors that the platform allows the process. 0 means no limit.
 func (c *runnerClient) limitFDs(maxFDs int) {
-	c.conns.limitOpen(int(runnerConnShare * float64(maxFDs)))
+	c.conns.limitOpen(saturating.Int(runnerConnShare * float64(maxFDs)))
 }
 
 // startRequest is the body of an order to start a run.
--- a/internal/cluster/controlplane/runnerreply.go
+++ b/internal/cluster/controlplane/runnerreply.go
@@ -8,6 +8,7 @@
 
 	"basaltloft/internal/cluster/job"
 	"basaltloft/internal/cluster/scheduler"
+	"basaltloft/internal/shared/saturating"
 )
 
 // runnerReply is the body of a runner's reply to any order.
@@ -103,7 +104,7 @@
 		return run, err
 	}
 	err = readFloat64(element(row, 3), &percent)
-	run.Percent = int(percent)
+	run.Percent = saturating.Int(percent)
 	return run, err
 }
 
--- a/internal/cluster/controlplane/shardloop.go
+++ b/internal/cluster/controlplane/shardloop.go
@@ -8,6 +8,7 @@
 	"basaltloft/internal/cluster/leader"
 	"basaltloft/internal/cluster/protocol"
 	"basaltloft/internal/cluster/scheduler"
+	"basaltloft/internal/shared/saturating"
 )
 
 // shardLoop runs the scheduling cycles of a shard and sends the scheduler's orders to runners.
@@ -52,7 +53,7 @@
 		MaxLease:        bounds.MaxLease(),
 		RemoteSlowdown:  bounds.RemoteSlowdown,
 		RestoreTime:     time.Duration(bounds.RestoreMs) * time.Millisecond,
-		StatusRetention: time.Duration(bounds.StatusRetentionS * float64(time.Second)),
+		StatusRetention: saturating.Duration(bounds.StatusRetentionS * float64(time.Second)),
 	}
 }
 
--- a/internal/cluster/daemon/daemon.go
+++ b/internal/cluster/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"basaltloft/internal/cluster/settings"
+	"basaltloft/internal/shared/saturating"
 )
 
 // Options are the command-line flags of each daemon.
@@ -125,7 +126,7 @@
 func limitMemory(megabytes int) {
 	debug.SetGCPercent(gcPercent(megabytes))
 	if megabytes > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(megabytes) * bytesPerMega))
+		debug.SetMemoryLimit(saturating.Int64(memoryShare * float64(megabytes) * bytesPerMega))
 	}
 }
 
--- a/internal/cluster/dataplane/clients.go
+++ b/internal/cluster/dataplane/clients.go
@@ -11,6 +11,7 @@
 	"basaltloft/internal/cluster/opconfig"
 	"basaltloft/internal/cluster/protocol"
 	"basaltloft/internal/cluster/router"
+	"basaltloft/internal/shared/saturating"
 )
 
 // clientHandler serves the requests of clients.
@@ -127,7 +128,7 @@
 	if ms, err := strconv.ParseInt(r.Header.Get("Timeout-Ms"), 10, 64); err == nil && ms > 0 {
 		timeout = min(timeout, time.Duration(ms)*time.Millisecond)
 	}
-	return time.Duration(retryShare * float64(timeout))
+	return saturating.Duration(retryShare * float64(timeout))
 }
 
 // serveJobRequest serves a request for a job's state, for its cancellation or for the number of pending jobs.
--- a/internal/cluster/demo/load.go
+++ b/internal/cluster/demo/load.go
@@ -12,6 +12,8 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/cockroachdb/errors"
+
+	"basaltloft/internal/shared/saturating"
 )
 
 const (
@@ -67,7 +69,7 @@
 // submitSteadily submits rate jobs per second, every fifth to the queue batch, until the context ends.
 func (l *load) submitSteadily(ctx context.Context, rate float64) {
 	const batchEvery = 5
-	ticker := time.NewTicker(time.Duration(float64(time.Second) / rate))
+	ticker := time.NewTicker(saturating.Duration(float64(time.Second) / rate))
 	defer ticker.Stop()
 	for number := 1; ; number++ {
 		select {
--- a/internal/cluster/lateness/lateness.go
+++ b/internal/cluster/lateness/lateness.go
@@ -7,7 +7,11 @@
 // (ReadLog) and prints tables of them (Print).
 package lateness
 
-import "time"
+import (
+	"time"
+
+	"basaltloft/internal/shared/saturating"
+)
 
 // Cause is what a job's time was spent on.
 type Cause uint8
@@ -94,7 +98,7 @@
 // Objective returns the time that a job may take from its arrival to its end: extension times its work, plus
 // target.
 func Objective(work time.Duration, extension float64, target time.Duration) time.Duration {
-	return time.Duration(extension*float64(work)) + target
+	return saturating.Duration(extension*float64(work)) + target
 }
 
 // QueueAccount is the account of the waiting tasks of one step. The tasks are alike, so that all of them wait
@@ -143,8 +147,8 @@
 // Completed records the successful run. remoteFactor is the ratio by which the distance from the data made the
 // run longer, and runnerFactor that by which the runner's speed did. The remaining time is the work.
 func (t *TaskAccount) Completed(took time.Duration, remoteFactor, runnerFactor float64) {
-	local := time.Duration(float64(took) / remoteFactor)
-	work := time.Duration(float64(local) / runnerFactor)
+	local := saturating.Duration(float64(took) / remoteFactor)
+	work := saturating.Duration(float64(local) / runnerFactor)
 	t.Add(Remote, took-local)
 	t.Add(SlowRunner, local-work)
 	t.Add(Work, min(work, local))
--- a/internal/cluster/leader/queueload.go
+++ b/internal/cluster/leader/queueload.go
@@ -8,6 +8,7 @@
 	"basaltloft/internal/cluster/job"
 	"basaltloft/internal/cluster/lateness"
 	"basaltloft/internal/shared/admission"
+	"basaltloft/internal/shared/saturating"
 )
 
 const (
@@ -64,7 +65,7 @@
 func (q *queueLoad) addObjective(s *job.Submission) {
 	work := longestChain(&s.Spec)
 	if q.runTimeRatio.Known() {
-		work = time.Duration(float64(work) * q.runTimeRatio.Value)
+		work = saturating.Duration(float64(work) * q.runTimeRatio.Value)
 	}
 	objective := lateness.Objective(work, s.Extension, time.Duration(s.TargetMs)*time.Millisecond)
 	q.objective.Add(objective.Seconds(), objectiveWindow)
@@ -90,7 +91,7 @@
 	if len(q.probes) >= maxProbes {
 		return false
 	}
-	q.probes[id] = now + time.Duration(worthlessFactor*q.objective.Value*float64(time.Second))
+	q.probes[id] = now + saturating.Duration(worthlessFactor*q.objective.Value*float64(time.Second))
 	return true
 }
 
@@ -140,7 +141,7 @@
 		q.lateSince = now
 	case (now-q.lateSince).Seconds() > objective && !q.shedding:
 		q.shedding, q.lastFullAt = true, now
-		q.log.Warn("queue sheds load", "unfinished", q.open, "ended_per_s", math.Round(q.rate(now)), "objective_ms", int64(1000*objective))
+		q.log.Warn("queue sheds load", "unfinished", q.open, "ended_per_s", math.Round(q.rate(now)), "objective_ms", saturating.Int64(1000*objective))
 	}
 	if q.shedding && now-q.lastFullAt > shedQuietTime {
 		q.shedding = false
@@ -175,5 +176,5 @@
 	seconds := min(max(expected, minShedRetryAfter.Seconds()), maxShedRetryAfter.Seconds())
 	spread := 1 + float64(q.refusals%retryAfterSteps)/retryAfterSteps
 	q.refusals++
-	return time.Duration(seconds * spread * float64(time.Second))
+	return saturating.Duration(seconds * spread * float64(time.Second))
 }
--- a/internal/cluster/leader/submit.go
+++ b/internal/cluster/leader/submit.go
@@ -7,6 +7,7 @@
 	"basaltloft/internal/cluster/job"
 	"basaltloft/internal/cluster/opconfig"
 	"basaltloft/internal/cluster/protocol"
+	"basaltloft/internal/shared/saturating"
 )
 
 // BodyHash returns the hash by which the bodies of submitted jobs are compared.
@@ -65,7 +66,7 @@
 		Spec:          spec,
 		Priority:      route.Priority,
 		Retries:       route.Retries,
-		TargetMs:      int64(route.TargetMs),
+		TargetMs:      saturating.Int64(route.TargetMs),
 		Extension:     route.Extension,
 		ConfigVersion: request.Version,
 	}
--- a/internal/cluster/router/watcher.go
+++ b/internal/cluster/router/watcher.go
@@ -8,6 +8,7 @@
 
 	"basaltloft/internal/cluster/opconfig"
 	"basaltloft/internal/cluster/protocol"
+	"basaltloft/internal/shared/saturating"
 )
 
 // Watcher keeps a dispatcher's View up to date. Its watch requests go to the leader of the configuration's
@@ -132,7 +133,7 @@
 		return
 	}
 	if w.view != nil && response.Version >= w.view.Config.Version {
-		held := time.Duration(heldFraction * float64(response.HeldMs) * float64(time.Millisecond))
+		held := saturating.Duration(heldFraction * float64(response.HeldMs) * float64(time.Millisecond))
 		w.confirmedAt = max(w.confirmedAt, sentAt+held)
 	}
 }
--- a/internal/cluster/scheduler/aging.go
+++ b/internal/cluster/scheduler/aging.go
@@ -7,6 +7,7 @@
 
 	"basaltloft/internal/cluster/placement"
 	"basaltloft/internal/shared/admission"
+	"basaltloft/internal/shared/saturating"
 )
 
 // The aged order sorts task groups by priority. Within a priority, aged groups come first, by age,
@@ -19,7 +20,7 @@
 
 // rankAt returns a group's rank in the aged order at a given time.
 func (g *taskGroup) rankAt(now time.Duration) admission.Rank {
-	agedAt := g.readyAt + time.Duration(agingMultiple*g.expected*float64(time.Second))
+	agedAt := g.readyAt + saturating.Duration(agingMultiple*g.expected*float64(time.Second))
 	return admission.Rank{Aged: now >= agedAt, AgedAt: agedAt, Cost: g.expected, Seq: g.sequence}
 }
 
--- a/internal/cluster/scheduler/forecast.go
+++ b/internal/cluster/scheduler/forecast.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"basaltloft/internal/cluster/placement"
+	"basaltloft/internal/shared/saturating"
 )
 
 // neverEnds is the remaining time of a run that is not expected to end.
@@ -55,7 +56,7 @@
 // wait for any runner.
 func (f *capacityForecast) tasksAhead(label string) int {
 	share := float64(len(f.withLabel(label))) / float64(max(1, len(f.candidates)))
-	return f.claimed[label] + int(math.Ceil(float64(f.queued)*share))
+	return f.claimed[label] + saturating.Int(math.Ceil(float64(f.queued)*share))
 }
 
 // claim records tasks that wait for a runner in a rack.
--- a/internal/cluster/scheduler/localitywait.go
+++ b/internal/cluster/scheduler/localitywait.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"basaltloft/internal/cluster/placement"
+	"basaltloft/internal/shared/saturating"
 )
 
 // maxLocalityWait bounds the wait for a runner near the data. It leaves a task that has waited in vain
@@ -32,7 +33,7 @@
 
 // remaining returns how much longer a group's tasks may wait before running remotely costs less.
 func (p localityWaitPolicy) remaining(now time.Duration, group *taskGroup) time.Duration {
-	remoteCost := time.Duration((p.remoteSlowdown - 1) * group.expected * float64(time.Second))
+	remoteCost := saturating.Duration((p.remoteSlowdown - 1) * group.expected * float64(time.Second))
 	return min(remoteCost, maxLocalityWait) - (now - group.readyAt)
 }
 
--- a/internal/cluster/scheduler/progress.go
+++ b/internal/cluster/scheduler/progress.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"basaltloft/internal/shared/saturating"
+)
 
 const (
 	// The rate of progress is measured over spans of at least rateSpan and at least
@@ -65,7 +69,7 @@
 	case p.rate <= 0:
 		return 0, false
 	}
-	return time.Duration(float64(100-p.percent) / p.rate * float64(time.Second)), true
+	return saturating.Duration(float64(100-p.percent) / p.rate * float64(time.Second)), true
 }
 
 // slowness returns the ratio of a run's estimated total time to its expected run time, or 0 if it
--- a/internal/cluster/scheduler/replydelay.go
+++ b/internal/cluster/scheduler/replydelay.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"basaltloft/internal/shared/admission"
+	"basaltloft/internal/shared/saturating"
 )
 
 const (
@@ -33,6 +34,6 @@
 	if d.seconds.Count < minReplies {
 		return minimum
 	}
-	delay := time.Duration(overdueDelays * d.seconds.Value * float64(time.Second))
+	delay := saturating.Duration(overdueDelays * d.seconds.Value * float64(time.Second))
 	return min(max(minimum, delay), maximum)
 }
--- a/internal/cluster/scheduler/run.go
+++ b/internal/cluster/scheduler/run.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"basaltloft/internal/cluster/job"
+	"basaltloft/internal/shared/saturating"
 )
 
 // runPhase is the phase of a run, as known to this leader.
@@ -71,7 +72,7 @@
 
 // expectedFraction returns a fraction of the expected run time.
 func (r *run) expectedFraction(fraction float64) time.Duration {
-	return time.Duration(fraction * r.expected * float64(time.Second))
+	return saturating.Duration(fraction * r.expected * float64(time.Second))
 }
 
 // provenAbsent reports whether a run is certainly over if a report that the runner made at
--- a/internal/cluster/scheduler/runner.go
+++ b/internal/cluster/scheduler/runner.go
@@ -1,10 +1,12 @@
 package scheduler
 
 import (
+	"math"
 	"time"
 
 	"basaltloft/internal/cluster/job"
 	"basaltloft/internal/shared/admission"
+	"basaltloft/internal/shared/saturating"
 )
 
 // runnerSession is the state that this leader keeps for one incarnation of a runner.
@@ -106,7 +108,7 @@
 // deadlineMs, even if it runs at slowestClock.
 func (c *runnerContact) latestLocalTime(deadlineMs int64) time.Duration {
 	ahead := float64(deadlineMs-c.clockMs) / slowestClock
-	return c.clockReadAt + time.Duration(ahead)*time.Millisecond + clockReadingError
+	return c.clockReadAt + saturating.Duration(math.Trunc(ahead)*float64(time.Millisecond)) + clockReadingError
 }
 
 // replied records a reply and its reading of the runner's clock; 0 means that it has no reading.
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -36,6 +36,7 @@
 	"time"
 
 	"basaltloft/internal/cluster/job"
+	"basaltloft/internal/shared/saturating"
 )
 
 // Config holds the deployment's parameters that scheduling depends on.
@@ -157,7 +158,7 @@
 	runner := s.runners.byID[id]
 	if runner == nil {
 		runner = newRunnerSession(id, address, s.now)
-		runner.lease.allExpiredAt = s.now + time.Duration(float64(s.leases.duration())/slowestClock) + takeoverSlack
+		runner.lease.allExpiredAt = s.now + saturating.Duration(float64(s.leases.duration())/slowestClock) + takeoverSlack
 		s.runners.add(runner)
 	}
 	return runner
--- a/internal/cluster/scheduler/straggler.go
+++ b/internal/cluster/scheduler/straggler.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"basaltloft/internal/cluster/job"
+	"basaltloft/internal/shared/saturating"
 )
 
 const (
@@ -177,13 +178,13 @@
 	}
 	expected := r.expectedFraction(1)
 	if elsewhere, known := p.slownessElsewhere(now, runner, r); known {
-		expected = time.Duration(max(1, elsewhere) * float64(expected))
+		expected = saturating.Duration(max(1, elsewhere) * float64(expected))
 	}
-	if step.Gang && now-r.orderedAt < time.Duration(gangMinElapsedRatio*float64(expected))+gangMinElapsed {
+	if step.Gang && now-r.orderedAt < saturating.Duration(gangMinElapsedRatio*float64(expected))+gangMinElapsed {
 		return false
 	}
 	remaining, known := r.remaining()
-	return known && remaining > time.Duration(migrationGain*float64(expected))+p.restoreTime+migrationCost
+	return known && remaining > saturating.Duration(migrationGain*float64(expected))+p.restoreTime+migrationCost
 }
 
 // migrateStragglers stops the runs of a runner that have to migrate.
--- a/internal/cluster/settings/settings.go
+++ b/internal/cluster/settings/settings.go
@@ -10,6 +10,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/goccy/go-yaml"
+
+	"basaltloft/internal/shared/saturating"
 )
 
 // PathVariable is the environment variable with the path of the settings file.
@@ -193,4 +195,4 @@
 func (b *Bounds) MaxLease() time.Duration { return time.Duration(b.MaxLeaseMs) * time.Millisecond }
 
 // Grace returns how long the platform waits from SIGTERM to SIGKILL.
-func (b *Bounds) Grace() time.Duration { return time.Duration(b.GraceS * float64(time.Second)) }
+func (b *Bounds) Grace() time.Duration { return saturating.Duration(b.GraceS * float64(time.Second)) }
--- a/internal/cluster/soak/throttle.go
+++ b/internal/cluster/soak/throttle.go
@@ -4,6 +4,8 @@
 	"context"
 	"syscall"
 	"time"
+
+	"basaltloft/internal/shared/saturating"
 )
 
 // throttlePeriod is the period of the processor quota: a throttled process runs for a share of each period.
@@ -11,7 +13,7 @@
 
 // throttle lets a process run for a share of each period, until the context ends.
 func (m *machine) throttle(ctx context.Context, share float64) {
-	runs := time.Duration(share * float64(throttlePeriod))
+	runs := saturating.Duration(share * float64(throttlePeriod))
 	defer m.continueUnlessFrozen()
 	for sleep(ctx, runs) {
 		m.Signal(syscall.SIGSTOP)
--- a/internal/dispatcher/accounting/latencies.go
+++ b/internal/dispatcher/accounting/latencies.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"basaltloft/internal/shared/saturating"
 )
 
 // Latencies are histograms of the jobs of one class, in microseconds.
@@ -39,7 +41,7 @@
 		Count: h.TotalCount(), P50: at(50), P95: at(95), P99: at(99), Max: time.Duration(h.Max()) * time.Microsecond,
 		Buckets: make(map[time.Duration]int64, len(BucketEdges)),
 	}
-	d.Sum = time.Duration(h.Mean() * float64(d.Count) * float64(time.Microsecond))
+	d.Sum = saturating.Duration(h.Mean() * float64(d.Count) * float64(time.Microsecond))
 	for _, bin := range h.Distribution() {
 		for _, edge := range BucketEdges {
 			if bin.To <= edge.Microseconds() {
--- a/internal/dispatcher/discovery/schedule.go
+++ b/internal/dispatcher/discovery/schedule.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"basaltloft/internal/shared/saturating"
 )
 
 // CallSchedule defines how long calls to discovery may take and when a failed call is repeated. It only
@@ -89,5 +91,5 @@
 	if at := began.Add(c.MaxCallInterval); at.Before(by) {
 		by = at
 	}
-	return from.Add(time.Duration(draw * float64(max(0, by.Sub(from)))))
+	return from.Add(saturating.Duration(draw * float64(max(0, by.Sub(from)))))
 }
--- a/internal/dispatcher/fakes/faktoryclients.go
+++ b/internal/dispatcher/fakes/faktoryclients.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"math/rand/v2"
 	"time"
+
+	"basaltloft/internal/shared/saturating"
 )
 
 // FaktoryClients pushes jobs over one connection until the context ends. A job counts as
@@ -19,7 +21,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(time.Duration(random.ExpFloat64() / s.Rate * float64(time.Second))):
+		case <-time.After(saturating.Duration(random.ExpFloat64() / s.Rate * float64(time.Second))):
 		}
 		jobType, queue := "Hold", "holds"
 		if random.Float64() < s.TicketShare {
--- a/internal/dispatcher/fakes/httpclients.go
+++ b/internal/dispatcher/fakes/httpclients.go
@@ -11,6 +11,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"basaltloft/internal/shared/saturating"
 )
 
 // ClientSettings are the settings of clients. Shares are from 0 to 1.
@@ -73,7 +75,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(time.Duration(random.ExpFloat64() / s.Rate * float64(time.Second))):
+		case <-time.After(saturating.Duration(random.ExpFloat64() / s.Rate * float64(time.Second))):
 		}
 		r := httpRequest{
 			class: classHold, key: fmt.Sprintf("%s-k%d", prefix, n), id: fmt.Sprintf("%s-%d", prefix, n),
@@ -149,7 +151,7 @@
 		if err != nil { // the response has no valid Retry-After
 			seconds = 0
 		}
-		return time.Duration(seconds * float64(time.Second)), true
+		return saturating.Duration(seconds * float64(time.Second)), true
 	}
 	a.Failed.Add(1)
 	return failureRetryWait, q.class == classHold
--- a/internal/dispatcher/faktory/commands_info.go
+++ b/internal/dispatcher/faktory/commands_info.go
@@ -6,6 +6,7 @@
 
 	"basaltloft/internal/dispatcher/faktory/sets"
 	"basaltloft/internal/dispatcher/jsontext"
+	"basaltloft/internal/shared/saturating"
 
 	"github.com/valyala/fastjson"
 )
@@ -87,7 +88,7 @@
 	server := a.NewObject()
 	server.Set("description", a.NewString("basaltloft"))
 	server.Set("faktory_version", a.NewString(faktoryVersion))
-	server.Set("uptime", a.NewNumberInt(int(time.Since(s.startedAt).Seconds())))
+	server.Set("uptime", a.NewNumberInt(saturating.Int(time.Since(s.startedAt).Seconds())))
 	server.Set("connections", a.NewNumberInt(len(s.connectionSlots)))
 	server.Set("workers", a.NewNumberInt(workers))
 	server.Set("command_count", a.NewNumberInt(int(s.commandCount.Load())))
--- a/internal/dispatcher/faktory/fields.go
+++ b/internal/dispatcher/faktory/fields.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/valyala/fastjson"
+
+	"basaltloft/internal/shared/saturating"
 )
 
 // isAbsent reports whether a field is missing or null.
@@ -33,7 +35,7 @@
 
 // secondsToDuration converts a number of seconds, limited to the range from 0 to maxDuration.
 func secondsToDuration(n float64) time.Duration {
-	return time.Duration(min(max(n, 0), maxDuration.Seconds()) * float64(time.Second))
+	return saturating.Duration(min(max(n, 0), maxDuration.Seconds()) * float64(time.Second))
 }
 
 // distinct returns names without repeats, in the order in which they first occur.
@@ -52,7 +54,7 @@
 
 // truncateToInt drops the fraction of a number and limits it to the range from -1 to the largest
 // int32.
-func truncateToInt(f float64) int { return int(min(max(math.Trunc(f), -1), math.MaxInt32)) }
+func truncateToInt(f float64) int { return saturating.Int(min(max(math.Trunc(f), -1), math.MaxInt32)) }
 
 // isQueueName reports whether a name can be the name of a queue: it is not empty and has only
 // ASCII letters, digits, dots, underscores and hyphens.
--- a/internal/dispatcher/faktory/sets/disposition.go
+++ b/internal/dispatcher/faktory/sets/disposition.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"math/rand/v2"
 	"time"
+
+	"basaltloft/internal/shared/saturating"
 )
 
 // Disposition is what happens next to a job whose attempt has ended without success.
@@ -43,7 +45,7 @@
 		return MovedToDead
 	}
 	unit := cmp.Or(s.limits.BackoffUnit, time.Second)
-	f.NextAt = now.Add(time.Duration(float64(Backoff(f.RetryCount, s.jitter)) * unit.Seconds()))
+	f.NextAt = now.Add(saturating.Duration(float64(Backoff(f.RetryCount, s.jitter)) * unit.Seconds()))
 	j.IsRetry = true
 	s.track(j)
 	s.Retries.Add(j, f.NextAt)
--- a/internal/dispatcher/fleet/agent/agent.go
+++ b/internal/dispatcher/fleet/agent/agent.go
@@ -17,6 +17,7 @@
 	"basaltloft/internal/dispatcher/fleet/partition"
 	"basaltloft/internal/dispatcher/fleet/rpc"
 	"basaltloft/internal/dispatcher/fleet/state"
+	"basaltloft/internal/shared/saturating"
 )
 
 const (
@@ -157,7 +158,7 @@
 		a.settings.Log.Warn("partition refused its renewal message", "partition", part, "reason", why)
 	}
 	a.renewedAt.Store(int64(sent))
-	a.leaseEnd.Store(int64(sent + time.Duration(budget.LeaseMargin*float64(reply.Lease))))
+	a.leaseEnd.Store(int64(sent + saturating.Duration(budget.LeaseMargin*float64(reply.Lease))))
 	a.members.Store(int64(reply.Members))
 	var g budget.Grant
 	if text := reply.Partitions[partition.BudgetsName]; text != nil {
--- a/internal/dispatcher/fleet/budget/allowance.go
+++ b/internal/dispatcher/fleet/budget/allowance.go
@@ -4,6 +4,8 @@
 	"math"
 	"sync"
 	"time"
+
+	"basaltloft/internal/shared/saturating"
 )
 
 // Allowance is one process's side of the budgets. Its times are those of the process's own
@@ -84,7 +86,7 @@
 		return false
 	}
 	a.grantedAt, a.lease, a.renewSoon = max(a.grantedAt, sent), g.Lease, g.RenewSoon
-	ends := a.grantedAt + time.Duration(LeaseMargin*float64(g.Lease))
+	ends := a.grantedAt + saturating.Duration(LeaseMargin*float64(g.Lease))
 	shrank := false
 	named := make(map[string]bool, len(g.Shares))
 	for _, s := range g.Shares {
@@ -97,7 +99,7 @@
 			settleTime: s.SettleTime, lease: g.Lease, leaseEnd: ends, floorEnd: ends,
 		}
 		if s.Floor > 0 {
-			next.floorEnd = a.grantedAt + time.Duration(LeaseMargin*float64(g.Lease+s.FloorDuration))
+			next.floorEnd = a.grantedAt + saturating.Duration(LeaseMargin*float64(g.Lease+s.FloorDuration))
 		}
 		if !fresh {
 			next.leaseEnd, next.floorEnd = max(next.leaseEnd, old.leaseEnd), max(next.floorEnd, old.floorEnd)
--- a/internal/dispatcher/fleet/budget/budget.go
+++ b/internal/dispatcher/fleet/budget/budget.go
@@ -19,6 +19,8 @@
 	"fmt"
 	"math"
 	"time"
+
+	"basaltloft/internal/shared/saturating"
 )
 
 // LeaseMargin is the fraction of a lease in fleet time that a process uses, by its own clock
@@ -139,13 +141,13 @@
 // maxTotal keeps the sums of ten thousand holders that may each hold it within 63 bits.
 const maxTotal = 1e8
 
-func toMicros(x float64) int64   { return int64(math.Floor(float64(x*microsPerUnit) + 1e-3)) }
+func toMicros(x float64) int64   { return saturating.Int64(math.Floor(float64(x*microsPerUnit) + 1e-3)) }
 func fromMicros(n int64) float64 { return float64(n) / microsPerUnit }
 
 // quarantineSpan returns the fleet time after which a span of a process's own clock has
 // certainly ended.
 func quarantineSpan(span time.Duration) time.Duration {
-	return time.Duration(float64(span) / LeaseMargin)
+	return saturating.Duration(float64(span) / LeaseMargin)
 }
 
 // Check validates a received grant.
--- a/internal/dispatcher/fleet/budget/budgetlab/budgetlab.go
+++ b/internal/dispatcher/fleet/budget/budgetlab/budgetlab.go
@@ -11,6 +11,7 @@
 
 	"basaltloft/internal/dispatcher/fleet/budget"
 	"basaltloft/internal/dispatcher/fleet/codec"
+	"basaltloft/internal/shared/saturating"
 )
 
 // Fleet is the simulated fleet. All clocks are exact.
@@ -126,7 +127,7 @@
 func (m *model) jobs(i int, h *holder) {
 	rate := m.rate(i)
 	for at := m.ExpFloat64() / rate; at < step.Seconds(); at += m.ExpFloat64() / rate {
-		now := m.now + time.Duration(at*float64(time.Second))
+		now := m.now + saturating.Duration(at*float64(time.Second))
 		taken := h.bucket.Take(now)
 		if taken && h.firstAdmitted == 0 {
 			h.firstAdmitted = now
--- a/internal/dispatcher/fleet/budget/demand.go
+++ b/internal/dispatcher/fleet/budget/demand.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"basaltloft/internal/shared/saturating"
 )
 
 // arrivals returns the number of jobs so far, admitted or rejected.
@@ -20,7 +22,7 @@
 	case s.kind == Divided:
 		b.reportedDemand = math.Float64frombits(b.wantedAmount.Load())
 	case s.kind == InFlight || newBegun > 0:
-		d := float64(b.peakInFlight.Swap(int64(inFlight)))
+		d := float64(b.peakInFlight.Swap(saturating.Int64(inFlight)))
 		if newBegun > 0 {
 			d = min(d+newRejected, d*(1+newRejected/newBegun))
 		} else {
--- a/internal/dispatcher/fleet/budget/division.go
+++ b/internal/dispatcher/fleet/budget/division.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"math"
 	"slices"
+
+	"basaltloft/internal/shared/saturating"
 )
 
 // divideChanged divides the budgets that have changed, each once in a DivisionInterval at
@@ -164,7 +166,7 @@
 		l := &t.Holders[k].Allocations[i]
 		l.DueBurst = microsPerUnit
 		if amounts > 0 && remaining > 0 {
-			l.DueBurst += int64(float64(remaining) * (float64(l.Due) / amounts))
+			l.DueBurst += saturating.Int64(float64(remaining) * (float64(l.Due) / amounts))
 		}
 	}
 }
@@ -183,7 +185,7 @@
 	}
 	t.policy(float64(remaining), t.claims, t.shares)
 	for n, k := range t.candidates {
-		share := min(int64(max(t.shares[n], 0)), remaining)
+		share := min(saturating.Int64(max(t.shares[n], 0)), remaining)
 		remaining -= share
 		t.Holders[k].Allocations[i].Due += share * microsPerUnit
 	}
--- a/internal/dispatcher/fleet/budget/token_bucket.go
+++ b/internal/dispatcher/fleet/budget/token_bucket.go
@@ -5,6 +5,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"basaltloft/internal/shared/saturating"
 )
 
 // refillInterval is the least time between two refills of a bucket, by the process's own
@@ -84,7 +86,7 @@
 		b.level, valid = 0, 0
 	}
 	b.refilledAt = max(b.refilledAt, now)
-	b.ceiling.Store(b.base + int64(math.Floor(b.level)))
+	b.ceiling.Store(b.base + saturating.Int64(math.Floor(b.level)))
 	b.ceilingValidUntil.Store(int64(valid))
 	next := now + refillInterval
 	if valid > now {
@@ -109,7 +111,7 @@
 	defer b.mu.Unlock()
 	b.terms.Store(s)
 	b.level, b.base = 0, b.taken.Load()
-	b.ceiling.Store(b.base + int64(s.amount))
+	b.ceiling.Store(b.base + saturating.Int64(s.amount))
 	b.ceilingValidUntil.Store(int64(s.leaseEnd))
 	b.refillAt.Store(math.MaxInt64)
 }
@@ -188,8 +190,8 @@
 	if s.kind != Rate || rate <= 0 {
 		return max(s.lease/3, refillInterval)
 	}
-	perToken := time.Duration(float64(time.Second) / max(rate, 1e-3))
-	return max(perToken, min(time.Duration(float64(b.arrivals()-b.arrivalsAtRenewal.Load())*float64(perToken)), s.lease))
+	perToken := saturating.Duration(float64(time.Second) / max(rate, 1e-3))
+	return max(perToken, min(saturating.Duration(float64(b.arrivals()-b.arrivalsAtRenewal.Load())*float64(perToken)), s.lease))
 }
 
 // CanBegin reports whether Begin would admit another job at now, and changes nothing. For
--- a/internal/dispatcher/fleet/harness/faults.go
+++ b/internal/dispatcher/fleet/harness/faults.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"basaltloft/internal/dispatcher/faultproxy"
+	"basaltloft/internal/shared/saturating"
 )
 
 // Fault is a fault that lasts for a time.
@@ -156,7 +157,7 @@
 	for at := time.Duration(0); len(all) < steps; {
 		at += 100*time.Millisecond + time.Duration(random.Int64N(int64(500*time.Millisecond)))
 		f := Fault{
-			Start: at, Duration: 200*time.Millisecond + time.Duration(random.ExpFloat64()*float64(time.Second)), Kind: of[random.IntN(len(of))],
+			Start: at, Duration: 200*time.Millisecond + saturating.Duration(random.ExpFloat64()*float64(time.Second)), Kind: of[random.IntN(len(of))],
 			Process: random.IntN(processes), Peer: random.IntN(processes), Rate: 50 << random.IntN(8),
 		}
 		f.Duration = min(f.Duration, maxFault)
--- a/internal/dispatcher/fleet/plan/body_reader.go
+++ b/internal/dispatcher/fleet/plan/body_reader.go
@@ -12,6 +12,8 @@
 	"github.com/hashicorp/hcl/v2"
 	"github.com/hashicorp/hcl/v2/hclsyntax"
 	"github.com/zclconf/go-cty/cty"
+
+	"basaltloft/internal/shared/saturating"
 )
 
 // bodyReader reads the body of a block. It records which attributes and blocks were read, so
@@ -149,7 +151,7 @@
 	if n != math.Trunc(n) {
 		b.addProblem(b.block.Attributes[name].Expr.Range(), "%s must be %s", name, right)
 	}
-	return int(n)
+	return saturating.Int(n)
 }
 
 func (b *bodyReader) fraction(name string) float64 {
--- a/internal/dispatcher/fleet/plan/worst_case.go
+++ b/internal/dispatcher/fleet/plan/worst_case.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"basaltloft/internal/dispatcher/policy"
+	"basaltloft/internal/shared/saturating"
 )
 
 // triesPerItem returns the largest number of attempts at one item in one run of the stage: the
@@ -44,7 +45,7 @@
 		wait *= 2
 	}
 	wait = min(wait, r.MaxWait)
-	return wait + time.Duration(float64(wait)*r.Jitter*min(max(share, -1), 1))
+	return wait + saturating.Duration(float64(wait)*r.Jitter*min(max(share, -1), 1))
 }
 
 // totalDuration returns how long all attempts at a compensation take at most.
--- a/internal/dispatcher/fleet/planrun/shape.go
+++ b/internal/dispatcher/fleet/planrun/shape.go
@@ -15,6 +15,7 @@
 
 	"basaltloft/internal/dispatcher/fleet/plan"
 	"basaltloft/internal/dispatcher/policy"
+	"basaltloft/internal/shared/saturating"
 )
 
 // Shape is the part of a plan that a Tracker needs. It is sent in Start, so that a replica
@@ -81,7 +82,7 @@
 		}
 		for _, r := range st.Retries {
 			to.Retries = append(to.Retries, RetryShape{
-				On: r.On, MaxRetries: r.MaxRetries, Wait: r.Wait, WaitAtMost: r.MaxWait, Jitter: int(math.Round(r.Jitter * 1000)), Where: r.Where,
+				On: r.On, MaxRetries: r.MaxRetries, Wait: r.Wait, WaitAtMost: r.MaxWait, Jitter: saturating.Int(math.Round(r.Jitter * 1000)), Where: r.Where,
 			})
 		}
 		for _, r := range st.Reruns {
--- a/internal/dispatcher/httpfront/job.go
+++ b/internal/dispatcher/httpfront/job.go
@@ -15,6 +15,7 @@
 	"basaltloft/internal/dispatcher/accounting"
 	"basaltloft/internal/dispatcher/engine"
 	"basaltloft/internal/dispatcher/pipeline"
+	"basaltloft/internal/shared/saturating"
 )
 
 // serveJob passes a client's job to the reverse proxy, whose transport is the engine.
@@ -107,14 +108,14 @@
 		if err != nil || !(budget > 0 && budget < 1e6) {
 			return a, errors.New("X-Budget must be a number of seconds above 0")
 		}
-		a.ClientDeadline = arrived.Add(time.Duration(budget * float64(time.Second)))
+		a.ClientDeadline = arrived.Add(saturating.Duration(budget * float64(time.Second)))
 	}
 	if text := h.Get("X-Call-Cost"); text != "" {
 		cost, err := strconv.ParseFloat(text, 64)
 		if err != nil || !(cost >= 0 && cost < 1e12) {
 			return a, errors.New("X-Call-Cost must be a number of microseconds")
 		}
-		a.Hint = time.Duration(cost * float64(time.Microsecond))
+		a.Hint = saturating.Duration(cost * float64(time.Microsecond))
 	}
 	return a, readCallInfo(&a, h.Get("X-Call-Info"))
 }
--- a/internal/dispatcher/lab/arrivals.go
+++ b/internal/dispatcher/lab/arrivals.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"basaltloft/internal/dispatcher/settings"
+	"basaltloft/internal/shared/saturating"
 )
 
 // Arrivals describes how the logical requests of a class arrive over a run. The zero value
@@ -23,7 +24,7 @@
 func arrivalsOf(f settings.Arrivals, load float64) Arrivals {
 	a := Arrivals{Kind: f.Kind, From: f.From, To: f.To, On: f.On, Off: f.Off, High: f.High, Low: f.Low}
 	for _, t := range f.Trace {
-		a.Trace = append(a.Trace, settings.Arrival{At: time.Duration(float64(t.At) / load), Work: t.Work})
+		a.Trace = append(a.Trace, settings.Arrival{At: saturating.Duration(float64(t.At) / load), Work: t.Work})
 	}
 	return a
 }
@@ -68,7 +69,7 @@
 	}
 	most := a.maxFactor()
 	for t := at; t < length; {
-		t += time.Duration(random.ExpFloat64() / (rate * most) * float64(time.Second))
+		t += saturating.Duration(random.ExpFloat64() / (rate * most) * float64(time.Second))
 		if f := a.factor(t, length); f >= most || random.Float64()*most < f {
 			emit(t-at, 0)
 			return
--- a/internal/dispatcher/lab/client.go
+++ b/internal/dispatcher/lab/client.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"basaltloft/internal/dispatcher/policy"
+	"basaltloft/internal/shared/saturating"
 )
 
 // request is one attempt of a client at a logical request; each retry of the client is another one.
@@ -37,7 +38,7 @@
 // scheduleClient simulates a client of a closed loop: it waits for a random think time, makes
 // a logical request, and starts again once that request has ended.
 func (w *World) scheduleClient(begin, end time.Duration) {
-	w.after(time.Duration(w.random.ExpFloat64()*float64(w.experiment.ThinkTime)), func() {
+	w.after(saturating.Duration(w.random.ExpFloat64()*float64(w.experiment.ThinkTime)), func() {
 		if w.now >= end {
 			return
 		}
@@ -70,7 +71,7 @@
 func (w *World) newRequest(class int, work, begin time.Duration, done func()) {
 	c := &w.experiment.Classes[class]
 	if work == 0 {
-		work = time.Duration(w.drawWork[class]())
+		work = saturating.Duration(w.drawWork[class]())
 	}
 	r := &request{class: c, work: max(1000, float64(work)), slots: 1, firstSubmitted: w.now, onDone: done}
 	pick := w.random.Float64()
@@ -92,7 +93,7 @@
 	w.Result.ClientAttempts++
 	r.id = fmt.Sprint("r", w.submissions)
 	r.deadline = w.now + r.class.ClientTimeout
-	r.latencyTarget = min(r.firstSubmitted+r.class.LatencyTarget+time.Duration(r.class.TargetPerWork*r.work), r.deadline)
+	r.latencyTarget = min(r.firstSubmitted+r.class.LatencyTarget+saturating.Duration(r.class.TargetPerWork*r.work), r.deadline)
 	r.dispatcher = w.dispatchers[w.random.IntN(len(w.dispatchers))]
 	w.after(w.networkDelay(), func() {
 		d := r.dispatcher
@@ -100,7 +101,7 @@
 		w.checker.accepted(r)
 		hint := time.Duration(0)
 		if e := r.class.HintError; e >= 0 {
-			hint = time.Duration(r.work * max(0.1, 1+e*(2*w.random.Float64()-1)))
+			hint = saturating.Duration(r.work * max(0.1, 1+e*(2*w.random.Float64()-1)))
 		}
 		w.schedule(r.deadline-time.Millisecond, func() { w.expire(r) })
 		d.handle(func() {
--- a/internal/dispatcher/lab/dispatcher.go
+++ b/internal/dispatcher/lab/dispatcher.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"basaltloft/internal/dispatcher/policy"
+	"basaltloft/internal/shared/saturating"
 )
 
 // dispatcher simulates a dispatcher process that runs a policy. It implements policy.Host.
@@ -103,7 +104,7 @@
 func (w *World) publish(m *member) {
 	entry := w.membershipOf(m)
 	for _, d := range w.dispatchers {
-		delay := time.Duration(w.random.ExpFloat64() * float64(w.experiment.DiscoveryDelay))
+		delay := saturating.Duration(w.random.ExpFloat64() * float64(w.experiment.DiscoveryDelay))
 		w.after(min(delay, 4*w.experiment.DiscoveryDelay), func() {
 			if old := d.membership[entry.Number]; old.StartedAt > entry.StartedAt || old.StartedAt == entry.StartedAt && old.State != policy.Ready && entry.State == policy.Ready {
 				return // a newer change arrived first
--- a/internal/dispatcher/lab/experiment.go
+++ b/internal/dispatcher/lab/experiment.go
@@ -6,6 +6,7 @@
 
 	"basaltloft/internal/dispatcher/policy"
 	"basaltloft/internal/dispatcher/settings"
+	"basaltloft/internal/shared/saturating"
 )
 
 // Class is one class of requests of an experiment.
@@ -64,7 +65,7 @@
 func FromFile(f settings.Experiment, load float64) *Experiment {
 	x := &Experiment{
 		Length: f.Length, Dispatchers: f.Dispatchers, NetworkDelay: f.Net, NetworkJitter: f.NetCV, DiscoveryDelay: f.ListLate, Retries: f.Retries, Backoff: f.Backoff, Settings: f.Settings,
-		Clients: int(math.Round(float64(f.Clients) * load)), ThinkTime: f.Think, Capacity: f.Capacity,
+		Clients: saturating.Int(math.Round(float64(f.Clients) * load)), ThinkTime: f.Think, Capacity: f.Capacity,
 	}
 	for _, k := range f.Members {
 		x.Kinds = append(x.Kinds, MemberKind{
--- a/internal/dispatcher/lab/faults.go
+++ b/internal/dispatcher/lab/faults.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"basaltloft/internal/shared/saturating"
 )
 
 // inject starts a fault.
@@ -54,7 +56,7 @@
 // draw returns a random share of the numbers below count, rounded up.
 func (w *World) draw(count int, share float64) []int {
 	order := w.random.Perm(count)
-	return order[:int(math.Ceil(share*float64(count)))]
+	return order[:saturating.Int(math.Ceil(share*float64(count)))]
 }
 
 func (w *World) drawMembers(share float64) []*member {
--- a/internal/dispatcher/lab/member.go
+++ b/internal/dispatcher/lab/member.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"basaltloft/internal/dispatcher/policy"
+	"basaltloft/internal/shared/saturating"
 )
 
 // MemberKind is one kind of pool member.
@@ -92,7 +93,7 @@
 			for _, a := range m.running {
 				a.workLeft -= rate * float64(span)
 			}
-			m.workDone += span * time.Duration(min(float64(m.kind.Cores), m.busySlots))
+			m.workDone += span * saturating.Duration(min(float64(m.kind.Cores), m.busySlots))
 		}
 	}
 	m.advancedAt = m.world.now
@@ -113,7 +114,7 @@
 	for _, a := range m.running {
 		least = min(least, a.workLeft)
 	}
-	next := time.Duration(math.Ceil(max(0, least) / rate))
+	next := saturating.Duration(math.Ceil(max(0, least) / rate))
 	if m.warmupFactor() < 1 {
 		next = min(next, warmupStep)
 	}
--- a/internal/dispatcher/loadgen/plan.go
+++ b/internal/dispatcher/loadgen/plan.go
@@ -11,6 +11,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"basaltloft/internal/shared/saturating"
 )
 
 // Plan defines when requests are due.
@@ -42,7 +44,7 @@
 	if p.Trace != nil {
 		return len(p.Trace)
 	}
-	return int((p.StartRate + p.EndRate) / 2 * p.Length.Seconds())
+	return saturating.Int((p.StartRate + p.EndRate) / 2 * p.Length.Seconds())
 }
 
 // DueTimes returns the times at which requests are due, from the start: the points at which the
@@ -83,5 +85,5 @@
 		}
 		t = (math.Sqrt(root) - p.StartRate) / slope
 	}
-	return time.Duration(t * float64(time.Second)), t <= length
+	return saturating.Duration(t * float64(time.Second)), t <= length
 }
--- a/internal/dispatcher/plots/plots.go
+++ b/internal/dispatcher/plots/plots.go
@@ -13,6 +13,7 @@
 	"basaltloft/internal/dispatcher/accounting"
 	"basaltloft/internal/dispatcher/journal"
 	"basaltloft/internal/dispatcher/textchart"
+	"basaltloft/internal/shared/saturating"
 
 	"gonum.org/v1/plot/plotter"
 )
@@ -119,7 +120,7 @@
 		for at, counts := range s.outcomes {
 			points = append(points, plotter.XY{X: at, Y: counts[outcome]})
 		}
-		slices.SortFunc(points, func(a, b plotter.XY) int { return int(a.X - b.X) })
+		slices.SortFunc(points, func(a, b plotter.XY) int { return saturating.Int(a.X - b.X) })
 		chart.Lines = append(chart.Lines, textchart.Line{Name: outcome.String(), Points: points, ColourIndex: int(outcome)})
 	}
 	return chart
--- a/internal/dispatcher/policy/affinity.go
+++ b/internal/dispatcher/policy/affinity.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"hash/fnv"
 	"slices"
+
+	"basaltloft/internal/shared/saturating"
 )
 
 // Affinity: a worker may keep the data that the jobs of an affinity key need. Any other worker has
@@ -69,7 +71,7 @@
 	if s == nil {
 		return nil
 	}
-	n := 1 + int(s.jobs/(d.affinityJobs+homePriorJobs)*float64(len(d.workers)))
+	n := 1 + saturating.Int(s.jobs/(d.affinityJobs+homePriorJobs)*float64(len(d.workers)))
 	n += more * min(n, extraHomes)
 	if s.tableVersion != d.tableVersion || len(s.ranked) < min(n+spareHomes, len(d.workers)) {
 		d.rankWorkers(s, min(2*n+spareHomes, len(d.workers)))
--- a/internal/dispatcher/policy/budget.go
+++ b/internal/dispatcher/policy/budget.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"basaltloft/internal/shared/admission"
+	"basaltloft/internal/shared/saturating"
 )
 
 const (
@@ -43,7 +44,7 @@
 	fits := w.outstandingCost+d.budgetCost(j) <= w.budget || len(w.attempts) == 0
 	w.budgetLimited = w.budgetLimited || !fits
 	fits = fits && w.waitingJobs == 0 && d.now >= w.saturatedUntil
-	if d.widelyShared && d.probesReportSlots && !d.reportFresh(w, time.Duration(d.meanCost)) {
+	if d.widelyShared && d.probesReportSlots && !d.reportFresh(w, saturating.Duration(d.meanCost)) {
 		fits = fits && d.now >= j.queuedAt+d.reportWait()
 	}
 	if d.reportFresh(w, reportTTL) {
@@ -70,7 +71,7 @@
 // reportWait returns how long a job waits for a report of the load that other dispatchers put on a
 // worker: the fewer jobs start promptly, the longer.
 func (d *Dispatcher) reportWait() time.Duration {
-	return time.Duration(float64(wideSharingReportWait) / max(0.03, d.promptShare[0]*d.promptShare[0]))
+	return saturating.Duration(float64(wideSharingReportWait) / max(0.03, d.promptShare[0]*d.promptShare[0]))
 }
 
 // shrinkBudget reduces a budget, at most once for all the jobs of one round trip.
--- a/internal/dispatcher/policy/deadline.go
+++ b/internal/dispatcher/policy/deadline.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"time"
+
+	"basaltloft/internal/shared/saturating"
 )
 
 const (
@@ -25,7 +27,7 @@
 		firstTryAt -= max(0, j.class.longestTimeLeft-left)
 	}
 	work := cmp.Or(float64(j.Hint), j.expectedRun)
-	return min(firstTryAt+j.class.LatencyTarget+time.Duration(j.class.TargetPerWork*work), j.Deadline)
+	return min(firstTryAt+j.class.LatencyTarget+saturating.Duration(j.class.TargetPerWork*work), j.Deadline)
 }
 
 // dropIfTooLate drops a queued or waiting job that is too late, and reports whether it did so. The
@@ -44,7 +46,7 @@
 
 // latestStart returns the time from which a job is too late.
 func (d *Dispatcher) latestStart(j *job) time.Duration {
-	start := j.answerBy - time.Duration(bestCaseRun*j.expectedRun*d.bestPace*d.slowdown)
+	start := j.answerBy - saturating.Duration(bestCaseRun*j.expectedRun*d.bestPace*d.slowdown)
 	return min(start, j.Deadline-2*tickInterval) // queued jobs are answered by the tick
 }
 
--- a/internal/dispatcher/policy/dispatcher.go
+++ b/internal/dispatcher/policy/dispatcher.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"basaltloft/internal/dispatcher/capacityindex"
+	"basaltloft/internal/shared/saturating"
 )
 
 // Dispatcher makes the decisions of one dispatcher process. Its Handle methods take events in the
@@ -159,7 +160,7 @@
 		j.valuePerCost /= max(j.cost, 1)
 	}
 	slack := float64(j.answerBy-now) - j.expectedRun*d.bestPace*d.slowdown
-	j.agesAt = now + time.Duration(max(0, min(agingMultiple*j.cost, slack/2)))
+	j.agesAt = now + saturating.Duration(max(0, min(agingMultiple*j.cost, slack/2)))
 	d.growSubset()
 	if d.tooLate(j) {
 		d.answerUnserved(j)
@@ -304,7 +305,7 @@
 
 // jitter returns a random duration between 0.75 and 1.25 times t.
 func (d *Dispatcher) jitter(t time.Duration) time.Duration {
-	return time.Duration(float64(t) * (0.75 + 0.5*d.rng.Float64()))
+	return saturating.Duration(float64(t) * (0.75 + 0.5*d.rng.Float64()))
 }
 
 // boolToInt returns 1 for true and 0 for false.
--- a/internal/dispatcher/policy/hedging.go
+++ b/internal/dispatcher/policy/hedging.go
@@ -2,7 +2,8 @@
 
 import (
 	"cmp"
-	"time"
+
+	"basaltloft/internal/shared/saturating"
 )
 
 // recallRunMultiple: a waiting job is recalled at the last moment at which this multiple of its
@@ -25,7 +26,8 @@
 	if to == nil || to.suspect || to.failing || len(to.attempts) > 0 {
 		return
 	}
-	left := time.Duration(recallRunMultiple * j.expectedRun * to.pace() * d.slowdown * d.warmupSlowdown(to))
+	recallTime := recallRunMultiple * j.expectedRun * to.pace() * d.slowdown * d.warmupSlowdown(to)
+	left := saturating.Duration(recallTime)
 	if d.now+left+tickInterval >= j.answerBy && d.takeRetryBudget(j) {
 		a.worker.saturatedUntil = d.now + d.now - a.sentAt
 		d.cancelAttempt(a)
--- a/internal/dispatcher/policy/membership.go
+++ b/internal/dispatcher/policy/membership.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"basaltloft/internal/shared/saturating"
 )
 
 const (
@@ -31,7 +33,7 @@
 	d.watchBackoff = time.Duration(d.Instances) * watchCallTime
 	if kind == ListRestored {
 		longest := min(d.watchBackoff, d.Rules.MembershipMaxAge/2)
-		d.host.Timer(time.Duration(d.rng.Float64()*float64(longest)), watchToken)
+		d.host.Timer(saturating.Duration(d.rng.Float64()*float64(longest)), watchToken)
 	}
 }
 
--- a/internal/dispatcher/policy/overdue.go
+++ b/internal/dispatcher/policy/overdue.go
@@ -1,6 +1,10 @@
 package policy
 
-import "time"
+import (
+	"time"
+
+	"basaltloft/internal/shared/saturating"
+)
 
 const (
 	// overdueMultiple and minOverdueDelay: an attempt is overdue after minOverdueDelay plus
@@ -18,9 +22,10 @@
 // attempt that has not started has its own, usually shorter, limit.
 func (d *Dispatcher) overdueTime(a *attempt) time.Duration {
 	if d.ReportsStart && a.startedAt == 0 {
-		return a.sentAt + minOverdueDelay + time.Duration(startTimeoutCosts*d.meanCost)
+		return a.sentAt + minOverdueDelay + saturating.Duration(startTimeoutCosts*d.meanCost)
 	}
-	return d.now + minOverdueDelay + time.Duration(overdueMultiple*a.expectedRun*a.worker.pace()*d.slowdown)
+	delay := saturating.Duration(overdueMultiple * a.expectedRun * a.worker.pace() * d.slowdown)
+	return d.now + minOverdueDelay + delay
 }
 
 // checkAllOverdue checks all busy workers for overdue attempts, and removes workers without attempts
--- a/internal/dispatcher/policy/slowstart.go
+++ b/internal/dispatcher/policy/slowstart.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"basaltloft/internal/shared/saturating"
 )
 
 const (
@@ -94,17 +96,18 @@
 	length := max(1, float64(d.Rules.ColdOverloadWindow))
 	phase := w.hashFraction(uint64(d.Rank)) * length
 	window := math.Floor((float64(d.now-w.warmingSince) + phase) / length)
-	began := w.warmingSince + time.Duration(window*length-phase)
+	began := w.warmingSince + saturating.Duration(window*length-phase)
 	if began < d.firstEventAt && w.warmingSince < d.firstEventAt {
 		return math.Inf(1)
 	}
-	seed := 3 * uint64(max(0, window)) // three random numbers per window
-	instances, stride := uint64(d.Instances), 1+int(w.hashFraction(1<<32+seed)*float64(d.Instances))
+	seed := 3 * saturating.Uint64(max(0, window)) // three random numbers per window
+	instances := uint64(d.Instances)
+	stride := 1 + saturating.Int(w.hashFraction(1<<32+seed)*float64(d.Instances))
 	for gcd(stride, d.Instances) > 1 {
 		stride++
 	}
 	first := w.hashFraction(1<<32 + seed + 1)
-	position := (uint64(d.Rank)*uint64(stride) + uint64(first*float64(instances))) % instances
+	position := (uint64(d.Rank)*uint64(stride) + saturating.Uint64(first*float64(instances))) % instances
 	return (float64(position) + w.hashFraction(1<<32+seed+2)) / float64(instances)
 }
 
--- a/internal/dispatcher/policy/subset.go
+++ b/internal/dispatcher/policy/subset.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"basaltloft/internal/shared/saturating"
 )
 
 const (
@@ -32,7 +34,7 @@
 // subsetSize returns the target size of the subset. It is halved where the load of each worker can
 // only be learned from jobs that wait there, not from reports.
 func (d *Dispatcher) subsetSize() int {
-	return int(max(minSubset, subsetPerJob*d.peakJobs)) >> boolToInt(d.onlyStartsShowCapacity())
+	return saturating.Int(max(minSubset, subsetPerJob*d.peakJobs)) >> boolToInt(d.onlyStartsShowCapacity())
 }
 
 // refillSubset fills the subset up: for each required kind, with workers of this dispatcher's zone
@@ -126,7 +128,7 @@
 func ringWalk(rank, n int) (start, stride int) {
 	at := func(by float64) int {
 		_, f := math.Modf(float64(rank+1) * by)
-		return int(f * float64(n))
+		return saturating.Int(f * float64(n))
 	}
 	start, stride = at(math.Phi), 1+at(math.Sqrt2)
 	for gcd(stride, n) > 1 {
--- a/internal/dispatcher/server/limits.go
+++ b/internal/dispatcher/server/limits.go
@@ -9,6 +9,7 @@
 	"basaltloft/internal/dispatcher/adminapi"
 	"basaltloft/internal/dispatcher/pipeline"
 	"basaltloft/internal/dispatcher/settings"
+	"basaltloft/internal/shared/saturating"
 )
 
 const (
@@ -28,7 +29,7 @@
 // configuration allows.
 func ApplyResourceLimits(c settings.Config) {
 	if c.Cores > 0 {
-		runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Cores))))
+		runtime.GOMAXPROCS(max(1, saturating.Int(math.Ceil(c.Cores))))
 	}
 	if c.MemoryMB > 0 {
 		memory := int64(c.MemoryMB) << 20
--- a/internal/dispatcher/server/records_store.go
+++ b/internal/dispatcher/server/records_store.go
@@ -11,6 +11,7 @@
 	"basaltloft/internal/dispatcher/fleet/recordstore"
 	"basaltloft/internal/dispatcher/fleet/state"
 	"basaltloft/internal/dispatcher/settings"
+	"basaltloft/internal/shared/saturating"
 )
 
 // openStore closes the Raft node's store of records if it is open, and opens it again. It returns the
@@ -73,9 +74,9 @@
 	const day = float64(24 * time.Hour)
 	var set records.SetRules
 	for name, r := range f.Tenants {
-		keep := records.Limits{MaxAge: int64(r.Days * day), MaxCount: int64(r.Count), MaxBytes: int64(r.Megabytes) << 20}
+		keep := records.Limits{MaxAge: saturating.Int64(r.Days * day), MaxCount: int64(r.Count), MaxBytes: int64(r.Megabytes) << 20}
 		failed := keep
-		if longer := int64(r.FailureDays * day); keep.MaxAge > 0 && longer > keep.MaxAge {
+		if longer := saturating.Int64(r.FailureDays * day); keep.MaxAge > 0 && longer > keep.MaxAge {
 			failed.MaxAge = longer
 		}
 		set.Rules = append(set.Rules, records.Rule{Tenant: name, Keep: keep, Failed: failed})
--- a/internal/dispatcher/settings/config.go
+++ b/internal/dispatcher/settings/config.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"basaltloft/internal/dispatcher/policy"
+	"basaltloft/internal/shared/saturating"
 
 	"github.com/valyala/fastjson"
 )
@@ -63,8 +64,8 @@
 	r := newReader(v)
 	c := Config{
 		Name: r.text("name"), Listen: r.text("listen"), Discovery: r.text("discovery"), Admin: r.text("admin"),
-		Cores: r.number("limits.cores"), MemoryMB: int(r.number("limits.memory_mb")),
-		Sockets:        int(r.number("limits.sockets")),
+		Cores: r.number("limits.cores"), MemoryMB: saturating.Int(r.number("limits.memory_mb")),
+		Sockets:        saturating.Int(r.number("limits.sockets")),
 		ConnectTimeout: cmp.Or(r.span("settings.limits.dial_timeout"), time.Second),
 	}
 	c.ReportsLoad = string(v.GetStringBytes("settings", "reporting", "via")) != "silent" &&
@@ -142,7 +143,7 @@
 		Cell: int(r.integer("cell")), Weight: r.number("weight"),
 	}
 	if ms := r.number("startedAtMs"); ms > 0 {
-		e.Started = time.UnixMicro(int64(ms * 1000))
+		e.Started = time.UnixMicro(saturating.Int64(ms * 1000))
 	}
 	if r.find("cell") == nil { // unique, so that a deduplicated job that may have run there goes to no other member
 		h := fnv.New32a()
--- a/internal/dispatcher/settings/experiment.go
+++ b/internal/dispatcher/settings/experiment.go
@@ -8,6 +8,7 @@
 
 	"basaltloft/internal/dispatcher/jsontext"
 	"basaltloft/internal/dispatcher/policy"
+	"basaltloft/internal/shared/saturating"
 
 	"github.com/valyala/fastjson"
 )
@@ -283,7 +284,7 @@
 			break
 		}
 		last = ms
-		trace = append(trace, Arrival{At: time.Duration(ms * float64(time.Millisecond))})
+		trace = append(trace, Arrival{At: saturating.Duration(ms * float64(time.Millisecond))})
 	}
 	works := r.list("arrivals.work_ms")
 	if len(trace) == 0 || len(works) > 0 && len(works) != len(trace) {
@@ -291,7 +292,7 @@
 		return trace
 	}
 	for i, w := range works {
-		trace[i].Work = time.Duration(w.GetFloat64() * float64(time.Millisecond))
+		trace[i].Work = saturating.Duration(w.GetFloat64() * float64(time.Millisecond))
 	}
 	return trace
 }
--- a/internal/dispatcher/settings/read.go
+++ b/internal/dispatcher/settings/read.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/valyala/fastjson"
+
+	"basaltloft/internal/shared/saturating"
 )
 
 // Problem is one mistake in a file: its key, and a description.
@@ -158,17 +160,17 @@
 
 // seconds reads a duration in seconds, which may have a fraction.
 func (r *reader) seconds(path string) time.Duration {
-	return time.Duration(r.number(path) * float64(time.Second))
+	return saturating.Duration(r.number(path) * float64(time.Second))
 }
 
 // milliseconds reads a duration in milliseconds, which may have a fraction.
 func (r *reader) milliseconds(path string) time.Duration {
-	return time.Duration(r.number(path) * float64(time.Millisecond))
+	return saturating.Duration(r.number(path) * float64(time.Millisecond))
 }
 
 // microseconds reads a duration in microseconds, which may have a fraction.
 func (r *reader) microseconds(path string) time.Duration {
-	return time.Duration(r.number(path) * float64(time.Microsecond))
+	return saturating.Duration(r.number(path) * float64(time.Microsecond))
 }
 
 // flag reads a boolean.
--- a/internal/dispatcher/soak/soak.go
+++ b/internal/dispatcher/soak/soak.go
@@ -17,6 +17,7 @@
 	"basaltloft/internal/dispatcher/demo"
 	"basaltloft/internal/dispatcher/fakes"
 	"basaltloft/internal/dispatcher/journal"
+	"basaltloft/internal/shared/saturating"
 
 	"github.com/schollz/progressbar/v3"
 )
@@ -155,7 +156,7 @@
 		return err
 	}
 	share := s.Until.Sub(s.began) / time.Duration(s.Kills+1)
-	s.watch(s.began.Add(share*time.Duration(s.result.Kills) + time.Duration((0.5+0.5*s.random.Float64())*float64(share))))
+	s.watch(s.began.Add(share*time.Duration(s.result.Kills) + saturating.Duration((0.5+0.5*s.random.Float64())*float64(share))))
 	s.result.RSS = append(s.result.RSS, residentKB(cmd.Process.Pid))
 	if err := cmd.Process.Kill(); err != nil {
 		return fmt.Errorf("killing the dispatcher: %w", err)
@@ -238,7 +239,7 @@
 	// records. If a client disconnected as its answer arrived, or an answer was lost on the
 	// network, the journal has more.
 	r.Lost = max(0, r.ServedToClients-r.ServedByJournal)
-	if allowed := int64(r.Kills) * int64(1+s.Rate*writeDelay.Seconds()*4); r.Lost > allowed {
+	if allowed := int64(r.Kills) * saturating.Int64(1+s.Rate*writeDelay.Seconds()*4); r.Lost > allowed {
 		r.violation("clients read %d answers that the journal does not have, more than the %d that %d kills may take", r.Lost, allowed, r.Kills)
 	}
 	return nil
--- a/internal/shared/admission/headroom.go
+++ b/internal/shared/admission/headroom.go
@@ -1,5 +1,7 @@
 package admission
 
+import "basaltloft/internal/shared/saturating"
+
 // Headroom is the part of a runner's budget that the cost in flight leaves unused. The zero value is that
 // of a budget that is used up.
 type Headroom struct {
@@ -40,5 +42,5 @@
 
 // Count returns how many tasks of a positive cost a set budget has room for, up to limit.
 func (h Headroom) Count(cost float64, limit int) int {
-	return int(min(max(0, h.Amount)/cost, float64(limit)))
+	return saturating.Int(min(max(0, h.Amount)/cost, float64(limit)))
 }
