Decision code rounds products by itself: no flag for arm64

arm64 fuses a product with an addition and rounds once where x86-64 rounds twice, so that with the flag taken out the digests of scheduler, simworld, policy, lab and admission differed there. The places were listed by the compiler (fmahash); each product that a result depends on is rounded explicitly, by the language's rule for conversions.

Left fused, as no decision depends on them: exact halves and powers of two (division_policy.go, demand.go, queueload.go, slowstart.go), and the tools loadgen, soak, harness and budgetcheck of the older dispatcher.

On x86-64 nothing was run: it rounds so already.

--- a/internal/cluster/scheduler/cost.go
+++ b/internal/cluster/scheduler/cost.go
@@ -10,7 +10,7 @@
 
 // coreEquivalents returns the size of resources in cores.
 func coreEquivalents(r job.Resources) float64 {
-	return max(float64(r.CPU)/1000, float64(r.MemMB)*coresPerMB) + float64(r.GPU)*coresPerGPU
+	return max(float64(r.CPU)/1000, float64(float64(r.MemMB)*coresPerMB)) + float64(float64(r.GPU)*coresPerGPU)
 }
 
 // stepCost returns the cost, in core-seconds, of a step's task that runs for the given number of
@@ -20,7 +20,7 @@
 	if step.LongRunning {
 		return 0
 	}
-	return seconds * max(minCores, coreEquivalents(step.Resources))
+	return float64(seconds * max(minCores, coreEquivalents(step.Resources)))
 }
 
 // maxMeanRunTime bounds the growth of a runner's budget: at its maximum, the budget admits work
@@ -28,4 +28,6 @@
 const maxMeanRunTime = 30
 
 // maxBudget returns the maximum of a runner's budget, in core-seconds.
-func (r *runnerSession) maxBudget() float64 { return coreEquivalents(r.capacity) * maxMeanRunTime }
+func (r *runnerSession) maxBudget() float64 {
+	return float64(coreEquivalents(r.capacity) * maxMeanRunTime)
+}
--- a/internal/cluster/scheduler/lateness.go
+++ b/internal/cluster/scheduler/lateness.go
@@ -36,7 +36,7 @@
 	account := &jobAccount{paths: map[groupKey]lateness.CriticalPath{}}
 	for i := range j.Spec.Steps {
 		step := &j.Spec.Steps[i]
-		account.cost += float64(step.Count) * stepCost(learner.expected(j, i), step)
+		account.cost += float64(float64(step.Count) * stepCost(learner.expected(j, i), step))
 	}
 	t.jobs[j.ID] = account
 }
--- a/internal/cluster/scheduler/lease.go
+++ b/internal/cluster/scheduler/lease.go
@@ -98,7 +98,7 @@
 // milliseconds. The wait is shorter if replies get lost, and it ends shortly after the deadline of
 // the first order to start whose reply is overdue.
 func (m *leaseManager) pollWaitMs(now time.Duration, runner *runnerSession) int64 {
-	wait := max(minPollWaitMs, saturating.Int64(maxPollWaitMs/(1+lossRateWeight*m.lossRate.Value)))
+	wait := max(minPollWaitMs, saturating.Int64(maxPollWaitMs/(1+float64(lossRateWeight*m.lossRate.Value))))
 	for _, r := range runner.load.runs {
 		if m.startOverdue(now, r) {
 			wait = min(wait, max(0, r.orderDeadlineMs+startDeadlineMarginMs-runner.contact.clockAt(now)))
--- a/internal/cluster/scheduler/runner_test.go
+++ b/internal/cluster/scheduler/runner_test.go
@@ -91,7 +91,7 @@
 		return scheduler.StartNoCapacity
 	}
 	sim.checkStart(inc, j, spec, order)
-	work := time.Duration(float64(spec.EstimateMs)*(0.6+0.8*sim.random.Float64())) * time.Millisecond
+	work := time.Duration(float64(spec.EstimateMs)*(0.6+float64(0.8*sim.random.Float64()))) * time.Millisecond
 	if j.work > 0 {
 		work = j.work
 	}
--- a/internal/cluster/scheduler/simulation_test.go
+++ b/internal/cluster/scheduler/simulation_test.go
@@ -153,7 +153,7 @@
 	kinds := []string{"a", "b"}
 	inc := &incarnation{sim: sim, id: fmt.Sprintf("i-%d", sim.serial), address: address, service: "desk", up: true, enforcesCapacity: i%3 != 0,
 		labels: []string{kinds[i%2], fmt.Sprintf("r-%d", i%3)}, capacity: job.Resources{CPU: 16000, MemMB: 32000, GPU: int64(i%2) * 4},
-		clockRate: 1 - 0.02*sim.random.Float64(), clockOffsetMs: int64(sim.random.IntN(1_000_000)), runs: map[job.TaskRef]*running{}, highestAttempt: map[job.TaskRef]int{}}
+		clockRate: 1 - float64(0.02*sim.random.Float64()), clockOffsetMs: int64(sim.random.IntN(1_000_000)), runs: map[job.TaskRef]*running{}, highestAttempt: map[job.TaskRef]int{}}
 	sim.incarnations = append(sim.incarnations, inc)
 }
 
--- a/internal/cluster/simworld/node_test.go
+++ b/internal/cluster/simworld/node_test.go
@@ -229,7 +229,7 @@
 
 // syncTime returns a random duration for the next sync of the disk.
 func (c *controlNode) syncTime() time.Duration {
-	span := time.Duration(float64(c.w.deployment.syncTime) * c.diskSlowdown * (0.7 + 0.6*c.w.random.Float64()))
+	span := time.Duration(float64(c.w.deployment.syncTime) * c.diskSlowdown * (0.7 + float64(0.6*c.w.random.Float64())))
 	return max(span, c.diskStalledUntil-c.w.now)
 }
 
--- a/internal/cluster/simworld/process_test.go
+++ b/internal/cluster/simworld/process_test.go
@@ -26,7 +26,7 @@
 }
 
 func (w *world) addProcess(name string) *process {
-	p := &process{w: w, name: name, clockRate: 0.99 + 0.02*w.random.Float64(), clockOffset: w.randomBetween(0, time.Minute)}
+	p := &process{w: w, name: name, clockRate: 0.99 + float64(0.02*w.random.Float64()), clockOffset: w.randomBetween(0, time.Minute)}
 	w.processes[name] = p
 	return p
 }
--- a/internal/dispatcher/fleet/budget/demand.go
+++ b/internal/dispatcher/fleet/budget/demand.go
@@ -30,7 +30,7 @@
 		}
 		b.reportedDemand = max(d, (b.reportedDemand+d)/2)
 	default: // a significant change is reported unsmoothed, a smaller one smoothed
-		if deviation := n - b.reportedDemand*since.Seconds(); math.Abs(deviation) > samplingError(n) {
+		if deviation := n - float64(b.reportedDemand*since.Seconds()); math.Abs(deviation) > samplingError(n) {
 			b.reportedDemand = n / since.Seconds()
 		} else {
 			b.reportedDemand += 0.3 * deviation / since.Seconds()
@@ -57,7 +57,7 @@
 		n, reported := float64(b.rejected.Load()-b.rejectedAtRenewal)+float64(b.peakInFlight.Load()), b.reportedDemand
 		return math.Abs(n-reported) > max(n, reported)/2+samplingError(reported)
 	}
-	n, reported := float64(b.arrivals()-b.arrivalsAtRenewal.Load()), b.reportedDemand*since.Seconds()
+	n, reported := float64(b.arrivals()-b.arrivalsAtRenewal.Load()), float64(b.reportedDemand*since.Seconds())
 	return math.Abs(n-reported) > max(n, reported)/2+samplingError(reported)
 }
 
--- a/internal/dispatcher/fleet/budget/token_bucket.go
+++ b/internal/dispatcher/fleet/budget/token_bucket.go
@@ -97,7 +97,7 @@
 
 func (b *TokenBucket) advance(to time.Duration, rate, burst float64) {
 	if to > b.refilledAt {
-		b.level += rate * RefillPace * (to - b.refilledAt).Seconds()
+		b.level += float64(rate * RefillPace * (to - b.refilledAt).Seconds())
 		b.refilledAt = to
 	}
 	taken := min(b.taken.Load(), b.ceiling.Load()) // above the ceiling are attempts that Take undoes
--- a/internal/dispatcher/lab/baselines.go
+++ b/internal/dispatcher/lab/baselines.go
@@ -180,7 +180,7 @@
 	chosen.inFlight++
 	chosen.work += work
 	if p.warmingUp(now, chosen) {
-		chosen.coldWork += work * max(1, j.Slots)
+		chosen.coldWork += float64(work * max(1, j.Slots))
 	}
 	p.host.Send(j.ID, chosen.Number, 0)
 }
@@ -208,7 +208,7 @@
 		m.coldWindowStart, m.coldWork = now, 0
 	}
 	budget := coldBudgetShare * rules.ColdOverloadMultiple * rules.ColdCapacity * float64(rules.ColdOverloadWindow) / float64(p.world.experiment.Dispatchers)
-	return m.coldWork+float64(max(j.Hint, j.class.MeanWork))*max(1, j.Slots) > budget
+	return m.coldWork+float64(float64(max(j.Hint, j.class.MeanWork))*max(1, j.Slots)) > budget
 }
 
 // finishWithoutResult answers a job without a result: it refuses the job if it can't have run
--- a/internal/dispatcher/lab/client.go
+++ b/internal/dispatcher/lab/client.go
@@ -82,7 +82,7 @@
 		}
 	}
 	w.Result.Requests++
-	w.Result.RequestedWork += r.work * r.slots
+	w.Result.RequestedWork += float64(r.work * r.slots)
 	w.secondAt(begin).Asked++
 	w.submit(r)
 }
@@ -101,7 +101,7 @@
 		w.checker.accepted(r)
 		hint := time.Duration(0)
 		if e := r.class.HintError; e >= 0 {
-			hint = saturating.Duration(r.work * max(0.1, 1+e*(2*w.random.Float64()-1)))
+			hint = saturating.Duration(r.work * max(0.1, 1+float64(e*(float64(2*w.random.Float64())-1))))
 		}
 		w.schedule(r.deadline-time.Millisecond, func() { w.expire(r) })
 		d.handle(func() {
@@ -132,7 +132,7 @@
 		switch {
 		case s == policy.OK && w.now <= r.latencyTarget:
 			res.InTime++
-			res.TimelyWork += r.work * r.slots
+			res.TimelyWork += float64(r.work * r.slots)
 			w.secondAt(startTime).InTime++
 			w.recordServed(r)
 		case s == policy.OK:
--- a/internal/dispatcher/lab/member.go
+++ b/internal/dispatcher/lab/member.go
@@ -73,7 +73,7 @@
 		return 1
 	}
 	age := float64(m.world.now-m.started) / float64(k.WarmupTime)
-	return min(1, k.InitialSpeed+(1-k.InitialSpeed)*age)
+	return min(1, k.InitialSpeed+float64((1-k.InitialSpeed)*age))
 }
 
 // rate returns the speed of each running job: work per nanosecond.
@@ -82,7 +82,7 @@
 		return 0
 	}
 	coreShare := min(1, float64(m.kind.Cores)/m.busySlots)
-	crowding := 1 / (1 + m.kind.Crowding*max(0, float64(len(m.running)+len(m.queue)-max(m.kind.Cores, m.kind.CrowdFrom))))
+	crowding := 1 / (1 + float64(m.kind.Crowding*max(0, float64(len(m.running)+len(m.queue)-max(m.kind.Cores, m.kind.CrowdFrom)))))
 	return m.speed * m.speedFactor * m.warmupFactor() * coreShare * crowding
 }
 
@@ -91,7 +91,7 @@
 	if span := m.world.now - m.advancedAt; span > 0 && len(m.running) > 0 {
 		if rate := m.rate(); rate > 0 {
 			for _, a := range m.running {
-				a.workLeft -= rate * float64(span)
+				a.workLeft -= float64(rate * float64(span))
 			}
 			m.workDone += span * saturating.Duration(min(float64(m.kind.Cores), m.busySlots))
 		}
--- a/internal/dispatcher/lab/network.go
+++ b/internal/dispatcher/lab/network.go
@@ -15,7 +15,7 @@
 
 // networkDelay draws the one-way delay of a message.
 func (w *World) networkDelay() time.Duration {
-	return saturating.Duration(float64(w.experiment.NetworkDelay) * max(0.2, 1+w.experiment.NetworkJitter*w.random.NormFloat64()))
+	return saturating.Duration(float64(w.experiment.NetworkDelay) * max(0.2, 1+float64(w.experiment.NetworkJitter*w.random.NormFloat64())))
 }
 
 // losesMessage draws whether a message is lost.
--- a/internal/dispatcher/lab/world.go
+++ b/internal/dispatcher/lab/world.go
@@ -86,7 +86,7 @@
 		d := distuv.Pareto{Xm: mean * 0.5, Alpha: 2, Src: w.random}
 		return func() float64 { return min(d.Rand(), 50*mean) }
 	case "lognormal":
-		variance := math.Log(1 + c.WorkCV*c.WorkCV)
+		variance := math.Log(1 + float64(c.WorkCV*c.WorkCV))
 		d := distuv.LogNormal{Mu: math.Log(mean) - variance/2, Sigma: math.Sqrt(variance), Src: w.random}
 		return d.Rand
 	}
--- a/internal/dispatcher/policy/budget.go
+++ b/internal/dispatcher/policy/budget.go
@@ -86,8 +86,8 @@
 // growBudget increases a budget that has held jobs back, by a share of a served job's cost. Growth
 // is slow, also where workers report starts, since too large a budget fills the worker's queue.
 func (d *Dispatcher) growBudget(w *worker, cost float64) {
-	if w.budget += budgetGrowth * cost; w.budgetShrunkAt == 0 && d.Instances == 1 {
-		w.budget += (unsharedGrowth - budgetGrowth) * cost
+	if w.budget += float64(budgetGrowth * cost); w.budgetShrunkAt == 0 && d.Instances == 1 {
+		w.budget += float64((unsharedGrowth - budgetGrowth) * cost)
 	}
 	w.budgetLimited = false
 	d.reindex(w)
--- a/internal/dispatcher/policy/dispatcher.go
+++ b/internal/dispatcher/policy/dispatcher.go
@@ -159,7 +159,7 @@
 	if !d.ValueByWork {
 		j.valuePerCost /= max(j.cost, 1)
 	}
-	slack := float64(j.answerBy-now) - j.expectedRun*d.bestPace*d.slowdown
+	slack := float64(j.answerBy-now) - float64(j.expectedRun*d.bestPace*d.slowdown)
 	j.agesAt = now + saturating.Duration(max(0, min(agingMultiple*j.cost, slack/2)))
 	d.growSubset()
 	if d.tooLate(j) {
@@ -305,7 +305,7 @@
 
 // jitter returns a random duration between 0.75 and 1.25 times t.
 func (d *Dispatcher) jitter(t time.Duration) time.Duration {
-	return saturating.Duration(float64(t) * (0.75 + 0.5*d.rng.Float64()))
+	return saturating.Duration(float64(t) * (0.75 + float64(0.5*d.rng.Float64())))
 }
 
 // boolToInt returns 1 for true and 0 for false.
--- a/internal/dispatcher/policy/health.go
+++ b/internal/dispatcher/policy/health.go
@@ -51,7 +51,8 @@
 	w.overdueJobs, w.recheckDelay = 0, w.recheckDelay/2 // the delay shrinks gradually
 	w.failing = w.failing && d.failsMoreThanPeers(w)
 	d.clearSuspicion(w)
-	slow := float64(d.now-a.sentAt) > slowMultiple*a.expectedRun*w.pace()*d.slowdown+float64(tickInterval)
+	limit := float64(slowMultiple*a.expectedRun*w.pace()*d.slowdown) + float64(tickInterval)
+	slow := float64(d.now-a.sentAt) > limit
 	from := a.sentAt
 	if a.startedAt != 0 { // the time since the start shows nothing about the load
 		from, slow = a.startedAt, false
--- a/internal/dispatcher/policy/job.go
+++ b/internal/dispatcher/policy/job.go
@@ -73,7 +73,7 @@
 		Request: r, class: c, affinity: d.affinityOf(r), seq: d.seq,
 		expectedRun: d.expectedRun(c, r.Hint), maxAttempts: d.Limits.MaxAttempts,
 	}
-	j.cost = j.expectedRun * r.Slots
+	j.cost = float64(j.expectedRun * r.Slots)
 	d.meanCost += (j.cost - d.meanCost) / min(float64(d.seq), costWindow)
 	d.jobs[r.ID] = j
 	return j
--- a/internal/dispatcher/policy/learning.go
+++ b/internal/dispatcher/policy/learning.go
@@ -78,10 +78,10 @@
 	c, w := a.job.class, a.worker
 	ratio := min(max(run/(a.expectedRun*w.pace()*d.slowdown*d.warmupSlowdown(w)), 1/maxRunRatio), maxRunRatio)
 	weight := min(1, a.expectedRun/max(1, d.meanCost)) // short runs consist mostly of network delay
-	d.slowdown *= 1 + (ratio-1)*weight/paceWindow*d.addRunSample(a.job)
+	d.slowdown *= 1 + float64((ratio-1)*weight/paceWindow*d.addRunSample(a.job))
 	c.runPerHint *= 1 + (ratio-1)*weight/costWindow
-	c.meanRun += (a.expectedRun*ratio - c.meanRun) / c.samples
-	d.meanRun += (a.expectedRun*ratio - d.meanRun) / d.meanRunSamples
+	c.meanRun += (float64(a.expectedRun*ratio) - c.meanRun) / c.samples
+	d.meanRun += (float64(a.expectedRun*ratio) - d.meanRun) / d.meanRunSamples
 	if d.warmingUp(w) {
 		d.learnWarmupPenalty(w, ratio, weight)
 	} else {
--- a/internal/dispatcher/policy/overdue.go
+++ b/internal/dispatcher/policy/overdue.go
@@ -88,7 +88,7 @@
 func (d *Dispatcher) recordStart(a *attempt) {
 	runs := 0.0 // slots of the jobs that run there now, whatever is reported
 	for _, b := range a.worker.attempts {
-		runs += b.slots * float64(boolToInt(b.startedAt != 0))
+		runs += float64(b.slots * float64(boolToInt(b.startedAt != 0)))
 	}
 	a.worker.kind.maxSlots = max(a.worker.kind.maxSlots, runs)
 	if a.waiting {
--- a/internal/dispatcher/policy/selection.go
+++ b/internal/dispatcher/policy/selection.go
@@ -91,7 +91,7 @@
 
 // tooSlowFor reports whether a job would be late at a worker even in the best case.
 func (d *Dispatcher) tooSlowFor(w *worker, j *job) bool {
-	run := bestCaseRun * j.expectedRun * w.pace() * d.slowdown * d.warmupSlowdown(w)
+	run := float64(bestCaseRun * j.expectedRun * w.pace() * d.slowdown * d.warmupSlowdown(w))
 	return float64(d.now)+run > float64(j.answerBy)
 }
 
@@ -149,7 +149,8 @@
 	tieBreak := math.Pow(d.rng.ExpFloat64(), -tieBreakSpread)
 	weight := d.promptShare[boolToInt(d.warmingUp(w))] * tieBreak / d.warmupSlowdown(w)
 	if !d.warmingUp(w) && w.promptStartAt != 0 {
-		weight *= 1 + promptGain*math.Exp(-float64(d.now-w.promptStartAt)/(promptDecayCosts*d.meanCost))
+		decay := math.Exp(-float64(d.now-w.promptStartAt) / (promptDecayCosts * d.meanCost))
+		weight *= 1 + float64(promptGain*decay)
 	}
 	// A waiting job of several slots delays the jobs behind it.
 	if !d.warmingUp(w) && (j.Slots > 1) != (w.hashFraction(0) < wideJobsShare) {
--- a/internal/dispatcher/policy/slowstart.go
+++ b/internal/dispatcher/policy/slowstart.go
@@ -46,7 +46,7 @@
 		return 1
 	}
 	warmed := min(1, float64(age)/float64(max(1, d.Rules.WarmupTime)))
-	return d.Rules.ColdCapacity + (1-d.Rules.ColdCapacity)*warmed
+	return d.Rules.ColdCapacity + float64((1-d.Rules.ColdCapacity)*warmed)
 }
 
 // slowStartHeadroom returns the cost that a worker that is warming up may still get from this
@@ -61,13 +61,13 @@
 	limit := d.Rules.ColdOverloadMultiple * d.warmCapacity(w, age) * capacity
 	sent := w.slowStartCostSince(d.now - d.Rules.ColdOverloadWindow)
 	if d.scaleToOwnShare(&limit) {
-		return slowStartEvenShare*limit - sent
+		return float64(slowStartEvenShare*limit) - sent
 	}
 	evenPart := slowStartEvenShare * limit / float64(d.Instances)
-	limit += 2*math.Sqrt(limit*d.meanCost) + 2*d.meanCost // the rule's allowance for chance
+	limit += float64(2*math.Sqrt(limit*d.meanCost)) + float64(2*d.meanCost) // the rule's allowance for chance
 	largest := max(d.meanCost, slowStartJobShare*limit)
 	ownPart := slowStartDrawShare * limit / 2 / float64(d.Instances)
-	if j.cost <= evenPart || j.cost > largest || sent+d.slowStartDraw(w)*j.cost > ownPart ||
+	if j.cost <= evenPart || j.cost > largest || sent+float64(d.slowStartDraw(w)*j.cost) > ownPart ||
 		d.Instances < wideSharing && sent+j.cost > slowStartEvenExcess*evenPart { // too few to average out
 		return evenPart - sent
 	}
@@ -94,9 +94,9 @@
 // used: its draw is infinite and never wins.
 func (d *Dispatcher) slowStartDraw(w *worker) float64 {
 	length := max(1, float64(d.Rules.ColdOverloadWindow))
-	phase := w.hashFraction(uint64(d.Rank)) * length
+	phase := float64(w.hashFraction(uint64(d.Rank)) * length)
 	window := math.Floor((float64(d.now-w.warmingSince) + phase) / length)
-	began := w.warmingSince + saturating.Duration(window*length-phase)
+	began := w.warmingSince + saturating.Duration(float64(window*length)-phase)
 	if began < d.firstEventAt && w.warmingSince < d.firstEventAt {
 		return math.Inf(1)
 	}
@@ -114,15 +114,15 @@
 // warmupSlowdown returns the factor by which a job runs longer at a worker that may be warming up. The
 // capacities of the rule imply the maximum; warmupPenalty is the learned part of it.
 func (d *Dispatcher) warmupSlowdown(w *worker) float64 {
-	return 1 + d.warmupPenalty*(1/max(minCapacity, d.warmCapacity(w, d.now-w.warmingSince))-1)
+	return 1 + float64(d.warmupPenalty*(1/max(minCapacity, d.warmCapacity(w, d.now-w.warmingSince))-1))
 }
 
 // learnWarmupPenalty updates warmupPenalty from a run at a worker that is warming up. The closer the
 // worker is to its full capacity, the less weight the run has.
 func (d *Dispatcher) learnWarmupPenalty(w *worker, ratio, weight float64) {
 	lack := max(minCapacity, 1-d.warmCapacity(w, d.now-w.warmingSince))
-	penalty := min(1, max(0, (ratio*d.warmupSlowdown(w)-1)*(1-lack)/lack))
-	d.warmupPenalty += (penalty - d.warmupPenalty) * lack * weight / paceWindow
+	penalty := min(1, max(0, (float64(ratio*d.warmupSlowdown(w))-1)*(1-lack)/lack))
+	d.warmupPenalty += float64((penalty - d.warmupPenalty) * lack * weight / paceWindow)
 }
 
 // slowStartCostSince returns the cost sent to a worker that is warming up after then, and deletes
--- a/internal/dispatcher/policy/subset.go
+++ b/internal/dispatcher/policy/subset.go
@@ -127,7 +127,7 @@
 // The stride is coprime to n, so that it visits every position.
 func ringWalk(rank, n int) (start, stride int) {
 	at := func(by float64) int {
-		_, f := math.Modf(float64(rank+1) * by)
+		_, f := math.Modf(float64(float64(rank+1) * by))
 		return saturating.Int(f * float64(n))
 	}
 	start, stride = at(math.Phi), 1+at(math.Sqrt2)
--- a/internal/shared/admission/budget.go
+++ b/internal/shared/admission/budget.go
@@ -58,7 +58,7 @@
 // has started there was within that dispatcher's budget, so that the runner can handle it.
 func (b *Budget) initialize(inFlight float64, mean *MeanCost) {
 	if b.amount == 0 {
-		b.amount = inFlight + initialMeans*mean.Mean()
+		b.amount = inFlight + float64(initialMeans*mean.Mean())
 	}
 }
 
@@ -81,7 +81,7 @@
 		return
 	}
 	b.exhausted = false
-	b.amount = min(b.amount+growthFraction*cost+growthFraction*b.amount, max(b.amount, maximum))
+	b.amount = min(b.amount+float64(growthFraction*cost)+float64(growthFraction*b.amount), max(b.amount, maximum))
 }
 
 // Shrink reduces the budget after a time-out, a slowdown or a rejection of work that was sent at sentAt.
--- a/internal/shared/admission/digest_test.go
+++ b/internal/shared/admission/digest_test.go
@@ -11,6 +11,8 @@
 	"basaltloft/internal/shared/digesttest"
 )
 
+// Products are rounded explicitly: the compiler may fuse them with an addition in an inlined call.
+
 // digestFile has a line for each part: its number, the number of its events, and the digest of their
 // results.
 const digestFile = "testdata/digests.txt"
@@ -40,25 +42,25 @@
 	l.useBudget(&l.budgets[l.random.IntN(len(l.budgets))])
 	l.learnFactors()
 	l.compareRanks()
-	l.average.Add(l.random.Float64(), 1+l.random.Float64()*30)
+	l.average.Add(l.random.Float64(), 1+float64(l.random.Float64()*30))
 	l.trace.Begin(l.now, "average").Float(l.average.Value, l.average.Count).Bool(l.average.Known())
-	l.trace.Float(admission.ShrunkBudget(100*l.random.Float64(), l.random.Float64(), 20*l.random.Float64())).End()
+	l.trace.Float(admission.ShrunkBudget(float64(100*l.random.Float64()), l.random.Float64(), float64(20*l.random.Float64()))).End()
 }
 
 func (l *learner) learnRunTime() {
 	taskType := admission.TaskType{Queue: []string{"p", "q"}[l.random.IntN(2)], Step: l.random.IntN(3)}
 	estimate := 0.0
 	if l.random.IntN(2) == 0 {
-		estimate = 10 * l.random.Float64()
+		estimate = float64(10 * l.random.Float64())
 	}
 	l.trace.Begin(l.now, "cost").Float(l.estimates.Expect(taskType, estimate)).End()
 	if l.random.IntN(3) > 0 {
-		l.estimates.Learn(taskType, estimate, l.random.ExpFloat64()*4)
+		l.estimates.Learn(taskType, estimate, float64(l.random.ExpFloat64()*4))
 	}
 }
 
 func (l *learner) useBudget(budget *admission.Budget) {
-	cost, inFlight := 10*l.random.Float64(), 50*l.random.Float64()
+	cost, inFlight := float64(10*l.random.Float64()), float64(50*l.random.Float64())
 	switch l.random.IntN(4) {
 	case 0:
 		l.meanCost.Add(cost)
@@ -85,7 +87,7 @@
 func (l *learner) learnFactors() {
 	var peers []admission.PeerRun
 	for range l.random.IntN(6) {
-		peers = append(peers, admission.PeerRun{Factor: &l.factors[l.random.IntN(len(l.factors))], Took: 5 * l.random.Float64()})
+		peers = append(peers, admission.PeerRun{Factor: &l.factors[l.random.IntN(len(l.factors))], Took: float64(5 * l.random.Float64())})
 	}
 	admission.LearnRunTimeFactors(peers)
 	l.trace.Begin(l.now, "speeds")
